--- /dev/null
+++ b/clocker/clock.go
@@ -0,0 +1,134 @@
+// Package clocker is the project's one source of time, in milliseconds.
+package clocker
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Millis is a point in time since the Unix epoch, or a duration, in milliseconds.
+type Millis int64
+
+// Common durations in milliseconds.
+const (
+	Second Millis = 1000
+	Minute Millis = 60 * Second
+	Hour   Millis = 60 * Minute
+)
+
+// Duration returns m as a duration of the standard library.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Time returns m as a point in time of the standard library.
+func (m Millis) Time() time.Time {
+	return time.UnixMilli(int64(m))
+}
+
+// Clock tells the time. The zero value is not usable: call NewWall or NewManual.
+// All methods may be called from many goroutines.
+type Clock struct {
+	started time.Time // zero for a manual clock
+
+	mu      sync.Mutex
+	now     Millis
+	waiters []waiter
+}
+
+type waiter struct {
+	due  Millis
+	done chan struct{}
+}
+
+// NewWall returns a clock that follows the machine and never runs backwards.
+func NewWall() *Clock {
+	return &Clock{started: time.Now()}
+}
+
+// NewManual returns a clock that stands at start until Advance moves it.
+func NewManual(start Millis) *Clock {
+	return &Clock{now: start}
+}
+
+// Now returns the present time.
+func (c *Clock) Now() Millis {
+	if !c.started.IsZero() {
+		return Millis(c.started.UnixMilli()) + Millis(time.Since(c.started)/time.Millisecond)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// Advance moves a manual clock by d and wakes the waiters that are due.
+func (c *Clock) Advance(d Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool {
+		if w.due > c.now {
+			return false
+		}
+		close(w.done)
+		return true
+	})
+}
+
+// Waiting returns how many Sleep calls wait on a manual clock.
+func (c *Clock) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiters)
+}
+
+// Sleep waits for d, or returns the error of ctx if that ends first.
+func (c *Clock) Sleep(ctx context.Context, d Millis) error {
+	if !c.started.IsZero() {
+		timer := time.NewTimer(d.Duration())
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			return nil
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.wait(d):
+		return ctx.Err()
+	}
+}
+
+// WithTimeout returns a context that is cancelled once d has passed on this clock.
+func (c *Clock) WithTimeout(ctx context.Context, d Millis) (context.Context, context.CancelFunc) {
+	if !c.started.IsZero() {
+		return context.WithTimeout(ctx, d.Duration())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	due := c.wait(d)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-due:
+			cancel()
+		}
+	}()
+	return ctx, cancel
+}
+
+func (c *Clock) wait(d Millis) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	done := make(chan struct{})
+	if d <= 0 {
+		close(done)
+		return done
+	}
+	c.waiters = append(c.waiters, waiter{due: c.now + d, done: done})
+	return done
+}
