--- /dev/null
+++ b/biller/errors.go
@@ -0,0 +1,55 @@
+package biller
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrFull says that no bill is taken because too many wait to be written.
+type ErrFull struct {
+	Pending int
+}
+
+// Error implements error.
+func (err ErrFull) Error() string {
+	return fmt.Sprintf("%d bills wait to be written", err.Pending)
+}
+
+// IsErrFull reports whether err is an ErrFull.
+func IsErrFull(err error) bool {
+	var target ErrFull
+	return errors.As(err, &target)
+}
+
+// ErrNotCopied says that a bill is kept at this host, and that it is not yet
+// with another one or written to the platform.
+type ErrNotCopied struct {
+	RequestID string
+}
+
+// Error implements error.
+func (err ErrNotCopied) Error() string {
+	return fmt.Sprintf("bill of request %s is at one host only", err.RequestID)
+}
+
+// IsErrNotCopied reports whether err is an ErrNotCopied.
+func IsErrNotCopied(err error) bool {
+	var target ErrNotCopied
+	return errors.As(err, &target)
+}
+
+// ErrInvalidBill says which field of a bill is missing or out of range.
+type ErrInvalidBill struct {
+	Field string
+}
+
+// Error implements error.
+func (err ErrInvalidBill) Error() string {
+	return fmt.Sprintf("bill has no valid %s", err.Field)
+}
+
+// IsErrInvalidBill reports whether err is an ErrInvalidBill.
+func IsErrInvalidBill(err error) bool {
+	var target ErrInvalidBill
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/biller/merge.go
@@ -0,0 +1,95 @@
+// Package biller bills each request once, though hosts die. A bill is with a
+// second host before its request ends, and written to the platform in batches
+// by either. Bills are a set keyed by client account and request ID with
+// absolute amounts, so that a bill written twice counts once.
+package biller
+
+import (
+	"cmp"
+	"slices"
+
+	"cowsliphinge/messenger"
+)
+
+// Key identifies the request that a bill is for.
+type Key struct {
+	ClientAccount string
+	RequestID     string
+}
+
+// KeyOf returns the key of a bill.
+func KeyOf(bill *messenger.Bill) Key {
+	return Key{ClientAccount: bill.ClientAccount, RequestID: bill.RequestId}
+}
+
+// Merge returns the one of two bills of a request that counts. It does not
+// depend on their order: a final amount goes before an upper bound, then the
+// larger amount, because both were charged to the budget and the larger covers
+// what the caller received; ties go to the earlier, then by incarnation.
+func Merge(a, b *messenger.Bill) *messenger.Bill {
+	if order(a, b) <= 0 {
+		return a
+	}
+	return b
+}
+
+func order(a, b *messenger.Bill) int {
+	if a.Partial != b.Partial {
+		if b.Partial {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(b.Tokens, a.Tokens),
+		cmp.Compare(a.FinishedAtMs, b.FinishedAtMs),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Budget, b.Budget),
+		cmp.Compare(a.Service, b.Service),
+	)
+}
+
+// Set is a set of bills, one for each request.
+type Set map[Key]*messenger.Bill
+
+// Add merges bills into the set.
+func (s Set) Add(bills ...*messenger.Bill) {
+	for _, bill := range bills {
+		key := KeyOf(bill)
+		if known, ok := s[key]; ok {
+			bill = Merge(known, bill)
+		}
+		s[key] = bill
+	}
+}
+
+// Sum returns the totals of the bills that match, ordered by client account
+// and budget.
+func (s Set) Sum(req *messenger.SumBillsRequest) []*messenger.BillSum {
+	type group struct{ clientAccount, budget string }
+	groups := map[group]*messenger.BillSum{}
+	for _, bill := range s {
+		if req.ClientAccount != "" && req.ClientAccount != bill.ClientAccount {
+			continue
+		}
+		if req.Budget != "" && req.Budget != bill.Budget {
+			continue
+		}
+		g := group{clientAccount: bill.ClientAccount, budget: bill.Budget}
+		sum, ok := groups[g]
+		if !ok {
+			sum = &messenger.BillSum{ClientAccount: g.clientAccount, Budget: g.budget}
+			groups[g] = sum
+		}
+		sum.Requests++
+		sum.Tokens += bill.Tokens
+	}
+	sums := make([]*messenger.BillSum, 0, len(groups))
+	for _, sum := range groups {
+		sums = append(sums, sum)
+	}
+	slices.SortFunc(sums, func(a, b *messenger.BillSum) int {
+		return cmp.Or(cmp.Compare(a.ClientAccount, b.ClientAccount), cmp.Compare(a.Budget, b.Budget))
+	})
+	return sums
+}
--- /dev/null
+++ b/biller/write.go
@@ -0,0 +1,118 @@
+package biller
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"cowsliphinge/messenger"
+	"cowsliphinge/storer"
+)
+
+const (
+	// prefix starts the key of each batch.
+	prefix = "bill/"
+	// listPage is the number of batches that one read returns.
+	listPage = 50
+)
+
+// writeDuty writes batches at an interval, and at once while no peer takes
+// copies, and takes over copies whose origin is gone.
+func (b *Biller) writeDuty(ctx context.Context) {
+	wait := b.cfg.WriteEvery
+	for {
+		sleepOrWake(ctx, b.cfg.Clock, wait, b.writeNow)
+		if ctx.Err() != nil {
+			return
+		}
+		b.takeOver(b.gone(b.cfg.Clock.Now()))
+		wait = b.cfg.WriteEvery
+		if !b.write(ctx) {
+			wait = retryEvery
+			continue
+		}
+		b.tellWritten(ctx)
+	}
+}
+
+// write writes batches until nothing is pending. It reports false if the
+// platform does not take one.
+func (b *Biller) write(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		b.mu.Lock()
+		batch := b.buffer.seal(batchBills)
+		b.mu.Unlock()
+		if batch == nil {
+			return true
+		}
+		found, err := b.writeBatch(ctx, batch)
+		if err != nil {
+			writeFailed.Inc()
+			return false
+		}
+		b.mu.Lock()
+		if found {
+			b.buffer.written()
+			written.Add(len(batch.Bills))
+			b.progressed()
+		} else {
+			b.buffer.skip()
+		}
+		b.mu.Unlock()
+	}
+	return false
+}
+
+// writeBatch creates the object of a batch. After an unknown outcome or a
+// conflict it reads back: the batch is written only if the same bills are found.
+func (b *Biller) writeBatch(ctx context.Context, batch *messenger.BillBatch) (bool, error) {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(batch)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	key := fmt.Sprintf("%s%s/%012d", prefix, batch.Incarnation, batch.Sequence)
+	_, err = b.cfg.Store.Create(ctx, key, value)
+	if err == nil {
+		return true, nil
+	}
+	if !storer.IsErrConflict(err) && !storer.IsErrOutcomeUnknown(err) {
+		return false, trace.Wrap(err)
+	}
+	o, err := b.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	found := &messenger.BillBatch{}
+	if err := proto.Unmarshal(o.Value, found); err != nil {
+		return false, nil
+	}
+	return proto.Equal(found, batch), nil
+}
+
+// SumBills returns the totals of all written bills and of those buffered here.
+func (b *Biller) SumBills(ctx context.Context, req *messenger.SumBillsRequest) (*messenger.SumBillsReply, error) {
+	set := Set{}
+	b.mu.Lock()
+	set.Add(b.buffer.bills()...)
+	b.mu.Unlock()
+	after := ""
+	for {
+		page, err := b.cfg.Store.List(ctx, prefix, after, listPage)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		for _, o := range page {
+			batch := &messenger.BillBatch{}
+			if err := proto.Unmarshal(o.Value, batch); err != nil {
+				return nil, trace.Wrap(err, "object %s", o.Key)
+			}
+			set.Add(batch.Bills...)
+			after = o.Key
+		}
+		if len(page) < listPage {
+			return &messenger.SumBillsReply{Sums: set.Sum(req)}, nil
+		}
+	}
+}
--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,141 @@
+package claimer_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/claimer"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+)
+
+// newClaimer returns a claimer whose clock moves by itself, so that waits end.
+func newClaimer(t *testing.T, clock *clocker.Clock, store claimer.Store, incarnation string, alive ...string) *claimer.Claimer {
+	t.Helper()
+	known := map[string]bool{}
+	for _, a := range alive {
+		known[a] = true
+	}
+	return claimer.New(t.Context(), claimer.Config{
+		Incarnation: incarnation,
+		Clock:       clock,
+		Store:       store,
+		Alive:       func(incarnation string) bool { return known[incarnation] },
+	})
+}
+
+func order(clock *clocker.Clock, key, body string) claimer.Request {
+	return claimer.Request{
+		ClientAccount:  "mason",
+		IdempotencyKey: key,
+		BodyHash:       sha256.Sum256([]byte(body)),
+		Deadline:       clock.Now() + 5*clocker.Second,
+	}
+}
+
+// during advances the clock until f returns.
+func during(clock *clocker.Clock, f func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			runtime.Gosched()
+			clock.Advance(1)
+		}
+	}
+}
+
+func TestRepeatsOfAClaim(t *testing.T) {
+	ctx := t.Context()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, store, "a", "b")
+	b := newClaimer(t, clock, store, "b", "a")
+	c := newClaimer(t, clock, store, "c")
+	first := a.Claim(ctx, order(clock, "k", "urn"))
+	assert.Equal(t, first.Verdict, claimer.Owned)
+	assert.Equal(t, a.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.InProgress)
+	assert.Equal(t, b.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.InProgress)
+	assert.Equal(t, c.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.OutcomeUnknown)
+	assert.Equal(t, b.Claim(ctx, order(clock, "k", "plaque")).Verdict, claimer.KeyReused)
+	assert.Assert(t, a.Dispatched(first.Claim))
+	a.Finish(ctx, first.Claim, &messenger.StoredAnswer{Status: 201, Body: []byte("done")})
+	again := b.Claim(ctx, order(clock, "k", "urn"))
+	assert.Equal(t, again.Verdict, claimer.Answered)
+	assert.Equal(t, string(again.Answer.Body), "done")
+	assert.Equal(t, a.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.Answered)
+	assert.Assert(t, !a.Dispatched(first.Claim))
+}
+
+func TestReleasedKeyRunsAgain(t *testing.T) {
+	ctx := t.Context()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, store, "a", "b")
+	b := newClaimer(t, clock, store, "b", "a")
+	first := a.Claim(ctx, order(clock, "k", "urn"))
+	a.Release(ctx, first.Claim)
+	assert.Assert(t, !a.Dispatched(first.Claim))
+	assert.Equal(t, b.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.Owned)
+	assert.Equal(t, a.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.InProgress)
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, store, "a")
+	store.SetFaults(platform.Faults{LoseAnswers: 1})
+	assert.Equal(t, a.Claim(t.Context(), order(clock, "k", "urn")).Verdict, claimer.Owned)
+}
+
+func TestOutageSaysWhatIsKnown(t *testing.T) {
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, store, "a")
+	store.SetFaults(platform.Faults{Outage: true})
+	var verdict claimer.Verdict
+	during(clock, func() { verdict = a.Claim(context.Background(), order(clock, "k", "urn")).Verdict })
+	assert.Equal(t, verdict, claimer.Undetermined)
+	store.SetFaults(platform.Faults{DropWrites: 1 << 20})
+	during(clock, func() { verdict = a.Claim(context.Background(), order(clock, "k2", "urn")).Verdict })
+	assert.Equal(t, verdict, claimer.Unreachable)
+}
+
+func TestTicketNeedsNoPlatform(t *testing.T) {
+	ctx := t.Context()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	store.SetFaults(platform.Faults{Outage: true})
+	a := newClaimer(t, clock, store, "a-1.2-3", "b")
+	b := newClaimer(t, clock, store, "b", "a-1.2-3")
+	c := newClaimer(t, clock, store, "c")
+	key := a.IssueTicket("mason")
+	forward := b.Claim(ctx, order(clock, key, "urn"))
+	assert.Equal(t, forward.Verdict, claimer.Elsewhere)
+	assert.Equal(t, forward.Incarnation, "a-1.2-3")
+	assert.Equal(t, c.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.OutcomeUnknown)
+	first := a.Claim(ctx, order(clock, key, "urn"))
+	assert.Equal(t, first.Verdict, claimer.Owned)
+	assert.Equal(t, a.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.InProgress)
+	assert.Equal(t, a.Claim(ctx, order(clock, key, "plaque")).Verdict, claimer.KeyReused)
+	assert.Assert(t, a.Dispatched(first.Claim))
+	a.Finish(ctx, first.Claim, &messenger.StoredAnswer{Status: 201})
+	assert.Equal(t, a.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.Answered)
+	foreign := order(clock, a.IssueTicket("mason"), "urn")
+	foreign.ClientAccount = "school"
+	assert.Equal(t, a.Claim(ctx, foreign).Verdict, claimer.KeyReused)
+	late := a.IssueTicket("mason")
+	clock.Advance(16 * clocker.Minute)
+	assert.Equal(t, a.Claim(ctx, order(clock, late, "urn")).Verdict, claimer.OutcomeUnknown)
+}
--- /dev/null
+++ b/claimer/object.go
@@ -0,0 +1,42 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"cowsliphinge/messenger"
+	"cowsliphinge/storer"
+)
+
+// put writes a claim over the object at the given version; 0 creates it.
+func (c *Claimer) put(ctx context.Context, key string, version int64, claim *messenger.Claim) (storer.Object, error) {
+	value, err := proto.Marshal(claim)
+	if err != nil {
+		return storer.Object{}, trace.Wrap(err)
+	}
+	if version == 0 {
+		return c.cfg.Store.Create(ctx, key, value)
+	}
+	return c.cfg.Store.Update(ctx, key, version, value)
+}
+
+// get reads the claim of an object.
+func (c *Claimer) get(ctx context.Context, key string) (storer.Object, *messenger.Claim, error) {
+	o, err := c.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return storer.Object{}, nil, err
+	}
+	claim := &messenger.Claim{}
+	if err := proto.Unmarshal(o.Value, claim); err != nil {
+		return storer.Object{}, nil, trace.Wrap(err)
+	}
+	if claim.Incarnation == "" {
+		return storer.Object{}, nil, trace.Wrap(errEmptyClaim)
+	}
+	return o, claim, nil
+}
+
+var errEmptyClaim = errors.New("object holds no claim")
--- /dev/null
+++ b/heartbeater/heartbeater.go
@@ -0,0 +1,233 @@
+package heartbeater
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/storer"
+)
+
+const (
+	// defaultBeatEvery is the time between rounds of beats, in milliseconds.
+	defaultBeatEvery = clocker.Second
+	// defaultListEvery is the time between reads of the host list, in milliseconds.
+	defaultListEvery = 15 * clocker.Second
+	// beatTimeout bounds one exchange of beats, in milliseconds.
+	beatTimeout = clocker.Second
+)
+
+var (
+	beatsSent     = metrics.GetOrCreateCounter(`cowsliphinge_beats_total{outcome="answered"}`)
+	beatsFailed   = metrics.GetOrCreateCounter(`cowsliphinge_beats_total{outcome="failed"}`)
+	beatsReceived = metrics.GetOrCreateCounter(`cowsliphinge_beats_total{outcome="received"}`)
+	listsFailed   = metrics.GetOrCreateCounter(`cowsliphinge_host_list_total{outcome="failed"}`)
+)
+
+// HostList is the platform's lagging list of hosts.
+type HostList interface {
+	Hosts(ctx context.Context) ([]storer.ListedHost, error)
+}
+
+// Exchange sends beats to other routers.
+type Exchange interface {
+	SendBeat(ctx context.Context, address string, beat *messenger.Beat) (*messenger.BeatReply, error)
+}
+
+// Config configures a Heartbeater.
+type Config struct {
+	// Self returns the present beat of this host; Heard and SentAtMs are filled in here.
+	Self  func() *messenger.Beat
+	Clock *clocker.Clock
+	// Declared returns the hosts of the configuration in force; may be nil.
+	Declared func() []*messenger.Host
+	// Seeds are exchange addresses that get beats until others are known.
+	Seeds []string
+	// HostList may be nil.
+	HostList HostList
+	Exchange Exchange
+	// BeatEvery and ListEvery are in milliseconds; 0 means 1 s and 15 s.
+	BeatEvery clocker.Millis
+	ListEvery clocker.Millis
+}
+
+// Heartbeater is the shell around Members.
+type Heartbeater struct {
+	cfg    Config
+	cancel context.CancelFunc
+	duties errgroup.Group
+
+	peers atomic.Pointer[[]Peer]
+
+	mu      sync.Mutex
+	members *Members
+}
+
+// New returns a heartbeater that beats and reads the host list until Close.
+func New(ctx context.Context, cfg Config) *Heartbeater {
+	if cfg.BeatEvery == 0 {
+		cfg.BeatEvery = defaultBeatEvery
+	}
+	if cfg.ListEvery == 0 {
+		cfg.ListEvery = defaultListEvery
+	}
+	self := cfg.Self()
+	ctx, cancel := context.WithCancel(ctx)
+	h := &Heartbeater{
+		cfg:    cfg,
+		cancel: cancel,
+		members: NewMembers(MembersConfig{
+			Host:             self.Host,
+			AvailabilityZone: self.AvailabilityZone,
+			BeatEvery:        cfg.BeatEvery,
+			Seed:             seed(self.Incarnation),
+		}),
+	}
+	h.refresh()
+	h.duties.Go(func() error {
+		for ctx.Err() == nil {
+			h.beat(ctx)
+			_ = cfg.Clock.Sleep(ctx, cfg.BeatEvery)
+		}
+		return nil
+	})
+	if cfg.HostList != nil {
+		h.duties.Go(func() error {
+			for ctx.Err() == nil {
+				h.list(ctx)
+				_ = cfg.Clock.Sleep(ctx, cfg.ListEvery)
+			}
+			return nil
+		})
+	}
+	return h
+}
+
+// Close ends the duties.
+func (h *Heartbeater) Close(context.Context) error {
+	h.cancel()
+	return h.duties.Wait()
+}
+
+// Peers returns all known hosts but the own one, ordered by name. The slice is
+// shared and must not be changed.
+func (h *Heartbeater) Peers() []Peer {
+	return *h.peers.Load()
+}
+
+// SendBeat takes a beat of another host and answers with the own one.
+func (h *Heartbeater) SendBeat(_ context.Context, beat *messenger.Beat) (*messenger.BeatReply, error) {
+	beatsReceived.Inc()
+	h.hear(beat)
+	return &messenger.BeatReply{Beat: h.self()}, nil
+}
+
+func (h *Heartbeater) beat(ctx context.Context) {
+	h.refresh()
+	beat := h.self()
+	var round errgroup.Group
+	for _, address := range h.targets(beat.ExchangeAddress) {
+		round.Go(func() error {
+			h.exchange(ctx, address, beat)
+			return nil
+		})
+	}
+	_ = round.Wait()
+}
+
+func (h *Heartbeater) exchange(ctx context.Context, address string, beat *messenger.Beat) {
+	ctx, cancel := h.cfg.Clock.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	reply, err := h.cfg.Exchange.SendBeat(ctx, address, beat)
+	if err != nil || reply.GetBeat() == nil {
+		beatsFailed.Inc()
+		h.mu.Lock()
+		h.members.Failed(address)
+		h.mu.Unlock()
+		return
+	}
+	beatsSent.Inc()
+	h.hear(reply.Beat)
+}
+
+func (h *Heartbeater) hear(beat *messenger.Beat) {
+	h.mu.Lock()
+	changed := h.members.Hear(beat, h.cfg.Clock.Now())
+	h.mu.Unlock()
+	if changed {
+		h.refresh()
+	}
+}
+
+func (h *Heartbeater) list(ctx context.Context) {
+	hosts, err := h.cfg.HostList.Hosts(ctx)
+	if err != nil {
+		listsFailed.Inc()
+		return
+	}
+	h.mu.Lock()
+	h.members.List(hosts)
+	h.mu.Unlock()
+	h.refresh()
+}
+
+// refresh takes over the declared hosts and publishes the peers.
+func (h *Heartbeater) refresh() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cfg.Declared != nil {
+		h.members.Declare(h.cfg.Declared())
+	}
+	peers := h.members.Peers(h.cfg.Clock.Now())
+	if old := h.peers.Swap(&peers); old != nil {
+		logChanges(*old, peers)
+	}
+}
+
+func (h *Heartbeater) self() *messenger.Beat {
+	beat := h.cfg.Self()
+	now := h.cfg.Clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	beat.SentAtMs = int64(now)
+	beat.Heard = h.members.Sample(now)
+	return beat
+}
+
+func (h *Heartbeater) targets(own string) []string {
+	h.mu.Lock()
+	targets := h.members.Targets()
+	h.mu.Unlock()
+	if len(targets) == 0 {
+		targets = slices.Clone(h.cfg.Seeds)
+	}
+	return slices.DeleteFunc(targets, func(address string) bool { return address == own })
+}
+
+func logChanges(old, now []Peer) {
+	before := make(map[string]Peer, len(old))
+	for _, p := range old {
+		before[p.Host] = p
+	}
+	for _, p := range now {
+		was, known := before[p.Host]
+		if known && was.Suspect == p.Suspect && was.Draining == p.Draining && was.Incarnation == p.Incarnation {
+			continue
+		}
+		slog.Info("peer changed", "host", p.Host, "incarnation", p.Incarnation, "suspect", p.Suspect, "draining", p.Draining)
+	}
+}
+
+func seed(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
