Route by least load within the own availability zone

Thin version for the request path: slots, bounded queues with deadlines, leaving backend servers asked at each pick and after each wait, and a retry budget.

--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,133 @@
+package balancer_test
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/balancer"
+	"cowsliphinge/clocker"
+	"cowsliphinge/indexer"
+	"cowsliphinge/messenger"
+	"cowsliphinge/picker"
+)
+
+const start clocker.Millis = 1_000_000
+
+// fleet is a balancer over declarations that a test may replace.
+type fleet struct {
+	*balancer.Balancer
+	clock *clocker.Clock
+	index *indexer.Index
+}
+
+func newFleet(t *testing.T, d *messenger.Declarations) *fleet {
+	t.Helper()
+	f := &fleet{clock: clocker.NewManual(start)}
+	f.index = indexer.New(&messenger.Configuration{Version: 1, Declarations: d})
+	f.Balancer = balancer.New(context.Background(), balancer.Config{
+		AvailabilityZone: "akl-a",
+		Clock:            f.clock,
+		Index:            func() *indexer.Index { return f.index },
+		Seed:             1,
+	})
+	t.Cleanup(func() { assert.NilError(t, f.Close(context.Background())) })
+	return f
+}
+
+func twoServers() *messenger.Declarations {
+	return &messenger.Declarations{
+		Services: []*messenger.Service{{Name: "draft", QueueLimit: 2}},
+		BackendServers: []*messenger.BackendServer{
+			{Name: "near", AvailabilityZone: "akl-a", Service: "draft", Models: []string{"m"}, Slots: 1},
+			{Name: "far", AvailabilityZone: "ham-a", Service: "draft", Models: []string{"m"}, Slots: 1},
+		},
+	}
+}
+
+func request() picker.Request {
+	return picker.Request{Service: "draft", Model: "m", ClientAccount: "mason", Tokens: 100, Deadline: start + 1000}
+}
+
+// queued starts an Acquire and returns once it waits.
+func (f *fleet) queued(r picker.Request) chan error {
+	done := make(chan error, 1)
+	before := f.Waiting("draft")
+	go func() {
+		_, err := f.Acquire(context.Background(), r)
+		done <- err
+	}()
+	for f.Waiting("draft") == before {
+		runtime.Gosched()
+	}
+	return done
+}
+
+func TestOwnZoneThenOthersThenQueue(t *testing.T) {
+	f := newFleet(t, twoServers())
+	first, err := f.Acquire(context.Background(), request())
+	assert.NilError(t, err)
+	assert.Equal(t, first.Server.Name, "near")
+	second, err := f.Acquire(context.Background(), request())
+	assert.NilError(t, err)
+	assert.Equal(t, second.Server.Name, "far")
+
+	waiting := f.queued(request())
+	f.Release(first, picker.Succeeded)
+	assert.NilError(t, <-waiting)
+}
+
+func TestQueueBoundAndDeadline(t *testing.T) {
+	f := newFleet(t, twoServers())
+	for range 2 {
+		_, err := f.Acquire(context.Background(), request())
+		assert.NilError(t, err)
+	}
+	one, two := f.queued(request()), f.queued(request())
+	_, err := f.Acquire(context.Background(), request())
+	assert.Equal(t, reason(err), picker.ReasonQueueFull)
+	f.clock.Advance(1000)
+	assert.Equal(t, reason(<-one), picker.ReasonDeadline)
+	assert.Equal(t, reason(<-two), picker.ReasonDeadline)
+}
+
+func TestLeavingServerIsNeverPicked(t *testing.T) {
+	d := twoServers()
+	d.Moves = []*messenger.Move{{State: messenger.MoveState_STARTED, LeavingBackendServers: []string{"near", "far"}, DrainAtMs: int64(start) + 500}}
+	f := newFleet(t, d)
+	c, err := f.Acquire(context.Background(), request())
+	assert.NilError(t, err)
+	_, err = f.Acquire(context.Background(), request())
+	assert.NilError(t, err)
+	waiting := f.queued(request())
+	f.clock.Advance(500)
+	f.Release(c, picker.Succeeded)
+	assert.Equal(t, reason(<-waiting), picker.ReasonNone)
+	_, err = f.Acquire(context.Background(), request())
+	assert.Equal(t, reason(err), picker.ReasonNone)
+}
+
+func TestCallerLeavesQueue(t *testing.T) {
+	f := newFleet(t, twoServers())
+	held, err := f.Acquire(context.Background(), request())
+	assert.NilError(t, err)
+	_, err = f.Acquire(context.Background(), request())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = f.Acquire(ctx, request())
+	assert.Equal(t, reason(err), picker.ReasonCallerLeft)
+	f.Release(held, picker.Succeeded)
+	again, err := f.Acquire(context.Background(), request())
+	assert.NilError(t, err)
+	assert.Equal(t, again.Server.Name, "near")
+}
+
+func reason(err error) string {
+	if refusal, ok := err.(picker.ErrNoServer); ok {
+		return refusal.Reason
+	}
+	return ""
+}
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,47 @@
+package retrier_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/retrier"
+)
+
+func newRetrier(seed uint64) *retrier.Retrier {
+	return retrier.New(retrier.Config{Percent: func() int64 { return 10 }, Seed: seed})
+}
+
+func TestBudgetIsShareOfFirstAttempts(t *testing.T) {
+	r := newRetrier(1)
+	retries := 0
+	for range 10_000 {
+		r.Attempted()
+		if r.Allow("test") {
+			retries++
+		}
+	}
+	assert.Assert(t, retries >= 1000 && retries <= 1003, "%d retries for 10000 attempts", retries)
+}
+
+func TestBudgetForgetsOldAttempts(t *testing.T) {
+	r := newRetrier(1)
+	for range 100_000 {
+		r.Attempted()
+	}
+	retries := 0
+	for r.Allow("test") {
+		retries++
+	}
+	assert.Equal(t, retries, 100)
+}
+
+func TestBackoffGrowsWithinBounds(t *testing.T) {
+	r, same := newRetrier(7), newRetrier(7)
+	for attempt := 1; attempt < 12; attempt++ {
+		wait := r.Backoff(attempt)
+		mean := min(int64(20)<<(attempt-1), 666)
+		assert.Assert(t, int64(wait) >= mean/2 && int64(wait) <= mean/2+mean, "attempt %d: %d ms", attempt, wait)
+		assert.Equal(t, same.Backoff(attempt), wait)
+	}
+}
