--- a/standin/application/server.go
+++ b/standin/application/server.go
@@ -30,7 +30,7 @@
 // Answer is the body that a call gets.
 type Answer struct {
 	Server         string
-	RequestID      string `json:"RequestId"`
+	RequestID      string
 	IdempotencyKey string
 	Method         string
 	Path           string
@@ -42,7 +42,7 @@
 
 // Run is one call that ran.
 type Run struct {
-	RequestID      string `json:"RequestId"`
+	RequestID      string
 	IdempotencyKey string
 	// StartedAt is when it began, in milliseconds.
 	StartedAt clocker.Millis
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -169,7 +169,7 @@
 
 // Record is one request that was started.
 type Record struct {
-	RequestID string `json:"RequestId"`
+	RequestID string
 	Model     string
 	StartedAt clocker.Millis
 	// EndedAt is 0 while the request is queued or running.
