--- /dev/null
+++ b/spreader/errors.go
@@ -0,0 +1,85 @@
+package spreader
+
+import (
+	"errors"
+	"fmt"
+
+	"cowsliphinge/clocker"
+)
+
+// ErrConflict says that a change was based on a version that is not the
+// present one, and had no effect.
+type ErrConflict struct {
+	// Expected is the version that the change was based on.
+	Expected int64
+	// Actual is the present version.
+	Actual int64
+	// By is the operator who made the present version.
+	By string
+	// At is when it was accepted.
+	At clocker.Millis
+}
+
+// Error implements error.
+func (err ErrConflict) Error() string {
+	return fmt.Sprintf("conflict: based on version %d, but version %d is present, applied by %q at %s",
+		err.Expected, err.Actual, err.By, err.At.Time().UTC().Format("2006-01-02T15:04:05.000Z"))
+}
+
+// IsErrConflict reports whether err is an ErrConflict.
+func IsErrConflict(err error) bool {
+	var target ErrConflict
+	return errors.As(err, &target)
+}
+
+// ErrOutcomeUnknown says that a change may have been accepted, now or later.
+// A repeat with the same operation ID is safe and tells.
+type ErrOutcomeUnknown struct {
+	OperationID string
+	Cause       string
+}
+
+// Error implements error.
+func (err ErrOutcomeUnknown) Error() string {
+	return fmt.Sprintf("outcome of operation %s is unknown, repeat it with the same ID: %s", err.OperationID, err.Cause)
+}
+
+// IsErrOutcomeUnknown reports whether err is an ErrOutcomeUnknown.
+func IsErrOutcomeUnknown(err error) bool {
+	var target ErrOutcomeUnknown
+	return errors.As(err, &target)
+}
+
+// ErrBadRequest says which field of a request is wrong.
+type ErrBadRequest struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (err ErrBadRequest) Error() string {
+	return err.Field + " " + err.Reason
+}
+
+// IsErrBadRequest reports whether err is an ErrBadRequest.
+func IsErrBadRequest(err error) bool {
+	var target ErrBadRequest
+	return errors.As(err, &target)
+}
+
+// ErrBadPart says that a part of a configuration is missing or does not match its key.
+type ErrBadPart struct {
+	Key    string
+	Reason string
+}
+
+// Error implements error.
+func (err ErrBadPart) Error() string {
+	return fmt.Sprintf("configuration part %s: %s", err.Key, err.Reason)
+}
+
+// IsErrBadPart reports whether err is an ErrBadPart.
+func IsErrBadPart(err error) bool {
+	var target ErrBadPart
+	return errors.As(err, &target)
+}
