Budgets: escrowed limits extended from the platform's object

Reserve takes from a local limit that the platform confirmed; waiting requests are served by a refill (read, conditional write, read back) and refused with the platform's word.

--- /dev/null
+++ b/allotter/allotter.go
@@ -0,0 +1,178 @@
+// Package allotter decides what one incarnation may spend of the budgets of one
+// shard. It decides without input, output, goroutines or wall clock.
+//
+// The method is escrow: the platform's object gives each incarnation a limit,
+// cumulative and absolute, and the sum of all limits stays within what was
+// granted. A raised limit counts once the write is known to have taken effect;
+// a lowered one counts before the write is sent. Transfers move allowance
+// between incarnations as pairwise cumulative totals, lowered at the giver
+// first. No entry is ever taken back by time.
+package allotter
+
+import (
+	"math"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+)
+
+// Config configures an Allotter.
+type Config struct {
+	// Incarnation is this process life, the name of its entries.
+	Incarnation string
+}
+
+// Allotter holds the state of one incarnation for the budgets of one shard. The
+// caller serializes all calls.
+type Allotter struct {
+	cfg     Config
+	budgets map[string]*allotment
+	slots   slots
+	closing bool
+
+	// version is the highest version of the shard's object that was seen.
+	version int64
+	// object is the content at version and is never changed in place.
+	object *messenger.BudgetShard
+	index  map[string]*messenger.Budget
+
+	// fault is a planted mistake; tests alone set it.
+	fault fault
+}
+
+// fault is a mistake that tests plant to show that the checks find it.
+type fault int
+
+const (
+	noFault fault = iota
+	raiseBeforeConfirm
+	reclaimByTimeOut
+	settleTwice
+	unknownIsSuccess
+	lowerAfterWrite
+)
+
+// allotment is the state of one budget.
+type allotment struct {
+	name string
+	// limit is the most that may be put into use, as far as that is certain.
+	limit int64
+	// doubt is the least limit of writes that may still take effect.
+	doubt int64
+	// listed is true once an entry of this incarnation was seen or confirmed.
+	listed bool
+	// closeSent is true once a write that closes the entry was handed out.
+	closeSent bool
+	closed    bool
+
+	spent    int64
+	reserved int64
+	received totals
+	given    totals
+	// stranded are tokens that arrived after the entry was closed.
+	stranded int64
+
+	demand demand
+	// need is what waiting requests lack beyond the headroom.
+	need int64
+	// lowered is when the limit was last lowered.
+	lowered clocker.Millis
+}
+
+// New returns an Allotter that holds nothing.
+func New(cfg Config) *Allotter {
+	return &Allotter{cfg: cfg, budgets: map[string]*allotment{}, index: map[string]*messenger.Budget{}}
+}
+
+// Reserve takes tokens from the headroom of a budget and returns the
+// reservation's ID, or false if the headroom does not hold them.
+func (a *Allotter) Reserve(name string, tokens int64, now clocker.Millis) (int64, bool) {
+	b := a.allotment(name)
+	if a.closing || tokens < 0 || b.headroom() < tokens {
+		return 0, false
+	}
+	id, ok := a.slots.open(tokens)
+	if !ok {
+		return 0, false
+	}
+	b.reserved += tokens
+	b.demand.request(tokens, now)
+	return id, true
+}
+
+// Settle ends a reservation: used tokens, at most the reserved ones, are spent
+// and the rest is free again. It returns false, and changes nothing, if the
+// reservation is not open.
+func (a *Allotter) Settle(name string, id, used int64, now clocker.Millis) bool {
+	tokens, ok := a.slots.close(id, a.fault == settleTwice)
+	if !ok {
+		return false
+	}
+	b := a.allotment(name)
+	used = min(max(used, 0), tokens)
+	b.reserved -= tokens
+	b.spent += used
+	b.demand.use(used, now)
+	return true
+}
+
+// Headroom returns the tokens of a budget that may be reserved at once.
+func (a *Allotter) Headroom(name string) int64 {
+	b, ok := a.budgets[name]
+	if !ok || a.closing {
+		return 0
+	}
+	return max(0, b.headroom())
+}
+
+// Reserved returns the tokens of a budget in open reservations.
+func (a *Allotter) Reserved(name string) int64 {
+	b, ok := a.budgets[name]
+	if !ok {
+		return 0
+	}
+	return b.reserved
+}
+
+// Held returns the tokens of all budgets that are held and not spent.
+func (a *Allotter) Held() int64 {
+	var sum int64
+	for _, b := range a.budgets {
+		if !b.closed {
+			sum += max(0, b.headroom()) + b.reserved
+		}
+	}
+	return sum
+}
+
+// Strand returns the tokens that arrived after their entry was closed.
+func (a *Allotter) Strand() int64 {
+	var sum int64
+	for _, b := range a.budgets {
+		sum += b.stranded
+	}
+	return sum
+}
+
+func (a *Allotter) allotment(name string) *allotment {
+	b, ok := a.budgets[name]
+	if !ok {
+		b = &allotment{name: name, doubt: math.MaxInt64}
+		a.budgets[name] = b
+		a.adopt(b)
+	}
+	return b
+}
+
+func (b *allotment) headroom() int64 {
+	if b.closeSent || b.closed {
+		return 0
+	}
+	return b.limit + b.received.sum - b.given.sum - b.spent - b.reserved
+}
+
+// charge is what the incarnation took out of the budget for good, open
+// reservations counted as used.
+func (b *allotment) charge() int64 {
+	return max(0, b.spent+b.reserved+b.given.sum-b.received.sum)
+}
--- /dev/null
+++ b/allotter/demand.go
@@ -0,0 +1,56 @@
+package allotter
+
+import (
+	"math"
+
+	"cowsliphinge/clocker"
+)
+
+const (
+	// fastDemand is the time constant that follows a rising demand.
+	fastDemand = clocker.Minute
+	// slowDemand is the time constant that remembers a pausing demand.
+	slowDemand = clocker.Hour
+	// requestWeight is the share of the newest request in the mean size.
+	requestWeight = 0.1
+)
+
+// demand measures how fast a budget is spent here, in tokens per millisecond,
+// and how large its requests are, in tokens.
+type demand struct {
+	fast, slow float64
+	updated    clocker.Millis
+	size       float64
+}
+
+// request observes the reservation of a request.
+func (d *demand) request(tokens int64, _ clocker.Millis) {
+	if d.size == 0 {
+		d.size = float64(tokens)
+		return
+	}
+	d.size += requestWeight * (float64(tokens) - d.size)
+}
+
+// use observes tokens that were spent or given away.
+func (d *demand) use(tokens int64, now clocker.Millis) {
+	d.decay(now)
+	d.fast += float64(tokens) / float64(fastDemand)
+	d.slow += float64(tokens) / float64(slowDemand)
+}
+
+// rate returns tokens per millisecond.
+func (d *demand) rate(now clocker.Millis) float64 {
+	d.decay(now)
+	return max(d.fast, d.slow)
+}
+
+func (d *demand) decay(now clocker.Millis) {
+	passed := float64(now - d.updated)
+	if passed <= 0 {
+		return
+	}
+	d.fast *= math.Exp(-passed / float64(fastDemand))
+	d.slow *= math.Exp(-passed / float64(slowDemand))
+	d.updated = now
+}
--- a/reserver/reservation.go
+++ b/reserver/reservation.go
@@ -12,7 +12,7 @@
 type Reservation struct {
 	Budget string
 	Tokens int64
-	// ID is unique within the incarnation.
+	// ID is unique within the budget and the incarnation.
 	ID int64
 }
 
--- /dev/null
+++ b/reserver/reserver.go
@@ -0,0 +1,168 @@
+package reserver
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+	"cowsliphinge/ringer"
+	"cowsliphinge/storer"
+)
+
+const (
+	// shardCount is how many objects hold the budgets. It is fixed for a
+	// deployment's life: a budget's object follows from its name.
+	shardCount = 1 << 14
+	// refillRing is how many shards may wait for a refill.
+	refillRing = 4096
+	// refillers is how many shards are refilled at the same time.
+	refillers = 8
+	// inspectPause is the time between two looks at all budgets in use.
+	inspectPause = clocker.Second
+)
+
+// Store is the part of the Object API that budgets need.
+type Store interface {
+	Get(ctx context.Context, key string) (storer.Object, error)
+	Create(ctx context.Context, key string, value []byte) (storer.Object, error)
+	Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error)
+}
+
+// Exchange is how other routers are reached.
+type Exchange interface {
+	Transfer(ctx context.Context, address string, request *messenger.TransferRequest) (*messenger.TransferReply, error)
+}
+
+// Config configures a Reserver.
+type Config struct {
+	Incarnation      string
+	Host             string
+	AvailabilityZone string
+	Clock            *clocker.Clock
+	Store            Store
+	Exchange         Exchange
+	// Peers returns the other routers as seen now.
+	Peers func() []heartbeater.Peer
+	// Policy returns the policy in force, defaults filled in.
+	Policy func() *messenger.Policy
+}
+
+// Reserver reserves and settles for one incarnation. All methods may be called
+// from many goroutines.
+type Reserver struct {
+	cfg    Config
+	shards [shardCount]atomic.Pointer[shard]
+
+	mu   sync.Mutex
+	used []*shard
+
+	refills *ringer.Ring[*shard]
+	stop    context.CancelFunc
+	duties  *errgroup.Group
+	closing atomic.Bool
+
+	// platformFailed is when the platform last left a call unanswered; 0 once
+	// it answered again.
+	platformFailed atomic.Int64
+}
+
+// New returns a Reserver and starts its duties, which end with ctx or Close.
+func New(ctx context.Context, cfg Config) *Reserver {
+	ctx, stop := context.WithCancel(ctx)
+	r := &Reserver{cfg: cfg, stop: stop, refills: ringer.New[*shard]("budget_refills", refillRing)}
+	r.duties, ctx = errgroup.WithContext(ctx)
+	for range refillers {
+		r.duties.Go(func() error {
+			r.serveRefills(ctx)
+			return nil
+		})
+	}
+	r.duties.Go(func() error {
+		r.inspect(ctx)
+		return nil
+	})
+	return r
+}
+
+// Reserve takes the worst case of a request from a budget. It waits until
+// deadline, or for the policy's patience, while more tokens may come. It returns
+// ErrBudgetExhausted or ErrBudgetUnreachable; nothing is reserved then.
+func (r *Reserver) Reserve(ctx context.Context, budget string, tokens int64, deadline clocker.Millis) (Reservation, error) {
+	now := r.cfg.Clock.Now()
+	s := r.shard(budget)
+	if id, ok := s.reserve(budget, tokens, now); ok {
+		return Reservation{Budget: budget, Tokens: tokens, ID: id}, nil
+	}
+	if r.closing.Load() || deadline <= now {
+		return Reservation{}, refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "closing_or_late")
+	}
+	return r.await(ctx, s, budget, tokens, deadline)
+}
+
+// Settle ends a reservation with the tokens that were used, at most the
+// reserved ones. A second call for the same reservation changes nothing.
+func (r *Reserver) Settle(reservation Reservation, used int64) {
+	if reservation.ID == 0 {
+		return
+	}
+	s := r.shard(reservation.Budget)
+	s.settle(reservation, used, r.cfg.Clock.Now())
+}
+
+// HeldTokens returns the tokens of all budgets that are held here and not spent.
+func (r *Reserver) HeldTokens() int64 {
+	var sum int64
+	for _, s := range r.usedShards() {
+		s.mu.Lock()
+		sum += s.allotter.Held()
+		s.mu.Unlock()
+	}
+	return sum
+}
+
+// Close returns everything to the platform, closes the entries of this
+// incarnation, and ends the duties. It returns the error of ctx if that ended
+// first; the tokens then stay charged.
+func (r *Reserver) Close(ctx context.Context) error {
+	if r.closing.Swap(true) {
+		return nil
+	}
+	err := r.closeShards(ctx)
+	r.stop()
+	_ = r.duties.Wait()
+	return err
+}
+
+func (r *Reserver) shard(budget string) *shard {
+	i := xxhash.Sum64String(budget) % shardCount
+	if s := r.shards[i].Load(); s != nil {
+		return s
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.shards[i].Load(); s != nil {
+		return s
+	}
+	s := newShard(int(i), r.cfg.Incarnation)
+	r.shards[i].Store(s)
+	r.used = append(r.used, s)
+	return s
+}
+
+func (r *Reserver) usedShards() []*shard {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*shard(nil), r.used...)
+}
+
+func refuse(err error, reason string) error {
+	metrics.GetOrCreateCounter(`cowsliphinge_budget_refusals_total{reason="` + reason + `"}`).Inc()
+	return err
+}
