Check claims by a state machine, histories and planted faults; keep tickets past a graceful stop

Cause: the first form had no proof, and a planned restart of an issuing host turned its unused tickets into unknown outcomes. Also: clean-up of expired claims and ticket records.

--- a/claimer/attempts.go
+++ b/claimer/attempts.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
@@ -74,7 +76,8 @@
 		return Decision{Verdict: InProgress}
 	}
 	if open.final.State == messenger.ClaimState_RELEASED {
-		return Decision{Verdict: Unreachable}
+		// The release may be durable, and another host may run the key by now.
+		return Decision{Verdict: Undetermined}
 	}
 	return repeat(open.final, true)
 }
@@ -132,5 +135,6 @@
 		at.writing = true
 		pending = append(pending, at)
 	}
+	slices.SortFunc(pending, func(x, y *attempt) int { return cmp.Compare(x.claim.Attempt, y.claim.Attempt) })
 	return pending
 }
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -39,6 +39,8 @@
 	Get(ctx context.Context, key string) (storer.Object, error)
 	Create(ctx context.Context, key string, value []byte) (storer.Object, error)
 	Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error)
+	Delete(ctx context.Context, key string, version int64) error
+	List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error)
 }
 
 // Config configures a Claimer.
@@ -53,9 +55,11 @@
 	// Retention returns how long stored answers are kept, in milliseconds;
 	// nil or 0 means a day.
 	Retention func() clocker.Millis
-	// RetryEvery and TicketLife are in milliseconds; 0 means 250 ms and 15 minutes.
+	// RetryEvery, TicketLife and SweepEvery are in milliseconds; 0 means
+	// 250 ms, 15 minutes and one minute.
 	RetryEvery clocker.Millis
 	TicketLife clocker.Millis
+	SweepEvery clocker.Millis
 }
 
 // Claimer is the shell around the claims of one incarnation.
@@ -64,6 +68,8 @@
 	cancel context.CancelFunc
 	duties errgroup.Group
 
+	judge func(View) (Finding, Decision)
+
 	mu       sync.Mutex
 	attempts *attempts
 	tickets  *tickets
@@ -80,12 +86,16 @@
 	if cfg.TicketLife == 0 {
 		cfg.TicketLife = defaultTicketLife
 	}
+	if cfg.SweepEvery == 0 {
+		cfg.SweepEvery = defaultSweepEvery
+	}
 	secret := make([]byte, secretBytes)
 	_, _ = rand.Read(secret)
 	ctx, cancel := context.WithCancel(ctx)
 	c := &Claimer{
 		cfg:      cfg,
 		cancel:   cancel,
+		judge:    Judge,
 		attempts: newAttempts(cfg.Incarnation, maxOpen),
 		tickets:  newTickets(cfg.Incarnation, secret, maxTickets),
 	}
@@ -97,14 +107,26 @@
 		}
 		return nil
 	})
+	c.duties.Go(func() error {
+		for part := int(seed(cfg.Incarnation)); ctx.Err() == nil; part++ {
+			_ = cfg.Clock.Sleep(ctx, cfg.SweepEvery)
+			if ctx.Err() == nil {
+				c.sweep(ctx, part)
+			}
+		}
+		return nil
+	})
 	return c
 }
 
-// Close writes the last states that are not yet durable, and returns an error
-// that says how many are left once ctx ends.
+// Close writes the record of tickets and the last states of claims that are
+// not yet durable. It returns an error that says what is left once ctx ends.
 func (c *Claimer) Close(ctx context.Context) error {
 	c.cancel()
 	_ = c.duties.Wait()
+	if err := c.writeRecord(ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	for {
 		c.writePending(ctx)
 		left := c.unwritten()
@@ -135,8 +157,13 @@
 
 func (c *Claimer) claim(ctx context.Context, req Request) Decision {
 	if tk, ok := parseTicket(req.IdempotencyKey); ok {
-		return c.claimTicket(tk, req)
+		return c.claimTicket(ctx, tk, req)
 	}
+	return c.claimKey(ctx, req)
+}
+
+// claimKey claims a key by a conditional write.
+func (c *Claimer) claimKey(ctx context.Context, req Request) Decision {
 	c.mu.Lock()
 	at, decision := c.attempts.begin(req, c.cfg.Clock.Now())
 	c.mu.Unlock()
@@ -155,8 +182,9 @@
 	return decision
 }
 
-func (c *Claimer) claimTicket(tk ticket, req Request) Decision {
-	if tk.incarnation == c.cfg.Incarnation {
+// claimTicket lets the issuer of a ticket decide, and nobody else while it runs.
+func (c *Claimer) claimTicket(ctx context.Context, tk ticket, req Request) Decision {
+	if tk.incarnation == c.tickets.incarnation {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return c.tickets.open(tk, req, c.cfg.Clock.Now())
@@ -164,7 +192,12 @@
 	if c.cfg.Alive(tk.incarnation) {
 		return Decision{Verdict: Elsewhere, Incarnation: tk.incarnation}
 	}
-	return Decision{Verdict: OutcomeUnknown}
+	return c.claimRecorded(ctx, tk, req)
+}
+
+// known reports whether the owner of a claim still runs as far as is known.
+func (c *Claimer) known(found *messenger.Claim) bool {
+	return found.Incarnation == c.cfg.Incarnation || c.cfg.Alive(found.Incarnation)
 }
 
 // acquire writes the claim of an attempt until the outcome is known or the
@@ -218,144 +251,11 @@
 	c.mu.Lock()
 	abandoned := c.attempts.abandoned(found)
 	c.mu.Unlock()
-	finding, decision := Judge(View{
+	finding, decision := c.judge(View{
 		Wanted:     at.claim,
 		Found:      found,
-		OwnerKnown: found.Incarnation == c.cfg.Incarnation || c.cfg.Alive(found.Incarnation),
+		OwnerKnown: c.known(found),
 		Abandoned:  abandoned,
 	})
 	return finding, o, decision
 }
-
-// Dispatched notes that a claimed request is now sent to a backend server. It
-// reports false if the claim is no longer this process's to run: it ended, or
-// its deadline passed, as after a pause. It must then not be sent.
-func (c *Claimer) Dispatched(claim *messenger.Claim) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if _, used := c.tickets.of(claim); used != nil {
-		return c.tickets.dispatched(claim, c.cfg.Clock.Now())
-	}
-	at := c.attempts.of(claim)
-	if at == nil || !at.owned || at.final != nil || c.cfg.Clock.Now() >= at.deadline {
-		return false
-	}
-	at.dispatched = true
-	return true
-}
-
-// Finish stores the answer of a claimed request for repeats. A nil answer says
-// that the outcome is unknown for ever. The answer is remembered at once, and
-// written now or, while the platform is away, later.
-func (c *Claimer) Finish(ctx context.Context, claim *messenger.Claim, answer *messenger.StoredAnswer) {
-	if answer == nil {
-		c.end(ctx, claim, messenger.ClaimState_LOST, nil)
-		return
-	}
-	if len(answer.Body) > MaxAnswerBytes {
-		answer = truncated(answer)
-	}
-	c.end(ctx, claim, messenger.ClaimState_ANSWERED, answer)
-}
-
-// Release gives up a claim that surely did not run: it was never dispatched, or
-// its backend server refused it with authority. The key may be claimed again.
-func (c *Claimer) Release(ctx context.Context, claim *messenger.Claim) {
-	c.end(ctx, claim, messenger.ClaimState_RELEASED, nil)
-}
-
-func (c *Claimer) end(ctx context.Context, claim *messenger.Claim, state messenger.ClaimState, answer *messenger.StoredAnswer) {
-	c.mu.Lock()
-	c.tickets.end(claim, state, answer)
-	at := c.attempts.of(claim)
-	first := at != nil && c.attempts.end(at, state, answer)
-	if first {
-		at.writing = true
-	}
-	c.mu.Unlock()
-	if first {
-		c.writeFinal(ctx, at)
-	}
-}
-
-func (c *Claimer) writePending(ctx context.Context) {
-	c.mu.Lock()
-	pending := c.attempts.pending()
-	c.mu.Unlock()
-	reachable := true
-	for _, at := range pending {
-		if reachable && ctx.Err() == nil {
-			reachable = c.writeFinal(ctx, at)
-			continue
-		}
-		c.mu.Lock()
-		at.writing = false
-		c.mu.Unlock()
-	}
-}
-
-// writeFinal tries once to make the last state of an attempt durable. It
-// reports false if the platform did not answer.
-func (c *Claimer) writeFinal(ctx context.Context, at *attempt) bool {
-	done, err := c.replace(ctx, at)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at.writing = false
-	if err == nil && done {
-		c.attempts.close(at)
-		return true
-	}
-	metrics.GetOrCreateCounter(`cowsliphinge_claim_writes_retried_total`).Inc()
-	return storer.IsErrConflict(err)
-}
-
-// replace writes the last state over the claim. A claim whose own write may
-// still be on its way is found absent: the last state is then created, so that
-// the late write meets it and fails.
-func (c *Claimer) replace(ctx context.Context, at *attempt) (bool, error) {
-	if at.version != 0 {
-		o, err := c.put(ctx, at.key, at.version, at.final)
-		if err == nil {
-			return o.Version != 0, nil
-		}
-	}
-	o, found, err := c.get(ctx, at.key)
-	switch {
-	case storer.IsErrNotFound(err) && at.owned:
-		return true, nil
-	case storer.IsErrNotFound(err):
-		o.Version = 0
-	case err != nil:
-		return false, err
-	case !owns(found, at.claim) && at.owned:
-		return true, nil
-	case !owns(found, at.claim) && found.State != messenger.ClaimState_RELEASED:
-		return true, nil
-	case owns(found, at.claim) && found.State == at.final.State:
-		return true, nil
-	}
-	_, err = c.put(ctx, at.key, o.Version, at.final)
-	return err == nil, err
-}
-
-func (c *Claimer) forget() {
-	retention := defaultRetention
-	if c.cfg.Retention != nil && c.cfg.Retention() > 0 {
-		retention = c.cfg.Retention()
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.tickets.forget(c.cfg.Clock.Now(), retention)
-}
-
-func (c *Claimer) unwritten() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for _, at := range c.attempts.byKey {
-		if at.final != nil {
-			n++
-		}
-	}
-	return n
-}
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"runtime"
 	"testing"
 
@@ -12,6 +13,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 	"cowsliphinge/standin/platform"
+	"cowsliphinge/storer"
 )
 
 // newClaimer returns a claimer whose clock moves by itself, so that waits end.
@@ -91,6 +93,34 @@
 	assert.Equal(t, a.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.InProgress)
 }
 
+// cutAfterWrite is a platform that is out of reach once the next update took effect.
+type cutAfterWrite struct {
+	*platform.Store
+}
+
+func (c cutAfterWrite) Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error) {
+	if _, err := c.Store.Update(ctx, key, version, value); err != nil {
+		return storer.Object{}, err
+	}
+	return storer.Object{}, storer.ErrOutcomeUnknown{Key: key}
+}
+
+func (c cutAfterWrite) Get(_ context.Context, key string) (storer.Object, error) {
+	return storer.Object{}, storer.ErrOutcomeUnknown{Key: key}
+}
+
+func TestReleaseWithLostAnswerTellsNothing(t *testing.T) {
+	ctx := t.Context()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, cutAfterWrite{store}, "a")
+	b := newClaimer(t, clock, store, "b")
+	first := a.Claim(ctx, order(clock, "k", "urn"))
+	a.Release(ctx, first.Claim)
+	assert.Equal(t, b.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.Owned)
+	assert.Equal(t, a.Claim(ctx, order(clock, "k", "urn")).Verdict, claimer.Undetermined)
+}
+
 func TestLostAnswerIsReadBack(t *testing.T) {
 	clock := clocker.NewManual(clocker.Hour)
 	store := platform.New(clock)
@@ -124,7 +154,7 @@
 	forward := b.Claim(ctx, order(clock, key, "urn"))
 	assert.Equal(t, forward.Verdict, claimer.Elsewhere)
 	assert.Equal(t, forward.Incarnation, "a-1.2-3")
-	assert.Equal(t, c.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.OutcomeUnknown)
+	assert.Equal(t, c.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.Undetermined)
 	first := a.Claim(ctx, order(clock, key, "urn"))
 	assert.Equal(t, first.Verdict, claimer.Owned)
 	assert.Equal(t, a.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.InProgress)
@@ -132,6 +162,8 @@
 	assert.Assert(t, a.Dispatched(first.Claim))
 	a.Finish(ctx, first.Claim, &messenger.StoredAnswer{Status: 201})
 	assert.Equal(t, a.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.Answered)
+	store.SetFaults(platform.Faults{})
+	assert.Equal(t, c.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.OutcomeUnknown)
 	foreign := order(clock, a.IssueTicket("mason"), "urn")
 	foreign.ClientAccount = "school"
 	assert.Equal(t, a.Claim(ctx, foreign).Verdict, claimer.KeyReused)
@@ -139,3 +171,52 @@
 	clock.Advance(16 * clocker.Minute)
 	assert.Equal(t, a.Claim(ctx, order(clock, late, "urn")).Verdict, claimer.OutcomeUnknown)
 }
+
+func TestStoppedIssuerFreesUnusedTickets(t *testing.T) {
+	ctx := t.Context()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, store, "a-1-1", "b")
+	b := newClaimer(t, clock, store, "b")
+	used, open, unused := a.IssueTicket("mason"), a.IssueTicket("mason"), a.IssueTicket("mason")
+	a.Finish(ctx, a.Claim(ctx, order(clock, used, "urn")).Claim, &messenger.StoredAnswer{Status: 201})
+	assert.Equal(t, a.Claim(ctx, order(clock, open, "urn")).Verdict, claimer.Owned)
+	assert.NilError(t, a.Close(ctx))
+	assert.Equal(t, a.Claim(ctx, order(clock, unused, "urn")).Verdict, claimer.Undetermined)
+	assert.Equal(t, b.Claim(ctx, order(clock, used, "urn")).Verdict, claimer.Answered)
+	assert.Equal(t, b.Claim(ctx, order(clock, used, "plaque")).Verdict, claimer.KeyReused)
+	assert.Equal(t, b.Claim(ctx, order(clock, open, "urn")).Verdict, claimer.OutcomeUnknown)
+	first := b.Claim(ctx, order(clock, unused, "urn"))
+	assert.Equal(t, first.Verdict, claimer.Owned)
+	b.Finish(ctx, first.Claim, &messenger.StoredAnswer{Status: 202})
+	clock.Advance(clocker.Hour)
+	assert.Equal(t, b.Claim(ctx, order(clock, unused, "urn")).Answer.GetStatus(), int32(202))
+}
+
+func TestExpiredClaimsAreDeleted(t *testing.T) {
+	ctx := t.Context()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, store, "a-1-1")
+	for i := range 20 {
+		a.Finish(ctx, a.Claim(ctx, order(clock, fmt.Sprint(i), "urn")).Claim, nil)
+	}
+	a.IssueTicket("mason")
+	assert.NilError(t, a.Close(ctx))
+	left := func() int {
+		objects, err := store.List(ctx, "", "", 100)
+		assert.NilError(t, err)
+		return len(objects)
+	}
+	sweep := func() {
+		for part := range 256 {
+			claimer.Sweep(ctx, a, part)
+		}
+	}
+	clock.Advance(24 * clocker.Hour)
+	sweep()
+	assert.Equal(t, left(), 22)
+	clock.Advance(2 * clocker.Hour)
+	sweep()
+	assert.Equal(t, left(), 0)
+}
--- /dev/null
+++ b/claimer/export_test.go
@@ -0,0 +1,33 @@
+package claimer
+
+import (
+	"context"
+
+	"cowsliphinge/messenger"
+)
+
+// Sweep runs one clean-up.
+func Sweep(ctx context.Context, c *Claimer, part int) {
+	c.sweep(ctx, part)
+}
+
+// SetJudge replaces the decision on stored claims, to plant faults.
+func (c *Claimer) SetJudge(judge func(View) (Finding, Decision)) {
+	c.judge = judge
+}
+
+// AcceptTicketsOf makes c run the tickets of another incarnation, a fault.
+func (c *Claimer) AcceptTicketsOf(other *Claimer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickets.incarnation = other.tickets.incarnation
+	c.tickets.secret = other.tickets.secret
+}
+
+// ReclaimDead is a Judge that frees the claims of owners that seem gone, a fault.
+func ReclaimDead(v View) (Finding, Decision) {
+	if !owns(v.Wanted, v.Found) && v.Found.State == messenger.ClaimState_CLAIMED && !v.OwnerKnown {
+		return Free, Decision{}
+	}
+	return Judge(v)
+}
--- a/claimer/object.go
+++ b/claimer/object.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -40,3 +41,9 @@
 }
 
 var errEmptyClaim = errors.New("object holds no claim")
+
+func seed(name string) uint8 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return uint8(h.Sum64())
+}
--- a/claimer/tickets.go
+++ b/claimer/tickets.go
@@ -70,7 +70,9 @@
 	secret      []byte
 	limit       int
 	issued      int64
-	used        map[int64]*record
+	// stopped ends the use of tickets that were not yet used.
+	stopped bool
+	used    map[int64]*record
 	// answerBytes is the size of all kept bodies; order is their age.
 	answerBytes int
 	order       []int64
@@ -98,6 +100,10 @@
 	if used != nil && used.claim.State != messenger.ClaimState_RELEASED {
 		return t.repeat(used, req)
 	}
+	if t.stopped {
+		// The record may already free the ticket for other hosts.
+		return Decision{Verdict: Undetermined}
+	}
 	if used != nil && now >= tk.expiry {
 		return Decision{Verdict: Unreachable}
 	}
--- /dev/null
+++ b/claimer/world_test.go
@@ -0,0 +1,370 @@
+package claimer_test
+
+import (
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing/synctest"
+
+	"cowsliphinge/claimer"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+	"cowsliphinge/storer"
+)
+
+// outcome is what becomes of a parked call.
+type outcome int
+
+const (
+	deliver outcome = iota
+	loseAnswer
+	drop
+	delay
+	refuse
+	shutdown
+)
+
+// step is a call of a host that waits for the scheduler.
+type step struct {
+	host   *host
+	worker string
+	kind   string
+	resume chan outcome
+}
+
+type workerKey struct{}
+
+// world is a few hosts, the platform, and an application server that counts
+// runs. All goroutines stop at each step until the scheduler resumes one, so
+// that a list of choices decides the whole run.
+type world struct {
+	clock   *clocker.Clock
+	store   *platform.Store
+	mutated mutation
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	parked  []*step
+	delayed []func()
+	hosts   []*host
+	lying   bool
+	runs    map[string]int
+	workers int
+	history history
+	faults  []error
+	closing bool
+	tally   map[claimer.Verdict]int
+}
+
+// host is one incarnation.
+type host struct {
+	name    string
+	world   *world
+	claimer *claimer.Claimer
+	crashed bool
+	stopped bool
+}
+
+// mutation is a planted fault.
+type mutation string
+
+const (
+	none               mutation = ""
+	unknownIsSuccess   mutation = "unknown outcome read as success"
+	noCondition        mutation = "claim without condition"
+	reclaimDead        mutation = "claim of a dead owner taken over"
+	ticketElsewhere    mutation = "ticket accepted elsewhere"
+	refusalAfterSilent mutation = "silence after dispatch released"
+	readIsFree         mutation = "failed read taken for a free key"
+)
+
+func newWorld(m mutation, hosts int) *world {
+	clock := clocker.NewManual(clocker.Hour)
+	w := &world{clock: clock, store: platform.New(clock), mutated: m, runs: map[string]int{}, tally: map[claimer.Verdict]int{}}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	for i := range hosts {
+		w.start(fmt.Sprintf("h%d-%x-0", i, i+1))
+	}
+	return w
+}
+
+func (w *world) start(name string) *host {
+	h := &host{name: name, world: w}
+	h.claimer = claimer.New(context.WithValue(w.ctx, workerKey{}, "duty"), claimer.Config{
+		Incarnation: name, Clock: w.clock, Store: gate{h}, Alive: w.alive,
+	})
+	switch {
+	case w.mutated == reclaimDead:
+		h.claimer.SetJudge(claimer.ReclaimDead)
+	case w.mutated == ticketElsewhere && len(w.hosts) > 0:
+		h.claimer.AcceptTicketsOf(w.hosts[0].claimer)
+	}
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
+// alive is what hosts believe of each other; it may be wrong either way.
+func (w *world) alive(incarnation string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.hosts {
+		if h.name == incarnation {
+			return h.crashed == w.lying
+		}
+	}
+	return false
+}
+
+// park stops the calling goroutine until the scheduler decides.
+func (w *world) park(ctx context.Context, h *host, kind string) outcome {
+	w.mu.Lock()
+	if w.closing {
+		w.mu.Unlock()
+		return shutdown
+	}
+	worker, _ := ctx.Value(workerKey{}).(string)
+	s := &step{host: h, worker: worker, kind: kind, resume: make(chan outcome)}
+	w.parked = append(w.parked, s)
+	w.mu.Unlock()
+	return <-s.resume
+}
+
+// waiting returns the steps of living hosts in an order that does not depend
+// on the schedule of goroutines.
+func (w *world) waiting() []*step {
+	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var steps []*step
+	for _, s := range w.parked {
+		if !s.host.crashed {
+			steps = append(steps, s)
+		}
+	}
+	slices.SortFunc(steps, func(a, b *step) int {
+		return cmp.Or(cmp.Compare(a.host.name, b.host.name), cmp.Compare(a.worker, b.worker), cmp.Compare(a.kind, b.kind))
+	})
+	return steps
+}
+
+func (w *world) resume(s *step, o outcome) {
+	w.mu.Lock()
+	w.parked = slices.DeleteFunc(w.parked, func(p *step) bool { return p == s })
+	w.mu.Unlock()
+	s.resume <- o
+	synctest.Wait()
+}
+
+// releaseDelayed lets writes arrive that were under way.
+func (w *world) releaseDelayed() {
+	w.mu.Lock()
+	delayed := w.delayed
+	w.delayed = nil
+	w.mu.Unlock()
+	for _, write := range delayed {
+		write()
+	}
+}
+
+// order starts a worker that sends a request to a host, and forwards it once.
+func (w *world) order(h *host, key, body string) {
+	w.workers++
+	worker := fmt.Sprintf("w%03d", w.workers)
+	ctx := context.WithValue(w.ctx, workerKey{}, worker)
+	req := claimer.Request{
+		ClientAccount: "mason", IdempotencyKey: key, BodyHash: sha256.Sum256([]byte(body)),
+		Deadline: w.clock.Now() + 5*clocker.Second,
+	}
+	go func() {
+		for range 2 {
+			ran := w.ranSoFar(key)
+			op := w.begin(key, body)
+			d := h.claimer.Claim(ctx, req)
+			w.end(op, d)
+			w.judgeVerdict(key, ran, d)
+			if d.Verdict == claimer.Owned {
+				w.run(ctx, h, key, body, d.Claim, op)
+			}
+			if h = w.find(d.Incarnation); h == nil {
+				return
+			}
+		}
+	}()
+}
+
+func (w *world) find(incarnation string) *host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.hosts {
+		if h.name == incarnation && !h.crashed {
+			return h
+		}
+	}
+	return nil
+}
+
+// run dispatches a claimed request to the application server.
+func (w *world) run(ctx context.Context, h *host, key, body string, claim *messenger.Claim, op int) {
+	if w.park(ctx, h, "dispatch") == shutdown {
+		return
+	}
+	if !h.claimer.Dispatched(claim) {
+		w.finish(ctx, h, claim, nil, op, true)
+		return
+	}
+	o := w.park(ctx, h, "run")
+	if o == deliver || o == loseAnswer || o == delay {
+		w.count(key)
+	}
+	var answer *messenger.StoredAnswer
+	if o == deliver {
+		answer = &messenger.StoredAnswer{Status: 201, Body: []byte(key + body)}
+	}
+	if o == shutdown || w.park(ctx, h, "finish") == shutdown {
+		return
+	}
+	w.finish(ctx, h, claim, answer, op, o == refuse || answer == nil && w.mutated == refusalAfterSilent)
+}
+
+func (w *world) finish(ctx context.Context, h *host, claim *messenger.Claim, answer *messenger.StoredAnswer, op int, release bool) {
+	end := w.beginFinish(claim.IdempotencyKey, op, answer, release)
+	if release {
+		h.claimer.Release(ctx, claim)
+	} else {
+		h.claimer.Finish(ctx, claim, answer)
+	}
+	w.endFinish(end)
+}
+
+func (w *world) count(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[key]++
+	if w.runs[key] > 1 {
+		w.faults = append(w.faults, fmt.Errorf("key %s ran %d times", key, w.runs[key]))
+	}
+}
+
+func (w *world) ranSoFar(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[key]
+}
+
+// judgeVerdict checks a verdict against what the application server counted
+// before the request arrived.
+func (w *world) judgeVerdict(key string, ran int, d claimer.Decision) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tally[d.Verdict]++
+	switch {
+	case (d.Verdict == claimer.Unreachable || d.Verdict == claimer.Owned) && ran > 0 && !w.closing:
+		w.faults = append(w.faults, fmt.Errorf("key %s: %s though it ran", key, d.Verdict))
+	case d.Verdict == claimer.Answered && w.runs[key] == 0:
+		w.faults = append(w.faults, fmt.Errorf("key %s: answered though it never ran", key))
+	}
+}
+
+// shutdown ends all goroutines.
+func (w *world) shutdown() {
+	w.mu.Lock()
+	w.closing = true
+	parked := w.parked
+	w.parked = nil
+	w.mu.Unlock()
+	w.cancel()
+	for _, s := range parked {
+		s.resume <- shutdown
+	}
+	synctest.Wait()
+}
+
+func (w *world) fault() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return errors.Join(w.faults...)
+}
+
+// gate is the Object API as one host reaches it.
+type gate struct {
+	host *host
+}
+
+func (g gate) unknown(key string) error {
+	return storer.ErrOutcomeUnknown{Key: key, Cause: "gate"}
+}
+
+// Get implements claimer.Store.
+func (g gate) Get(ctx context.Context, key string) (storer.Object, error) {
+	w := g.host.world
+	if w.park(ctx, g.host, "get") != deliver {
+		if w.mutated == readIsFree {
+			return storer.Object{}, storer.ErrNotFound{Key: key}
+		}
+		return storer.Object{}, g.unknown(key)
+	}
+	return w.store.Get(context.Background(), key)
+}
+
+// List implements claimer.Store.
+func (g gate) List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error) {
+	if g.host.world.park(ctx, g.host, "list") != deliver {
+		return nil, g.unknown(prefix)
+	}
+	return g.host.world.store.List(context.Background(), prefix, after, limit)
+}
+
+// Create implements claimer.Store.
+func (g gate) Create(ctx context.Context, key string, value []byte) (storer.Object, error) {
+	return g.write(ctx, key, "create", func() (storer.Object, error) {
+		w := g.host.world
+		if w.mutated == noCondition {
+			if o, err := w.store.Get(context.Background(), key); err == nil {
+				return w.store.Update(context.Background(), key, o.Version, value)
+			}
+		}
+		return w.store.Create(context.Background(), key, value)
+	})
+}
+
+// Update implements claimer.Store.
+func (g gate) Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error) {
+	return g.write(ctx, key, "update", func() (storer.Object, error) {
+		return g.host.world.store.Update(context.Background(), key, version, value)
+	})
+}
+
+// Delete implements claimer.Store.
+func (g gate) Delete(ctx context.Context, key string, version int64) error {
+	_, err := g.write(ctx, key, "delete", func() (storer.Object, error) {
+		return storer.Object{}, g.host.world.store.Delete(context.Background(), key, version)
+	})
+	return err
+}
+
+func (g gate) write(ctx context.Context, key, kind string, write func() (storer.Object, error)) (storer.Object, error) {
+	w := g.host.world
+	o := w.park(ctx, g.host, kind)
+	switch o {
+	case deliver:
+		return write()
+	case loseAnswer:
+		_, _ = write()
+	case delay:
+		w.mu.Lock()
+		w.delayed = append(w.delayed, func() { _, _ = write() })
+		w.mu.Unlock()
+	case refuse:
+		return storer.Object{}, storer.ErrRateLimited{Key: key}
+	}
+	if w.mutated == unknownIsSuccess && o != shutdown {
+		return storer.Object{Key: key, Version: 1}, nil
+	}
+	return storer.Object{}, g.unknown(key)
+}
