--- /dev/null
+++ b/connector/progress.go
@@ -0,0 +1,55 @@
+package connector
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"cowsliphinge/clocker"
+)
+
+// ProgressConn is a connection on which every read and write has to move at
+// least one byte within a time-out, so that a connection gone silent is found
+// while long answers may go on for as long as they make progress.
+type ProgressConn struct {
+	net.Conn
+	clock    *clocker.Clock
+	timeout  clocker.Millis
+	deadline atomic.Int64 // of the present exchange in milliseconds, 0 for none
+}
+
+// NewProgressConn wraps conn; timeout is in milliseconds.
+func NewProgressConn(conn net.Conn, clock *clocker.Clock, timeout clocker.Millis) *ProgressConn {
+	return &ProgressConn{Conn: conn, clock: clock, timeout: timeout}
+}
+
+// SetReadDeadline sets the latest end of the present exchange; the zero time means none.
+func (p *ProgressConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		p.deadline.Store(0)
+		return nil
+	}
+	p.deadline.Store(t.UnixMilli())
+	return nil
+}
+
+// Read reads at least one byte before the time-out and the deadline.
+func (p *ProgressConn) Read(b []byte) (int, error) {
+	limit := p.clock.Now() + p.timeout
+	if d := clocker.Millis(p.deadline.Load()); d != 0 {
+		limit = min(limit, d)
+	}
+	if err := p.Conn.SetReadDeadline(limit.Time()); err != nil {
+		return 0, err
+	}
+	return p.Conn.Read(b)
+}
+
+// Write writes b before the time-out.
+func (p *ProgressConn) Write(b []byte) (int, error) {
+	limit := p.clock.Now() + p.timeout
+	if err := p.Conn.SetWriteDeadline(limit.Time()); err != nil {
+		return 0, err
+	}
+	return p.Conn.Write(b)
+}
--- /dev/null
+++ b/dispatcher/call.go
@@ -0,0 +1,94 @@
+package dispatcher
+
+import (
+	"context"
+
+	"cowsliphinge/claimer"
+	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
+	"cowsliphinge/indexer"
+	"cowsliphinge/messenger"
+	"cowsliphinge/picker"
+	"cowsliphinge/reserver"
+)
+
+// Call is one request of a caller.
+type Call struct {
+	Account *messenger.ClientAccount
+	Service *messenger.Service
+	// RequestID names the request in answers, bills and at backend servers.
+	RequestID string
+	// IdempotencyKey is the caller's name of the request; empty for none.
+	IdempotencyKey string
+	Deadline       clocker.Millis
+
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+
+	// Completion is set for language services.
+	Completion *CompletionRequest
+	// After is the number of the last event that the caller already has.
+	After int64
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Replayed is true if it was stored by an earlier run of the same request.
+	Replayed bool
+}
+
+// Reserver reserves and settles budget tokens.
+type Reserver interface {
+	Reserve(ctx context.Context, budget string, tokens int64, deadline clocker.Millis) (reserver.Reservation, error)
+	Settle(r reserver.Reservation, used int64)
+}
+
+// Claimer makes keyed requests run at most once.
+type Claimer interface {
+	Claim(ctx context.Context, q claimer.Request) claimer.Decision
+	Dispatched(claim *messenger.Claim)
+	Finish(ctx context.Context, claim *messenger.Claim, answer *messenger.StoredAnswer)
+	Release(ctx context.Context, claim *messenger.Claim)
+}
+
+// Biller records bills.
+type Biller interface {
+	Record(ctx context.Context, bill *messenger.Bill) error
+}
+
+// Balancer hands out slots of backend servers.
+type Balancer interface {
+	Acquire(ctx context.Context, q picker.Request) (picker.Choice, error)
+	Release(c picker.Choice, o picker.Outcome)
+}
+
+// Retrier allows retries within a budget.
+type Retrier interface {
+	Attempted()
+	Allow(reason string) bool
+	Backoff(attempt int) clocker.Millis
+}
+
+// Connector reaches backend servers.
+type Connector interface {
+	Call(address string, r connector.Request) (*connector.Answer, error)
+	Stream(address string, r connector.Request) (*connector.Answer, error)
+}
+
+// Config configures a Dispatcher.
+type Config struct {
+	Incarnation string
+	Clock       *clocker.Clock
+	Index       func() *indexer.Index
+	Reserver    Reserver
+	Claimer     Claimer
+	Biller      Biller
+	Balancer    Balancer
+	Retrier     Retrier
+	Connector   Connector
+}
--- /dev/null
+++ b/dispatcher/completion.go
@@ -0,0 +1,132 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// tokensPerMessage bounds what a chat template adds to one message, in tokens.
+	tokensPerMessage = 16
+	// templateTokens bounds what a chat template adds to a whole prompt, in tokens.
+	templateTokens = 64
+	// prefixBytes is how much of a prompt steers prefix affinity, in bytes.
+	prefixBytes = 512
+)
+
+// multipliers are fields that ask for several answers to one prompt, which the
+// reservation does not cover.
+var multipliers = []string{"n", "best_of"}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// CompletionRequest is the part of a chat completion request that decisions need.
+type CompletionRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int64     `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+
+	bytes int
+	rest  map[string]json.RawMessage
+}
+
+// Usage is what a model engine reports, in tokens.
+type Usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
+}
+
+// Total returns prompt and completion tokens together.
+func (u Usage) Total() int64 {
+	return u.PromptTokens + u.CompletionTokens
+}
+
+// ParseCompletion reads a chat completion request. The error names the field
+// that is wrong.
+func ParseCompletion(body []byte) (*CompletionRequest, error) {
+	q := &CompletionRequest{bytes: len(body)}
+	if err := json.Unmarshal(body, q); err != nil {
+		return nil, describeJSON(err)
+	}
+	if err := json.Unmarshal(body, &q.rest); err != nil {
+		return nil, describeJSON(err)
+	}
+	switch {
+	case q.Model == "":
+		return nil, errors.New("model: must be set")
+	case len(q.Messages) == 0:
+		return nil, errors.New("messages: must hold at least one message")
+	case q.MaxTokens < 0:
+		return nil, errors.New("max_tokens: must not be negative")
+	}
+	for _, name := range multipliers {
+		if value, ok := q.rest[name]; ok && string(value) != "1" {
+			return nil, fmt.Errorf("%s: must be 1", name)
+		}
+	}
+	return q, nil
+}
+
+// BoundOutput limits the output to what the service allows, in tokens.
+func (q *CompletionRequest) BoundOutput(limit int64) {
+	if q.MaxTokens == 0 || q.MaxTokens > limit {
+		q.MaxTokens = limit
+	}
+}
+
+func describeJSON(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Errorf("%s: must not be a %s", wrong.Field, wrong.Value)
+	}
+	return fmt.Errorf("body: %w", err)
+}
+
+// PromptBound returns the most tokens that the prompt can have: no byte-level
+// tokenizer makes more than one token of a byte, and the body holds all that
+// goes into the prompt, tools included.
+func (q *CompletionRequest) PromptBound() int64 {
+	return int64(q.bytes) + templateTokens + tokensPerMessage*int64(len(q.Messages))
+}
+
+// Bound returns the most tokens that the request can cost.
+func (q *CompletionRequest) Bound() int64 {
+	return q.PromptBound() + q.MaxTokens
+}
+
+// PrefixHash returns the hash of the leading part of the prompt.
+func (q *CompletionRequest) PrefixHash() uint64 {
+	digest := xxhash.New()
+	left := prefixBytes
+	for _, m := range q.Messages {
+		part := m.Content[:min(left, len(m.Content))]
+		_, _ = digest.WriteString(part)
+		left -= len(part)
+		if left == 0 {
+			break
+		}
+	}
+	return digest.Sum64()
+}
+
+// engineBody is the request as it goes to a model engine: always streamed,
+// with the output bound that was reserved.
+func (q *CompletionRequest) engineBody() ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(q.rest)+3)
+	for name, value := range q.rest {
+		fields[name] = value
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["max_tokens"] = json.RawMessage(fmt.Sprint(q.MaxTokens))
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,244 @@
+// Package dispatcher takes one request from its reservation to its bill. A
+// request is NotDispatched until it is handed to a backend server, Dispatched
+// until the answer is whole, then Answered. Only a request that was never
+// dispatched, or that its backend server refused to run, is told "not run".
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
+	"cowsliphinge/messenger"
+	"cowsliphinge/picker"
+	"cowsliphinge/reserver"
+)
+
+// maxAttempts bounds how often one request is handed to backend servers.
+const maxAttempts = 4
+
+// State is how far a request has come.
+type State int
+
+// States of a request, in order.
+const (
+	// NotDispatched: no backend server can have run it.
+	NotDispatched State = iota
+	// Dispatched: a backend server may have run it.
+	Dispatched
+	// Answered: the whole answer is here.
+	Answered
+)
+
+var singleCopyBills = metrics.NewCounter("cowsliphinge_bills_without_copy_total")
+
+// Dispatcher runs requests. Its methods may be called from many goroutines.
+type Dispatcher struct {
+	cfg      Config
+	inFlight atomic.Int64
+
+	mu       sync.Mutex
+	draining bool
+	idle     chan struct{}
+}
+
+// New returns a Dispatcher that takes requests.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{cfg: cfg, idle: make(chan struct{})}
+}
+
+// InFlight returns how many requests are being run.
+func (d *Dispatcher) InFlight() int64 {
+	return d.inFlight.Load()
+}
+
+// Drain refuses new requests from now on. Requests in flight go on.
+func (d *Dispatcher) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return
+	}
+	d.draining = true
+	if d.inFlight.Load() == 0 {
+		close(d.idle)
+	}
+}
+
+// Idle is closed once the Dispatcher drains and nothing is in flight.
+func (d *Dispatcher) Idle() <-chan struct{} {
+	return d.idle
+}
+
+func (d *Dispatcher) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return false
+	}
+	d.inFlight.Add(1)
+	return true
+}
+
+func (d *Dispatcher) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.inFlight.Add(-1) == 0 && d.draining {
+		close(d.idle)
+	}
+}
+
+// run is the state of one request.
+type run struct {
+	d           *Dispatcher
+	call        Call
+	state       State
+	reservation reserver.Reservation
+	claim       *messenger.Claim
+	choice      picker.Choice
+	avoid       []string
+	attempts    int
+	left        bool
+}
+
+// admit reserves the worst case of a call.
+func (d *Dispatcher) admit(ctx context.Context, call Call, tokens int64) (*run, *Refusal) {
+	if !d.enter() {
+		return nil, NewRefusal(CodeDraining, call.RequestID, true, "this host takes no new requests")
+	}
+	r := &run{d: d, call: call}
+	patience := clocker.Millis(d.cfg.Index().Policy.PatienceMs)
+	deadline := min(call.Deadline, d.cfg.Clock.Now()+patience)
+	reservation, err := d.cfg.Reserver.Reserve(ctx, call.Account.Budget, tokens, deadline)
+	if err != nil {
+		d.leave()
+		return nil, budgetRefusal(call, err)
+	}
+	r.reservation = reservation
+	return r, nil
+}
+
+func budgetRefusal(call Call, err error) *Refusal {
+	if reserver.IsErrBudgetExhausted(err) {
+		return NewRefusal(CodeBudgetExhausted, call.RequestID, true, err.Error())
+	}
+	return NewRefusal(CodeBudgetUnreachable, call.RequestID, true, err.Error())
+}
+
+// acquire takes a slot at a backend server that has not failed this request.
+func (r *run) acquire(ctx context.Context, prefix uint64) *Refusal {
+	choice, err := r.d.cfg.Balancer.Acquire(ctx, picker.Request{
+		Service:       r.call.Service.Name,
+		Model:         r.call.model(),
+		ClientAccount: r.call.Account.Name,
+		Weight:        r.call.Account.Weight,
+		Prefix:        prefix,
+		Tokens:        r.reservation.Tokens,
+		Deadline:      r.call.Deadline,
+		Avoid:         r.avoid,
+	})
+	if err != nil {
+		return r.noServer(err)
+	}
+	r.choice = choice
+	now := r.d.cfg.Clock.Now()
+	if now >= r.call.Deadline {
+		r.release(picker.Left)
+		return NewRefusal(CodeDeadlineExceeded, r.call.RequestID, r.state == NotDispatched, "deadline passed before dispatch")
+	}
+	r.attempts++
+	return nil
+}
+
+func (r *run) noServer(err error) *Refusal {
+	notRun := r.state == NotDispatched
+	var none picker.ErrNoServer
+	code := CodeNoServer
+	if errors.As(err, &none) {
+		switch none.Reason {
+		case "queue_full":
+			code = CodeOverloaded
+		case "deadline":
+			code = CodeDeadlineExceeded
+		}
+	}
+	return NewRefusal(code, r.call.RequestID, notRun, err.Error())
+}
+
+func (r *run) release(o picker.Outcome) {
+	if r.choice.Server == nil {
+		return
+	}
+	if o == picker.Failed || o == picker.Refused {
+		r.avoid = append(r.avoid, r.choice.Server.Name)
+	}
+	r.d.cfg.Balancer.Release(r.choice, o)
+	r.choice = picker.Choice{}
+}
+
+// again reports whether the request may be handed out once more for reason.
+func (r *run) again(ctx context.Context, reason string) bool {
+	if r.attempts >= maxAttempts || !r.d.cfg.Retrier.Allow(reason) {
+		return false
+	}
+	backoff := r.d.cfg.Retrier.Backoff(r.attempts)
+	if r.d.cfg.Clock.Now()+backoff >= r.call.Deadline {
+		return false
+	}
+	return r.d.cfg.Clock.Sleep(ctx, backoff) == nil
+}
+
+// end settles the request and forgets it. It may be called more than once; the
+// first call counts.
+func (r *run) end(used int64) {
+	if r.left {
+		return
+	}
+	r.left = true
+	r.d.cfg.Reserver.Settle(r.reservation, min(used, r.reservation.Tokens))
+	r.d.leave()
+}
+
+// bill records what the request costs, before its last byte leaves.
+func (r *run) bill(ctx context.Context, usage Usage, partial bool) {
+	if err := r.d.cfg.Biller.Record(ctx, &messenger.Bill{
+		ClientAccount: r.call.Account.Name,
+		RequestId:     r.call.RequestID,
+		Budget:        r.call.Account.Budget,
+		Service:       r.call.Service.Name,
+		Tokens:        min(usage.Total(), r.reservation.Tokens),
+		PromptTokens:  usage.PromptTokens,
+		OutputTokens:  usage.CompletionTokens,
+		FinishedAtMs:  int64(r.d.cfg.Clock.Now()),
+		Incarnation:   r.d.cfg.Incarnation,
+		Partial:       partial,
+	}); err != nil {
+		singleCopyBills.Inc()
+	}
+}
+
+func (r *run) request(method, path, contentType string, body []byte) connector.Request {
+	return connector.Request{
+		Method:          method,
+		Path:            path,
+		ContentType:     contentType,
+		Body:            body,
+		RequestID:       r.call.RequestID,
+		IdempotencyKey:  r.call.IdempotencyKey,
+		Deadline:        r.call.Deadline,
+		ProgressTimeout: clocker.Millis(r.call.Service.ProgressTimeoutMs),
+		Fresh:           !r.call.Service.Idempotent,
+	}
+}
+
+func (c Call) model() string {
+	if c.Completion == nil {
+		return ""
+	}
+	return c.Completion.Model
+}
--- /dev/null
+++ b/dispatcher/refusal.go
@@ -0,0 +1,91 @@
+package dispatcher
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowsliphinge/clocker"
+)
+
+// Code names why a request got no answer. docs/ERRORS.md has the table.
+type Code string
+
+// Codes of refusals.
+const (
+	CodeBadRequest        Code = "BadRequest"
+	CodeUnauthenticated   Code = "Unauthenticated"
+	CodeUnknownService    Code = "UnknownService"
+	CodeTooLarge          Code = "TooLarge"
+	CodeKeyReused         Code = "KeyReused"
+	CodeBudgetExhausted   Code = "BudgetExhausted"
+	CodeBudgetUnreachable Code = "BudgetUnreachable"
+	CodeOverloaded        Code = "Overloaded"
+	CodeNoServer          Code = "NoServer"
+	CodeDeadlineExceeded  Code = "DeadlineExceeded"
+	CodeDraining          Code = "Draining"
+	CodeInProgress        Code = "InProgress"
+	CodeClaimUnreachable  Code = "ClaimUnreachable"
+	CodeOutcomeUnknown    Code = "OutcomeUnknown"
+	CodeAnswerBroken      Code = "AnswerBroken"
+)
+
+// Refusal is the answer to a request that was not answered by a backend server.
+type Refusal struct {
+	Code      Code
+	Message   string
+	// RequestID names the request.
+	RequestID string `json:"RequestId"`
+	// NotRun is true only if the work did not happen and was not billed.
+	NotRun bool
+	// RetryAfterMs tells when to come back, in milliseconds; 0 means that
+	// coming back does not help.
+	RetryAfterMs clocker.Millis
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s", r.Code, r.Message)
+}
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int {
+	if status, ok := statuses[r.Code]; ok {
+		return status
+	}
+	return 500
+}
+
+var statuses = map[Code]int{
+	CodeBadRequest:        400,
+	CodeUnauthenticated:   401,
+	CodeBudgetExhausted:   402,
+	CodeUnknownService:    404,
+	CodeInProgress:        409,
+	CodeTooLarge:          413,
+	CodeKeyReused:         422,
+	CodeOverloaded:        429,
+	CodeOutcomeUnknown:    502,
+	CodeAnswerBroken:      502,
+	CodeBudgetUnreachable: 503,
+	CodeClaimUnreachable:  503,
+	CodeNoServer:          503,
+	CodeDraining:          503,
+	CodeDeadlineExceeded:  504,
+}
+
+// NewRefusal returns a counted refusal.
+func NewRefusal(code Code, requestID string, notRun bool, message string) *Refusal {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_answers_refused_total{code=%q,not_run="%t"}`, code, notRun)).Inc()
+	return &Refusal{Code: code, Message: message, RequestID: requestID, NotRun: notRun, RetryAfterMs: retryAfter[code]}
+}
+
+// retryAfter is when a caller may come back, in milliseconds.
+var retryAfter = map[Code]clocker.Millis{
+	CodeOverloaded:        500,
+	CodeNoServer:          1000,
+	CodeDraining:          100,
+	CodeInProgress:        500,
+	CodeBudgetUnreachable: 2000,
+	CodeClaimUnreachable:  2000,
+}
--- /dev/null
+++ b/listener/listener.go
@@ -0,0 +1,276 @@
+// Package listener answers callers over HTTP: chat completions, calls passed
+// through to application services, tickets, and an account's own usage.
+package listener
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
+	"cowsliphinge/dispatcher"
+	"cowsliphinge/indexer"
+	"cowsliphinge/messenger"
+)
+
+const (
+	// callerTimeout ends connections of callers that take or send nothing, in milliseconds.
+	callerTimeout = 30 * clocker.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 16 << 10
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// maxDeadline bounds the deadline that a caller may ask for, in milliseconds.
+	maxDeadline = clocker.Hour
+)
+
+// Dispatcher runs requests.
+type Dispatcher interface {
+	StartCompletion(ctx context.Context, call dispatcher.Call) (*dispatcher.Stream, *dispatcher.Refusal)
+	RunApplication(ctx context.Context, call dispatcher.Call) (*dispatcher.Answer, *dispatcher.Refusal)
+}
+
+// TicketIssuer issues idempotency keys that this host alone runs.
+type TicketIssuer interface {
+	IssueTicket(clientAccount string) string
+}
+
+// Summer sums bills.
+type Summer interface {
+	SumBills(ctx context.Context, q *messenger.SumBillsRequest) (*messenger.SumBillsReply, error)
+}
+
+// Config configures a Listener.
+type Config struct {
+	Clock      *clocker.Clock
+	Index      func() *indexer.Index
+	Dispatcher Dispatcher
+	Tickets    TicketIssuer
+	Bills      Summer
+	Ready      func() bool
+	// TLS is nil for plain TCP.
+	TLS *tls.Config
+	// MaxBodyBytes bounds a request's body; 0 means one megabyte.
+	MaxBodyBytes int64
+	// MaxConnections bounds open connections; 0 means 20000.
+	MaxConnections int64
+}
+
+// Listener answers callers.
+type Listener struct {
+	cfg    Config
+	server *fasthttp.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// New returns a Listener that does not listen yet.
+func New(cfg Config) *Listener {
+	if cfg.MaxBodyBytes == 0 {
+		cfg.MaxBodyBytes = 1 << 20
+	}
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = 20000
+	}
+	l := &Listener{cfg: cfg}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.server = &fasthttp.Server{
+		Handler:               l.handle,
+		ErrorHandler:          handleBadRequest,
+		MaxRequestBodySize:    int(cfg.MaxBodyBytes),
+		ReadBufferSize:        maxHeaderBytes,
+		Concurrency:           int(cfg.MaxConnections),
+		ReadTimeout:           callerTimeout.Duration(),
+		IdleTimeout:           callerTimeout.Duration(),
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		Logger:                silent{},
+	}
+	return l
+}
+
+// Serve answers on l until Shutdown or Close.
+func (l *Listener) Serve(inner net.Listener) error {
+	var wrapped net.Listener = progressListener{Listener: inner, clock: l.cfg.Clock}
+	if l.cfg.TLS != nil {
+		wrapped = tls.NewListener(wrapped, l.cfg.TLS)
+	}
+	return trace.Wrap(l.server.Serve(wrapped))
+}
+
+// Shutdown ends the Listener once its requests are answered.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	return trace.Wrap(l.server.ShutdownWithContext(ctx))
+}
+
+// Close makes requests in flight end early.
+func (l *Listener) Close() {
+	l.cancel()
+}
+
+func (l *Listener) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch path {
+	case "/healthz":
+		return
+	case "/readyz":
+		if !l.cfg.Ready() {
+			ctx.SetStatusCode(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	call, refusal := l.authenticate(ctx)
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	switch path {
+	case "/v1/chat/completions":
+		l.serveCompletion(ctx, call)
+	case "/v1/tickets":
+		l.serveTicket(ctx, call)
+	case "/v1/usage":
+		l.serveUsage(ctx, call)
+	default:
+		l.serveApplication(ctx, call, path)
+	}
+}
+
+// authenticate finds the client account and fills in what all calls have.
+func (l *Listener) authenticate(ctx *fasthttp.RequestCtx) (dispatcher.Call, *dispatcher.Refusal) {
+	call := dispatcher.Call{Method: string(ctx.Method())}
+	header := string(ctx.Request.Header.Peek("Authorization"))
+	key, ok := strings.CutPrefix(header, "Bearer ")
+	if ok {
+		call.Account = l.cfg.Index().Authenticate(key)
+	}
+	if call.Account == nil {
+		return call, dispatcher.NewRefusal(dispatcher.CodeUnauthenticated, newID(), true, "Authorization: the bearer key is missing or unknown")
+	}
+	call.IdempotencyKey = string(ctx.Request.Header.Peek("Idempotency-Key"))
+	call.RequestID = requestID(call.Account.Name, call.IdempotencyKey)
+	if len(call.IdempotencyKey) > maxKeyBytes {
+		return call, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Idempotency-Key: must not be longer than 255 bytes")
+	}
+	return call, nil
+}
+
+// setService fills in the service and what depends on it.
+func (l *Listener) setService(ctx *fasthttp.RequestCtx, call *dispatcher.Call, service *messenger.Service, name string) *dispatcher.Refusal {
+	if service == nil {
+		return dispatcher.NewRefusal(dispatcher.CodeUnknownService, call.RequestID, true, "no service serves "+name)
+	}
+	call.Service = service
+	wait := clocker.Millis(service.DefaultDeadlineMs)
+	if header := string(ctx.Request.Header.Peek("X-Request-Deadline-Ms")); header != "" {
+		given, err := strconv.ParseInt(header, 10, 64)
+		if err != nil || given <= 0 || clocker.Millis(given) > maxDeadline {
+			return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "X-Request-Deadline-Ms: must be between 1 and 3600000")
+		}
+		wait = clocker.Millis(given)
+	}
+	call.Deadline = l.cfg.Clock.Now() + wait
+	return nil
+}
+
+func (l *Listener) serveTicket(ctx *fasthttp.RequestCtx, call dispatcher.Call) {
+	if !ctx.IsPost() {
+		refuse(ctx, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "method: must be POST"))
+		return
+	}
+	writeJSON(ctx, call.RequestID, struct{ IdempotencyKey string }{l.cfg.Tickets.IssueTicket(call.Account.Name)})
+}
+
+func (l *Listener) serveUsage(ctx *fasthttp.RequestCtx, call dispatcher.Call) {
+	sums, err := l.cfg.Bills.SumBills(l.ctx, &messenger.SumBillsRequest{ClientAccount: call.Account.Name})
+	if err != nil {
+		refuse(ctx, dispatcher.NewRefusal(dispatcher.CodeNoServer, call.RequestID, true, "bills cannot be read at the moment"))
+		return
+	}
+	writeJSON(ctx, call.RequestID, sums.Sums)
+}
+
+// requestID derives the name of a keyed request from its account and key, so
+// that every host gives a repeat the same name.
+func requestID(account, key string) string {
+	if key == "" {
+		return newID()
+	}
+	sum := sha256.Sum256([]byte(account + "\x00" + key))
+	return "k-" + hex.EncodeToString(sum[:16])
+}
+
+func newID() string {
+	var random [16]byte
+	_, _ = rand.Read(random[:])
+	return "r-" + hex.EncodeToString(random[:])
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, requestID string, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(http.StatusInternalServerError)
+		return
+	}
+	ctx.Response.Header.Set(connector.RequestIDHeader, requestID)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
+
+func refuse(ctx *fasthttp.RequestCtx, refusal *dispatcher.Refusal) {
+	writeJSON(ctx, refusal.RequestID, refusal)
+	ctx.SetStatusCode(refusal.Status())
+	if refusal.RetryAfterMs > 0 {
+		seconds := (refusal.RetryAfterMs + clocker.Second - 1) / clocker.Second
+		ctx.Response.Header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+}
+
+// handleBadRequest answers requests that are not well-formed HTTP.
+func handleBadRequest(ctx *fasthttp.RequestCtx, err error) {
+	code := dispatcher.CodeBadRequest
+	message := "the request is not well-formed HTTP"
+	var tooSmall *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		code = dispatcher.CodeTooLarge
+		message = "the body is too large"
+	case errors.As(err, &tooSmall):
+		code = dispatcher.CodeTooLarge
+		message = "the header is too large"
+	}
+	refuse(ctx, dispatcher.NewRefusal(code, newID(), true, message))
+}
+
+type progressListener struct {
+	net.Listener
+	clock *clocker.Clock
+}
+
+// Accept returns the next connection, on which each read and write has to make
+// progress.
+func (p progressListener) Accept() (net.Conn, error) {
+	conn, err := p.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return connector.NewProgressConn(conn, p.clock, callerTimeout), nil
+}
+
+// silent drops the HTTP library's own log lines.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/listener/serve.go
@@ -0,0 +1,110 @@
+package listener
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"cowsliphinge/connector"
+	"cowsliphinge/dispatcher"
+	"cowsliphinge/messenger"
+)
+
+func (l *Listener) serveCompletion(ctx *fasthttp.RequestCtx, call dispatcher.Call) {
+	if !ctx.IsPost() {
+		refuse(ctx, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "method: must be POST"))
+		return
+	}
+	if refusal := l.readCompletion(ctx, &call); refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	stream, refusal := l.cfg.Dispatcher.StartCompletion(l.ctx, call)
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	if call.Completion.Stream {
+		l.copyStream(ctx, call, stream)
+		return
+	}
+	answer, refusal := stream.Collect(l.ctx)
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	write(ctx, call, answer)
+}
+
+func (l *Listener) readCompletion(ctx *fasthttp.RequestCtx, call *dispatcher.Call) *dispatcher.Refusal {
+	body := append([]byte(nil), ctx.PostBody()...)
+	completion, err := dispatcher.ParseCompletion(body)
+	if err != nil {
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, err.Error())
+	}
+	service := l.cfg.Index().LanguageService(completion.Model)
+	if refusal := l.setService(ctx, call, service, "model "+completion.Model); refusal != nil {
+		return refusal
+	}
+	completion.BoundOutput(service.MaxOutputTokens)
+	call.Completion = completion
+	call.Path = "/v1/chat/completions"
+	call.Body = body
+	last := string(ctx.Request.Header.Peek("Last-Event-ID"))
+	if last == "" {
+		return nil
+	}
+	call.After, err = strconv.ParseInt(last, 10, 64)
+	if err != nil || call.After < 0 || call.IdempotencyKey == "" {
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Last-Event-ID: must be an event number of a request with an Idempotency-Key")
+	}
+	return nil
+}
+
+func (l *Listener) copyStream(ctx *fasthttp.RequestCtx, call dispatcher.Call, stream *dispatcher.Stream) {
+	ctx.Response.Header.Set(connector.RequestIDHeader, call.RequestID)
+	ctx.Response.Header.Set("Cache-Control", "no-store")
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		_ = stream.Copy(l.ctx, w) // the caller left; it is counted and billed there
+	})
+}
+
+func (l *Listener) serveApplication(ctx *fasthttp.RequestCtx, call dispatcher.Call, path string) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	service := l.cfg.Index().Service(name)
+	if service != nil && service.Kind != messenger.ServiceKind_APPLICATION {
+		service = nil
+	}
+	if refusal := l.setService(ctx, &call, service, "path /"+name); refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	call.Path = "/" + rest
+	if query := string(ctx.QueryArgs().QueryString()); query != "" {
+		call.Path += "?" + query
+	}
+	call.ContentType = string(ctx.Request.Header.ContentType())
+	call.Body = append([]byte(nil), ctx.PostBody()...)
+	answer, refusal := l.cfg.Dispatcher.RunApplication(l.ctx, call)
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	write(ctx, call, answer)
+}
+
+func write(ctx *fasthttp.RequestCtx, call dispatcher.Call, answer *dispatcher.Answer) {
+	ctx.Response.Header.Set(connector.RequestIDHeader, call.RequestID)
+	if answer.Replayed {
+		ctx.Response.Header.Set("Idempotent-Replayed", "true")
+	}
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.ContentType)
+	if answer.Status != http.StatusNoContent {
+		ctx.SetBody(answer.Body)
+	}
+}
