--- a/connector/connector.go
+++ b/connector/connector.go
@@ -136,6 +136,9 @@
 	Clock *clocker.Clock
 	// TLS is nil for plain TCP.
 	TLS *tls.Config
+	// Reachable tells whether an address may be called; nil means all. Tests
+	// cut backend servers off with it.
+	Reachable func(address string) bool
 }
 
 // Connector keeps the connections to backend servers.
@@ -214,6 +217,9 @@
 	if remaining <= 0 {
 		return ErrNotSent{Cause: errors.New("deadline has passed")}
 	}
+	if c.cfg.Reachable != nil && !c.cfg.Reachable(address) {
+		return ErrNotSent{Cause: errors.New("address is cut off")}
+	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	c.fillRequest(request, address, r, remaining)
--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -57,6 +57,8 @@
 		return nil, NewRefusal(CodeInProgress, id, false, "the request with this key is being run")
 	case claimer.KeyReused:
 		return nil, NewRefusal(CodeKeyReused, id, true, "the key was used with another request")
+	case claimer.Elsewhere:
+		return r.forward(ctx, decision.Incarnation)
 	case claimer.Unreachable:
 		return nil, NewRefusal(CodeClaimUnreachable, id, true, "the key cannot be claimed at the moment")
 	default:
@@ -64,6 +66,15 @@
 	}
 }
 
+// forward passes the call to the host that alone may run it.
+func (r *run) forward(ctx context.Context, incarnation string) (*Answer, *Refusal) {
+	answer, err := r.d.cfg.Forwarder.Forward(ctx, incarnation, r.call)
+	if err == nil {
+		return answer, nil
+	}
+	return nil, NewRefusal(CodeOutcomeUnknown, r.call.RequestID, false, "the host that issued the key does not answer; it alone may have run the request")
+}
+
 func storedAnswer(id string, stored *messenger.StoredAnswer) (*Answer, *Refusal) {
 	if stored == nil || stored.Truncated {
 		return nil, NewRefusal(CodeOutcomeUnknown, id, false, "the request with this key ran; its answer is no longer kept")
@@ -83,9 +94,8 @@
 			return nil, refusal
 		}
 		before := r.state
-		r.state = Dispatched
-		if r.claim != nil {
-			r.d.cfg.Claimer.Dispatched(r.claim)
+		if refusal := r.dispatch(); refusal != nil {
+			return nil, refusal
 		}
 		answer, err := r.d.cfg.Connector.Call(r.choice.Server.Address, r.request(r.call.Method, r.call.Path, r.call.ContentType, r.call.Body))
 		reason, refusal := r.judge(answer, err, before)
@@ -100,6 +110,16 @@
 	}
 }
 
+// dispatch turns the state to Dispatched, unless the claim was lost since.
+func (r *run) dispatch() *Refusal {
+	if r.claim != nil && !r.d.cfg.Claimer.Dispatched(r.claim) {
+		r.release(picker.Left)
+		return NewRefusal(CodeDeadlineExceeded, r.call.RequestID, r.state == NotDispatched, "the claim lapsed before dispatch")
+	}
+	r.state = Dispatched
+	return nil
+}
+
 // judge tells whether an attempt answered the call (no reason, no refusal),
 // may be repeated for a reason, or ends the call.
 func (r *run) judge(answer *connector.Answer, err error, before State) (string, *Refusal) {
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -27,6 +27,9 @@
 	ContentType string
 	Body        []byte
 
+	// Authorization is the caller's own header, for forwarding.
+	Authorization string
+
 	// Completion is set for language services.
 	Completion *CompletionRequest
 	// After is the number of the last event that the caller already has.
@@ -51,7 +54,8 @@
 // Claimer makes keyed requests run at most once.
 type Claimer interface {
 	Claim(ctx context.Context, q claimer.Request) claimer.Decision
-	Dispatched(claim *messenger.Claim)
+	// Dispatched reports false if the claim must not be sent any more.
+	Dispatched(claim *messenger.Claim) bool
 	Finish(ctx context.Context, claim *messenger.Claim, answer *messenger.StoredAnswer)
 	Release(ctx context.Context, claim *messenger.Claim)
 }
@@ -74,6 +78,11 @@
 	Backoff(attempt int) clocker.Millis
 }
 
+// Forwarder passes a call to the host of an incarnation.
+type Forwarder interface {
+	Forward(ctx context.Context, incarnation string, call Call) (*Answer, error)
+}
+
 // Connector reaches backend servers.
 type Connector interface {
 	Call(address string, r connector.Request) (*connector.Answer, error)
@@ -91,4 +100,5 @@
 	Balancer    Balancer
 	Retrier     Retrier
 	Connector   Connector
+	Forwarder   Forwarder
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -90,7 +90,9 @@
 			return refusal
 		}
 		before := s.state
-		s.state = Dispatched
+		if refusal := s.dispatch(); refusal != nil {
+			return refusal
+		}
 		request := s.request(http.MethodPost, "/v1/chat/completions", "application/json", s.body)
 		answer, err := s.d.cfg.Connector.Stream(s.choice.Server.Address, request)
 		reason, refusal := s.judgeStream(answer, err, before)
--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -63,9 +63,6 @@
 	Querier     messenger.Querier
 	// Ready tells whether the router takes callers.
 	Ready func() bool
-	// Reachable tells whether calls of other routers are answered; nil means
-	// always. Tests cut routers off with it.
-	Reachable func() bool
 }
 
 // Server answers other routers and operators.
@@ -112,7 +109,7 @@
 	exchange := messenger.NewExchangeServer(exchange{Beater: s.cfg.Beater, Transferrer: s.cfg.Transferrer, Puller: s.cfg.Puller, Copier: s.cfg.Copier})
 	commands := messenger.NewCommanderServer(s.cfg.Commander)
 	queries := messenger.NewQuerierServer(s.cfg.Querier)
-	mux.Handle(exchange.PathPrefix(), s.reachable(s.authenticated(s.cfg.RouterKey, exchange)))
+	mux.Handle(exchange.PathPrefix(), s.authenticated(s.cfg.RouterKey, exchange))
 	mux.Handle(commands.PathPrefix(), s.authenticated(s.cfg.OperatorKey, commands))
 	mux.Handle(queries.PathPrefix(), s.authenticated(s.cfg.OperatorKey, queries))
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
@@ -125,16 +122,6 @@
 	return mux
 }
 
-func (s *Server) reachable(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.cfg.Reachable != nil && !s.cfg.Reachable() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (s *Server) authenticated(key string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
@@ -74,6 +75,9 @@
 	server *fasthttp.Server
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	inner net.Listener
 }
 
 // New returns a Listener that does not listen yet.
@@ -103,6 +107,9 @@
 
 // Serve answers on l until Shutdown or Close.
 func (l *Listener) Serve(inner net.Listener) error {
+	l.mu.Lock()
+	l.inner = inner
+	l.mu.Unlock()
 	var wrapped net.Listener = progressListener{Listener: inner, clock: l.cfg.Clock}
 	if l.cfg.TLS != nil {
 		wrapped = tls.NewListener(wrapped, l.cfg.TLS)
@@ -115,9 +122,15 @@
 	return trace.Wrap(l.server.ShutdownWithContext(ctx))
 }
 
-// Close makes requests in flight end early.
-func (l *Listener) Close() {
+// Abort ends the Listener at once and makes requests in flight end early.
+func (l *Listener) Abort() error {
 	l.cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inner == nil {
+		return nil
+	}
+	return trace.Wrap(l.inner.Close())
 }
 
 func (l *Listener) handle(ctx *fasthttp.RequestCtx) {
@@ -159,6 +172,7 @@
 	if call.Account == nil {
 		return call, dispatcher.NewRefusal(dispatcher.CodeUnauthenticated, newID(), true, "Authorization: the bearer key is missing or unknown")
 	}
+	call.Authorization = header
 	call.IdempotencyKey = string(ctx.Request.Header.Peek("Idempotency-Key"))
 	call.RequestID = requestID(call.Account.Name, call.IdempotencyKey)
 	if len(call.IdempotencyKey) > maxKeyBytes {
--- /dev/null
+++ b/router/parts.go
@@ -0,0 +1,155 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+
+	"cowsliphinge/balancer"
+	"cowsliphinge/biller"
+	"cowsliphinge/claimer"
+	"cowsliphinge/clocker"
+	"cowsliphinge/commander"
+	"cowsliphinge/dispatcher"
+	"cowsliphinge/exchanger"
+	"cowsliphinge/forwarder"
+	"cowsliphinge/indexer"
+	"cowsliphinge/listener"
+	"cowsliphinge/messenger"
+	"cowsliphinge/querier"
+	"cowsliphinge/reserver"
+	"cowsliphinge/retrier"
+)
+
+// index returns the configuration in force.
+func (r *Router) index() *indexer.Index {
+	if s := r.spreader.Load(); s != nil {
+		return s.Index()
+	}
+	return indexer.New(&messenger.Configuration{})
+}
+
+func (r *Router) policy() *messenger.Policy {
+	return r.index().Policy
+}
+
+func (r *Router) declaredHosts() []*messenger.Host {
+	return r.index().Hosts()
+}
+
+// alive reports whether an incarnation was heard of lately.
+func (r *Router) alive(incarnation string) bool {
+	for _, peer := range r.heartbeater.Peers() {
+		if peer.Incarnation == incarnation {
+			return !peer.Suspect
+		}
+	}
+	return false
+}
+
+// beat is the heartbeat of this router, as far as its parts have started.
+func (r *Router) beat() *messenger.Beat {
+	s := r.cfg.Settings
+	beat := &messenger.Beat{
+		Incarnation:          r.incarnation,
+		Host:                 s.Host,
+		AvailabilityZone:     s.AvailabilityZone,
+		ExchangeAddress:      s.ExchangeAddress,
+		CallerAddress:        s.CallerAddress,
+		ConfigurationVersion: r.index().Version(),
+		SentAtMs:             int64(r.cfg.Clock.Now()),
+	}
+	if !r.started.Load() {
+		return beat
+	}
+	beat.Draining = !r.ready.Load()
+	beat.InFlight = r.dispatcher.InFlight()
+	beat.HeldTokens = r.reserver.HeldTokens()
+	return beat
+}
+
+func (r *Router) startDeciders(ctx context.Context) {
+	s := r.cfg.Settings
+	clock := r.cfg.Clock
+	r.reserver = reserver.New(ctx, reserver.Config{
+		Incarnation:      r.incarnation,
+		Host:             s.Host,
+		AvailabilityZone: s.AvailabilityZone,
+		Clock:            clock,
+		Store:            r.store,
+		Exchange:         r.exchange,
+		Peers:            r.heartbeater.Peers,
+		Policy:           r.policy,
+	})
+	r.claimer = claimer.New(ctx, claimer.Config{
+		Incarnation: r.incarnation,
+		Clock:       clock,
+		Store:       r.store,
+		Alive:       r.alive,
+		Retention:   func() clocker.Millis { return clocker.Millis(r.policy().AnswerRetentionMs) },
+	})
+	r.biller = biller.New(ctx, biller.Config{
+		Incarnation:      r.incarnation,
+		AvailabilityZone: s.AvailabilityZone,
+		Clock:            clock,
+		Store:            r.store,
+		Exchange:         r.exchange,
+		Peers:            r.heartbeater.Peers,
+	})
+	r.balancer = balancer.New(ctx, balancer.Config{
+		AvailabilityZone: s.AvailabilityZone,
+		Clock:            clock,
+		Index:            r.index,
+		Seed:             uint64(clock.Now()),
+	})
+	r.dispatcher = dispatcher.New(dispatcher.Config{
+		Incarnation: r.incarnation,
+		Clock:       clock,
+		Index:       r.index,
+		Reserver:    r.reserver,
+		Claimer:     r.claimer,
+		Biller:      r.biller,
+		Balancer:    r.balancer,
+		Retrier: retrier.New(retrier.Config{
+			Percent: func() int64 { return r.policy().RetryPercent },
+			Seed:    uint64(clock.Now()),
+		}),
+		Connector: r.connector,
+		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, Reachable: r.reaches}),
+	})
+	r.started.Store(true)
+}
+
+func (r *Router) startListeners(callerTLS, exchangeTLS *tls.Config) {
+	s := r.cfg.Settings
+	r.listener = listener.New(listener.Config{
+		Clock:          r.cfg.Clock,
+		Index:          r.index,
+		Dispatcher:     r.dispatcher,
+		Tickets:        r.claimer,
+		Bills:          r.biller,
+		Ready:          r.Ready,
+		TLS:            callerTLS,
+		MaxBodyBytes:   s.MaxBodyBytes,
+		MaxConnections: s.MaxConnections,
+	})
+	spread := r.spreader.Load()
+	r.server = exchanger.NewServer(exchanger.ServerConfig{
+		OperatorKey: s.OperatorKey,
+		RouterKey:   s.RouterKey,
+		TLS:         exchangeTLS,
+		Beater:      r.heartbeater,
+		Transferrer: r.reserver,
+		Puller:      spread,
+		Copier:      r.biller,
+		Commander:   commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver}),
+		Querier: querier.New(querier.Config{
+			Spreader: spread,
+			Budgets:  r.reserver,
+			Bills:    r.biller,
+			Servers:  r.balancer,
+			Self:     r.beat,
+			Peers:    r.heartbeater.Peers,
+		}),
+		Ready: r.Ready,
+	})
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,195 @@
+// Package router assembles one router from its parts and runs it.
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"cowsliphinge/balancer"
+	"cowsliphinge/biller"
+	"cowsliphinge/claimer"
+	"cowsliphinge/clocker"
+	"cowsliphinge/commander"
+	"cowsliphinge/connector"
+	"cowsliphinge/dispatcher"
+	"cowsliphinge/drainer"
+	"cowsliphinge/exchanger"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/listener"
+	"cowsliphinge/messenger"
+	"cowsliphinge/querier"
+	"cowsliphinge/reserver"
+	"cowsliphinge/retrier"
+	"cowsliphinge/spreader"
+	"cowsliphinge/storer"
+)
+
+// Config configures a Router.
+type Config struct {
+	Settings *messenger.Settings
+	Clock    *clocker.Clock
+	Log      *slog.Logger
+	// Network lets tests cut the router off; nil cuts nothing.
+	Network Network
+}
+
+// Network tells what a router reaches.
+type Network interface {
+	// Reaches reports whether the host named from reaches the address.
+	Reaches(from, address string) bool
+}
+
+// Router is one running router.
+type Router struct {
+	cfg         Config
+	incarnation string
+	ready       atomic.Bool
+	started     atomic.Bool // the parts that beat asks are there
+	group       errgroup.Group
+
+	store       *storer.Client
+	exchange    *exchanger.Client
+	heartbeater *heartbeater.Heartbeater
+	spreader    atomic.Pointer[spreader.Spreader]
+	reserver    *reserver.Reserver
+	claimer     *claimer.Claimer
+	biller      *biller.Biller
+	balancer    *balancer.Balancer
+	connector   *connector.Connector
+	dispatcher  *dispatcher.Dispatcher
+	listener    *listener.Listener
+	server      *exchanger.Server
+}
+
+// New opens the listeners of the settings and starts a router. It takes
+// callers once a configuration is known.
+func New(ctx context.Context, cfg Config) (*Router, error) {
+	listenerTLS, err := serverTLS(cfg.Settings.CallerTls)
+	if err != nil {
+		return nil, trace.Wrap(err, "CallerTls")
+	}
+	exchangeTLS, err := serverTLS(cfg.Settings.ExchangeTls)
+	if err != nil {
+		return nil, trace.Wrap(err, "ExchangeTls")
+	}
+	peerTLS, err := clientTLS(cfg.Settings.ExchangeTls)
+	if err != nil {
+		return nil, trace.Wrap(err, "ExchangeTls")
+	}
+	callers, err := net.Listen("tcp", cfg.Settings.CallerAddress)
+	if err != nil {
+		return nil, trace.Wrap(err, "CallerAddress")
+	}
+	peers, err := net.Listen("tcp", cfg.Settings.ExchangeAddress)
+	if err != nil {
+		_ = callers.Close()
+		return nil, trace.Wrap(err, "ExchangeAddress")
+	}
+	r := &Router{cfg: cfg, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	r.startClients(peerTLS)
+	r.startMembership(ctx)
+	r.startDeciders(ctx)
+	r.startListeners(listenerTLS, exchangeTLS)
+	r.group.Go(func() error { return r.server.Serve(peers) })
+	r.group.Go(func() error { return r.listener.Serve(callers) })
+	r.ready.Store(true)
+	cfg.Log.Info("started", "incarnation", r.incarnation, "callers", cfg.Settings.CallerAddress, "exchange", cfg.Settings.ExchangeAddress)
+	return r, nil
+}
+
+// Incarnation returns the name of this life of the host.
+func (r *Router) Incarnation() string {
+	return r.incarnation
+}
+
+// Ready reports whether the router takes callers.
+func (r *Router) Ready() bool {
+	return r.ready.Load() && r.spreader.Load().Ready()
+}
+
+// Wait returns once both listeners have ended, with the error of either.
+func (r *Router) Wait() error {
+	return trace.Wrap(r.group.Wait())
+}
+
+// Drain stops the router without cutting requests and reports what was left.
+func (r *Router) Drain(ctx context.Context) drainer.Report {
+	policy := r.policy()
+	return drainer.Drain(ctx, drainer.Config{
+		Clock:         r.cfg.Clock,
+		Log:           r.cfg.Log,
+		BalancerDelay: clocker.Millis(policy.BalancerDelayMs),
+		Bound:         clocker.Millis(policy.StopBoundMs),
+		Dispatcher:    r.dispatcher,
+		NotReady:      func() { r.ready.Store(false) },
+		Parts: []drainer.Part{
+			{Name: "callers", Close: r.listener.Shutdown},
+			{Name: "claims", Close: r.claimer.Close},
+			{Name: "bills", Close: r.biller.Close},
+			{Name: "budgets", Close: r.reserver.Close},
+			{Name: "balancer", Close: r.balancer.Close},
+			{Name: "configuration", Close: r.spreader.Load().Close},
+			{Name: "membership", Close: r.heartbeater.Close},
+			{Name: "exchange", Close: r.server.Shutdown},
+			{Name: "connections", Close: r.closeConnections},
+		},
+	})
+}
+
+// Kill ends the router as a crash would: connections break, nothing is
+// returned or written.
+func (r *Router) Kill() error {
+	r.ready.Store(false)
+	return trace.NewAggregate(r.server.Close(), r.listener.Abort())
+}
+
+func (r *Router) closeConnections(context.Context) error {
+	r.connector.CloseIdle()
+	r.exchange.Close()
+	return nil
+}
+
+func (r *Router) startClients(peerTLS *tls.Config) {
+	s := r.cfg.Settings
+	r.store = storer.NewClient(storer.ClientConfig{
+		URL:            s.PlatformUrl,
+		HostListURL:    s.HostListUrl,
+		CallsPerSecond: func() int64 { return r.policy().PlatformCallsPerSecond },
+		Clock:          r.cfg.Clock,
+		Reachable:      r.reaches,
+	})
+	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: s.RouterKey, TLS: peerTLS, Reachable: r.reaches})
+	r.connector = connector.New(connector.Config{Clock: r.cfg.Clock, Reachable: r.reaches})
+}
+
+func (r *Router) reaches(address string) bool {
+	return r.cfg.Network == nil || r.cfg.Network.Reaches(r.cfg.Settings.Host, address)
+}
+
+func (r *Router) startMembership(ctx context.Context) {
+	s := r.cfg.Settings
+	r.heartbeater = heartbeater.New(ctx, heartbeater.Config{
+		Self:     r.beat,
+		Clock:    r.cfg.Clock,
+		Declared: r.declaredHosts,
+		Seeds:    s.Peers,
+		HostList: r.store,
+		Exchange: r.exchange,
+	})
+	r.spreader.Store(spreader.New(ctx, spreader.Config{
+		Host:             s.Host,
+		AvailabilityZone: s.AvailabilityZone,
+		Clock:            r.cfg.Clock,
+		Store:            r.store,
+		Exchange:         r.exchange,
+		Peers:            r.heartbeater.Peers,
+		Seeds:            s.Peers,
+		Log:              r.cfg.Log,
+	}))
+}
--- a/storer/client.go
+++ b/storer/client.go
@@ -24,6 +24,8 @@
 	defaultTimeout = 2 * clocker.Second
 	// watchTimeout bounds one waiting watch, in milliseconds.
 	watchTimeout = 30 * clocker.Second
+	// defaultCallsPerSecond bounds the calls of one process.
+	defaultCallsPerSecond = 20
 	// VersionHeader carries the version of an object in answers.
 	VersionHeader = "Object-Version"
 )
@@ -43,10 +45,13 @@
 	HostListURL string
 	// Timeout bounds a call in milliseconds; 0 means two seconds.
 	Timeout clocker.Millis
-	// CallsPerSecond bounds the calls of this process; 0 means 20.
-	CallsPerSecond int64
+	// CallsPerSecond returns the bound on the calls of this process; nil means 20.
+	CallsPerSecond func() int64
 	Clock          *clocker.Clock
 	TLS            *tls.Config
+	// Reachable tells whether an address may be called; nil means all. Tests
+	// cut the platform off with it.
+	Reachable func(address string) bool
 }
 
 // Client speaks HTTP to the Object API.
@@ -64,8 +69,8 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	if cfg.CallsPerSecond == 0 {
-		cfg.CallsPerSecond = 20
+	if cfg.CallsPerSecond == nil {
+		cfg.CallsPerSecond = func() int64 { return defaultCallsPerSecond }
 	}
 	if cfg.HostListURL == "" {
 		cfg.HostListURL = cfg.URL
@@ -73,7 +78,7 @@
 	return &Client{
 		cfg:      cfg,
 		http:     fasthttp.Client{TLSConfig: cfg.TLS, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 64 << 20},
-		tokens:   float64(2 * cfg.CallsPerSecond),
+		tokens:   float64(2 * cfg.CallsPerSecond()),
 		refilled: cfg.Clock.Now(),
 	}
 }
@@ -167,6 +172,10 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(uri)
+	if c.cfg.Reachable != nil && !c.cfg.Reachable(string(req.URI().Host())) {
+		count(cl.kind, "cut_off")
+		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: "cut off"}
+	}
 	req.Header.SetMethod(cl.method)
 	if cl.version != 0 {
 		req.Header.Set("If-Match", strconv.FormatInt(cl.version, 10))
@@ -212,7 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock.Now()
-	rate := float64(c.cfg.CallsPerSecond)
+	rate := float64(c.cfg.CallsPerSecond())
 	c.tokens = min(2*rate, c.tokens+rate*float64(now-c.refilled)/float64(clocker.Second))
 	c.refilled = now
 	if c.tokens < 1 {
