--- a/router/router.go
+++ b/router/router.go
@@ -193,3 +193,8 @@
 		Log:              r.cfg.Log,
 	}))
 }
+
+// Version returns the version of the configuration in force here.
+func (r *Router) Version() int64 {
+	return r.index().Version()
+}
