--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -32,8 +32,8 @@
 
 // Refusal is the answer to a request that was not answered by a backend server.
 type Refusal struct {
-	Code      Code
-	Message   string
+	Code    Code
+	Message string
 	// RequestID names the request.
 	RequestID string `json:"RequestId"`
 	// NotRun is true only if the work did not happen and was not billed.
--- /dev/null
+++ b/router/incarnation.go
@@ -0,0 +1,16 @@
+package router
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+
+	"cowsliphinge/clocker"
+)
+
+// newIncarnation names one process life of a host.
+func newIncarnation(host string, now clocker.Millis) string {
+	var random [4]byte
+	_, _ = rand.Read(random[:])
+	return fmt.Sprintf("%s-%x-%s", host, int64(now), hex.EncodeToString(random[:]))
+}
--- a/router/parts.go
+++ b/router/parts.go
@@ -89,6 +89,7 @@
 	})
 	r.biller = biller.New(ctx, biller.Config{
 		Incarnation:      r.incarnation,
+		Host:             s.Host,
 		AvailabilityZone: s.AvailabilityZone,
 		Clock:            clock,
 		Store:            r.store,
--- a/router/router.go
+++ b/router/router.go
@@ -15,7 +15,6 @@
 	"cowsliphinge/biller"
 	"cowsliphinge/claimer"
 	"cowsliphinge/clocker"
-	"cowsliphinge/commander"
 	"cowsliphinge/connector"
 	"cowsliphinge/dispatcher"
 	"cowsliphinge/drainer"
@@ -23,9 +22,7 @@
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/listener"
 	"cowsliphinge/messenger"
-	"cowsliphinge/querier"
 	"cowsliphinge/reserver"
-	"cowsliphinge/retrier"
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
 )
@@ -91,7 +88,7 @@
 		_ = callers.Close()
 		return nil, trace.Wrap(err, "ExchangeAddress")
 	}
-	r := &Router{cfg: cfg, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	r := &Router{cfg: cfg, incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
 	r.startClients(peerTLS)
 	r.startMembership(ctx)
 	r.startDeciders(ctx)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -175,10 +175,10 @@
 func TestBadRequestsNameTheField(t *testing.T) {
 	f := start(t, 50)
 	for body, want := range map[string]string{
-		`{`:                                  "body:",
-		`{"model":3}`:                        "model:",
-		`{"model":"draft-1"}`:                "messages:",
-		`{"model":"none","messages":[{}]}`:   "no service serves model none",
+		`{`:                                   "body:",
+		`{"model":3}`:                         "model:",
+		`{"model":"draft-1"}`:                 "messages:",
+		`{"model":"none","messages":[{}]}`:    "no service serves model none",
 		`{"model":"a","messages":[{}],"n":2}`: "n:",
 	} {
 		resp := post(t, f, "host-a", "/v1/chat/completions", "", body)
--- a/storer/client.go
+++ b/storer/client.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -167,29 +166,53 @@
 		count(cl.kind, "rate_limited_here")
 		return nil, 0, ErrRateLimited{Key: cl.key}
 	}
+	if c.cfg.Reachable != nil && !c.cfg.Reachable(c.host(uri)) {
+		count(cl.kind, "cut_off")
+		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: "cut off"}
+	}
+	deadline := c.cfg.Clock.Now() + timeout
+	answered := make(chan result, 1)
+	go func() { answered <- c.do(cl, uri, deadline) }() // ends by the deadline
+	select {
+	case <-ctx.Done():
+		count(cl.kind, "given_up")
+		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: ctx.Err().Error()}
+	case r := <-answered:
+		return r.body, r.version, r.err
+	}
+}
+
+type result struct {
+	body    []byte
+	version int64
+	err     error
+}
+
+func (c *Client) do(cl call, uri string, deadline clocker.Millis) result {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(uri)
-	if c.cfg.Reachable != nil && !c.cfg.Reachable(string(req.URI().Host())) {
-		count(cl.kind, "cut_off")
-		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: "cut off"}
-	}
 	req.Header.SetMethod(cl.method)
 	if cl.version != 0 {
 		req.Header.Set("If-Match", strconv.FormatInt(cl.version, 10))
 	}
 	req.SetBody(cl.value)
-	deadline := time.Now().Add(timeout.Duration())
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+	if err := c.http.DoDeadline(req, resp, deadline.Time()); err != nil {
 		count(cl.kind, "no_answer")
-		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: err.Error()}
+		return result{err: ErrOutcomeUnknown{Key: cl.key, Cause: err.Error()}}
+	}
+	body, version, err := answer(cl, resp)
+	return result{body: body, version: version, err: err}
+}
+
+func (c *Client) host(uri string) string {
+	parsed, err := url.Parse(uri)
+	if err != nil {
+		return ""
 	}
-	return answer(cl, resp)
+	return parsed.Host
 }
 
 func answer(cl call, resp *fasthttp.Response) ([]byte, int64, error) {
