--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
-	"runtime"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -40,7 +40,8 @@
 	}
 }
 
-// during advances the clock until f returns.
+// during advances the clock whenever everything waits, until f returns. It is
+// called inside a bubble of package synctest.
 func during(clock *clocker.Clock, f func()) {
 	done := make(chan struct{})
 	go func() {
@@ -48,12 +49,12 @@
 		f()
 	}()
 	for {
+		synctest.Wait()
 		select {
 		case <-done:
 			return
 		default:
-			runtime.Gosched()
-			clock.Advance(1)
+			clock.Advance(250)
 		}
 	}
 }
@@ -130,16 +131,18 @@
 }
 
 func TestOutageSaysWhatIsKnown(t *testing.T) {
-	clock := clocker.NewManual(clocker.Hour)
-	store := platform.New(clock)
-	a := newClaimer(t, clock, store, "a")
-	store.SetFaults(platform.Faults{Outage: true})
-	var verdict claimer.Verdict
-	during(clock, func() { verdict = a.Claim(context.Background(), order(clock, "k", "urn")).Verdict })
-	assert.Equal(t, verdict, claimer.Undetermined)
-	store.SetFaults(platform.Faults{DropWrites: 1 << 20})
-	during(clock, func() { verdict = a.Claim(context.Background(), order(clock, "k2", "urn")).Verdict })
-	assert.Equal(t, verdict, claimer.Unreachable)
+	verdictUnder := func(f platform.Faults) (verdict claimer.Verdict) {
+		synctest.Test(t, func(t *testing.T) {
+			clock := clocker.NewManual(clocker.Hour)
+			store := platform.New(clock)
+			a := newClaimer(t, clock, store, "a")
+			store.SetFaults(f)
+			during(clock, func() { verdict = a.Claim(t.Context(), order(clock, "k", "urn")).Verdict })
+		})
+		return verdict
+	}
+	assert.Equal(t, verdictUnder(platform.Faults{Outage: true}), claimer.Undetermined)
+	assert.Equal(t, verdictUnder(platform.Faults{DropWrites: 1 << 20}), claimer.Unreachable)
 }
 
 func TestTicketNeedsNoPlatform(t *testing.T) {
--- a/claimer/machine_test.go
+++ b/claimer/machine_test.go
@@ -12,6 +12,7 @@
 
 	"cowsliphinge/claimer"
 	"cowsliphinge/clocker"
+	"cowsliphinge/standin/platform"
 )
 
 const (
@@ -146,15 +147,23 @@
 
 // drain resumes calls without faults until only duties wait.
 func (w *world) drain() {
+	w.drainWith(1, everything)
+}
+
+// drainWith resumes calls until none was made for some retry intervals.
+func (w *world) drainWith(intervals int, outcomeOf func(*step) outcome) {
+	idle := 0
 	for range 4000 {
 		steps := w.waiting()
-		if len(steps) == 0 {
-			w.clock.Advance(jumps[0])
-			if steps = w.waiting(); len(steps) == 0 {
-				return
-			}
+		if len(steps) > 0 {
+			idle = 0
+			w.resume(steps[0], outcomeOf(steps[0]))
+			continue
+		}
+		if idle++; idle > intervals {
+			return
 		}
-		w.resume(steps[0], deliver)
+		w.clock.Advance(jumps[0])
 	}
 }
 
@@ -205,3 +214,39 @@
 	}
 	return choices
 }
+
+// TestConcurrentHistories lets goroutines race for real, under the race
+// detector, and checks the recorded history.
+func TestConcurrentHistories(t *testing.T) {
+	synctest.Test(t, race)
+}
+
+func race(t *testing.T) {
+	w := newWorld(none, 4)
+	defer w.cancel()
+	w.free = true
+	rng := rand.New(rand.NewPCG(7, 7))
+	for i := range 400 {
+		w.order(w.hosts[rng.IntN(len(w.hosts))], fmt.Sprintf("k%d", i/40*4+rng.IntN(4)), "urn")
+		switch rng.IntN(8) {
+		case 0:
+			w.store.SetFaults(platform.Faults{LoseAnswers: 1 + rng.IntN(2)})
+		case 1:
+			w.store.SetFaults(platform.Faults{DropWrites: 1})
+		case 2:
+			w.store.SetFaults(platform.Faults{DelayWrites: 1})
+		case 3:
+			w.store.ReleaseDelayed()
+		}
+		if i%8 == 0 {
+			during(w.clock, w.orders.Wait)
+		}
+	}
+	during(w.clock, w.orders.Wait)
+	assert.NilError(t, w.fault())
+	assert.NilError(t, w.check())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.Logf("verdicts: %v", w.tally)
+	assert.Equal(t, len(w.runs), 40)
+}
--- /dev/null
+++ b/claimer/matrix_test.go
@@ -0,0 +1,183 @@
+package claimer_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+)
+
+// faultNames are the faults that each step meets in turn.
+var faultNames = []string{"none", "lost answer", "dropped", "late", "crash", "crash, arrives", "pause 2 h", "outage"}
+
+// matrix holds, for each step and fault: how often the order ran, what a repeat
+// at another host gets while the fault lasts, and what one gets afterwards.
+const matrix = `
+key create   | none           | 1 answered answered
+key create   | lost answer    | 1 answered answered
+key create   | dropped        | 1 owned answered
+key create   | late           | 1 owned answered
+key create   | crash          | 1 owned answered
+key create   | crash, arrives | 0 outcome_unknown outcome_unknown
+key create   | pause 2 h      | 1 owned answered
+key create   | outage         | 1 undetermined owned
+key dispatch | none           | 1 answered answered
+key dispatch | crash          | 0 outcome_unknown outcome_unknown
+key dispatch | pause 2 h      | 1 in_progress owned
+key dispatch | outage         | 1 undetermined answered
+key run      | none           | 1 answered answered
+key run      | lost answer    | 1 outcome_unknown outcome_unknown
+key run      | dropped        | 0 outcome_unknown outcome_unknown
+key run      | late           | 1 outcome_unknown outcome_unknown
+key run      | crash          | 0 outcome_unknown outcome_unknown
+key run      | crash, arrives | 1 outcome_unknown outcome_unknown
+key run      | pause 2 h      | 1 in_progress answered
+key run      | outage         | 1 undetermined answered
+key finish   | none           | 1 answered answered
+key finish   | crash          | 1 outcome_unknown outcome_unknown
+key finish   | pause 2 h      | 1 in_progress answered
+key finish   | outage         | 1 undetermined answered
+key update   | none           | 1 answered answered
+key update   | lost answer    | 1 answered answered
+key update   | dropped        | 1 answered answered
+key update   | late           | 1 answered answered
+key update   | crash          | 1 outcome_unknown outcome_unknown
+key update   | crash, arrives | 1 answered answered
+key update   | pause 2 h      | 1 in_progress answered
+key update   | outage         | 1 undetermined answered
+ticket dispatch | none           | 1 in_progress answered
+ticket dispatch | crash          | 0 outcome_unknown outcome_unknown
+ticket dispatch | pause 2 h      | 0 in_progress unreachable
+ticket dispatch | outage         | 1 in_progress answered
+ticket run      | none           | 1 in_progress answered
+ticket run      | lost answer    | 1 in_progress outcome_unknown
+ticket run      | dropped        | 0 in_progress outcome_unknown
+ticket run      | late           | 1 in_progress outcome_unknown
+ticket run      | crash          | 0 outcome_unknown outcome_unknown
+ticket run      | crash, arrives | 1 outcome_unknown outcome_unknown
+ticket run      | pause 2 h      | 1 in_progress answered
+ticket run      | outage         | 1 in_progress answered
+ticket finish   | none           | 1 answered answered
+ticket finish   | crash          | 1 outcome_unknown outcome_unknown
+ticket finish   | pause 2 h      | 1 in_progress answered
+ticket finish   | outage         | 1 in_progress answered
+`
+
+func TestFaultMatrix(t *testing.T) {
+	var got strings.Builder
+	steps := map[string][]string{"key": {"create", "dispatch", "run", "finish", "update"}, "ticket": {"dispatch", "run", "finish"}}
+	for _, kind := range []string{"key", "ticket"} {
+		for _, step := range steps[kind] {
+			for _, fault := range faultNames {
+				if local := step == "dispatch" || step == "finish"; local && slices.Contains([]string{"lost answer", "dropped", "late", "crash, arrives"}, fault) {
+					continue
+				}
+				name := fmt.Sprintf("%-*s", len(kind)+9, kind+" "+step)
+				fmt.Fprintf(&got, "%s | %-14s | %s\n", name, fault, meet(t, kind, step, fault))
+			}
+		}
+	}
+	assert.Equal(t, strings.TrimSpace(got.String()), strings.TrimSpace(matrix))
+}
+
+// meet runs one order into a fault at a step and repeats it at another host.
+func meet(t *testing.T, kind, step, fault string) (result string) {
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(none, 2)
+		defer w.shutdown()
+		key := "k"
+		if kind == "ticket" {
+			key = w.hosts[0].claimer.IssueTicket("mason")
+		}
+		w.order(w.hosts[0], key, "urn")
+		s := w.reach(step)
+		during := w.meet(s, fault, key)
+		w.releaseDelayed()
+		w.drain()
+		after := w.repeat(key, everything)
+		assert.NilError(t, w.fault())
+		assert.NilError(t, w.check())
+		result = fmt.Sprintf("%d %s %s", w.ranSoFar(key), during, after)
+	})
+	return result
+}
+
+func (w *world) reach(kind string) *step {
+	for {
+		for _, s := range w.waiting() {
+			if s.kind == kind && s.worker == "w001" {
+				return s
+			}
+		}
+		w.resume(w.waiting()[0], deliver)
+	}
+}
+
+// meet lets the fault happen at the step and returns what a repeat gets then.
+func (w *world) meet(s *step, fault, key string) string {
+	switch fault {
+	case "lost answer":
+		w.resume(s, loseAnswer)
+	case "dropped":
+		w.resume(s, drop)
+	case "late":
+		w.resume(s, delay)
+	case "crash":
+		w.crash(s.host)
+	case "crash, arrives":
+		w.crash(s.host)
+		w.resume(s, loseAnswer)
+	case "pause 2 h":
+		return w.pause(s, key)
+	case "outage":
+		during := w.repeat(key, func(s *step) outcome {
+			if s.kind == "run" || s.kind == "dispatch" || s.kind == "finish" {
+				return deliver
+			}
+			return drop
+		})
+		return during
+	default:
+		w.resume(s, deliver)
+	}
+	return w.repeat(key, everything)
+}
+
+// pause repeats the order while a host stands still at a step, and lets the
+// host go on two hours later.
+func (w *world) pause(s *step, key string) string {
+	w.mu.Lock()
+	s.host.paused = true
+	w.mu.Unlock()
+	during := w.repeat(key, everything)
+	w.clock.Advance(2 * clocker.Hour)
+	w.mu.Lock()
+	s.host.paused = false
+	w.mu.Unlock()
+	w.resume(s, deliver)
+	return during
+}
+
+func everything(*step) outcome {
+	return deliver
+}
+
+// repeat sends the order to the other host and returns the last verdict. All
+// other calls go on too, with the given outcomes.
+func (w *world) repeat(key string, outcomeOf func(*step) outcome) string {
+	w.order(w.hosts[1], key, "urn")
+	w.drainWith(40, outcomeOf)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := len(w.history.ops) - 1; ; i-- {
+		op := w.history.ops[i]
+		if in := op.Input.(input); in.ending == 0 && in.body != "" {
+			return op.Output.(output).verdict.String()
+		}
+	}
+}
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -54,8 +54,10 @@
 	delayed []func()
 	hosts   []*host
 	lying   bool
+	free    bool
 	runs    map[string]int
 	workers int
+	orders  sync.WaitGroup
 	history history
 	faults  []error
 	closing bool
@@ -68,6 +70,7 @@
 	world   *world
 	claimer *claimer.Claimer
 	crashed bool
+	paused  bool
 	stopped bool
 }
 
@@ -128,6 +131,10 @@
 		w.mu.Unlock()
 		return shutdown
 	}
+	if w.free {
+		w.mu.Unlock()
+		return deliver
+	}
 	worker, _ := ctx.Value(workerKey{}).(string)
 	s := &step{host: h, worker: worker, kind: kind, resume: make(chan outcome)}
 	w.parked = append(w.parked, s)
@@ -143,7 +150,7 @@
 	defer w.mu.Unlock()
 	var steps []*step
 	for _, s := range w.parked {
-		if !s.host.crashed {
+		if !s.host.crashed && !s.host.paused {
 			steps = append(steps, s)
 		}
 	}
@@ -175,6 +182,7 @@
 // order starts a worker that sends a request to a host, and forwards it once.
 func (w *world) order(h *host, key, body string) {
 	w.workers++
+	w.orders.Add(1)
 	worker := fmt.Sprintf("w%03d", w.workers)
 	ctx := context.WithValue(w.ctx, workerKey{}, worker)
 	req := claimer.Request{
@@ -182,6 +190,7 @@
 		Deadline: w.clock.Now() + 5*clocker.Second,
 	}
 	go func() {
+		defer w.orders.Done()
 		for range 2 {
 			ran := w.ranSoFar(key)
 			op := w.begin(key, body)
