--- a/biller/biller.go
+++ b/biller/biller.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
@@ -36,8 +37,8 @@
 	copyTries = 3
 	// retryEvery is the time between failed tries, in milliseconds.
 	retryEvery = 250 * clocker.Millis(1)
-	// avoidFor is how long a peer that failed is tried last, in milliseconds.
-	avoidFor = 5 * clocker.Second
+	// avoidFor is how long a peer that failed is left out, in milliseconds.
+	avoidFor = clocker.Second
 )
 
 var (
@@ -90,6 +91,8 @@
 	// copyNow and writeNow wake their duties.
 	copyNow  chan struct{}
 	writeNow chan struct{}
+	// collect merges bills into a sum.
+	collect func(Set, ...*messenger.Bill)
 
 	mu      sync.Mutex
 	buffer  *buffer
@@ -116,6 +119,7 @@
 		cancel:   cancel,
 		copyNow:  make(chan struct{}, 1),
 		writeNow: make(chan struct{}, 1),
+		collect:  Set.Add,
 		buffer:   newBuffer(cfg.Incarnation),
 		changed:  make(chan struct{}),
 		holders:  map[string]bool{},
@@ -161,7 +165,7 @@
 		refusedFull.Inc()
 		return ErrFull{Pending: n}
 	}
-	sequence := b.buffer.add(bill)
+	sequence := b.buffer.add(proto.CloneOf(bill))
 	b.mu.Unlock()
 	recorded.Inc()
 	wake(b.copyNow)
--- a/biller/copy.go
+++ b/biller/copy.go
@@ -20,7 +20,7 @@
 		}
 		for ctx.Err() == nil && !b.copyPending(ctx) {
 			wake(b.writeNow)
-			_ = b.cfg.Clock.Sleep(ctx, retryEvery)
+			sleepOrWake(ctx, b.cfg.Clock, retryEvery, b.copyNow)
 		}
 	}
 }
@@ -99,11 +99,12 @@
 }
 
 // rank orders the addresses of the peers that may hold copies: those of the own
-// zone first, draining ones and those that failed lately last, else along the
-// ring of host names, so that copies are spread evenly.
+// zone first, draining ones last, else along the ring of host names, so that
+// copies are spread evenly. Those that failed lately are left out: the platform
+// is tried before them.
 func rank(peers []heartbeater.Peer, host, zone string, avoid func(address string) bool) []string {
 	usable := slices.DeleteFunc(slices.Clone(peers), func(p heartbeater.Peer) bool {
-		return p.Suspect || p.Incarnation == "" || p.ExchangeAddress == ""
+		return p.Suspect || p.Incarnation == "" || p.ExchangeAddress == "" || avoid(p.ExchangeAddress)
 	})
 	cost := func(p heartbeater.Peer) int {
 		c := 0
@@ -113,9 +114,6 @@
 		if p.Draining {
 			c += 2
 		}
-		if avoid(p.ExchangeAddress) {
-			c += 4
-		}
 		return c
 	}
 	slices.SortStableFunc(usable, func(a, b heartbeater.Peer) int {
--- /dev/null
+++ b/biller/merge_test.go
@@ -0,0 +1,66 @@
+package biller_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cowsliphinge/biller"
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+)
+
+func ExampleMerge() {
+	bound := &messenger.Bill{Tokens: 500, Partial: true}
+	final := &messenger.Bill{Tokens: 300}
+	fmt.Println(biller.Merge(bound, final).Tokens, biller.Merge(final, &messenger.Bill{Tokens: 310}).Tokens)
+	// Output: 300 310
+}
+
+func TestMergeIsASemilattice(t *testing.T) {
+	draw := rapid.Custom(func(rt *rapid.T) *messenger.Bill {
+		return &messenger.Bill{
+			Tokens:       rapid.Int64Range(0, 3).Draw(rt, "tokens"),
+			Partial:      rapid.Bool().Draw(rt, "partial"),
+			FinishedAtMs: rapid.Int64Range(0, 2).Draw(rt, "finished"),
+			Incarnation:  rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "incarnation"),
+		}
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		a, b, c := draw.Draw(rt, "a"), draw.Draw(rt, "b"), draw.Draw(rt, "c")
+		assert.Assert(rt, proto.Equal(biller.Merge(a, b), biller.Merge(b, a)))
+		assert.Assert(rt, proto.Equal(biller.Merge(a, a), a))
+		assert.Assert(rt, proto.Equal(biller.Merge(biller.Merge(a, b), c), biller.Merge(a, biller.Merge(b, c))))
+	})
+}
+
+func TestFullBufferIsToldNotDropped(t *testing.T) {
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	store.SetFaults(platform.Faults{Outage: true})
+	b := biller.New(t.Context(), biller.Config{
+		Incarnation: "h0", Clock: clock, Store: store, Limit: 3,
+		Peers: func() []heartbeater.Peer { return nil },
+	})
+	ctx, cancel := clock.WithTimeout(t.Context(), 0)
+	defer cancel()
+	<-ctx.Done()
+	for i := range 6 {
+		assert.Equal(t, b.Room(), i < 3)
+		err := b.Record(ctx, &messenger.Bill{ClientAccount: "mason", RequestId: fmt.Sprint(i), Tokens: 1})
+		assert.Assert(t, biller.IsErrNotCopied(err), "%v", err)
+	}
+	err := b.Record(ctx, &messenger.Bill{ClientAccount: "mason", RequestId: "6"})
+	assert.Assert(t, biller.IsErrFull(err), "%v", err)
+	assert.Assert(t, biller.IsErrInvalidBill(b.Record(ctx, &messenger.Bill{RequestId: "7"})))
+	store.SetFaults(platform.Faults{})
+	assert.NilError(t, b.Close(t.Context()))
+	reply, err := b.SumBills(t.Context(), &messenger.SumBillsRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Sums[0].Requests, int64(6))
+}
--- a/biller/write.go
+++ b/biller/write.go
@@ -95,7 +95,7 @@
 func (b *Biller) SumBills(ctx context.Context, req *messenger.SumBillsRequest) (*messenger.SumBillsReply, error) {
 	set := Set{}
 	b.mu.Lock()
-	set.Add(b.buffer.bills()...)
+	b.collect(set, b.buffer.bills()...)
 	b.mu.Unlock()
 	after := ""
 	for {
@@ -108,7 +108,7 @@
 			if err := proto.Unmarshal(o.Value, batch); err != nil {
 				return nil, trace.Wrap(err, "object %s", o.Key)
 			}
-			set.Add(batch.Bills...)
+			b.collect(set, batch.Bills...)
 			after = o.Key
 		}
 		if len(page) < listPage {
