--- /dev/null
+++ b/biller/bench_test.go
@@ -0,0 +1,114 @@
+package biller_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/biller"
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+)
+
+// direct copies bills to a biller of the same process.
+type direct struct {
+	to *biller.Biller
+}
+
+// CopyBills implements biller.Exchange.
+func (d direct) CopyBills(ctx context.Context, _ string, batch *messenger.BillBatch) (*messenger.CopyReply, error) {
+	wire, err := proto.Marshal(batch)
+	if err != nil {
+		return nil, err
+	}
+	received := &messenger.BillBatch{}
+	if err := proto.Unmarshal(wire, received); err != nil {
+		return nil, err
+	}
+	return d.to.CopyBills(ctx, received)
+}
+
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func realistic(i int) *messenger.Bill {
+	return &messenger.Bill{
+		ClientAccount: "tenant-0123", RequestId: fmt.Sprintf("%032x", i), Budget: fmt.Sprintf("budget-%06d", i%1000),
+		Service: "drafts", Tokens: 1500, PromptTokens: 1100, OutputTokens: 400, FinishedAtMs: 1_790_000_000_000,
+		Incarnation: "entry-host-0001-19a2b3c4d5e-0123abcd",
+	}
+}
+
+// BenchmarkBill prints what a bill costs from Record to the platform: n bills
+// by 64 requests at a time, copied to a second host and written on close.
+func BenchmarkBill(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 90_000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			for range b.N {
+				billAll(b, n)
+			}
+		})
+	}
+}
+
+func billAll(b *testing.B, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	cfg := biller.Config{Host: "h0", AvailabilityZone: "akl-a", Clock: clock, Store: store, Limit: 100_000}
+	cfg.Peers = func() []heartbeater.Peer { return nil }
+	cfg.Incarnation = "entry-host-0002-19a2b3c4d5e-0123abcd"
+	second := biller.New(ctx, cfg)
+	cfg.Incarnation = "entry-host-0001-19a2b3c4d5e-0123abcd"
+	cfg.Exchange = direct{second}
+	cfg.Peers = func() []heartbeater.Peer {
+		return []heartbeater.Peer{{Host: "h1", Incarnation: "h1", AvailabilityZone: "akl-a", ExchangeAddress: "h1"}}
+	}
+	first := biller.New(ctx, cfg)
+	before := heap()
+	b.ResetTimer()
+	recordAll(b, first, n)
+	b.StopTimer()
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/record")
+	b.ReportMetric((heap()-before)/float64(n), "B-both-hosts/bill")
+	assert.NilError(b, first.Close(ctx))
+	counts := store.Counts()
+	b.ReportMetric(float64(counts.Writes)/float64(n), "writes/bill")
+	b.ReportMetric(float64(counts.Bytes)/float64(n), "platform-B/bill")
+	started := time.Now()
+	_, err := first.SumBills(ctx, &messenger.SumBillsRequest{})
+	b.ReportMetric(float64(time.Since(started).Nanoseconds())/float64(n), "ns-sum/bill")
+	assert.NilError(b, err)
+	runtime.KeepAlive(second)
+}
+
+func recordAll(b *testing.B, first *biller.Biller, n int) {
+	const requests = 64
+	done := make(chan error, requests)
+	for r := range requests {
+		go func() {
+			for i := r; i < n; i += requests {
+				if err := first.Record(context.Background(), realistic(i)); err != nil {
+					done <- err
+					return
+				}
+			}
+			done <- nil
+		}()
+	}
+	for range requests {
+		assert.NilError(b, <-done)
+	}
+}
--- /dev/null
+++ b/claimer/bench_test.go
@@ -0,0 +1,69 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"cowsliphinge/claimer"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+)
+
+// slopeSizes are the numbers of keys at which slopes are measured.
+var slopeSizes = []int{1_000, 10_000, 100_000}
+
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// BenchmarkClaim prints what a claim of a key costs, with an answer of 1 KiB.
+func BenchmarkClaim(b *testing.B) {
+	for _, kind := range []string{"key", "ticket"} {
+		for _, n := range slopeSizes {
+			b.Run(fmt.Sprintf("%s/n=%d", kind, n), func(b *testing.B) {
+				for range b.N {
+					claimAll(b, kind, n)
+				}
+			})
+		}
+	}
+}
+
+func claimAll(b *testing.B, kind string, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	c := claimer.New(ctx, claimer.Config{Incarnation: "entry-host-0001-19a2b3c4d5e-0123abcd", Clock: clock, Store: store})
+	answer := &messenger.StoredAnswer{Status: 201, ContentType: "application/json", Body: make([]byte, 1024)}
+	before := heap()
+	b.ResetTimer()
+	for i := range n {
+		key := fmt.Sprintf("order-%032d", i)
+		if kind == "ticket" {
+			key = c.IssueTicket("mason")
+		}
+		d := c.Claim(ctx, order(clock, key, "urn"))
+		if d.Verdict != claimer.Owned {
+			b.Fatal(d.Verdict)
+		}
+		c.Dispatched(d.Claim)
+		c.Finish(ctx, d.Claim, answer)
+	}
+	b.StopTimer()
+	counts := store.Counts()
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/claim")
+	b.ReportMetric(float64(counts.Writes)/float64(n), "writes/claim")
+	b.ReportMetric(float64(counts.Reads)/float64(n), "reads/claim")
+	b.ReportMetric(float64(counts.Bytes)/float64(n), "platform-B/claim")
+	if kind == "ticket" {
+		b.ReportMetric((heap()-before)/float64(n), "B/ticket")
+	}
+	runtime.KeepAlive(c)
+}
--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -5,6 +5,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
@@ -68,6 +71,19 @@
 	}
 }
 
+// count counts a verdict.
+func (v Verdict) count() {
+	verdictCounters[v].Inc()
+}
+
+var verdictCounters = func() map[Verdict]*metrics.Counter {
+	counters := map[Verdict]*metrics.Counter{}
+	for v := Owned; v <= Undetermined; v++ {
+		counters[v] = metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_claims_total{verdict=%q}`, v))
+	}
+	return counters
+}()
+
 // Decision is the verdict on a request.
 type Decision struct {
 	Verdict Verdict
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
@@ -151,7 +149,7 @@
 // request's deadline.
 func (c *Claimer) Claim(ctx context.Context, req Request) Decision {
 	d := c.claim(ctx, req)
-	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_claims_total{verdict=%q}`, d.Verdict)).Inc()
+	d.Verdict.count()
 	return d
 }
 
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"runtime"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -40,14 +40,14 @@
 	n.cut[address] = cut
 }
 
+// until advances the clock whenever everything waits, until done. It is called
+// inside a bubble of package synctest.
 func until(t *testing.T, clock *clocker.Clock, done func() bool) {
 	t.Helper()
-	for range 200 {
-		for range 200 {
-			if done() {
-				return
-			}
-			runtime.Gosched()
+	for range 400 {
+		synctest.Wait()
+		if done() {
+			return
 		}
 		clock.Advance(250)
 	}
@@ -55,6 +55,10 @@
 }
 
 func TestHostsFindAndSuspectEachOther(t *testing.T) {
+	synctest.Test(t, findAndSuspect)
+}
+
+func findAndSuspect(t *testing.T) {
 	clock := clocker.NewManual(clocker.Hour)
 	store := platform.New(clock)
 	n := &network{hosts: map[string]*heartbeater.Heartbeater{}, cut: map[string]bool{}}
--- a/heartbeater/incarnation.go
+++ b/heartbeater/incarnation.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
 )
 
 // startedAt returns the start time that an incarnation ID carries, or 0 if it
@@ -41,3 +42,16 @@
 	}
 	return a > b
 }
+
+// hostOf returns the host that a beat is about, or "" if it names none.
+func hostOf(beat *messenger.Beat) string {
+	if beat.Host != "" || beat.Incarnation == "" {
+		return beat.Host
+	}
+	head, _, _ := cutLast(beat.Incarnation)
+	host, _, ok := cutLast(head)
+	if !ok {
+		return ""
+	}
+	return host
+}
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -12,9 +12,14 @@
 
 const (
 	// MaxHeard bounds the relayed beats of one beat, sent or accepted.
-	MaxHeard = 12
+	MaxHeard = 24
 	// heardOfZone is how many of them are about the sender's own zone.
-	heardOfZone = 9
+	heardOfZone = 8
+	// freshFor is how recent news is that is relayed first, in milliseconds.
+	freshFor = 2 * clocker.Second
+	// fullFor is how long a host's addresses are relayed with its news after
+	// it joined or restarted, in milliseconds.
+	fullFor = 2 * clocker.Minute
 	// ringTargets and randomTargets are the peers that get a beat each round:
 	// successors on the ring of the own zone, and any others.
 	ringTargets   = 1
@@ -23,8 +28,11 @@
 	maxMembers = 4096
 	// suspectFloor is the shortest silence that makes a peer suspect, in milliseconds.
 	suspectFloor = 4 * clocker.Second
+	// suspectFailures is the number of beats without an answer, and without
+	// other news of the peer, that make it suspect.
+	suspectFailures = 3
 	// silenceFactor times the expected interval between news makes a peer suspect.
-	silenceFactor = 6
+	silenceFactor = 12
 	// forgetAfter drops a silent host that is neither declared nor listed, in milliseconds.
 	forgetAfter = 10 * clocker.Minute
 )
@@ -42,19 +50,24 @@
 // Members decides who the peers are, whom to send a beat to and what to relay.
 // It does no I/O and is not safe for concurrent use.
 type Members struct {
-	cfg     MembersConfig
-	rng     *rand.Rand
-	byHost  map[string]*member
-	zone    int // hosts of the own zone, the own host left out
+	cfg    MembersConfig
+	rng    *rand.Rand
+	byHost map[string]*member
+	// ordered are the members by host name; zone is how many are of the own zone.
 	ordered []*member
+	zone    int
+	// declared are the hosts taken over last.
+	declared []*messenger.Host
 }
 
 type member struct {
 	peer Peer
-	// beat is the latest beat, as relayed; nil if never heard.
-	beat *messenger.Beat
+	// heard is true once any beat of it arrived.
+	heard bool
 	// sentAt is the sender's time of the latest beat.
 	sentAt clocker.Millis
+	// joinedAt is when this incarnation was first heard of.
+	joinedAt clocker.Millis
 	// failures counts beats to it without an answer since it was last heard.
 	failures int
 	declared bool
@@ -73,6 +86,10 @@
 
 // Declare takes over the hosts of the declarations.
 func (m *Members) Declare(hosts []*messenger.Host) {
+	if slices.Equal(hosts, m.declared) {
+		return
+	}
+	m.declared = hosts
 	for _, known := range m.byHost {
 		known.declared = false
 	}
@@ -82,14 +99,13 @@
 			continue
 		}
 		known.declared = true
-		if known.beat != nil {
+		if known.heard {
 			continue
 		}
-		known.peer.AvailabilityZone = h.AvailabilityZone
+		m.move(known, h.AvailabilityZone)
 		known.peer.ExchangeAddress = h.ExchangeAddress
 		known.peer.CallerAddress = h.CallerAddress
 	}
-	m.reorder()
 }
 
 // List takes over the platform's host list, which lags: a host on it may be
@@ -110,7 +126,6 @@
 			known.peer.ExchangeAddress = h.Address
 		}
 	}
-	m.reorder()
 }
 
 // Hear merges a beat that arrived at now, and the beats that it relays. It
@@ -122,47 +137,71 @@
 			changed = true
 		}
 	}
-	if changed {
-		m.reorder()
-	}
 	return changed
 }
 
 func (m *Members) hear(beat *messenger.Beat, now, age clocker.Millis) bool {
-	if beat.Host == "" || beat.Incarnation == "" {
+	host := hostOf(beat)
+	if host == "" || beat.Incarnation == "" {
+		return false
+	}
+	if m.byHost[host] == nil && beat.ExchangeAddress == "" {
 		return false
 	}
-	known := m.at(beat.Host)
+	known := m.at(host)
 	if known == nil {
 		return false
 	}
-	joined := known.beat == nil || replaces(beat.Incarnation, known.peer.Incarnation)
+	joined := !known.heard || replaces(beat.Incarnation, known.peer.Incarnation)
 	if !joined && beat.Incarnation != known.peer.Incarnation {
 		return false
 	}
 	if !joined && clocker.Millis(beat.SentAtMs) <= known.sentAt {
 		return false
 	}
+	if beat.ExchangeAddress == "" && known.peer.ExchangeAddress == "" {
+		return false
+	}
+	if joined {
+		known.joinedAt = now
+	}
 	drained := beat.Draining != known.peer.Draining
 	known.sentAt = clocker.Millis(beat.SentAtMs)
-	known.beat = beat
+	known.heard = true
 	known.failures = 0
-	known.peer = Peer{
-		Host:                 beat.Host,
-		Incarnation:          beat.Incarnation,
-		AvailabilityZone:     beat.AvailabilityZone,
-		ExchangeAddress:      beat.ExchangeAddress,
-		CallerAddress:        beat.CallerAddress,
-		ConfigurationVersion: beat.ConfigurationVersion,
-		LastHeard:            now - age,
-		Draining:             beat.Draining,
-		PlatformReachable:    beat.PlatformReachable,
-		InFlight:             beat.InFlight,
-		HeldTokens:           beat.HeldTokens,
-	}
+	m.merge(known, beat, now-age)
 	return joined || drained
 }
 
+// merge takes over what a beat tells. Relayed beats of hosts that are known for
+// a while leave the addresses out.
+func (m *Members) merge(known *member, beat *messenger.Beat, heard clocker.Millis) {
+	p := &known.peer
+	if beat.ExchangeAddress != "" {
+		m.move(known, beat.AvailabilityZone)
+		p.ExchangeAddress = beat.ExchangeAddress
+		p.CallerAddress = beat.CallerAddress
+	}
+	p.Incarnation = beat.Incarnation
+	p.ConfigurationVersion = beat.ConfigurationVersion
+	p.LastHeard = heard
+	p.Draining = beat.Draining
+	p.PlatformReachable = beat.PlatformReachable
+	p.InFlight = beat.InFlight
+	p.HeldTokens = beat.HeldTokens
+}
+
+// move puts a member into a zone.
+func (m *Members) move(known *member, zone string) {
+	if known.peer.AvailabilityZone == m.cfg.AvailabilityZone {
+		m.zone--
+	}
+	known.peer.AvailabilityZone = zone
+	if zone == m.cfg.AvailabilityZone {
+		m.zone++
+	}
+}
+
 // Failed notes that a beat to the exchange address got no answer.
 func (m *Members) Failed(address string) {
 	for _, known := range m.ordered {
@@ -206,11 +245,9 @@
 // those that do not answer.
 func (m *Members) ring() []string {
 	var targets []string
-	at, _ := slices.BinarySearchFunc(m.ordered, m.cfg.Host, func(k *member, host string) int {
-		return strings.Compare(k.peer.Host, host)
-	})
+	at, _ := slices.BinarySearchFunc(m.ordered, m.cfg.Host, byName)
 	healthy := 0
-	for i := range m.ordered {
+	for i := 0; i < len(m.ordered) && len(targets) <= ringTargets; i++ {
 		known := m.ordered[(at+i)%len(m.ordered)]
 		if known.peer.AvailabilityZone != m.cfg.AvailabilityZone || known.peer.ExchangeAddress == "" {
 			continue
@@ -219,63 +256,79 @@
 		if known.failures == 0 {
 			healthy++
 		}
-		if healthy == ringTargets || len(targets) == ringTargets+1 {
+		if healthy == ringTargets {
 			break
 		}
 	}
 	return targets
 }
 
-// Sample returns the beats to relay: a bounded random choice of those heard
-// lately, most of them about the own zone.
+// Sample returns the beats to relay: a bounded random choice, fresh news first,
+// with a share for the own zone.
 func (m *Members) Sample(now clocker.Millis) []*messenger.Beat {
-	sample := make([]*messenger.Beat, 0, MaxHeard)
-	sample = m.sample(sample, now, heardOfZone, func(k *member) bool {
-		return k.peer.AvailabilityZone == m.cfg.AvailabilityZone
-	})
-	return m.sample(sample, now, MaxHeard-len(sample), func(k *member) bool {
-		return k.peer.AvailabilityZone != m.cfg.AvailabilityZone
-	})
+	own := func(k *member) bool { return k.peer.AvailabilityZone == m.cfg.AvailabilityZone }
+	other := func(k *member) bool { return !own(k) }
+	chosen := make([]*member, 0, MaxHeard)
+	share := heardOfZone
+	if m.zone == len(m.ordered) {
+		share = MaxHeard
+	}
+	chosen = m.choose(chosen, now, share, own)
+	chosen = m.choose(chosen, now, MaxHeard, other)
+	sample := make([]*messenger.Beat, 0, len(chosen))
+	for _, known := range chosen {
+		sample = append(sample, relay(known, now))
+	}
+	return sample
 }
 
-func (m *Members) sample(sample []*messenger.Beat, now clocker.Millis, n int, keep func(*member) bool) []*messenger.Beat {
-	if len(m.ordered) == 0 || n <= 0 {
-		return sample
+// choose appends members until there are n: those with fresh news along the
+// ring from a random place, then others.
+func (m *Members) choose(chosen []*member, now clocker.Millis, n int, keep func(*member) bool) []*member {
+	if len(m.ordered) == 0 {
+		return chosen
 	}
 	start := m.rng.IntN(len(m.ordered))
-	for i := range m.ordered {
-		known := m.ordered[(start+i)%len(m.ordered)]
-		if known.beat == nil || !keep(known) || m.suspect(known, now) {
-			continue
-		}
-		sample = append(sample, relay(known, now))
-		if n--; n == 0 {
-			break
+	for _, fresh := range []bool{true, false} {
+		for i := range m.ordered {
+			if len(chosen) >= n {
+				return chosen
+			}
+			known := m.ordered[(start+i)%len(m.ordered)]
+			recent := now-known.peer.LastHeard <= freshFor
+			if known.heard && recent == fresh && keep(known) && !m.suspect(known, now) {
+				chosen = append(chosen, known)
+			}
 		}
 	}
-	return sample
+	return chosen
 }
 
+// relay returns the news of a member, without its addresses once it is known
+// for a while.
 func relay(known *member, now clocker.Millis) *messenger.Beat {
-	return &messenger.Beat{
-		Incarnation:          known.beat.Incarnation,
-		Host:                 known.beat.Host,
-		AvailabilityZone:     known.beat.AvailabilityZone,
-		ExchangeAddress:      known.beat.ExchangeAddress,
-		CallerAddress:        known.beat.CallerAddress,
-		ConfigurationVersion: known.beat.ConfigurationVersion,
-		Draining:             known.beat.Draining,
-		PlatformReachable:    known.beat.PlatformReachable,
-		SentAtMs:             known.beat.SentAtMs,
-		InFlight:             known.beat.InFlight,
-		HeldTokens:           known.beat.HeldTokens,
+	beat := &messenger.Beat{
+		Incarnation:          known.peer.Incarnation,
+		ConfigurationVersion: known.peer.ConfigurationVersion,
+		Draining:             known.peer.Draining,
+		PlatformReachable:    known.peer.PlatformReachable,
+		SentAtMs:             int64(known.sentAt),
+		InFlight:             known.peer.InFlight,
+		HeldTokens:           known.peer.HeldTokens,
 		AgeMs:                int64(now - known.peer.LastHeard),
 	}
+	if now-known.joinedAt <= fullFor {
+		beat.Host = known.peer.Host
+		beat.AvailabilityZone = known.peer.AvailabilityZone
+		beat.ExchangeAddress = known.peer.ExchangeAddress
+		beat.CallerAddress = known.peer.CallerAddress
+	}
+	return beat
 }
 
 // suspect reports whether a host is silent for longer than chance explains.
 func (m *Members) suspect(known *member, now clocker.Millis) bool {
-	return known.beat == nil || now-known.peer.LastHeard > m.silence(known.peer.AvailabilityZone)
+	return !known.heard || known.failures >= suspectFailures || now-known.peer.LastHeard > m.silence(known.peer.AvailabilityZone)
 }
 
 // silence returns how long a host of the zone may be silent, in milliseconds:
@@ -296,6 +349,7 @@
 			continue
 		}
 		delete(m.byHost, host)
+		m.move(known, "")
 		m.ordered = slices.DeleteFunc(m.ordered, func(k *member) bool { return k == known })
 	}
 }
@@ -315,17 +369,11 @@
 	}
 	known = &member{peer: Peer{Host: host}}
 	m.byHost[host] = known
+	at, _ := slices.BinarySearchFunc(m.ordered, host, byName)
+	m.ordered = slices.Insert(m.ordered, at, known)
 	return known
 }
 
-func (m *Members) reorder() {
-	m.ordered = m.ordered[:0]
-	m.zone = 0
-	for _, known := range m.byHost {
-		m.ordered = append(m.ordered, known)
-		if known.peer.AvailabilityZone == m.cfg.AvailabilityZone {
-			m.zone++
-		}
-	}
-	slices.SortFunc(m.ordered, func(a, b *member) int { return strings.Compare(a.peer.Host, b.peer.Host) })
+func byName(k *member, host string) int {
+	return strings.Compare(k.peer.Host, host)
 }
--- /dev/null
+++ b/heartbeater/members_test.go
@@ -0,0 +1,257 @@
+package heartbeater_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+	"cowsliphinge/storer"
+)
+
+func beat(host, incarnation string, sentAt clocker.Millis) *messenger.Beat {
+	return &messenger.Beat{
+		Host: host, Incarnation: incarnation, AvailabilityZone: "akl-a",
+		ExchangeAddress: host + ":1", SentAtMs: int64(sentAt),
+	}
+}
+
+func newMembers() *heartbeater.Members {
+	return heartbeater.NewMembers(heartbeater.MembersConfig{Host: "self", AvailabilityZone: "akl-a", BeatEvery: clocker.Second})
+}
+
+func TestLaterIncarnationReplaces(t *testing.T) {
+	m := newMembers()
+	assert.Assert(t, m.Hear(beat("a", "a-b-1", 5), 5))
+	assert.Assert(t, m.Hear(beat("a", "a-1f-0", 2), 6), "a later start replaces, whatever its clock says")
+	assert.Assert(t, !m.Hear(beat("a", "a-b-1", 9), 9))
+	assert.Equal(t, m.Peers(9)[0].Incarnation, "a-1f-0")
+	assert.Equal(t, m.Peers(9)[0].LastHeard, clocker.Millis(6))
+}
+
+func TestOldNewsIsNoNews(t *testing.T) {
+	m := newMembers()
+	m.Hear(beat("a", "a-1-1", 1000), 1000)
+	relaying := beat("b", "b-1-1", 9000)
+	relaying.Heard = []*messenger.Beat{beat("a", "a-1-1", 1000), beat("c", "c-1-1", 2000)}
+	relaying.Heard[1].AgeMs = 7000
+	m.Hear(relaying, 9000)
+	peers := m.Peers(9000)
+	assert.Equal(t, peers[0].LastHeard, clocker.Millis(1000))
+	assert.Assert(t, peers[0].Suspect && !peers[1].Suspect && peers[2].Suspect)
+}
+
+func TestSourcesOfHosts(t *testing.T) {
+	m := newMembers()
+	m.Declare([]*messenger.Host{{Name: "self"}, {Name: "a", AvailabilityZone: "akl-a", ExchangeAddress: "a:1"}})
+	m.List([]storer.ListedHost{{Name: "a", Leaving: true}, {Name: "b", Address: "b:1"}})
+	m.Hear(beat("c", "c-1-1", 5), 5)
+	peers := m.Peers(5)
+	assert.Equal(t, len(peers), 3)
+	assert.Assert(t, peers[0].Draining && peers[0].Suspect)
+	assert.Equal(t, peers[1].ExchangeAddress, "b:1")
+	m.Declare(nil)
+	m.List(nil)
+	assert.Equal(t, len(m.Peers(9*clocker.Minute)), 3)
+	assert.Equal(t, len(m.Peers(11*clocker.Minute)), 0)
+}
+
+func TestSilentTargetIsSuspectedAfterThreeBeats(t *testing.T) {
+	m := newMembers()
+	m.Hear(beat("a", "a-1-1", 1000), 1000)
+	for i := range 3 {
+		assert.Assert(t, !m.Peers(2000)[0].Suspect, "after %d", i)
+		m.Failed("a:1")
+	}
+	assert.Assert(t, m.Peers(2000)[0].Suspect)
+	m.Hear(beat("a", "a-1-1", 2100), 2100)
+	assert.Assert(t, !m.Peers(2100)[0].Suspect)
+}
+
+func TestEverythingIsBounded(t *testing.T) {
+	m := newMembers()
+	flood := beat("a", "a-1-1", 1)
+	for i := range 10_000 {
+		flood.Heard = append(flood.Heard, beat(fmt.Sprint("x", i), "x-1-1", 1))
+	}
+	m.Hear(flood, 1)
+	assert.Equal(t, len(m.Peers(1)), heartbeater.MaxHeard+1)
+	for i := range 10_000 {
+		m.Hear(beat(fmt.Sprint("y", i), "y-1-1", 1), 1)
+	}
+	assert.Equal(t, len(m.Peers(1)), 4096)
+	assert.Assert(t, len(m.Targets()) <= 3)
+	assert.Equal(t, len(m.Sample(1)), heartbeater.MaxHeard)
+}
+
+// sim is a fleet of deciders that beat each second.
+type sim struct {
+	now     clocker.Millis
+	members []*heartbeater.Members
+	names   []string
+	index   map[string]int
+	dead    map[int]bool
+	bytes   int64
+}
+
+const (
+	simZones = 10
+	// simSeconds is the measured time of one round.
+	simSeconds = 10
+)
+
+func newSim(n int) *sim {
+	s := &sim{now: clocker.Hour, index: map[string]int{}, dead: map[int]bool{}}
+	var declared []*messenger.Host
+	zones := min(simZones, max(4, n/100))
+	for i := range n {
+		name := fmt.Sprintf("entry-host-%04d", i)
+		s.names = append(s.names, name)
+		s.index[s.address(i)] = i
+		declared = append(declared, &messenger.Host{
+			Name: name, AvailabilityZone: fmt.Sprintf("zone-%d", i%zones), ExchangeAddress: s.address(i),
+		})
+	}
+	for i, h := range declared {
+		m := heartbeater.NewMembers(heartbeater.MembersConfig{
+			Host: h.Name, AvailabilityZone: h.AvailabilityZone, BeatEvery: clocker.Second, Seed: uint64(i),
+		})
+		m.Declare(declared)
+		s.members = append(s.members, m)
+	}
+	return s
+}
+
+func (s *sim) address(i int) string {
+	return fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250)
+}
+
+func (s *sim) beat(i int) *messenger.Beat {
+	zones := min(simZones, max(4, len(s.names)/100))
+	return &messenger.Beat{
+		Host: s.names[i], Incarnation: s.names[i] + "-19a2b3c4d5e-0123abcd", AvailabilityZone: fmt.Sprintf("zone-%d", i%zones),
+		ExchangeAddress: s.address(i), CallerAddress: s.address(i), ConfigurationVersion: 8800, PlatformReachable: true,
+		SentAtMs: int64(s.now), InFlight: 60, HeldTokens: 400_000, Heard: s.members[i].Sample(s.now),
+	}
+}
+
+func (s *sim) stride() int {
+	return max(1, len(s.names)/11)
+}
+
+// second lets each living host beat once.
+func (s *sim) second() {
+	s.now += clocker.Second
+	for i, m := range s.members {
+		if s.dead[i] {
+			continue
+		}
+		sent := s.beat(i)
+		for _, address := range m.Targets() {
+			to := s.index[address]
+			s.bytes += int64(proto.Size(sent))
+			if s.dead[to] {
+				m.Failed(address)
+				continue
+			}
+			s.members[to].Hear(sent, s.now)
+			reply := s.beat(to)
+			s.bytes += int64(proto.Size(reply))
+			m.Hear(reply, s.now)
+		}
+	}
+}
+
+// silences returns the sorted times since each living host was last heard, at
+// a dozen hosts: about its own zone and about others. It also counts
+// living hosts that are held for suspect.
+func (s *sim) silences() (own, others []clocker.Millis, suspect int) {
+	for i := 0; i < len(s.members); i += s.stride() {
+		for _, p := range s.members[i].Peers(s.now) {
+			if s.dead[s.index[p.ExchangeAddress]] {
+				continue
+			}
+			if p.Suspect {
+				suspect++
+			}
+			if p.AvailabilityZone == s.beat(i).AvailabilityZone {
+				own = append(own, s.now-p.LastHeard)
+			} else {
+				others = append(others, s.now-p.LastHeard)
+			}
+		}
+	}
+	slices.Sort(own)
+	slices.Sort(others)
+	return own, others, suspect
+}
+
+// detect kills the last host and returns the seconds until a dozen hosts
+// of its zone, and of the others, suspects it.
+func (s *sim) detect() (zone, others int) {
+	last := len(s.names) - 1
+	s.dead[last] = true
+	for second := 1; second < 600; second++ {
+		s.second()
+		zoneKnows, othersKnow := true, true
+		for i := 0; i < last; i += s.stride() {
+			peers := s.members[i].Peers(s.now)
+			dead := peers[slices.IndexFunc(peers, func(p heartbeater.Peer) bool { return p.Host == s.names[last] })]
+			if dead.AvailabilityZone == s.beat(i).AvailabilityZone {
+				zoneKnows = zoneKnows && dead.Suspect
+			} else {
+				othersKnow = othersKnow && dead.Suspect
+			}
+		}
+		if zoneKnows && zone == 0 {
+			zone = second
+		}
+		if othersKnow {
+			return zone, second
+		}
+	}
+	return zone, 0
+}
+
+// BenchmarkFleet prints what membership costs a host and how soon a dead host
+// is suspected.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{9, 110, 1100} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s := newSim(n)
+			for range 130 {
+				s.second()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			s.bytes = 0
+			b.ResetTimer()
+			for range b.N * simSeconds {
+				s.second()
+			}
+			b.StopTimer()
+			perHost := float64(b.Elapsed()/time.Microsecond) / float64(b.N*simSeconds*n)
+			payload := float64(s.bytes) / float64(b.N*simSeconds*n)
+			own, others, suspect := s.silences()
+			zone, all := s.detect()
+			b.ReportMetric(payload, "payload-B/s/host")
+			b.ReportMetric(perHost, "µs/s/host")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n*n), "B/known-host")
+			b.ReportMetric(float64(suspect)/float64(len(own)+len(others))*100, "%false-suspicions")
+			b.ReportMetric(float64(own[len(own)*99/100]), "ms-zone-p99")
+			b.ReportMetric(float64(others[len(others)*99/100]), "ms-others-p99")
+			b.ReportMetric(float64(zone), "s-detect-zone")
+			b.ReportMetric(float64(all), "s-detect-others")
+		})
+	}
+}
