--- a/router/router_test.go
+++ b/router/router_test.go
@@ -31,8 +31,8 @@
 			{Name: "mason", KeySha256: indexer.HashKey(key), Budget: "mason"},
 		},
 		Services: []*messenger.Service{
-			{Name: "drafts", Kind: messenger.ServiceKind_LANGUAGE, Idempotent: true},
-			{Name: "orders", Kind: messenger.ServiceKind_APPLICATION, TokensPerCall: 5},
+			{Name: "drafts", Kind: messenger.ServiceKind_LANGUAGE, Idempotent: true, ProgressTimeoutMs: 300},
+			{Name: "orders", Kind: messenger.ServiceKind_APPLICATION, TokensPerCall: 5, ProgressTimeoutMs: 300},
 		},
 		Models: []*messenger.Model{{Name: "draft-1", Version: "1", SizeMb: 10}},
 		BackendServers: []*messenger.BackendServer{
--- a/standin/application/server.go
+++ b/standin/application/server.go
@@ -208,7 +208,7 @@
 func reply(ctx *fasthttp.RequestCtx, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
-		ctx.Error(err.Error(), http.StatusInternalServerError)
+		faulter.Fail(ctx, http.StatusInternalServerError, err.Error())
 		return
 	}
 	ctx.SetContentType("application/json")
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -55,7 +55,7 @@
 	case path == "/kv/import" && ctx.IsPost():
 		e.serveImport(ctx)
 	default:
-		ctx.Error("no such path", http.StatusNotFound)
+		faulter.Fail(ctx, http.StatusNotFound, "no such path")
 	}
 }
 
@@ -85,7 +85,7 @@
 	switch status {
 	case http.StatusOK:
 	case http.StatusConflict:
-		ctx.Error("the request ID is known", status)
+		faulter.Fail(ctx, status, "the request ID is known")
 		return
 	default:
 		faulter.NotRun(ctx, status, "not run: "+http.StatusText(status))
@@ -102,7 +102,7 @@
 	after, _ := strconv.ParseInt(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	s := e.find(id)
 	if s == nil {
-		ctx.Error("no such stream", http.StatusNotFound)
+		faulter.Fail(ctx, http.StatusNotFound, "no such stream")
 		return
 	}
 	ctx.Response.Header.Set(requestIDHeader, id)
@@ -118,7 +118,7 @@
 func (e *Engine) serveCancel(ctx *fasthttp.RequestCtx, id string) {
 	usage, ok := e.Cancel(id)
 	if !ok {
-		ctx.Error("no such stream", http.StatusNotFound)
+		faulter.Fail(ctx, http.StatusNotFound, "no such stream")
 		return
 	}
 	ctx.Response.Header.Set(requestIDHeader, id)
@@ -128,11 +128,11 @@
 func (e *Engine) serveOrder(ctx *fasthttp.RequestCtx) {
 	var order Order
 	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
-		ctx.Error(err.Error(), http.StatusBadRequest)
+		faulter.Fail(ctx, http.StatusBadRequest, err.Error())
 		return
 	}
 	if !e.Order(order) {
-		ctx.Error("the fencing number is old", http.StatusConflict)
+		faulter.Fail(ctx, http.StatusConflict, "the fencing number is old")
 		return
 	}
 	reply(ctx, e.State())
@@ -152,7 +152,7 @@
 func (e *Engine) serveExport(ctx *fasthttp.RequestCtx) {
 	var asked Blocks
 	if err := json.Unmarshal(ctx.PostBody(), &asked); err != nil {
-		ctx.Error(err.Error(), http.StatusBadRequest)
+		faulter.Fail(ctx, http.StatusBadRequest, err.Error())
 		return
 	}
 	reply(ctx, e.exportBlocks(asked))
@@ -161,7 +161,7 @@
 func (e *Engine) serveImport(ctx *fasthttp.RequestCtx) {
 	var given Blocks
 	if err := json.Unmarshal(ctx.PostBody(), &given); err != nil {
-		ctx.Error(err.Error(), http.StatusBadRequest)
+		faulter.Fail(ctx, http.StatusBadRequest, err.Error())
 		return
 	}
 	e.importBlocks(given)
@@ -171,7 +171,7 @@
 func reply(ctx *fasthttp.RequestCtx, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
-		ctx.Error(err.Error(), http.StatusInternalServerError)
+		faulter.Fail(ctx, http.StatusInternalServerError, err.Error())
 		return
 	}
 	ctx.SetContentType("application/json")
--- a/standin/faulter/injector.go
+++ b/standin/faulter/injector.go
@@ -15,6 +15,8 @@
 const (
 	// NotRunHeader marks a refusal of a request that surely did not run.
 	NotRunHeader = "X-Not-Run"
+	// RequestIDHeader names a request and its answer.
+	RequestIDHeader = "X-Request-Id"
 	// silenceBound is how long a silent connection is kept, in milliseconds.
 	silenceBound = 10 * clocker.Minute
 )
@@ -180,6 +182,12 @@
 
 // NotRun answers that a request surely did not run.
 func NotRun(ctx *fasthttp.RequestCtx, status int, message string) {
-	ctx.Error(message, status)
+	Fail(ctx, status, message)
 	ctx.Response.Header.Set(NotRunHeader, "true")
 }
+
+// Fail answers with an error status, and the request ID as in each answer.
+func Fail(ctx *fasthttp.RequestCtx, status int, message string) {
+	ctx.Error(message, status)
+	ctx.Response.Header.SetBytesV(RequestIDHeader, ctx.Request.Header.Peek(RequestIDHeader))
+}
