--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +17,7 @@
 	"cowsliphinge/limiter"
 	"cowsliphinge/messenger"
 	"cowsliphinge/picker"
+	"cowsliphinge/ringer"
 )
 
 // sweepInterval is how often waiting requests are looked at without a release.
@@ -46,17 +49,13 @@
 	cfg    Config
 	cancel context.CancelFunc
 	duties *errgroup.Group
+	polls  *ringer.Ring[poll]
 
 	mu     sync.Mutex
 	closed bool
-	picker *picker.Picker
+	gate   *limiter.Gate
 	index  *indexer.Index
-	queues map[queueKey]*limiter.Queue
-}
-
-type queueKey struct {
-	service string
-	model   string
+	polled map[string]*polled
 }
 
 // New returns a balancer and starts its duties, which end with ctx or Close.
@@ -66,8 +65,9 @@
 		cfg:    cfg,
 		cancel: cancel,
 		duties: &errgroup.Group{},
-		picker: picker.New(picker.Config{AvailabilityZone: cfg.AvailabilityZone, Seed: cfg.Seed}),
-		queues: map[queueKey]*limiter.Queue{},
+		polls:  ringer.New[poll]("load_polls", pollWorkers),
+		gate:   limiter.NewGate(limiter.GateConfig{AvailabilityZone: cfg.AvailabilityZone, Seed: cfg.Seed}),
+		polled: map[string]*polled{},
 	}
 	b.duties.Go(func() error {
 		for cfg.Clock.Sleep(ctx, sweepInterval) == nil {
@@ -75,6 +75,9 @@
 		}
 		return nil
 	})
+	if cfg.Loads != nil {
+		b.startPolling(ctx)
+	}
 	return b
 }
 
@@ -83,12 +86,8 @@
 	b.cancel()
 	b.mu.Lock()
 	b.closed = true
-	for key, q := range b.queues {
-		for _, item := range q.Order() {
-			q.Remove(item)
-			refuse(item, picker.ErrNoServer{Reason: picker.ReasonClosed})
-		}
-		delete(b.queues, key)
+	for _, item := range b.gate.Drop() {
+		item.Done <- limiter.Result{Err: picker.ErrNoServer{Reason: picker.ReasonClosed}}
 	}
 	b.mu.Unlock()
 	return b.duties.Wait()
@@ -100,71 +99,65 @@
 	for {
 		choice, err := b.acquire(ctx, r)
 		if err != nil {
-			metrics.GetOrCreateCounter(`cowsliphinge_refusals_total{reason="` + reasonOf(err) + `"}`).Inc()
+			countRefusal(err)
 			return picker.Choice{}, err
 		}
-		// The process may have been paused since the choice was made.
-		now := b.cfg.Clock.Now()
-		late := r.Deadline > 0 && now >= r.Deadline
-		if !late && !b.cfg.Index().ServerLeaving(choice.Server.Name, now) {
+		if b.stillGood(choice, r) {
 			return choice, nil
 		}
 		b.Release(choice, picker.Left)
 	}
 }
 
-func reasonOf(err error) string {
-	if refusal, ok := err.(picker.ErrNoServer); ok {
-		return refusal.Reason
+// stillGood reports whether a choice may be used now: the process may have been
+// paused since it was made.
+func (b *Balancer) stillGood(c picker.Choice, r picker.Request) bool {
+	now := b.cfg.Clock.Now()
+	late := r.Deadline > 0 && now >= r.Deadline
+	return !late && !b.cfg.Index().ServerLeaving(c.Server.Name, now)
+}
+
+func countRefusal(err error) {
+	reason := "other"
+	var refusal picker.ErrNoServer
+	if errors.As(err, &refusal) {
+		reason = refusal.Reason
 	}
-	return "other"
+	metrics.GetOrCreateCounter(`cowsliphinge_refusals_total{reason="` + reason + `"}`).Inc()
 }
 
 func (b *Balancer) acquire(ctx context.Context, r picker.Request) (picker.Choice, error) {
-	choice, item, err := b.pickOrEnqueue(r)
-	if err != nil || item == nil {
+	item := &limiter.Item{Request: r, Done: make(chan limiter.Result, 1)}
+	choice, err := b.submit(item)
+	if err != nil || choice.Server != nil {
 		return choice, err
 	}
 	select {
 	case result := <-item.Done:
 		return result.Choice, result.Err
 	case <-ctx.Done():
-		return b.leaveQueue(item)
+		return b.withdraw(item)
 	}
 }
 
-// pickOrEnqueue returns a choice, or the item that now waits, or a refusal.
-func (b *Balancer) pickOrEnqueue(r picker.Request) (picker.Choice, *limiter.Item, error) {
+// submit returns a choice, or none if the item now waits, or a refusal.
+func (b *Balancer) submit(item *limiter.Item) (picker.Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.cfg.Clock.Now()
 	if b.closed {
-		return picker.Choice{}, nil, picker.ErrNoServer{Reason: picker.ReasonClosed}
-	}
-	if r.Deadline > 0 && now >= r.Deadline {
-		return picker.Choice{}, nil, picker.ErrNoServer{Reason: picker.ReasonDeadline}
+		return picker.Choice{}, picker.ErrNoServer{Reason: picker.ReasonClosed}
 	}
+	now := b.cfg.Clock.Now()
 	b.sync(now)
-	if !b.picker.Serves(r, b.leaving(now)) {
-		return picker.Choice{}, nil, picker.ErrNoServer{Reason: picker.ReasonNone}
-	}
-	q := b.queueOf(r)
-	if q.Len() == 0 {
-		if choice, ok := b.picker.Pick(now, r, b.leaving(now)); ok {
-			return choice, nil, nil
-		}
-	}
-	item := &limiter.Item{Request: r, EnqueuedAt: now, Done: make(chan limiter.Result, 1)}
-	if !q.Add(item, b.index.Service(r.Service).GetQueueLimit()) {
-		return picker.Choice{}, nil, picker.ErrNoServer{Reason: picker.ReasonQueueFull}
-	}
-	return picker.Choice{}, item, nil
+	choice, ended, err := b.gate.Submit(now, item)
+	finish(ended)
+	return choice, err
 }
 
-// leaveQueue ends the wait of a request whose caller left or whose deadline came.
-func (b *Balancer) leaveQueue(item *limiter.Item) (picker.Choice, error) {
+// withdraw ends the wait of a request whose caller left.
+func (b *Balancer) withdraw(item *limiter.Item) (picker.Choice, error) {
 	b.mu.Lock()
-	waited := b.queueOf(item.Request).Remove(item)
+	waited := b.gate.Withdraw(item)
 	b.mu.Unlock()
 	if !waited {
 		if result := <-item.Done; result.Err == nil {
@@ -179,8 +172,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.cfg.Clock.Now()
-	b.picker.Release(now, c, o)
-	b.serveQueues(now)
+	b.sync(now)
+	b.watchEjection(c.Server.GetName(), func() { b.gate.Release(now, c, o) })
+	finish(b.gate.Advance(now))
 }
 
 // Status returns what is known of each declared backend server.
@@ -195,8 +189,9 @@
 			Name:             d.Name,
 			AvailabilityZone: d.AvailabilityZone,
 			Service:          d.Service,
-			InFlight:         b.picker.InFlight(d.Name),
+			InFlight:         b.gate.InFlight(d.Name),
 			Leaving:          b.index.ServerLeaving(d.Name, now),
+			Ejected:          b.gate.Ejected(d.Name),
 		})
 	}
 	return statuses
@@ -206,13 +201,7 @@
 func (b *Balancer) Waiting(service string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	waiting := 0
-	for key, q := range b.queues {
-		if key.service == service {
-			waiting += q.Len()
-		}
-	}
-	return waiting
+	return b.gate.Waiting(service)
 }
 
 func (b *Balancer) sweep() {
@@ -220,56 +209,25 @@
 	defer b.mu.Unlock()
 	now := b.cfg.Clock.Now()
 	b.sync(now)
-	for _, q := range b.queues {
-		for _, item := range q.Expire(now) {
-			refuse(item, picker.ErrNoServer{Reason: picker.ReasonDeadline})
-		}
-	}
-	b.serveQueues(now)
-}
-
-// serveQueues hands free slots to waiting requests.
-func (b *Balancer) serveQueues(now clocker.Millis) {
-	for _, q := range b.queues {
-		for _, item := range q.Order() {
-			if !b.picker.Serves(item.Request, b.leaving(now)) {
-				q.Remove(item)
-				refuse(item, picker.ErrNoServer{Reason: picker.ReasonNone})
-				continue
-			}
-			choice, ok := b.picker.Pick(now, item.Request, b.leaving(now))
-			if !ok {
-				break
-			}
-			q.Remove(item)
-			item.Done <- limiter.Result{Choice: choice}
-		}
-	}
+	finish(b.gate.Advance(now))
 }
 
-// sync gives the picker the declarations of a new configuration.
+// sync takes over a new configuration.
 func (b *Balancer) sync(now clocker.Millis) {
 	index := b.cfg.Index()
 	if index == b.index {
 		return
 	}
 	b.index = index
-	b.picker.Sync(now, index.Configuration.GetDeclarations().GetBackendServers())
-}
-
-func (b *Balancer) leaving(now clocker.Millis) func(string) bool {
-	index := b.index
-	return func(name string) bool { return index.ServerLeaving(name, now) }
+	b.gate.Sync(now, index)
+	maps.DeleteFunc(b.polled, func(name string, _ *polled) bool {
+		return index.BackendServer(name) == nil
+	})
 }
 
-func (b *Balancer) queueOf(r picker.Request) *limiter.Queue {
-	key := queueKey{r.Service, r.Model}
-	if b.queues[key] == nil {
-		b.queues[key] = limiter.NewQueue()
+// finish tells the waiting requests how their wait ended.
+func finish(ended []limiter.Ended) {
+	for _, e := range ended {
+		e.Item.Done <- e.Result
 	}
-	return b.queues[key]
-}
-
-func refuse(item *limiter.Item, err picker.ErrNoServer) {
-	item.Done <- limiter.Result{Err: err}
 }
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -1,6 +1,3 @@
-// Package limiter bounds what waits for and runs on backend servers: queues
-// with deadlines and fair shares, and a concurrency limit per backend server.
-// It decides without input, output, goroutines or wall clock.
 package limiter
 
 import (
@@ -10,68 +7,263 @@
 	"cowsliphinge/picker"
 )
 
+const (
+	// batchTurn is how often a batch request is served while interactive ones wait.
+	batchTurn = 10
+	// classes is the number of priority classes.
+	classes = 2
+)
+
 // Item is a request that waits.
 type Item struct {
 	Request    picker.Request
 	EnqueuedAt clocker.Millis
-	// Done receives the result in the shell; the queue does not use it.
+	// Done receives the result in the shell; the deciders do not use it.
 	Done chan Result
 }
 
-// Result is how the wait of an item ended: a choice, or a reason of refusal.
+// Result is how the wait of an item ended: a choice, or picker.ErrNoServer.
 type Result struct {
 	Choice picker.Choice
 	Err    error
 }
 
-// Queue is the bounded queue of one service. It is not safe for concurrent use.
+// Queue is the bounded queue of one service and model. Client accounts share
+// it by start-time fair queueing over tokens. It is not safe for concurrent use.
 type Queue struct {
-	items []*Item
+	class [classes]class
+	turns int
+	n     int
+}
+
+// class is the waiting requests of one priority.
+type class struct {
+	lines   map[string]*line
+	virtual float64
+	n       int
+}
+
+// line is the waiting requests of one client account, oldest first.
+type line struct {
+	account string
+	weight  float64
+	// finish is the virtual time at which the account has had its share.
+	finish float64
+	items  []*Item
 }
 
 // NewQueue returns an empty queue.
 func NewQueue() *Queue {
-	return &Queue{}
+	q := &Queue{}
+	for i := range q.class {
+		q.class[i].lines = map[string]*line{}
+	}
+	return q
 }
 
 // Len returns how many items wait.
 func (q *Queue) Len() int {
-	return len(q.items)
+	return q.n
 }
 
-// Add puts an item in, or returns false if limit items wait already.
-func (q *Queue) Add(item *Item, limit int64) bool {
-	if int64(len(q.items)) >= limit {
-		return false
+// Add puts an item in. If limit items wait already, the newest item of the
+// client account with the longest line for its weight is pushed out and
+// returned, which may be the item itself.
+func (q *Queue) Add(item *Item, limit int64) *Item {
+	c := q.classOf(item)
+	l := c.lineOf(item)
+	l.items = append(l.items, item)
+	c.n++
+	q.n++
+	if int64(q.n) <= limit {
+		return nil
 	}
-	q.items = append(q.items, item)
-	return true
+	out := q.longest().newest()
+	q.Remove(out)
+	return out
 }
 
 // Remove takes an item out and reports whether it was there.
 func (q *Queue) Remove(item *Item) bool {
-	i := slices.Index(q.items, item)
+	c := q.classOf(item)
+	l := c.lines[item.Request.ClientAccount]
+	if l == nil {
+		return false
+	}
+	i := slices.Index(l.items, item)
 	if i < 0 {
 		return false
 	}
-	q.items = slices.Delete(q.items, i, i+1)
+	l.items = slices.Delete(l.items, i, i+1)
+	c.n--
+	q.n--
 	return true
 }
 
 // Expire takes out and returns the items whose deadline has come.
 func (q *Queue) Expire(now clocker.Millis) []*Item {
-	var expired []*Item
-	q.items = slices.DeleteFunc(q.items, func(item *Item) bool {
-		late := item.Request.Deadline > 0 && now >= item.Request.Deadline
-		if late {
-			expired = append(expired, item)
+	var late []*Item
+	for _, item := range q.Items() {
+		if item.Request.Deadline > 0 && now >= item.Request.Deadline {
+			q.Remove(item)
+			late = append(late, item)
+		}
+	}
+	return late
+}
+
+// Items returns all waiting items in no certain order.
+func (q *Queue) Items() []*Item {
+	items := make([]*Item, 0, q.n)
+	for i := range q.class {
+		for _, l := range q.class[i].lines {
+			items = append(items, l.items...)
+		}
+	}
+	return items
+}
+
+// Next returns the items at the head of the lines in the order of their turn,
+// without taking them out.
+func (q *Queue) Next() []*Item {
+	first, second := &q.class[picker.Interactive], &q.class[picker.Batch]
+	if first.n > 0 && q.turns >= batchTurn {
+		first, second = second, first
+	}
+	return append(first.heads(), second.heads()...)
+}
+
+// Served takes an item out and charges its client account for it.
+func (q *Queue) Served(item *Item) {
+	c := q.classOf(item)
+	l := c.lineOf(item)
+	start := max(c.virtual, l.finish)
+	if q.Remove(item) {
+		c.virtual = start
+	}
+	l.finish = start + cost(item.Request)/l.weight
+	q.turns++
+	if item.Request.Priority == picker.Batch {
+		q.turns = 0
+	}
+	c.forget()
+}
+
+// Ahead returns how many items are served before a new item of r, roughly.
+func (q *Queue) Ahead(r picker.Request) int {
+	c := &q.class[priority(r)]
+	mine := 1.0
+	if l := c.lines[r.ClientAccount]; l != nil {
+		mine += float64(len(l.items))
+	}
+	weight := weightOf(r)
+	ahead := mine - 1
+	for account, l := range c.lines {
+		if account != r.ClientAccount {
+			ahead += min(float64(len(l.items)), mine*l.weight/weight)
+		}
+	}
+	if priority(r) == picker.Batch {
+		ahead += float64(q.class[picker.Interactive].n)
+	}
+	return int(ahead)
+}
+
+func (q *Queue) classOf(item *Item) *class {
+	return &q.class[priority(item.Request)]
+}
+
+// longest returns the line that gives way: batch before interactive, then the
+// most items for its weight.
+func (q *Queue) longest() *line {
+	for i := classes - 1; i >= 0; i-- {
+		var longest *line
+		for _, l := range q.class[i].lines {
+			if len(l.items) > 0 && (longest == nil || l.longerThan(longest)) {
+				longest = l
+			}
+		}
+		if longest != nil {
+			return longest
+		}
+	}
+	return nil
+}
+
+func (c *class) lineOf(item *Item) *line {
+	r := item.Request
+	l := c.lines[r.ClientAccount]
+	if l == nil {
+		l = &line{account: r.ClientAccount}
+		c.lines[r.ClientAccount] = l
+	}
+	l.weight = weightOf(r)
+	return l
+}
+
+// heads returns the first item of each line, the line with most due first.
+func (c *class) heads() []*Item {
+	lines := make([]*line, 0, len(c.lines))
+	for _, l := range c.lines {
+		if len(l.items) > 0 {
+			lines = append(lines, l)
+		}
+	}
+	slices.SortFunc(lines, func(a, b *line) int {
+		switch {
+		case a.before(b, c.virtual):
+			return -1
+		default:
+			return 1
 		}
-		return late
 	})
-	return expired
+	heads := make([]*Item, len(lines))
+	for i, l := range lines {
+		heads[i] = l.items[0]
+	}
+	return heads
 }
 
-// Order returns the waiting items in the order in which they are to be served.
-func (q *Queue) Order() []*Item {
-	return slices.Clone(q.items)
+// forget drops empty lines that have no share to pay back.
+func (c *class) forget() {
+	for account, l := range c.lines {
+		if len(l.items) == 0 && l.finish <= c.virtual {
+			delete(c.lines, account)
+		}
+	}
+}
+
+func (l *line) newest() *Item {
+	return l.items[len(l.items)-1]
+}
+
+func (l *line) longerThan(other *line) bool {
+	mine, theirs := float64(len(l.items))/l.weight, float64(len(other.items))/other.weight
+	if mine != theirs {
+		return mine > theirs
+	}
+	return l.account < other.account
+}
+
+func (l *line) before(other *line, virtual float64) bool {
+	mine, theirs := max(virtual, l.finish), max(virtual, other.finish)
+	if mine != theirs {
+		return mine < theirs
+	}
+	return l.account < other.account
+}
+
+func cost(r picker.Request) float64 {
+	return float64(max(1, r.Tokens))
+}
+
+func weightOf(r picker.Request) float64 {
+	return float64(max(1, r.Weight))
+}
+
+func priority(r picker.Request) picker.Priority {
+	if r.Priority == picker.Batch {
+		return picker.Batch
+	}
+	return picker.Interactive
 }
--- a/picker/choice.go
+++ b/picker/choice.go
@@ -51,6 +51,8 @@
 	FirstByteAt clocker.Millis
 	// Tokens is the worst case of the request, to compare service times by.
 	Tokens int64
+	// Prefix is that of the request.
+	Prefix uint64
 	// Probe is true if the backend server is on trial after an ejection.
 	Probe bool
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -26,6 +27,8 @@
 	random  *rand.Rand
 	servers map[string]*server
 	pools   map[poolKey]*pool
+	hints   *hints
+	scratch []candidate
 	synced  bool
 }
 
@@ -40,15 +43,22 @@
 type pool struct {
 	own    []*server
 	others []*server
+	// pace and duration of whole answers, smoothed over the pool, in
+	// milliseconds per token and milliseconds.
+	pace     float64
+	duration float64
+	// failShare is the smoothed share of failures.
+	failShare float64
 }
 
 // New returns a picker without backend servers.
 func New(cfg Config) *Picker {
 	return &Picker{
 		cfg:     cfg,
-		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
+		random:  rand.New(rand.NewPCG(cfg.Seed, hashString(cfg.AvailabilityZone))),
 		servers: map[string]*server{},
 		pools:   map[poolKey]*pool{},
+		hints:   newHints(),
 	}
 }
 
@@ -56,7 +66,7 @@
 // that stays is kept; one that goes is forgotten once nothing is in flight.
 func (p *Picker) Sync(now clocker.Millis, declared []*messenger.BackendServer) {
 	servers := make(map[string]*server, len(declared))
-	p.pools = map[poolKey]*pool{}
+	p.emptyPools()
 	for _, d := range declared {
 		s := p.servers[d.Name]
 		if s == nil {
@@ -71,10 +81,21 @@
 			servers[name] = s
 		}
 	}
+	maps.DeleteFunc(p.pools, func(_ poolKey, found *pool) bool {
+		return len(found.own)+len(found.others) == 0
+	})
 	p.servers = servers
 	p.synced = true
 }
 
+// emptyPools drops the members and keeps what is known of the pools.
+func (p *Picker) emptyPools() {
+	for _, found := range p.pools {
+		found.own = nil
+		found.others = nil
+	}
+}
+
 func (p *Picker) addToPools(s *server) {
 	d := s.declared
 	models := d.Models
@@ -86,12 +107,23 @@
 		if p.pools[key] == nil {
 			p.pools[key] = &pool{}
 		}
+		s.home = p.pools[key]
 		if d.AvailabilityZone == p.cfg.AvailabilityZone {
-			p.pools[key].own = append(p.pools[key].own, s)
+			s.home.own = append(s.home.own, s)
 		} else {
-			p.pools[key].others = append(p.pools[key].others, s)
+			s.home.others = append(s.home.others, s)
+		}
+	}
+}
+
+// Declared reports whether any backend server is declared for a model.
+func (p *Picker) Declared(service, model string) bool {
+	for key := range p.pools {
+		if key.service == service && key.model == model {
+			return true
 		}
 	}
+	return false
 }
 
 // Serves reports whether any backend server that takes new work can run r.
@@ -105,48 +137,118 @@
 	return slices.ContainsFunc(found.own, staying) || slices.ContainsFunc(found.others, staying)
 }
 
+// poolOf returns the servers of the role that r needs, or those that serve all
+// phases if none has that role.
 func (p *Picker) poolOf(r Request) *pool {
-	return p.pools[poolKey{r.Service, r.Model, r.Role}]
+	if found := p.pools[poolKey{r.Service, r.Model, r.Role}]; found != nil {
+		return found
+	}
+	return p.pools[poolKey{r.Service, r.Model, ""}]
 }
 
 // Pick takes a slot of the best backend server for r, or returns false if none
-// has a free one. Leaving tells which backend servers get no new work.
+// has a free one. Leaving tells which backend servers get no new work. Ejected
+// servers, and those that r avoids, are taken only while there are no others.
 func (p *Picker) Pick(now clocker.Millis, r Request, leaving func(string) bool) (Choice, bool) {
 	found := p.poolOf(r)
 	if found == nil {
 		return Choice{}, false
 	}
-	best := p.leastLoaded(found.own, r, leaving)
-	if best == nil {
-		best = p.leastLoaded(found.others, r, leaving)
+	for _, ease := range eases {
+		best, live := p.pickZones(now, found, query{r, leaving, ease})
+		if best != nil {
+			return p.take(now, best, r), true
+		}
+		if live {
+			return Choice{}, false
+		}
 	}
-	if best == nil {
-		return Choice{}, false
+	return Choice{}, false
+}
+
+// pickZones looks at the own availability zone first, then at the others. It
+// also reports whether any server would do if it had a free slot.
+func (p *Picker) pickZones(now clocker.Millis, found *pool, q query) (*server, bool) {
+	best, live := p.choose(now, found.own, q)
+	if best != nil {
+		return best, true
 	}
-	best.inFlight++
-	return Choice{Server: best.declared, TakenAt: now, Tokens: r.Tokens}, true
+	best, liveElsewhere := p.choose(now, found.others, q)
+	return best, live || liveElsewhere
 }
 
-func (p *Picker) leastLoaded(servers []*server, r Request, leaving func(string) bool) *server {
-	var best *server
-	for _, s := range servers {
-		if s.inFlight >= s.slots || slices.Contains(r.Avoid, s.name) || leaving(s.name) {
-			continue
-		}
-		if best == nil || s.load() < best.load() {
-			best = s
-		}
+func (p *Picker) take(now clocker.Millis, s *server, r Request) Choice {
+	probe := s.health.out
+	s.take(now)
+	return Choice{
+		Server:  s.declared,
+		TakenAt: now,
+		Tokens:  r.Tokens,
+		Prefix:  r.Prefix,
+		Probe:   probe,
 	}
-	return best
 }
 
 // Release gives the slot of a choice back and learns from its outcome.
-func (p *Picker) Release(_ clocker.Millis, c Choice, _ Outcome) {
+func (p *Picker) Release(now clocker.Millis, c Choice, o Outcome) {
 	s := p.servers[c.Server.GetName()]
 	if s == nil || s.inFlight == 0 {
 		return
 	}
-	s.inFlight--
+	s.giveBack(now, c.TakenAt)
+	switch o {
+	case Succeeded:
+		s.answered(now, c)
+		p.hints.stored(now, c.Prefix, s)
+		s.home.failShare -= failWeight / 4 * s.home.failShare
+		if s.health.succeeded(c.Probe) {
+			s.rampFrom = now
+		}
+	case Failed:
+		s.home.failShare += failWeight / 4 * (1 - s.home.failShare)
+		s.health.failed(now, c.Probe, s.home.failShare, p.random)
+	case Refused:
+		s.refused(now)
+	case Left:
+	}
+}
+
+// SetLimit bounds how many slots of a backend server this router takes at once.
+func (p *Picker) SetLimit(name string, limit int64) {
+	if s := p.servers[name]; s != nil {
+		s.limit = max(1, limit)
+	}
+}
+
+// Reported takes over a load report of a backend server.
+func (p *Picker) Reported(now clocker.Millis, name string, report LoadReport) {
+	if s := p.servers[name]; s != nil {
+		s.reported(now, report)
+	}
+}
+
+// ReportFailed notes that a backend server did not answer a load query. It
+// counts like a failed request, also for a server that is due for a probe.
+func (p *Picker) ReportFailed(now clocker.Millis, name string) {
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	due := s.health.out && now >= s.health.until
+	s.health.failed(now, due, s.home.failShare, p.random)
+}
+
+// Cached takes over a cache event of a backend server.
+func (p *Picker) Cached(now clocker.Millis, name string, event CacheEvent) {
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	if event.Kind == CacheEvicted {
+		p.hints.evicted(event.Prefix, s)
+		return
+	}
+	p.hints.stored(now, event.Prefix, s)
 }
 
 // InFlight returns how many slots of a backend server are taken by this router.
@@ -156,3 +258,9 @@
 	}
 	return 0
 }
+
+// Ejected reports whether a backend server is out after failures.
+func (p *Picker) Ejected(name string) bool {
+	s := p.servers[name]
+	return s != nil && s.health.out
+}
