--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -19,10 +19,25 @@
 	// hopeless is the share of the expected service time that must be left
 	// before the deadline for a request to be tried.
 	hopeless = 0.5
+	// quantileStep is the largest relative step of a quantile's estimate.
+	quantileStep = 0.05
+	// lookAhead is how many items a free slot may be offered to.
+	lookAhead = 16
+	// maxPassed is how often an item may be passed over for one whose prefix is cached.
+	maxPassed = 16
+	// shortWait is a wait that says that there is no overload.
+	shortWait = 500 * clocker.Millis(1)
+	// overloadAfter is how long all waits must have been long to call it overload.
+	overloadAfter = 5 * clocker.Second
 	// minRetryAfter is the least wait that a refusal advises.
 	minRetryAfter = 100 * clocker.Millis(1)
 )
 
+var (
+	highShare     = 0.9
+	overloadShare = 0.25
+)
+
 // GateConfig is what a Gate is built from.
 type GateConfig struct {
 	AvailabilityZone string
@@ -54,8 +69,12 @@
 	// interval is the smoothed time between two requests served, in milliseconds.
 	interval float64
 	servedAt clocker.Millis
-	// pace is the smoothed time of a whole answer per token, in milliseconds.
-	pace float64
+	// pace is the smoothed time of a whole answer per token, highPace the one
+	// that highShare of the answers keep to, in milliseconds.
+	pace     float64
+	highPace float64
+	// shortAt is when the wait was last short.
+	shortAt clocker.Millis
 }
 
 // Ended is an item whose wait is over.
@@ -122,8 +141,8 @@
 			return choice, nil, nil
 		}
 	}
-	if wait := q.expectedWait(r); q.tooLate(now+wait, r) {
-		return choice, nil, picker.ErrNoServer{Reason: picker.ReasonDeadline, RetryAfterMs: int64(retryAfter(wait))}
+	if reason := q.refusal(now, r); reason != "" {
+		return choice, nil, picker.ErrNoServer{Reason: reason, RetryAfterMs: int64(retryAfter(q.expectedWait(r)))}
 	}
 	item.EnqueuedAt = now
 	out := q.Add(item, g.index.Service(r.Service).GetQueueLimit())
@@ -170,6 +189,7 @@
 	for _, q := range g.order {
 		if q.key.service == c.Server.GetService() {
 			q.pace = average(q.pace, pace, paceShare)
+			q.highPace = quantile(q.highPace, pace, highShare)
 		}
 	}
 }
@@ -186,42 +206,65 @@
 	return ended
 }
 
-// serve hands out free slots until no item at the head of a line can have one.
+// serve hands out free slots until no item in turn can have one.
 func (g *Gate) serve(now clocker.Millis, q *serviceQueue, ended []Ended) []Ended {
 	for q.Len() > 0 {
-		before := q.Len()
-		for _, item := range q.Next() {
-			result, over := g.try(now, q, item)
-			if over {
-				ended = append(ended, Ended{item, result})
-				break
-			}
+		turn := q.Next(lookAhead)
+		e, over := g.serveHolder(now, q, turn)
+		if !over {
+			e, over = g.serveFirst(now, q, turn)
 		}
-		if q.Len() == before {
+		if !over {
 			break
 		}
+		ended = append(ended, e)
 	}
 	return ended
 }
 
-// try ends the wait of an item by a slot or a refusal, if either is due.
-func (g *Gate) try(now clocker.Millis, q *serviceQueue, item *Item) (Result, bool) {
-	r := item.Request
-	if !g.picker.Serves(r, g.leaving(now)) {
-		q.Remove(item)
-		return Result{Err: picker.ErrNoServer{Reason: picker.ReasonNone}}, true
-	}
-	if q.tooLate(now, r) {
-		q.Remove(item)
-		return Result{Err: picker.ErrNoServer{Reason: picker.ReasonDeadline}}, true
+// serveHolder serves the first item in turn whose prefix is probably cached
+// where a slot is free. An item that was passed over too often comes first.
+func (g *Gate) serveHolder(now clocker.Millis, q *serviceQueue, turn []*Item) (Ended, bool) {
+	for i, item := range turn {
+		if choice, ok := g.picker.PickHolder(now, item.Request, g.leaving(now)); ok {
+			for _, passed := range turn[:i] {
+				passed.passed++
+			}
+			return g.serveItem(now, q, item, choice), true
+		}
+		if item.passed >= maxPassed {
+			break
+		}
 	}
-	choice, ok := g.picker.Pick(now, r, g.leaving(now))
-	if !ok {
-		return Result{}, false
+	return Ended{}, false
+}
+
+// serveFirst ends the wait of the first item in turn for which it is due.
+func (g *Gate) serveFirst(now clocker.Millis, q *serviceQueue, turn []*Item) (Ended, bool) {
+	for _, item := range turn {
+		r := item.Request
+		if !g.picker.Serves(r, g.leaving(now)) {
+			return refuseItem(q, item, picker.ReasonNone), true
+		}
+		if q.tooLate(now, r) {
+			return refuseItem(q, item, picker.ReasonDeadline), true
+		}
+		if choice, ok := g.picker.Pick(now, r, g.leaving(now)); ok {
+			return g.serveItem(now, q, item, choice), true
+		}
 	}
+	return Ended{}, false
+}
+
+func (g *Gate) serveItem(now clocker.Millis, q *serviceQueue, item *Item, choice picker.Choice) Ended {
 	q.Served(item)
-	q.learnInterval(now, item)
-	return Result{Choice: choice}, true
+	q.learnWait(now, item)
+	return Ended{item, Result{Choice: choice}}
+}
+
+func refuseItem(q *serviceQueue, item *Item, reason string) Ended {
+	q.Remove(item)
+	return Ended{item, Result{Err: picker.ErrNoServer{Reason: reason}}}
 }
 
 // Withdraw takes out an item whose caller left and reports whether it waited.
@@ -294,12 +337,15 @@
 	return g.queues[key]
 }
 
-// learnInterval learns from an item that is served now. The time while the
-// queue was empty does not count.
-func (q *serviceQueue) learnInterval(now clocker.Millis, item *Item) {
+// learnWait learns from an item that is served now. The time while the queue
+// was empty does not count.
+func (q *serviceQueue) learnWait(now clocker.Millis, item *Item) {
 	since := max(q.servedAt, item.EnqueuedAt)
 	q.interval = average(q.interval, float64(now-since), rateShare)
 	q.servedAt = now
+	if now-item.EnqueuedAt < shortWait {
+		q.shortAt = now
+	}
 }
 
 // expectedWait is how long a new item of r would wait.
@@ -307,16 +353,47 @@
 	return clocker.Millis(float64(q.Ahead(r)+1) * q.interval)
 }
 
-// tooLate reports whether a request that starts at start has no hope of being
-// answered before its deadline.
+// refusal says why a new item of r is refused at once, or is empty.
+func (q *serviceQueue) refusal(now clocker.Millis, r picker.Request) string {
+	if q.Len() == 0 {
+		q.shortAt = now
+	}
+	wait := q.expectedWait(r)
+	if q.tooLate(now+wait, r) {
+		return picker.ReasonDeadline
+	}
+	overloaded := now-q.shortAt > overloadAfter
+	if overloaded && r.Deadline > 0 && float64(wait) > overloadShare*float64(r.Deadline-now) {
+		return picker.ReasonOverload
+	}
+	return ""
+}
+
+// tooLate reports whether a request that starts at start will probably not be
+// answered before its deadline. While others wait it must be likelier.
 func (q *serviceQueue) tooLate(start clocker.Millis, r picker.Request) bool {
 	if r.Deadline <= 0 {
 		return false
 	}
-	service := hopeless * q.pace * float64(r.Tokens)
-	return start+clocker.Millis(service) >= r.Deadline
+	pace := hopeless * q.pace
+	if q.Len() > 1 {
+		pace = q.highPace
+	}
+	return start+clocker.Millis(pace*float64(r.Tokens)) >= r.Deadline
 }
 
 func retryAfter(wait clocker.Millis) clocker.Millis {
 	return max(minRetryAfter, wait)
 }
+
+// quantile moves an estimate of the value that share of the samples keep to.
+func quantile(value, sample, share float64) float64 {
+	switch {
+	case value == 0:
+		return sample
+	case sample > value:
+		return value * (1 + quantileStep*share)
+	default:
+		return value * (1 - quantileStep*(1-share))
+	}
+}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -20,6 +20,9 @@
 	EnqueuedAt clocker.Millis
 	// Done receives the result in the shell; the deciders do not use it.
 	Done chan Result
+
+	// passed counts how often a later item was served first for its prefix.
+	passed int
 }
 
 // Result is how the wait of an item ended: a choice, or picker.ErrNoServer.
@@ -123,14 +126,14 @@
 	return items
 }
 
-// Next returns the items at the head of the lines in the order of their turn,
-// without taking them out.
-func (q *Queue) Next() []*Item {
+// Next returns at most n items in the order of their turn, without taking them
+// out: the first of each line, then the second of each, and so on.
+func (q *Queue) Next(n int) []*Item {
 	first, second := &q.class[picker.Interactive], &q.class[picker.Batch]
 	if first.n > 0 && q.turns >= batchTurn {
 		first, second = second, first
 	}
-	return append(first.heads(), second.heads()...)
+	return second.next(first.next(nil, n), n)
 }
 
 // Served takes an item out and charges its client account for it.
@@ -201,8 +204,26 @@
 	return l
 }
 
-// heads returns the first item of each line, the line with most due first.
-func (c *class) heads() []*Item {
+// next appends items in the order of their turn until there are n.
+func (c *class) next(items []*Item, n int) []*Item {
+	if c.n == 0 {
+		return items
+	}
+	lines := c.inTurn()
+	for depth := 0; len(lines) > 0; depth++ {
+		lines = slices.DeleteFunc(lines, func(l *line) bool { return len(l.items) <= depth })
+		for _, l := range lines {
+			if len(items) >= n {
+				return items
+			}
+			items = append(items, l.items[depth])
+		}
+	}
+	return items
+}
+
+// inTurn returns the lines with items, the one with most due first.
+func (c *class) inTurn() []*line {
 	lines := make([]*line, 0, len(c.lines))
 	for _, l := range c.lines {
 		if len(l.items) > 0 {
@@ -210,18 +231,12 @@
 		}
 	}
 	slices.SortFunc(lines, func(a, b *line) int {
-		switch {
-		case a.before(b, c.virtual):
+		if a.before(b, c.virtual) {
 			return -1
-		default:
-			return 1
 		}
+		return 1
 	})
-	heads := make([]*Item, len(lines))
-	for i, l := range lines {
-		heads[i] = l.items[0]
-	}
-	return heads
+	return lines
 }
 
 // forget drops empty lines that have no share to pay back.
--- a/picker/choice.go
+++ b/picker/choice.go
@@ -90,6 +90,8 @@
 	ReasonShed = "shed"
 	// ReasonDeadline: the deadline passed or cannot be met.
 	ReasonDeadline = "deadline"
+	// ReasonOverload: waits have been long for a while and this one would be.
+	ReasonOverload = "overload"
 	// ReasonCallerLeft: the caller left while the request waited.
 	ReasonCallerLeft = "caller_left"
 	// ReasonClosed: the balancer was closed.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -166,6 +166,33 @@
 	return Choice{}, false
 }
 
+// PickHolder takes a slot of a backend server that probably holds the prefix of
+// r in its cache, or returns false if none of those has a free one.
+func (p *Picker) PickHolder(now clocker.Millis, r Request, leaving func(string) bool) (Choice, bool) {
+	entry := p.hints.entries[r.Prefix]
+	found := p.poolOf(r)
+	if entry == nil || found == nil {
+		return Choice{}, false
+	}
+	q := query{r, leaving, ease{}}
+	var best *server
+	for i, s := range entry.holders {
+		if s == nil || now >= entry.until[i] || s.home != found || !s.near(p.cfg.AvailabilityZone) {
+			continue
+		}
+		if !q.allows(now, s) || !s.hasSlot(now, s.ramp(now)) {
+			continue
+		}
+		if best == nil || s.load(now) < best.load(now) {
+			best = s
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return p.take(now, best, r), true
+}
+
 // pickZones looks at the own availability zone first, then at the others. It
 // also reports whether any server would do if it had a free slot.
 func (p *Picker) pickZones(now clocker.Millis, found *pool, q query) (*server, bool) {
--- a/picker/server.go
+++ b/picker/server.go
@@ -88,6 +88,10 @@
 	return d.GetSlots()
 }
 
+func (s *server) near(zone string) bool {
+	return s.declared.AvailabilityZone == zone
+}
+
 func (s *server) take(now clocker.Millis) {
 	s.inFlight++
 	s.takenSum += now
