--- a/experimenter/trial_test.go
+++ b/experimenter/trial_test.go
@@ -6,17 +6,27 @@
 )
 
 func TestTrial(t *testing.T) {
-	p := Defaults()
 	c := 52.6
-	p.Length = 200_000
-	var cases []Case
-	for _, policy := range []Policy{Routed} {
-		for _, x := range []float64{0.5, 0.9, 1.0, 1.2, 1.5, 2} {
-			p.Rate = c * x
-			cases = append(cases, Case{p, policy})
+	for _, gone := range []float64{0,50000} {
+		p := Defaults()
+		p.Length = 300_000
+		p.ZoneGoneAt = gone
+		var cases []Case
+		for _, x := range []float64{0.5, 0.9, 1, 1.2, 2} {
+			for seed := range uint64(3) {
+				p.Rate = c * x
+				p.Seed = seed + 1
+				cases = append(cases, Case{p, Routed})
+			}
 		}
-	}
-	for i, r := range RunAll(cases, 5) {
-		fmt.Printf("%-16s rate %.2fx goodput %5.1f p50 %5.0f p95 %5.0f p99 %5.0f hits %.2f ends %v\n", r.Policy, cases[i].Parameters.Rate/c, r.Goodput, r.P50, r.P95, r.P99, r.HitShare, r.Ends)
+		rs := RunAll(cases, 6)
+		fmt.Printf("gone %.0f", gone)
+		for i, r := range rs {
+			if i%3 == 0 {
+				fmt.Printf("\n    %.1fx hits %.2f good %.1f %v p95 %4.0f p99:", cases[i].Parameters.Rate/c, r.HitShare, r.Goodput, r.Ends, r.P95)
+			}
+			fmt.Printf(" %4.0f", r.P99)
+		}
+		fmt.Println()
 	}
 }
--- a/picker/choose.go
+++ b/picker/choose.go
@@ -9,10 +9,10 @@
 
 const (
 	// loadFactor is how far above the mean load affinity may fill a server.
-	loadFactor = 1.25
+	loadFactor = 1.5
 	// affinityFloor is the share of its capacity up to which a server takes
 	// requests by affinity whatever the mean.
-	affinityFloor = 0.25
+	affinityFloor = 0.5
 	// maxScan bounds the servers that one pick looks at in each of the own and
 	// the other availability zones.
 	maxScan = 1024
@@ -57,37 +57,67 @@
 	return (c.load + 1) / c.capacity
 }
 
-// choose returns the best server for the query, or nil, and whether any would
-// do if it had a free slot.
-func (p *Picker) choose(now clocker.Millis, servers []*server, q query) (*server, bool) {
-	candidates := p.scratch[:0]
-	var load, capacity float64
-	live := false
+// survey is what one pass over servers found.
+type survey struct {
+	candidates []candidate
+	load       float64
+	capacity   float64
+	// live is true if any server would do if it had a free slot.
+	live bool
+}
+
+// mean is the load per capacity with one more request.
+func (v *survey) mean() float64 {
+	return (v.load + 1) / v.capacity
+}
+
+// survey looks at servers and adds those with a free slot to the candidates.
+func (p *Picker) survey(now clocker.Millis, v *survey, servers []*server, q *query) {
 	start, n := p.window(len(servers), q.Prefix)
 	for i := range n {
 		s := servers[(start+i)%len(servers)]
 		if !q.allows(now, s) {
 			continue
 		}
-		live = true
+		v.live = true
 		ramp := s.ramp(now)
 		c := candidate{server: s, load: s.load(now), capacity: float64(s.slots) * ramp / s.slowness(now)}
-		load += c.load
-		capacity += c.capacity
+		v.load += c.load
+		v.capacity += c.capacity
 		if s.hasSlot(now, ramp) {
-			candidates = append(candidates, c)
+			v.candidates = append(v.candidates, c)
 		}
 	}
-	p.scratch = candidates
-	if len(candidates) == 0 {
-		return nil, live
+}
+
+// choose returns the best server for the query, or nil, and whether any would
+// do if it had a free slot.
+func (p *Picker) choose(now clocker.Millis, servers []*server, q *query) (*server, bool) {
+	v := survey{candidates: p.scratch[:0]}
+	p.survey(now, &v, servers, q)
+	p.scratch = v.candidates
+	if len(v.candidates) == 0 {
+		return nil, v.live
 	}
 	if q.Prefix != 0 {
-		if s := p.byAffinity(now, candidates, q.Prefix, (load+1)/capacity); s != nil {
+		if s := p.byAffinity(now, &v, q.Prefix); s != nil {
 			return s, true
 		}
 	}
-	return p.byLoad(candidates), true
+	return p.byLoad(v.candidates), true
+}
+
+// chooseAcross returns the server that affinity prefers among all availability
+// zones, or nil if the own zone is large enough to hold the prefixes itself.
+func (p *Picker) chooseAcross(now clocker.Millis, found *pool, q *query) *server {
+	if q.Prefix == 0 || len(found.own) >= p.span || len(found.others) == 0 {
+		return nil
+	}
+	v := survey{candidates: p.scratch[:0]}
+	p.survey(now, &v, found.own, q)
+	p.survey(now, &v, found.others, q)
+	p.scratch = v.candidates
+	return p.byAffinity(now, &v, q.Prefix)
 }
 
 // window returns where to start among n servers and how many to look at. The
@@ -105,14 +135,15 @@
 // byAffinity returns the least loaded probable holder of the prefix, else the
 // server of highest rendezvous weight, both only up to the load bound; nil if
 // all are above it.
-func (p *Picker) byAffinity(now clocker.Millis, candidates []candidate, prefix uint64, mean float64) *server {
+func (p *Picker) byAffinity(now clocker.Millis, v *survey, prefix uint64) *server {
 	var holder, first *candidate
 	var highest uint64
 	entry := p.hints.entries[prefix]
-	for i := range candidates {
-		c := &candidates[i]
+	mean := v.mean()
+	for i := range v.candidates {
+		c := &v.candidates[i]
 		bound := max(affinityFloor*c.capacity, math.Ceil(loadFactor*mean*c.capacity))
-		if c.load+1 > bound {
+		if c.load+1 > bound || !c.server.zone.open(now) {
 			continue
 		}
 		if entry.holds(now, c.server) && (holder == nil || c.cost() < holder.cost()) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -28,10 +28,16 @@
 	servers map[string]*server
 	pools   map[poolKey]*pool
 	hints   *hints
+	zones   map[string]*zone
 	scratch []candidate
+	span    int
 	synced  bool
 }
 
+// DefaultSpan is how many servers of a model the own availability zone needs
+// for affinity to stay within it, unless SetSpan says otherwise.
+const DefaultSpan = 16
+
 // poolKey names the backend servers that can run a request.
 type poolKey struct {
 	service string
@@ -59,6 +65,8 @@
 		servers: map[string]*server{},
 		pools:   map[poolKey]*pool{},
 		hints:   newHints(),
+		zones:   map[string]*zone{},
+		span:    DefaultSpan,
 	}
 }
 
@@ -73,6 +81,7 @@
 			s = newServer(d.Name, now, p.synced)
 		}
 		s.declare(d)
+		s.zone = p.zoneOf(d.AvailabilityZone)
 		servers[d.Name] = s
 		p.addToPools(s)
 	}
@@ -88,6 +97,19 @@
 	p.synced = true
 }
 
+func (p *Picker) zoneOf(name string) *zone {
+	if p.zones[name] == nil {
+		p.zones[name] = &zone{own: name == p.cfg.AvailabilityZone}
+	}
+	return p.zones[name]
+}
+
+// SetSpan sets how many servers of a model the own availability zone needs for
+// affinity to stay within it; below that it spans all zones. 0 never spans.
+func (p *Picker) SetSpan(servers int) {
+	p.span = servers
+}
+
 // emptyPools drops the members and keeps what is known of the pools.
 func (p *Picker) emptyPools() {
 	for _, found := range p.pools {
@@ -155,7 +177,11 @@
 		return Choice{}, false
 	}
 	for _, ease := range eases {
-		best, live := p.pickZones(now, found, query{r, leaving, ease})
+		q := &query{r, leaving, ease}
+		if best := p.chooseAcross(now, found, q); best != nil {
+			return p.take(now, best, r), true
+		}
+		best, live := p.pickZones(now, found, q)
 		if best != nil {
 			return p.take(now, best, r), true
 		}
@@ -177,7 +203,10 @@
 	q := query{r, leaving, ease{}}
 	var best *server
 	for i, s := range entry.holders {
-		if s == nil || now >= entry.until[i] || s.home != found || !s.near(p.cfg.AvailabilityZone) {
+		if s == nil || now >= entry.until[i] || s.home != found {
+			continue
+		}
+		if !s.zone.own && (len(found.own) >= p.span || !s.zone.open(now)) {
 			continue
 		}
 		if !q.allows(now, s) || !s.hasSlot(now, s.ramp(now)) {
@@ -195,7 +224,7 @@
 
 // pickZones looks at the own availability zone first, then at the others. It
 // also reports whether any server would do if it had a free slot.
-func (p *Picker) pickZones(now clocker.Millis, found *pool, q query) (*server, bool) {
+func (p *Picker) pickZones(now clocker.Millis, found *pool, q *query) (*server, bool) {
 	best, live := p.choose(now, found.own, q)
 	if best != nil {
 		return best, true
@@ -207,6 +236,10 @@
 func (p *Picker) take(now clocker.Millis, s *server, r Request) Choice {
 	probe := s.health.out
 	s.take(now)
+	if !p.hints.entries[r.Prefix].holds(now, s) {
+		s.prefill = s.prefilling(now) + 1
+		s.prefillAt = now
+	}
 	return Choice{
 		Server:  s.declared,
 		TakenAt: now,
@@ -226,12 +259,14 @@
 	switch o {
 	case Succeeded:
 		s.answered(now, c)
+		s.zone.answered()
 		p.hints.stored(now, c.Prefix, s)
 		s.home.failShare -= failWeight / 4 * s.home.failShare
 		if s.health.succeeded(c.Probe) {
 			s.rampFrom = now
 		}
 	case Failed:
+		s.zone.failed(now)
 		s.home.failShare += failWeight / 4 * (1 - s.home.failShare)
 		s.health.failed(now, c.Probe, s.home.failShare, p.random)
 	case Refused:
@@ -261,6 +296,7 @@
 	if s == nil {
 		return
 	}
+	s.zone.failed(now)
 	due := s.health.out && now >= s.health.until
 	s.health.failed(now, due, s.home.failShare, p.random)
 }
--- a/picker/server.go
+++ b/picker/server.go
@@ -15,7 +15,11 @@
 	// freshReport is the age up to which a report of a full server is believed.
 	freshReport = 1 * clocker.Second
 	// overload is the estimated load, in slots, from which a server is full.
-	overload = 1.25
+	overload = 1.1
+	// prefillWeight is the load of a prompt that is probably being computed, in
+	// requests, and prefillLife how long that is assumed to last.
+	prefillWeight = 8
+	prefillLife   = 200 * clocker.Millis(1)
 	// slowRatio is how much slower than its pool a server must be to count as slow.
 	slowRatio = 1.5
 	// stuckRatio is the same for the mean age of requests that are not answered yet.
@@ -38,6 +42,7 @@
 	hash     uint64
 	declared *messenger.BackendServer
 	home     *pool
+	zone     *zone
 	slots    int64
 	// limit is how many slots this router may take at once.
 	limit int64
@@ -59,6 +64,10 @@
 	pace    float64
 	pacedAt clocker.Millis
 
+	// prefill counts prompts sent lately to a server that did not hold their prefix.
+	prefill   float64
+	prefillAt clocker.Millis
+
 	refusals  int
 	heldUntil clocker.Millis
 	health    health
@@ -88,10 +97,6 @@
 	return d.GetSlots()
 }
 
-func (s *server) near(zone string) bool {
-	return s.declared.AvailabilityZone == zone
-}
-
 func (s *server) take(now clocker.Millis) {
 	s.inFlight++
 	s.takenSum += now
@@ -128,11 +133,16 @@
 
 // load estimates the requests on the server, those of other routers included.
 func (s *server) load(now clocker.Millis) float64 {
-	age := now - s.reportedAt
-	if age >= reportLife {
-		return float64(s.inFlight)
+	load := float64(s.inFlight) + prefillWeight*s.prefilling(now)
+	if age := now - s.reportedAt; age < reportLife {
+		load += s.others * (1 - float64(age)/float64(reportLife))
 	}
-	return float64(s.inFlight) + s.others*(1-float64(age)/float64(reportLife))
+	return load
+}
+
+// prefilling estimates how many prompts the server computes.
+func (s *server) prefilling(now clocker.Millis) float64 {
+	return s.prefill * max(0, 1-float64(now-s.prefillAt)/float64(prefillLife))
 }
 
 // slowness is how many times slower than its pool the server is, 1 if it is not.
