--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -151,6 +151,9 @@
 	b.sync(now)
 	choice, ended, err := b.gate.Submit(now, item)
 	finish(ended)
+	if b.gate.Waiting(item.Request.Service) > 0 {
+		finish(b.gate.Advance(now))
+	}
 	return choice, err
 }
 
--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -63,6 +63,7 @@
 		g.waiting[item] = done
 	}
 	g.finish(ended)
+	g.advance(now)
 }
 
 func (g *gated) finish(ended []limiter.Ended) {
--- a/experimenter/result.go
+++ b/experimenter/result.go
@@ -8,10 +8,12 @@
 // Result is what one run measured, requests of the warm-up left out.
 type Result struct {
 	Policy Policy
-	// Offered requests, Answered ones whole and in time, Attempts made.
+	// Offered requests, Answered ones whole and in time, Attempts made in all.
 	Offered  int
 	Answered int
 	Attempts int
+	// Attempted requests reached a backend server at least once.
+	Attempted int
 	// Ends counts how requests ended.
 	Ends map[string]int
 	// Goodput is whole answers in time, per second.
@@ -59,6 +61,9 @@
 func (m *Result) attempted(r *request) {
 	if m.counts(r) {
 		m.Attempts++
+		if r.attempts == 1 {
+			m.Attempted++
+		}
 	}
 }
 
@@ -106,9 +111,9 @@
 	return m.firsts[min(len(m.firsts)-1, int(share*float64(len(m.firsts))))]
 }
 
-// Amplification is attempts per request that was attempted at all.
+// Amplification is attempts per request that reached a backend server.
 func (m *Result) Amplification() float64 {
-	return float64(m.Attempts) / float64(max(1, m.Offered))
+	return float64(m.Attempts) / float64(max(1, m.Attempted))
 }
 
 // EndNames lists how requests ended, sorted.
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -19,6 +19,15 @@
 	// hopeless is the share of the expected service time that must be left
 	// before the deadline for a request to be tried.
 	hopeless = 0.5
+	// highShare is the share of answers that the high pace covers.
+	highShare = 0.9
+	// overloadShare is the share of the time to its deadline that a request may
+	// be expected to wait in an overload.
+	overloadShare = 0.25
+	// holderPatience is how long an item waits for a server that holds its
+	// prefix, and patienceShare the most of its time to the deadline.
+	holderPatience = 2 * clocker.Second
+	patienceShare  = 0.125
 	// quantileStep is the largest relative step of a quantile's estimate.
 	quantileStep = 0.05
 	// lookAhead is how many items a free slot may be offered to.
@@ -33,11 +42,6 @@
 	minRetryAfter = 100 * clocker.Millis(1)
 )
 
-var (
-	highShare     = 0.9
-	overloadShare = 0.25
-)
-
 // GateConfig is what a Gate is built from.
 type GateConfig struct {
 	AvailabilityZone string
@@ -249,6 +253,9 @@
 		if q.tooLate(now, r) {
 			return refuseItem(q, item, picker.ReasonDeadline), true
 		}
+		if now-item.EnqueuedAt < patience(item) && g.picker.HasHolder(now, r, g.leaving(now)) {
+			continue
+		}
 		if choice, ok := g.picker.Pick(now, r, g.leaving(now)); ok {
 			return g.serveItem(now, q, item, choice), true
 		}
@@ -256,6 +263,15 @@
 	return Ended{}, false
 }
 
+// patience is how long an item waits for a server that holds its prefix.
+func patience(item *Item) clocker.Millis {
+	if item.Request.Deadline <= 0 {
+		return holderPatience
+	}
+	left := float64(item.Request.Deadline - item.EnqueuedAt)
+	return min(holderPatience, clocker.Millis(patienceShare*left))
+}
+
 func (g *Gate) serveItem(now clocker.Millis, q *serviceQueue, item *Item, choice picker.Choice) Ended {
 	q.Served(item)
 	q.learnWait(now, item)
--- a/picker/choose.go
+++ b/picker/choose.go
@@ -50,6 +50,7 @@
 	server   *server
 	load     float64
 	capacity float64
+	slowness float64
 }
 
 // cost compares servers: the load with one more request per capacity.
@@ -81,7 +82,8 @@
 		}
 		v.live = true
 		ramp := s.ramp(now)
-		c := candidate{server: s, load: s.load(now), capacity: float64(s.slots) * ramp / s.slowness(now)}
+		c := candidate{server: s, load: s.load(now), slowness: s.slowness(now)}
+		c.capacity = float64(s.slots) * ramp / c.slowness
 		v.load += c.load
 		v.capacity += c.capacity
 		if s.hasSlot(now, ramp) {
@@ -143,7 +145,7 @@
 	for i := range v.candidates {
 		c := &v.candidates[i]
 		bound := max(affinityFloor*c.capacity, math.Ceil(loadFactor*mean*c.capacity))
-		if c.load+1 > bound || !c.server.zone.open(now) {
+		if c.load+1 > bound || c.slowness >= verySlow || !c.server.zone.open(now) {
 			continue
 		}
 		if entry.holds(now, c.server) && (holder == nil || c.cost() < holder.cost()) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -49,10 +49,8 @@
 type pool struct {
 	own    []*server
 	others []*server
-	// pace and duration of whole answers, smoothed over the pool, in
-	// milliseconds per token and milliseconds.
-	pace     float64
-	duration float64
+	// pace of whole answers, smoothed over the pool, in milliseconds per token.
+	pace float64
 	// failShare is the smoothed share of failures.
 	failShare float64
 }
@@ -195,21 +193,10 @@
 // PickHolder takes a slot of a backend server that probably holds the prefix of
 // r in its cache, or returns false if none of those has a free one.
 func (p *Picker) PickHolder(now clocker.Millis, r Request, leaving func(string) bool) (Choice, bool) {
-	entry := p.hints.entries[r.Prefix]
-	found := p.poolOf(r)
-	if entry == nil || found == nil {
-		return Choice{}, false
-	}
-	q := query{r, leaving, ease{}}
+	q := &query{r, leaving, ease{}}
 	var best *server
-	for i, s := range entry.holders {
-		if s == nil || now >= entry.until[i] || s.home != found {
-			continue
-		}
-		if !s.zone.own && (len(found.own) >= p.span || !s.zone.open(now)) {
-			continue
-		}
-		if !q.allows(now, s) || !s.hasSlot(now, s.ramp(now)) {
+	for _, s := range p.holders(now, p.poolOf(r), r.Prefix) {
+		if s == nil || !q.allows(now, s) || !s.hasSlot(now, s.ramp(now)) {
 			continue
 		}
 		if best == nil || s.load(now) < best.load(now) {
@@ -222,6 +209,39 @@
 	return p.take(now, best, r), true
 }
 
+// HasHolder reports whether a backend server that is worth waiting for probably
+// holds the prefix of r in its cache.
+func (p *Picker) HasHolder(now clocker.Millis, r Request, leaving func(string) bool) bool {
+	found := p.poolOf(r)
+	q := &query{r, leaving, ease{}}
+	for _, s := range p.holders(now, found, r.Prefix) {
+		if s != nil && q.allows(now, s) && s.slowness(now) < slowRatio {
+			return true
+		}
+	}
+	return false
+}
+
+// holders returns the servers of a pool that probably hold a prefix and that
+// affinity may choose, with nil in between.
+func (p *Picker) holders(now clocker.Millis, found *pool, prefix uint64) [hintHolders]*server {
+	var holders [hintHolders]*server
+	entry := p.hints.entries[prefix]
+	if entry == nil || found == nil {
+		return holders
+	}
+	across := len(found.own) < p.span
+	for i, s := range entry.holders {
+		if s == nil || now >= entry.until[i] || s.home != found {
+			continue
+		}
+		if s.zone.own || across && s.zone.open(now) {
+			holders[i] = s
+		}
+	}
+	return holders
+}
+
 // pickZones looks at the own availability zone first, then at the others. It
 // also reports whether any server would do if it had a free slot.
 func (p *Picker) pickZones(now clocker.Millis, found *pool, q *query) (*server, bool) {
@@ -235,7 +255,7 @@
 
 func (p *Picker) take(now clocker.Millis, s *server, r Request) Choice {
 	probe := s.health.out
-	s.take(now)
+	s.take(now, r.Tokens)
 	if !p.hints.entries[r.Prefix].holds(now, s) {
 		s.prefill = s.prefilling(now) + 1
 		s.prefillAt = now
@@ -255,7 +275,7 @@
 	if s == nil || s.inFlight == 0 {
 		return
 	}
-	s.giveBack(now, c.TakenAt)
+	s.giveBack(now, c)
 	switch o {
 	case Succeeded:
 		s.answered(now, c)
@@ -272,6 +292,7 @@
 	case Refused:
 		s.refused(now)
 	case Left:
+		s.left(now, c)
 	}
 }
 
--- a/picker/server.go
+++ b/picker/server.go
@@ -22,8 +22,10 @@
 	prefillLife   = 200 * clocker.Millis(1)
 	// slowRatio is how much slower than its pool a server must be to count as slow.
 	slowRatio = 1.5
-	// stuckRatio is the same for the mean age of requests that are not answered yet.
+	// stuckRatio is the same for the age of requests that are not answered yet.
 	stuckRatio = 3
+	// verySlow is the slowness from which affinity shuns a server.
+	verySlow = 3
 	// maxSlowness bounds how much less work a slow server gets.
 	maxSlowness = 20
 	// paceLife is how long a slow server is remembered without a new sample.
@@ -48,9 +50,10 @@
 	limit int64
 
 	// inFlight is how many slots this router has taken, takenSum the sum of the
-	// times when it took them.
+	// times when it took them, tokens the sum of their worst cases.
 	inFlight int64
 	takenSum clocker.Millis
+	tokens   int64
 	recent   history
 
 	// rampFrom is when the server arrived or came back; 0 if it needs no ramp.
@@ -97,15 +100,17 @@
 	return d.GetSlots()
 }
 
-func (s *server) take(now clocker.Millis) {
+func (s *server) take(now clocker.Millis, tokens int64) {
 	s.inFlight++
 	s.takenSum += now
+	s.tokens += tokens
 	s.recent.add(now, s.inFlight)
 }
 
-func (s *server) giveBack(now, takenAt clocker.Millis) {
+func (s *server) giveBack(now clocker.Millis, c Choice) {
 	s.inFlight--
-	s.takenSum -= takenAt
+	s.takenSum -= c.TakenAt
+	s.tokens -= c.Tokens
 	s.recent.add(now, s.inFlight)
 }
 
@@ -147,16 +152,17 @@
 
 // slowness is how many times slower than its pool the server is, 1 if it is not.
 func (s *server) slowness(now clocker.Millis) float64 {
+	if s.home.pace == 0 {
+		return 1
+	}
 	slowest := 1.0
-	if s.pace > 0 && s.home.pace > 0 {
-		rest := max(0, 1-float64(now-s.pacedAt)/float64(paceLife))
-		if ratio := s.pace / s.home.pace * rest; ratio > slowRatio {
-			slowest = ratio
-		}
+	rest := max(0, 1-float64(now-s.pacedAt)/float64(paceLife))
+	if ratio := s.pace / s.home.pace * rest; ratio > slowRatio {
+		slowest = ratio
 	}
-	if s.inFlight >= 2 && s.home.duration > 0 {
-		age := float64(now) - float64(s.takenSum)/float64(s.inFlight)
-		if ratio := age / s.home.duration; ratio > stuckRatio {
+	if s.tokens > 0 {
+		age := float64(now)*float64(s.inFlight) - float64(s.takenSum)
+		if ratio := age / float64(s.tokens) / s.home.pace; ratio > stuckRatio {
 			slowest = max(slowest, ratio)
 		}
 	}
@@ -165,15 +171,28 @@
 
 // answered learns the pace of a whole answer.
 func (s *server) answered(now clocker.Millis, c Choice) {
-	duration := float64(now - c.TakenAt)
-	pace := duration / float64(max(1, c.Tokens))
+	pace := c.pace(now)
 	s.pace = smooth(s.pace, pace, paceShare)
 	s.pacedAt = now
 	s.home.pace = smooth(s.home.pace, pace, paceShare/4)
-	s.home.duration = smooth(s.home.duration, duration, paceShare/4)
 	s.refusals = 0
 }
 
+// left learns from an answer that was given up if it already was a slow one.
+func (s *server) left(now clocker.Millis, c Choice) {
+	pace := c.pace(now)
+	if s.home.pace > 0 && pace > slowRatio*s.home.pace && pace > s.pace {
+		s.pace = smooth(s.pace, pace, paceShare)
+		s.pacedAt = now
+	}
+}
+
+// pace is the time since the slot was taken per token of the worst case, in
+// milliseconds.
+func (c Choice) pace(now clocker.Millis) float64 {
+	return float64(now-c.TakenAt) / float64(max(1, c.Tokens))
+}
+
 // refused pauses the server after it said that it did not run a request.
 func (s *server) refused(now clocker.Millis) {
 	hold := min(maxRefusedHold, refusedHold<<min(s.refusals, 10))
