--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -259,6 +259,10 @@
 		if choice, ok := g.picker.Pick(now, r, g.leaving(now)); ok {
 			return g.serveItem(now, q, item, choice), true
 		}
+		if len(r.Avoid) == 0 {
+			// No server has a free slot, so the other items find none either.
+			break
+		}
 	}
 	return Ended{}, false
 }
