--- /dev/null
+++ b/claimer/claimer.go
@@ -0,0 +1,261 @@
+package claimer
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/storer"
+)
+
+const (
+	// MaxAnswerBytes bounds the body of one stored answer.
+	MaxAnswerBytes = 64 << 10
+	// maxTicketAnswerBytes bounds the bodies that are kept for tickets.
+	maxTicketAnswerBytes = 16 << 20
+	// maxOpen bounds the attempts whose last state is not yet durable.
+	maxOpen = 20_000
+	// maxTickets bounds the used tickets that are remembered.
+	maxTickets = 200_000
+	// defaultRetryEvery is the time between tries to write, in milliseconds.
+	defaultRetryEvery = 250 * clocker.Millis(1)
+	// defaultTicketLife is how long a ticket may be used, in milliseconds.
+	defaultTicketLife = 15 * clocker.Minute
+	// defaultRetention is how long stored answers are kept, in milliseconds.
+	defaultRetention = 24 * clocker.Hour
+	// secretBytes is the size of the key that signs tickets.
+	secretBytes = 32
+)
+
+// Store is the part of the Object API that claims need.
+type Store interface {
+	Get(ctx context.Context, key string) (storer.Object, error)
+	Create(ctx context.Context, key string, value []byte) (storer.Object, error)
+	Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error)
+	Delete(ctx context.Context, key string, version int64) error
+	List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error)
+}
+
+// Config configures a Claimer.
+type Config struct {
+	Incarnation string
+	Clock       *clocker.Clock
+	Store       Store
+	// Alive reports whether an incarnation still runs as far as is known. It
+	// chooses between verdicts that do not run the request, never more. Nil
+	// means that none is known.
+	Alive func(incarnation string) bool
+	// Retention returns how long stored answers are kept, in milliseconds;
+	// nil or 0 means a day.
+	Retention func() clocker.Millis
+	// RetryEvery, TicketLife and SweepEvery are in milliseconds; 0 means
+	// 250 ms, 15 minutes and one minute.
+	RetryEvery clocker.Millis
+	TicketLife clocker.Millis
+	SweepEvery clocker.Millis
+}
+
+// Claimer is the shell around the claims of one incarnation.
+type Claimer struct {
+	cfg    Config
+	cancel context.CancelFunc
+	duties errgroup.Group
+
+	judge func(View) (Finding, Decision)
+
+	mu       sync.Mutex
+	attempts *attempts
+	tickets  *tickets
+}
+
+// New returns a claimer that finishes its claims in the background until Close.
+func New(ctx context.Context, cfg Config) *Claimer {
+	if cfg.Alive == nil {
+		cfg.Alive = func(string) bool { return false }
+	}
+	if cfg.RetryEvery == 0 {
+		cfg.RetryEvery = defaultRetryEvery
+	}
+	if cfg.TicketLife == 0 {
+		cfg.TicketLife = defaultTicketLife
+	}
+	if cfg.SweepEvery == 0 {
+		cfg.SweepEvery = defaultSweepEvery
+	}
+	secret := make([]byte, secretBytes)
+	_, _ = rand.Read(secret)
+	ctx, cancel := context.WithCancel(ctx)
+	c := &Claimer{
+		cfg:      cfg,
+		cancel:   cancel,
+		judge:    Judge,
+		attempts: newAttempts(cfg.Incarnation, maxOpen),
+		tickets:  newTickets(cfg.Incarnation, secret, maxTickets),
+	}
+	c.duties.Go(func() error {
+		for ctx.Err() == nil {
+			c.writePending(ctx)
+			c.forget()
+			_ = cfg.Clock.Sleep(ctx, cfg.RetryEvery)
+		}
+		return nil
+	})
+	c.duties.Go(func() error {
+		for part := int(seed(cfg.Incarnation)); ctx.Err() == nil; part++ {
+			_ = cfg.Clock.Sleep(ctx, cfg.SweepEvery)
+			if ctx.Err() == nil {
+				c.sweep(ctx, part)
+			}
+		}
+		return nil
+	})
+	return c
+}
+
+// Close writes the record of tickets and the last states of claims that are
+// not yet durable. It returns an error that says what is left once ctx ends.
+func (c *Claimer) Close(ctx context.Context) error {
+	c.cancel()
+	_ = c.duties.Wait()
+	if err := c.writeRecord(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	for {
+		c.writePending(ctx)
+		left := c.unwritten()
+		if left == 0 {
+			return nil
+		}
+		if err := c.cfg.Clock.Sleep(ctx, c.cfg.RetryEvery); err != nil {
+			return trace.Wrap(err, "%d claims are not finished", left)
+		}
+	}
+}
+
+// IssueTicket returns an idempotency key that this incarnation alone runs, and
+// that needs no platform. It may be used for as long as the ticket life.
+func (c *Claimer) IssueTicket(clientAccount string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tickets.issue(clientAccount, c.cfg.Clock.Now(), c.cfg.TicketLife)
+}
+
+// Claim decides whether this process may run the request. It returns by the
+// request's deadline.
+func (c *Claimer) Claim(ctx context.Context, req Request) Decision {
+	d := c.claim(ctx, req)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_claims_total{verdict=%q}`, d.Verdict)).Inc()
+	return d
+}
+
+func (c *Claimer) claim(ctx context.Context, req Request) Decision {
+	if tk, ok := parseTicket(req.IdempotencyKey); ok {
+		return c.claimTicket(ctx, tk, req)
+	}
+	return c.claimKey(ctx, req)
+}
+
+// claimKey claims a key by a conditional write.
+func (c *Claimer) claimKey(ctx context.Context, req Request) Decision {
+	c.mu.Lock()
+	at, decision := c.attempts.begin(req, c.cfg.Clock.Now())
+	c.mu.Unlock()
+	if at == nil {
+		return decision
+	}
+	decision = c.acquire(ctx, at)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case decision.Verdict == Owned:
+		at.owned = true
+	case at.final == nil:
+		c.attempts.close(at)
+	}
+	return decision
+}
+
+// claimTicket lets the issuer of a ticket decide, and nobody else while it runs.
+func (c *Claimer) claimTicket(ctx context.Context, tk ticket, req Request) Decision {
+	if tk.incarnation == c.tickets.incarnation {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.tickets.open(tk, req, c.cfg.Clock.Now())
+	}
+	if c.cfg.Alive(tk.incarnation) {
+		return Decision{Verdict: Elsewhere, Incarnation: tk.incarnation}
+	}
+	return c.claimRecorded(ctx, tk, req)
+}
+
+// known reports whether the owner of a claim still runs as far as is known.
+func (c *Claimer) known(found *messenger.Claim) bool {
+	return found.Incarnation == c.cfg.Incarnation || c.cfg.Alive(found.Incarnation)
+}
+
+// acquire writes the claim of an attempt until the outcome is known or the
+// deadline passes. A claim that may still arrive is then abandoned: the attempt
+// stays open until a released state stands in its place.
+func (c *Claimer) acquire(ctx context.Context, at *attempt) Decision {
+	giveUp := Decision{Verdict: Undetermined}
+	version := int64(0)
+	written := false
+	for ctx.Err() == nil && c.cfg.Clock.Now() < at.deadline {
+		o, err := c.put(ctx, at.key, version, at.claim)
+		if err == nil {
+			at.version = o.Version
+			return Decision{Verdict: Owned, Claim: at.claim}
+		}
+		written = written || storer.IsErrOutcomeUnknown(err)
+		finding, o, decision := c.look(ctx, at)
+		switch finding {
+		case Own:
+			at.version = o.Version
+			return decision
+		case Taken:
+			return decision
+		case Free:
+			version = o.Version
+			giveUp.Verdict = Unreachable
+			if storer.IsErrConflict(err) {
+				continue
+			}
+		}
+		_ = c.cfg.Clock.Sleep(ctx, min(c.cfg.RetryEvery, max(1, at.deadline-c.cfg.Clock.Now())))
+	}
+	if written {
+		c.mu.Lock()
+		c.attempts.end(at, messenger.ClaimState_RELEASED, nil)
+		c.mu.Unlock()
+	}
+	return giveUp
+}
+
+// look reads what the platform holds for an attempt's key; the finding is 0 if
+// that is not known.
+func (c *Claimer) look(ctx context.Context, at *attempt) (Finding, storer.Object, Decision) {
+	o, found, err := c.get(ctx, at.key)
+	if storer.IsErrNotFound(err) {
+		return Free, storer.Object{}, Decision{}
+	}
+	if err != nil {
+		return 0, storer.Object{}, Decision{}
+	}
+	c.mu.Lock()
+	abandoned := c.attempts.abandoned(found)
+	c.mu.Unlock()
+	finding, decision := c.judge(View{
+		Wanted:     at.claim,
+		Found:      found,
+		OwnerKnown: c.known(found),
+		Abandoned:  abandoned,
+	})
+	return finding, o, decision
+}
