--- a/picker/choice.go
+++ b/picker/choice.go
@@ -51,6 +51,8 @@
 	FirstByteAt clocker.Millis
 	// Tokens is the worst case of the request, to compare service times by.
 	Tokens int64
+	// Prefix is that of the request.
+	Prefix uint64
 	// Probe is true if the backend server is on trial after an ejection.
 	Probe bool
 }
@@ -88,6 +90,8 @@
 	ReasonShed = "shed"
 	// ReasonDeadline: the deadline passed or cannot be met.
 	ReasonDeadline = "deadline"
+	// ReasonOverload: waits have been long for a while and this one would be.
+	ReasonOverload = "overload"
 	// ReasonCallerLeft: the caller left while the request waited.
 	ReasonCallerLeft = "caller_left"
 	// ReasonClosed: the balancer was closed.
