--- a/checker/check.go
+++ b/checker/check.go
@@ -65,6 +65,7 @@
 // Check verifies a history against every promise.
 func Check(h History) Verdict {
 	v := &Verdict{Requests: len(h.Requests)}
+	h.Budgets = mergeBudgets(h.Budgets)
 	countOutcomes(v, h)
 	j := join(h)
 	checkAnswers(v, h)
--- a/checker/spend.go
+++ b/checker/spend.go
@@ -43,6 +43,24 @@
 	return amounts[n-1].sum
 }
 
+// mergeBudgets makes one entry of those of a budget: what was granted before
+// the run and what the platform holds at the end may be recorded apart.
+func mergeBudgets(budgets []Budget) []Budget {
+	var merged []Budget
+	for _, b := range budgets {
+		i := slices.IndexFunc(merged, func(other Budget) bool { return other.Name == b.Name })
+		if i < 0 {
+			merged = append(merged, b)
+			continue
+		}
+		m := &merged[i]
+		m.Initial = max(m.Initial, b.Initial)
+		m.Granted = max(m.Granted, b.Granted)
+		m.Assigned = max(m.Assigned, b.Assigned)
+	}
+	return merged
+}
+
 func accounts(h History) map[string]*account {
 	found := map[string]*account{}
 	for _, b := range h.Budgets {
--- a/clocker/clock.go
+++ b/clocker/clock.go
@@ -63,6 +63,14 @@
 	return c.now
 }
 
+// Micros returns the present time in microseconds, for measurements only.
+func (c *Clock) Micros() int64 {
+	if c.started.IsZero() {
+		return int64(c.Now()) * 1000
+	}
+	return c.started.UnixMicro() + time.Since(c.started).Microseconds()
+}
+
 // Advance moves a manual clock by d and wakes the waiters that are due.
 func (c *Clock) Advance(d Millis) {
 	c.mu.Lock()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -130,6 +130,11 @@
 	}
 }
 
+// Faults returns the faults in force.
+func (e *Engine) Faults() faulter.Faults {
+	return e.faults.Faults()
+}
+
 func (e *Engine) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -210,7 +210,7 @@
 		for ; n < p.usage.CompletionTokens; n++ {
 			o.word(w, n)
 		}
-		if p.reason != "" {
+		if p.reason != "" && !o.truncate {
 			o.last(w, p)
 		}
 		if w.Flush() != nil {
