--- a/loader/platform.go
+++ b/loader/platform.go
@@ -32,7 +32,7 @@
 	}
 	store := storer.NewClient(storer.ClientConfig{
 		URL:            r.cfg.Plan.PlatformURL,
-		CallsPerSecond: collectCalls,
+		CallsPerSecond: func() int64 { return collectCalls },
 		Clock:          r.cfg.Clock,
 	})
 	if err := CollectBills(ctx, store, r.cfg.Recorder); err != nil {
