--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -35,7 +35,8 @@
 // Usage implements subcommands.Command.
 func (*serveCommand) Usage() string {
 	return `cowsliphinge serve -settings FILE
-  Runs a router until SIGTERM or SIGINT, then stops without cutting a request.
+  Runs a router until SIGTERM or SIGINT, or until a move in force says that the
+  host leaves, then stops without cutting a request.
   A second signal, or the stop bound of the policy, ends it with a report.
   Example: cowsliphinge serve -settings examples/kauri-lane/akl-a-1.json
   Exit codes: 0 clean stop, 1 failed or requests were cut, 2 usage, 3 findings.
@@ -59,7 +60,11 @@
 		fmt.Fprintln(os.Stderr, "cannot start:", err)
 		return subcommands.ExitFailure
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-r.Leaving():
+		log.Info("leaving by a move in force")
+	}
 	second, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	report := r.Drain(second)
--- a/loader/run.go
+++ b/loader/run.go
@@ -28,6 +28,9 @@
 	Clock *clocker.Clock
 	// Recorder gets the history; nil keeps it in memory only.
 	Recorder *checker.Recorder
+	// Route stands for the balancer before the hosts: it returns the address to
+	// use in place of the scheduled one; nil keeps that.
+	Route func(address string) string
 	// Progress gets a line a second; nil tells none.
 	Progress io.Writer
 }
@@ -146,6 +149,9 @@
 }
 
 func (r *runner) sendOne(a Arrival) {
+	if r.cfg.Route != nil {
+		a.Caller = r.cfg.Route(a.Caller)
+	}
 	request := r.caller.send(r.start, a)
 	r.measures.finish(request)
 	r.cfg.Recorder.Record(checker.Entry{Request: &request})
--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,8 @@
 	incarnation string
 	ready       atomic.Bool
 	started     atomic.Bool // the parts that beat asks are there
+	leaving     chan struct{}
+	cancel      context.CancelFunc
 	group       errgroup.Group
 
 	store       *storer.Client
@@ -88,13 +90,23 @@
 		_ = callers.Close()
 		return nil, trace.Wrap(err, "ExchangeAddress")
 	}
-	r := &Router{cfg: cfg, incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	ctx, cancel := context.WithCancel(ctx)
+	r := &Router{
+		cfg:         cfg,
+		incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now()),
+		leaving:     make(chan struct{}),
+		cancel:      cancel,
+	}
 	r.startClients(peerTLS)
 	r.startMembership(ctx)
 	r.startDeciders(ctx)
 	r.startListeners(listenerTLS, exchangeTLS)
 	r.group.Go(func() error { return r.server.Serve(peers) })
 	r.group.Go(func() error { return r.listener.Serve(callers) })
+	r.group.Go(func() error {
+		r.watchLeaving(ctx)
+		return nil
+	})
 	r.ready.Store(true)
 	cfg.Log.Info("started", "incarnation", r.incarnation, "callers", cfg.Settings.CallerAddress, "exchange", cfg.Settings.ExchangeAddress)
 	return r, nil
@@ -110,6 +122,21 @@
 	return r.ready.Load() && r.spreader.Load().Ready()
 }
 
+// Leaving is closed once a move in force says that this host is to drain.
+func (r *Router) Leaving() <-chan struct{} {
+	return r.leaving
+}
+
+// watchLeaving looks every second whether the host is to drain.
+func (r *Router) watchLeaving(ctx context.Context) {
+	for r.cfg.Clock.Sleep(ctx, clocker.Second) == nil {
+		if r.index().HostLeaving(r.cfg.Settings.Host, r.cfg.Clock.Now()) {
+			close(r.leaving)
+			return
+		}
+	}
+}
+
 // Wait returns once both listeners have ended, with the error of either.
 func (r *Router) Wait() error {
 	return trace.Wrap(r.group.Wait())
@@ -143,10 +170,12 @@
 // returned or written.
 func (r *Router) Kill() error {
 	r.ready.Store(false)
+	r.cancel()
 	return trace.NewAggregate(r.server.Close(), r.listener.Abort())
 }
 
 func (r *Router) closeConnections(context.Context) error {
+	r.cancel()
 	r.connector.CloseIdle()
 	r.exchange.Close()
 	return nil
--- a/standin/fleet/setup.go
+++ b/standin/fleet/setup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -27,6 +28,19 @@
 	return trace.Wrap(err)
 }
 
+// Listed returns the caller addresses of the hosts that are ready, as a
+// balancer before the hosts sees them.
+func (f *Fleet) Listed() []string {
+	var ready []string
+	for name, r := range f.Routers() {
+		if r.Ready() {
+			ready = append(ready, f.CallerAddress(name))
+		}
+	}
+	slices.Sort(ready)
+	return ready
+}
+
 // AwaitReady waits until all running routers have a configuration.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	return f.Await(ctx, func() bool {
