--- a/spreader/spread_test.go
+++ b/spreader/spread_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
 	"cowsliphinge/spreader"
 	"cowsliphinge/standin/platform"
 )
@@ -35,6 +39,12 @@
 		{name: "none"},
 		{name: "stalled watches", before: func(f *fleet) { f.store.SetFaults(platform.Faults{StallWatches: true}) }},
 		{name: "outage after accept", late: func(f *fleet) { f.store.SetFaults(platform.Faults{Outage: true}) }},
+		{
+			name:   "stalled watches and the applying host crashes",
+			before: func(f *fleet) { f.store.SetFaults(platform.Faults{StallWatches: true}) },
+			late:   func(f *fleet) { f.nodes[0].stop() },
+		},
+		{name: "the applying host crashes", late: func(f *fleet) { f.nodes[0].stop() }},
 		{name: "only the applying host reaches the platform", before: func(f *fleet) {
 			f.cutFromPlatform(true, func(n *node) bool { return n != f.nodes[0] })
 		}},
@@ -105,9 +115,13 @@
 
 				f.nodes[2].seeds = []string{"host-0"}
 				f.nodes[2].restart()
-				for !f.nodes[2].s.Ready() {
+				for range 5000 {
+					if f.nodes[2].s.Ready() {
+						break
+					}
 					_ = f.clock.Sleep(context.Background(), 1)
 				}
+				assert.Assert(t, f.nodes[2].s.Ready())
 				assert.Equal(t, f.nodes[2].s.Index().Version(), int64(2))
 			})
 		})
@@ -142,3 +156,41 @@
 		f.inForce(t, 100, boundMs, inZone("zone-2"))
 	})
 }
+
+// oldPeer answers every pull with an old version.
+type oldPeer struct {
+	reply *messenger.PullReply
+}
+
+func (p oldPeer) PullConfiguration(context.Context, string, *messenger.PullRequest) (*messenger.PullReply, error) {
+	return proto.CloneOf(p.reply), nil
+}
+
+func TestStaleSourcesNeverLowerTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		mustApply(t, f.nodes[0], 0, "mason")
+		old, err := f.store.Get(context.Background(), spreader.HeadKey)
+		assert.NilError(t, err)
+		reply, err := f.nodes[0].s.PullConfiguration(context.Background(), &messenger.PullRequest{})
+		assert.NilError(t, err)
+		mustApply(t, f.nodes[0], 1, "mason", "florist")
+
+		g := &gate{Store: f.store}
+		s := spreader.New(context.Background(), spreader.Config{
+			Host: "late", AvailabilityZone: "zone-0", Clock: f.clock, Store: g, Exchange: oldPeer{reply},
+			Seeds: []string{"old"}, Log: slog.New(slog.DiscardHandler),
+			Peers: func() []heartbeater.Peer {
+				return []heartbeater.Peer{{Host: "old", AvailabilityZone: "zone-1", ExchangeAddress: "old", LastHeard: 1, ConfigurationVersion: 3}}
+			},
+		})
+		defer func() { assert.NilError(t, s.Close(context.Background())) }()
+		_ = f.clock.Sleep(context.Background(), clocker.Second)
+		assert.Equal(t, s.Index().Version(), int64(2))
+		g.stale.Store(&old)
+		for range 1000 {
+			_ = f.clock.Sleep(context.Background(), 100)
+			assert.Equal(t, s.Index().Version(), int64(2))
+		}
+	})
+}
