--- a/spreader/spread_test.go
+++ b/spreader/spread_test.go
@@ -70,6 +70,8 @@
 				mustApply(t, f.nodes[0], 0, "mason")
 				f.inForce(t, 1, boundMs, everywhere)
 				f.change(fault.before)
+				// Not at an instant at which hosts pull.
+				_ = f.clock.Sleep(context.Background(), 7)
 				mustApply(t, f.nodes[0], 1, "mason", "florist")
 				f.change(fault.late)
 				reached := fault.reached
