--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -56,6 +56,8 @@
 	cut atomic.Bool
 	// onWrite runs before each write with its key.
 	onWrite func(key string)
+	// onDelete runs before each delete.
+	onDelete func(key string)
 	// stale answers reads of the head if set.
 	stale atomic.Pointer[storer.Object]
 }
@@ -102,8 +104,11 @@
 }
 
 func (g *gate) Delete(ctx context.Context, key string, version int64) error {
-	if err := g.write(key); err != nil {
-		return err
+	if g.cut.Load() {
+		return storer.ErrOutcomeUnknown{Key: key, Cause: "partition"}
+	}
+	if g.onDelete != nil {
+		g.onDelete(key)
 	}
 	return g.Store.Delete(ctx, key, version)
 }
--- a/spreader/publish.go
+++ b/spreader/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -125,7 +126,7 @@
 	if err != nil {
 		return nil, false, trace.Wrap(err)
 	}
-	version, wrote, err := s.replaceHead(ctx, nextHead(c, head, parts, s.cfg.Clock.Now()), objectVersion, parts)
+	version, wrote, err := s.replaceHead(ctx, head, nextHead(c, head, parts, s.cfg.Clock.Now()), objectVersion, parts)
 	reply.Version = version
 	return reply, wrote, err
 }
@@ -146,19 +147,20 @@
 	}
 }
 
-// replaceHead writes the parts that the present version lacks, then the head.
-func (s *Spreader) replaceHead(ctx context.Context, next *messenger.ConfigurationHead, objectVersion int64, parts []*messenger.ConfigurationPart) (int64, bool, error) {
-	present := s.now.Load().parts
+// replaceHead writes the parts that the present version lacks, then the head,
+// then deletes parts that are retired for long.
+func (s *Spreader) replaceHead(ctx context.Context, before, next *messenger.ConfigurationHead, objectVersion int64, parts []*messenger.ConfigurationPart) (int64, bool, error) {
 	byKey := make(map[string]*messenger.ConfigurationPart, len(parts))
 	for _, p := range parts {
 		byKey[p.Key] = p
-		if present[p.Key] != nil {
+		if slices.Contains(before.PartKeys, p.Key) {
 			continue
 		}
 		if err := s.writePart(ctx, p); err != nil {
 			return 0, false, trace.Wrap(err)
 		}
 	}
+	expired := s.takeExpired(ctx, next)
 	value, err := proto.Marshal(next)
 	if err != nil {
 		return 0, false, trace.Wrap(err)
@@ -167,19 +169,10 @@
 		return 0, true, trace.Wrap(err)
 	}
 	count("published", "self")
+	s.deleteExpired(ctx, expired)
 	return next.Version, true, s.adopt(next, byKey, "self")
 }
 
-func (s *Spreader) writePart(ctx context.Context, p *messenger.ConfigurationPart) error {
-	ctx, cancel := s.cfg.Clock.WithTimeout(ctx, callMs)
-	defer cancel()
-	_, err := s.cfg.Store.Create(ctx, p.Key, p.Value)
-	if storer.IsErrConflict(err) {
-		return nil
-	}
-	return err
-}
-
 func (s *Spreader) writeHead(ctx context.Context, objectVersion int64, value []byte) error {
 	ctx, cancel := s.cfg.Clock.WithTimeout(ctx, callMs)
 	defer cancel()
@@ -201,6 +194,7 @@
 	for _, p := range parts {
 		next.PartKeys = append(next.PartKeys, p.Key)
 	}
+	next.Retired = retire(before, next.PartKeys, now)
 	next.Outcomes = append(next.Outcomes, before.Outcomes...)
 	next.Outcomes = append(next.Outcomes, &messenger.OperationOutcome{OperationId: c.OperationID, Version: next.Version})
 	if extra := len(next.Outcomes) - maxOutcomes; extra > 0 {
--- a/spreader/publish_test.go
+++ b/spreader/publish_test.go
@@ -31,6 +31,15 @@
 	return head
 }
 
+// assertPartsKept checks that the platform holds each part that the head names.
+func assertPartsKept(t testing.TB, f *fleet) {
+	t.Helper()
+	for _, key := range headOf(t, f).PartKeys {
+		_, err := f.store.Get(context.Background(), key)
+		assert.NilError(t, err)
+	}
+}
+
 // publishFault is what happens at one write of an apply.
 type publishFault struct {
 	name string
@@ -113,6 +122,7 @@
 	}
 	f.store.ReleaseDelayed()
 	assert.Assert(t, proto.Equal(head, headOf(t, f)), "a late write changed the head")
+	assertPartsKept(t, f)
 	f.inForce(t, 2, boundMs, everywhere)
 	assert.Equal(t, len(f.nodes[0].s.Index().Configuration.Declarations.ClientAccounts), 2)
 }
@@ -238,3 +248,40 @@
 		assert.Equal(t, headOf(t, f).Version, int64(1))
 	})
 }
+
+func TestRetiredPartsAreDeletedAndMayComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		for version := range int64(100) {
+			mustApply(t, f.nodes[0], version, "mason", fmt.Sprintf("florist-%d", version%3))
+			_ = f.clock.Sleep(context.Background(), clocker.Millis(version%4)*5*clocker.Minute)
+			assertPartsKept(t, f)
+		}
+		for version := int64(100); version < 200; version++ {
+			mustApply(t, f.nodes[0], version, "mason", fmt.Sprintf("printer-%d", version))
+		}
+		objects, err := f.store.List(context.Background(), "config/part/", "", 1000)
+		assert.NilError(t, err)
+		assert.Assert(t, len(objects) <= 64+1, "%d parts are kept", len(objects))
+	})
+}
+
+// TestDeleteLosesToReuse lets one host fall asleep between its head and its
+// deletes while another host takes the expired part into use again.
+func TestDeleteLosesToReuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		mustApply(t, f.nodes[0], 0, "mason")
+		mustApply(t, f.nodes[0], 1, "florist")
+		_ = f.clock.Sleep(context.Background(), clocker.Hour)
+		slept := false
+		f.nodes[0].gate.onDelete = func(string) {
+			slept = true
+			mustApply(t, f.nodes[1], 3, "mason")
+		}
+		mustApply(t, f.nodes[0], 2, "printer")
+		assert.Assert(t, slept)
+		assert.Equal(t, headOf(t, f).Version, int64(4))
+		assertPartsKept(t, f)
+	})
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -32,6 +32,7 @@
 	Get(ctx context.Context, key string) (storer.Object, error)
 	Create(ctx context.Context, key string, value []byte) (storer.Object, error)
 	Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error)
+	Delete(ctx context.Context, key string, version int64) error
 	Watch(ctx context.Context, prefix string, since int64) ([]storer.Object, error)
 }
 
