Claim a keyed request before its budget is reserved

Now the claim goes first: a repeat of what ran is answered from the claim without budget, and what cannot be told is said so.

--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -13,13 +13,8 @@
 // RunApplication passes a call through to an application server.
 func (d *Dispatcher) RunApplication(ctx context.Context, call Call) (*Answer, *Refusal) {
 	d.cfg.Retrier.Attempted()
-	r, refusal := d.admit(ctx, call, call.Service.TokensPerCall)
-	if refusal != nil {
-		return nil, refusal
-	}
-	stored, refusal := r.makeClaim(ctx)
+	r, stored, refusal := d.admit(ctx, call, call.Service.TokensPerCall)
 	if stored != nil || refusal != nil {
-		r.end(0)
 		return stored, refusal
 	}
 	answer, refusal := r.application(ctx)
@@ -37,7 +32,7 @@
 // makeClaim claims a non-idempotent call with a key. It returns the answer of
 // an earlier run, or a refusal, or neither if the call may be dispatched.
 func (r *run) makeClaim(ctx context.Context) (*Answer, *Refusal) {
-	if r.call.Service.Idempotent || r.call.IdempotencyKey == "" {
+	if !r.call.needsClaim() {
 		return nil, nil
 	}
 	decision := r.d.cfg.Claimer.Claim(ctx, claimer.Request{
@@ -61,6 +56,8 @@
 		return r.forward(ctx, decision.Incarnation)
 	case claimer.Unreachable:
 		return nil, NewRefusal(CodeClaimUnreachable, id, true, "the key cannot be claimed at the moment")
+	case claimer.Undetermined:
+		return nil, NewRefusal(CodeClaimUnreachable, id, false, "whether an earlier request with this key ran cannot be told at the moment; repeat it with the same key")
 	default:
 		return nil, NewRefusal(CodeOutcomeUnknown, id, false, "the request with this key may have run and is not run again")
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -106,21 +106,45 @@
 	left        bool
 }
 
-// admit reserves the worst case of a call.
-func (d *Dispatcher) admit(ctx context.Context, call Call, tokens int64) (*run, *Refusal) {
+// admit claims a call if it needs a claim, and then reserves its worst case. It
+// returns the run, or the answer of an earlier run, or a refusal. The claim goes
+// first: a repeat of a request that ran needs no budget, and a refusal for want
+// of budget could not say "not run" of it.
+func (d *Dispatcher) admit(ctx context.Context, call Call, tokens int64) (*run, *Answer, *Refusal) {
 	if !d.enter() {
-		return nil, NewRefusal(CodeDraining, call.RequestID, true, "this host takes no new requests")
+		return nil, nil, NewRefusal(CodeDraining, call.RequestID, !call.needsClaim(), "this host takes no new requests")
 	}
 	r := &run{d: d, call: call}
-	patience := clocker.Millis(d.cfg.Index().Policy.PatienceMs)
-	deadline := min(call.Deadline, d.cfg.Clock.Now()+patience)
-	reservation, err := d.cfg.Reserver.Reserve(ctx, call.Account.Budget, tokens, deadline)
-	if err != nil {
+	stored, refusal := r.makeClaim(ctx)
+	if stored != nil || refusal != nil {
+		d.leave()
+		return nil, stored, refusal
+	}
+	if refusal := r.reserve(ctx, tokens); refusal != nil {
+		if r.claim != nil {
+			d.cfg.Claimer.Release(ctx, r.claim)
+		}
 		d.leave()
-		return nil, budgetRefusal(call, err)
+		return nil, nil, refusal
+	}
+	return r, nil, nil
+}
+
+// needsClaim reports whether the call may run only once under its key.
+func (c Call) needsClaim() bool {
+	return !c.Service.Idempotent && c.IdempotencyKey != ""
+}
+
+func (r *run) reserve(ctx context.Context, tokens int64) *Refusal {
+	cfg := r.d.cfg
+	patience := clocker.Millis(cfg.Index().Policy.PatienceMs)
+	deadline := min(r.call.Deadline, cfg.Clock.Now()+patience)
+	reservation, err := cfg.Reserver.Reserve(ctx, r.call.Account.Budget, tokens, deadline)
+	if err != nil {
+		return budgetRefusal(r.call, err)
 	}
 	r.reservation = reservation
-	return r, nil
+	return nil
 }
 
 func budgetRefusal(call Call, err error) *Refusal {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -50,15 +50,14 @@
 	if err != nil {
 		return nil, NewRefusal(CodeBadRequest, call.RequestID, true, err.Error())
 	}
-	r, refusal := d.admit(ctx, call, call.Completion.Bound())
+	r, stored, refusal := d.admit(ctx, call, call.Completion.Bound())
+	if stored != nil {
+		return nil, NewRefusal(CodeOutcomeUnknown, call.RequestID, false, "the request with this key ran; streams are not kept")
+	}
 	if refusal != nil {
 		return nil, refusal
 	}
 	s := &Stream{run: r, body: body, last: call.After}
-	if refusal := s.claimStream(ctx); refusal != nil {
-		s.end(0)
-		return nil, refusal
-	}
 	if refusal := s.open(ctx); refusal != nil {
 		return nil, s.abort(ctx, refusal)
 	}
@@ -71,18 +70,6 @@
 	return s, nil
 }
 
-// claimStream claims a completion of a service that is not idempotent.
-func (s *Stream) claimStream(ctx context.Context) *Refusal {
-	stored, refusal := s.makeClaim(ctx)
-	if refusal != nil {
-		return refusal
-	}
-	if stored != nil {
-		return NewRefusal(CodeOutcomeUnknown, s.call.RequestID, false, "the request with this key ran; streams are not kept")
-	}
-	return nil
-}
-
 // open hands the request to a model engine until one answers with a stream.
 func (s *Stream) open(ctx context.Context) *Refusal {
 	for {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -187,3 +187,17 @@
 		assert.Assert(t, bytes.Contains(content, []byte(want)), "%s: %s", body, content)
 	}
 }
+
+// TestRepeatNeedsNoBudget repeats an order that ran once its budget is spent.
+// A refusal for want of budget would say "not run" of work that ran.
+func TestRepeatNeedsNoBudget(t *testing.T) {
+	f := start(t, 5)
+	first := order(t, f, "host-a", "order-1")
+	assert.Equal(t, first.status, 200)
+	second := order(t, f, "host-b", "order-1")
+	assert.Equal(t, second.status, 200)
+	assert.Equal(t, second.text, first.text)
+	other := order(t, f, "host-b", "order-2")
+	assert.Assert(t, other.refusal != nil && other.refusal.NotRun)
+	assert.Equal(t, f.Applications["orders-1"].Runs()["order-2"], 0)
+}
