--- /dev/null
+++ b/listener/connections.go
@@ -0,0 +1,93 @@
+package listener
+
+import (
+	"errors"
+	"net"
+	"sync"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
+)
+
+// connections are a network listener and the connections of callers that it
+// accepted.
+type connections struct {
+	mu     sync.Mutex
+	inner  net.Listener
+	open   map[net.Conn]bool
+	closed bool
+}
+
+func newConnections() *connections {
+	return &connections{open: map[net.Conn]bool{}}
+}
+
+// listen returns a listener on whose connections each read and write has to
+// make progress.
+func (c *connections) listen(inner net.Listener, clock *clocker.Clock) net.Listener {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inner = inner
+	return progressListener{Listener: inner, clock: clock, conns: c}
+}
+
+// close closes the listener and breaks each open connection.
+func (c *connections) close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	var errs []error
+	if c.inner != nil {
+		errs = append(errs, c.inner.Close())
+	}
+	for conn := range c.open {
+		errs = append(errs, conn.Close())
+	}
+	clear(c.open)
+	return errors.Join(errs...)
+}
+
+func (c *connections) add(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		_ = conn.Close()
+		return
+	}
+	c.open[conn] = true
+}
+
+func (c *connections) remove(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
+type progressListener struct {
+	net.Listener
+	clock *clocker.Clock
+	conns *connections
+}
+
+// Accept returns the next connection.
+func (p progressListener) Accept() (net.Conn, error) {
+	conn, err := p.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	p.conns.add(conn)
+	return &callerConn{ProgressConn: connector.NewProgressConn(conn, p.clock, callerTimeout), inner: conn, conns: p.conns}, nil
+}
+
+// callerConn is an open connection of a caller.
+type callerConn struct {
+	*connector.ProgressConn
+	inner net.Conn
+	conns *connections
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.conns.remove(c.inner)
+	return c.ProgressConn.Close()
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
@@ -76,8 +75,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu    sync.Mutex
-	inner net.Listener
+	conns *connections
 }
 
 // New returns a Listener that does not listen yet.
@@ -88,7 +86,7 @@
 	if cfg.MaxConnections == 0 {
 		cfg.MaxConnections = 20000
 	}
-	l := &Listener{cfg: cfg}
+	l := &Listener{cfg: cfg, conns: newConnections()}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.server = &fasthttp.Server{
 		Handler:               l.handle,
@@ -107,10 +105,7 @@
 
 // Serve answers on l until Shutdown or Close.
 func (l *Listener) Serve(inner net.Listener) error {
-	l.mu.Lock()
-	l.inner = inner
-	l.mu.Unlock()
-	var wrapped net.Listener = progressListener{Listener: inner, clock: l.cfg.Clock}
+	wrapped := l.conns.listen(inner, l.cfg.Clock)
 	if l.cfg.TLS != nil {
 		wrapped = tls.NewListener(wrapped, l.cfg.TLS)
 	}
@@ -122,15 +117,11 @@
 	return trace.Wrap(l.server.ShutdownWithContext(ctx))
 }
 
-// Abort ends the Listener at once and makes requests in flight end early.
+// Abort ends the Listener at once, as a crash would: open connections break.
 func (l *Listener) Abort() error {
+	err := l.conns.close()
 	l.cancel()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.inner == nil {
-		return nil
-	}
-	return trace.Wrap(l.inner.Close())
+	return trace.Wrap(err)
 }
 
 func (l *Listener) handle(ctx *fasthttp.RequestCtx) {
@@ -268,21 +259,6 @@
 	refuse(ctx, dispatcher.NewRefusal(code, newID(), true, message))
 }
 
-type progressListener struct {
-	net.Listener
-	clock *clocker.Clock
-}
-
-// Accept returns the next connection, on which each read and write has to make
-// progress.
-func (p progressListener) Accept() (net.Conn, error) {
-	conn, err := p.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return connector.NewProgressConn(conn, p.clock, callerTimeout), nil
-}
-
 // silent drops the HTTP library's own log lines.
 type silent struct{}
 
