--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -10,8 +10,6 @@
 package allotter
 
 import (
-	"math"
-
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
@@ -27,39 +25,43 @@
 type Allotter struct {
 	cfg     Config
 	budgets map[string]*allotment
+	// all lists the budgets in the order of their first use.
+	all     []*allotment
 	slots   slots
 	closing bool
 
 	// version is the highest version of the shard's object that was seen.
 	version int64
+	// readAt is when the platform last told the content.
+	readAt clocker.Millis
 	// object is the content at version and is never changed in place.
 	object *messenger.BudgetShard
 	index  map[string]*messenger.Budget
 
-	// fault is a planted mistake; tests alone set it.
-	fault fault
+	// mistakes are planted by tests to show that the checks find them.
+	mistakes mistakes
 }
 
-// fault is a mistake that tests plant to show that the checks find it.
-type fault int
-
-const (
-	noFault fault = iota
-	raiseBeforeConfirm
-	reclaimByTimeOut
-	settleTwice
-	unknownIsSuccess
-	lowerAfterWrite
-)
+// mistakes that tests plant; none is made outside of them.
+type mistakes struct {
+	raiseBeforeConfirm bool
+	lowerAfterWrite    bool
+	unknownIsSuccess   bool
+	settleTwice        bool
+	// tamper changes the object before it is written.
+	tamper func(*messenger.BudgetShard)
+}
 
 // allotment is the state of one budget.
 type allotment struct {
 	name string
 	// limit is the most that may be put into use, as far as that is certain.
 	limit int64
-	// doubt is the least limit of writes that may still take effect.
-	doubt int64
-	// listed is true once an entry of this incarnation was seen or confirmed.
+	// base is the part of limit that another host folded into the charges.
+	base int64
+	// inDoubt is true while a write that names the budget may still take effect.
+	inDoubt bool
+	// listed is true while an entry of this incarnation is known to exist.
 	listed bool
 	// closeSent is true once a write that closes the entry was handed out.
 	closeSent bool
@@ -77,6 +79,8 @@
 	need int64
 	// lowered is when the limit was last lowered.
 	lowered clocker.Millis
+	// extended is when an extension ahead of demand was last planned.
+	extended clocker.Millis
 }
 
 // New returns an Allotter that holds nothing.
@@ -104,7 +108,7 @@
 // and the rest is free again. It returns false, and changes nothing, if the
 // reservation is not open.
 func (a *Allotter) Settle(name string, id, used int64, now clocker.Millis) bool {
-	tokens, ok := a.slots.close(id, a.fault == settleTwice)
+	tokens, ok := a.slots.close(id, a.mistakes.settleTwice)
 	if !ok {
 		return false
 	}
@@ -137,7 +141,7 @@
 // Held returns the tokens of all budgets that are held and not spent.
 func (a *Allotter) Held() int64 {
 	var sum int64
-	for _, b := range a.budgets {
+	for _, b := range a.all {
 		if !b.closed {
 			sum += max(0, b.headroom()) + b.reserved
 		}
@@ -148,7 +152,7 @@
 // Strand returns the tokens that arrived after their entry was closed.
 func (a *Allotter) Strand() int64 {
 	var sum int64
-	for _, b := range a.budgets {
+	for _, b := range a.all {
 		sum += b.stranded
 	}
 	return sum
@@ -157,8 +161,9 @@
 func (a *Allotter) allotment(name string) *allotment {
 	b, ok := a.budgets[name]
 	if !ok {
-		b = &allotment{name: name, doubt: math.MaxInt64}
+		b = &allotment{name: name}
 		a.budgets[name] = b
+		a.all = append(a.all, b)
 		a.adopt(b)
 	}
 	return b
@@ -171,8 +176,8 @@
 	return b.limit + b.received.sum - b.given.sum - b.spent - b.reserved
 }
 
-// charge is what the incarnation took out of the budget for good, open
-// reservations counted as used.
+// charge is what the incarnation took out of the budget for good beyond what
+// was folded already, open reservations counted as used.
 func (b *allotment) charge() int64 {
-	return max(0, b.spent+b.reserved+b.given.sum-b.received.sum)
+	return max(0, b.spent+b.reserved+b.given.sum-b.received.sum-b.base)
 }
--- a/allotter/demand.go
+++ b/allotter/demand.go
@@ -11,6 +11,8 @@
 	fastDemand = clocker.Minute
 	// slowDemand is the time constant that remembers a pausing demand.
 	slowDemand = clocker.Hour
+	// idleAfter is the time without a request after which none is expected.
+	idleAfter = 10 * clocker.Minute
 	// requestWeight is the share of the newest request in the mean size.
 	requestWeight = 0.1
 )
@@ -21,10 +23,12 @@
 	fast, slow float64
 	updated    clocker.Millis
 	size       float64
+	requested  clocker.Millis
 }
 
 // request observes the reservation of a request.
-func (d *demand) request(tokens int64, _ clocker.Millis) {
+func (d *demand) request(tokens int64, now clocker.Millis) {
+	d.requested = now
 	if d.size == 0 {
 		d.size = float64(tokens)
 		return
@@ -39,6 +43,14 @@
 	d.slow += float64(tokens) / float64(slowDemand)
 }
 
+// requests returns the tokens that n requests are expected to reserve.
+func (d *demand) requests(n float64, now clocker.Millis) float64 {
+	if now-d.requested > idleAfter {
+		return 0
+	}
+	return n * d.size
+}
+
 // rate returns tokens per millisecond.
 func (d *demand) rate(now clocker.Millis) float64 {
 	d.decay(now)
--- a/allotter/object.go
+++ b/allotter/object.go
@@ -7,6 +7,9 @@
 const (
 	// keptClosed is how many closed entries of a budget stay visible.
 	keptClosed = 8
+	// keptOpen is how many open entries of a budget are kept before those of
+	// incarnations that are not heard of are charged in full.
+	keptOpen = 64
 )
 
 // Assigned returns the sum of what all holders of a budget were given, closed
@@ -14,38 +17,50 @@
 func Assigned(b *messenger.Budget) int64 {
 	sum := b.GetFoldedCharge()
 	for _, h := range b.GetHolders() {
-		if h.Closed {
-			sum += h.Charge
-		} else {
-			sum += h.Limit
-		}
+		sum += taken(h)
 	}
 	return sum
 }
 
+func taken(h *messenger.Holder) int64 {
+	if h.Closed {
+		return h.Charge
+	}
+	return h.Limit
+}
+
 // Rest returns the tokens of a budget that no holder was given.
 func Rest(b *messenger.Budget) int64 {
 	return b.GetGranted() - Assigned(b)
 }
 
-// fold adds the charges of the oldest closed entries to FoldedCharge, so that
-// the object stays small.
-func fold(b *messenger.Budget) {
-	closed := 0
+// fold adds the oldest entries beyond the kept ones to FoldedCharge, so that the
+// object stays small: closed entries with their charge, open ones of
+// incarnations that are not heard of with their whole limit. An incarnation that
+// comes back may therefore still use what it held.
+func fold(b *messenger.Budget, live func(string) bool) {
+	closed, open := 0, 0
 	for _, h := range b.Holders {
 		if h.Closed {
 			closed++
+		} else {
+			open++
 		}
 	}
 	kept := b.Holders[:0]
 	for _, h := range b.Holders {
-		if h.Closed && closed > keptClosed {
+		switch {
+		case h.Closed && closed > keptClosed:
 			closed--
 			b.FoldedCharge += h.Charge
-			continue
+		case !h.Closed && open > keptOpen && live != nil && !live(h.Incarnation):
+			open--
+			b.FoldedCharge += h.Limit
+		default:
+			kept = append(kept, h)
 		}
-		kept = append(kept, h)
 	}
+	clear(b.Holders[len(kept):])
 	b.Holders = kept
 }
 
@@ -54,24 +69,43 @@
 	return a.index[name]
 }
 
+// Stranded returns the limits of open entries whose incarnation is not live.
+func Stranded(b *messenger.Budget, live func(string) bool) int64 {
+	var sum int64
+	for _, h := range b.GetHolders() {
+		if !h.Closed && !live(h.Incarnation) {
+			sum += h.Limit
+		}
+	}
+	return sum
+}
+
 // Report sums up a budget. An open entry counts as stranded unless its
 // incarnation is live.
-func Report(b *messenger.Budget, live map[string]bool) *messenger.BudgetReport {
+func Report(b *messenger.Budget, live func(string) bool) *messenger.BudgetReport {
 	report := &messenger.BudgetReport{
 		Budget:     b.Name,
 		Granted:    b.Granted,
 		Assigned:   Assigned(b),
 		Charged:    b.FoldedCharge,
 		Unassigned: Rest(b),
+		Stranded:   Stranded(b, live),
 		Holders:    b.Holders,
 	}
 	for _, h := range b.Holders {
-		switch {
-		case h.Closed:
+		if h.Closed {
 			report.Charged += h.Charge
-		case !live[h.Incarnation]:
-			report.Stranded += h.Limit
 		}
 	}
 	return report
 }
+
+// Stranded returns the limits of open entries of all known budgets whose
+// incarnation is not live.
+func (a *Allotter) Stranded(live func(string) bool) int64 {
+	var sum int64
+	for _, b := range a.object.GetBudgets() {
+		sum += Stranded(b, live)
+	}
+	return sum
+}
--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -1,14 +1,23 @@
 package allotter
 
 import (
-	"math"
-
 	"google.golang.org/protobuf/proto"
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
 
+// Circumstances are what a plan depends on.
+type Circumstances struct {
+	Now clocker.Millis
+	// Policy has its defaults filled in.
+	Policy *messenger.Policy
+	// Holder is true if this host keeps headroom ahead of demand at the platform.
+	Holder bool
+	// Live reports whether an incarnation was heard of lately.
+	Live func(incarnation string) bool
+}
+
 // Write is one conditional write of the shard's object.
 type Write struct {
 	// Version that the object must have; 0 creates it.
@@ -30,19 +39,24 @@
 	return a.version
 }
 
-// Merge takes in the object as read. Content older than what was seen is ignored.
-func (a *Allotter) Merge(version int64, object *messenger.BudgetShard) {
-	if version <= a.version {
-		return
+// Merge takes in the object as read at now; version 0 says that there is none.
+// Content older than what was seen is ignored.
+func (a *Allotter) Merge(version int64, object *messenger.BudgetShard, now clocker.Millis) {
+	if version >= a.version {
+		a.readAt = now
 	}
-	a.accept(version, object)
-	for _, b := range a.budgets {
-		a.adopt(b)
+	if version > a.version {
+		a.accept(version, object)
 	}
 }
 
+// ReadAt returns when the platform last told the content; 0 for never.
+func (a *Allotter) ReadAt() clocker.Millis {
+	return a.readAt
+}
+
 // accept replaces the known content. Writes on older versions can no longer
-// take effect, so none is in doubt.
+// take effect, so none is in doubt, and the own entries are as they stand there.
 func (a *Allotter) accept(version int64, object *messenger.BudgetShard) {
 	a.version = version
 	a.object = object
@@ -50,32 +64,32 @@
 	for _, b := range object.GetBudgets() {
 		a.index[b.Name] = b
 	}
-	for _, b := range a.budgets {
-		b.doubt = math.MaxInt64
+	for _, b := range a.all {
+		b.inDoubt = false
+		a.adopt(b)
 	}
 }
 
 // adopt takes over what the known content says of the own entry.
 func (a *Allotter) adopt(b *allotment) {
-	h := a.ownEntry(b.name)
+	h := holderOf(a.index[b.name], a.cfg.Incarnation)
 	switch {
 	case h == nil && b.closeSent:
 		b.closed = true // closed and folded, or never written
+	case h == nil && b.listed:
+		b.listed = false
+		b.base = b.limit // folded while open: all of it is charged
 	case h == nil:
-		b.limit = 0
+		b.limit = b.base
 	case h.Closed:
 		b.listed = true
 		b.closed = true
 	default:
 		b.listed = true
-		b.limit = min(h.Limit, b.doubt)
+		b.limit = b.base + h.Limit
 	}
 }
 
-func (a *Allotter) ownEntry(name string) *messenger.Holder {
-	return holderOf(a.index[name], a.cfg.Incarnation)
-}
-
 func holderOf(b *messenger.Budget, incarnation string) *messenger.Holder {
 	for _, h := range b.GetHolders() {
 		if h.Incarnation == incarnation {
@@ -85,46 +99,65 @@
 	return nil
 }
 
+// Due reports whether a plan or a question to peers is called for, as far as is
+// known without reading the object again.
+func (a *Allotter) Due(c Circumstances) bool {
+	for _, b := range a.all {
+		if b.need > 0 || b.ask(c) != nil {
+			return true
+		}
+		if _, ok := a.planEntry(a.index[b.name], b, c); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Plan returns the write that brings the own entries of all budgets to what the
 // policy wants, or false if none is due. Lowered limits are in force at once.
-// The caller tells the outcome by Confirm, Conflict or Unknown.
-func (a *Allotter) Plan(policy *messenger.Policy, now clocker.Millis) (Write, bool) {
+// The caller tells the outcome by Confirm, Conflict or Unknown, and reads the
+// object again before the next Plan.
+func (a *Allotter) Plan(c Circumstances) (Write, bool) {
 	var entries []entry
-	for name, b := range a.budgets {
-		e, ok := a.planEntry(a.index[name], b, policy, now)
-		if ok {
+	for _, b := range a.all {
+		if e, ok := a.planEntry(a.index[b.name], b, c); ok {
 			entries = append(entries, e)
 		}
 	}
 	if len(entries) == 0 {
 		return Write{}, false
 	}
-	return a.write(entries, now), true
+	return a.write(entries, c), true
 }
 
-func (a *Allotter) planEntry(object *messenger.Budget, b *allotment, policy *messenger.Policy, now clocker.Millis) (entry, bool) {
+func (a *Allotter) planEntry(object *messenger.Budget, b *allotment, c Circumstances) (entry, bool) {
 	if object == nil || b.closed {
 		return entry{}, false
 	}
 	if a.closing {
-		return entry{budget: b, closed: true}, b.listed || b.doubt != math.MaxInt64
+		return entry{budget: b, closed: true}, b.listed || b.inDoubt
 	}
-	written := a.ownEntry(b.name).GetLimit()
+	written := b.base + holderOf(object, a.cfg.Incarnation).GetLimit()
 	rest := max(0, Rest(object))
-	delta := b.change(policy, rest, now)
-	limit := min(max(b.limit+delta, 0), written+rest)
-	due := delta != 0 || b.doubt != math.MaxInt64
+	delta := b.change(c, rest)
+	limit := min(max(b.limit+delta, b.base), written+rest)
+	due := delta != 0 || b.inDoubt
 	return entry{budget: b, limit: limit}, due && limit != written
 }
 
-func (a *Allotter) write(entries []entry, now clocker.Millis) Write {
+func (a *Allotter) write(entries []entry, c Circumstances) Write {
 	value := proto.CloneOf(a.object)
 	byName := map[string]*messenger.Budget{}
 	for _, b := range value.Budgets {
 		byName[b.Name] = b
 	}
 	for _, e := range entries {
-		a.stage(e, byName[e.budget.name], now)
+		object := byName[e.budget.name]
+		a.stage(e, object, c.Now)
+		fold(object, c.Live)
+	}
+	if a.mistakes.tamper != nil {
+		a.mistakes.tamper(value)
 	}
 	return Write{Version: a.version, Value: value, entries: entries}
 }
@@ -138,19 +171,25 @@
 		object.Holders = append(object.Holders, h)
 	}
 	b := e.budget
+	b.inDoubt = true
 	if e.closed {
 		b.closeSent = true
 		h.Closed = true
 		h.Charge = b.charge()
-		fold(object)
+		h.Limit = 0
 		return
 	}
-	h.Limit = e.limit
-	b.doubt = min(b.doubt, e.limit)
-	if e.limit < b.limit {
+	h.Limit = e.limit - b.base
+	switch {
+	case e.limit > b.limit:
+		b.extended = now
+		if a.mistakes.raiseBeforeConfirm {
+			b.limit = e.limit
+		}
+	case !a.mistakes.lowerAfterWrite:
 		b.lowered = now
+		b.limit = e.limit
 	}
-	b.limit = min(b.limit, e.limit)
 }
 
 // Confirm tells that the write took effect as the given version.
@@ -159,18 +198,22 @@
 		return
 	}
 	a.accept(version, w.Value)
-	for _, e := range w.entries {
-		a.adopt(e.budget)
-	}
 }
 
-// Conflict tells that the write surely had no effect. The object has to be
-// read again before the next Plan.
+// Conflict tells that the write surely had no effect.
 func (a *Allotter) Conflict(Write) {}
 
-// Unknown tells that the write may have taken effect, or may do so later. The
-// object has to be read again before the next Plan.
-func (a *Allotter) Unknown(Write) {}
+// Unknown tells that the write may have taken effect, or may do so later. Limits
+// that it lowers stay lowered, and limits that it raises stay as they were,
+// until the object is read at a higher version.
+func (a *Allotter) Unknown(w Write) {
+	if !a.mistakes.unknownIsSuccess {
+		return
+	}
+	for _, e := range w.entries {
+		e.budget.limit = e.limit
+	}
+}
 
 // StartClosing stops reservations and gifts; from now on Plan closes all entries.
 func (a *Allotter) StartClosing() {
@@ -180,8 +223,8 @@
 // Closed reports whether no entry of this incarnation is open any more, as far
 // as is known.
 func (a *Allotter) Closed() bool {
-	for name, b := range a.budgets {
-		if a.index[name] != nil && !b.closed && (b.listed || b.doubt != math.MaxInt64) {
+	for _, b := range a.all {
+		if a.index[b.name] != nil && !b.closed && (b.listed || b.inDoubt) {
 			return false
 		}
 	}
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -8,39 +8,101 @@
 const (
 	// floorRequests is the least headroom ahead of demand, in requests.
 	floorRequests = 4
-	// returnPause is the least time between two returns of one budget.
-	returnPause = clocker.Minute
+	// changePause is the least time between two extensions ahead of demand, or
+	// between two returns, of one budget.
+	changePause = 5 * clocker.Second
 	// grantAhead is the demand that a host keeps which is no holder.
 	grantAhead = clocker.Second
+	// loanAhead is the demand that is asked for beyond what requests wait for.
+	loanAhead = 10 * clocker.Second
 )
 
-// target is the headroom that the policy wants, given the unassigned rest.
-func (b *allotment) target(policy *messenger.Policy, rest int64, now clocker.Millis) int64 {
-	ahead := float64(policy.HeadroomMs + policy.OfflineReserveMs)
-	wanted := max(b.demand.rate(now)*ahead, floorRequests*b.demand.size)
-	share := float64(policy.MaxShareOfRestMilli) / 1000
+// AddNeed tells that requests began to wait for tokens of a budget, or ended
+// their wait if negative.
+func (a *Allotter) AddNeed(name string, tokens int64) {
+	a.allotment(name).need += tokens
+}
+
+// Short returns how many tokens the waiting requests of a budget lack.
+func (a *Allotter) Short(name string) int64 {
+	b, ok := a.budgets[name]
+	if !ok || b.need == 0 {
+		return 0
+	}
+	return max(0, b.need-b.headroom())
+}
+
+// target is the headroom that the policy wants a holder to have, given the
+// unassigned rest: demand times the time ahead, at most a share of what is left.
+func (b *allotment) target(c Circumstances, rest int64) int64 {
+	ahead := clocker.Millis(c.Policy.HeadroomMs + c.Policy.OfflineReserveMs)
+	share := float64(c.Policy.MaxShareOfRestMilli) / 1000
 	bound := share * float64(rest+max(0, b.headroom()))
-	return int64(min(wanted, bound))
+	return min(b.ahead(ahead, c.Now), int64(bound))
+}
+
+// grantTarget is the headroom of a host that is no holder.
+func (b *allotment) grantTarget(now clocker.Millis) int64 {
+	return b.ahead(grantAhead, now)
+}
+
+// ahead is the expected demand of the given time, at least of a few requests.
+func (b *allotment) ahead(d, now clocker.Millis) int64 {
+	return int64(max(b.demand.rate(now)*float64(d), b.demand.requests(floorRequests, now)))
 }
 
 // change returns by how much the limit is to be raised, or lowered if negative.
-func (b *allotment) change(policy *messenger.Policy, rest int64, now clocker.Millis) int64 {
-	headroom := b.headroom() - b.need
-	target := b.target(policy, rest, now)
+// What waiting requests lack is not bounded by the policy's share.
+func (b *allotment) change(c Circumstances, rest int64) int64 {
+	var target int64
+	returnAbove := 2 * b.grantTarget(c.Now)
+	if c.Holder {
+		target = b.target(c, rest)
+		returnAbove = 2 * target
+	}
+	free := b.headroom() - b.need
 	switch {
-	case headroom < 0:
-		return min(target-headroom, max(rest, 0))
-	case headroom < target/2:
-		return min(target-headroom, max(rest, 0))
-	case headroom > 2*target && now-b.lowered >= returnPause:
-		return -(headroom - target)
+	case free < 0:
+		return min(target-free, rest)
+	case free < target/2 && c.Now-b.extended >= changePause:
+		return min(target-free, rest)
+	case free > returnAbove && c.Now-b.lowered >= changePause:
+		return -min(free-max(target, returnAbove/2), b.limit-b.base)
 	default:
 		return 0
 	}
 }
 
-// SetNeed tells how many tokens the waiting requests of a budget lack, on top
-// of the headroom.
-func (a *Allotter) SetNeed(name string, tokens int64) {
-	a.allotment(name).need = tokens
+// Asks returns what to ask peers for: what waiting requests lack and, for a host
+// that is no holder, its demand of the near future. With loan, only the former.
+func (a *Allotter) Asks(c Circumstances, loan bool) []*messenger.TransferAsk {
+	var asks []*messenger.TransferAsk
+	for _, b := range a.all {
+		ask := b.ask(c)
+		if ask == nil || loan && ask.Needed == 0 {
+			continue
+		}
+		if loan {
+			ask.Loan = true
+			ask.Tokens = ask.Needed + b.ahead(loanAhead, c.Now)
+		}
+		asks = append(asks, ask)
+	}
+	return asks
+}
+
+func (b *allotment) ask(c Circumstances) *messenger.TransferAsk {
+	if b.closeSent || b.closed {
+		return nil
+	}
+	free := b.headroom() - b.need
+	short := max(0, -free)
+	ahead := int64(0)
+	if target := b.grantTarget(c.Now); !c.Holder && free < target/2 {
+		ahead = target - max(0, free)
+	}
+	if short == 0 && ahead == 0 {
+		return nil
+	}
+	return &messenger.TransferAsk{Budget: b.name, Tokens: short + ahead, Needed: short}
 }
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -1,6 +1,9 @@
 package allotter
 
 import (
+	"maps"
+	"slices"
+
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
@@ -29,6 +32,9 @@
 // Repeats and reordered totals are harmless. It returns by how much the
 // allowance grew; what arrives after closing is counted as stranded.
 func (a *Allotter) Receive(from string, t *messenger.TransferTotal) int64 {
+	if from == a.cfg.Incarnation {
+		return 0
+	}
 	b := a.allotment(t.Budget)
 	if b.closeSent || b.closed {
 		b.stranded += max(0, t.Given-b.received.by[from])
@@ -56,7 +62,7 @@
 		b.given.raise(to, b.given.by[to]+amount)
 		b.demand.use(amount, now)
 	}
-	return &messenger.TransferTotal{Budget: ask.Budget, Given: b.given.by[to]}
+	return b.totalTo(to)
 }
 
 func (b *allotment) spare(ask *messenger.TransferAsk) int64 {
@@ -66,15 +72,56 @@
 	return needed + ahead
 }
 
-// GiveBack lowers the own allowance by what was received from another
-// incarnation and not used, beyond keep tokens of headroom, and returns the
-// totals to tell it.
-func (a *Allotter) GiveBack(to, name string, keep int64) *messenger.TransferTotal {
-	b := a.allotment(name)
-	owed := b.received.by[to] - b.given.by[to]
-	amount := min(owed, b.headroom()-keep)
-	if amount > 0 {
-		b.given.raise(to, b.given.by[to]+amount)
+// Return is a total that tells a peer of tokens given back.
+type Return struct {
+	To    string
+	Total *messenger.TransferTotal
+}
+
+// GiveBack lowers the own allowance by what was received from peers and is not
+// wanted here, if the peer is live: all that would be lost by closing, or beyond the near demand of a
+// host that is no holder. The caller tells the peers.
+func (a *Allotter) GiveBack(c Circumstances) []Return {
+	var returns []Return
+	for _, b := range a.all {
+		returns = append(returns, b.giveBack(b.surplus(c, a.closing), c.Live)...)
+	}
+	return returns
+}
+
+// surplus returns the tokens to give back.
+func (b *allotment) surplus(c Circumstances, closing bool) int64 {
+	fromPeers := b.received.sum - b.given.sum - b.spent - b.reserved + b.base
+	if closing {
+		return min(b.headroom(), fromPeers)
 	}
-	return &messenger.TransferTotal{Budget: name, Given: b.given.by[to]}
+	target := b.grantTarget(c.Now)
+	free := b.headroom() - b.need
+	if c.Holder || free <= 2*target {
+		return 0
+	}
+	return min(free-target, fromPeers)
+}
+
+func (b *allotment) giveBack(surplus int64, live func(string) bool) []Return {
+	var returns []Return
+	for _, from := range slices.Sorted(maps.Keys(b.received.by)) {
+		amount := min(surplus, b.received.by[from]-b.given.by[from])
+		if amount <= 0 || !live(from) {
+			continue
+		}
+		surplus -= amount
+		b.given.raise(from, b.given.by[from]+amount)
+		returns = append(returns, Return{To: from, Total: b.totalTo(from)})
+	}
+	return returns
+}
+
+// TotalTo returns the cumulative total of a budget given to an incarnation.
+func (a *Allotter) TotalTo(incarnation, name string) *messenger.TransferTotal {
+	return a.allotment(name).totalTo(incarnation)
+}
+
+func (b *allotment) totalTo(incarnation string) *messenger.TransferTotal {
+	return &messenger.TransferTotal{Budget: b.name, Given: b.given.by[incarnation]}
 }
--- /dev/null
+++ b/reserver/closing.go
@@ -0,0 +1,64 @@
+package reserver
+
+import (
+	"context"
+)
+
+// Close returns everything to the platform, closes the entries of this
+// incarnation, and ends the duties. Open reservations are charged in full. It
+// returns the error of ctx if that ended first; what was not returned then stays
+// charged.
+func (r *Reserver) Close(ctx context.Context) error {
+	if r.closing.Swap(true) {
+		return nil
+	}
+	err := r.closeShards(ctx)
+	r.stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = r.duties.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	return err
+}
+
+func (r *Reserver) closeShards(ctx context.Context) error {
+	shards := r.usedShards()
+	for _, s := range shards {
+		s.startClosing()
+	}
+	for _, s := range shards {
+		r.giveBack(ctx, s, r.look())
+	}
+	for _, s := range shards {
+		for !s.isClosed() {
+			if r.balance(ctx, s, r.look()).answered {
+				continue
+			}
+			if err := r.cfg.Clock.Sleep(ctx, ratePause); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// startClosing stops reservations and refuses the waiting requests.
+func (s *shard) startClosing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allotter.StartClosing()
+	s.dismiss(func(w *waiter) (grant, bool) {
+		return grant{err: refuse(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "closing")}, true
+	})
+}
+
+func (s *shard) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allotter.Closed()
+}
--- /dev/null
+++ b/reserver/inspect.go
@@ -0,0 +1,137 @@
+package reserver
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"cowsliphinge/allotter"
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+)
+
+// view is the fleet as seen at one moment.
+type view struct {
+	now    clocker.Millis
+	policy *messenger.Policy
+	peers  []heartbeater.Peer
+	// live are the incarnations that were heard of lately, this one included.
+	live map[string]bool
+	// zone are the hosts of the own availability zone that may hold budgets.
+	zone []string
+	// zoneHash changes with zone.
+	zoneHash uint64
+}
+
+// look returns the present view.
+func (r *Reserver) look() *view {
+	v := &view{
+		now:    r.cfg.Clock.Now(),
+		policy: r.cfg.Policy(),
+		live:   map[string]bool{r.cfg.Incarnation: true},
+		zone:   []string{r.cfg.Host},
+	}
+	for _, p := range r.cfg.Peers() {
+		if p.Suspect || p.Incarnation == "" || p.Incarnation == r.cfg.Incarnation {
+			continue
+		}
+		v.peers = append(v.peers, p)
+		v.live[p.Incarnation] = true
+		if p.AvailabilityZone == r.cfg.AvailabilityZone && !p.Draining {
+			v.zone = append(v.zone, p.Host)
+		}
+	}
+	for _, host := range v.zone {
+		v.zoneHash += xxhash.Sum64String(host)
+	}
+	return v
+}
+
+func (v *view) isLive(incarnation string) bool {
+	return v.live[incarnation]
+}
+
+// holdersOf returns the hosts of the own availability zone that hold the shard.
+func (v *view) holdersOf(s *shard) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holders == nil || s.holdersView != v.zoneHash {
+		s.holders = allotter.Holders(s.number, v.zone)
+		s.holdersView = v.zoneHash
+	}
+	return s.holders
+}
+
+func (r *Reserver) holds(s *shard, v *view) bool {
+	for _, host := range v.holdersOf(s) {
+		if host == r.cfg.Host {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Reserver) circumstances(s *shard, v *view) allotter.Circumstances {
+	return allotter.Circumstances{
+		Now:    r.cfg.Clock.Now(),
+		Policy: v.policy,
+		Holder: r.holds(s, v),
+		Live:   v.isLive,
+	}
+}
+
+// inspect looks at requests that wait at every tick, and at all budgets in use
+// every inspectPause.
+func (r *Reserver) inspect(ctx context.Context) {
+	var inspected, synced clocker.Millis
+	for r.cfg.Clock.Sleep(ctx, tickPause) == nil {
+		now := r.cfg.Clock.Now()
+		r.inspectWaiting(now)
+		if now-inspected >= inspectPause {
+			inspected = now
+			r.inspectAll()
+		}
+		if now-synced >= syncPause {
+			synced = now
+			r.syncDoubts(ctx)
+		}
+	}
+}
+
+func (r *Reserver) inspectWaiting(now clocker.Millis) {
+	for _, s := range r.usedShards() {
+		s.mu.Lock()
+		due := len(s.waiters) > 0 && now >= s.again
+		s.mu.Unlock()
+		if due {
+			r.wantRefill(s)
+		}
+	}
+}
+
+// inspectAll queues the shards whose budgets are not as the policy wants, and
+// sets the gauges.
+func (r *Reserver) inspectAll() {
+	v := r.look()
+	var held, stranded int64
+	for _, s := range r.usedShards() {
+		c := r.circumstances(s, v)
+		s.mu.Lock()
+		due := s.allotter.Due(c)
+		held += s.allotter.Held()
+		stranded += s.allotter.Stranded(v.isLive)
+		s.mu.Unlock()
+		if due {
+			r.wantRefill(s)
+		}
+	}
+	r.gauge("held").Set(float64(held))
+	r.gauge("stranded").Set(float64(stranded))
+}
+
+func (r *Reserver) gauge(name string) *metrics.Gauge {
+	return metrics.GetOrCreateGauge(fmt.Sprintf(`cowsliphinge_budget_%s_tokens{host=%q}`, name, r.cfg.Host), nil)
+}
--- a/reserver/operators.go
+++ b/reserver/operators.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
-	"math"
+	"crypto/sha256"
+	"encoding/hex"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	"cowsliphinge/allotter"
 	"cowsliphinge/messenger"
 	"cowsliphinge/storer"
 )
 
-// topUpAttempts bounds the tries of one top-up.
-const topUpAttempts = 32
+// topUpRetries bounds the tries of one top-up after calls without an answer.
+const topUpRetries = 3
+
+var topUpConflicts = metrics.NewCounter("cowsliphinge_budget_topup_conflicts_total")
 
 // TopUp adds tokens to a budget, once per operation ID however often it is
 // called and wherever. An error means that the outcome is unknown or that
@@ -21,7 +26,7 @@
 	if request.OperationId == "" || request.Budget == "" {
 		return nil, trace.BadParameter("OperationId and Budget are required")
 	}
-	if request.Tokens <= 0 || request.Tokens > math.MaxInt64/4 {
+	if request.Tokens <= 0 || request.Tokens > allotter.MaxGranted {
 		return nil, trace.BadParameter("Tokens is out of range")
 	}
 	s := r.shard(request.Budget)
@@ -29,21 +34,25 @@
 		return nil, trace.Wrap(ctx.Err())
 	}
 	defer s.release()
-	err := trace.Errorf("not tried")
-	for range topUpAttempts {
-		var reply *messenger.TopUpReply
-		reply, err = r.tryTopUp(ctx, s, request)
-		if err == nil {
+	unanswered := 0
+	for {
+		reply, err := r.tryTopUp(ctx, s, request)
+		switch {
+		case err == nil:
 			return reply, nil
+		case storer.IsErrConflict(err):
+			topUpConflicts.Inc()
+		case storer.IsErrRateLimited(err):
+			_ = r.cfg.Clock.Sleep(ctx, ratePause)
+		case storer.IsErrOutcomeUnknown(err) && unanswered < topUpRetries:
+			unanswered++
+		default:
+			return nil, trace.Wrap(err)
 		}
-		if storer.IsErrRateLimited(err) {
-			err = r.cfg.Clock.Sleep(ctx, ratePause)
-		}
-		if ctx.Err() != nil || !storer.IsErrConflict(err) && !storer.IsErrOutcomeUnknown(err) {
-			break
+		if ctx.Err() != nil {
+			return nil, trace.Wrap(err)
 		}
 	}
-	return nil, trace.Wrap(err)
 }
 
 func (r *Reserver) tryTopUp(ctx context.Context, s *shard, request *messenger.TopUpRequest) (*messenger.TopUpReply, error) {
@@ -51,12 +60,59 @@
 		return nil, err
 	}
 	s.mu.Lock()
-	w, reply := s.allotter.PlanTopUp(request, r.cfg.Clock.Now())
+	plan := s.allotter.PlanTopUp(request, r.cfg.Clock.Now())
 	s.mu.Unlock()
-	if reply.Repeated {
-		return reply, nil
+	if plan.Reply.Repeated {
+		return plan.Reply, nil
+	}
+	if plan.Reply.Granted > allotter.MaxGranted {
+		return nil, trace.LimitExceeded("budget %s would be granted too much", request.Budget)
+	}
+	if plan.MayBeForgotten {
+		remembered, err := r.remembered(ctx, s, request)
+		if err != nil || remembered != nil {
+			return remembered, err
+		}
+	}
+	for _, record := range plan.Forgotten {
+		if err := r.remember(ctx, request.Budget, record); err != nil {
+			return nil, err
+		}
 	}
-	return reply, r.write(ctx, s, w)
+	return plan.Reply, r.write(ctx, s, plan.Write)
+}
+
+// remembered returns the reply to a repeat of an operation that the budget's
+// object does not list any more, or nil.
+func (r *Reserver) remembered(ctx context.Context, s *shard, request *messenger.TopUpRequest) (*messenger.TopUpReply, error) {
+	_, err := r.cfg.Store.Get(ctx, topUpKey(request.Budget, request.OperationId))
+	if storer.IsErrNotFound(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &messenger.TopUpReply{Granted: s.allotter.Object(request.Budget).GetGranted(), Repeated: true}, nil
+}
+
+// remember writes an object of its own for a counted operation.
+func (r *Reserver) remember(ctx context.Context, budget string, record *messenger.TopUpRecord) error {
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return err
+	}
+	_, err = r.cfg.Store.Create(ctx, topUpKey(budget, record.OperationId), value)
+	if storer.IsErrConflict(err) {
+		return nil
+	}
+	return err
+}
+
+func topUpKey(budget, operation string) string {
+	sum := sha256.Sum256([]byte(budget + "\x00" + operation))
+	return "topup/" + hex.EncodeToString(sum[:])
 }
 
 // Report returns a budget as the platform holds it.
@@ -65,25 +121,12 @@
 	if err := r.read(ctx, s); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	v := r.look()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	object := s.allotter.Object(budget)
-	s.mu.Unlock()
 	if object == nil {
 		return nil, trace.NotFound("budget %s does not exist", budget)
 	}
-	return allotter.Report(object, r.live()), nil
-}
-
-// live returns the incarnations that were heard of lately, this one included.
-func (r *Reserver) live() map[string]bool {
-	live := map[string]bool{r.cfg.Incarnation: true}
-	if r.cfg.Peers == nil {
-		return live
-	}
-	for _, p := range r.cfg.Peers() {
-		if !p.Suspect {
-			live[p.Incarnation] = true
-		}
-	}
-	return live
+	return allotter.Report(object, v.isLive), nil
 }
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
@@ -17,47 +18,95 @@
 	writeAttempts = 6
 	// ratePause is the wait after a call that the rate bound held back.
 	ratePause = 50 * clocker.Millis(1)
+	// probePause is the time between two calls to a platform that left the last
+	// one unanswered.
+	probePause = clocker.Second
 )
 
 var (
-	extensions      = metrics.NewCounter("cowsliphinge_budget_writes_total")
+	writes          = metrics.NewCounter("cowsliphinge_budget_writes_total")
 	writeConflicts  = metrics.NewCounter("cowsliphinge_budget_write_conflicts_total")
 	unknownOutcomes = metrics.NewCounter("cowsliphinge_budget_unknown_outcomes_total")
+	callsSkipped    = metrics.NewCounter("cowsliphinge_budget_platform_skipped_total")
 )
 
-// balance brings the own entries of a shard to what the policy wants. It
-// returns true if the platform answered and its last word was taken in.
-func (r *Reserver) balance(ctx context.Context, s *shard) bool {
-	if !s.take(ctx) {
+// health remembers whether the platform answers, so that requests do not each
+// wait for a platform that is down.
+type health struct {
+	mu     sync.Mutex
+	failed bool
+	probed clocker.Millis
+}
+
+// mayCall reports whether a call is worth its wait now.
+func (h *health) mayCall(now clocker.Millis) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failed && now-h.probed < probePause {
+		callsSkipped.Inc()
 		return false
 	}
+	h.probed = now
+	return true
+}
+
+// note takes in how a read ended. A rate bound tells nothing.
+func (h *health) note(err error) {
+	if storer.IsErrRateLimited(err) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed = storer.IsErrOutcomeUnknown(err)
+}
+
+// isFailed reports whether the last call was left unanswered.
+func (h *health) isFailed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed
+}
+
+// balanced tells how far balance came.
+type balanced struct {
+	answered  bool
+	contended bool
+}
+
+// balance brings the own entries of a shard to what the policy wants, in one
+// write for all its budgets.
+func (r *Reserver) balance(ctx context.Context, s *shard, v *view) balanced {
+	if !r.platform.mayCall(r.cfg.Clock.Now()) || !s.take(ctx) {
+		return balanced{}
+	}
 	defer s.release()
 	for range writeAttempts {
 		if err := r.read(ctx, s); err != nil {
-			return false
+			return balanced{contended: storer.IsErrRateLimited(err)}
 		}
-		w, due := s.plan(r.cfg.Policy(), r.cfg.Clock.Now())
+		w, due := s.plan(r.circumstances(s, v))
 		if !due {
-			return true
+			return balanced{answered: true}
 		}
 		err := r.write(ctx, s, w)
 		if err == nil {
-			return true
+			return balanced{answered: true}
+		}
+		if storer.IsErrRateLimited(err) {
+			break
 		}
 		if !storer.IsErrConflict(err) && !storer.IsErrOutcomeUnknown(err) {
-			return false
+			return balanced{}
 		}
 	}
-	return false
+	return balanced{contended: true}
 }
 
 // read takes in the shard's object; a missing one is empty.
 func (r *Reserver) read(ctx context.Context, s *shard) error {
 	o, err := r.cfg.Store.Get(ctx, s.key)
-	if storer.IsErrNotFound(err) {
-		return nil
-	}
-	if err != nil {
+	r.platform.note(err)
+	if err != nil && !storer.IsErrNotFound(err) {
 		return err
 	}
 	object := &messenger.BudgetShard{}
@@ -66,8 +115,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.allotter.Merge(o.Version, object)
-	s.wake(r.cfg.Clock.Now())
+	now := r.cfg.Clock.Now()
+	s.allotter.Merge(o.Version, object, now)
+	s.wake(now)
 	return nil
 }
 
@@ -87,7 +137,8 @@
 	defer s.mu.Unlock()
 	switch {
 	case err == nil:
-		extensions.Inc()
+		writes.Inc()
+		clear(s.verdicts)
 		s.allotter.Confirm(w, o.Version)
 		s.wake(r.cfg.Clock.Now())
 	case storer.IsErrOutcomeUnknown(err):
@@ -100,10 +151,10 @@
 	return err
 }
 
-func (s *shard) plan(policy *messenger.Policy, now clocker.Millis) (allotter.Write, bool) {
+func (s *shard) plan(c allotter.Circumstances) (allotter.Write, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.allotter.Plan(policy, now)
+	return s.allotter.Plan(c)
 }
 
 // take waits for the shard's turn at the platform.
@@ -119,29 +170,3 @@
 func (s *shard) release() {
 	<-s.turn
 }
-
-// closeShards closes the entries of all shards.
-func (r *Reserver) closeShards(ctx context.Context) error {
-	for _, s := range r.usedShards() {
-		s.mu.Lock()
-		s.allotter.StartClosing()
-		s.mu.Unlock()
-	}
-	for _, s := range r.usedShards() {
-		for !s.isClosed() {
-			if r.balance(ctx, s) {
-				continue
-			}
-			if err := r.cfg.Clock.Sleep(ctx, ratePause); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func (s *shard) isClosed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.allotter.Closed()
-}
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -3,11 +3,71 @@
 import (
 	"context"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowsliphinge/clocker"
 )
 
-// retryPause is the time between two refills for requests that keep waiting.
-const retryPause = 100 * clocker.Millis(1)
+const (
+	// retryPause is the first pause between refills for requests that keep
+	// waiting; it doubles up to maxRetryPause.
+	retryPause    = 100 * clocker.Millis(1)
+	maxRetryPause = clocker.Second
+	// verdictAge is how long a refusal's reason holds for the next requests.
+	verdictAge = clocker.Second
+)
+
+// verdict is why requests of a budget were refused.
+type verdict struct {
+	at     clocker.Millis
+	tokens int64
+	// answered is true if the platform itself said that nothing is left.
+	answered bool
+}
+
+// round is the progress of one refill.
+type round struct {
+	// answered is true once the platform's last word was taken in.
+	answered bool
+	// contended is true if the platform was reached, but calls were held back by
+	// a rate bound or met conflicts.
+	contended bool
+	// exhausted are budgets of which a holder knows from the platform that
+	// nothing is left.
+	exhausted map[string]bool
+	// busy are budgets of which requests in flight at peers may free tokens.
+	busy map[string]bool
+}
+
+func refuse(err error, reason string) error {
+	metrics.GetOrCreateCounter(`cowsliphinge_budget_refusals_total{reason="` + reason + `"}`).Inc()
+	return err
+}
+
+func (v verdict) err(budget string, tokens int64) error {
+	if v.answered {
+		return refuse(ErrBudgetExhausted{Budget: budget, Tokens: tokens}, "exhausted")
+	}
+	return refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "unreachable")
+}
+
+// refuseAtOnce returns an error if waiting cannot help a request.
+func (r *Reserver) refuseAtOnce(s *shard, budget string, tokens int64, left clocker.Millis) error {
+	if r.closing.Load() {
+		return refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "closing")
+	}
+	if left <= 0 {
+		return refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "late")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.verdicts[budget]
+	fresh := ok && r.cfg.Clock.Now()-v.at < verdictAge
+	if fresh && tokens >= v.tokens && s.allotter.Reserved(budget) == 0 {
+		return v.err(budget, tokens)
+	}
+	return nil
+}
 
 // await waits for headroom.
 func (r *Reserver) await(ctx context.Context, s *shard, budget string, tokens int64, deadline clocker.Millis) (Reservation, error) {
@@ -17,19 +77,27 @@
 	patience := min(deadline-r.cfg.Clock.Now(), clocker.Millis(r.cfg.Policy().PatienceMs))
 	ctx, cancel := r.cfg.Clock.WithTimeout(ctx, patience)
 	defer cancel()
-	var g grant
 	select {
-	case g = <-w.done:
+	case g := <-w.done:
+		return g.reservation(w)
 	case <-ctx.Done():
-		var ok bool
-		if g, ok = s.leave(w); !ok {
-			return Reservation{}, refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "patience")
-		}
+		return s.giveUp(w)
+	}
+}
+
+// giveUp ends the wait of a request whose patience is over.
+func (s *shard) giveUp(w *waiter) (Reservation, error) {
+	if g, ok := s.leave(w); ok {
+		return g.reservation(w)
 	}
+	return Reservation{}, refuse(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "patience")
+}
+
+func (g grant) reservation(w *waiter) (Reservation, error) {
 	if g.err != nil {
 		return Reservation{}, g.err
 	}
-	return Reservation{Budget: budget, Tokens: tokens, ID: g.id}, nil
+	return Reservation{Budget: w.budget, Tokens: w.tokens, ID: g.id}, nil
 }
 
 // wantRefill queues the shard for a refill.
@@ -52,11 +120,23 @@
 	}
 }
 
-// refill gets headroom for the budgets of a shard that lack it.
+// refill gets headroom for the budgets of a shard that lack it: from the holders
+// of the own availability zone, from the platform, then as a loan from peers.
+// While the platform does not answer, peers are asked first.
 func (r *Reserver) refill(ctx context.Context, s *shard) {
 	s.startRefill()
-	reached := r.balance(ctx, s)
-	s.endRefill(reached)
+	v := r.look()
+	rd := round{exhausted: map[string]bool{}, busy: map[string]bool{}}
+	r.askHolders(ctx, s, v, &rd)
+	if r.platform.isFailed() {
+		r.askForLoans(ctx, s, v, &rd)
+	}
+	b := r.balance(ctx, s, v)
+	rd.answered = b.answered
+	rd.contended = b.contended
+	r.askForLoans(ctx, s, v, &rd)
+	r.giveBack(ctx, s, v)
+	s.endRefill(rd, r.cfg.Clock.Now())
 }
 
 func (s *shard) startRefill() {
@@ -68,36 +148,20 @@
 	}
 }
 
-// endRefill refuses the waiters that the refill could not serve, unless
-// requests in flight may free tokens.
-func (s *shard) endRefill(reached bool) {
+// endRefill refuses the requests that the refill could not serve, unless
+// something in flight may still help them.
+func (s *shard) endRefill(rd round, now clocker.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	kept := s.waiters[:0]
-	for _, w := range s.waiters {
-		if !w.seen || s.allotter.Reserved(w.budget) > 0 {
-			kept = append(kept, w)
-			continue
+	s.wake(now)
+	s.dismiss(func(w *waiter) (grant, bool) {
+		if !w.seen || rd.contended || rd.busy[w.budget] || s.allotter.Reserved(w.budget) > 0 {
+			return grant{}, false
 		}
-		w.done <- grant{err: verdict(w, reached)}
-	}
-	clear(s.waiters[len(kept):])
-	s.waiters = kept
-	s.tellNeeds()
-}
-
-func verdict(w *waiter, reached bool) error {
-	if reached {
-		return refuse(ErrBudgetExhausted{Budget: w.budget, Tokens: w.tokens}, "exhausted")
-	}
-	return refuse(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "unreachable")
-}
-
-// inspect looks at the budgets in use and queues refills.
-func (r *Reserver) inspect(ctx context.Context) {
-	for r.cfg.Clock.Sleep(ctx, inspectPause) == nil {
-		for _, s := range r.usedShards() {
-			r.wantRefill(s)
-		}
-	}
+		v := verdict{at: now, tokens: w.tokens, answered: rd.answered || rd.exhausted[w.budget]}
+		s.verdicts[w.budget] = v
+		return grant{err: v.err(w.budget, w.tokens)}, true
+	})
+	s.again = now + s.pause
+	s.pause = min(2*s.pause, maxRetryPause)
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -5,7 +5,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
@@ -26,6 +25,8 @@
 	refillers = 8
 	// inspectPause is the time between two looks at all budgets in use.
 	inspectPause = clocker.Second
+	// tickPause is the time between two looks at waiting requests.
+	tickPause = 100 * clocker.Millis(1)
 )
 
 // Store is the part of the Object API that budgets need.
@@ -68,15 +69,14 @@
 	duties  *errgroup.Group
 	closing atomic.Bool
 
-	// platformFailed is when the platform last left a call unanswered; 0 once
-	// it answered again.
-	platformFailed atomic.Int64
+	platform health
+	doubts   doubts
 }
 
 // New returns a Reserver and starts its duties, which end with ctx or Close.
 func New(ctx context.Context, cfg Config) *Reserver {
-	ctx, stop := context.WithCancel(ctx)
-	r := &Reserver{cfg: cfg, stop: stop, refills: ringer.New[*shard]("budget_refills", refillRing)}
+	r := prepare(cfg)
+	ctx, r.stop = context.WithCancel(ctx)
 	r.duties, ctx = errgroup.WithContext(ctx)
 	for range refillers {
 		r.duties.Go(func() error {
@@ -91,6 +91,19 @@
 	return r
 }
 
+// prepare returns a Reserver without duties.
+func prepare(cfg Config) *Reserver {
+	if cfg.Peers == nil {
+		cfg.Peers = func() []heartbeater.Peer { return nil }
+	}
+	return &Reserver{
+		cfg:     cfg,
+		refills: ringer.New[*shard]("budget_refills", refillRing),
+		stop:    func() {},
+		duties:  &errgroup.Group{},
+	}
+}
+
 // Reserve takes the worst case of a request from a budget. It waits until
 // deadline, or for the policy's patience, while more tokens may come. It returns
 // ErrBudgetExhausted or ErrBudgetUnreachable; nothing is reserved then.
@@ -100,8 +113,8 @@
 	if id, ok := s.reserve(budget, tokens, now); ok {
 		return Reservation{Budget: budget, Tokens: tokens, ID: id}, nil
 	}
-	if r.closing.Load() || deadline <= now {
-		return Reservation{}, refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "closing_or_late")
+	if err := r.refuseAtOnce(s, budget, tokens, deadline-now); err != nil {
+		return Reservation{}, err
 	}
 	return r.await(ctx, s, budget, tokens, deadline)
 }
@@ -113,7 +126,9 @@
 		return
 	}
 	s := r.shard(reservation.Budget)
-	s.settle(reservation, used, r.cfg.Clock.Now())
+	if s.settle(reservation, used, r.cfg.Clock.Now()) {
+		r.wantRefill(s)
+	}
 }
 
 // HeldTokens returns the tokens of all budgets that are held here and not spent.
@@ -127,19 +142,6 @@
 	return sum
 }
 
-// Close returns everything to the platform, closes the entries of this
-// incarnation, and ends the duties. It returns the error of ctx if that ended
-// first; the tokens then stay charged.
-func (r *Reserver) Close(ctx context.Context) error {
-	if r.closing.Swap(true) {
-		return nil
-	}
-	err := r.closeShards(ctx)
-	r.stop()
-	_ = r.duties.Wait()
-	return err
-}
-
 func (r *Reserver) shard(budget string) *shard {
 	i := xxhash.Sum64String(budget) % shardCount
 	if s := r.shards[i].Load(); s != nil {
@@ -161,8 +163,3 @@
 	defer r.mu.Unlock()
 	return append([]*shard(nil), r.used...)
 }
-
-func refuse(err error, reason string) error {
-	metrics.GetOrCreateCounter(`cowsliphinge_budget_refusals_total{reason="` + reason + `"}`).Inc()
-	return err
-}
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -16,7 +16,7 @@
 	return &messenger.Policy{HeadroomMs: 5000, OfflineReserveMs: 600000, MaxShareOfRestMilli: 125, PatienceMs: 2000}
 }
 
-func newReserver(t *testing.T, clock *clocker.Clock, store reserver.Store, incarnation string) *reserver.Reserver {
+func newReserver(t testing.TB, clock *clocker.Clock, store reserver.Store, incarnation string) *reserver.Reserver {
 	t.Helper()
 	return reserver.New(context.Background(), reserver.Config{
 		Incarnation: incarnation, Host: incarnation, AvailabilityZone: "akl-a", Clock: clock, Store: store, Policy: policy,
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,8 +23,15 @@
 	mu       sync.Mutex
 	allotter *allotter.Allotter
 	waiters  []*waiter
+	verdicts map[string]verdict
 	// queued is true while the shard waits for a refill.
 	queued bool
+	// again is when requests that keep waiting get the next refill.
+	again clocker.Millis
+	pause clocker.Millis
+
+	holders     []string
+	holdersView uint64
 }
 
 // waiter is a request that waits for headroom.
@@ -47,6 +55,7 @@
 		key:      fmt.Sprintf("budget/%05d", number),
 		turn:     make(chan struct{}, 1),
 		allotter: allotter.New(allotter.Config{Incarnation: incarnation}),
+		verdicts: map[string]verdict{},
 	}
 }
 
@@ -56,16 +65,20 @@
 	return s.allotter.Reserve(budget, tokens, now)
 }
 
-func (s *shard) settle(reservation Reservation, used int64, now clocker.Millis) {
+// settle ends a reservation. It returns true if requests wait that no
+// reservation in flight here can help any more.
+func (s *shard) settle(reservation Reservation, used int64, now clocker.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.allotter.Settle(reservation.Budget, reservation.ID, used, now) {
 		settledTwice.Inc()
-		return
+		return false
 	}
-	if len(s.waiters) > 0 {
-		s.wake(now)
+	if len(s.waiters) == 0 {
+		return false
 	}
+	s.wake(now)
+	return len(s.waiters) > 0 && s.allotter.Reserved(reservation.Budget) == 0
 }
 
 // join adds a waiter. The caller wakes a refill.
@@ -73,7 +86,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiters = append(s.waiters, w)
-	s.tellNeed(w.budget)
+	s.pause = retryPause
+	s.allotter.AddNeed(w.budget, w.tokens)
 }
 
 // leave removes a waiter and returns its grant if one came meanwhile.
@@ -85,47 +99,26 @@
 		return g, true
 	default:
 	}
-	for i, other := range s.waiters {
-		if other == w {
-			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
-			break
-		}
-	}
-	s.tellNeed(w.budget)
+	s.dismiss(func(other *waiter) (grant, bool) { return grant{}, other == w })
 	return grant{}, false
 }
 
 // wake grants what now fits, oldest first. The caller holds mu.
 func (s *shard) wake(now clocker.Millis) {
-	kept := s.waiters[:0]
-	for _, w := range s.waiters {
+	s.dismiss(func(w *waiter) (grant, bool) {
 		id, ok := s.allotter.Reserve(w.budget, w.tokens, now)
-		if !ok {
-			kept = append(kept, w)
-			continue
-		}
-		w.done <- grant{id: id}
-	}
-	clear(s.waiters[len(kept):])
-	woken := len(s.waiters) - len(kept)
-	s.waiters = kept
-	if woken > 0 {
-		s.tellNeeds()
-	}
+		return grant{id: id}, ok
+	})
 }
 
-func (s *shard) tellNeeds() {
-	for _, w := range s.waiters {
-		s.tellNeed(w.budget)
-	}
-}
-
-func (s *shard) tellNeed(budget string) {
-	var need int64
-	for _, w := range s.waiters {
-		if w.budget == budget {
-			need += w.tokens
+// dismiss ends the waits for which judge returns true. The caller holds mu.
+func (s *shard) dismiss(judge func(*waiter) (grant, bool)) {
+	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
+		g, ended := judge(w)
+		if ended {
+			w.done <- g
+			s.allotter.AddNeed(w.budget, -w.tokens)
 		}
-	}
-	s.allotter.SetNeed(budget, need)
+		return ended
+	})
 }
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -3,32 +3,77 @@
 import (
 	"context"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 
+	"cowsliphinge/allotter"
 	"cowsliphinge/messenger"
 )
 
-// Transfer merges the totals that a peer gave and answers what it asks for.
+var (
+	tokensReceived = metrics.NewCounter("cowsliphinge_budget_transferred_tokens_total{direction=\"received\"}")
+	tokensGiven    = metrics.NewCounter("cowsliphinge_budget_transferred_tokens_total{direction=\"given\"}")
+	transferErrors = metrics.NewCounter("cowsliphinge_budget_transfer_errors_total")
+)
+
+// Transfer merges the totals that a peer gave and answers what it asks for. A
+// repeated or late request is harmless.
 func (r *Reserver) Transfer(_ context.Context, request *messenger.TransferRequest) (*messenger.TransferReply, error) {
 	if request.To != r.cfg.Incarnation {
 		return nil, trace.NotFound("incarnation %s is not here", request.To)
 	}
 	reply := &messenger.TransferReply{From: r.cfg.Incarnation}
-	now := r.cfg.Clock.Now()
 	for _, t := range request.Totals {
-		s := r.shard(t.Budget)
-		s.mu.Lock()
-		s.allotter.Receive(request.From, t)
-		received := s.allotter.Received(request.From, t.Budget)
-		s.wake(now)
-		s.mu.Unlock()
+		received := r.receive(request.From, t)
 		reply.Received = append(reply.Received, &messenger.TransferTotal{Budget: t.Budget, Given: received})
 	}
+	v := r.look()
 	for _, ask := range request.Asks {
-		s := r.shard(ask.Budget)
-		s.mu.Lock()
-		reply.Totals = append(reply.Totals, s.allotter.Give(request.From, ask, now))
-		s.mu.Unlock()
+		r.answer(request.From, ask, v, reply)
 	}
 	return reply, nil
 }
+
+// receive merges one total and returns the total as merged.
+func (r *Reserver) receive(from string, t *messenger.TransferTotal) int64 {
+	s := r.shard(t.Budget)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	grown := s.allotter.Receive(from, t)
+	if grown > 0 {
+		tokensReceived.Add(int(grown))
+		delete(s.verdicts, t.Budget)
+		s.wake(r.cfg.Clock.Now())
+	}
+	return s.allotter.Received(from, t.Budget)
+}
+
+// answer gives what is asked for, as far as it is here.
+func (r *Reserver) answer(to string, ask *messenger.TransferAsk, v *view, reply *messenger.TransferReply) {
+	s := r.shard(ask.Budget)
+	c := r.circumstances(s, v)
+	s.mu.Lock()
+	before := s.allotter.TotalTo(to, ask.Budget).Given
+	total := s.allotter.Give(to, ask, v.now)
+	given := total.Given - before
+	if given < ask.Needed && s.allotter.Reserved(ask.Budget) > 0 {
+		reply.Busy = append(reply.Busy, ask.Budget)
+	}
+	if s.exhausted(ask.Budget, v) {
+		reply.Exhausted = append(reply.Exhausted, ask.Budget)
+	}
+	due := given > 0 && s.allotter.Due(c)
+	s.mu.Unlock()
+	tokensGiven.Add(int(given))
+	reply.Totals = append(reply.Totals, total)
+	if due {
+		r.wantRefill(s)
+	}
+}
+
+// exhausted reports whether the platform said just now that nothing of the
+// budget is unassigned. The caller holds mu.
+func (s *shard) exhausted(budget string, v *view) bool {
+	fresh := s.allotter.Version() > 0 && v.now-s.allotter.ReadAt() < verdictAge
+	return fresh && allotter.Rest(s.allotter.Object(budget)) <= 0
+}
