--- a/storer/client.go
+++ b/storer/client.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -24,6 +23,8 @@
 	defaultTimeout = 2 * clocker.Second
 	// watchTimeout bounds one waiting watch, in milliseconds.
 	watchTimeout = 30 * clocker.Second
+	// defaultCallsPerSecond bounds the calls of one process.
+	defaultCallsPerSecond = 20
 	// VersionHeader carries the version of an object in answers.
 	VersionHeader = "Object-Version"
 )
@@ -43,10 +44,13 @@
 	HostListURL string
 	// Timeout bounds a call in milliseconds; 0 means two seconds.
 	Timeout clocker.Millis
-	// CallsPerSecond bounds the calls of this process; 0 means 20.
-	CallsPerSecond int64
+	// CallsPerSecond returns the bound on the calls of this process; nil means 20.
+	CallsPerSecond func() int64
 	Clock          *clocker.Clock
 	TLS            *tls.Config
+	// Reachable tells whether an address may be called; nil means all. Tests
+	// cut the platform off with it.
+	Reachable func(address string) bool
 }
 
 // Client speaks HTTP to the Object API.
@@ -64,8 +68,8 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	if cfg.CallsPerSecond == 0 {
-		cfg.CallsPerSecond = 20
+	if cfg.CallsPerSecond == nil {
+		cfg.CallsPerSecond = func() int64 { return defaultCallsPerSecond }
 	}
 	if cfg.HostListURL == "" {
 		cfg.HostListURL = cfg.URL
@@ -73,7 +77,7 @@
 	return &Client{
 		cfg:      cfg,
 		http:     fasthttp.Client{TLSConfig: cfg.TLS, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 64 << 20},
-		tokens:   float64(2 * cfg.CallsPerSecond),
+		tokens:   float64(2 * cfg.CallsPerSecond()),
 		refilled: cfg.Clock.Now(),
 	}
 }
@@ -162,6 +166,29 @@
 		count(cl.kind, "rate_limited_here")
 		return nil, 0, ErrRateLimited{Key: cl.key}
 	}
+	if c.cfg.Reachable != nil && !c.cfg.Reachable(c.host(uri)) {
+		count(cl.kind, "cut_off")
+		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: "cut off"}
+	}
+	deadline := c.cfg.Clock.Now() + timeout
+	answered := make(chan result, 1)
+	go func() { answered <- c.do(cl, uri, deadline) }() // ends by the deadline
+	select {
+	case <-ctx.Done():
+		count(cl.kind, "given_up")
+		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: ctx.Err().Error()}
+	case r := <-answered:
+		return r.body, r.version, r.err
+	}
+}
+
+type result struct {
+	body    []byte
+	version int64
+	err     error
+}
+
+func (c *Client) do(cl call, uri string, deadline clocker.Millis) result {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -172,15 +199,20 @@
 		req.Header.Set("If-Match", strconv.FormatInt(cl.version, 10))
 	}
 	req.SetBody(cl.value)
-	deadline := time.Now().Add(timeout.Duration())
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+	if err := c.http.DoDeadline(req, resp, deadline.Time()); err != nil {
 		count(cl.kind, "no_answer")
-		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: err.Error()}
+		return result{err: ErrOutcomeUnknown{Key: cl.key, Cause: err.Error()}}
+	}
+	body, version, err := answer(cl, resp)
+	return result{body: body, version: version, err: err}
+}
+
+func (c *Client) host(uri string) string {
+	parsed, err := url.Parse(uri)
+	if err != nil {
+		return ""
 	}
-	return answer(cl, resp)
+	return parsed.Host
 }
 
 func answer(cl call, resp *fasthttp.Response) ([]byte, int64, error) {
@@ -212,7 +244,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock.Now()
-	rate := float64(c.cfg.CallsPerSecond)
+	rate := float64(c.cfg.CallsPerSecond())
 	c.tokens = min(2*rate, c.tokens+rate*float64(now-c.refilled)/float64(clocker.Second))
 	c.refilled = now
 	if c.tokens < 1 {
