--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -19,7 +19,10 @@
 	commander.Register(commander.CommandsCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&serveCommand{}, "router")
+	commander.Register(&demoCommand{}, "")
 	commander.Register(&standinCommand{}, "router")
+	commander.Register(&loadCommand{}, "measure")
+	commander.Register(&checkCommand{}, "measure")
 	commander.Register(&versionCommand{}, "")
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
