--- a/router/router.go
+++ b/router/router.go
@@ -34,6 +34,9 @@
 	Log      *slog.Logger
 	// Network lets tests cut the router off; nil cuts nothing.
 	Network Network
+	// Callers and Exchange are open listeners; nil opens those of the settings.
+	Callers  net.Listener
+	Exchange net.Listener
 }
 
 // Network tells what a router reaches.
@@ -81,11 +84,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "ExchangeTls")
 	}
-	callers, err := net.Listen("tcp", cfg.Settings.CallerAddress)
+	callers, err := listen(cfg.Callers, cfg.Settings.CallerAddress)
 	if err != nil {
 		return nil, trace.Wrap(err, "CallerAddress")
 	}
-	peers, err := net.Listen("tcp", cfg.Settings.ExchangeAddress)
+	peers, err := listen(cfg.Exchange, cfg.Settings.ExchangeAddress)
 	if err != nil {
 		_ = callers.Close()
 		return nil, trace.Wrap(err, "ExchangeAddress")
@@ -112,6 +115,13 @@
 	return r, nil
 }
 
+func listen(open net.Listener, address string) (net.Listener, error) {
+	if open != nil {
+		return open, nil
+	}
+	return net.Listen("tcp", address)
+}
+
 // Incarnation returns the name of this life of the host.
 func (r *Router) Incarnation() string {
 	return r.incarnation
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -60,6 +59,8 @@
 
 	mu      sync.Mutex
 	routers map[string]*router.Router
+	// kept holds the ports of hosts that have not started yet, by address.
+	kept map[string]net.Listener
 }
 
 // Start starts the stand-ins. Routers are started by StartHost.
@@ -72,6 +73,7 @@
 		cfg:          cfg,
 		network:      newNetwork(),
 		routers:      map[string]*router.Router{},
+		kept:         map[string]net.Listener{},
 	}
 	address, err := f.listen(f.Platform.Handler)
 	if err != nil {
@@ -106,6 +108,9 @@
 	for _, s := range f.servers {
 		_ = s.Shutdown()
 	}
+	for _, l := range f.kept {
+		_ = l.Close()
+	}
 }
 
 // StartHost starts the router of a declared host.
@@ -128,7 +133,14 @@
 			settings.Peers = append(settings.Peers, other.ExchangeAddress)
 		}
 	}
-	r, err := router.New(ctx, router.Config{Settings: settings, Clock: f.cfg.Clock, Log: f.cfg.Log.With("host", name), Network: f.network})
+	r, err := router.New(ctx, router.Config{
+		Settings: settings,
+		Clock:    f.cfg.Clock,
+		Log:      f.cfg.Log.With("host", name),
+		Network:  f.network,
+		Callers:  f.take(host.CallerAddress),
+		Exchange: f.take(host.ExchangeAddress),
+	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -267,11 +279,11 @@
 // placeHosts gives each host two free ports.
 func (f *Fleet) placeHosts() error {
 	for _, h := range f.Declarations.Hosts {
-		caller, err := freeAddress()
+		caller, err := f.keepPort()
 		if err != nil {
 			return err
 		}
-		exchange, err := freeAddress()
+		exchange, err := f.keepPort()
 		if err != nil {
 			return err
 		}
@@ -284,13 +296,24 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
+// keepPort opens a free port and keeps it for a host.
+func (f *Fleet) keepPort() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
 	address := l.Addr().String()
-	return address, errors.Join(l.Close())
+	f.kept[address] = l
+	return address, nil
+}
+
+// take returns the listener that is kept for an address, or nil.
+func (f *Fleet) take(address string) net.Listener {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.kept[address]
+	delete(f.kept, address)
+	return l
 }
 
 // silent drops the HTTP library's own log lines.
