--- a/comparer/run.go
+++ b/comparer/run.go
@@ -126,14 +126,15 @@
 	return v, nil
 }
 
+// bringUp starts the hosts, which run until ctx ends, and grants the budgets.
 func (v *variant) bringUp(ctx context.Context) error {
-	ctx, cancel := v.cfg.Clock.WithTimeout(ctx, readyBound)
-	defer cancel()
 	for _, h := range v.fleet.Declarations.Hosts {
 		if err := v.fleet.StartHost(ctx, h.Name); err != nil {
 			return trace.Wrap(err)
 		}
 	}
+	ctx, cancel := v.cfg.Clock.WithTimeout(ctx, readyBound)
+	defer cancel()
 	first := v.fleet.Declarations.Hosts[0].Name
 	if err := v.fleet.Publish(ctx, first); err != nil {
 		return trace.Wrap(err)
