--- a/biller/bench_test.go
+++ b/biller/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"runtime"
 	"testing"
@@ -43,10 +45,12 @@
 }
 
 func realistic(i int) *messenger.Bill {
+	id := sha256.Sum256([]byte(fmt.Sprint(i)))
 	return &messenger.Bill{
-		ClientAccount: "tenant-0123", RequestId: fmt.Sprintf("%032x", i), Budget: fmt.Sprintf("budget-%06d", i%1000),
-		Service: "drafts", Tokens: 1500, PromptTokens: 1100, OutputTokens: 400, FinishedAtMs: 1_790_000_000_000,
-		Incarnation: "entry-host-0001-19a2b3c4d5e-0123abcd",
+		ClientAccount: "tenant-0123", RequestId: hex.EncodeToString(id[:16]), Budget: fmt.Sprintf("budget-%06d", i%1000),
+		Service: "drafts", Tokens: 1100 + int64(id[0]), PromptTokens: 1100, OutputTokens: int64(id[0]),
+		FinishedAtMs: 1_790_000_000_000 + int64(i)*16,
+		Incarnation:  "entry-host-0001-19a2b3c4d5e-0123abcd",
 	}
 }
 
--- a/biller/biller.go
+++ b/biller/biller.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -23,14 +24,14 @@
 	// are written here, in milliseconds.
 	defaultTakeoverAfter = 30 * clocker.Second
 	// defaultLimit is the number of unwritten bills from which on requests
-	// are to be refused; hardLimitFactor times as many are kept.
-	defaultLimit    = 50_000
-	hardLimitFactor = 2
+	// are to be refused; limitMargin more are kept, of requests in flight then.
+	defaultLimit = 500_000
+	limitMargin  = 50_000
 	// maxHold is the longest time that a copy is kept without news of being
 	// written, in milliseconds.
 	maxHold = 10 * clocker.Minute
-	// batchBills bounds a batch and a copy.
-	batchBills = 2_000
+	// defaultBatchBills bounds a batch and a copy.
+	defaultBatchBills = 2_000
 	// copyTimeout bounds one copy, in milliseconds.
 	copyTimeout = 300 * clocker.Millis(1)
 	// copyTries is the number of peers tried before the platform is.
@@ -79,8 +80,10 @@
 	WriteEvery    clocker.Millis
 	TakeoverAfter clocker.Millis
 	// Limit is the number of unwritten bills from which on Room reports
-	// false; 0 means 50,000.
+	// false; 0 means 500,000.
 	Limit int
+	// BatchBills bounds a batch and a copy; 0 means 2,000.
+	BatchBills int
 }
 
 // Biller is the shell around the bills of one incarnation.
@@ -93,6 +96,8 @@
 	writeNow chan struct{}
 	// collect merges bills into a sum.
 	collect func(Set, ...*messenger.Bill)
+	// margin is how many bills are kept above the limit.
+	margin int
 
 	mu      sync.Mutex
 	buffer  *buffer
@@ -113,6 +118,9 @@
 	if cfg.Limit == 0 {
 		cfg.Limit = defaultLimit
 	}
+	if cfg.BatchBills == 0 {
+		cfg.BatchBills = defaultBatchBills
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	b := &Biller{
 		cfg:      cfg,
@@ -120,7 +128,8 @@
 		copyNow:  make(chan struct{}, 1),
 		writeNow: make(chan struct{}, 1),
 		collect:  Set.Add,
-		buffer:   newBuffer(cfg.Incarnation),
+		margin:   limitMargin,
+		buffer:   newBuffer(cfg.Incarnation, cfg.BatchBills),
 		changed:  make(chan struct{}),
 		holders:  map[string]bool{},
 		avoid:    map[string]clocker.Millis{},
@@ -160,7 +169,7 @@
 		return err
 	}
 	b.mu.Lock()
-	if n := len(b.buffer.pending); n >= b.cfg.Limit*hardLimitFactor {
+	if n := b.buffer.unwritten(); n >= b.cfg.Limit+b.margin {
 		b.mu.Unlock()
 		refusedFull.Inc()
 		return ErrFull{Pending: n}
@@ -196,7 +205,7 @@
 func (b *Biller) Pending() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.buffer.pending)
+	return b.buffer.unwritten()
 }
 
 // CopyBills keeps bills for another host until it wrote them.
@@ -259,6 +268,11 @@
 	case bill.Tokens < 0:
 		return ErrInvalidBill{Field: "Tokens"}
 	}
+	for _, name := range []string{bill.ClientAccount, bill.RequestId, bill.Budget, bill.Service, bill.Incarnation} {
+		if !utf8.ValidString(name) {
+			return ErrInvalidBill{Field: "name in UTF-8"}
+		}
+	}
 	return nil
 }
 
--- a/biller/copy.go
+++ b/biller/copy.go
@@ -29,7 +29,7 @@
 func (b *Biller) copyPending(ctx context.Context) bool {
 	for {
 		b.mu.Lock()
-		batch := b.buffer.uncopied(batchBills)
+		batch := b.buffer.uncopied()
 		b.mu.Unlock()
 		if len(batch.Bills) == 0 {
 			return true
@@ -77,8 +77,8 @@
 // misses it writes the copies itself, later.
 func (b *Biller) tellWritten(ctx context.Context) {
 	b.mu.Lock()
-	through := b.buffer.first - 1
-	none := len(b.buffer.pending) == 0
+	through := b.buffer.through
+	none := b.buffer.unwritten() == 0
 	var addresses []string
 	for address := range b.holders {
 		addresses = append(addresses, address)
--- a/biller/export_test.go
+++ b/biller/export_test.go
@@ -14,3 +14,8 @@
 		}
 	}
 }
+
+// SetMargin sets how many bills are kept above the limit.
+func SetMargin(b *Biller, n int) {
+	b.margin = n
+}
--- a/biller/machine_test.go
+++ b/biller/machine_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"testing/synctest"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
 )
 
 const (
@@ -224,3 +226,22 @@
 func (w *world) closeNow(h *host) {
 	go func() { _ = h.biller.Close(context.WithoutCancel(w.ctx)) }()
 }
+
+func TestForeignObjectDoesNotSwallowABatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(none, "akl-a")
+		defer w.shutdown()
+		foreign, err := proto.Marshal(&messenger.BillBatch{Incarnation: "h0", Bills: []*messenger.Bill{
+			{ClientAccount: "mason", Budget: "mason", RequestId: "other", Tokens: 5},
+		}})
+		assert.NilError(t, err)
+		_, err = w.store.Create(t.Context(), "bill/h0/000000000000", foreign)
+		assert.NilError(t, err)
+		w.record(w.hosts[0], "r", 3)
+		w.drain()
+		sum, err := w.sum()
+		assert.NilError(t, err)
+		assert.Equal(t, sum.Requests, int64(2))
+		assert.Equal(t, sum.Tokens, int64(8))
+	})
+}
--- a/biller/write.go
+++ b/biller/write.go
@@ -42,7 +42,7 @@
 func (b *Biller) write(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		b.mu.Lock()
-		batch := b.buffer.seal(batchBills)
+		batch := b.buffer.next()
 		b.mu.Unlock()
 		if batch == nil {
 			return true
@@ -58,7 +58,7 @@
 			written.Add(len(batch.Bills))
 			b.progressed()
 		} else {
-			b.buffer.skip()
+			b.buffer.renumber()
 		}
 		b.mu.Unlock()
 	}
