--- a/biller/world_test.go
+++ b/biller/world_test.go
@@ -75,6 +75,7 @@
 	world   *world
 	biller  *biller.Biller
 	crashed bool
+	paused  bool
 	stopped bool
 }
 
