--- /dev/null
+++ b/router/bench_test.go
@@ -0,0 +1,173 @@
+package router_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/router"
+	"cowsliphinge/standin/platform"
+)
+
+// serveHandler serves a handler on a free port and returns its address.
+func serveHandler(b *testing.B, handler fasthttp.RequestHandler) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := &fasthttp.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	b.Cleanup(func() { _ = server.Shutdown() })
+	return l.Addr().String()
+}
+
+// echo answers at once with the request's ID.
+func echo(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.SetBytesV("X-Request-Id", ctx.Request.Header.Peek("X-Request-Id"))
+	ctx.SetBodyString("ok")
+}
+
+// events in one stream of the benchmark engine.
+const benchEvents = 1000
+
+// pour streams events as fast as it can.
+func pour(ctx *fasthttp.RequestCtx) {
+	echo(ctx)
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		for i := 1; i < benchEvents; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"word \"}}]}\n\n", i)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", benchEvents, benchEvents-1)
+	})
+}
+
+// startOne starts one router before two backend servers and returns its address.
+func startOne(b *testing.B, app, engine string) string {
+	b.Helper()
+	store := serveHandler(b, platform.New(clocker.NewWall()).Handler)
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	exchange, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	d := declarations()
+	d.Services[1].Idempotent = true
+	d.Policy.PlatformCallsPerSecond = 1000
+	d.Services[0].MaxOutputTokens = 2000
+	d.BackendServers = []*messenger.BackendServer{
+		{Name: "e", Address: engine, AvailabilityZone: "a", Service: "drafts", Models: []string{"draft-1"}, Slots: 256},
+		{Name: "o", Address: app, AvailabilityZone: "a", Service: "orders", Slots: 256},
+	}
+	d.Hosts = []*messenger.Host{{Name: "host-a", AvailabilityZone: "a", CallerAddress: callers.Addr().String(), ExchangeAddress: exchange.Addr().String()}}
+	r, err := router.New(context.Background(), router.Config{
+		Settings: &messenger.Settings{
+			Host: "host-a", AvailabilityZone: "a", PlatformUrl: "http://" + store,
+			CallerAddress: callers.Addr().String(), ExchangeAddress: exchange.Addr().String(),
+			OperatorKey: "operator-key-operator-key", RouterKey: "router-key-router-key",
+		},
+		Clock: clocker.NewWall(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Callers: callers, Exchange: exchange,
+	})
+	assert.NilError(b, err)
+	b.Cleanup(func() { _ = r.Kill() })
+	_, err = r.Commander().Apply(context.Background(), &messenger.ApplyRequest{OperationId: "bench", Declarations: d})
+	assert.NilError(b, err)
+	_, err = r.Commander().TopUp(context.Background(), &messenger.TopUpRequest{OperationId: "bench", Budget: "mason", Tokens: 1 << 50})
+	assert.NilError(b, err)
+	return callers.Addr().String()
+}
+
+// passThrough is a bare proxy: the baseline that adds nothing of its own.
+func passThrough(b *testing.B, backend string) string {
+	b.Helper()
+	client := &fasthttp.HostClient{Addr: backend, MaxConns: 4096}
+	return serveHandler(b, func(ctx *fasthttp.RequestCtx) {
+		ctx.Request.SetHost(backend)
+		_ = client.Do(&ctx.Request, &ctx.Response)
+	})
+}
+
+func call(b *testing.B, client *fasthttp.HostClient, address, path, body string) int {
+	b.Helper()
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	request.Header.SetMethod("POST")
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("X-Request-Id", "bench")
+	request.SetBodyString(body)
+	assert.NilError(b, client.Do(request, response))
+	if response.StatusCode() != 200 {
+		b.Fatalf("status %d: %s", response.StatusCode(), response.Body())
+	}
+	return len(response.Body())
+}
+
+// BenchmarkApplicationCall compares direct calls, a bare pass-through and the
+// router, one call at a time.
+func BenchmarkApplicationCall(b *testing.B) {
+	backend := serveHandler(b, echo)
+	for _, way := range []struct{ name, address string }{
+		{"Direct", backend},
+		{"PassThrough", passThrough(b, backend)},
+		{"Router", startOne(b, backend, serveHandler(b, pour))},
+	} {
+		b.Run(way.name, func(b *testing.B) {
+			client := &fasthttp.HostClient{Addr: way.address}
+			var took []time.Duration
+			for b.Loop() {
+				began := time.Now()
+				call(b, client, way.address, "/orders/look", "")
+				took = append(took, time.Since(began))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+		})
+	}
+}
+
+// BenchmarkThroughput compares calls from 64 callers at once.
+func BenchmarkThroughput(b *testing.B) {
+	backend := serveHandler(b, echo)
+	for _, way := range []struct{ name, address string }{
+		{"Direct", backend},
+		{"PassThrough", passThrough(b, backend)},
+		{"Router", startOne(b, backend, serveHandler(b, pour))},
+	} {
+		b.Run(way.name, func(b *testing.B) {
+			client := &fasthttp.HostClient{Addr: way.address, MaxConns: 256}
+			b.SetParallelism(7)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					call(b, client, way.address, "/orders/look", "")
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+		})
+	}
+}
+
+// BenchmarkStream streams many events through the router.
+func BenchmarkStream(b *testing.B) {
+	engine := serveHandler(b, pour)
+	address := startOne(b, serveHandler(b, echo), engine)
+	body := `{"model":"draft-1","max_tokens":1500,"stream":true,"messages":[{"role":"user","content":"x"}]}`
+	client := &fasthttp.HostClient{Addr: address, MaxConns: 256}
+	b.ReportAllocs()
+	for b.Loop() {
+		call(b, client, address, "/v1/chat/completions", body)
+	}
+	b.ReportMetric(float64(b.N*benchEvents)/b.Elapsed().Seconds(), "events/s")
+}
--- a/router/parts.go
+++ b/router/parts.go
@@ -134,6 +134,7 @@
 		MaxConnections: s.MaxConnections,
 	})
 	spread := r.spreader.Load()
+	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver})
 	r.server = exchanger.NewServer(exchanger.ServerConfig{
 		OperatorKey: s.OperatorKey,
 		RouterKey:   s.RouterKey,
@@ -142,7 +143,7 @@
 		Transferrer: r.reserver,
 		Puller:      spread,
 		Copier:      r.biller,
-		Commander:   commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver}),
+		Commander:   r.commander,
 		Querier: querier.New(querier.Config{
 			Spreader: spread,
 			Budgets:  r.reserver,
--- a/router/router.go
+++ b/router/router.go
@@ -67,6 +67,7 @@
 	dispatcher  *dispatcher.Dispatcher
 	listener    *listener.Listener
 	server      *exchanger.Server
+	commander   messenger.Commander
 }
 
 // New opens the listeners of the settings and starts a router. It takes
@@ -147,6 +148,11 @@
 	}
 }
 
+// Commander returns the operators' commands of this router.
+func (r *Router) Commander() messenger.Commander {
+	return r.commander
+}
+
 // Wait returns once both listeners have ended, with the error of either.
 func (r *Router) Wait() error {
 	return trace.Wrap(r.group.Wait())
