--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -52,38 +52,63 @@
 	})
 }
 
-// startOne starts one router before two backend servers and returns its address.
-func startOne(b *testing.B, app, engine string) string {
+// startPair starts two routers of one availability zone before two backend
+// servers and returns the caller address of the first.
+func startPair(b *testing.B, app, engine string) string {
 	b.Helper()
-	store := serveHandler(b, platform.New(clocker.NewWall()).Handler)
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
-	exchange, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
 	d := declarations()
 	d.Services[1].Idempotent = true
-	d.Policy.PlatformCallsPerSecond = 1000
 	d.Services[0].MaxOutputTokens = 2000
+	d.Policy.PlatformCallsPerSecond = 1000
 	d.BackendServers = []*messenger.BackendServer{
 		{Name: "e", Address: engine, AvailabilityZone: "a", Service: "drafts", Models: []string{"draft-1"}, Slots: 256},
 		{Name: "o", Address: app, AvailabilityZone: "a", Service: "orders", Slots: 256},
 	}
-	d.Hosts = []*messenger.Host{{Name: "host-a", AvailabilityZone: "a", CallerAddress: callers.Addr().String(), ExchangeAddress: exchange.Addr().String()}}
+	d.Hosts = nil
+	store := serveHandler(b, platform.New(clocker.NewWall()).Handler)
+	first, second := openHost(b, d, "host-a"), openHost(b, d, "host-b")
+	r := first.start(b, store, d)
+	second.start(b, store, d)
+	_, err := r.Commander().Apply(context.Background(), &messenger.ApplyRequest{OperationId: "bench", Declarations: d})
+	assert.NilError(b, err)
+	_, err = r.Commander().TopUp(context.Background(), &messenger.TopUpRequest{OperationId: "bench", Budget: "mason", Tokens: 1 << 50})
+	assert.NilError(b, err)
+	return first.callers.Addr().String()
+}
+
+// benchHost is a host with open listeners.
+type benchHost struct {
+	name              string
+	callers, exchange net.Listener
+}
+
+func openHost(b *testing.B, d *messenger.Declarations, name string) benchHost {
+	b.Helper()
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	exchange, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	d.Hosts = append(d.Hosts, &messenger.Host{Name: name, AvailabilityZone: "a", CallerAddress: callers.Addr().String(), ExchangeAddress: exchange.Addr().String()})
+	return benchHost{name: name, callers: callers, exchange: exchange}
+}
+
+func (h benchHost) start(b *testing.B, store string, d *messenger.Declarations) *router.Router {
+	b.Helper()
+	settings := &messenger.Settings{
+		Host: h.name, AvailabilityZone: "a", PlatformUrl: "http://" + store,
+		CallerAddress: h.callers.Addr().String(), ExchangeAddress: h.exchange.Addr().String(),
+		OperatorKey: "operator-key-operator-key", RouterKey: "router-key-router-key",
+	}
+	for _, other := range d.Hosts {
+		settings.Peers = append(settings.Peers, other.ExchangeAddress)
+	}
 	r, err := router.New(context.Background(), router.Config{
-		Settings: &messenger.Settings{
-			Host: "host-a", AvailabilityZone: "a", PlatformUrl: "http://" + store,
-			CallerAddress: callers.Addr().String(), ExchangeAddress: exchange.Addr().String(),
-			OperatorKey: "operator-key-operator-key", RouterKey: "router-key-router-key",
-		},
-		Clock: clocker.NewWall(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Callers: callers, Exchange: exchange,
+		Settings: settings, Clock: clocker.NewWall(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Callers: h.callers, Exchange: h.exchange,
 	})
 	assert.NilError(b, err)
 	b.Cleanup(func() { _ = r.Kill() })
-	_, err = r.Commander().Apply(context.Background(), &messenger.ApplyRequest{OperationId: "bench", Declarations: d})
-	assert.NilError(b, err)
-	_, err = r.Commander().TopUp(context.Background(), &messenger.TopUpRequest{OperationId: "bench", Budget: "mason", Tokens: 1 << 50})
-	assert.NilError(b, err)
-	return callers.Addr().String()
+	return r
 }
 
 // passThrough is a bare proxy: the baseline that adds nothing of its own.
@@ -121,7 +146,7 @@
 	for _, way := range []struct{ name, address string }{
 		{"Direct", backend},
 		{"PassThrough", passThrough(b, backend)},
-		{"Router", startOne(b, backend, serveHandler(b, pour))},
+		{"Router", startPair(b, backend, serveHandler(b, pour))},
 	} {
 		b.Run(way.name, func(b *testing.B) {
 			client := &fasthttp.HostClient{Addr: way.address}
@@ -138,17 +163,17 @@
 	}
 }
 
-// BenchmarkThroughput compares calls from 64 callers at once.
+// BenchmarkThroughput compares calls from 250 callers at once.
 func BenchmarkThroughput(b *testing.B) {
 	backend := serveHandler(b, echo)
 	for _, way := range []struct{ name, address string }{
 		{"Direct", backend},
 		{"PassThrough", passThrough(b, backend)},
-		{"Router", startOne(b, backend, serveHandler(b, pour))},
+		{"Router", startPair(b, backend, serveHandler(b, pour))},
 	} {
 		b.Run(way.name, func(b *testing.B) {
-			client := &fasthttp.HostClient{Addr: way.address, MaxConns: 256}
-			b.SetParallelism(7)
+			client := &fasthttp.HostClient{Addr: way.address, MaxConns: 1024}
+			b.SetParallelism(25)
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
 					call(b, client, way.address, "/orders/look", "")
@@ -162,7 +187,7 @@
 // BenchmarkStream streams many events through the router.
 func BenchmarkStream(b *testing.B) {
 	engine := serveHandler(b, pour)
-	address := startOne(b, serveHandler(b, echo), engine)
+	address := startPair(b, serveHandler(b, echo), engine)
 	body := `{"model":"draft-1","max_tokens":1500,"stream":true,"messages":[{"role":"user","content":"x"}]}`
 	client := &fasthttp.HostClient{Addr: address, MaxConns: 256}
 	b.ReportAllocs()
