--- a/biller/copy.go
+++ b/biller/copy.go
@@ -42,7 +42,7 @@
 
 func (b *Biller) copyBatch(ctx context.Context, batch *messenger.BillBatch) bool {
 	now := b.cfg.Clock.Now()
-	candidates := rank(b.cfg.Peers(), b.cfg.Host, b.cfg.AvailabilityZone, func(address string) bool {
+	candidates := Successors(b.cfg.Peers(), b.cfg.Host, b.cfg.AvailabilityZone, func(address string) bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		return b.avoid[address] > now
@@ -98,11 +98,11 @@
 	}
 }
 
-// rank orders the addresses of the peers that may hold copies: those of the own
+// Successors orders the addresses of the peers that may hold copies: those of the own
 // zone first, draining ones last, else along the ring of host names, so that
 // copies are spread evenly. Those that failed lately are left out: the platform
 // is tried before them.
-func rank(peers []heartbeater.Peer, host, zone string, avoid func(address string) bool) []string {
+func Successors(peers []heartbeater.Peer, host, zone string, avoid func(address string) bool) []string {
 	usable := slices.DeleteFunc(slices.Clone(peers), func(p heartbeater.Peer) bool {
 		return p.Suspect || p.Incarnation == "" || p.ExchangeAddress == "" || avoid(p.ExchangeAddress)
 	})
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -83,6 +83,14 @@
 	Forward(ctx context.Context, incarnation string, call Call) (*Answer, error)
 }
 
+// Tracker tells a second host which streams are open.
+type Tracker interface {
+	Opened(stream *messenger.OpenStream)
+	Ended(requestID string)
+	// Locate returns an open stream of a host that may be gone, or nil.
+	Locate(requestID string) *messenger.OpenStream
+}
+
 // Connector reaches backend servers.
 type Connector interface {
 	Call(address string, r connector.Request) (*connector.Answer, error)
@@ -101,4 +109,5 @@
 	Retrier     Retrier
 	Connector   Connector
 	Forwarder   Forwarder
+	Tracker     Tracker
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -39,8 +39,9 @@
 
 // Dispatcher runs requests. Its methods may be called from many goroutines.
 type Dispatcher struct {
-	cfg      Config
-	inFlight atomic.Int64
+	cfg       Config
+	canceller Canceller
+	inFlight  atomic.Int64
 
 	mu       sync.Mutex
 	draining bool
@@ -49,7 +50,11 @@
 
 // New returns a Dispatcher that takes requests.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, idle: make(chan struct{})}
+	return &Dispatcher{
+		cfg:       cfg,
+		canceller: Canceller{Connector: cfg.Connector, Clock: cfg.Clock},
+		idle:      make(chan struct{}),
+	}
 }
 
 // InFlight returns how many requests are being run.
@@ -103,7 +108,11 @@
 	choice      picker.Choice
 	avoid       []string
 	attempts    int
-	left        bool
+	// borrowed is true if the choice took no slot.
+	borrowed bool
+	// tracked is true if a second host knows of the request.
+	tracked bool
+	left    bool
 }
 
 // admit claims a call if it needs a claim, and then reserves its worst case. It
@@ -201,7 +210,10 @@
 	if o == picker.Failed || o == picker.Refused {
 		r.avoid = append(r.avoid, r.choice.Server.Name)
 	}
-	r.d.cfg.Balancer.Release(r.choice, o)
+	if !r.borrowed {
+		r.d.cfg.Balancer.Release(r.choice, o)
+	}
+	r.borrowed = false
 	r.choice = picker.Choice{}
 }
 
@@ -224,6 +236,9 @@
 		return
 	}
 	r.left = true
+	if r.tracked {
+		r.d.cfg.Tracker.Ended(r.call.RequestID)
+	}
 	r.d.cfg.Reserver.Settle(r.reservation, min(used, r.reservation.Tokens))
 	r.d.leave()
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -10,15 +10,16 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
+	"cowsliphinge/messenger"
 	"cowsliphinge/picker"
 	"cowsliphinge/streamer"
 )
 
 var (
-	resumedStreams   = metrics.NewCounter("cowsliphinge_streams_resumed_total")
-	cancelledStreams = metrics.NewCounter("cowsliphinge_streams_cancelled_total")
-	engineOverruns   = metrics.NewCounter("cowsliphinge_engine_overruns_total")
+	resumedStreams = metrics.NewCounter("cowsliphinge_streams_resumed_total")
+	engineOverruns = metrics.NewCounter("cowsliphinge_engine_overruns_total")
 )
 
 // Stream is the answer of a model engine on its way to the caller. Exactly one
@@ -58,8 +59,10 @@
 		return nil, refusal
 	}
 	s := &Stream{run: r, body: body, last: call.After}
-	if refusal := s.open(ctx); refusal != nil {
-		return nil, s.abort(ctx, refusal)
+	if !s.adopt() {
+		if refusal := s.open(ctx); refusal != nil {
+			return nil, s.abort(ctx, refusal)
+		}
 	}
 	event, refusal := s.next(ctx)
 	if refusal != nil {
@@ -67,9 +70,50 @@
 	}
 	s.pending = event
 	s.hasPending = true
+	s.track()
 	return s, nil
 }
 
+// adopt goes on with the stream of an earlier attempt whose host is gone.
+func (s *Stream) adopt() bool {
+	if s.call.IdempotencyKey == "" {
+		return false
+	}
+	earlier := s.d.cfg.Tracker.Locate(s.call.RequestID)
+	if earlier == nil {
+		return false
+	}
+	server := s.d.cfg.Index().BackendServer(earlier.BackendServer)
+	if server == nil {
+		return false
+	}
+	// The engine runs the stream already: it takes no slot.
+	s.choice = picker.Choice{Server: server}
+	s.borrowed = true
+	s.state = Dispatched
+	if s.resume() {
+		return true
+	}
+	s.release(picker.Left)
+	s.state = NotDispatched
+	return false
+}
+
+// track tells a second host that the stream is open.
+func (s *Stream) track() {
+	s.tracked = true
+	s.d.cfg.Tracker.Opened(&messenger.OpenStream{
+		ClientAccount: s.call.Account.Name,
+		RequestId:     s.call.RequestID,
+		Budget:        s.call.Account.Budget,
+		Service:       s.call.Service.Name,
+		BackendServer: s.choice.Server.Name,
+		Address:       s.choice.Server.Address,
+		Bound:         s.reservation.Tokens,
+		DeadlineMs:    int64(s.call.Deadline),
+	})
+}
+
 // open hands the request to a model engine until one answers with a stream.
 func (s *Stream) open(ctx context.Context) *Refusal {
 	for {
@@ -246,17 +290,7 @@
 
 // cancel stops the engine's work and returns what it had generated.
 func (s *Stream) cancel() (Usage, bool) {
-	cancelledStreams.Inc()
-	request := s.request(http.MethodDelete, "/v1/streams/"+s.call.RequestID, "", nil)
-	request.Fresh = true
-	request.Deadline = s.d.cfg.Clock.Now() + request.ProgressTimeout
-	answer, err := s.d.cfg.Connector.Call(s.choice.Server.Address, request)
-	if err != nil || answer.Status != http.StatusOK {
-		return Usage{}, false
-	}
-	var generated struct{ PromptTokens, OutputTokens int64 }
-	if err := json.Unmarshal(answer.Body, &generated); err != nil {
-		return Usage{}, false
-	}
-	return Usage{PromptTokens: generated.PromptTokens, CompletionTokens: generated.OutputTokens}, true
+	timeout := clocker.Millis(s.call.Service.ProgressTimeoutMs)
+	prompt, output, ok := s.d.canceller.cancel(s.choice.Server.Address, s.call.RequestID, timeout)
+	return Usage{PromptTokens: prompt, CompletionTokens: output}, ok
 }
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -75,6 +75,11 @@
 	return call(ctx, c, address, q, messenger.Exchange.CopyBills)
 }
 
+// TrackStreams tells the router at address which streams are open here.
+func (c *Client) TrackStreams(ctx context.Context, address string, q *messenger.TrackRequest) (*messenger.TrackReply, error) {
+	return call(ctx, c, address, q, messenger.Exchange.TrackStreams)
+}
+
 // Close closes unused connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -48,6 +48,11 @@
 	CopyBills(ctx context.Context, q *messenger.BillBatch) (*messenger.CopyReply, error)
 }
 
+// Tracker keeps open streams of other routers.
+type Tracker interface {
+	TrackStreams(ctx context.Context, q *messenger.TrackRequest) (*messenger.TrackReply, error)
+}
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	OperatorKey string
@@ -59,6 +64,7 @@
 	Transferrer Transferrer
 	Puller      Puller
 	Copier      Copier
+	Tracker     Tracker
 	Commander   messenger.Commander
 	Querier     messenger.Querier
 	// Ready tells whether the router takes callers.
@@ -106,7 +112,13 @@
 
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
-	exchange := messenger.NewExchangeServer(exchange{Beater: s.cfg.Beater, Transferrer: s.cfg.Transferrer, Puller: s.cfg.Puller, Copier: s.cfg.Copier})
+	exchange := messenger.NewExchangeServer(exchange{
+		Beater:      s.cfg.Beater,
+		Transferrer: s.cfg.Transferrer,
+		Puller:      s.cfg.Puller,
+		Copier:      s.cfg.Copier,
+		Tracker:     s.cfg.Tracker,
+	})
 	commands := messenger.NewCommanderServer(s.cfg.Commander)
 	queries := messenger.NewQuerierServer(s.cfg.Querier)
 	mux.Handle(exchange.PathPrefix(), s.authenticated(s.cfg.RouterKey, exchange))
@@ -150,4 +162,5 @@
 	Transferrer
 	Puller
 	Copier
+	Tracker
 }
--- a/router/parts.go
+++ b/router/parts.go
@@ -18,6 +18,7 @@
 	"cowsliphinge/querier"
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
+	"cowsliphinge/tracker"
 )
 
 // index returns the configuration in force.
@@ -102,6 +103,16 @@
 		Index:            r.index,
 		Seed:             uint64(clock.Now()),
 	})
+	r.tracker = tracker.New(ctx, tracker.Config{
+		Incarnation:      r.incarnation,
+		Host:             s.Host,
+		AvailabilityZone: s.AvailabilityZone,
+		Clock:            clock,
+		Peers:            r.heartbeater.Peers,
+		Exchange:         r.exchange,
+		Biller:           r.biller,
+		Canceller:        dispatcher.Canceller{Connector: r.connector, Clock: clock},
+	})
 	r.dispatcher = dispatcher.New(dispatcher.Config{
 		Incarnation: r.incarnation,
 		Clock:       clock,
@@ -116,6 +127,7 @@
 		}),
 		Connector: r.connector,
 		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, Reachable: r.reaches}),
+		Tracker:   r.tracker,
 	})
 	r.started.Store(true)
 }
@@ -143,6 +155,7 @@
 		Transferrer: r.reserver,
 		Puller:      spread,
 		Copier:      r.biller,
+		Tracker:     r.tracker,
 		Commander:   r.commander,
 		Querier: querier.New(querier.Config{
 			Spreader: spread,
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,7 @@
 	"cowsliphinge/reserver"
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
+	"cowsliphinge/tracker"
 )
 
 // Config configures a Router.
@@ -62,6 +63,7 @@
 	reserver    *reserver.Reserver
 	claimer     *claimer.Claimer
 	biller      *biller.Biller
+	tracker     *tracker.Tracker
 	balancer    *balancer.Balancer
 	connector   *connector.Connector
 	dispatcher  *dispatcher.Dispatcher
@@ -171,6 +173,7 @@
 		Parts: []drainer.Part{
 			{Name: "callers", Close: r.listener.Shutdown},
 			{Name: "claims", Close: r.claimer.Close},
+			{Name: "streams", Close: r.tracker.Close},
 			{Name: "bills", Close: r.biller.Close},
 			{Name: "budgets", Close: r.reserver.Close},
 			{Name: "balancer", Close: r.balancer.Close},
@@ -240,3 +243,8 @@
 func (r *Router) Version() int64 {
 	return r.index().Version()
 }
+
+// Tracks reports whether this router keeps the record of another host's stream.
+func (r *Router) Tracks(requestID string) bool {
+	return r.tracker.Locate(requestID) != nil
+}
--- /dev/null
+++ b/router/takeover_test.go
@@ -0,0 +1,80 @@
+package router_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/engine"
+	"cowsliphinge/standin/faulter"
+	"cowsliphinge/standin/fleet"
+	"cowsliphinge/streamer"
+)
+
+const keyedDraft = `{"model":"draft-1","max_tokens":400,"stream":true,"messages":[{"role":"user","content":"in memory"}]}`
+
+// TestStreamOfADeadHostIsResumed kills a host in the middle of a keyed stream.
+// The caller repeats at another host with the number of its last event, and
+// gets the rest of the same run, billed once.
+func TestStreamOfADeadHostIsResumed(t *testing.T) {
+	f := start(t, 100_000)
+	for name := range f.Engines {
+		setFaults(f, name, faulter.Faults{SlowMs: 50})
+	}
+	first := post(t, f, "host-a", "/v1/chat/completions", "draft-1", keyedDraft)
+	text, last := readSome(t, first, 5)
+	located := func() bool { return f.Routers()["host-b"].Tracks(first.Header.Get("X-Request-Id")) }
+	assert.NilError(t, f.Await(context.Background(), located))
+	f.KillHost("host-a")
+	for name := range f.Engines {
+		setFaults(f, name, faulter.Faults{})
+	}
+
+	second := repeat(t, f, "host-b", "draft-1", last)
+	assert.Equal(t, second.StatusCode, 200)
+	rest := read(t, second, -1, nil)
+	assert.Assert(t, rest.whole)
+	id := second.Header.Get("X-Request-Id")
+	assert.Equal(t, id, first.Header.Get("X-Request-Id"))
+	whole := strings.ReplaceAll(text+rest.text, " ", "")
+	assert.Equal(t, whole, strings.ReplaceAll(engine.Answer(id, "in memory", rest.usage.CompletionTokens), " ", ""))
+	assert.Equal(t, f.Engines["engine-1"].Runs()[id]+f.Engines["engine-2"].Runs()[id], 1)
+	sums, err := f.Querier("host-b").SumBills(context.Background(), &messenger.SumBillsRequest{ClientAccount: "mason"})
+	assert.NilError(t, err)
+	assert.Equal(t, sums.Sums[0].Requests, int64(1))
+	assert.Equal(t, sums.Sums[0].Tokens, rest.usage.Total())
+}
+
+// readSome reads n events and returns their text and the number of the last.
+func readSome(t *testing.T, resp *http.Response, n int) (string, int64) {
+	t.Helper()
+	assert.Equal(t, resp.StatusCode, 200)
+	reader := streamer.NewReader(resp.Body)
+	r := result{}
+	var last int64
+	for range n {
+		event, err := reader.Next()
+		assert.NilError(t, err)
+		r.add(t, event.Data)
+		last = event.ID
+	}
+	return r.text, last
+}
+
+func repeat(t *testing.T, f *fleet.Fleet, host, idempotencyKey string, last int64) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.CallerAddress(host)+"/v1/chat/completions", strings.NewReader(keyedDraft))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Idempotency-Key", idempotencyKey)
+	r.Header.Set("Last-Event-ID", strconv.FormatInt(last, 10))
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
