Let a ticket be dispatched again after an authoritative refusal; pace the clean-up

Cause: the dispatcher asks again before each attempt; a claim by key allowed it and a ticket did not, so an order was refused that could safely run. A clean-up took all of the process's platform calls at once, ahead of claims.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -122,9 +122,10 @@
 func (c *Claimer) Close(ctx context.Context) error {
 	c.cancel()
 	_ = c.duties.Wait()
-	if err := c.writeRecord(ctx); err != nil {
-		return trace.Wrap(err)
-	}
+	return trace.NewAggregate(c.writeRecord(ctx), c.writeAll(ctx))
+}
+
+func (c *Claimer) writeAll(ctx context.Context) error {
 	for {
 		c.writePending(ctx)
 		left := c.unwritten()
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -163,7 +163,9 @@
 	assert.Equal(t, a.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.InProgress)
 	assert.Equal(t, a.Claim(ctx, order(clock, key, "plaque")).Verdict, claimer.KeyReused)
 	assert.Assert(t, a.Dispatched(first.Claim))
+	assert.Assert(t, a.Dispatched(first.Claim), "again, after a backend server refused it")
 	a.Finish(ctx, first.Claim, &messenger.StoredAnswer{Status: 201})
+	assert.Assert(t, !a.Dispatched(first.Claim))
 	assert.Equal(t, a.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.Answered)
 	store.SetFaults(platform.Faults{})
 	assert.Equal(t, c.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.OutcomeUnknown)
@@ -197,29 +199,28 @@
 }
 
 func TestExpiredClaimsAreDeleted(t *testing.T) {
-	ctx := t.Context()
-	clock := clocker.NewManual(clocker.Hour)
-	store := platform.New(clock)
-	a := newClaimer(t, clock, store, "a-1-1")
-	for i := range 20 {
-		a.Finish(ctx, a.Claim(ctx, order(clock, fmt.Sprint(i), "urn")).Claim, nil)
-	}
-	a.IssueTicket("mason")
-	assert.NilError(t, a.Close(ctx))
-	left := func() int {
-		objects, err := store.List(ctx, "", "", 100)
-		assert.NilError(t, err)
-		return len(objects)
-	}
-	sweep := func() {
-		for part := range 256 {
-			claimer.Sweep(ctx, a, part)
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		clock := clocker.NewManual(clocker.Hour)
+		store := platform.New(clock)
+		a := newClaimer(t, clock, store, "a-1-1")
+		for i := range 20 {
+			a.Finish(ctx, a.Claim(ctx, order(clock, fmt.Sprint(i), "urn")).Claim, nil)
 		}
-	}
-	clock.Advance(24 * clocker.Hour)
-	sweep()
-	assert.Equal(t, left(), 22)
-	clock.Advance(2 * clocker.Hour)
-	sweep()
-	assert.Equal(t, left(), 0)
+		a.IssueTicket("mason")
+		assert.NilError(t, a.Close(ctx))
+		leftAfter := func(d clocker.Millis) int {
+			clock.Advance(d)
+			during(clock, func() {
+				for part := range 256 {
+					claimer.Sweep(ctx, a, part)
+				}
+			})
+			objects, err := store.List(ctx, "", "", 100)
+			assert.NilError(t, err)
+			return len(objects)
+		}
+		assert.Equal(t, leftAfter(24*clocker.Hour), 22)
+		assert.Equal(t, leftAfter(2*clocker.Hour), 0)
+	})
 }
--- a/claimer/sweep.go
+++ b/claimer/sweep.go
@@ -20,6 +20,9 @@
 	sweepParts = 256
 	// sweepPage is the number of claims that one read returns.
 	sweepPage = 50
+	// sweepPause is the time between its calls, so that claims go before it, in
+	// milliseconds.
+	sweepPause = 200 * clocker.Millis(1)
 	// sweepDeletes bounds the claims that one clean-up deletes.
 	sweepDeletes = 200
 	// sweepMargin is added to the retention, for clocks that differ between
@@ -42,7 +45,7 @@
 	now := c.cfg.Clock.Now()
 	keep := c.retention() + sweepMargin
 	after := ""
-	for deleted := 0; deleted < sweepDeletes; {
+	for deleted := 0; deleted < sweepDeletes && ctx.Err() == nil; {
 		page, err := c.cfg.Store.List(ctx, prefix, after, sweepPage)
 		if err != nil {
 			return
@@ -56,10 +59,12 @@
 				swept.Inc()
 			}
 			deleted++
+			_ = c.cfg.Clock.Sleep(ctx, sweepPause)
 		}
 		if len(page) < sweepPage {
 			return
 		}
+		_ = c.cfg.Clock.Sleep(ctx, sweepPause)
 	}
 }
 
--- a/claimer/tickets.go
+++ b/claimer/tickets.go
@@ -154,7 +154,7 @@
 // whether it still may be.
 func (t *tickets) dispatched(claim *messenger.Claim, now clocker.Millis) bool {
 	_, used := t.of(claim)
-	if used == nil || used.claim.State != messenger.ClaimState_CLAIMED || now >= used.deadline {
+	if used == nil || used.claim.State > messenger.ClaimState_DISPATCHED || now >= used.deadline {
 		return false
 	}
 	used.claim.State = messenger.ClaimState_DISPATCHED
