--- a/biller/biller.go
+++ b/biller/biller.go
@@ -19,7 +19,7 @@
 
 const (
 	// defaultWriteEvery is the time between batches, in milliseconds.
-	defaultWriteEvery = 10 * clocker.Second
+	defaultWriteEvery = 30 * clocker.Second
 	// defaultTakeoverAfter is how long an origin is silent before its copies
 	// are written here, in milliseconds.
 	defaultTakeoverAfter = 30 * clocker.Second
@@ -52,6 +52,7 @@
 	adopted     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="adopted"}`)
 	written     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="written"}`)
 	copyFailed  = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="copy_failed"}`)
+	compactions = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="batches_compacted"}`)
 	writeFailed = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="write_failed"}`)
 )
 
@@ -60,6 +61,7 @@
 	Get(ctx context.Context, key string) (storer.Object, error)
 	List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error)
 	Create(ctx context.Context, key string, value []byte) (storer.Object, error)
+	Delete(ctx context.Context, key string, version int64) error
 }
 
 // Exchange copies bills to other routers.
@@ -76,7 +78,7 @@
 	Store            Store
 	Exchange         Exchange
 	Peers            func() []heartbeater.Peer
-	// WriteEvery and TakeoverAfter are in milliseconds; 0 means 10 s and 30 s.
+	// WriteEvery and TakeoverAfter are in milliseconds; 0 means 30 s.
 	WriteEvery    clocker.Millis
 	TakeoverAfter clocker.Millis
 	// Limit is the number of unwritten bills from which on Room reports
@@ -84,6 +86,9 @@
 	Limit int
 	// BatchBills bounds a batch and a copy; 0 means 2,000.
 	BatchBills int
+	// CompactAfter is the number of own batches that are compacted together; 0
+	// means 50.
+	CompactAfter int
 }
 
 // Biller is the shell around the bills of one incarnation.
@@ -96,6 +101,10 @@
 	writeNow chan struct{}
 	// collect merges bills into a sum.
 	collect func(Set, ...*messenger.Bill)
+	// smallBatches is how many own batches are not compacted, compacted the
+	// number of the next compacted one. One goroutine at a time uses them.
+	smallBatches int
+	compacted    int64
 	// margin is how many bills are kept above the limit.
 	margin int
 
@@ -121,6 +130,9 @@
 	if cfg.BatchBills == 0 {
 		cfg.BatchBills = defaultBatchBills
 	}
+	if cfg.CompactAfter == 0 {
+		cfg.CompactAfter = defaultCompactAfter
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	b := &Biller{
 		cfg:      cfg,
@@ -153,6 +165,7 @@
 	b.takeOver(func(string, *held) bool { return true })
 	for {
 		if b.write(ctx) {
+			b.compact(ctx, 2)
 			return nil
 		}
 		if err := b.cfg.Clock.Sleep(ctx, retryEvery); err != nil {
--- a/biller/export_test.go
+++ b/biller/export_test.go
@@ -1,6 +1,7 @@
 package biller
 
 import (
+	"context"
 	"fmt"
 
 	"cowsliphinge/messenger"
@@ -19,3 +20,13 @@
 func SetMargin(b *Biller, n int) {
 	b.margin = n
 }
+
+// Write writes all batches, one of each bill if they were recorded one by one.
+func Write(ctx context.Context, b *Biller) bool {
+	return b.write(ctx)
+}
+
+// Compact compacts all batches of b.
+func Compact(ctx context.Context, b *Biller) {
+	b.compact(ctx, 1)
+}
--- a/biller/merge_test.go
+++ b/biller/merge_test.go
@@ -1,6 +1,7 @@
 package biller_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -13,6 +14,7 @@
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/messenger"
 	"cowsliphinge/standin/platform"
+	"cowsliphinge/storer"
 )
 
 func ExampleMerge() {
@@ -65,3 +67,41 @@
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Sums[0].Requests, int64(6))
 }
+
+// compacting is a platform where batches are compacted between two pages of a list.
+type compacting struct {
+	*platform.Store
+	between func()
+}
+
+func (c *compacting) List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error) {
+	page, err := c.Store.List(ctx, prefix, after, limit)
+	if c.between != nil {
+		between := c.between
+		c.between = nil
+		between()
+	}
+	return page, err
+}
+
+func TestSumWhileBatchesAreCompacted(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	clock := clocker.NewManual(clocker.Hour)
+	store := &compacting{Store: platform.New(clock)}
+	cfg := biller.Config{Incarnation: "h0", Clock: clock, Store: store, BatchBills: 1, CompactAfter: 100}
+	cfg.Peers = func() []heartbeater.Peer { return nil }
+	writer := biller.New(ctx, cfg)
+	for i := range 60 {
+		_ = writer.Record(ctx, &messenger.Bill{ClientAccount: "mason", RequestId: fmt.Sprint(i), Tokens: 1})
+	}
+	assert.Assert(t, biller.Write(t.Context(), writer))
+	store.between = func() { biller.Compact(t.Context(), writer) }
+	cfg.Incarnation = "reader"
+	reply, err := biller.New(ctx, cfg).SumBills(t.Context(), &messenger.SumBillsRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Sums[0].Requests, int64(60))
+	objects, err := store.Store.List(t.Context(), "", "", 100)
+	assert.NilError(t, err)
+	assert.Equal(t, len(objects), 1)
+}
--- a/biller/world_test.go
+++ b/biller/world_test.go
@@ -95,7 +95,8 @@
 	for _, h := range w.hosts {
 		h.biller = biller.New(w.ctx, biller.Config{
 			Incarnation: h.peer.Incarnation, Host: h.peer.Host, AvailabilityZone: h.peer.AvailabilityZone,
-			Clock: clock, Store: gate{h}, Exchange: gate{h}, Peers: h.peers, BatchBills: 2,
+			Clock: clock, Store: gate{h}, Exchange: gate{h}, Peers: h.peers, BatchBills: 2, CompactAfter: 3,
+			WriteEvery: 10 * clocker.Second,
 		})
 	}
 	return w
@@ -280,9 +281,29 @@
 
 // List implements biller.Store.
 func (g gate) List(_ context.Context, prefix, after string, limit int) ([]storer.Object, error) {
+	if g.host.world.park(g.host, "list") != deliver {
+		return nil, storer.ErrOutcomeUnknown{Key: prefix}
+	}
 	return g.host.world.store.List(context.Background(), prefix, after, limit)
 }
 
+// Delete implements biller.Store.
+func (g gate) Delete(_ context.Context, key string, version int64) error {
+	w := g.host.world
+	o := w.park(g.host, "delete")
+	if o == deliver || o == loseAnswer {
+		if err := w.store.Delete(context.Background(), key, version); err != nil || o == deliver {
+			return err
+		}
+	}
+	if o == delay {
+		w.mu.Lock()
+		w.delayed = append(w.delayed, func() { _ = w.store.Delete(context.Background(), key, version) })
+		w.mu.Unlock()
+	}
+	return storer.ErrOutcomeUnknown{Key: key}
+}
+
 // Create implements biller.Store.
 func (g gate) Create(_ context.Context, key string, value []byte) (storer.Object, error) {
 	w := g.host.world
--- a/biller/write.go
+++ b/biller/write.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 	"cowsliphinge/storer"
 )
@@ -15,7 +16,10 @@
 	// prefix starts the key of each batch.
 	prefix = "bill/"
 	// listPage is the number of batches that one read returns.
-	listPage = 50
+	listPage = 25
+	// listPause is the time between a read that was over the rate bound and the
+	// next try, in milliseconds.
+	listPause = 200 * clocker.Millis(1)
 )
 
 // writeDuty writes batches at an interval, and at once while no peer takes
@@ -34,6 +38,7 @@
 			continue
 		}
 		b.tellWritten(ctx)
+		b.compact(ctx, b.cfg.CompactAfter)
 	}
 }
 
@@ -47,7 +52,7 @@
 		if batch == nil {
 			return true
 		}
-		found, err := b.writeBatch(ctx, batch)
+		found, err := b.writeBatch(ctx, fmt.Sprintf("%s%s/%012d", prefix, batch.Incarnation, batch.Sequence), batch)
 		if err != nil {
 			writeFailed.Inc()
 			return false
@@ -55,6 +60,7 @@
 		b.mu.Lock()
 		if found {
 			b.buffer.written()
+			b.smallBatches++
 			written.Add(len(batch.Bills))
 			b.progressed()
 		} else {
@@ -67,12 +73,11 @@
 
 // writeBatch creates the object of a batch. After an unknown outcome or a
 // conflict it reads back: the batch is written only if the same bills are found.
-func (b *Biller) writeBatch(ctx context.Context, batch *messenger.BillBatch) (bool, error) {
+func (b *Biller) writeBatch(ctx context.Context, key string, batch *messenger.BillBatch) (bool, error) {
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(batch)
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
-	key := fmt.Sprintf("%s%s/%012d", prefix, batch.Incarnation, batch.Sequence)
 	_, err = b.cfg.Store.Create(ctx, key, value)
 	if err == nil {
 		return true, nil
@@ -100,6 +105,9 @@
 	after := ""
 	for {
 		page, err := b.cfg.Store.List(ctx, prefix, after, listPage)
+		if storer.IsErrRateLimited(err) && b.cfg.Clock.Sleep(ctx, listPause) == nil {
+			continue
+		}
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
