Add the operators' command line

The decoder refused 64-bit numbers in strings, which is how protobuf's JSON mapping writes them, so the output of get could not be applied; it now reads either form.

--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -21,6 +21,9 @@
 	commander.Register(&serveCommand{}, "router")
 	commander.Register(&standinCommand{}, "router")
 	commander.Register(&versionCommand{}, "")
+	for _, command := range operatorCommands(newConsole()) {
+		commander.Register(command, "operators")
+	}
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
 	"github.com/twitchtv/twirp"
 
 	"cowsliphinge/indexer"
@@ -132,7 +133,7 @@
 			WithMeta(MetaAt, strconv.FormatInt(int64(conflict.At), 10))
 	case spreader.IsErrBadRequest(err):
 		return twirp.NewError(twirp.InvalidArgument, err.Error())
-	case storer.IsErrTooLarge(err):
+	case storer.IsErrTooLarge(err), trace.IsBadParameter(err):
 		return twirp.NewError(twirp.InvalidArgument, err.Error())
 	case spreader.IsErrOutcomeUnknown(err), storer.IsErrOutcomeUnknown(err),
 		storer.IsErrRateLimited(err), reserver.IsErrBudgetUnreachable(err):
--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -159,7 +159,11 @@
 	c.add(path, "must be one of %s", strings.Join(names, ", "))
 }
 
+// integer checks a whole number, which protobuf's JSON mapping also writes as a string.
 func (c *collector) integer(path string, tree any) {
+	if text, ok := tree.(string); ok {
+		tree = json.Number(text)
+	}
 	n, ok := tree.(json.Number)
 	if !ok {
 		c.add(path, "must be a whole number")
--- a/decoder/decode_test.go
+++ b/decoder/decode_test.go
@@ -26,6 +26,16 @@
 	assert.Equal(t, d.Services[0].Kind, messenger.ServiceKind_LANGUAGE)
 }
 
+func TestBytesReadsNumbersInStrings(t *testing.T) {
+	var d messenger.Declarations
+	findings := decoder.Bytes("fleet.json", []byte(`{"Services": [{"QueueLimit": "12"}]}`), &d)
+	assert.Equal(t, len(findings), 0)
+	assert.Equal(t, d.Services[0].QueueLimit, int64(12))
+	findings = decoder.Bytes("fleet.json", []byte(`{"Services": [{"QueueLimit": "-1"}, {"QueueLimit": "x"}]}`), &d)
+	assert.Equal(t, decoder.ErrFindings{Findings: findings}.Error(), `fleet.json: $.Services[0].QueueLimit: must not be negative
+fleet.json: $.Services[1].QueueLimit: must be a whole number that fits 64 bits`)
+}
+
 func FuzzBytes(f *testing.F) {
 	f.Add([]byte(`{"Hosts": [{"Name": "a"}]}`))
 	f.Add([]byte(`{"Policy": {"HeadroomMs": 9223372036854775808}}`))
--- a/spreader/learn.go
+++ b/spreader/learn.go
@@ -205,6 +205,9 @@
 	waiting, cancel := s.cfg.Clock.WithTimeout(ctx, watchMs)
 	defer cancel()
 	objects, err := s.cfg.Store.Watch(waiting, HeadKey, s.watched.Load())
+	if waiting.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		s.reached.Store(false)
 		count("failed", "watch")
