--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -19,7 +19,10 @@
 	commander.Register(commander.CommandsCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&serveCommand{}, "router")
+	commander.Register(&demoCommand{}, "")
 	commander.Register(&standinCommand{}, "router")
+	commander.Register(&loadCommand{}, "measure")
+	commander.Register(&checkCommand{}, "measure")
 	commander.Register(&versionCommand{}, "")
 	for _, command := range operatorCommands(newConsole()) {
 		commander.Register(command, "operators")
--- a/loader/run.go
+++ b/loader/run.go
@@ -28,8 +28,17 @@
 	Clock *clocker.Clock
 	// Recorder gets the history; nil keeps it in memory only.
 	Recorder *checker.Recorder
+	// Route stands for the balancer before the hosts: it returns the address to
+	// use in place of the scheduled one; nil keeps that.
+	Route func(address string) string
 	// Progress gets a line a second; nil tells none.
 	Progress io.Writer
+	// Settle is called once all requests ended, before the platform is read;
+	// nil does nothing.
+	Settle func(ctx context.Context) error
+	// Store is read for bills and budgets; nil means that of the plan's
+	// PlatformURL.
+	Store Store
 }
 
 // Report is what a run measured.
@@ -146,6 +155,9 @@
 }
 
 func (r *runner) sendOne(a Arrival) {
+	if r.cfg.Route != nil {
+		a.Caller = r.cfg.Route(a.Caller)
+	}
 	request := r.caller.send(r.start, a)
 	r.measures.finish(request)
 	r.cfg.Recorder.Record(checker.Entry{Request: &request})
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,7 @@
 	"cowsliphinge/reserver"
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
+	"cowsliphinge/tracker"
 )
 
 // Config configures a Router.
@@ -34,6 +35,9 @@
 	Log      *slog.Logger
 	// Network lets tests cut the router off; nil cuts nothing.
 	Network Network
+	// Callers and Exchange are open listeners; nil opens those of the settings.
+	Callers  net.Listener
+	Exchange net.Listener
 }
 
 // Network tells what a router reaches.
@@ -48,6 +52,8 @@
 	incarnation string
 	ready       atomic.Bool
 	started     atomic.Bool // the parts that beat asks are there
+	leaving     chan struct{}
+	cancel      context.CancelFunc
 	group       errgroup.Group
 
 	store       *storer.Client
@@ -57,11 +63,13 @@
 	reserver    *reserver.Reserver
 	claimer     *claimer.Claimer
 	biller      *biller.Biller
+	tracker     *tracker.Tracker
 	balancer    *balancer.Balancer
 	connector   *connector.Connector
 	dispatcher  *dispatcher.Dispatcher
 	listener    *listener.Listener
 	server      *exchanger.Server
+	commander   messenger.Commander
 }
 
 // New opens the listeners of the settings and starts a router. It takes
@@ -79,27 +87,44 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "ExchangeTls")
 	}
-	callers, err := net.Listen("tcp", cfg.Settings.CallerAddress)
+	callers, err := listen(cfg.Callers, cfg.Settings.CallerAddress)
 	if err != nil {
 		return nil, trace.Wrap(err, "CallerAddress")
 	}
-	peers, err := net.Listen("tcp", cfg.Settings.ExchangeAddress)
+	peers, err := listen(cfg.Exchange, cfg.Settings.ExchangeAddress)
 	if err != nil {
 		_ = callers.Close()
 		return nil, trace.Wrap(err, "ExchangeAddress")
 	}
-	r := &Router{cfg: cfg, incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	ctx, cancel := context.WithCancel(ctx)
+	r := &Router{
+		cfg:         cfg,
+		incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now()),
+		leaving:     make(chan struct{}),
+		cancel:      cancel,
+	}
 	r.startClients(peerTLS)
 	r.startMembership(ctx)
 	r.startDeciders(ctx)
 	r.startListeners(listenerTLS, exchangeTLS)
 	r.group.Go(func() error { return r.server.Serve(peers) })
 	r.group.Go(func() error { return r.listener.Serve(callers) })
+	r.group.Go(func() error {
+		r.watchLeaving(ctx)
+		return nil
+	})
 	r.ready.Store(true)
 	cfg.Log.Info("started", "incarnation", r.incarnation, "callers", cfg.Settings.CallerAddress, "exchange", cfg.Settings.ExchangeAddress)
 	return r, nil
 }
 
+func listen(open net.Listener, address string) (net.Listener, error) {
+	if open != nil {
+		return open, nil
+	}
+	return net.Listen("tcp", address)
+}
+
 // Incarnation returns the name of this life of the host.
 func (r *Router) Incarnation() string {
 	return r.incarnation
@@ -110,6 +135,26 @@
 	return r.ready.Load() && r.spreader.Load().Ready()
 }
 
+// Leaving is closed once a move in force says that this host is to drain.
+func (r *Router) Leaving() <-chan struct{} {
+	return r.leaving
+}
+
+// watchLeaving looks every second whether the host is to drain.
+func (r *Router) watchLeaving(ctx context.Context) {
+	for r.cfg.Clock.Sleep(ctx, clocker.Second) == nil {
+		if r.index().HostLeaving(r.cfg.Settings.Host, r.cfg.Clock.Now()) {
+			close(r.leaving)
+			return
+		}
+	}
+}
+
+// Commander returns the operators' commands of this router.
+func (r *Router) Commander() messenger.Commander {
+	return r.commander
+}
+
 // Wait returns once both listeners have ended, with the error of either.
 func (r *Router) Wait() error {
 	return trace.Wrap(r.group.Wait())
@@ -128,6 +173,7 @@
 		Parts: []drainer.Part{
 			{Name: "callers", Close: r.listener.Shutdown},
 			{Name: "claims", Close: r.claimer.Close},
+			{Name: "streams", Close: r.tracker.Close},
 			{Name: "bills", Close: r.biller.Close},
 			{Name: "budgets", Close: r.reserver.Close},
 			{Name: "balancer", Close: r.balancer.Close},
@@ -143,10 +189,12 @@
 // returned or written.
 func (r *Router) Kill() error {
 	r.ready.Store(false)
+	r.cancel()
 	return trace.NewAggregate(r.server.Close(), r.listener.Abort())
 }
 
 func (r *Router) closeConnections(context.Context) error {
+	r.cancel()
 	r.connector.CloseIdle()
 	r.exchange.Close()
 	return nil
@@ -195,3 +243,8 @@
 func (r *Router) Version() int64 {
 	return r.index().Version()
 }
+
+// Tracks reports whether this router keeps the record of another host's stream.
+func (r *Router) Tracks(requestID string) bool {
+	return r.tracker.Locate(requestID) != nil
+}
