--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -49,7 +49,7 @@
 	Clock *clocker.Clock
 	// Declared returns the hosts of the configuration in force; may be nil.
 	Declared func() []*messenger.Host
-	// Seeds are exchange addresses that get beats until others are known.
+	// Seeds are exchange addresses that get beats in turn while no peer is heard.
 	Seeds []string
 	// HostList may be nil.
 	HostList HostList
@@ -66,6 +66,8 @@
 	duties errgroup.Group
 
 	peers atomic.Pointer[[]Peer]
+	// nextSeed is used by the beating duty alone.
+	nextSeed int
 
 	mu      sync.Mutex
 	members *Members
@@ -206,12 +208,18 @@
 	h.mu.Lock()
 	targets := h.members.Targets()
 	h.mu.Unlock()
-	if len(targets) == 0 {
-		targets = slices.Clone(h.cfg.Seeds)
+	if n := len(h.cfg.Seeds); n > 0 && h.alone() {
+		h.nextSeed++
+		targets = append(targets, h.cfg.Seeds[h.nextSeed%n])
 	}
 	return slices.DeleteFunc(targets, func(address string) bool { return address == own })
 }
 
+// alone reports whether no peer is heard.
+func (h *Heartbeater) alone() bool {
+	return !slices.ContainsFunc(h.Peers(), func(p Peer) bool { return !p.Suspect })
+}
+
 func logChanges(old, now []Peer) {
 	before := make(map[string]Peer, len(old))
 	for _, p := range old {
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -96,3 +96,24 @@
 	n.set("b1", false)
 	until(t, clock, func() bool { return suspects("a1")+suspects("a2")+suspects("b1") == 0 })
 }
+
+func TestSeedIsAskedWhileNobodyIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clocker.NewManual(clocker.Hour)
+		n := &network{hosts: map[string]*heartbeater.Heartbeater{}, cut: map[string]bool{}}
+		start := func(name string, seeds ...string) *heartbeater.Heartbeater {
+			return heartbeater.New(t.Context(), heartbeater.Config{
+				Self: func() *messenger.Beat {
+					return &messenger.Beat{Host: name, Incarnation: name + "-10-1", AvailabilityZone: "a", ExchangeAddress: name}
+				},
+				Declared: func() []*messenger.Host { return []*messenger.Host{{Name: "gone", ExchangeAddress: "gone"}} },
+				Clock:    clock, Exchange: n, Seeds: seeds,
+			})
+		}
+		a, b := start("a"), start("b", "lost", "a")
+		n.mu.Lock()
+		n.hosts["a"], n.hosts["b"] = a, b
+		n.mu.Unlock()
+		until(t, clock, func() bool { return len(a.Peers()) == 2 && len(b.Peers()) == 2 && !b.Peers()[0].Suspect })
+	})
+}
--- a/heartbeater/incarnation.go
+++ b/heartbeater/incarnation.go
@@ -48,10 +48,5 @@
 	if beat.Host != "" || beat.Incarnation == "" {
 		return beat.Host
 	}
-	head, _, _ := cutLast(beat.Incarnation)
-	host, _, ok := cutLast(head)
-	if !ok {
-		return ""
-	}
-	return host
+	return HostOf(beat.Incarnation)
 }
--- a/heartbeater/members_test.go
+++ b/heartbeater/members_test.go
@@ -143,7 +143,7 @@
 }
 
 func (s *sim) stride() int {
-	return max(1, len(s.names)/11)
+	return len(s.names)/11 | 1
 }
 
 // second lets each living host beat once.
