--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -21,6 +21,7 @@
 	// IdempotencyKey is the caller's name of the request; empty for none.
 	IdempotencyKey string
 	Deadline       clocker.Millis
+	Priority       picker.Priority
 
 	Method      string
 	Path        string
@@ -63,6 +64,8 @@
 // Biller records bills.
 type Biller interface {
 	Record(ctx context.Context, bill *messenger.Bill) error
+	// Room reports whether bills of new requests can be kept.
+	Room() bool
 }
 
 // Balancer hands out slots of backend servers.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -124,6 +124,10 @@
 		return nil, nil, NewRefusal(CodeDraining, call.RequestID, !call.needsClaim(), "this host takes no new requests")
 	}
 	r := &run{d: d, call: call}
+	if !d.cfg.Biller.Room() {
+		d.leave()
+		return nil, nil, NewRefusal(CodeOverloaded, call.RequestID, !call.needsClaim(), "too many bills wait for the platform")
+	}
 	stored, refusal := r.makeClaim(ctx)
 	if stored != nil || refusal != nil {
 		d.leave()
@@ -174,6 +178,7 @@
 		Tokens:        r.reservation.Tokens,
 		Deadline:      r.call.Deadline,
 		Avoid:         r.avoid,
+		Priority:      r.call.Priority,
 	})
 	if err != nil {
 		return r.noServer(err)
@@ -189,18 +194,27 @@
 }
 
 func (r *run) noServer(err error) *Refusal {
-	notRun := r.state == NotDispatched
-	var none picker.ErrNoServer
 	code := CodeNoServer
+	var none picker.ErrNoServer
 	if errors.As(err, &none) {
-		switch none.Reason {
-		case "queue_full":
-			code = CodeOverloaded
-		case "deadline":
-			code = CodeDeadlineExceeded
-		}
+		code = codeOf(none.Reason)
+	}
+	refusal := NewRefusal(code, r.call.RequestID, r.state == NotDispatched, err.Error())
+	if none.RetryAfterMs > 0 {
+		refusal.RetryAfterMs = clocker.Millis(none.RetryAfterMs)
+	}
+	return refusal
+}
+
+func codeOf(reason string) Code {
+	switch reason {
+	case picker.ReasonQueueFull, picker.ReasonShed, picker.ReasonOverload:
+		return CodeOverloaded
+	case picker.ReasonDeadline:
+		return CodeDeadlineExceeded
+	default:
+		return CodeNoServer
 	}
-	return NewRefusal(code, r.call.RequestID, notRun, err.Error())
 }
 
 func (r *run) release(o picker.Outcome) {
@@ -261,6 +275,12 @@
 	}
 }
 
+// priorities are the names of the classes towards model engines.
+var priorities = map[picker.Priority]string{
+	picker.Interactive: "interactive",
+	picker.Batch:       "batch",
+}
+
 func (r *run) request(method, path, contentType string, body []byte) connector.Request {
 	return connector.Request{
 		Method:          method,
@@ -269,6 +289,7 @@
 		Body:            body,
 		RequestID:       r.call.RequestID,
 		IdempotencyKey:  r.call.IdempotencyKey,
+		Priority:        priorities[r.call.Priority],
 		Deadline:        r.call.Deadline,
 		ProgressTimeout: clocker.Millis(r.call.Service.ProgressTimeoutMs),
 		Fresh:           !r.call.Service.Idempotent,
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -68,6 +68,7 @@
 	if refusal != nil {
 		return nil, s.abort(ctx, refusal)
 	}
+	s.choice.FirstByteAt = s.d.cfg.Clock.Now()
 	s.pending = event
 	s.hasPending = true
 	s.track()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -23,6 +23,7 @@
 	"cowsliphinge/dispatcher"
 	"cowsliphinge/indexer"
 	"cowsliphinge/messenger"
+	"cowsliphinge/picker"
 )
 
 const (
@@ -187,6 +188,13 @@
 		wait = clocker.Millis(given)
 	}
 	call.Deadline = l.cfg.Clock.Now() + wait
+	switch string(ctx.Request.Header.Peek("X-Priority")) {
+	case "", "interactive":
+	case "batch":
+		call.Priority = picker.Batch
+	default:
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "X-Priority: must be interactive or batch")
+	}
 	return nil
 }
 
