Copy bills in time that does not grow with the copies held

Cause: a holder of copies looked at each held copy with every batch; found by the throughput benchmark, whose processors stood half idle. Now it looks at those that were written only, and a full batch is written at once.

--- a/biller/biller.go
+++ b/biller/biller.go
@@ -166,8 +166,12 @@
 		return ErrFull{Pending: n}
 	}
 	sequence := b.buffer.add(proto.CloneOf(bill))
+	full := len(b.buffer.pending) >= batchBills
 	b.mu.Unlock()
 	recorded.Inc()
+	if full {
+		wake(b.writeNow)
+	}
 	wake(b.copyNow)
 	for {
 		b.mu.Lock()
--- a/biller/buffer.go
+++ b/biller/buffer.go
@@ -129,17 +129,16 @@
 	return true
 }
 
-// drop forgets the copies that their origin wrote itself.
+// drop forgets the copies that their origin wrote itself. Copies arrive in the
+// order of their sequences, so that only the first ones are looked at.
 func (b *buffer) drop(h *held, writtenThrough int64) {
-	kept := h.bills[:0]
-	for _, n := range h.bills {
-		if n.sequence > writtenThrough {
-			kept = append(kept, n)
-		}
+	n := 0
+	for n < len(h.bills) && h.bills[n].sequence <= writtenThrough {
+		n++
 	}
-	clear(h.bills[len(kept):])
-	b.copies -= len(h.bills) - len(kept)
-	h.bills = kept
+	clear(h.bills[:n])
+	h.bills = h.bills[n:]
+	b.copies -= n
 }
 
 // adopt makes own bills of the copies of each origin that gone reports, and
