--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,6 +22,10 @@
 // maxAttempts bounds how often one request is handed to backend servers.
 const maxAttempts = 4
 
+// copyPatience is how long the last byte of an answer waits for its bill to be
+// with a second host, in milliseconds; a host alone in reach goes on without.
+const copyPatience = 300 * clocker.Millis(1)
+
 // State is how far a request has come.
 type State int
 
@@ -259,6 +263,8 @@
 
 // bill records what the request costs, before its last byte leaves.
 func (r *run) bill(ctx context.Context, usage Usage, partial bool) {
+	ctx, cancel := r.d.cfg.Clock.WithTimeout(ctx, copyPatience)
+	defer cancel()
 	if err := r.d.cfg.Biller.Record(ctx, &messenger.Bill{
 		ClientAccount: r.call.Account.Name,
 		RequestId:     r.call.RequestID,
