--- a/biller/biller.go
+++ b/biller/biller.go
@@ -175,7 +175,7 @@
 		return ErrFull{Pending: n}
 	}
 	sequence := b.buffer.add(proto.CloneOf(bill))
-	full := len(b.buffer.pending) >= b.buffer.batchBills
+	full := b.buffer.unwritten() >= b.cfg.Limit/2
 	b.mu.Unlock()
 	recorded.Inc()
 	if full {
