--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -24,6 +24,9 @@
 	commander.Register(&loadCommand{}, "measure")
 	commander.Register(&checkCommand{}, "measure")
 	commander.Register(&versionCommand{}, "")
+	for _, command := range operatorCommands(newConsole()) {
+		commander.Register(command, "operators")
+	}
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
