--- a/biller/biller.go
+++ b/biller/biller.go
@@ -188,8 +188,12 @@
 		return ErrFull{Pending: n}
 	}
 	sequence := b.buffer.add(proto.CloneOf(bill))
+	full := b.buffer.unwritten() >= b.cfg.Limit/2
 	b.mu.Unlock()
 	recorded.Inc()
+	if full {
+		wake(b.writeNow)
+	}
 	wake(b.copyNow)
 	for {
 		b.mu.Lock()
--- a/biller/buffer.go
+++ b/biller/buffer.go
@@ -189,7 +189,8 @@
 	return bills
 }
 
-// drop forgets the copies that their origin wrote itself.
+// drop forgets the copies that their origin wrote itself. Copies arrive in the
+// order of their sequences, so that only the first ones are looked at.
 func (b *buffer) drop(h *held, writtenThrough int64) {
 	h.packs = slices.DeleteFunc(h.packs, func(p pack) bool {
 		written := p.last <= writtenThrough
@@ -198,15 +199,13 @@
 		}
 		return written
 	})
-	kept := h.bills[:0]
-	for _, n := range h.bills {
-		if n.sequence > writtenThrough {
-			kept = append(kept, n)
-		}
+	n := 0
+	for n < len(h.bills) && h.bills[n].sequence <= writtenThrough {
+		n++
 	}
-	clear(h.bills[len(kept):])
-	b.copies -= len(h.bills) - len(kept)
-	h.bills = kept
+	clear(h.bills[:n])
+	h.bills = h.bills[n:]
+	b.copies -= n
 }
 
 // adopt makes own bills of the copies of each origin that gone reports, and
