--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -20,9 +20,10 @@
 	// fullFor is how long a host's addresses are relayed with its news after
 	// it joined or restarted, in milliseconds.
 	fullFor = 2 * clocker.Minute
-	// ringTargets and randomTargets are the peers that get a beat each round:
-	// successors on the ring of the own zone, and any others.
-	ringTargets   = 1
+	// zoneTargets and randomTargets are the peers that get a beat each round:
+	// one of the own zone, in turn the successor on its ring and a random one,
+	// and any other.
+	zoneTargets   = 1
 	randomTargets = 1
 	// maxMembers bounds the hosts that are remembered.
 	maxMembers = 4096
@@ -56,6 +57,7 @@
 	// ordered are the members by host name; zone is how many are of the own zone.
 	ordered []*member
 	zone    int
+	round   int
 	// declared are the hosts taken over last.
 	declared []*messenger.Host
 }
@@ -228,17 +230,36 @@
 // Targets returns the exchange addresses that get the next round of beats: a
 // fixed number, whatever the size of the fleet.
 func (m *Members) Targets() []string {
-	targets := m.ring()
-	for range randomTargets {
-		if len(m.ordered) == 0 {
-			break
-		}
-		address := m.ordered[m.rng.IntN(len(m.ordered))].peer.ExchangeAddress
-		if address != "" && !slices.Contains(targets, address) {
-			targets = append(targets, address)
+	m.round++
+	var targets []string
+	if m.round%2 == 0 {
+		targets = m.ring()
+	} else {
+		targets = m.add(targets, m.random(true))
+	}
+	return m.add(targets, m.random(false))
+}
+
+// random returns the exchange address of a random member, or "" for none.
+func (m *Members) random(ofZone bool) string {
+	if len(m.ordered) == 0 {
+		return ""
+	}
+	start := m.rng.IntN(len(m.ordered))
+	for i := range m.ordered {
+		p := m.ordered[(start+i)%len(m.ordered)].peer
+		if !ofZone || p.AvailabilityZone == m.cfg.AvailabilityZone {
+			return p.ExchangeAddress
 		}
 	}
-	return targets
+	return ""
+}
+
+func (*Members) add(targets []string, address string) []string {
+	if address == "" || slices.Contains(targets, address) {
+		return targets
+	}
+	return append(targets, address)
 }
 
 // ring returns the successors of the own host on the ring of its zone, behind
@@ -247,7 +268,7 @@
 	var targets []string
 	at, _ := slices.BinarySearchFunc(m.ordered, m.cfg.Host, byName)
 	healthy := 0
-	for i := 0; i < len(m.ordered) && len(targets) <= ringTargets; i++ {
+	for i := 0; i < len(m.ordered) && len(targets) <= zoneTargets; i++ {
 		known := m.ordered[(at+i)%len(m.ordered)]
 		if known.peer.AvailabilityZone != m.cfg.AvailabilityZone || known.peer.ExchangeAddress == "" {
 			continue
@@ -256,7 +277,7 @@
 		if known.failures == 0 {
 			healthy++
 		}
-		if healthy == ringTargets {
+		if healthy == zoneTargets {
 			break
 		}
 	}
@@ -338,7 +359,7 @@
 	if zone != m.cfg.AvailabilityZone {
 		hosts, perRound = len(m.ordered)-m.zone, MaxHeard-heardOfZone
 	}
-	messages := 2 * (ringTargets + randomTargets)
+	messages := 2 * (zoneTargets + randomTargets)
 	interval := m.cfg.BeatEvery * clocker.Millis(hosts) / clocker.Millis(messages*perRound)
 	return max(suspectFloor, silenceFactor*interval)
 }
