Ask backend servers for load reports and cache events

A server that answers without a report counts as alive; only one that does not answer counts as failing. Policy.AffinitySpanServers bounds where affinity spans availability zones.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -29,17 +29,17 @@
 	Clock            *clocker.Clock
 	// Index returns the configuration in force, never nil.
 	Index func() *indexer.Index
-	// Loads fetches load reports and cache events of language servers; nil fetches none.
+	// Loads fetches load reports and cache events; nil fetches none.
 	Loads Loads
 	// Seed of the random choices.
 	Seed uint64
 }
 
-// Loads fetches what model engines tell of themselves.
+// Loads fetches what backend servers tell of themselves.
 type Loads interface {
-	// Load returns the load report of the engine at address.
+	// Load returns the load report of the server at address.
 	Load(ctx context.Context, address string) (picker.LoadReport, error)
-	// CacheEvents returns the cache events after a sequence number.
+	// CacheEvents returns the cache events of a model engine after a sequence number.
 	CacheEvents(ctx context.Context, address string, after int64) ([]picker.CacheEvent, error)
 }
 
--- a/balancer/poll.go
+++ b/balancer/poll.go
@@ -88,18 +88,13 @@
 	state.open = true
 	state.at = now
 	state.count++
-	events := state.count%eventsEvery == 1
+	events := state.count%eventsEvery == 1 && b.index.Service(oldest.Service).GetKind() == messenger.ServiceKind_LANGUAGE
 	return poll{name: oldest.Name, address: oldest.Address, events: events, after: state.sequence}, true
 }
 
 func (b *Balancer) wantsPoll(now clocker.Millis, d *messenger.BackendServer) bool {
-	if b.index.Service(d.Service).GetKind() != messenger.ServiceKind_LANGUAGE {
-		return false
-	}
-	if b.index.ServerLeaving(d.Name, now) {
-		return false
-	}
-	return d.AvailabilityZone == b.cfg.AvailabilityZone || b.gate.InFlight(d.Name) > 0 || b.gate.Ejected(d.Name)
+	inUse := d.AvailabilityZone == b.cfg.AvailabilityZone || b.gate.InUse(d.Name)
+	return inUse && !b.index.ServerLeaving(d.Name, now)
 }
 
 func (b *Balancer) polledOf(name string) *polled {
@@ -137,6 +132,9 @@
 	now := b.cfg.Clock.Now()
 	state := b.polledOf(next.name)
 	state.open = false
+	if picker.IsErrNoReport(err) {
+		return
+	}
 	if err != nil {
 		metrics.GetOrCreateCounter(`cowsliphinge_load_polls_failed_total`).Inc()
 		b.watchEjection(next.name, func() { b.gate.ReportFailed(now, next.name) })
--- a/indexer/defaults.go
+++ b/indexer/defaults.go
@@ -22,6 +22,7 @@
 	fill(&filled.BalancerDelayMs, 3000)
 	fill(&filled.StopBoundMs, 120000)
 	fill(&filled.AnswerRetentionMs, 86400000)
+	fill(&filled.AffinitySpanServers, 16)
 	return filled
 }
 
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -105,6 +105,7 @@
 	g.index = index
 	declared := index.Configuration.GetDeclarations().GetBackendServers()
 	g.picker.Sync(now, declared)
+	g.picker.SetSpan(int(max(0, index.Policy.GetAffinitySpanServers())))
 	limits := make(map[string]*Concurrency, len(declared))
 	for _, d := range declared {
 		slots := picker.SlotsOf(d)
@@ -338,6 +339,11 @@
 	return g.picker.InFlight(name)
 }
 
+// InUse reports whether requests are in flight on a backend server, or it is ejected.
+func (g *Gate) InUse(name string) bool {
+	return g.picker.InUse(name)
+}
+
 // Ejected reports whether a backend server is out after failures.
 func (g *Gate) Ejected(name string) bool {
 	return g.picker.Ejected(name)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -343,6 +343,12 @@
 	return 0
 }
 
+// InUse reports whether requests are in flight on a backend server, or it is ejected.
+func (p *Picker) InUse(name string) bool {
+	s := p.servers[name]
+	return s != nil && (s.inFlight > 0 || s.health.out)
+}
+
 // Ejected reports whether a backend server is out after failures.
 func (p *Picker) Ejected(name string) bool {
 	s := p.servers[name]
--- a/picker/report.go
+++ b/picker/report.go
@@ -1,6 +1,11 @@
 package picker
 
-import "cowsliphinge/clocker"
+import (
+	"errors"
+	"fmt"
+
+	"cowsliphinge/clocker"
+)
 
 // LoadReport is what a model engine tells of its load, with a lag.
 type LoadReport struct {
@@ -24,3 +29,20 @@
 	Kind     string
 	Prefix   uint64
 }
+
+// ErrNoReport says that a backend server answered, but not with a report. It
+// is alive and tells nothing of its load.
+type ErrNoReport struct {
+	Status int
+}
+
+// Error implements error.
+func (err ErrNoReport) Error() string {
+	return fmt.Sprintf("no report: status %d", err.Status)
+}
+
+// IsErrNoReport reports whether err is an ErrNoReport.
+func IsErrNoReport(err error) bool {
+	var target ErrNoReport
+	return errors.As(err, &target)
+}
--- a/router/parts.go
+++ b/router/parts.go
@@ -18,6 +18,7 @@
 	"cowsliphinge/querier"
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
+	"cowsliphinge/sampler"
 )
 
 // index returns the configuration in force.
@@ -100,6 +101,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Clock:            clock,
 		Index:            r.index,
+		Loads:            sampler.New(sampler.Config{Clock: clock, Caller: r.connector}),
 		Seed:             uint64(clock.Now()),
 	})
 	r.dispatcher = dispatcher.New(dispatcher.Config{
