--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -103,8 +104,15 @@
 	return q.PromptBound() + q.MaxTokens
 }
 
-// PrefixHash returns the hash of the leading part of the prompt.
+// PrefixHash returns the hash of the leading part of the prompt: of the first of
+// several messages as cache events name it, else of the first bytes.
 func (q *CompletionRequest) PrefixHash() uint64 {
+	if len(q.Messages) > 1 {
+		first := q.Messages[0]
+		digest := fnv.New64a()
+		_, _ = digest.Write([]byte(first.Role + "\x00" + first.Content + "\x00"))
+		return digest.Sum64()
+	}
 	digest := xxhash.New()
 	left := prefixBytes
 	for _, m := range q.Messages {
--- /dev/null
+++ b/limiter/queue_test.go
@@ -0,0 +1,134 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/limiter"
+	"cowsliphinge/picker"
+)
+
+const now clocker.Millis = 1_000_000
+
+func item(account string, weight int64, p picker.Priority) *limiter.Item {
+	return &limiter.Item{Request: picker.Request{ClientAccount: account, Weight: weight, Tokens: 100, Priority: p}}
+}
+
+// serve serves n items in turn and counts them by client account.
+func serve(q *limiter.Queue, n int) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		next := q.Next(1)[0]
+		q.Served(next)
+		counts[next.Request.ClientAccount]++
+	}
+	return counts
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	q := limiter.NewQueue()
+	for range 300 {
+		for _, weight := range []int64{1, 2, 3} {
+			q.Add(item(fmt.Sprint(weight), weight, picker.Interactive), 1000)
+		}
+	}
+	counts := serve(q, 300)
+	for weight, want := range map[string]int{"1": 50, "2": 100, "3": 150} {
+		assert.Assert(t, counts[weight] >= want-2 && counts[weight] <= want+2, "%v", counts)
+	}
+}
+
+func TestIdleAccountSavesUpNothing(t *testing.T) {
+	q := limiter.NewQueue()
+	for range 100 {
+		q.Add(item("busy", 1, picker.Interactive), 1000)
+	}
+	serve(q, 50)
+	for range 50 {
+		q.Add(item("idle", 1, picker.Interactive), 1000)
+	}
+	counts := serve(q, 20)
+	assert.Assert(t, counts["busy"] >= 9 && counts["idle"] >= 9, "%v", counts)
+}
+
+func TestFullQueuePushesOutTheLargestLine(t *testing.T) {
+	q := limiter.NewQueue()
+	for range 8 {
+		q.Add(item("large", 1, picker.Interactive), 8)
+	}
+	small := item("small", 1, picker.Interactive)
+	out := q.Add(small, 8)
+	assert.Assert(t, out != nil && out.Request.ClientAccount == "large")
+	last := item("large", 1, picker.Interactive)
+	assert.Assert(t, q.Add(last, 8) == last)
+	assert.Equal(t, q.Len(), 8)
+	assert.Assert(t, q.Remove(small))
+	assert.Assert(t, !q.Remove(small))
+}
+
+func TestBatchGivesWayButIsServed(t *testing.T) {
+	q := limiter.NewQueue()
+	for range 50 {
+		q.Add(item("b", 1, picker.Batch), 100)
+		q.Add(item("i", 1, picker.Interactive), 100)
+	}
+	counts := serve(q, 44)
+	assert.Equal(t, counts["b"], 4)
+	out := q.Add(item("i", 1, picker.Interactive), int64(q.Len()))
+	assert.Equal(t, out.Request.Priority, picker.Batch)
+}
+
+// TestQueueKeepsItsBoundAndOrder draws histories and checks the queue.
+func TestQueueKeepsItsBoundAndOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := limiter.NewQueue()
+		limit := rapid.Int64Range(1, 20).Draw(t, "limit")
+		waiting := map[*limiter.Item]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				account := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
+				i := item(account, rapid.Int64Range(0, 3).Draw(t, "weight"), picker.Priority(rapid.IntRange(0, 1).Draw(t, "priority")))
+				i.Request.Deadline = now + clocker.Millis(rapid.Int64Range(0, 3).Draw(t, "deadline"))
+				waiting[i] = true
+				if out := q.Add(i, limit); out != nil {
+					delete(waiting, out)
+				}
+			},
+			"serve": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					t.Skip()
+				}
+				next := q.Next(16)
+				pos := rapid.IntRange(0, len(next)-1).Draw(t, "position")
+				q.Served(next[pos])
+				if !waiting[next[pos]] {
+					t.Fatal("served an item that does not wait")
+				}
+				delete(waiting, next[pos])
+			},
+			"expire": func(t *rapid.T) {
+				at := now + clocker.Millis(rapid.Int64Range(0, 3).Draw(t, "at"))
+				for _, i := range q.Expire(at) {
+					delete(waiting, i)
+				}
+				for i := range waiting {
+					if i.Request.Deadline <= at {
+						t.Fatal("an item outlived its deadline")
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(waiting) || int64(q.Len()) > limit {
+					t.Fatalf("%d wait of %d, limit %d", q.Len(), len(waiting), limit)
+				}
+				if got := len(q.Next(100)); got != len(waiting) {
+					t.Fatalf("%d in turn of %d", got, len(waiting))
+				}
+			},
+		})
+	})
+}
--- a/picker/choose.go
+++ b/picker/choose.go
@@ -145,7 +145,7 @@
 	for i := range v.candidates {
 		c := &v.candidates[i]
 		bound := max(affinityFloor*c.capacity, math.Ceil(loadFactor*mean*c.capacity))
-		if c.load+1 > bound || c.slowness >= verySlow || !c.server.zone.open(now) {
+		if c.load-c.server.prefillLoad(now)+1 > bound || c.slowness >= verySlow || !c.server.zone.open(now) {
 			continue
 		}
 		if entry.holds(now, c.server) && (holder == nil || c.cost() < holder.cost()) {
--- a/picker/ejection.go
+++ b/picker/ejection.go
@@ -1,18 +1,21 @@
 package picker
 
 import (
+	"math"
 	"math/rand/v2"
 
 	"cowsliphinge/clocker"
 )
 
 const (
-	// failStreak is how many failures in a row eject a server.
-	failStreak = 5
+	// failStreak is how many failures in a row eject a server, if a row as long
+	// is rarer than streakChance at the pool's share of failures.
+	failStreak   = 5
+	streakChance = 0.0002
 	// failShare is the smoothed share of failures that ejects a server, and
 	// failRatio how many times that of its pool it must be besides.
 	failShare = 0.5
-	failRatio = 2
+	failRatio = 2.5
 	// failSamples is how many answers the share needs before it counts.
 	failSamples = 10
 	// failWeight is the weight of a new answer in the share of failures.
@@ -71,7 +74,8 @@
 		return true
 	}
 	outlier := h.samples >= failSamples && h.share > max(failShare, failRatio*poolShare)
-	if h.streak < failStreak && !outlier {
+	row := h.streak >= failStreak && math.Pow(poolShare, float64(h.streak)) < streakChance
+	if !row && !outlier {
 		return false
 	}
 	h.eject(now, random)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -256,7 +256,7 @@
 func (p *Picker) take(now clocker.Millis, s *server, r Request) Choice {
 	probe := s.health.out
 	s.take(now, r.Tokens)
-	if !p.hints.entries[r.Prefix].holds(now, s) {
+	if r.Prefix != 0 && !p.hints.entries[r.Prefix].holds(now, s) {
 		s.prefill = s.prefilling(now) + 1
 		s.prefillAt = now
 	}
--- a/picker/server.go
+++ b/picker/server.go
@@ -16,9 +16,9 @@
 	freshReport = 1 * clocker.Second
 	// overload is the estimated load, in slots, from which a server is full.
 	overload = 1.1
-	// prefillWeight is the load of a prompt that is probably being computed, in
-	// requests, and prefillLife how long that is assumed to last.
-	prefillWeight = 8
+	// prefillWeight is the load of a prompt that is probably being computed, as a
+	// share of the slots, and prefillLife how long that is assumed to last.
+	prefillWeight = 0.5
 	prefillLife   = 200 * clocker.Millis(1)
 	// slowRatio is how much slower than its pool a server must be to count as slow.
 	slowRatio = 1.5
@@ -138,13 +138,18 @@
 
 // load estimates the requests on the server, those of other routers included.
 func (s *server) load(now clocker.Millis) float64 {
-	load := float64(s.inFlight) + prefillWeight*s.prefilling(now)
+	load := float64(s.inFlight) + s.prefillLoad(now)
 	if age := now - s.reportedAt; age < reportLife {
 		load += s.others * (1 - float64(age)/float64(reportLife))
 	}
 	return load
 }
 
+// prefillLoad is the load of the prompts that the server computes.
+func (s *server) prefillLoad(now clocker.Millis) float64 {
+	return prefillWeight * float64(s.slots) * s.prefilling(now)
+}
+
 // prefilling estimates how many prompts the server computes.
 func (s *server) prefilling(now clocker.Millis) float64 {
 	return s.prefill * max(0, 1-float64(now-s.prefillAt)/float64(prefillLife))
