--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -65,6 +65,14 @@
 	return done
 }
 
+// advance moves the clock once the sweep sleeps on it, so that it is woken.
+func (f *fleet) advance(d clocker.Millis) {
+	for f.clock.Waiting() == 0 {
+		runtime.Gosched()
+	}
+	f.clock.Advance(d)
+}
+
 func TestOwnZoneThenOthersThenQueue(t *testing.T) {
 	f := newFleet(t, twoServers())
 	first, err := f.Acquire(context.Background(), request())
@@ -88,7 +96,7 @@
 	one, two := f.queued(request()), f.queued(request())
 	_, err := f.Acquire(context.Background(), request())
 	assert.Equal(t, reason(err), picker.ReasonQueueFull)
-	f.clock.Advance(1000)
+	f.advance(1000)
 	assert.Equal(t, reason(<-one), picker.ReasonDeadline)
 	assert.Equal(t, reason(<-two), picker.ReasonDeadline)
 }
@@ -102,7 +110,7 @@
 	_, err = f.Acquire(context.Background(), request())
 	assert.NilError(t, err)
 	waiting := f.queued(request())
-	f.clock.Advance(500)
+	f.advance(500)
 	f.Release(c, picker.Succeeded)
 	assert.Equal(t, reason(<-waiting), picker.ReasonNone)
 	_, err = f.Acquire(context.Background(), request())
