--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -39,8 +39,9 @@
 
 // Dispatcher runs requests. Its methods may be called from many goroutines.
 type Dispatcher struct {
-	cfg      Config
-	inFlight atomic.Int64
+	cfg       Config
+	canceller Canceller
+	inFlight  atomic.Int64
 
 	mu       sync.Mutex
 	draining bool
@@ -49,7 +50,11 @@
 
 // New returns a Dispatcher that takes requests.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, idle: make(chan struct{})}
+	return &Dispatcher{
+		cfg:       cfg,
+		canceller: Canceller{Connector: cfg.Connector, Clock: cfg.Clock},
+		idle:      make(chan struct{}),
+	}
 }
 
 // InFlight returns how many requests are being run.
@@ -103,24 +108,52 @@
 	choice      picker.Choice
 	avoid       []string
 	attempts    int
-	left        bool
+	// borrowed is true if the choice took no slot.
+	borrowed bool
+	// tracked is true if a second host knows of the request.
+	tracked bool
+	left    bool
 }
 
-// admit reserves the worst case of a call.
-func (d *Dispatcher) admit(ctx context.Context, call Call, tokens int64) (*run, *Refusal) {
+// admit claims a call if it needs a claim, and then reserves its worst case. It
+// returns the run, or the answer of an earlier run, or a refusal. The claim goes
+// first: a repeat of a request that ran needs no budget, and a refusal for want
+// of budget could not say "not run" of it.
+func (d *Dispatcher) admit(ctx context.Context, call Call, tokens int64) (*run, *Answer, *Refusal) {
 	if !d.enter() {
-		return nil, NewRefusal(CodeDraining, call.RequestID, true, "this host takes no new requests")
+		return nil, nil, NewRefusal(CodeDraining, call.RequestID, !call.needsClaim(), "this host takes no new requests")
 	}
 	r := &run{d: d, call: call}
-	patience := clocker.Millis(d.cfg.Index().Policy.PatienceMs)
-	deadline := min(call.Deadline, d.cfg.Clock.Now()+patience)
-	reservation, err := d.cfg.Reserver.Reserve(ctx, call.Account.Budget, tokens, deadline)
-	if err != nil {
+	stored, refusal := r.makeClaim(ctx)
+	if stored != nil || refusal != nil {
 		d.leave()
-		return nil, budgetRefusal(call, err)
+		return nil, stored, refusal
+	}
+	if refusal := r.reserve(ctx, tokens); refusal != nil {
+		if r.claim != nil {
+			d.cfg.Claimer.Release(ctx, r.claim)
+		}
+		d.leave()
+		return nil, nil, refusal
+	}
+	return r, nil, nil
+}
+
+// needsClaim reports whether the call may run only once under its key.
+func (c Call) needsClaim() bool {
+	return !c.Service.Idempotent && c.IdempotencyKey != ""
+}
+
+func (r *run) reserve(ctx context.Context, tokens int64) *Refusal {
+	cfg := r.d.cfg
+	patience := clocker.Millis(cfg.Index().Policy.PatienceMs)
+	deadline := min(r.call.Deadline, cfg.Clock.Now()+patience)
+	reservation, err := cfg.Reserver.Reserve(ctx, r.call.Account.Budget, tokens, deadline)
+	if err != nil {
+		return budgetRefusal(r.call, err)
 	}
 	r.reservation = reservation
-	return r, nil
+	return nil
 }
 
 func budgetRefusal(call Call, err error) *Refusal {
@@ -177,7 +210,10 @@
 	if o == picker.Failed || o == picker.Refused {
 		r.avoid = append(r.avoid, r.choice.Server.Name)
 	}
-	r.d.cfg.Balancer.Release(r.choice, o)
+	if !r.borrowed {
+		r.d.cfg.Balancer.Release(r.choice, o)
+	}
+	r.borrowed = false
 	r.choice = picker.Choice{}
 }
 
@@ -200,6 +236,9 @@
 		return
 	}
 	r.left = true
+	if r.tracked {
+		r.d.cfg.Tracker.Ended(r.call.RequestID)
+	}
 	r.d.cfg.Reserver.Settle(r.reservation, min(used, r.reservation.Tokens))
 	r.d.leave()
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -10,15 +10,16 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
+	"cowsliphinge/messenger"
 	"cowsliphinge/picker"
 	"cowsliphinge/streamer"
 )
 
 var (
-	resumedStreams   = metrics.NewCounter("cowsliphinge_streams_resumed_total")
-	cancelledStreams = metrics.NewCounter("cowsliphinge_streams_cancelled_total")
-	engineOverruns   = metrics.NewCounter("cowsliphinge_engine_overruns_total")
+	resumedStreams = metrics.NewCounter("cowsliphinge_streams_resumed_total")
+	engineOverruns = metrics.NewCounter("cowsliphinge_engine_overruns_total")
 )
 
 // Stream is the answer of a model engine on its way to the caller. Exactly one
@@ -50,17 +51,18 @@
 	if err != nil {
 		return nil, NewRefusal(CodeBadRequest, call.RequestID, true, err.Error())
 	}
-	r, refusal := d.admit(ctx, call, call.Completion.Bound())
+	r, stored, refusal := d.admit(ctx, call, call.Completion.Bound())
+	if stored != nil {
+		return nil, NewRefusal(CodeOutcomeUnknown, call.RequestID, false, "the request with this key ran; streams are not kept")
+	}
 	if refusal != nil {
 		return nil, refusal
 	}
 	s := &Stream{run: r, body: body, last: call.After}
-	if refusal := s.claimStream(ctx); refusal != nil {
-		s.end(0)
-		return nil, refusal
-	}
-	if refusal := s.open(ctx); refusal != nil {
-		return nil, s.abort(ctx, refusal)
+	if !s.adopt() {
+		if refusal := s.open(ctx); refusal != nil {
+			return nil, s.abort(ctx, refusal)
+		}
 	}
 	event, refusal := s.next(ctx)
 	if refusal != nil {
@@ -68,19 +70,48 @@
 	}
 	s.pending = event
 	s.hasPending = true
+	s.track()
 	return s, nil
 }
 
-// claimStream claims a completion of a service that is not idempotent.
-func (s *Stream) claimStream(ctx context.Context) *Refusal {
-	stored, refusal := s.makeClaim(ctx)
-	if refusal != nil {
-		return refusal
+// adopt goes on with the stream of an earlier attempt whose host is gone.
+func (s *Stream) adopt() bool {
+	if s.call.IdempotencyKey == "" {
+		return false
 	}
-	if stored != nil {
-		return NewRefusal(CodeOutcomeUnknown, s.call.RequestID, false, "the request with this key ran; streams are not kept")
+	earlier := s.d.cfg.Tracker.Locate(s.call.RequestID)
+	if earlier == nil {
+		return false
 	}
-	return nil
+	server := s.d.cfg.Index().BackendServer(earlier.BackendServer)
+	if server == nil {
+		return false
+	}
+	// The engine runs the stream already: it takes no slot.
+	s.choice = picker.Choice{Server: server}
+	s.borrowed = true
+	s.state = Dispatched
+	if s.resume() {
+		return true
+	}
+	s.release(picker.Left)
+	s.state = NotDispatched
+	return false
+}
+
+// track tells a second host that the stream is open.
+func (s *Stream) track() {
+	s.tracked = true
+	s.d.cfg.Tracker.Opened(&messenger.OpenStream{
+		ClientAccount: s.call.Account.Name,
+		RequestId:     s.call.RequestID,
+		Budget:        s.call.Account.Budget,
+		Service:       s.call.Service.Name,
+		BackendServer: s.choice.Server.Name,
+		Address:       s.choice.Server.Address,
+		Bound:         s.reservation.Tokens,
+		DeadlineMs:    int64(s.call.Deadline),
+	})
 }
 
 // open hands the request to a model engine until one answers with a stream.
@@ -259,17 +290,7 @@
 
 // cancel stops the engine's work and returns what it had generated.
 func (s *Stream) cancel() (Usage, bool) {
-	cancelledStreams.Inc()
-	request := s.request(http.MethodDelete, "/v1/streams/"+s.call.RequestID, "", nil)
-	request.Fresh = true
-	request.Deadline = s.d.cfg.Clock.Now() + request.ProgressTimeout
-	answer, err := s.d.cfg.Connector.Call(s.choice.Server.Address, request)
-	if err != nil || answer.Status != http.StatusOK {
-		return Usage{}, false
-	}
-	var generated struct{ PromptTokens, OutputTokens int64 }
-	if err := json.Unmarshal(answer.Body, &generated); err != nil {
-		return Usage{}, false
-	}
-	return Usage{PromptTokens: generated.PromptTokens, CompletionTokens: generated.OutputTokens}, true
+	timeout := clocker.Millis(s.call.Service.ProgressTimeoutMs)
+	prompt, output, ok := s.d.canceller.cancel(s.choice.Server.Address, s.call.RequestID, timeout)
+	return Usage{PromptTokens: prompt, CompletionTokens: output}, ok
 }
