--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -356,7 +356,7 @@
 				p.Reported(at, name.Draw(t, "server"), picker.LoadReport{Running: rapid.Int64Range(0, 40).Draw(t, "running"), SampledAtMs: at - 300})
 			},
 			"time": func(t *rapid.T) { at += clocker.Millis(rapid.Int64Range(0, 5000).Draw(t, "ms")) },
-			"redeclare": func(t *rapid.T) {
+			"redeclare": func(*rapid.T) {
 				p.Sync(at, append(many(4, "a"), many(3, "b")...))
 			},
 		})
