--- a/biller/biller.go
+++ b/biller/biller.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -18,19 +19,19 @@
 
 const (
 	// defaultWriteEvery is the time between batches, in milliseconds.
-	defaultWriteEvery = 10 * clocker.Second
+	defaultWriteEvery = 30 * clocker.Second
 	// defaultTakeoverAfter is how long an origin is silent before its copies
 	// are written here, in milliseconds.
 	defaultTakeoverAfter = 30 * clocker.Second
 	// defaultLimit is the number of unwritten bills from which on requests
-	// are to be refused; hardLimitFactor times as many are kept.
-	defaultLimit    = 50_000
-	hardLimitFactor = 2
+	// are to be refused; limitMargin more are kept, of requests in flight then.
+	defaultLimit = 500_000
+	limitMargin  = 50_000
 	// maxHold is the longest time that a copy is kept without news of being
 	// written, in milliseconds.
 	maxHold = 10 * clocker.Minute
-	// batchBills bounds a batch and a copy.
-	batchBills = 2_000
+	// defaultBatchBills bounds a batch and a copy.
+	defaultBatchBills = 2_000
 	// copyTimeout bounds one copy, in milliseconds.
 	copyTimeout = 300 * clocker.Millis(1)
 	// copyTries is the number of peers tried before the platform is.
@@ -51,6 +52,7 @@
 	adopted     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="adopted"}`)
 	written     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="written"}`)
 	copyFailed  = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="copy_failed"}`)
+	compactions = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="batches_compacted"}`)
 	writeFailed = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="write_failed"}`)
 )
 
@@ -59,6 +61,7 @@
 	Get(ctx context.Context, key string) (storer.Object, error)
 	List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error)
 	Create(ctx context.Context, key string, value []byte) (storer.Object, error)
+	Delete(ctx context.Context, key string, version int64) error
 }
 
 // Exchange copies bills to other routers.
@@ -75,12 +78,17 @@
 	Store            Store
 	Exchange         Exchange
 	Peers            func() []heartbeater.Peer
-	// WriteEvery and TakeoverAfter are in milliseconds; 0 means 10 s and 30 s.
+	// WriteEvery and TakeoverAfter are in milliseconds; 0 means 30 s.
 	WriteEvery    clocker.Millis
 	TakeoverAfter clocker.Millis
 	// Limit is the number of unwritten bills from which on Room reports
-	// false; 0 means 50,000.
+	// false; 0 means 500,000.
 	Limit int
+	// BatchBills bounds a batch and a copy; 0 means 2,000.
+	BatchBills int
+	// CompactAfter is the number of own batches that are compacted together; 0
+	// means 50.
+	CompactAfter int
 }
 
 // Biller is the shell around the bills of one incarnation.
@@ -93,6 +101,12 @@
 	writeNow chan struct{}
 	// collect merges bills into a sum.
 	collect func(Set, ...*messenger.Bill)
+	// smallBatches is how many own batches are not compacted, compacted the
+	// number of the next compacted one. One goroutine at a time uses them.
+	smallBatches int
+	compacted    int64
+	// margin is how many bills are kept above the limit.
+	margin int
 
 	mu      sync.Mutex
 	buffer  *buffer
@@ -113,6 +127,12 @@
 	if cfg.Limit == 0 {
 		cfg.Limit = defaultLimit
 	}
+	if cfg.BatchBills == 0 {
+		cfg.BatchBills = defaultBatchBills
+	}
+	if cfg.CompactAfter == 0 {
+		cfg.CompactAfter = defaultCompactAfter
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	b := &Biller{
 		cfg:      cfg,
@@ -120,7 +140,8 @@
 		copyNow:  make(chan struct{}, 1),
 		writeNow: make(chan struct{}, 1),
 		collect:  Set.Add,
-		buffer:   newBuffer(cfg.Incarnation),
+		margin:   limitMargin,
+		buffer:   newBuffer(cfg.Incarnation, cfg.BatchBills),
 		changed:  make(chan struct{}),
 		holders:  map[string]bool{},
 		avoid:    map[string]clocker.Millis{},
@@ -144,6 +165,7 @@
 	b.takeOver(func(string, *held) bool { return true })
 	for {
 		if b.write(ctx) {
+			b.compact(ctx, 2)
 			return nil
 		}
 		if err := b.cfg.Clock.Sleep(ctx, retryEvery); err != nil {
@@ -160,14 +182,18 @@
 		return err
 	}
 	b.mu.Lock()
-	if n := len(b.buffer.pending); n >= b.cfg.Limit*hardLimitFactor {
+	if n := b.buffer.unwritten(); n >= b.cfg.Limit+b.margin {
 		b.mu.Unlock()
 		refusedFull.Inc()
 		return ErrFull{Pending: n}
 	}
 	sequence := b.buffer.add(proto.CloneOf(bill))
+	full := b.buffer.unwritten() >= b.cfg.Limit/2
 	b.mu.Unlock()
 	recorded.Inc()
+	if full {
+		wake(b.writeNow)
+	}
 	wake(b.copyNow)
 	for {
 		b.mu.Lock()
@@ -196,7 +222,7 @@
 func (b *Biller) Pending() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.buffer.pending)
+	return b.buffer.unwritten()
 }
 
 // CopyBills keeps bills for another host until it wrote them.
@@ -259,6 +285,11 @@
 	case bill.Tokens < 0:
 		return ErrInvalidBill{Field: "Tokens"}
 	}
+	for _, name := range []string{bill.ClientAccount, bill.RequestId, bill.Budget, bill.Service, bill.Incarnation} {
+		if !utf8.ValidString(name) {
+			return ErrInvalidBill{Field: "name in UTF-8"}
+		}
+	}
 	return nil
 }
 
