--- /dev/null
+++ b/reserver/export_test.go
@@ -0,0 +1,75 @@
+package reserver
+
+import (
+	"context"
+
+	"cowsliphinge/clocker"
+)
+
+// Prepare returns a Reserver without duties; the test carries them out.
+func Prepare(cfg Config) *Reserver {
+	return prepare(cfg)
+}
+
+// CarryOut does what the duties would do now.
+func (r *Reserver) CarryOut(ctx context.Context) {
+	r.inspectAll()
+	r.CarryOutWaiting(ctx)
+}
+
+// CarryOutWaiting serves the requests that wait.
+func (r *Reserver) CarryOutWaiting(ctx context.Context) {
+	r.inspectWaiting(r.cfg.Clock.Now())
+	for r.refills.Len() > 0 {
+		r.refill(ctx, <-r.refills.Items())
+	}
+}
+
+// SyncDoubts follows up transfers of unknown outcome.
+func (r *Reserver) SyncDoubts(ctx context.Context) {
+	r.syncDoubts(ctx)
+}
+
+// Pending is a request that asked for budget.
+type Pending struct {
+	Reservation Reservation
+	Err         error
+	Ended       bool
+
+	shard *shard
+	w     *waiter
+}
+
+// Begin reserves as Reserve does, without blocking.
+func (r *Reserver) Begin(budget string, tokens int64, left clocker.Millis) *Pending {
+	s := r.shard(budget)
+	if id, ok := s.reserve(budget, tokens, r.cfg.Clock.Now()); ok {
+		return &Pending{Ended: true, Reservation: Reservation{Budget: budget, Tokens: tokens, ID: id}}
+	}
+	if err := r.refuseAtOnce(s, budget, tokens, left); err != nil {
+		return &Pending{Ended: true, Err: err}
+	}
+	p := &Pending{shard: s, w: &waiter{budget: budget, tokens: tokens, done: make(chan grant, 1)}}
+	s.join(p.w)
+	r.wantRefill(s)
+	return p
+}
+
+// Poll takes in how the wait of p ended, if it did.
+func (p *Pending) Poll() {
+	if p.Ended {
+		return
+	}
+	select {
+	case g := <-p.w.done:
+		p.Reservation, p.Err = g.reservation(p.w)
+		p.Ended = true
+	default:
+	}
+}
+
+// GiveUp ends the wait of p.
+func (p *Pending) GiveUp() {
+	p.Reservation, p.Err = p.shard.giveUp(p.w)
+	p.Ended = true
+}
--- /dev/null
+++ b/reserver/fleet_test.go
@@ -0,0 +1,240 @@
+package reserver_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/allotter"
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+	"cowsliphinge/reserver"
+	"cowsliphinge/standin/platform"
+	"cowsliphinge/storer"
+)
+
+// fleet is a few hosts whose duties the test carries out step by step, with an
+// independent tally of what was served.
+type fleet struct {
+	clock  *clocker.Clock
+	store  *platform.Store
+	policy *messenger.Policy
+	nodes  []*node
+	starts int
+	// exposed is what was served, open reservations counted in full.
+	exposed map[string]int64
+	// lossy is true once tokens may be charged without being served.
+	lossy bool
+}
+
+// node is a host; it is its reserver's Store and Exchange.
+type node struct {
+	fleet       *fleet
+	name        string
+	zone        string
+	incarnation string
+	reserver    *reserver.Reserver
+	open        []reserver.Reservation
+	// side tells the parts of a network partition apart; 0 reaches the platform.
+	side int
+	// paused hosts neither answer nor act.
+	paused bool
+	// loseReplies is how many of the next transfers take effect without an answer.
+	loseReplies int
+	// repeats is how many of the next transfers arrive twice.
+	repeats int
+	// beforeUpdate runs once before the next conditional write.
+	beforeUpdate func()
+	calls        int64
+}
+
+func newFleet(policy *messenger.Policy, zones, perZone int) *fleet {
+	clock := clocker.NewManual(100 * clocker.Hour)
+	f := &fleet{clock: clock, store: platform.New(clock), policy: policy, exposed: map[string]int64{}}
+	for z := range zones {
+		for h := range perZone {
+			f.nodes = append(f.nodes, &node{fleet: f, name: fmt.Sprintf("host-%d-%d", z, h), zone: fmt.Sprintf("zone-%d", z)})
+		}
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+	return f
+}
+
+// start begins a new incarnation.
+func (n *node) start() {
+	n.fleet.starts++
+	n.incarnation = fmt.Sprintf("%s-%x", n.name, n.fleet.starts)
+	n.open = nil
+	n.reserver = reserver.Prepare(reserver.Config{
+		Incarnation: n.incarnation, Host: n.name, AvailabilityZone: n.zone, Clock: n.fleet.clock,
+		Store: n, Exchange: n, Peers: n.peers, Policy: func() *messenger.Policy { return n.fleet.policy },
+	})
+}
+
+func (n *node) crash() {
+	n.fleet.lossy = true
+	n.start()
+}
+
+func (n *node) reaches(other *node) bool {
+	return n.side == other.side && !other.paused
+}
+
+func (n *node) peers() []heartbeater.Peer {
+	var peers []heartbeater.Peer
+	for _, p := range n.fleet.nodes {
+		if p == n {
+			continue
+		}
+		peers = append(peers, heartbeater.Peer{
+			Host: p.name, Incarnation: p.incarnation, AvailabilityZone: p.zone, ExchangeAddress: p.name,
+			Suspect: !n.reaches(p), HeldTokens: p.reserver.HeldTokens(),
+		})
+	}
+	return peers
+}
+
+func (n *node) Transfer(ctx context.Context, address string, request *messenger.TransferRequest) (*messenger.TransferReply, error) {
+	for _, p := range n.fleet.nodes {
+		if p.name != address || !n.reaches(p) {
+			continue
+		}
+		reply, err := p.reserver.Transfer(ctx, request)
+		if n.repeats > 0 {
+			n.repeats--
+			reply, err = p.reserver.Transfer(ctx, request)
+		}
+		if n.loseReplies > 0 {
+			n.loseReplies--
+			return nil, errors.New("reply lost")
+		}
+		return reply, err
+	}
+	return nil, errors.New("unreachable")
+}
+
+func (n *node) cut(key string) error {
+	n.calls++
+	if n.side != 0 {
+		return storer.ErrOutcomeUnknown{Key: key, Cause: "partition"}
+	}
+	return nil
+}
+
+func (n *node) Get(ctx context.Context, key string) (storer.Object, error) {
+	if err := n.cut(key); err != nil {
+		return storer.Object{}, err
+	}
+	return n.fleet.store.Get(ctx, key)
+}
+
+func (n *node) Create(ctx context.Context, key string, value []byte) (storer.Object, error) {
+	if err := n.cut(key); err != nil {
+		return storer.Object{}, err
+	}
+	return n.fleet.store.Create(ctx, key, value)
+}
+
+func (n *node) Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error) {
+	if err := n.cut(key); err != nil {
+		return storer.Object{}, err
+	}
+	if before := n.beforeUpdate; before != nil {
+		n.beforeUpdate = nil
+		before()
+	}
+	return n.fleet.store.Update(ctx, key, version, value)
+}
+
+// take reserves as a caller does whose host carries out its duties meanwhile.
+func (n *node) take(budget string, tokens int64) error {
+	p := n.reserver.Begin(budget, tokens, clocker.Minute)
+	n.reserver.CarryOutWaiting(context.Background())
+	p.Poll()
+	if !p.Ended {
+		p.GiveUp()
+	}
+	if p.Err == nil {
+		n.open = append(n.open, p.Reservation)
+		n.fleet.exposed[budget] += tokens
+	}
+	return p.Err
+}
+
+func (n *node) settle(used int64) {
+	r := n.open[0]
+	n.open = n.open[1:]
+	n.fleet.exposed[r.Budget] -= r.Tokens - used
+	n.reserver.Settle(r, used)
+}
+
+func (f *fleet) topUp(t testing.TB, n *node, operation, budget string, tokens int64) {
+	t.Helper()
+	_, err := n.reserver.TopUp(context.Background(), &messenger.TopUpRequest{OperationId: operation, Budget: budget, Tokens: tokens})
+	assert.NilError(t, err)
+}
+
+// run lets time pass and carries out all duties.
+func (f *fleet) run(d clocker.Millis) {
+	for end := f.clock.Now() + d; f.clock.Now() < end; {
+		f.clock.Advance(clocker.Second)
+		for _, n := range f.nodes {
+			if !n.paused {
+				n.reserver.CarryOut(context.Background())
+				n.reserver.SyncDoubts(context.Background())
+			}
+		}
+	}
+}
+
+// budget returns a budget as the platform holds it, whatever faults there are.
+func (f *fleet) budget(t testing.TB, name string) *messenger.Budget {
+	t.Helper()
+	f.store.SetFaults(platform.Faults{})
+	objects, err := f.store.List(context.Background(), "budget/", "", 1000)
+	assert.NilError(t, err)
+	for _, o := range objects {
+		shard := &messenger.BudgetShard{}
+		assert.NilError(t, proto.Unmarshal(o.Value, shard))
+		for _, b := range shard.Budgets {
+			if b.Name == name {
+				return b
+			}
+		}
+	}
+	return nil
+}
+
+// check verifies that what was served and what could still be is assigned, and
+// what is assigned was granted.
+func (f *fleet) check(t testing.TB, name string) {
+	t.Helper()
+	b := f.budget(t, name)
+	assert.Assert(t, allotter.Assigned(b) <= b.Granted, "assigned %d of %d", allotter.Assigned(b), b.Granted)
+	usable := f.exposed[name]
+	for _, n := range f.nodes {
+		usable += n.reserver.HeldTokens()
+		for _, r := range n.open {
+			usable -= r.Tokens
+		}
+	}
+	assert.Assert(t, usable <= allotter.Assigned(b), "served and usable %d, assigned %d", usable, allotter.Assigned(b))
+}
+
+// heal ends all faults and lets the fleet settle down.
+func (f *fleet) heal() {
+	f.store.SetFaults(platform.Faults{})
+	f.store.ReleaseDelayed()
+	for _, n := range f.nodes {
+		n.side, n.paused = 0, false
+		n.loseReplies, n.repeats, n.beforeUpdate = 0, 0, nil
+	}
+	f.run(20 * clocker.Second)
+}
