--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,7 @@
 	"cowsliphinge/reserver"
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
+	"cowsliphinge/tracker"
 )
 
 // Config configures a Router.
@@ -34,6 +35,9 @@
 	Log      *slog.Logger
 	// Network lets tests cut the router off; nil cuts nothing.
 	Network Network
+	// Callers and Exchange are open listeners; nil opens those of the settings.
+	Callers  net.Listener
+	Exchange net.Listener
 }
 
 // Network tells what a router reaches.
@@ -59,11 +63,13 @@
 	reserver    *reserver.Reserver
 	claimer     *claimer.Claimer
 	biller      *biller.Biller
+	tracker     *tracker.Tracker
 	balancer    *balancer.Balancer
 	connector   *connector.Connector
 	dispatcher  *dispatcher.Dispatcher
 	listener    *listener.Listener
 	server      *exchanger.Server
+	commander   messenger.Commander
 }
 
 // New opens the listeners of the settings and starts a router. It takes
@@ -81,11 +87,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "ExchangeTls")
 	}
-	callers, err := net.Listen("tcp", cfg.Settings.CallerAddress)
+	callers, err := listen(cfg.Callers, cfg.Settings.CallerAddress)
 	if err != nil {
 		return nil, trace.Wrap(err, "CallerAddress")
 	}
-	peers, err := net.Listen("tcp", cfg.Settings.ExchangeAddress)
+	peers, err := listen(cfg.Exchange, cfg.Settings.ExchangeAddress)
 	if err != nil {
 		_ = callers.Close()
 		return nil, trace.Wrap(err, "ExchangeAddress")
@@ -112,6 +118,13 @@
 	return r, nil
 }
 
+func listen(open net.Listener, address string) (net.Listener, error) {
+	if open != nil {
+		return open, nil
+	}
+	return net.Listen("tcp", address)
+}
+
 // Incarnation returns the name of this life of the host.
 func (r *Router) Incarnation() string {
 	return r.incarnation
@@ -137,6 +150,11 @@
 	}
 }
 
+// Commander returns the operators' commands of this router.
+func (r *Router) Commander() messenger.Commander {
+	return r.commander
+}
+
 // Wait returns once both listeners have ended, with the error of either.
 func (r *Router) Wait() error {
 	return trace.Wrap(r.group.Wait())
@@ -155,6 +173,7 @@
 		Parts: []drainer.Part{
 			{Name: "callers", Close: r.listener.Shutdown},
 			{Name: "claims", Close: r.claimer.Close},
+			{Name: "streams", Close: r.tracker.Close},
 			{Name: "bills", Close: r.biller.Close},
 			{Name: "budgets", Close: r.reserver.Close},
 			{Name: "balancer", Close: r.balancer.Close},
@@ -224,3 +243,8 @@
 func (r *Router) Version() int64 {
 	return r.index().Version()
 }
+
+// Tracks reports whether this router keeps the record of another host's stream.
+func (r *Router) Tracks(requestID string) bool {
+	return r.tracker.Locate(requestID) != nil
+}
