--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -53,6 +54,11 @@
 // ParseCompletion reads a chat completion request. The error names the field
 // that is wrong.
 func ParseCompletion(body []byte) (*CompletionRequest, error) {
+	// A decoder makes three bytes of each invalid one, which the bound on the
+	// prompt would not cover.
+	if !utf8.Valid(body) {
+		return nil, errors.New("body: must be UTF-8")
+	}
 	q := &CompletionRequest{bytes: len(body)}
 	if err := json.Unmarshal(body, q); err != nil {
 		return nil, describeJSON(err)
--- /dev/null
+++ b/dispatcher/completion_test.go
@@ -0,0 +1,56 @@
+package dispatcher_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/dispatcher"
+	"cowsliphinge/standin/engine"
+)
+
+func TestMultipliedAnswersAreRefused(t *testing.T) {
+	for _, body := range []string{
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"n":2}`,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"best_of":3}`,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":-1}`,
+	} {
+		_, err := dispatcher.ParseCompletion([]byte(body))
+		assert.Assert(t, err != nil, body)
+	}
+}
+
+func TestOutputIsBoundedByTheService(t *testing.T) {
+	for _, c := range []struct{ asked, limit, want int64 }{{0, 100, 100}, {500, 100, 100}, {50, 100, 50}} {
+		q := dispatcher.CompletionRequest{MaxTokens: c.asked}
+		q.BoundOutput(c.limit)
+		assert.Equal(t, q.MaxTokens, c.want)
+	}
+}
+
+// FuzzParseCompletion looks for a body whose prompt has more tokens than its
+// bound: at one token a byte, the most that a byte-level tokenizer can make,
+// with the template of the stand-in engine.
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"\u00e6\n\ud83d\ude00"}]}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"tools":[{"name":"t"}]}`))
+	f.Add([]byte(`{"model":"m","messages":[{}],"messages":[{"content":"later key wins"}]}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat("\xff", 300) + `"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		q, err := dispatcher.ParseCompletion(body)
+		if err != nil {
+			return
+		}
+		var most int64
+		for _, m := range q.Messages {
+			most += 8 + int64(len(m.Role)) + int64(len(m.Content))
+		}
+		assert.Assert(t, q.PromptBound() >= most, "bound %d, tokens %d", q.PromptBound(), most)
+		var seen engine.ChatRequest
+		if json.Unmarshal(body, &seen) == nil {
+			assert.Assert(t, q.PromptBound() >= engine.PromptTokens(seen.Messages))
+		}
+	})
+}
--- /dev/null
+++ b/exchanger/server_test.go
@@ -0,0 +1,86 @@
+package exchanger_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/exchanger"
+	"cowsliphinge/messenger"
+)
+
+const (
+	operatorKey = "the-key-of-operators"
+	routerKey   = "the-key-of-routers"
+)
+
+// quiet implements the parts that the tests ask.
+type quiet struct {
+	messenger.Commander
+	messenger.Querier
+}
+
+// SendBeat implements exchanger.Beater.
+func (quiet) SendBeat(context.Context, *messenger.Beat) (*messenger.BeatReply, error) {
+	return &messenger.BeatReply{Beat: &messenger.Beat{Host: "answered"}}, nil
+}
+
+// TopUp implements messenger.Commander.
+func (quiet) TopUp(context.Context, *messenger.TopUpRequest) (*messenger.TopUpReply, error) {
+	return &messenger.TopUpReply{Granted: 7}, nil
+}
+
+func serve(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := exchanger.NewServer(exchanger.ServerConfig{
+		OperatorKey: operatorKey, RouterKey: routerKey,
+		Beater: quiet{}, Commander: quiet{}, Querier: quiet{},
+		Ready: func() bool { return false },
+	})
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+func TestEachKeyOpensItsOwnServicesOnly(t *testing.T) {
+	address := serve(t)
+	ctx := context.Background()
+	for _, c := range []struct {
+		key              string
+		beats, commander bool
+	}{
+		{operatorKey, false, true},
+		{routerKey, true, false},
+		{"a wrong key", false, false},
+		{"", false, false},
+	} {
+		_, err := exchanger.NewClient(exchanger.ClientConfig{RouterKey: c.key}).SendBeat(ctx, address, &messenger.Beat{})
+		assert.Equal(t, err == nil, c.beats, "beat with key %q: %v", c.key, err)
+		commander := messenger.NewCommanderProtobufClient("http://"+address, exchanger.NewHTTPClient(c.key, nil))
+		_, err = commander.TopUp(ctx, &messenger.TopUpRequest{})
+		assert.Equal(t, err == nil, c.commander, "command with key %q: %v", c.key, err)
+	}
+}
+
+func TestReadinessAndMetricsNeedNoKey(t *testing.T) {
+	address := serve(t)
+	for path, want := range map[string]int{"/healthz": 200, "/readyz": 503, "/metrics": 200} {
+		resp, err := http.Get("http://" + address + path)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, want, path)
+	}
+}
+
+func TestCutOffAddressIsNotCalled(t *testing.T) {
+	address := serve(t)
+	client := exchanger.NewClient(exchanger.ClientConfig{RouterKey: routerKey, Reachable: func(string) bool { return false }})
+	_, err := client.SendBeat(context.Background(), address, &messenger.Beat{})
+	assert.Assert(t, err != nil && !errors.Is(err, context.DeadlineExceeded))
+}
