--- a/router/router.go
+++ b/router/router.go
@@ -53,6 +53,7 @@
 	ready       atomic.Bool
 	started     atomic.Bool // the parts that beat asks are there
 	leaving     chan struct{}
+	callerTLS   *tls.Config // towards the callers' listeners of other routers
 	cancel      context.CancelFunc
 	group       errgroup.Group
 
@@ -87,6 +88,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "ExchangeTls")
 	}
+	callerTLS, err := clientTLS(cfg.Settings.CallerTls)
+	if err != nil {
+		return nil, trace.Wrap(err, "CallerTls")
+	}
 	callers, err := listen(cfg.Callers, cfg.Settings.CallerAddress)
 	if err != nil {
 		return nil, trace.Wrap(err, "CallerAddress")
@@ -101,6 +106,7 @@
 		cfg:         cfg,
 		incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now()),
 		leaving:     make(chan struct{}),
+		callerTLS:   callerTLS,
 		cancel:      cancel,
 	}
 	r.startClients(peerTLS)
