--- a/picker/picker.go
+++ b/picker/picker.go
@@ -256,7 +256,7 @@
 func (p *Picker) take(now clocker.Millis, s *server, r Request) Choice {
 	probe := s.health.out
 	s.take(now, r.Tokens)
-	if !p.hints.entries[r.Prefix].holds(now, s) {
+	if r.Prefix != 0 && !p.hints.entries[r.Prefix].holds(now, s) {
 		s.prefill = s.prefilling(now) + 1
 		s.prefillAt = now
 	}
@@ -343,6 +343,12 @@
 	return 0
 }
 
+// InUse reports whether requests are in flight on a backend server, or it is ejected.
+func (p *Picker) InUse(name string) bool {
+	s := p.servers[name]
+	return s != nil && (s.inFlight > 0 || s.health.out)
+}
+
 // Ejected reports whether a backend server is out after failures.
 func (p *Picker) Ejected(name string) bool {
 	s := p.servers[name]
