--- a/limiter/gate_test.go
+++ b/limiter/gate_test.go
@@ -132,6 +132,54 @@
 	assert.Equal(t, reason(err), picker.ReasonOverload)
 }
 
+func TestWaitingRequestsWantTimeForMostAnswers(t *testing.T) {
+	g := newGate(1, 1, 100)
+	at := now
+	// One answer of three takes ten seconds, the others one.
+	for i := range 300 {
+		c := served(t, g, at)
+		at += 1000
+		if i%3 == 0 {
+			at += 9000
+		}
+		g.Release(at, c, picker.Succeeded)
+	}
+	// Alone, a request with eight seconds is worth a try.
+	c, _, err := g.Submit(at, waiting("x", at+8000))
+	assert.NilError(t, err)
+	assert.Assert(t, c.Server != nil)
+	// Before others that wait, it would probably waste the slot.
+	for range 3 {
+		queued(t, g, at, waiting("x", at+60_000))
+	}
+	_, _, err = g.Submit(at, waiting("y", at+8000))
+	assert.Equal(t, reason(err), picker.ReasonDeadline)
+}
+
+func TestWaitingRequestHoldsOutForItsPrefix(t *testing.T) {
+	g := newGate(2, 1, 100)
+	holder, other := served(t, g, now), served(t, g, now)
+	g.Cached(now, holder.Server.Name, picker.CacheEvent{Kind: picker.CacheStored, Prefix: 7})
+	item := waiting("x", now+60_000)
+	item.Request.Prefix = 7
+	queued(t, g, now, item)
+	g.Release(now+10, other, picker.Left)
+	assert.Equal(t, len(g.Advance(now+1999)), 0)
+	ended := g.Advance(now + 2000)
+	assert.Equal(t, len(ended), 1)
+	assert.Equal(t, ended[0].Result.Choice.Server.Name, other.Server.Name)
+
+	// A later request whose prefix is where the slot is free goes first.
+	first, second := waiting("x", now+60_000), waiting("x", now+60_000)
+	second.Request.Prefix = 7
+	queued(t, g, now+3000, first)
+	queued(t, g, now+3000, second)
+	g.Release(now+3000, holder, picker.Left)
+	ended = g.Advance(now + 3000)
+	assert.Equal(t, len(ended), 1)
+	assert.Assert(t, ended[0].Item == second)
+}
+
 func TestWaitingRequestIsNotGivenToALeavingServer(t *testing.T) {
 	g := newGate(2, 1, 10, &messenger.Move{
 		State: messenger.MoveState_STARTED, LeavingBackendServers: []string{"s0"}, DrainAtMs: int64(now) + 50,
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -301,6 +301,21 @@
 	assert.Equal(t, pick(t, p, now+5000, ask(prefix)).Server.AvailabilityZone, "a")
 }
 
+func TestHolderInAnotherZone(t *testing.T) {
+	p := newPicker(append(many(2, "a"), many(2, "b")...)...)
+	p.Cached(now, "b-1", picker.CacheEvent{Kind: picker.CacheStored, Prefix: 7})
+	c, ok := p.PickHolder(now, ask(7), none)
+	assert.Assert(t, ok && p.HasHolder(now, ask(7), none))
+	assert.Equal(t, c.Server.Name, "b-1")
+	p.SetSpan(0)
+	_, ok = p.PickHolder(now, ask(7), none)
+	assert.Assert(t, !ok && !p.HasHolder(now, ask(7), none))
+	p.SetSpan(picker.DefaultSpan)
+	p.Release(now, c, picker.Failed)
+	_, ok = p.PickHolder(now, ask(7), none)
+	assert.Assert(t, !ok && !p.HasHolder(now, ask(7), none))
+}
+
 // TestNeverLeavingNeverAboveLimits draws histories and checks every choice.
 func TestNeverLeavingNeverAboveLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -382,3 +397,20 @@
 		}
 	}
 }
+
+// BenchmarkSync takes over n servers in ten availability zones; its bytes are
+// what the picker keeps of them.
+func BenchmarkSync(b *testing.B) {
+	for _, n := range []int{12, 600, 5800} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			var servers []*messenger.BackendServer
+			for zone := range 10 {
+				servers = append(servers, many(n/10, string(rune('a'+zone)))...)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				newPicker(servers...)
+			}
+		})
+	}
+}
