--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -13,10 +13,12 @@
 // Policy names a way to choose backend servers.
 type Policy string
 
-// Policies. Routed is the product's own deciders; the others pick at once
-// among all engines and leave waiting to them.
+// Policies. Routed is the product's own deciders, InZone the same with affinity
+// bound to the own availability zone; the others pick at once among all engines
+// and leave waiting to them.
 const (
 	Routed        Policy = "cowsliphinge"
+	InZone        Policy = "affinity in zone"
 	Random        Policy = "random"
 	RoundRobin    Policy = "round robin"
 	LeastInFlight Policy = "least in flight"
@@ -24,7 +26,7 @@
 
 // Policies lists all of them.
 func Policies() []Policy {
-	return []Policy{Routed, LeastInFlight, RoundRobin, Random}
+	return []Policy{Routed, InZone, LeastInFlight, RoundRobin, Random}
 }
 
 // decider is one host's policy.
--- a/experimenter/result.go
+++ b/experimenter/result.go
@@ -21,6 +21,8 @@
 	// P50, P95 and P99 of the time to the first token, in milliseconds. A
 	// request without an answer counts as its deadline.
 	P50, P95, P99 float64
+	// AnsweredP95 is the same over answered requests alone.
+	AnsweredP95 float64
 	// HitShare is the share of started answers whose prefix was cached.
 	HitShare float64
 	// Shares is how much of its demand each client account got.
@@ -28,6 +30,7 @@
 
 	parameters Parameters
 	firsts     []float64
+	answered   []float64
 	hits       int
 	started    int
 	demand     []int
@@ -87,15 +90,18 @@
 		m.Answered++
 		m.served[r.account]++
 		first = r.first - r.at
+		m.answered = append(m.answered, first)
 	}
 	m.firsts = append(m.firsts, first)
 }
 
 func (m *Result) finish() {
 	slices.Sort(m.firsts)
-	m.P50 = m.percentile(0.50)
-	m.P95 = m.percentile(0.95)
-	m.P99 = m.percentile(0.99)
+	slices.Sort(m.answered)
+	m.P50 = percentile(m.firsts, 0.50)
+	m.P95 = percentile(m.firsts, 0.95)
+	m.P99 = percentile(m.firsts, 0.99)
+	m.AnsweredP95 = percentile(m.answered, 0.95)
 	p := m.parameters
 	m.Goodput = float64(m.Answered) * 1000 / (p.Length - p.Deadline)
 	m.HitShare = float64(m.hits) / float64(max(1, m.started))
@@ -104,11 +110,12 @@
 	}
 }
 
-func (m *Result) percentile(share float64) float64 {
-	if len(m.firsts) == 0 {
+// percentile returns the value that share of the sorted values keep to.
+func percentile(sorted []float64, share float64) float64 {
+	if len(sorted) == 0 {
 		return 0
 	}
-	return m.firsts[min(len(m.firsts)-1, int(share*float64(len(m.firsts))))]
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
 }
 
 // Amplification is attempts per request that reached a backend server.
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -84,13 +84,16 @@
 	if w.SlowEngine > 0 {
 		w.engines[w.names[0]].slowness = w.SlowEngine
 	}
+	if policy == InZone {
+		declarations.Policy = &messenger.Policy{AffinitySpanServers: -1}
+	}
 	w.index = indexer.New(&messenger.Configuration{Version: 1, Declarations: declarations})
 	for zone := range w.Zones {
 		for n := range w.HostsPerZone {
 			seed := w.Seed*1000 + uint64(zone*w.HostsPerZone+n)
 			h := &host{zone: zoneName(zone), asked: map[string]int{}}
 			h.retrier = retrier.New(retrier.Config{Percent: func() int64 { return w.RetryPercent }, Seed: seed})
-			if policy == Routed {
+			if policy == Routed || policy == InZone {
 				h.decider = newGated(h.zone, seed, w.index)
 			} else {
 				h.decider = newPlain(policy, seed, declarations.BackendServers)
