--- /dev/null
+++ b/orderer/orderer_test.go
@@ -0,0 +1,185 @@
+package orderer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/indexer"
+	"cowsliphinge/messenger"
+	"cowsliphinge/orderer"
+	"cowsliphinge/standin/engine"
+)
+
+// engines are stand-in engines reached without a network.
+type engines struct {
+	byAddress map[string]*engine.Engine
+	// afterState runs when a state was read.
+	afterState func()
+	// lose drops the answer of orders, drop the orders themselves.
+	lose, drop bool
+	loads      int // most engines that loaded at once
+}
+
+func (e *engines) State(_ context.Context, address string) (orderer.State, error) {
+	s := e.byAddress[address].State()
+	if e.afterState != nil {
+		e.afterState()
+	}
+	return orderer.State{Fencing: s.Fencing, Role: s.Role, Models: models(s.Models), Loading: models(s.Loading)}, nil
+}
+
+func models(list []engine.Model) []orderer.Model {
+	var all []orderer.Model
+	for _, m := range list {
+		all = append(all, orderer.Model(m))
+	}
+	return all
+}
+
+func (e *engines) Order(_ context.Context, address string, order orderer.Order) error {
+	if e.drop {
+		return errors.New("dropped")
+	}
+	out := engine.Order{Fencing: order.Fencing, Role: order.Role}
+	for _, m := range order.Models {
+		out.Models = append(out.Models, engine.Model(m))
+	}
+	if !e.byAddress[address].Order(out) {
+		return orderer.ErrOldFencing{Address: address}
+	}
+	loading := 0
+	for _, other := range e.byAddress {
+		if len(other.State().Loading) > 0 {
+			loading++
+		}
+	}
+	e.loads = max(e.loads, loading)
+	if e.lose {
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+// lease is held with a number until it is lost.
+type lease struct {
+	fencing int64
+	lost    bool
+}
+
+func (l *lease) Held() (int64, bool) { return l.fencing, !l.lost }
+
+type bench struct {
+	clock   *clocker.Clock
+	engines *engines
+	d       *messenger.Declarations
+}
+
+// newBench has two engines that serve nothing and are to serve two models.
+func newBench(t *testing.T, checks bool) *bench {
+	clock := clocker.NewManual(1000)
+	b := &bench{clock: clock, engines: &engines{byAddress: map[string]*engine.Engine{}}, d: &messenger.Declarations{
+		Services: []*messenger.Service{{Name: "drafts", Kind: messenger.ServiceKind_LANGUAGE, ChecksFencing: checks}},
+		Models:   []*messenger.Model{{Name: "one", Version: "1", SizeMb: 200}, {Name: "two", Version: "1", SizeMb: 200}},
+	}}
+	for i := range 2 {
+		address := fmt.Sprint("engine-", i)
+		e := engine.New(engine.Config{Clock: clock, Models: []string{"none"}, LoadMsPerModel: 1000, ChecksFencing: checks})
+		t.Cleanup(e.Close)
+		b.engines.byAddress[address] = e
+		b.d.BackendServers = append(b.d.BackendServers, &messenger.BackendServer{
+			Name: address, Address: address, Service: "drafts", Models: []string{"one", "two"},
+		})
+	}
+	return b
+}
+
+func (b *bench) orderer(l *lease, d *messenger.Declarations) *orderer.Orderer {
+	index := indexer.New(&messenger.Configuration{Declarations: d})
+	return orderer.NewStepped(orderer.Config{Clock: b.clock, Index: func() *indexer.Index { return index }, Lease: l, Engines: b.engines})
+}
+
+// run makes steps for a while.
+func (b *bench) run(o *orderer.Orderer, d clocker.Millis) {
+	for end := b.clock.Now() + d; b.clock.Now() < end; b.clock.Advance(50) {
+		o.Step(context.Background())
+	}
+}
+
+// assertDesired checks that each engine serves exactly what is declared.
+func (b *bench) assertDesired(t *testing.T, d *messenger.Declarations) {
+	t.Helper()
+	for _, s := range d.BackendServers {
+		state, _ := b.engines.State(context.Background(), s.Address)
+		order := orderer.Desired(d, s)
+		assert.Assert(t, orderer.Loaded(order, state), "%s: %+v", s.Name, state)
+		assert.Equal(t, len(state.Models), len(order.Models))
+	}
+}
+
+// TestFaultsOfOrders strikes each fault at the orders to both kinds of engines.
+func TestFaultsOfOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		for _, fault := range []string{"none", "lost answers", "dropped orders", "late order of a paused holder", "engine restarts"} {
+			t.Run(fmt.Sprintf("%s, checks %v", fault, checks), func(t *testing.T) {
+				b := newBench(t, checks)
+				held := &lease{fencing: 2}
+				o := b.orderer(held, b.d)
+				b.engines.lose = fault == "lost answers"
+				b.engines.drop = fault == "dropped orders"
+				b.run(o, 20*clocker.Second)
+				b.engines.lose, b.engines.drop = false, false
+				switch fault {
+				case "late order of a paused holder":
+					err := b.engines.Order(context.Background(), "engine-0", orderer.Order{Fencing: 1, Models: []orderer.Model{{Name: "old"}}})
+					assert.Equal(t, orderer.IsErrOldFencing(err), checks)
+				case "engine restarts":
+					_ = b.engines.byAddress["engine-1"].Order(engine.Order{Fencing: 2})
+				}
+				b.run(o, 20*clocker.Second)
+				b.assertDesired(t, b.d)
+				assert.Equal(t, b.engines.loads, 1, "engines loaded at once")
+			})
+		}
+	}
+}
+
+// TestPausedHolderGivesNoOrder loses the lease at the moment when an old holder
+// has read the engine and is about to order.
+func TestPausedHolderGivesNoOrder(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		b := newBench(t, checks)
+		old := &lease{fencing: 1}
+		b.engines.afterState = func() { old.lost = true }
+		stale := &messenger.Declarations{Services: b.d.Services, Models: b.d.Models, BackendServers: []*messenger.BackendServer{
+			{Name: "engine-0", Address: "engine-0", Service: "drafts", Models: []string{"one"}},
+		}}
+		b.run(b.orderer(old, stale), clocker.Second)
+		state, _ := b.engines.State(context.Background(), "engine-0")
+		assert.Equal(t, state.Fencing, int64(0))
+		b.engines.afterState = nil
+
+		b.run(b.orderer(&lease{fencing: 2}, b.d), 20*clocker.Second)
+		b.assertDesired(t, b.d)
+		b.run(b.orderer(old, stale), 20*clocker.Second)
+		b.assertDesired(t, b.d)
+	}
+}
+
+func TestArrivalsWaitForTheirMove(t *testing.T) {
+	b := newBench(t, true)
+	b.d.Moves = []*messenger.Move{{
+		Name: "weekend", State: messenger.MoveState_STARTED, ArrivingBackendServers: []string{"engine-1"},
+		StartAtMs: int64(b.clock.Now() + 30*clocker.Second),
+	}}
+	o := b.orderer(&lease{fencing: 1}, b.d)
+	b.run(o, 29*clocker.Second)
+	state, _ := b.engines.State(context.Background(), "engine-1")
+	assert.Equal(t, state.Fencing, int64(0))
+	b.run(o, 20*clocker.Second)
+	b.assertDesired(t, b.d)
+}
