--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -135,7 +135,9 @@
 				b.engines.lose, b.engines.drop = false, false
 				switch fault {
 				case "late order of a paused holder":
-					err := b.engines.Order(context.Background(), "engine-0", orderer.Order{Fencing: 1, Models: []orderer.Model{{Name: "old"}}})
+					err := b.engines.Order(context.Background(), "engine-0", orderer.Order{
+						Fencing: 1, Models: []orderer.Model{{Name: "one", Version: "1"}, {Name: "two", Version: "1"}, {Name: "old"}},
+					})
 					assert.Equal(t, orderer.IsErrOldFencing(err), checks)
 				case "engine restarts":
 					_ = b.engines.byAddress["engine-1"].Order(engine.Order{Fencing: 2})
