Carry moves under a lease

The mover plans a move with findings, records its steps (Load, Warm, Drain, Return) under the fencing number of the mover's lease, postpones a drain whose arrivals are not ready, and finishes the move once leavings report no request and the budget shards hold no open limit of leaving hosts. Leavings drain by the plan in force on each host, so a cut-off zone carries it out too.

--- a/commander/put.go
+++ b/commander/put.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return []*messenger.Finding{{Path: "$.Moves", Message: err.Error()}}
 	}
-	return report.Findings
+	return slices.DeleteFunc(report.Findings, (*messenger.Finding).GetWarning)
 }
 
 // put replaces the item of the same name, or appends it.
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -189,6 +189,8 @@
 	p.PlatformReachable = beat.PlatformReachable
 	p.InFlight = beat.InFlight
 	p.HeldTokens = beat.HeldTokens
+	p.LeavingInFlight = beat.LeavingInFlight
+	p.RequestsCut = beat.RequestsCut
 }
 
 // move puts a member into a zone.
@@ -315,6 +317,8 @@
 		SentAtMs:             int64(known.sentAt),
 		InFlight:             known.peer.InFlight,
 		HeldTokens:           known.peer.HeldTokens,
+		LeavingInFlight:      known.peer.LeavingInFlight,
+		RequestsCut:          known.peer.RequestsCut,
 		AgeMs:                int64(now - known.peer.LastHeard),
 	}
 	if now-known.joinedAt <= fullFor {
--- /dev/null
+++ b/mover/mover.go
@@ -0,0 +1,255 @@
+package mover
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/indexer"
+	"cowsliphinge/messenger"
+	"cowsliphinge/orderer"
+	"cowsliphinge/spreader"
+	"cowsliphinge/storer"
+)
+
+const (
+	// keyPrefix starts the keys of progress objects in the Object API.
+	keyPrefix = "move/"
+	// stepMs is the wait between two looks at the moves.
+	stepMs = 2 * clocker.Second
+	// callMs bounds a call to the platform.
+	callMs = 2 * clocker.Second
+	// candidates is how many live hosts of the fleet contend for the lease.
+	candidates = 3
+	// by is the name under which the mover changes the state of a move.
+	by = "mover"
+)
+
+// Store is what the mover needs of the Object API.
+type Store interface {
+	Get(ctx context.Context, key string) (storer.Object, error)
+	List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error)
+	Create(ctx context.Context, key string, value []byte) (storer.Object, error)
+	Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error)
+}
+
+// Spreader publishes versions of the configuration.
+type Spreader interface {
+	Index() *indexer.Index
+	Publish(ctx context.Context, c spreader.Change) (*messenger.ApplyReply, error)
+}
+
+// Lease lets one host at a time carry moves.
+type Lease interface {
+	Held() (int64, bool)
+	Try(ctx context.Context) error
+	Release(ctx context.Context) error
+}
+
+// Servers speaks to backend servers.
+type Servers interface {
+	State(ctx context.Context, address string) (orderer.State, error)
+	InFlight(ctx context.Context, address string) (int64, clocker.Millis, error)
+	Warm(ctx context.Context, from, to string) (int, error)
+}
+
+// Config configures a Mover.
+type Config struct {
+	Incarnation string
+	Clock       *clocker.Clock
+	Store       Store
+	Spreader    Spreader
+	Lease       Lease
+	Servers     Servers
+	// Self returns the heartbeat of this host.
+	Self  func() *messenger.Beat
+	Peers func() []heartbeater.Peer
+	// Log gets changes of state; nil means slog.Default.
+	Log *slog.Logger
+}
+
+// Mover carries moves while the lease is held.
+type Mover struct {
+	cfg   Config
+	stop  context.CancelFunc
+	group *errgroup.Group
+
+	mu sync.Mutex
+	// warmed holds the warm-ups that this host made, by move and target.
+	warmed map[string]Warmth
+}
+
+// New starts a mover.
+func New(ctx context.Context, cfg Config) *Mover {
+	m := NewStepped(cfg)
+	ctx, m.stop = context.WithCancel(ctx)
+	m.group, ctx = errgroup.WithContext(ctx)
+	m.group.Go(func() error {
+		for cfg.Clock.Sleep(ctx, stepMs) == nil {
+			m.Step(ctx)
+		}
+		return nil
+	})
+	return m
+}
+
+// NewStepped returns a mover without a duty of its own: Step drives it.
+func NewStepped(cfg Config) *Mover {
+	if cfg.Log == nil {
+		cfg.Log = slog.Default()
+	}
+	return &Mover{cfg: cfg, warmed: map[string]Warmth{}}
+}
+
+// Close stops carrying moves and gives the lease up.
+func (m *Mover) Close(ctx context.Context) error {
+	m.stop()
+	_ = m.group.Wait() // the duty returns nil
+	return trace.Wrap(m.cfg.Lease.Release(ctx))
+}
+
+// Step contends for the lease if this host is a candidate, and carries each
+// started move one look further if the lease is held.
+func (m *Mover) Step(ctx context.Context) {
+	_, held := m.cfg.Lease.Held()
+	if !held && !m.candidate() {
+		return
+	}
+	if err := m.cfg.Lease.Try(ctx); err != nil {
+		count("lease_failed")
+	}
+	if _, held = m.cfg.Lease.Held(); !held {
+		return
+	}
+	for _, move := range m.cfg.Spreader.Index().Configuration.GetDeclarations().GetMoves() {
+		if move.State != messenger.MoveState_STARTED {
+			continue
+		}
+		if err := m.carry(ctx, move); err != nil {
+			count("carry_failed")
+		}
+	}
+}
+
+// candidate reports whether this host is among the first live ones by name.
+func (m *Mover) candidate() bool {
+	self := m.cfg.Self()
+	before := 0
+	for _, p := range m.cfg.Peers() {
+		if !p.Suspect && !p.Draining && p.PlatformReachable && p.Host < self.Host {
+			before++
+		}
+	}
+	return before < candidates && !self.Draining
+}
+
+// carry looks at what a move waits for and records its progress.
+func (m *Mover) carry(ctx context.Context, move *messenger.Move) error {
+	progress, version, err := m.read(ctx, move)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fencing, held := m.cfg.Lease.Held()
+	if !held || progress.Fencing > fencing {
+		count("stood_down")
+		return nil
+	}
+	now := m.cfg.Clock.Now()
+	next := proto.CloneOf(progress)
+	next.Fencing = fencing
+	next.Steps = Advance(move, progress.Steps, m.look(ctx, move, progress.Steps, now), now)
+	next.RequestsCut = max(progress.RequestsCut, m.requestsCut(move))
+	if err := m.write(ctx, progress, next, version); err != nil {
+		return trace.Wrap(err)
+	}
+	if later := Postponed(move, next.Steps, now); later != nil {
+		return m.publish(ctx, move, later, fmt.Sprintf("mover-postpone-%s-%d", move.Name, move.DrainAtMs))
+	}
+	if !Complete(next.Steps) {
+		return nil
+	}
+	finished := proto.CloneOf(move)
+	finished.State = messenger.MoveState_FINISHED
+	return m.publish(ctx, move, finished, fmt.Sprintf("mover-finish-%s-%d", move.Name, move.DrainAtMs))
+}
+
+// publish changes the state of a move under the lease; the loser of a race with
+// an operator leaves it at that.
+func (m *Mover) publish(ctx context.Context, was, is *messenger.Move, operation string) error {
+	if _, held := m.cfg.Lease.Held(); !held {
+		count("lease_lost")
+		return nil
+	}
+	expected := m.cfg.Spreader.Index().Version()
+	_, err := m.cfg.Spreader.Publish(ctx, spreader.Change{
+		OperationID: shorten(operation), ExpectedVersion: expected, By: by,
+		Edit: func(before *messenger.Declarations) (*messenger.Declarations, []*messenger.Finding) {
+			after := proto.CloneOf(before)
+			i := slices.IndexFunc(after.Moves, func(o *messenger.Move) bool { return proto.Equal(o, was) })
+			if i < 0 {
+				return after, []*messenger.Finding{{Path: "$.Moves", Message: "the move was changed meanwhile"}}
+			}
+			after.Moves[i] = is
+			return after, nil
+		},
+	})
+	if spreader.IsErrConflict(err) {
+		count("lost_race")
+		return nil
+	}
+	if err == nil {
+		m.cfg.Log.Info("move changed", "Move", was.Name, "State", is.State.String(), "DrainAtMs", is.DrainAtMs)
+	}
+	return trace.Wrap(err)
+}
+
+// Report returns the recorded progress of a declared move, or its plan.
+func (m *Mover) Report(ctx context.Context, move *messenger.Move) (*messenger.MoveReport, error) {
+	progress, _, err := m.read(ctx, move)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	report := &messenger.MoveReport{Move: move, Steps: progress.Steps, RequestsCut: progress.RequestsCut}
+	if move.State == messenger.MoveState_PLANNED {
+		report.Findings = Plan(m.cfg.Spreader.Index().Configuration.GetDeclarations(), move, m.cfg.Clock.Now()).Findings
+	}
+	return report, nil
+}
+
+// PlanMove returns the steps and findings of a move under the given declarations.
+func (m *Mover) PlanMove(_ context.Context, d *messenger.Declarations, move *messenger.Move) (*messenger.MoveReport, error) {
+	report := Plan(d, move, m.cfg.Clock.Now())
+	live := map[string]bool{m.cfg.Self().Host: true}
+	for _, p := range m.cfg.Peers() {
+		live[p.Host] = live[p.Host] || !p.Suspect && p.LastHeard > 0
+	}
+	for i, name := range move.ArrivingHosts {
+		if !live[name] {
+			report.Findings = append(report.Findings, &messenger.Finding{
+				Path: fmt.Sprintf("$.ArrivingHosts[%d]", i), Message: name + " is not heard of yet", Warning: true,
+			})
+		}
+	}
+	return report, nil
+}
+
+func shorten(operation string) string {
+	const most = 64
+	if len(operation) <= most {
+		return operation
+	}
+	return operation[len(operation)-most:]
+}
+
+func count(outcome string) {
+	metrics.GetOrCreateCounter(`cowsliphinge_mover_total{outcome="` + outcome + `"}`).Inc()
+}
--- a/router/parts.go
+++ b/router/parts.go
@@ -65,6 +65,9 @@
 	beat.Draining = !r.ready.Load()
 	beat.InFlight = r.dispatcher.InFlight()
 	beat.HeldTokens = r.reserver.HeldTokens()
+	beat.LeavingInFlight = r.leavingInFlight()
+	beat.RequestsCut = r.cut.Load()
+	beat.PlatformReachable = r.spreader.Load().PlatformReachable()
 	return beat
 }
 
@@ -146,7 +149,7 @@
 		MaxConnections: s.MaxConnections,
 	})
 	spread := r.spreader.Load()
-	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver})
+	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver, Planner: r.mover})
 	r.server = exchanger.NewServer(exchanger.ServerConfig{
 		OperatorKey: s.OperatorKey,
 		RouterKey:   s.RouterKey,
@@ -162,6 +165,7 @@
 			Budgets:  r.reserver,
 			Bills:    r.biller,
 			Servers:  r.balancer,
+			Moves:    r.mover,
 			Self:     r.beat,
 			Peers:    r.heartbeater.Peers,
 		}),
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,8 @@
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/listener"
 	"cowsliphinge/messenger"
+	"cowsliphinge/mover"
+	"cowsliphinge/orderer"
 	"cowsliphinge/reserver"
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
@@ -66,6 +68,9 @@
 	tracker     *tracker.Tracker
 	balancer    *balancer.Balancer
 	connector   *connector.Connector
+	mover       *mover.Mover
+	orderer     *orderer.Orderer
+	cut         atomic.Int64 // requests that the graceful stop cut
 	dispatcher  *dispatcher.Dispatcher
 	listener    *listener.Listener
 	server      *exchanger.Server
@@ -106,6 +111,7 @@
 	r.startClients(peerTLS)
 	r.startMembership(ctx)
 	r.startDeciders(ctx)
+	r.startMoves(ctx)
 	r.startListeners(listenerTLS, exchangeTLS)
 	r.group.Go(func() error { return r.server.Serve(peers) })
 	r.group.Go(func() error { return r.listener.Serve(callers) })
@@ -171,6 +177,9 @@
 		Dispatcher:    r.dispatcher,
 		NotReady:      func() { r.ready.Store(false) },
 		Parts: []drainer.Part{
+			{Name: "requests cut", Close: r.noteCut},
+			{Name: "moves", Close: r.mover.Close},
+			{Name: "orders", Close: r.orderer.Close},
 			{Name: "callers", Close: r.listener.Shutdown},
 			{Name: "claims", Close: r.claimer.Close},
 			{Name: "streams", Close: r.tracker.Close},
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -138,6 +138,11 @@
 	return s.ready.Load() && s.Index().Version() > 0
 }
 
+// PlatformReachable reports whether the latest call to the platform was answered.
+func (s *Spreader) PlatformReachable() bool {
+	return s.reached.Load()
+}
+
 // PullConfiguration returns what the asker's version lacks.
 func (s *Spreader) PullConfiguration(_ context.Context, req *messenger.PullRequest) (*messenger.PullReply, error) {
 	now := s.now.Load()
