--- a/mover/advance.go
+++ b/mover/advance.go
@@ -30,7 +30,7 @@
 	Empty map[string]bool
 	// LeavingInFlight is the sum over live hosts of requests on leaving backend servers.
 	LeavingInFlight int64
-	// Hosts holds the leaving hosts that are live.
+	// Hosts holds the leaving hosts that were heard of.
 	Hosts map[string]HostSeen
 	// OpenLimits holds for each leaving host the limits that it has not returned;
 	// a host that is missing was not looked at.
@@ -39,8 +39,10 @@
 	Warmed map[string]Warmth
 }
 
-// HostSeen is a leaving host that is live.
+// HostSeen is the latest word of a leaving host.
 type HostSeen struct {
+	// Silent is true if it is not heard any more.
+	Silent   bool
 	Draining bool
 	InFlight int64
 }
@@ -110,11 +112,13 @@
 		return false, ""
 	}
 	if isHost(move, s.Target) {
-		host, live := seen.Hosts[s.Target]
+		host, heard := seen.Hosts[s.Target]
 		switch {
-		case live && !host.Draining:
+		case heard && !host.Draining && host.Silent:
+			return false, "the host fell silent before it drained"
+		case heard && !host.Draining:
 			return false, "the host takes callers"
-		case live && host.InFlight > 0:
+		case heard && !host.Silent && host.InFlight > 0:
 			return false, fmt.Sprintf("%d requests in flight", host.InFlight)
 		}
 		return true, ""
--- a/mover/look.go
+++ b/mover/look.go
@@ -113,12 +113,14 @@
 		seen.Hosts[self.Host] = HostSeen{Draining: self.Draining, InFlight: self.InFlight}
 	}
 	for _, p := range m.cfg.Peers() {
-		if p.Suspect || p.Host == self.Host {
+		if p.Host == self.Host {
 			continue
 		}
-		seen.LeavingInFlight += p.LeavingInFlight
-		if isHost(move, p.Host) {
-			seen.Hosts[p.Host] = HostSeen{Draining: p.Draining, InFlight: p.InFlight}
+		if isHost(move, p.Host) && p.LastHeard > 0 {
+			seen.Hosts[p.Host] = HostSeen{Silent: p.Suspect, Draining: p.Draining, InFlight: p.InFlight}
+		}
+		if !p.Suspect {
+			seen.LeavingInFlight += p.LeavingInFlight
 		}
 	}
 }
