--- a/router/parts.go
+++ b/router/parts.go
@@ -18,6 +18,7 @@
 	"cowsliphinge/querier"
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
+	"cowsliphinge/sampler"
 	"cowsliphinge/tracker"
 )
 
@@ -104,6 +105,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Clock:            clock,
 		Index:            r.index,
+		Loads:            sampler.New(sampler.Config{Clock: clock, Caller: r.connector}),
 		Seed:             uint64(clock.Now()),
 	})
 	r.tracker = tracker.New(ctx, tracker.Config{
