--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -349,7 +349,8 @@
 // writeLimits writes the limits of the leaving hosts, open or returned.
 func (w *world) writeLimits(closed bool) {
 	shard := &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: "mason", Granted: 1000, Holders: []*messenger.Holder{
-		{Incarnation: "a-1-19b-00000001", Limit: 100, Closed: closed}, {Incarnation: "a-2-19b-00000002", Limit: 100, Closed: closed},
+		{Incarnation: "a-1-19b-00000001", Limit: 100, Closed: closed},
+		{Incarnation: "a-2-19b-00000002", Limit: 100, Closed: closed},
 		{Incarnation: "b-1-19b-00000003", Limit: 100},
 	}}}}
 	value, err := proto.Marshal(shard)
