--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -191,6 +191,8 @@
 	p.PlatformReachable = beat.PlatformReachable
 	p.InFlight = beat.InFlight
 	p.HeldTokens = beat.HeldTokens
+	p.LeavingInFlight = beat.LeavingInFlight
+	p.RequestsCut = beat.RequestsCut
 }
 
 // move puts a member into a zone.
@@ -336,6 +338,8 @@
 		SentAtMs:             int64(known.sentAt),
 		InFlight:             known.peer.InFlight,
 		HeldTokens:           known.peer.HeldTokens,
+		LeavingInFlight:      known.peer.LeavingInFlight,
+		RequestsCut:          known.peer.RequestsCut,
 		AgeMs:                int64(now - known.peer.LastHeard),
 	}
 	if now-known.joinedAt <= fullFor {
