--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -50,6 +50,10 @@
 	// chooses between verdicts that do not run the request, never more. Nil
 	// means that none is known.
 	Alive func(incarnation string) bool
+	// Known reports whether an incarnation may still run though it is silent: it
+	// was heard of and not replaced. Its tickets are forwarded if it left no
+	// record. Nil means the same as Alive.
+	Known func(incarnation string) bool
 	// Retention returns how long stored answers are kept, in milliseconds;
 	// nil or 0 means a day.
 	Retention func() clocker.Millis
@@ -78,6 +82,9 @@
 	if cfg.Alive == nil {
 		cfg.Alive = func(string) bool { return false }
 	}
+	if cfg.Known == nil {
+		cfg.Known = cfg.Alive
+	}
 	if cfg.RetryEvery == 0 {
 		cfg.RetryEvery = defaultRetryEvery
 	}
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -256,3 +256,18 @@
 	claimer.Forget(a)
 	assert.Equal(t, a.Claim(t.Context(), order(clock, key, "urn")).Verdict, claimer.OutcomeUnknown)
 }
+
+func TestTicketOfASilentIssuerIsForwardedWithoutRecord(t *testing.T) {
+	ctx := t.Context()
+	clock := clocker.NewManual(clocker.Hour)
+	store := platform.New(clock)
+	a := newClaimer(t, clock, store, "a-1-1")
+	b := claimer.New(ctx, claimer.Config{
+		Incarnation: "b-1-1", Clock: clock, Store: store,
+		Known: func(incarnation string) bool { return incarnation == "a-1-1" },
+	})
+	key := a.IssueTicket("mason")
+	assert.Equal(t, b.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.Elsewhere)
+	assert.NilError(t, a.Close(ctx))
+	assert.Equal(t, b.Claim(ctx, order(clock, key, "urn")).Verdict, claimer.Owned)
+}
--- a/claimer/closing.go
+++ b/claimer/closing.go
@@ -104,6 +104,8 @@
 func (c *Claimer) claimRecorded(ctx context.Context, tk ticket, req Request) Decision {
 	found, err := c.recorded(ctx, tk, req)
 	switch {
+	case storer.IsErrNotFound(err) && c.cfg.Known(tk.incarnation):
+		return Decision{Verdict: Elsewhere, Incarnation: tk.incarnation}
 	case storer.IsErrNotFound(err):
 		return Decision{Verdict: OutcomeUnknown}
 	case err != nil:
--- a/router/parts.go
+++ b/router/parts.go
@@ -48,6 +48,16 @@
 	return false
 }
 
+// known reports whether an incarnation was heard of and not replaced.
+func (r *Router) known(incarnation string) bool {
+	for _, peer := range r.heartbeater.Peers() {
+		if peer.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // beat is the heartbeat of this router, as far as its parts have started.
 func (r *Router) beat() *messenger.Beat {
 	s := r.cfg.Settings
@@ -87,6 +97,7 @@
 		Clock:       clock,
 		Store:       r.store,
 		Alive:       r.alive,
+		Known:       r.known,
 		Retention:   func() clocker.Millis { return clocker.Millis(r.policy().AnswerRetentionMs) },
 	})
 	r.biller = biller.New(ctx, biller.Config{
