--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,8 @@
 	gate   *limiter.Gate
 	index  *indexer.Index
 	polled map[string]*polled
+	// near is the backend servers of the own availability zone.
+	near []*messenger.BackendServer
 }
 
 // New returns a balancer and starts its duties, which end with ctx or Close.
@@ -223,6 +225,12 @@
 	}
 	b.index = index
 	b.gate.Sync(now, index)
+	b.near = nil
+	for _, d := range index.Configuration.GetDeclarations().GetBackendServers() {
+		if d.AvailabilityZone == b.cfg.AvailabilityZone {
+			b.near = append(b.near, d)
+		}
+	}
 	maps.DeleteFunc(b.polled, func(name string, _ *polled) bool {
 		return index.BackendServer(name) == nil
 	})
--- a/balancer/poll.go
+++ b/balancer/poll.go
@@ -74,14 +74,21 @@
 	b.sync(now)
 	var oldest *messenger.BackendServer
 	var state *polled
-	for _, d := range b.index.Configuration.GetDeclarations().GetBackendServers() {
-		if !b.wantsPoll(now, d) {
-			continue
-		}
-		if known := b.polledOf(d.Name); !known.open && now-known.at >= pollAgain && (state == nil || known.at < state.at) {
+	consider := func(d *messenger.BackendServer) {
+		known := b.polledOf(d.Name)
+		due := !known.open && now-known.at >= pollAgain && !b.index.ServerLeaving(d.Name, now)
+		if due && (state == nil || known.at < state.at) {
 			oldest, state = d, known
 		}
 	}
+	for _, d := range b.near {
+		consider(d)
+	}
+	for _, name := range b.gate.UsedElsewhere() {
+		if d := b.index.BackendServer(name); d != nil {
+			consider(d)
+		}
+	}
 	if oldest == nil {
 		return poll{}, false
 	}
@@ -92,11 +99,6 @@
 	return poll{name: oldest.Name, address: oldest.Address, events: events, after: state.sequence}, true
 }
 
-func (b *Balancer) wantsPoll(now clocker.Millis, d *messenger.BackendServer) bool {
-	inUse := d.AvailabilityZone == b.cfg.AvailabilityZone || b.gate.InUse(d.Name)
-	return inUse && !b.index.ServerLeaving(d.Name, now)
-}
-
 func (b *Balancer) polledOf(name string) *polled {
 	if b.polled[name] == nil {
 		b.polled[name] = &polled{}
--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/indexer"
@@ -98,7 +99,7 @@
 }
 
 func (g *gated) wantsReport(name string) bool {
-	return g.gate.InFlight(name) > 0 || g.gate.Ejected(name)
+	return slices.Contains(g.gate.UsedElsewhere(), name)
 }
 
 // plain is a policy without knowledge beyond its own requests in flight.
@@ -135,7 +136,7 @@
 	}
 	for i := range p.servers {
 		s := p.servers[(start+i)%len(p.servers)]
-		if contains(avoid, s.Name) {
+		if slices.Contains(avoid, s.Name) {
 			continue
 		}
 		if p.policy != LeastInFlight {
@@ -151,15 +152,6 @@
 	return best
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *plain) release(_ clocker.Millis, c picker.Choice, _ picker.Outcome) {
 	p.inFlight[c.Server.Name]--
 }
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -339,9 +339,10 @@
 	return g.picker.InFlight(name)
 }
 
-// InUse reports whether requests are in flight on a backend server, or it is ejected.
-func (g *Gate) InUse(name string) bool {
-	return g.picker.InUse(name)
+// UsedElsewhere returns the backend servers of other availability zones with
+// requests in flight, and the ejected ones.
+func (g *Gate) UsedElsewhere() []string {
+	return g.picker.UsedElsewhere()
 }
 
 // Ejected reports whether a backend server is out after failures.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -29,9 +29,11 @@
 	pools   map[poolKey]*pool
 	hints   *hints
 	zones   map[string]*zone
-	scratch []candidate
-	span    int
-	synced  bool
+	// elsewhere names servers of other zones that were in use since the last look.
+	elsewhere map[string]bool
+	scratch   []candidate
+	span      int
+	synced    bool
 }
 
 // DefaultSpan is how many servers of a model the own availability zone needs
@@ -64,7 +66,9 @@
 		pools:   map[poolKey]*pool{},
 		hints:   newHints(),
 		zones:   map[string]*zone{},
-		span:    DefaultSpan,
+
+		elsewhere: map[string]bool{},
+		span:      DefaultSpan,
 	}
 }
 
@@ -256,6 +260,9 @@
 func (p *Picker) take(now clocker.Millis, s *server, r Request) Choice {
 	probe := s.health.out
 	s.take(now, r.Tokens)
+	if !s.zone.own {
+		p.elsewhere[s.name] = true
+	}
 	if r.Prefix != 0 && !p.hints.entries[r.Prefix].holds(now, s) {
 		s.prefill = s.prefilling(now) + 1
 		s.prefillAt = now
@@ -343,10 +350,20 @@
 	return 0
 }
 
-// InUse reports whether requests are in flight on a backend server, or it is ejected.
-func (p *Picker) InUse(name string) bool {
-	s := p.servers[name]
-	return s != nil && (s.inFlight > 0 || s.health.out)
+// UsedElsewhere returns the backend servers of other availability zones with
+// requests in flight, and the ejected ones.
+func (p *Picker) UsedElsewhere() []string {
+	var names []string
+	for name := range p.elsewhere {
+		s := p.servers[name]
+		if s == nil || s.inFlight == 0 && !s.health.out {
+			delete(p.elsewhere, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
 }
 
 // Ejected reports whether a backend server is out after failures.
