Budgets: shrink the offline reserve as crashes strand tokens; histories

Limits of replaced incarnations count against the policy's share of a budget: the offline reserve shrinks towards nothing as they near it.

porcupine checks top-ups and reports recorded on three hosts with lost, dropped and late writes; a reply that counts too much is found. 100 top-ups, each repeated, count once though the object remembers 32.

--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -16,6 +16,9 @@
 	Holder bool
 	// Live reports whether an incarnation was heard of lately.
 	Live func(incarnation string) bool
+	// Replaced reports whether the host of an incarnation was heard of as a
+	// later one; nil means never.
+	Replaced func(incarnation string) bool
 }
 
 // Write is one conditional write of the shard's object.
@@ -139,7 +142,7 @@
 	}
 	written := b.base + holderOf(object, a.cfg.Incarnation).GetLimit()
 	rest := max(0, Rest(object))
-	delta := b.change(c, rest)
+	delta := b.change(c, object, rest)
 	limit := min(max(b.limit+delta, b.base), written+rest)
 	due := delta != 0 || b.inDoubt
 	return entry{budget: b, limit: limit}, due && limit != written
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -34,13 +34,33 @@
 
 // target is the headroom that the policy wants a holder to have, given the
 // unassigned rest: demand times the time ahead, at most a share of what is left.
-func (b *allotment) target(c Circumstances, rest int64) int64 {
-	ahead := clocker.Millis(c.Policy.HeadroomMs + c.Policy.OfflineReserveMs)
-	share := float64(c.Policy.MaxShareOfRestMilli) / 1000
-	bound := share * float64(rest+max(0, b.headroom()))
+func (b *allotment) target(c Circumstances, object *messenger.Budget, rest int64) int64 {
+	reserve := float64(c.Policy.OfflineReserveMs) * (1 - lossShare(c, object))
+	ahead := clocker.Millis(c.Policy.HeadroomMs + int64(reserve))
+	bound := maxShare(c) * float64(rest+max(0, b.headroom()))
 	return min(b.ahead(ahead, c.Now), int64(bound))
 }
 
+// lossShare is 0 while no host was lost and nears 1 as the limits that crashed
+// incarnations took with them near the policy's share of the budget: the more
+// crashes, the smaller the reserve that the next one strands.
+func lossShare(c Circumstances, object *messenger.Budget) float64 {
+	if c.Replaced == nil || object.GetGranted() == 0 {
+		return 0
+	}
+	var lost int64
+	for _, h := range object.Holders {
+		if !h.Closed && c.Replaced(h.Incarnation) {
+			lost += h.Limit
+		}
+	}
+	return min(1, float64(lost)/(maxShare(c)*float64(object.Granted)))
+}
+
+func maxShare(c Circumstances) float64 {
+	return float64(c.Policy.MaxShareOfRestMilli) / 1000
+}
+
 // grantTarget is the headroom of a host that is no holder.
 func (b *allotment) grantTarget(now clocker.Millis) int64 {
 	return b.ahead(grantAhead, now)
@@ -53,11 +73,11 @@
 
 // change returns by how much the limit is to be raised, or lowered if negative.
 // What waiting requests lack is not bounded by the policy's share.
-func (b *allotment) change(c Circumstances, rest int64) int64 {
+func (b *allotment) change(c Circumstances, object *messenger.Budget, rest int64) int64 {
 	var target int64
 	returnAbove := 2 * b.grantTarget(c.Now)
 	if c.Holder {
-		target = b.target(c, rest)
+		target = b.target(c, object, rest)
 		returnAbove = 2 * target
 	}
 	free := b.headroom() - b.need
--- /dev/null
+++ b/reserver/experiment_test.go
@@ -0,0 +1,334 @@
+package reserver_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cowsliphinge/allotter"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+)
+
+var experiment = flag.String("experiment", "", "run the experiment of docs/BUDGETS.md: all, or the name of a scenario")
+
+const (
+	experimentSeed = 41
+	tick           = 250 * clocker.Millis(1)
+	worstCase      = 1500 // tokens that a request reserves
+	requestTime    = 3 * clocker.Second
+	requestsPerSec = 8.0 // of the whole fleet
+	meanUsed       = 500
+)
+
+// shares of the demand by budget: a few large accounts.
+var demandShares = []float64{0.30, 0.25, 0.15, 0.10, 0.06, 0.05, 0.04, 0.03, 0.01, 0.01}
+
+// deployments are the policies that are compared.
+var deployments = map[string]*messenger.Policy{
+	"Kauri Lane":       {HeadroomMs: 10_000, OfflineReserveMs: 6 * 3600_000, MaxShareOfRestMilli: 200, PatienceMs: 5000},
+	"Tastatur Samlet":  {HeadroomMs: 5_000, OfflineReserveMs: 9 * 1800_000, MaxShareOfRestMilli: 60, PatienceMs: 2000},
+	"Tastatur, 10 min": {HeadroomMs: 5_000, OfflineReserveMs: 600_000, MaxShareOfRestMilli: 60, PatienceMs: 2000},
+}
+
+// scenario is a workload and its faults; times are since its start.
+type scenario struct {
+	name     string
+	zones    int
+	duration clocker.Millis
+	// hours of its demand that each budget holds at the start.
+	hours float64
+	// cut and outage are from and to.
+	cut, outage [2]clocker.Millis
+	crashEvery  clocker.Millis
+	topUpAt     clocker.Millis
+}
+
+var scenarios = []scenario{
+	{name: "no fault", zones: 4, duration: 6 * clocker.Hour, hours: 72},
+	{name: "platform down 2 h", zones: 4, duration: 6 * clocker.Hour, hours: 72, outage: [2]clocker.Millis{clocker.Hour, 3 * clocker.Hour}},
+	{name: "zone cut off 4 h", zones: 4, duration: 6 * clocker.Hour, hours: 72, cut: [2]clocker.Millis{clocker.Hour, 5 * clocker.Hour}},
+	{name: "crash each 10 min", zones: 4, duration: 6 * clocker.Hour, hours: 72, crashEvery: 10 * clocker.Minute},
+	{name: "cut off + crashes", zones: 4, duration: 6 * clocker.Hour, hours: 72, cut: [2]clocker.Millis{clocker.Hour, 5 * clocker.Hour}, crashEvery: 10 * clocker.Minute},
+	{name: "top-up during a cut", zones: 4, duration: 6 * clocker.Hour, hours: 4, cut: [2]clocker.Millis{clocker.Hour, 5 * clocker.Hour}, topUpAt: 3 * clocker.Hour},
+	{name: "running out on 10 hosts", zones: 5, duration: clocker.Hour, hours: 0.5},
+}
+
+// system is a way to keep budgets.
+type system interface {
+	begin(host int, budget string) request
+	crash(host int)
+	topUp(budget string, tokens int64)
+	// pass carries out duties; whole is true once a second.
+	pass(whole bool)
+	// stranded returns tokens that were neither served nor can be.
+	stranded() int64
+	calls() int64
+}
+
+// request is one reservation, wherever it is kept.
+type request interface {
+	// poll reports whether the request was answered, and whether it may run.
+	poll() (ended, ok bool)
+	giveUp() bool
+	settle(used int64)
+}
+
+// result of one run.
+type result struct {
+	requests, refused, falsely int64
+	overspent, stranded        int64
+	callsPerSec                float64
+}
+
+// bench runs one scenario against one system.
+type bench struct {
+	*fleet
+	sc      scenario
+	sys     system
+	rng     *rand.Rand
+	granted map[string]int64
+	served  map[string]int64
+	out     result
+
+	pending []flight
+	running []flight
+}
+
+type flight struct {
+	request
+	host, start int
+	budget      string
+	due         clocker.Millis
+}
+
+func budgetName(i int) string { return fmt.Sprintf("budget-%d", i) }
+
+func demandOf(i int, hours float64) int64 {
+	return int64(demandShares[i] * requestsPerSec * meanUsed * 3600 * hours)
+}
+
+func (b *bench) run() result {
+	for i := range demandShares {
+		b.grant(i, b.sc.hours)
+	}
+	start := b.clock.Now()
+	for b.clock.Now()-start < b.sc.duration {
+		b.clock.Advance(tick)
+		b.faults(b.clock.Now() - start)
+		b.arrive()
+		b.sys.pass((b.clock.Now()-start)%clocker.Second == 0)
+		b.progress()
+	}
+	b.out.callsPerSec = float64(b.sys.calls()) / float64(b.sc.duration/clocker.Second)
+	b.out.stranded = b.sys.stranded()
+	for name, served := range b.served {
+		b.out.overspent += max(0, served-b.granted[name])
+	}
+	return b.out
+}
+
+func (b *bench) grant(i int, hours float64) {
+	b.granted[budgetName(i)] += demandOf(i, hours)
+	b.sys.topUp(budgetName(i), demandOf(i, hours))
+}
+
+func within(at clocker.Millis, span [2]clocker.Millis) bool {
+	return at >= span[0] && at < span[1]
+}
+
+func (b *bench) faults(at clocker.Millis) {
+	b.store.SetFaults(platform.Faults{Outage: within(at, b.sc.outage)})
+	for _, n := range b.nodes[:2] {
+		n.side = 0
+		if within(at, b.sc.cut) {
+			n.side = 1
+		}
+	}
+	if b.sc.crashEvery > 0 && at%b.sc.crashEvery == 0 {
+		b.crashOne(b.rng.IntN(len(b.nodes)))
+	}
+	if b.sc.topUpAt > 0 && at == b.sc.topUpAt {
+		for i := range demandShares {
+			b.grant(i, 24)
+		}
+	}
+}
+
+// crashOne ends a host with what it runs; that counts as served in full.
+func (b *bench) crashOne(host int) {
+	b.sys.crash(host)
+	b.nodes[host].start()
+	alive := func(flights []flight) []flight {
+		var kept []flight
+		for _, f := range flights {
+			if f.host != host {
+				kept = append(kept, f)
+			}
+		}
+		return kept
+	}
+	b.pending = alive(b.pending)
+	b.running = alive(b.running)
+}
+
+func (b *bench) arrive() {
+	perTick := requestsPerSec * float64(tick) / 1000
+	for n := b.rng.Float64() * 2 * perTick; n > 0; n-- {
+		if n < 1 && b.rng.Float64() > n {
+			break
+		}
+		host, budget := b.rng.IntN(len(b.nodes)), budgetName(b.draw())
+		b.out.requests++
+		f := flight{host: host, budget: budget, due: b.clock.Now() + clocker.Millis(b.policy.PatienceMs)}
+		f.request = b.sys.begin(host, budget)
+		b.pending = append(b.pending, f)
+	}
+}
+
+func (b *bench) draw() int {
+	x := b.rng.Float64()
+	for i, share := range demandShares {
+		if x -= share; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// progress moves requests on: waiting, running, settled.
+func (b *bench) progress() {
+	waiting := b.pending
+	b.pending = nil
+	for _, f := range waiting {
+		ended, ok := f.poll()
+		if !ended && b.clock.Now() >= f.due {
+			ended, ok = true, f.giveUp()
+		}
+		switch {
+		case !ended:
+			b.pending = append(b.pending, f)
+		case ok:
+			b.served[f.budget] += worstCase
+			f.due = b.clock.Now() + requestTime
+			b.running = append(b.running, f)
+		default:
+			b.refuse(f)
+		}
+	}
+	running := b.running
+	b.running = nil
+	for _, f := range running {
+		if b.clock.Now() < f.due {
+			b.running = append(b.running, f)
+			continue
+		}
+		used := int64(meanUsed/2 + b.rng.IntN(meanUsed))
+		b.served[f.budget] -= worstCase - used
+		f.settle(used)
+	}
+}
+
+// refuse counts a refusal, falsely if tokens are left anywhere in the fleet.
+func (b *bench) refuse(f flight) {
+	b.out.refused++
+	if b.granted[f.budget]-b.served[f.budget] >= worstCase {
+		b.out.falsely++
+	}
+}
+
+func TestExperiment(t *testing.T) {
+	if *experiment == "" {
+		t.Skip("run with -experiment=all")
+	}
+	fmt.Println("| scenario | way | requests | refused % | falsely refused % | overspent | stranded % of granted | calls/s |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
+	for _, sc := range scenarios {
+		if *experiment != "all" && *experiment != sc.name {
+			continue
+		}
+		for _, name := range []string{"Kauri Lane", "Tastatur Samlet", "Tastatur, 10 min"} {
+			runOne(sc, "escrow, "+name, deployments[name], func(f *fleet) system { return &escrow{fleet: f} })
+		}
+		runOne(sc, "central counter", deployments["Kauri Lane"], func(f *fleet) system { return &central{fleet: f, left: map[string]int64{}} })
+		runOne(sc, "static equal split", deployments["Kauri Lane"], newStatic)
+	}
+}
+
+func runOne(sc scenario, name string, policy *messenger.Policy, build func(*fleet) system) {
+	f := newFleet(policy, sc.zones, 2)
+	b := &bench{fleet: f, sc: sc, sys: build(f), rng: rand.New(rand.NewPCG(experimentSeed, 1)), granted: map[string]int64{}, served: map[string]int64{}}
+	r := b.run()
+	var granted int64
+	for _, tokens := range b.granted {
+		granted += tokens
+	}
+	percent := func(n, of int64) float64 { return 100 * float64(n) / float64(max(1, of)) }
+	fmt.Printf("| %s | %s | %d | %.3f | %.3f | %d | %.2f | %.2f |\n", sc.name, name, r.requests,
+		percent(r.refused, r.requests), percent(r.falsely, r.requests), r.overspent, percent(r.stranded, granted), r.callsPerSec)
+}
+
+// escrow is this package.
+type escrow struct {
+	*fleet
+	topUps int
+}
+
+func (e *escrow) begin(host int, budget string) request {
+	n := e.nodes[host]
+	return &escrowRequest{Pending: n.reserver.Begin(budget, worstCase, clocker.Minute), reserver: n.reserver}
+}
+
+func (e *escrow) crash(int) {}
+
+func (e *escrow) topUp(budget string, tokens int64) {
+	e.topUps++
+	n := e.nodes[len(e.nodes)-1]
+	_, err := n.reserver.TopUp(context.Background(), &messenger.TopUpRequest{OperationId: fmt.Sprint(e.topUps), Budget: budget, Tokens: tokens})
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (e *escrow) pass(whole bool) {
+	for _, n := range e.nodes {
+		if whole {
+			n.reserver.CarryOut(context.Background())
+			n.reserver.SyncDoubts(context.Background())
+			continue
+		}
+		n.reserver.CarryOutWaiting(context.Background())
+	}
+}
+
+// stranded returns the limits of incarnations that are gone; what those spent
+// of them is counted too.
+func (e *escrow) stranded() int64 {
+	live := map[string]bool{}
+	for _, n := range e.nodes {
+		live[n.incarnation] = true
+	}
+	e.store.SetFaults(platform.Faults{})
+	objects, err := e.store.List(context.Background(), "budget/", "", 1000)
+	if err != nil {
+		panic(err)
+	}
+	var sum int64
+	for _, o := range objects {
+		for _, b := range decodeShard(o).Budgets {
+			sum += allotter.Stranded(b, func(incarnation string) bool { return live[incarnation] })
+		}
+	}
+	return sum
+}
+
+func (e *escrow) calls() int64 {
+	var sum int64
+	for _, n := range e.nodes {
+		sum += n.calls
+	}
+	return sum
+}
--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -70,7 +70,7 @@
 // start begins a new incarnation.
 func (n *node) start() {
 	n.fleet.starts++
-	n.incarnation = fmt.Sprintf("%s-%x", n.name, n.fleet.starts)
+	n.incarnation = fmt.Sprintf("%s-%x-00000000", n.name, n.fleet.starts)
 	n.open = nil
 	n.reserver = reserver.Prepare(reserver.Config{
 		Incarnation: n.incarnation, Host: n.name, AvailabilityZone: n.zone, Clock: n.fleet.clock,
--- /dev/null
+++ b/reserver/history_test.go
@@ -0,0 +1,137 @@
+package reserver_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+)
+
+// grantedState is what a budget's object must look like to its operators.
+type grantedState struct {
+	granted int64
+	// counted has a bit for each operation that was counted.
+	counted uint64
+}
+
+// grantedInput is a top-up, or a report if operation is negative.
+type grantedInput struct {
+	operation int
+	tokens    int64
+}
+
+// anyGranted is the output of a top-up that told no sum.
+const anyGranted = int64(-1)
+
+var grantedModel = porcupine.Model{
+	Init: func() any { return grantedState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in := state.(grantedState), input.(grantedInput)
+		if in.operation >= 0 && s.counted&(1<<in.operation) == 0 {
+			s.counted |= 1 << in.operation
+			s.granted += in.tokens
+		}
+		granted := output.(int64)
+		return granted == anyGranted || granted == s.granted, s
+	},
+}
+
+// history records operations with logical times.
+type history struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	ops   []porcupine.Operation
+}
+
+func (h *history) add(client int, in grantedInput, call int64, granted, end int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: granted, Return: end})
+}
+
+// topUp records one top-up. One that was counted on an earlier try took effect
+// within the call, and its sum was read later: two steps.
+func (h *history) topUp(client int, n *node, operation int) {
+	in := grantedInput{operation: operation, tokens: int64(100 + operation)}
+	call := h.clock.Add(1)
+	reply, err := n.reserver.TopUp(context.Background(), &messenger.TopUpRequest{
+		OperationId: fmt.Sprint(operation), Budget: "mason", Tokens: in.tokens,
+	})
+	end := h.clock.Add(1)
+	switch {
+	case err != nil:
+		h.add(client, in, call, anyGranted, math.MaxInt64)
+	case reply.Repeated:
+		h.add(client, in, call, anyGranted, end)
+		h.add(client, grantedInput{operation: -1}, call, reply.Granted, end)
+	default:
+		h.add(client, in, call, reply.Granted, end)
+	}
+}
+
+func (h *history) report(client int, n *node) {
+	call := h.clock.Add(1)
+	report, err := n.reserver.Report(context.Background(), "mason")
+	if err == nil {
+		h.add(client, grantedInput{operation: -1}, call, report.Granted, h.clock.Add(1))
+	}
+}
+
+// record lets operators race on three hosts while answers get lost and writes
+// are dropped or come late.
+func record() *history {
+	f := newFleet(&messenger.Policy{HeadroomMs: 5000, OfflineReserveMs: 5000, MaxShareOfRestMilli: 125, PatienceMs: 2000}, 3, 1)
+	h := &history{}
+	lossy := []platform.Faults{{LoseAnswers: 1}, {DropWrites: 1}, {DelayWrites: 1}, {LoseAnswers: 6}}
+	var wg sync.WaitGroup
+	for client, n := range f.nodes {
+		wg.Go(func() {
+			for i := range 12 {
+				f.store.SetFaults(lossy[(client+i)%len(lossy)])
+				h.topUp(client, n, (client*7+i)%16)
+				h.report(client, n)
+				f.store.ReleaseDelayed()
+			}
+		})
+	}
+	wg.Wait()
+	return h
+}
+
+func TestTopUpsAreLinearizable(t *testing.T) {
+	h := record()
+	assert.Assert(t, porcupine.CheckOperations(grantedModel, h.ops))
+}
+
+// A history in which one reply tells a sum that counts a top-up twice is refused.
+func TestCountedTwiceIsFound(t *testing.T) {
+	h := record()
+	for i, op := range h.ops {
+		if granted := op.Output.(int64); granted != anyGranted {
+			h.ops[i].Output = granted + 2000 // more than all operations together
+			break
+		}
+	}
+	assert.Assert(t, !porcupine.CheckOperations(grantedModel, h.ops))
+}
+
+// More top-ups than the object remembers still count once each.
+func TestForgottenTopUpsCountOnce(t *testing.T) {
+	f := newFleet(&messenger.Policy{HeadroomMs: 5000, MaxShareOfRestMilli: 125}, 2, 1)
+	for range 2 {
+		for i := range 100 {
+			f.topUp(t, f.nodes[i%2], fmt.Sprint("op-", i), "mason", 10)
+		}
+	}
+	b := f.budget(t, "mason")
+	assert.Equal(t, b.Granted, int64(1000))
+	assert.Equal(t, len(b.TopUps), 32)
+}
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,8 @@
 	peers  []heartbeater.Peer
 	// live are the incarnations that were heard of lately, this one included.
 	live map[string]bool
+	// hosts are the hosts of the live incarnations.
+	hosts map[string]bool
 	// zone are the hosts of the own availability zone that may hold budgets.
 	zone []string
 	// zoneHash changes with zone.
@@ -32,6 +35,7 @@
 		now:    r.cfg.Clock.Now(),
 		policy: r.cfg.Policy(),
 		live:   map[string]bool{r.cfg.Incarnation: true},
+		hosts:  map[string]bool{r.cfg.Host: true},
 		zone:   []string{r.cfg.Host},
 	}
 	for _, p := range r.cfg.Peers() {
@@ -40,6 +44,7 @@
 		}
 		v.peers = append(v.peers, p)
 		v.live[p.Incarnation] = true
+		v.hosts[p.Host] = true
 		if p.AvailabilityZone == r.cfg.AvailabilityZone && !p.Draining {
 			v.zone = append(v.zone, p.Host)
 		}
@@ -54,6 +59,20 @@
 	return v.live[incarnation]
 }
 
+// isReplaced reports whether an incarnation's host lives as another one.
+func (v *view) isReplaced(incarnation string) bool {
+	return !v.live[incarnation] && v.hosts[hostOf(incarnation)]
+}
+
+// hostOf returns the host of an incarnation <host>-<start>-<random>.
+func hostOf(incarnation string) string {
+	host := incarnation
+	for range 2 {
+		host = host[:max(0, strings.LastIndexByte(host, '-'))]
+	}
+	return host
+}
+
 // holdersOf returns the hosts of the own availability zone that hold the shard.
 func (v *view) holdersOf(s *shard) []string {
 	s.mu.Lock()
@@ -76,10 +95,11 @@
 
 func (r *Reserver) circumstances(s *shard, v *view) allotter.Circumstances {
 	return allotter.Circumstances{
-		Now:    r.cfg.Clock.Now(),
-		Policy: v.policy,
-		Holder: r.holds(s, v),
-		Live:   v.isLive,
+		Now:      r.cfg.Clock.Now(),
+		Policy:   v.policy,
+		Holder:   r.holds(s, v),
+		Live:     v.isLive,
+		Replaced: v.isReplaced,
 	}
 }
 
