--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -53,6 +55,11 @@
 // ParseCompletion reads a chat completion request. The error names the field
 // that is wrong.
 func ParseCompletion(body []byte) (*CompletionRequest, error) {
+	// A decoder makes three bytes of each invalid one, which the bound on the
+	// prompt would not cover.
+	if !utf8.Valid(body) {
+		return nil, errors.New("body: must be UTF-8")
+	}
 	q := &CompletionRequest{bytes: len(body)}
 	if err := json.Unmarshal(body, q); err != nil {
 		return nil, describeJSON(err)
@@ -103,8 +110,15 @@
 	return q.PromptBound() + q.MaxTokens
 }
 
-// PrefixHash returns the hash of the leading part of the prompt.
+// PrefixHash returns the hash of the leading part of the prompt: of the first of
+// several messages as cache events name it, else of the first bytes.
 func (q *CompletionRequest) PrefixHash() uint64 {
+	if len(q.Messages) > 1 {
+		first := q.Messages[0]
+		digest := fnv.New64a()
+		_, _ = digest.Write([]byte(first.Role + "\x00" + first.Content + "\x00"))
+		return digest.Sum64()
+	}
 	digest := xxhash.New()
 	left := prefixBytes
 	for _, m := range q.Messages {
--- a/router/parts.go
+++ b/router/parts.go
@@ -18,6 +18,7 @@
 	"cowsliphinge/querier"
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
+	"cowsliphinge/sampler"
 	"cowsliphinge/tracker"
 )
 
@@ -65,6 +66,9 @@
 	beat.Draining = !r.ready.Load()
 	beat.InFlight = r.dispatcher.InFlight()
 	beat.HeldTokens = r.reserver.HeldTokens()
+	beat.LeavingInFlight = r.leavingInFlight()
+	beat.RequestsCut = r.cut.Load()
+	beat.PlatformReachable = r.spreader.Load().PlatformReachable()
 	return beat
 }
 
@@ -101,6 +105,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Clock:            clock,
 		Index:            r.index,
+		Loads:            sampler.New(sampler.Config{Clock: clock, Caller: r.connector}),
 		Seed:             uint64(clock.Now()),
 	})
 	r.tracker = tracker.New(ctx, tracker.Config{
@@ -126,7 +131,7 @@
 			Seed:    uint64(clock.Now()),
 		}),
 		Connector: r.connector,
-		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, Reachable: r.reaches}),
+		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, TLS: r.callerTLS, Reachable: r.reaches}),
 		Tracker:   r.tracker,
 	})
 	r.started.Store(true)
@@ -146,7 +151,7 @@
 		MaxConnections: s.MaxConnections,
 	})
 	spread := r.spreader.Load()
-	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver})
+	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver, Planner: r.mover})
 	r.server = exchanger.NewServer(exchanger.ServerConfig{
 		OperatorKey: s.OperatorKey,
 		RouterKey:   s.RouterKey,
@@ -162,6 +167,7 @@
 			Budgets:  r.reserver,
 			Bills:    r.biller,
 			Servers:  r.balancer,
+			Moves:    r.mover,
 			Self:     r.beat,
 			Peers:    r.heartbeater.Peers,
 		}),
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,8 @@
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/listener"
 	"cowsliphinge/messenger"
+	"cowsliphinge/mover"
+	"cowsliphinge/orderer"
 	"cowsliphinge/reserver"
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
@@ -53,6 +55,7 @@
 	ready       atomic.Bool
 	started     atomic.Bool // the parts that beat asks are there
 	leaving     chan struct{}
+	callerTLS   *tls.Config // towards the callers' listeners of other routers
 	cancel      context.CancelFunc
 	group       errgroup.Group
 
@@ -66,6 +69,9 @@
 	tracker     *tracker.Tracker
 	balancer    *balancer.Balancer
 	connector   *connector.Connector
+	mover       *mover.Mover
+	orderer     *orderer.Orderer
+	cut         atomic.Int64 // requests that the graceful stop cut
 	dispatcher  *dispatcher.Dispatcher
 	listener    *listener.Listener
 	server      *exchanger.Server
@@ -87,6 +93,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "ExchangeTls")
 	}
+	callerTLS, err := clientTLS(cfg.Settings.CallerTls)
+	if err != nil {
+		return nil, trace.Wrap(err, "CallerTls")
+	}
 	callers, err := listen(cfg.Callers, cfg.Settings.CallerAddress)
 	if err != nil {
 		return nil, trace.Wrap(err, "CallerAddress")
@@ -101,11 +111,13 @@
 		cfg:         cfg,
 		incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now()),
 		leaving:     make(chan struct{}),
+		callerTLS:   callerTLS,
 		cancel:      cancel,
 	}
 	r.startClients(peerTLS)
 	r.startMembership(ctx)
 	r.startDeciders(ctx)
+	r.startMoves(ctx)
 	r.startListeners(listenerTLS, exchangeTLS)
 	r.group.Go(func() error { return r.server.Serve(peers) })
 	r.group.Go(func() error { return r.listener.Serve(callers) })
@@ -171,6 +183,9 @@
 		Dispatcher:    r.dispatcher,
 		NotReady:      func() { r.ready.Store(false) },
 		Parts: []drainer.Part{
+			{Name: "requests cut", Close: r.noteCut},
+			{Name: "moves", Close: r.mover.Close},
+			{Name: "orders", Close: r.orderer.Close},
 			{Name: "callers", Close: r.listener.Shutdown},
 			{Name: "claims", Close: r.claimer.Close},
 			{Name: "streams", Close: r.tracker.Close},
