Hosts that hold no budgets of a shard leave the platform alone

Cause: each refill read the object, also when the zone's holders had served it. Now the platform is called only if requests still lack tokens or the own entry is not as the policy wants. Test: six hosts of a zone under steady demand, at most the two holders call the platform in two minutes.

--- /dev/null
+++ b/allotter/bench_test.go
@@ -0,0 +1,113 @@
+package allotter_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"cowsliphinge/allotter"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+)
+
+const benchHolders = 20 // two holders in each of ten availability zones
+
+// fullShard returns an object of n budgets that all holders hold.
+func fullShard(n int) *messenger.BudgetShard {
+	shard := &messenger.BudgetShard{}
+	for i := range n {
+		b := &messenger.Budget{Name: fmt.Sprintf("account-%06d", i), Granted: 1 << 50}
+		for h := range benchHolders {
+			b.Holders = append(b.Holders, &messenger.Holder{Incarnation: fmt.Sprintf("host-%04d-19a0c5b2f3e-%08x", h, h), Limit: 1 << 30})
+		}
+		for op := range 4 {
+			b.TopUps = append(b.TopUps, &messenger.TopUpRecord{OperationId: fmt.Sprintf("operation-%d-%d", i, op), Tokens: 1 << 48, AtMs: 1 << 40})
+		}
+		shard.Budgets = append(shard.Budgets, b)
+	}
+	return shard
+}
+
+// BenchmarkExtend reads the object, plans an extension of one budget, writes it
+// and takes in the confirmation.
+func BenchmarkExtend(b *testing.B) {
+	for _, n := range []int{10, 42, 400} {
+		b.Run(fmt.Sprintf("budgets=%d", n), func(b *testing.B) {
+			value, err := proto.Marshal(fullShard(n))
+			if err != nil {
+				b.Fatal(err)
+			}
+			policy := &messenger.Policy{HeadroomMs: 5000, OfflineReserveMs: 60000, MaxShareOfRestMilli: 125}
+			live := func(string) bool { return true }
+			b.ReportAllocs()
+			for i := range b.N {
+				a := allotter.New(allotter.Config{Incarnation: "host-9999-19a0c5b2f3e-00000000"})
+				a.AddNeed("account-000000", 1000)
+				object := &messenger.BudgetShard{}
+				if err := proto.Unmarshal(value, object); err != nil {
+					b.Fatal(err)
+				}
+				a.Merge(int64(i+1), object, clocker.Hour)
+				w, due := a.Plan(allotter.Circumstances{Now: clocker.Hour, Policy: policy, Holder: true, Live: live})
+				if !due {
+					b.Fatal("nothing planned")
+				}
+				if _, err := proto.Marshal(w.Value); err != nil {
+					b.Fatal(err)
+				}
+				a.Confirm(w, int64(i+2))
+			}
+			b.ReportMetric(float64(len(value)), "object-bytes")
+		})
+	}
+}
+
+// BenchmarkActiveBudget reports the memory of a budget that is in use, besides
+// the shard's decoded object.
+func BenchmarkActiveBudget(b *testing.B) {
+	const budgets = 100_000
+	for range b.N {
+		before := heap()
+		a := allotter.New(allotter.Config{Incarnation: "h"})
+		for i := range budgets {
+			name := fmt.Sprintf("account-%06d", i)
+			a.Receive("peer", &messenger.TransferTotal{Budget: name, Given: 1000})
+			a.Reserve(name, 10, clocker.Hour)
+		}
+		after := heap()
+		b.ReportMetric(float64(after-before)/budgets, "bytes/budget")
+		runtime.KeepAlive(a)
+	}
+}
+
+// BenchmarkDecodedShard reports the memory of a decoded object.
+func BenchmarkDecodedShard(b *testing.B) {
+	value, err := proto.Marshal(fullShard(42))
+	if err != nil {
+		b.Fatal(err)
+	}
+	const copies = 200
+	for range b.N {
+		before := heap()
+		var kept []*messenger.BudgetShard
+		for range copies {
+			object := &messenger.BudgetShard{}
+			if err := proto.Unmarshal(value, object); err != nil {
+				b.Fatal(err)
+			}
+			kept = append(kept, object)
+		}
+		after := heap()
+		b.ReportMetric(float64(after-before)/copies/42, "bytes/budget")
+		runtime.KeepAlive(kept)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -102,11 +102,17 @@
 	return nil
 }
 
-// Due reports whether a plan or a question to peers is called for, as far as is
-// known without reading the object again.
+// Due reports whether the platform or peers are to be asked, as far as is known
+// without reading the object again.
 func (a *Allotter) Due(c Circumstances) bool {
+	return a.PlatformDue(c) || len(a.Asks(c, false)) > 0
+}
+
+// PlatformDue reports whether requests wait for tokens or a plan is called for,
+// as far as is known without reading the object again.
+func (a *Allotter) PlatformDue(c Circumstances) bool {
 	for _, b := range a.all {
-		if b.need > 0 || b.ask(c) != nil {
+		if b.need > b.headroom() {
 			return true
 		}
 		if _, ok := a.planEntry(a.index[b.name], b, c); ok {
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -23,15 +23,6 @@
 	a.allotment(name).need += tokens
 }
 
-// Short returns how many tokens the waiting requests of a budget lack.
-func (a *Allotter) Short(name string) int64 {
-	b, ok := a.budgets[name]
-	if !ok || b.need == 0 {
-		return 0
-	}
-	return max(0, b.need-b.headroom())
-}
-
 // target is the headroom that the policy wants a holder to have, given the
 // unassigned rest: demand times the time ahead, at most a share of what is left.
 func (b *allotment) target(c Circumstances, object *messenger.Budget, rest int64) int64 {
--- a/allotter/rapid_test.go
+++ b/allotter/rapid_test.go
@@ -18,7 +18,7 @@
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260117", "rapid.steps": "120", "rapid.nofailfile": "true", "rapid.shrinktime": "0s"} {
+	for name, value := range map[string]string{"rapid.seed": "20260117", "rapid.steps": "120", "rapid.checks": "300", "rapid.nofailfile": "true", "rapid.shrinktime": "0s"} {
 		if !given[name] {
 			if err := flag.Set(name, value); err != nil {
 				panic(err)
--- /dev/null
+++ b/reserver/holders_test.go
@@ -0,0 +1,74 @@
+package reserver_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/reserver"
+)
+
+// Hosts beyond the zone's two holders live on grants: once demand is steady they
+// call the platform no more.
+func TestOthersLiveOnGrantsOfHolders(t *testing.T) {
+	f := newFleet(&messenger.Policy{HeadroomMs: 5000, OfflineReserveMs: 60000, MaxShareOfRestMilli: 125, PatienceMs: 2000}, 1, 6)
+	f.topUp(t, f.nodes[0], "first", "mason", 10_000_000)
+	serve := func(d clocker.Millis) (calls []int64) {
+		before := map[*node]int64{}
+		for _, n := range f.nodes {
+			before[n] = n.calls
+		}
+		for range int(d / clocker.Second) {
+			for _, n := range f.nodes {
+				assert.NilError(t, n.take("mason", 1500))
+				n.settle(500)
+			}
+			f.run(clocker.Second)
+		}
+		for _, n := range f.nodes {
+			calls = append(calls, n.calls-before[n])
+		}
+		return calls
+	}
+	serve(2 * clocker.Minute)
+	callers := 0
+	for _, calls := range serve(2 * clocker.Minute) {
+		if calls > 0 {
+			callers++
+		}
+	}
+	assert.Assert(t, callers <= 2, "%d hosts called the platform", callers)
+	f.check(t, "mason")
+}
+
+// A request that nothing can help is refused in the first try, not after its patience.
+func TestRefusesAtOnce(t *testing.T) {
+	f := newFleet(&messenger.Policy{HeadroomMs: 5000, OfflineReserveMs: 60000, MaxShareOfRestMilli: 125, PatienceMs: 2000}, 2, 1)
+	f.topUp(t, f.nodes[0], "first", "mason", 1000)
+	a, b := f.nodes[0].reserver, f.nodes[1]
+	p := a.Begin("mason", 1001, clocker.Minute)
+	a.CarryOutWaiting(t.Context())
+	p.Poll()
+	assert.Assert(t, p.Ended && reserver.IsErrBudgetExhausted(p.Err), "%v", p.Err)
+
+	assert.NilError(t, b.take("mason", 1000))
+	p = a.Begin("mason", 900, clocker.Minute)
+	a.CarryOutWaiting(t.Context())
+	p.Poll()
+	assert.Assert(t, !p.Ended, "a request in flight at a peer may free tokens")
+	b.settle(50)
+	f.clock.Advance(clocker.Second)
+	a.CarryOutWaiting(t.Context())
+	p.Poll()
+	assert.NilError(t, p.Err)
+	assert.Assert(t, p.Ended)
+
+	f.nodes[0].side = 1
+	q := a.Begin("mason", 900, clocker.Minute)
+	f.nodes[0].reserver.Settle(p.Reservation, 900)
+	a.CarryOutWaiting(t.Context())
+	q.Poll()
+	assert.Assert(t, q.Ended && reserver.IsErrBudgetUnreachable(q.Err), "%v", q.Err)
+}
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -131,14 +131,23 @@
 	if r.platform.isFailed() {
 		r.askForLoans(ctx, s, v, &rd)
 	}
-	b := r.balance(ctx, s, v)
-	rd.answered = b.answered
-	rd.contended = b.contended
+	if r.platformDue(s, v) {
+		b := r.balance(ctx, s, v)
+		rd.answered = b.answered
+		rd.contended = b.contended
+	}
 	r.askForLoans(ctx, s, v, &rd)
 	r.giveBack(ctx, s, v)
 	s.endRefill(rd, r.cfg.Clock.Now())
 }
 
+func (r *Reserver) platformDue(s *shard, v *view) bool {
+	c := r.circumstances(s, v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allotter.PlatformDue(c)
+}
+
 func (s *shard) startRefill() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
