Share one pass over the bills between queries, and pace it

Cause: each GetUsage or SumBills read all batches on its own and could take all of the process's platform calls, ahead of claims and limits. Two queries at once over 130 batches, each second call turned away: 12 calls, one pass.

--- a/biller/biller.go
+++ b/biller/biller.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
 	"cowsliphinge/clocker"
@@ -101,6 +102,8 @@
 	// copyNow and writeNow wake their duties.
 	copyNow  chan struct{}
 	writeNow chan struct{}
+	// passes shares the reading of all bills between callers.
+	passes singleflight.Group
 	// collect merges bills into a sum.
 	collect func(Set, ...*messenger.Bill)
 	// smallBatches is how many own batches are not compacted, compacted the
--- a/biller/merge.go
+++ b/biller/merge.go
@@ -63,18 +63,11 @@
 	}
 }
 
-// Sum returns the totals of the bills that match, ordered by client account
-// and budget.
-func (s Set) Sum(req *messenger.SumBillsRequest) []*messenger.BillSum {
+// Sum returns the totals, ordered by client account and budget.
+func (s Set) Sum() []*messenger.BillSum {
 	type group struct{ clientAccount, budget string }
 	groups := map[group]*messenger.BillSum{}
 	for _, bill := range s {
-		if req.ClientAccount != "" && req.ClientAccount != bill.ClientAccount {
-			continue
-		}
-		if req.Budget != "" && req.Budget != bill.Budget {
-			continue
-		}
 		g := group{clientAccount: bill.ClientAccount, budget: bill.Budget}
 		sum, ok := groups[g]
 		if !ok {
--- a/biller/merge_test.go
+++ b/biller/merge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -66,6 +67,9 @@
 	reply, err := b.SumBills(t.Context(), &messenger.SumBillsRequest{})
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Sums[0].Requests, int64(6))
+	reply, err = b.SumBills(t.Context(), &messenger.SumBillsRequest{ClientAccount: "school"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.Sums), 0)
 }
 
 // compacting is a platform where batches are compacted between two pages of a list.
@@ -84,6 +88,48 @@
 	return page, err
 }
 
+// limited is a platform that turns every second list away.
+type limited struct {
+	*platform.Store
+	lists int
+}
+
+func (l *limited) List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error) {
+	if l.lists++; l.lists%2 == 1 {
+		return nil, storer.ErrRateLimited{Key: prefix}
+	}
+	return l.Store.List(ctx, prefix, after, limit)
+}
+
+func TestSumWaitsAtTheRateBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		clock := clocker.NewManual(clocker.Hour)
+		cfg := biller.Config{Incarnation: "h0", Clock: clock, Store: &limited{Store: platform.New(clock)}, BatchBills: 1}
+		cfg.Peers = func() []heartbeater.Peer { return nil }
+		b := biller.New(ctx, cfg)
+		for i := range 130 {
+			_ = b.Record(ctx, &messenger.Bill{ClientAccount: "mason", RequestId: fmt.Sprint(i), Tokens: 1})
+		}
+		assert.Assert(t, biller.Write(t.Context(), b))
+		summed := make(chan int64, 2)
+		for range 2 {
+			go func() {
+				reply, err := b.SumBills(t.Context(), &messenger.SumBillsRequest{})
+				assert.Check(t, err)
+				summed <- reply.Sums[0].Requests
+			}()
+		}
+		for synctest.Wait(); len(summed) < 2; synctest.Wait() {
+			clock.Advance(200)
+		}
+		assert.Equal(t, <-summed, int64(130))
+		assert.Equal(t, <-summed, int64(130))
+		assert.Equal(t, cfg.Store.(*limited).lists, 12, "one pass of six pages for both")
+	})
+}
+
 func TestSumWhileBatchesAreCompacted(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/biller/write.go
+++ b/biller/write.go
@@ -7,20 +7,12 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
-	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 	"cowsliphinge/storer"
 )
 
-const (
-	// prefix starts the key of each batch.
-	prefix = "bill/"
-	// listPage is the number of batches that one read returns.
-	listPage = 25
-	// listPause is the time between a read that was over the rate bound and the
-	// next try, in milliseconds.
-	listPause = 200 * clocker.Millis(1)
-)
+// prefix starts the key of each batch.
+const prefix = "bill/"
 
 // writeDuty writes batches at an interval, and at once while no peer takes
 // copies, and takes over copies whose origin is gone.
@@ -104,32 +96,3 @@
 	}
 	return proto.Equal(found, batch), nil
 }
-
-// SumBills returns the totals of all written bills and of those buffered here.
-func (b *Biller) SumBills(ctx context.Context, req *messenger.SumBillsRequest) (*messenger.SumBillsReply, error) {
-	set := Set{}
-	b.mu.Lock()
-	b.collect(set, b.buffer.bills()...)
-	b.mu.Unlock()
-	after := ""
-	for {
-		page, err := b.cfg.Store.List(ctx, prefix, after, listPage)
-		if storer.IsErrRateLimited(err) && b.cfg.Clock.Sleep(ctx, listPause) == nil {
-			continue
-		}
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		for _, o := range page {
-			batch := &messenger.BillBatch{}
-			if err := proto.Unmarshal(o.Value, batch); err != nil {
-				return nil, trace.Wrap(err, "object %s", o.Key)
-			}
-			b.collect(set, batch.Bills...)
-			after = o.Key
-		}
-		if len(page) < listPage {
-			return &messenger.SumBillsReply{Sums: set.Sum(req)}, nil
-		}
-	}
-}
