--- a/loader/caller.go
+++ b/loader/caller.go
@@ -71,6 +71,9 @@
 	req.Header.SetMethod(http.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.Header.Set("Authorization", "Bearer "+a.Account.Key)
+	if a.RequestID != "" {
+		req.Header.Set("X-Request-Id", a.RequestID)
+	}
 	if a.Key != "" {
 		req.Header.Set("Idempotency-Key", a.Key)
 	}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -126,6 +126,17 @@
 	}
 }
 
+func TestLoadStraightAtAnEngine(t *testing.T) {
+	b := start(t)
+	b.plan.Callers = []string{b.plan.BackendServers[0].Address}
+	b.plan.Mix = b.plan.Mix[:2]
+	b.plan.SendRequestIDs = true
+	report, history := run(t, b.plan)
+	assert.Equal(t, report.Verdict.Answered, int(report.Sent))
+	assert.Assert(t, report.Verdict.Holds(), "%q", report.Verdict.Violations)
+	assert.Equal(t, len(history.Runs), int(report.Sent))
+}
+
 func TestRepeatsThatRunTwiceAreFound(t *testing.T) {
 	b := start(t)
 	b.plan.Mix = b.plan.Mix[2:]
--- a/loader/plan.go
+++ b/loader/plan.go
@@ -50,6 +50,9 @@
 	BackendServers []BackendServer
 	// PlatformURL is read for bills at the end; empty reads none.
 	PlatformURL string
+	// SendRequestIDs sends request IDs as a router does, for a load straight at
+	// a stand-in engine, which shows what the fleet adds.
+	SendRequestIDs bool
 	// SettleMs is the wait before the platform is read, in which hosts write
 	// their bills, in milliseconds.
 	SettleMs clocker.Millis
--- a/loader/schedule.go
+++ b/loader/schedule.go
@@ -29,6 +29,8 @@
 	// WorstCase is the most tokens that the request can use.
 	WorstCase int64
 	Caller    string
+	// RequestID is sent if it is not empty.
+	RequestID string
 }
 
 // Schedule returns all arrivals of a plan by time. Equal plans give equal
@@ -46,6 +48,9 @@
 	slices.SortStableFunc(s.arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
 	for i := range s.arrivals {
 		s.arrivals[i].Caller = p.Callers[i%len(p.Callers)]
+		if p.SendRequestIDs {
+			s.arrivals[i].RequestID = fmt.Sprintf("direct-%d-%d", p.Seed, i)
+		}
 	}
 	return s.arrivals
 }
