--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
@@ -124,9 +122,10 @@
 func (c *Claimer) Close(ctx context.Context) error {
 	c.cancel()
 	_ = c.duties.Wait()
-	if err := c.writeRecord(ctx); err != nil {
-		return trace.Wrap(err)
-	}
+	return trace.NewAggregate(c.writeRecord(ctx), c.writeAll(ctx))
+}
+
+func (c *Claimer) writeAll(ctx context.Context) error {
 	for {
 		c.writePending(ctx)
 		left := c.unwritten()
@@ -151,7 +150,7 @@
 // request's deadline.
 func (c *Claimer) Claim(ctx context.Context, req Request) Decision {
 	d := c.claim(ctx, req)
-	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_claims_total{verdict=%q}`, d.Verdict)).Inc()
+	d.Verdict.count()
 	return d
 }
 
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -21,6 +21,7 @@
 	// IdempotencyKey is the caller's name of the request; empty for none.
 	IdempotencyKey string
 	Deadline       clocker.Millis
+	Priority       picker.Priority
 
 	Method      string
 	Path        string
@@ -63,6 +64,8 @@
 // Biller records bills.
 type Biller interface {
 	Record(ctx context.Context, bill *messenger.Bill) error
+	// Room reports whether bills of new requests can be kept.
+	Room() bool
 }
 
 // Balancer hands out slots of backend servers.
@@ -83,6 +86,14 @@
 	Forward(ctx context.Context, incarnation string, call Call) (*Answer, error)
 }
 
+// Tracker tells a second host which streams are open.
+type Tracker interface {
+	Opened(stream *messenger.OpenStream)
+	Ended(requestID string)
+	// Locate returns an open stream of a host that may be gone, or nil.
+	Locate(requestID string) *messenger.OpenStream
+}
+
 // Connector reaches backend servers.
 type Connector interface {
 	Call(address string, r connector.Request) (*connector.Answer, error)
@@ -101,4 +112,5 @@
 	Retrier     Retrier
 	Connector   Connector
 	Forwarder   Forwarder
+	Tracker     Tracker
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,6 +22,10 @@
 // maxAttempts bounds how often one request is handed to backend servers.
 const maxAttempts = 4
 
+// copyPatience is how long the last byte of an answer waits for its bill to be
+// with a second host, in milliseconds; a host alone in reach goes on without.
+const copyPatience = 300 * clocker.Millis(1)
+
 // State is how far a request has come.
 type State int
 
@@ -39,8 +43,9 @@
 
 // Dispatcher runs requests. Its methods may be called from many goroutines.
 type Dispatcher struct {
-	cfg      Config
-	inFlight atomic.Int64
+	cfg       Config
+	canceller Canceller
+	inFlight  atomic.Int64
 
 	mu       sync.Mutex
 	draining bool
@@ -49,7 +54,11 @@
 
 // New returns a Dispatcher that takes requests.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, idle: make(chan struct{})}
+	return &Dispatcher{
+		cfg:       cfg,
+		canceller: Canceller{Connector: cfg.Connector, Clock: cfg.Clock},
+		idle:      make(chan struct{}),
+	}
 }
 
 // InFlight returns how many requests are being run.
@@ -103,7 +112,11 @@
 	choice      picker.Choice
 	avoid       []string
 	attempts    int
-	left        bool
+	// borrowed is true if the choice took no slot.
+	borrowed bool
+	// tracked is true if a second host knows of the request.
+	tracked bool
+	left    bool
 }
 
 // admit claims a call if it needs a claim, and then reserves its worst case. It
@@ -115,6 +128,10 @@
 		return nil, nil, NewRefusal(CodeDraining, call.RequestID, !call.needsClaim(), "this host takes no new requests")
 	}
 	r := &run{d: d, call: call}
+	if !d.cfg.Biller.Room() {
+		d.leave()
+		return nil, nil, NewRefusal(CodeOverloaded, call.RequestID, !call.needsClaim(), "too many bills wait for the platform")
+	}
 	stored, refusal := r.makeClaim(ctx)
 	if stored != nil || refusal != nil {
 		d.leave()
@@ -165,6 +182,7 @@
 		Tokens:        r.reservation.Tokens,
 		Deadline:      r.call.Deadline,
 		Avoid:         r.avoid,
+		Priority:      r.call.Priority,
 	})
 	if err != nil {
 		return r.noServer(err)
@@ -180,18 +198,27 @@
 }
 
 func (r *run) noServer(err error) *Refusal {
-	notRun := r.state == NotDispatched
-	var none picker.ErrNoServer
 	code := CodeNoServer
+	var none picker.ErrNoServer
 	if errors.As(err, &none) {
-		switch none.Reason {
-		case "queue_full":
-			code = CodeOverloaded
-		case "deadline":
-			code = CodeDeadlineExceeded
-		}
+		code = codeOf(none.Reason)
+	}
+	refusal := NewRefusal(code, r.call.RequestID, r.state == NotDispatched, err.Error())
+	if none.RetryAfterMs > 0 {
+		refusal.RetryAfterMs = clocker.Millis(none.RetryAfterMs)
+	}
+	return refusal
+}
+
+func codeOf(reason string) Code {
+	switch reason {
+	case picker.ReasonQueueFull, picker.ReasonShed, picker.ReasonOverload:
+		return CodeOverloaded
+	case picker.ReasonDeadline:
+		return CodeDeadlineExceeded
+	default:
+		return CodeNoServer
 	}
-	return NewRefusal(code, r.call.RequestID, notRun, err.Error())
 }
 
 func (r *run) release(o picker.Outcome) {
@@ -201,7 +228,10 @@
 	if o == picker.Failed || o == picker.Refused {
 		r.avoid = append(r.avoid, r.choice.Server.Name)
 	}
-	r.d.cfg.Balancer.Release(r.choice, o)
+	if !r.borrowed {
+		r.d.cfg.Balancer.Release(r.choice, o)
+	}
+	r.borrowed = false
 	r.choice = picker.Choice{}
 }
 
@@ -224,12 +254,17 @@
 		return
 	}
 	r.left = true
+	if r.tracked {
+		r.d.cfg.Tracker.Ended(r.call.RequestID)
+	}
 	r.d.cfg.Reserver.Settle(r.reservation, min(used, r.reservation.Tokens))
 	r.d.leave()
 }
 
 // bill records what the request costs, before its last byte leaves.
 func (r *run) bill(ctx context.Context, usage Usage, partial bool) {
+	ctx, cancel := r.d.cfg.Clock.WithTimeout(ctx, copyPatience)
+	defer cancel()
 	if err := r.d.cfg.Biller.Record(ctx, &messenger.Bill{
 		ClientAccount: r.call.Account.Name,
 		RequestId:     r.call.RequestID,
@@ -246,6 +281,12 @@
 	}
 }
 
+// priorities are the names of the classes towards model engines.
+var priorities = map[picker.Priority]string{
+	picker.Interactive: "interactive",
+	picker.Batch:       "batch",
+}
+
 func (r *run) request(method, path, contentType string, body []byte) connector.Request {
 	return connector.Request{
 		Method:          method,
@@ -254,6 +295,7 @@
 		Body:            body,
 		RequestID:       r.call.RequestID,
 		IdempotencyKey:  r.call.IdempotencyKey,
+		Priority:        priorities[r.call.Priority],
 		Deadline:        r.call.Deadline,
 		ProgressTimeout: clocker.Millis(r.call.Service.ProgressTimeoutMs),
 		Fresh:           !r.call.Service.Idempotent,
--- a/router/parts.go
+++ b/router/parts.go
@@ -18,6 +18,8 @@
 	"cowsliphinge/querier"
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
+	"cowsliphinge/sampler"
+	"cowsliphinge/tracker"
 )
 
 // index returns the configuration in force.
@@ -100,8 +102,19 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Clock:            clock,
 		Index:            r.index,
+		Loads:            sampler.New(sampler.Config{Clock: clock, Caller: r.connector}),
 		Seed:             uint64(clock.Now()),
 	})
+	r.tracker = tracker.New(ctx, tracker.Config{
+		Incarnation:      r.incarnation,
+		Host:             s.Host,
+		AvailabilityZone: s.AvailabilityZone,
+		Clock:            clock,
+		Peers:            r.heartbeater.Peers,
+		Exchange:         r.exchange,
+		Biller:           r.biller,
+		Canceller:        dispatcher.Canceller{Connector: r.connector, Clock: clock},
+	})
 	r.dispatcher = dispatcher.New(dispatcher.Config{
 		Incarnation: r.incarnation,
 		Clock:       clock,
@@ -116,6 +129,7 @@
 		}),
 		Connector: r.connector,
 		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, Reachable: r.reaches}),
+		Tracker:   r.tracker,
 	})
 	r.started.Store(true)
 }
@@ -134,6 +148,7 @@
 		MaxConnections: s.MaxConnections,
 	})
 	spread := r.spreader.Load()
+	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver})
 	r.server = exchanger.NewServer(exchanger.ServerConfig{
 		OperatorKey: s.OperatorKey,
 		RouterKey:   s.RouterKey,
@@ -142,7 +157,8 @@
 		Transferrer: r.reserver,
 		Puller:      spread,
 		Copier:      r.biller,
-		Commander:   commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver}),
+		Tracker:     r.tracker,
+		Commander:   r.commander,
 		Querier: querier.New(querier.Config{
 			Spreader: spread,
 			Budgets:  r.reserver,
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,7 @@
 	"cowsliphinge/reserver"
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
+	"cowsliphinge/tracker"
 )
 
 // Config configures a Router.
@@ -62,11 +63,13 @@
 	reserver    *reserver.Reserver
 	claimer     *claimer.Claimer
 	biller      *biller.Biller
+	tracker     *tracker.Tracker
 	balancer    *balancer.Balancer
 	connector   *connector.Connector
 	dispatcher  *dispatcher.Dispatcher
 	listener    *listener.Listener
 	server      *exchanger.Server
+	commander   messenger.Commander
 }
 
 // New opens the listeners of the settings and starts a router. It takes
@@ -147,6 +150,11 @@
 	}
 }
 
+// Commander returns the operators' commands of this router.
+func (r *Router) Commander() messenger.Commander {
+	return r.commander
+}
+
 // Wait returns once both listeners have ended, with the error of either.
 func (r *Router) Wait() error {
 	return trace.Wrap(r.group.Wait())
@@ -165,6 +173,7 @@
 		Parts: []drainer.Part{
 			{Name: "callers", Close: r.listener.Shutdown},
 			{Name: "claims", Close: r.claimer.Close},
+			{Name: "streams", Close: r.tracker.Close},
 			{Name: "bills", Close: r.biller.Close},
 			{Name: "budgets", Close: r.reserver.Close},
 			{Name: "balancer", Close: r.balancer.Close},
@@ -234,3 +243,8 @@
 func (r *Router) Version() int64 {
 	return r.index().Version()
 }
+
+// Tracks reports whether this router keeps the record of another host's stream.
+func (r *Router) Tracks(requestID string) bool {
+	return r.tracker.Locate(requestID) != nil
+}
