--- a/router/parts.go
+++ b/router/parts.go
@@ -48,6 +48,16 @@
 	return false
 }
 
+// known reports whether an incarnation was heard of and not replaced.
+func (r *Router) known(incarnation string) bool {
+	for _, peer := range r.heartbeater.Peers() {
+		if peer.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // beat is the heartbeat of this router, as far as its parts have started.
 func (r *Router) beat() *messenger.Beat {
 	s := r.cfg.Settings
@@ -66,6 +76,9 @@
 	beat.Draining = !r.ready.Load()
 	beat.InFlight = r.dispatcher.InFlight()
 	beat.HeldTokens = r.reserver.HeldTokens()
+	beat.LeavingInFlight = r.leavingInFlight()
+	beat.RequestsCut = r.cut.Load()
+	beat.PlatformReachable = r.spreader.Load().PlatformReachable()
 	return beat
 }
 
@@ -87,6 +100,7 @@
 		Clock:       clock,
 		Store:       r.store,
 		Alive:       r.alive,
+		Known:       r.known,
 		Retention:   func() clocker.Millis { return clocker.Millis(r.policy().AnswerRetentionMs) },
 	})
 	r.biller = biller.New(ctx, biller.Config{
@@ -128,7 +142,7 @@
 			Seed:    uint64(clock.Now()),
 		}),
 		Connector: r.connector,
-		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, Reachable: r.reaches}),
+		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, TLS: r.callerTLS, Reachable: r.reaches}),
 		Tracker:   r.tracker,
 	})
 	r.started.Store(true)
@@ -148,7 +162,7 @@
 		MaxConnections: s.MaxConnections,
 	})
 	spread := r.spreader.Load()
-	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver})
+	r.commander = commander.New(commander.Config{Spreader: spread, TopUpper: r.reserver, Planner: r.mover})
 	r.server = exchanger.NewServer(exchanger.ServerConfig{
 		OperatorKey: s.OperatorKey,
 		RouterKey:   s.RouterKey,
@@ -164,6 +178,7 @@
 			Budgets:  r.reserver,
 			Bills:    r.biller,
 			Servers:  r.balancer,
+			Moves:    r.mover,
 			Self:     r.beat,
 			Peers:    r.heartbeater.Peers,
 		}),
