--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -16,6 +16,9 @@
 	Holder bool
 	// Live reports whether an incarnation was heard of lately.
 	Live func(incarnation string) bool
+	// Replaced reports whether the host of an incarnation was heard of as a
+	// later one; nil means never.
+	Replaced func(incarnation string) bool
 }
 
 // Write is one conditional write of the shard's object.
@@ -99,11 +102,17 @@
 	return nil
 }
 
-// Due reports whether a plan or a question to peers is called for, as far as is
-// known without reading the object again.
+// Due reports whether the platform or peers are to be asked, as far as is known
+// without reading the object again.
 func (a *Allotter) Due(c Circumstances) bool {
+	return a.PlatformDue(c) || len(a.Asks(c, false)) > 0
+}
+
+// PlatformDue reports whether requests wait for tokens or a plan is called for,
+// as far as is known without reading the object again.
+func (a *Allotter) PlatformDue(c Circumstances) bool {
 	for _, b := range a.all {
-		if b.need > 0 || b.ask(c) != nil {
+		if b.need > b.headroom() {
 			return true
 		}
 		if _, ok := a.planEntry(a.index[b.name], b, c); ok {
@@ -139,7 +148,7 @@
 	}
 	written := b.base + holderOf(object, a.cfg.Incarnation).GetLimit()
 	rest := max(0, Rest(object))
-	delta := b.change(c, rest)
+	delta := b.change(c, object, rest)
 	limit := min(max(b.limit+delta, b.base), written+rest)
 	due := delta != 0 || b.inDoubt
 	return entry{budget: b, limit: limit}, due && limit != written
--- a/biller/biller.go
+++ b/biller/biller.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
 	"cowsliphinge/clocker"
@@ -43,17 +44,19 @@
 )
 
 var (
-	recorded    = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="recorded"}`)
-	refusedFull = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="refused_full"}`)
-	notCopied   = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="not_copied_in_time"}`)
-	billsCopied = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="copied"}`)
-	billsHeld   = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="held_for_peer"}`)
-	heldFull    = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="held_refused_full"}`)
-	adopted     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="adopted"}`)
-	written     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="written"}`)
-	copyFailed  = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="copy_failed"}`)
-	compactions = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="batches_compacted"}`)
-	writeFailed = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="write_failed"}`)
+	recorded     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="recorded"}`)
+	refusedFull  = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="refused_full"}`)
+	notCopied    = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="not_copied_in_time"}`)
+	billsCopied  = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="copied"}`)
+	billsHeld    = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="held_for_peer"}`)
+	heldFull     = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="held_refused_full"}`)
+	adopted      = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="adopted"}`)
+	written      = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="written"}`)
+	copyFailed   = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="copy_failed"}`)
+	billsPending = metrics.GetOrCreateGauge(`cowsliphinge_bills_pending`, nil)
+	copiesHeld   = metrics.GetOrCreateGauge(`cowsliphinge_bill_copies_held`, nil)
+	compactions  = metrics.GetOrCreateCounter(`cowsliphinge_bills_total{event="batches_compacted"}`)
+	writeFailed  = metrics.GetOrCreateCounter(`cowsliphinge_bill_retries_total{reason="write_failed"}`)
 )
 
 // Store is the part of the Object API that bills need.
@@ -99,6 +102,8 @@
 	// copyNow and writeNow wake their duties.
 	copyNow  chan struct{}
 	writeNow chan struct{}
+	// passes shares the reading of all bills between callers.
+	passes singleflight.Group
 	// collect merges bills into a sum.
 	collect func(Set, ...*messenger.Bill)
 	// smallBatches is how many own batches are not compacted, compacted the
