--- a/commander/commander.go
+++ b/commander/commander.go
@@ -64,8 +64,8 @@
 		ExpectedVersion: req.ExpectedVersion,
 		By:              req.By,
 		DryRun:          req.DryRun,
-		Edit: func(*messenger.Declarations) (*messenger.Declarations, []*messenger.Finding) {
-			return req.Declarations, nil
+		Edit: func(before *messenger.Declarations) (*messenger.Declarations, []*messenger.Finding) {
+			return req.Declarations, c.againstStarts(ctx, before, req.Declarations)
 		},
 	})
 }
--- a/commander/put.go
+++ b/commander/put.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -52,25 +54,40 @@
 		Edit: func(before *messenger.Declarations) (*messenger.Declarations, []*messenger.Finding) {
 			after := proto.CloneOf(before)
 			after.Moves = put(after.Moves, req.Move, (*messenger.Move).GetName)
-			return after, c.againstStart(ctx, before, after, req.Move)
+			return after, c.againstStarts(ctx, before, after)
 		},
 	})
 }
 
-// againstStart returns what stands against putting a move into the started state.
-func (c *Commander) againstStart(ctx context.Context, before, after *messenger.Declarations, move *messenger.Move) []*messenger.Finding {
-	if move.State != messenger.MoveState_STARTED || c.cfg.Planner == nil {
+// againstStarts returns what stands against the moves that a change starts.
+func (c *Commander) againstStarts(ctx context.Context, before, after *messenger.Declarations) []*messenger.Finding {
+	var findings []*messenger.Finding
+	if c.cfg.Planner == nil {
 		return nil
 	}
-	i := slices.IndexFunc(before.Moves, func(m *messenger.Move) bool { return m.Name == move.Name })
-	if i >= 0 && before.Moves[i].State == messenger.MoveState_STARTED {
-		return nil
-	}
-	report, err := c.cfg.Planner.PlanMove(ctx, after, move)
-	if err != nil {
-		return []*messenger.Finding{{Path: "$.Moves", Message: err.Error()}}
+	for i, move := range after.Moves {
+		if move.State != messenger.MoveState_STARTED || started(before, move.Name) {
+			continue
+		}
+		report, err := c.cfg.Planner.PlanMove(ctx, after, move)
+		if err != nil {
+			findings = append(findings, &messenger.Finding{Path: fmt.Sprintf("$.Moves[%d]", i), Message: err.Error()})
+			continue
+		}
+		for _, f := range report.Findings {
+			if !f.Warning {
+				f.Path = fmt.Sprintf("$.Moves[%d]%s", i, strings.TrimPrefix(f.Path, "$"))
+				findings = append(findings, f)
+			}
+		}
 	}
-	return slices.DeleteFunc(report.Findings, (*messenger.Finding).GetWarning)
+	return findings
+}
+
+func started(d *messenger.Declarations, name string) bool {
+	return slices.ContainsFunc(d.Moves, func(m *messenger.Move) bool {
+		return m.Name == name && m.State == messenger.MoveState_STARTED
+	})
 }
 
 // put replaces the item of the same name, or appends it.
--- /dev/null
+++ b/spreader/measure_test.go
@@ -0,0 +1,214 @@
+package spreader_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"testing/synctest"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/examples"
+	"cowsliphinge/indexer"
+	"cowsliphinge/messenger"
+	"cowsliphinge/spreader"
+	standin "cowsliphinge/standin/fleet"
+	"cowsliphinge/standin/platform"
+)
+
+var measure = flag.Bool("measure", false, "print figures of the spread; they are not judged")
+
+// largeDeclarations has the sizes that the design must carry.
+func largeDeclarations(hosts, servers, accounts int) *messenger.Declarations {
+	d := &messenger.Declarations{Deployment: "large"}
+	d.Services = []*messenger.Service{{Name: "drafts", Kind: messenger.ServiceKind_LANGUAGE}}
+	for i := range 6 {
+		d.Models = append(d.Models, &messenger.Model{Name: fmt.Sprint("model-", i), Version: "1", SizeMb: 100000})
+	}
+	for i := range accounts {
+		name := fmt.Sprintf("account-%06d", i)
+		d.ClientAccounts = append(d.ClientAccounts, &messenger.ClientAccount{Name: name, Budget: name, KeySha256: indexer.HashKey(name)})
+	}
+	for i := range hosts {
+		ip := fmt.Sprintf("10.%d.%d.1", i/250, i%250)
+		d.Hosts = append(d.Hosts, &messenger.Host{
+			Name: fmt.Sprint("host-", i), AvailabilityZone: fmt.Sprint("zone-", i%10), CallerAddress: ip + ":80", ExchangeAddress: ip + ":81",
+		})
+	}
+	for i := range servers {
+		d.BackendServers = append(d.BackendServers, &messenger.BackendServer{
+			Name: fmt.Sprint("engine-", i), Address: fmt.Sprintf("11.%d.%d.1:80", i/250, i%250), AvailabilityZone: fmt.Sprint("zone-", i%min(hosts, 10)),
+			Service: "drafts", Models: []string{fmt.Sprint("model-", i%6)}, Slots: 16,
+		})
+	}
+	return d
+}
+
+func spreadOf(times []clocker.Millis) string {
+	slices.Sort(times)
+	return fmt.Sprintf("p50 %d ms, max %d ms", times[len(times)/2], times[len(times)-1])
+}
+
+func since(a, b platform.Counts) platform.Counts {
+	return platform.Counts{Reads: b.Reads - a.Reads, Writes: b.Writes - a.Writes, Watches: b.Watches - a.Watches, Bytes: b.Bytes - a.Bytes}
+}
+
+// TestMeasureSpread prints times from accepted to in force, and calls and bytes
+// per change, on simulated time: waits count, processor and network do not.
+func TestMeasureSpread(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -args -measure")
+	}
+	for _, size := range []struct{ zones, hosts, servers, accounts int }{{4, 9, 16, 10}, {10, 110, 580, 50}, {10, 1100, 5800, 500}} {
+		for _, outage := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) { measureSpread(t, size.zones, size.hosts, size.servers, size.accounts, outage) })
+		}
+	}
+}
+
+func measureSpread(t *testing.T, zones, hosts, servers, accounts int, outage bool) {
+	f := newFleet(t, zones, hosts)
+	d := largeDeclarations(hosts, servers, accounts)
+	reply, err := f.nodes[0].s.Apply(context.Background(), &messenger.ApplyRequest{OperationId: "first", Declarations: d})
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.Findings), 0, "%v", reply.Findings)
+	f.inForce(t, 1, clocker.Minute, everywhere)
+	_ = f.clock.Sleep(context.Background(), 5*clocker.Second)
+
+	const idle = 60
+	counts, calls := f.store.Counts(), f.calls.Load()
+	_ = f.clock.Sleep(context.Background(), idle*clocker.Second)
+	quiet := since(counts, f.store.Counts())
+	t.Logf("%d hosts, idle: platform %.1f reads/s, %.1f watches/s; %.1f pulls/s per host", hosts,
+		float64(quiet.Reads)/idle, float64(quiet.Watches)/idle, float64(f.calls.Load()-calls)/idle/float64(hosts))
+
+	var all []clocker.Millis
+	counts, bytes := f.store.Counts(), f.bytes.Load()
+	const changes = 10
+	for i := range int64(changes) {
+		_ = f.clock.Sleep(context.Background(), 337)
+		changed := proto.CloneOf(d)
+		changed.ClientAccounts[int(i)%len(changed.ClientAccounts)].Weight = 2 + i
+		_, err := f.nodes[0].s.Apply(context.Background(), &messenger.ApplyRequest{OperationId: fmt.Sprint("op-", i), ExpectedVersion: 1 + i, Declarations: changed})
+		assert.NilError(t, err)
+		if outage {
+			f.store.SetFaults(platform.Faults{Outage: true})
+		}
+		all = append(all, f.inForce(t, 2+i, clocker.Minute, everywhere)...)
+		f.store.SetFaults(platform.Faults{})
+		d = changed
+	}
+	spent := since(counts, f.store.Counts())
+	t.Logf("%d hosts, platform down after accepted %v: in force %s; per change: platform %d reads, %d writes, %d watches, %d kB; %d bytes between hosts per host",
+		hosts, outage, spreadOf(all), spent.Reads/changes, spent.Writes/changes, spent.Watches/changes, spent.Bytes/changes/1000,
+		(f.bytes.Load()-bytes)/changes/int64(hosts))
+}
+
+// TestMeasureRouters prints times from accepted to in force in real routers
+// over loopback, on the wall clock.
+func TestMeasureRouters(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -args -measure")
+	}
+	for _, hosts := range []int{9, 30, 100} {
+		for _, cut := range []bool{false, true} {
+			measureRouters(t, hosts, cut)
+		}
+	}
+}
+
+func measureRouters(t *testing.T, hosts int, cut bool) {
+	d, err := examples.Declarations("kauri-lane")
+	assert.NilError(t, err)
+	for i := len(d.Hosts); i < hosts; i++ {
+		h := proto.CloneOf(d.Hosts[i%9])
+		h.Name = fmt.Sprint(h.Name, "-", i)
+		d.Hosts = append(d.Hosts, h)
+	}
+	clock := clocker.NewWall()
+	f, err := standin.Start(standin.Config{Declarations: d, Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	assert.NilError(t, err)
+	defer f.Stop()
+	for _, h := range f.Declarations.Hosts {
+		assert.NilError(t, f.StartHost(context.Background(), h.Name))
+	}
+	commander := f.Commander(f.Declarations.Hosts[0].Name)
+	var all []clocker.Millis
+	d = f.Declarations
+	for i := range int64(8) {
+		d = proto.CloneOf(d)
+		d.ClientAccounts[0].Weight = 1 + i
+		reply, err := commander.Apply(context.Background(), &messenger.ApplyRequest{OperationId: fmt.Sprint("op-", i), ExpectedVersion: i, Declarations: d})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Version, i+1, "%v", reply.Findings)
+		accepted := clock.Now()
+		if cut {
+			f.Platform.SetFaults(platform.Faults{Outage: true})
+		}
+		times := map[string]clocker.Millis{}
+		for len(times) < hosts && clock.Now() < accepted+30*clocker.Second {
+			for name, r := range f.Routers() {
+				if _, ok := times[name]; !ok && r.Version() > i {
+					times[name] = clock.Now() - accepted
+				}
+			}
+			_ = clock.Sleep(context.Background(), 2)
+		}
+		f.Platform.SetFaults(platform.Faults{})
+		_ = clock.Sleep(context.Background(), 2*clocker.Second)
+		if i < 3 {
+			continue // membership is forming
+		}
+		if len(times) < hosts {
+			t.Logf("%d routers: version %d in force on %d only after 30 s", hosts, i+1, len(times))
+		}
+		for _, d := range times {
+			all = append(all, d)
+		}
+	}
+	t.Logf("%d routers over loopback, platform down after accepted %v: in force %s", hosts, cut, spreadOf(all))
+}
+
+// TestPartsTouchedByAChange checks at the largest size that a change replaces
+// few parts and that each value stays far below the platform's bound.
+func TestPartsTouchedByAChange(t *testing.T) {
+	d := largeDeclarations(1100, 5800, 500)
+	before, err := spreader.Split(d)
+	assert.NilError(t, err)
+	known, total, largest := map[string]bool{}, 0, 0
+	for _, p := range before {
+		known[p.Key] = true
+		total += len(p.Value)
+		largest = max(largest, len(p.Value))
+	}
+	t.Logf("%d parts, %d bytes, largest %d", len(before), total, largest)
+	assert.Assert(t, largest < 200_000)
+	joined, err := spreader.Join(before)
+	assert.NilError(t, err)
+	assert.Assert(t, proto.Equal(joined, spreader.Canonical(d)))
+	for i := range 200 {
+		changed := proto.CloneOf(d)
+		switch i % 3 {
+		case 0:
+			changed.BackendServers[i*29].Slots++
+		case 1:
+			changed.BackendServers = slices.Delete(changed.BackendServers, i*29, i*29+1)
+		case 2:
+			changed.ClientAccounts = append(changed.ClientAccounts, &messenger.ClientAccount{Name: fmt.Sprint("new-", i)})
+		}
+		after, err := spreader.Split(changed)
+		assert.NilError(t, err)
+		fresh := 0
+		for _, p := range after {
+			if !known[p.Key] {
+				fresh++
+			}
+		}
+		assert.Assert(t, fresh >= 1 && fresh <= 2, "change %d replaces %d parts", i, fresh)
+	}
+}
