--- a/cmd/console.go
+++ b/cmd/console.go
@@ -240,16 +240,22 @@
 	return clocker.Millis(ms).Time().UTC().Format("2006-01-02T15:04:05Z")
 }
 
-// findingsIn prints findings under the name of a file and returns errFindings if there are any.
+// findingsIn prints findings under the name of a file and returns errFindings if
+// any of them is more than a warning.
 func (c *console) findingsIn(file string, findings []*messenger.Finding) error {
+	blocking := false
 	for _, f := range findings {
-		name := f.File
+		name, kind := f.File, ""
 		if name == "" {
 			name = file
 		}
-		fmt.Fprintf(c.err, "%s: %s: %s\n", name, f.Path, f.Message)
+		if f.Warning {
+			kind = "warning: "
+		}
+		blocking = blocking || !f.Warning
+		fmt.Fprintf(c.err, "%s: %s%s: %s\n", name, kind, f.Path, f.Message)
 	}
-	if len(findings) > 0 {
+	if blocking {
 		return errFindings{}
 	}
 	return nil
--- a/cmd/operator_test.go
+++ b/cmd/operator_test.go
@@ -173,3 +173,56 @@
 	assert.Equal(t, code, exitFindings)
 	assert.Assert(t, is.Contains(errs, `oslo-a-1.json: $.Host: no host is named "oslo-a-1" in the declarations`))
 }
+
+func TestOperatorsMoveCommands(t *testing.T) {
+	term, d := startTerminal(t)
+	now := int64(clocker.NewWall().Now())
+	leaving := d.BackendServers[0].Name
+	d.Moves = []*messenger.Move{{
+		Name: "weekend", State: messenger.MoveState_PLANNED, LeavingBackendServers: []string{leaving},
+		StartAtMs: now, DrainAtMs: now + int64(clocker.Hour), DueAtMs: now + int64(2*clocker.Hour),
+	}}
+	code, _, errs := term.run("apply", writeDeclarations(t, d))
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+
+	code, out, errs := term.run("move", "plan", "weekend")
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	assert.Assert(t, is.Contains(out, "Drain"))
+	assert.Assert(t, is.Contains(errs, "warning: $.DueAtMs: the move lasts"))
+
+	code, out, errs = term.run("move", "start", "weekend")
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	assert.Assert(t, is.Contains(out, "$.Moves[weekend].State"))
+	code, out, errs = term.run("move", "-o", "json", "status", "weekend")
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	var report messenger.MoveReport
+	assert.NilError(t, protojson.Unmarshal([]byte(out), &report))
+	assert.Equal(t, report.Move.State, messenger.MoveState_STARTED)
+	code, _, errs = term.run("move", "-wait", "-timeout-ms", "100", "status", "weekend")
+	assert.Equal(t, code, exitUnavailable, errs)
+	code, _, errs = term.run("move", "cancel", "weekend")
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	code, out, errs = term.run("move", "-wait", "status", "weekend")
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	assert.Assert(t, is.Contains(out, "CANCELLED"))
+
+	d.Moves[0].State = messenger.MoveState_STARTED
+	d.Moves[0].DrainAtMs = now
+	code, _, errs = term.run("apply", writeDeclarations(t, d))
+	assert.Equal(t, code, exitFindings)
+	assert.Assert(t, is.Contains(errs, "$.Moves[0].DrainAtMs: must be at least 5000 ms ahead"))
+}
+
+// TestOutputOfGetCanBeApplied sends what is in force through a file.
+func TestOutputOfGetCanBeApplied(t *testing.T) {
+	term, d := startTerminal(t)
+	code, _, errs := term.run("apply", writeDeclarations(t, d))
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	code, out, errs := term.run("get", "-o", "json", "declarations")
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	name := filepath.Join(t.TempDir(), "got.json")
+	assert.NilError(t, os.WriteFile(name, []byte(out), 0o600))
+	code, out, errs = term.run("diff", name)
+	assert.Equal(t, code, subcommands.ExitSuccess, errs)
+	assert.Assert(t, is.Contains(out, "0 changes to version 1"))
+}
--- a/spreader/learn.go
+++ b/spreader/learn.go
@@ -28,20 +28,22 @@
 	callMs = 2 * clocker.Second
 	// startPeers is how many peers are asked at start, seeds apart.
 	startPeers = 8
-	// startRetryMs is the wait between attempts to learn a first version.
-	startRetryMs = 500
+	// startRetryMs is the wait after the first attempt to learn a version; it
+	// doubles up to startRetryMaxMs.
+	startRetryMs    = 500
+	startRetryMaxMs = 4 * clocker.Second
 )
 
 // start learns the highest version that the platform and peers tell, then
 // reports ready. It repeats until something is known.
 func (s *Spreader) start(ctx context.Context) {
-	for ctx.Err() == nil {
+	for wait := clocker.Millis(startRetryMs); ctx.Err() == nil; wait = min(2*wait, startRetryMaxMs) {
 		s.learnOnce(ctx)
 		if s.Index().Version() > 0 {
 			s.ready.Store(true)
 			return
 		}
-		if s.cfg.Clock.Sleep(ctx, startRetryMs) != nil {
+		if s.cfg.Clock.Sleep(ctx, wait) != nil {
 			return
 		}
 	}
