Finish moves of idle backend servers, postpone only unready ones

A trial move on the stand-in fleet of nine routers never ended: an idle engine reports an old sample, and the drain asked for a sample behind the drain. It also moved the drain of every move that was started within a minute of it. A report of an empty server is now believed from 15 s after the drain, and the drain is postponed only if the estimates of what is left end too late.

--- a/mover/advance.go
+++ b/mover/advance.go
@@ -13,10 +13,14 @@
 	// warmAttempts is how often a warm-up is tried before it is left out.
 	warmAttempts = 3
 	// settleMs is how long after the drain began a report of an empty backend
-	// server is believed: hosts have the move by then, and load reports lag.
-	settleMs = 5 * clocker.Second
-	// postponeAheadMs is how long before the drain unfinished arrivals postpone it.
+	// server is believed: hosts have the move by then, and load reports lag. The
+	// time of a report tells nothing, as an idle server may report an old sample.
+	settleMs = 15 * clocker.Second
+	// postponeAheadMs is how long before the drain it is postponed at the earliest.
 	postponeAheadMs = 60 * clocker.Second
+	// readyAheadMs is how long before the drain arrivals have to be ready, so that
+	// a postponed drain is in force in time.
+	readyAheadMs = 10 * clocker.Second
 	// PostponeMs is by how much a drain is postponed.
 	PostponeMs = 10 * clocker.Minute
 )
@@ -25,8 +29,7 @@
 type Seen struct {
 	// Loaded tells for each arriving backend server that it serves its models.
 	Loaded map[string]bool
-	// Empty tells for each leaving backend server that it reported no request,
-	// sampled after the drain had settled.
+	// Empty tells for each leaving backend server that it reported no request.
 	Empty map[string]bool
 	// LeavingInFlight is the sum over live hosts of requests on leaving backend servers.
 	LeavingInFlight int64
@@ -173,20 +176,32 @@
 	return true
 }
 
-// Postponed returns the move with a later drain if its arrivals are not ready
-// shortly before the drain begins, or nil.
+// Postponed returns the move with a later drain if, shortly before the drain
+// begins, its arrivals cannot be ready in time by their estimates, or nil.
 func Postponed(move *messenger.Move, steps []*messenger.MoveStep, now clocker.Millis) *messenger.Move {
 	drain := clocker.Millis(move.DrainAtMs)
 	if now < drain-postponeAheadMs || now >= drain-spreadMs {
 		return nil
 	}
+	ready, left := arrivalsReady(steps, now)
+	if !left || ready <= drain-readyAheadMs {
+		return nil
+	}
+	later := proto.CloneOf(move)
+	later.DrainAtMs += int64(PostponeMs)
+	later.DueAtMs += int64(PostponeMs)
+	return later
+}
+
+// arrivalsReady returns when the arrivals are ready by the estimates of their
+// steps, and whether any of these steps is left.
+func arrivalsReady(steps []*messenger.MoveStep, now clocker.Millis) (clocker.Millis, bool) {
+	left := false
 	for _, s := range steps {
 		if (s.Kind == Load || s.Kind == Warm) && s.State != Done {
-			later := proto.CloneOf(move)
-			later.DrainAtMs += int64(PostponeMs)
-			later.DueAtMs += int64(PostponeMs)
-			return later
+			left = true
+			now += clocker.Millis(s.EstimatedMs)
 		}
 	}
-	return nil
+	return now, left
 }
--- a/mover/look.go
+++ b/mover/look.go
@@ -35,7 +35,7 @@
 		case s.Kind == Warm && b != nil:
 			seen.Warmed[s.Target] = m.warm(ctx, index, move, b)
 		case s.Kind == Drain && b != nil:
-			seen.Empty[s.Target] = m.empty(ctx, move, b)
+			seen.Empty[s.Target] = m.empty(ctx, b)
 		case s.Kind == Return:
 			returning = true
 		}
@@ -51,10 +51,10 @@
 	return err == nil && orderer.Loaded(orderer.Desired(index.Configuration.GetDeclarations(), b), state)
 }
 
-// empty reports whether a backend server told of no request after the drain settled.
-func (m *Mover) empty(ctx context.Context, move *messenger.Move, b *messenger.BackendServer) bool {
-	inFlight, sampled, err := m.cfg.Servers.InFlight(ctx, b.Address)
-	return err == nil && inFlight == 0 && Settled(move, sampled)
+// empty reports whether a backend server tells of no request.
+func (m *Mover) empty(ctx context.Context, b *messenger.BackendServer) bool {
+	inFlight, err := m.cfg.Servers.InFlight(ctx, b.Address)
+	return err == nil && inFlight == 0
 }
 
 // warm copies cached prefixes from a leaving engine with the same models.
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -58,7 +58,7 @@
 // Servers speaks to backend servers.
 type Servers interface {
 	State(ctx context.Context, address string) (orderer.State, error)
-	InFlight(ctx context.Context, address string) (int64, clocker.Millis, error)
+	InFlight(ctx context.Context, address string) (int64, error)
 	Warm(ctx context.Context, from, to string) (int, error)
 }
 
--- a/orderer/client.go
+++ b/orderer/client.go
@@ -50,15 +50,14 @@
 	return c.call(ctx, http.MethodPut, address, "/orders", order, nil)
 }
 
-// InFlight returns how many requests a backend server runs and queues, and
-// when that was so. The report lags.
-func (c *Client) InFlight(ctx context.Context, address string) (int64, clocker.Millis, error) {
+// InFlight returns how many requests a backend server runs and queues. The
+// report lags.
+func (c *Client) InFlight(ctx context.Context, address string) (int64, error) {
 	var load struct {
 		Running, Queued int64
-		SampledAtMs     clocker.Millis
 	}
 	err := c.call(ctx, http.MethodGet, address, "/load", nil, &load)
-	return load.Running + load.Queued, load.SampledAtMs, err
+	return load.Running + load.Queued, err
 }
 
 // block is one cached prefix.
