--- a/allotter/machine_test.go
+++ b/allotter/machine_test.go
@@ -73,7 +73,7 @@
 		m.start()
 	}
 	for i, budget := range budgetNames {
-		h := m.hosts[i]
+		h := m.hosts[i%hosts]
 		m.read(h)
 		m.planTopUp(h, budget, 5)
 		m.send(h, platform.Faults{})
--- /dev/null
+++ b/allotter/policy_test.go
@@ -0,0 +1,122 @@
+package allotter_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/allotter"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/platform"
+)
+
+// extend brings one host's entry to what it needs, without faults.
+func (m *machine) extend(t *testing.T, h *host, need int64) {
+	t.Helper()
+	h.allotter.AddNeed("mason", need)
+	m.read(h)
+	m.plan(h, true)
+	m.send(h, platform.Faults{})
+	m.tell(h, false)
+	h.allotter.AddNeed("mason", -need)
+	assert.NilError(t, m.check())
+}
+
+func (m *machine) mason() *messenger.Budget {
+	_, object := m.object()
+	for _, b := range object.Budgets {
+		if b.Name == "mason" {
+			return b
+		}
+	}
+	return nil
+}
+
+func TestIdleHeadroomReturns(t *testing.T) {
+	m := newMachine(1)
+	h := m.hosts[0]
+	m.extend(t, h, 300)
+	assert.Assert(t, m.reserve(h, "mason", 300))
+	m.settle(h, 0, 100)
+	assert.Assert(t, allotter.Assigned(m.mason()) > 100)
+	for range 50 {
+		m.clock.Advance(clocker.Hour)
+		m.extend(t, h, 0)
+	}
+	assert.Equal(t, allotter.Assigned(m.mason()), int64(100))
+}
+
+func TestHeadroomIsAShareOfTheRest(t *testing.T) {
+	m := newMachine(1)
+	h := m.hosts[0]
+	for range 3 { // demand far above what is left
+		m.extend(t, h, 100)
+		assert.Assert(t, m.reserve(h, "mason", 100))
+		m.settle(h, 0, 100)
+		m.clock.Advance(10 * clocker.Second)
+	}
+	b := m.mason()
+	left := b.Granted - 300
+	assert.Assert(t, h.allotter.Headroom("mason") <= left*tightPolicy.MaxShareOfRestMilli/1000+1)
+}
+
+// A host whose entry was folded while it was paused may use what it held, and no more.
+func TestFoldedHostWakes(t *testing.T) {
+	m := newMachine(2)
+	paused, other := m.hosts[0], m.hosts[1]
+	m.extend(t, paused, 200)
+	held := paused.allotter.Headroom("mason")
+	assert.Assert(t, held >= 200)
+	for range 80 {
+		m.extend(t, m.start(), 1)
+		m.gone = append(m.gone, m.hosts[len(m.hosts)-1])
+		m.hosts = m.hosts[:len(m.hosts)-1]
+	}
+	m.hosts = []*host{other}
+	m.gone = append(m.gone, paused)
+	m.extend(t, other, 2)
+	m.extend(t, other, 4)
+	for _, entry := range m.mason().Holders {
+		assert.Assert(t, entry.Incarnation != paused.incarnation, "not folded")
+	}
+
+	m.gone = m.gone[:len(m.gone)-1]
+	m.hosts = append(m.hosts, paused)
+	m.read(paused)
+	assert.Equal(t, paused.allotter.Headroom("mason"), held)
+	assert.Assert(t, m.reserve(paused, "mason", held))
+	m.extend(t, paused, 5)
+	assert.Assert(t, m.reserve(paused, "mason", 5))
+	assert.NilError(t, m.check())
+	m.settle(paused, 0, held)
+	m.settle(paused, 0, 5)
+	paused.allotter.StartClosing()
+	m.extend(t, paused, 0)
+	assert.Assert(t, paused.allotter.Closed())
+}
+
+func TestReserveShrinksAsCrashesStrand(t *testing.T) {
+	policy := &messenger.Policy{HeadroomMs: 1000, OfflineReserveMs: 3_600_000, MaxShareOfRestMilli: 250}
+	target := func(lost int64) int64 {
+		object := &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: "mason", Granted: 1_000_000, Holders: []*messenger.Holder{
+			{Incarnation: "gone", Limit: lost}, {Incarnation: "me", Limit: 5000},
+		}}}}
+		a := allotter.New(allotter.Config{Incarnation: "me"})
+		a.Merge(1, object, 0)
+		for i := range 10 {
+			id, ok := a.Reserve("mason", 500, clocker.Millis(i))
+			assert.Assert(t, ok)
+			a.Settle("mason", id, 500, clocker.Millis(i))
+		}
+		w, due := a.Plan(allotter.Circumstances{
+			Now: 10 * clocker.Second, Policy: policy, Holder: true,
+			Replaced: func(incarnation string) bool { return incarnation == "gone" },
+		})
+		assert.Assert(t, due)
+		return w.Value.Budgets[0].Holders[1].Limit
+	}
+	limits := []int64{target(0), target(125_000), target(250_000)}
+	assert.Assert(t, limits[0] > limits[1] && limits[1] > limits[2], fmt.Sprint(limits))
+}
