--- a/reserver/baseline_test.go
+++ b/reserver/baseline_test.go
@@ -69,7 +69,7 @@
 func (c *central) crash(int)                         {}
 func (c *central) topUp(budget string, tokens int64) { c.left[budget] += tokens }
 func (c *central) pass(bool)                         {}
-func (c *central) stranded() int64                   { return c.unreturned }
+func (c *central) stranded(int64) int64              { return c.unreturned }
 func (c *central) calls() int64                      { return c.made }
 
 // static gives each host an equal part of each top-up; a host that is cut off
@@ -125,8 +125,8 @@
 	}
 }
 
-func (s *static) stranded() int64 { return s.lost }
-func (s *static) calls() int64    { return 0 }
+func (s *static) stranded(int64) int64 { return s.lost }
+func (s *static) calls() int64         { return 0 }
 
 // counted is a request that was decided at once.
 type counted struct {
--- a/reserver/experiment_test.go
+++ b/reserver/experiment_test.go
@@ -64,8 +64,9 @@
 	topUp(budget string, tokens int64)
 	// pass carries out duties; whole is true once a second.
 	pass(whole bool)
-	// stranded returns tokens that were neither served nor can be.
-	stranded() int64
+	// stranded returns tokens that can neither be served nor were, given what
+	// ended requests were served.
+	stranded(ended int64) int64
 	calls() int64
 }
 
@@ -124,10 +125,12 @@
 		b.progress()
 	}
 	b.out.callsPerSec = float64(b.sys.calls()) / float64(b.sc.duration/clocker.Second)
-	b.out.stranded = b.sys.stranded()
+	ended := -int64(len(b.running)) * worstCase
 	for name, served := range b.served {
+		ended += served
 		b.out.overspent += max(0, served-b.granted[name])
 	}
+	b.out.stranded = b.sys.stranded(ended)
 	return b.out
 }
 
@@ -304,24 +307,22 @@
 	}
 }
 
-// stranded returns the limits of incarnations that are gone; what those spent
-// of them is counted too.
-func (e *escrow) stranded() int64 {
-	live := map[string]bool{}
-	for _, n := range e.nodes {
-		live[n.incarnation] = true
-	}
+// stranded returns what is assigned, was not served and is held by no live host.
+func (e *escrow) stranded(ended int64) int64 {
 	e.store.SetFaults(platform.Faults{})
 	objects, err := e.store.List(context.Background(), "budget/", "", 1000)
 	if err != nil {
 		panic(err)
 	}
-	var sum int64
+	sum := -ended
 	for _, o := range objects {
 		for _, b := range decodeShard(o).Budgets {
-			sum += allotter.Stranded(b, func(incarnation string) bool { return live[incarnation] })
+			sum += allotter.Assigned(b)
 		}
 	}
+	for _, n := range e.nodes {
+		sum -= n.reserver.HeldTokens()
+	}
 	return sum
 }
 
