--- a/picker/picker.go
+++ b/picker/picker.go
@@ -327,6 +327,9 @@
 	s.zone.failed(now)
 	due := s.health.out && now >= s.health.until
 	s.health.failed(now, due, s.home.failShare, p.random)
+	if !s.zone.own {
+		p.elsewhere[s.name] = true
+	}
 }
 
 // Cached takes over a cache event of a backend server.
