--- /dev/null
+++ b/heartbeater/relay.go
@@ -0,0 +1,71 @@
+package heartbeater
+
+import (
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+)
+
+// Sample returns the beats to relay: a bounded random choice, fresh news first,
+// with a share for the own zone.
+func (m *Members) Sample(now clocker.Millis) []*messenger.Beat {
+	own := func(k *member) bool { return k.peer.AvailabilityZone == m.cfg.AvailabilityZone }
+	other := func(k *member) bool { return !own(k) }
+	chosen := make([]*member, 0, MaxHeard)
+	share := heardOfZone
+	if m.zone == len(m.ordered) {
+		share = MaxHeard
+	}
+	chosen = m.choose(chosen, now, share, own)
+	chosen = m.choose(chosen, now, MaxHeard, other)
+	sample := make([]*messenger.Beat, 0, len(chosen))
+	for _, known := range chosen {
+		sample = append(sample, relay(known, now))
+	}
+	return sample
+}
+
+// choose appends members until there are n: those with fresh news along the
+// ring from a random place, then others.
+func (m *Members) choose(chosen []*member, now clocker.Millis, n int, keep func(*member) bool) []*member {
+	if len(m.ordered) == 0 {
+		return chosen
+	}
+	start := m.rng.IntN(len(m.ordered))
+	for _, fresh := range []bool{true, false} {
+		for i := range m.ordered {
+			if len(chosen) >= n {
+				return chosen
+			}
+			known := m.ordered[(start+i)%len(m.ordered)]
+			recent := now-known.peer.LastHeard <= freshFor
+			if known.heard && recent == fresh && keep(known) && !m.suspect(known, now) {
+				chosen = append(chosen, known)
+			}
+		}
+	}
+	return chosen
+}
+
+// relay returns the news of a member, without its addresses once it is known
+// for a while.
+func relay(known *member, now clocker.Millis) *messenger.Beat {
+	beat := &messenger.Beat{
+		Incarnation:          known.peer.Incarnation,
+		ConfigurationVersion: known.peer.ConfigurationVersion,
+		Draining:             known.peer.Draining,
+		PlatformReachable:    known.peer.PlatformReachable,
+		SentAtMs:             int64(known.sentAt),
+		InFlight:             known.peer.InFlight,
+		HeldTokens:           known.peer.HeldTokens,
+		LeavingInFlight:      known.peer.LeavingInFlight,
+		RequestsCut:          known.peer.RequestsCut,
+		AgeMs:                int64(now - known.peer.LastHeard),
+	}
+	if now-known.joinedAt <= fullFor {
+		beat.Host = known.peer.Host
+		beat.AvailabilityZone = known.peer.AvailabilityZone
+		beat.ExchangeAddress = known.peer.ExchangeAddress
+		beat.CallerAddress = known.peer.CallerAddress
+	}
+	return beat
+}
