--- a/mover/host_test.go
+++ b/mover/host_test.go
@@ -46,14 +46,18 @@
 	if g.h.cut.Load() {
 		return storer.Object{}, errCut
 	}
-	return g.Store.Create(ctx, key, value)
+	o, err := g.Store.Create(ctx, key, value)
+	g.h.noteProgress(key, value, err)
+	return o, err
 }
 
 func (g gate) Update(ctx context.Context, key string, version int64, value []byte) (storer.Object, error) {
 	if g.h.cut.Load() {
 		return storer.Object{}, errCut
 	}
-	return g.Store.Update(ctx, key, version, value)
+	o, err := g.Store.Update(ctx, key, version, value)
+	g.h.noteProgress(key, value, err)
+	return o, err
 }
 
 func (g gate) Watch(ctx context.Context, prefix string, since int64) ([]storer.Object, error) {
--- a/mover/world_test.go
+++ b/mover/world_test.go
@@ -49,7 +49,10 @@
 	peers    []heartbeater.Peer
 	inFlight map[string]int64
 	lastWork map[string]clocker.Millis // start of the latest work on a leaving server
-	late     []string
+	// writers holds who wrote progress under each fencing number, highest the
+	// latest number.
+	writers map[int64]string
+	highest int64
 }
 
 func declarations(now clocker.Millis) *messenger.Declarations {
@@ -81,7 +84,7 @@
 	clock := clocker.NewWall()
 	w := &world{
 		t: t, clock: clock, store: platform.New(clock), engines: map[string]*engine.Engine{},
-		inFlight: map[string]int64{}, lastWork: map[string]clocker.Millis{},
+		inFlight: map[string]int64{}, lastWork: map[string]clocker.Millis{}, writers: map[int64]string{},
 	}
 	d := declarations(clock.Now())
 	w.drainAt = clocker.Millis(d.Moves[0].DrainAtMs)
@@ -198,6 +201,23 @@
 	assert.NilError(w.t, err)
 }
 
+// noteProgress checks that progress is written by one holder for each fencing
+// number, and never under a lower one than before.
+func (w *world) noteProgress(key string, value []byte, err error) {
+	if err != nil || key != "move/weekend" {
+		return
+	}
+	progress := &messenger.MoveProgress{}
+	assert.Check(w.t, proto.Unmarshal(value, progress))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Check(w.t, progress.Fencing > 0 && progress.Fencing >= w.highest, "fencing went from %d to %d", w.highest, progress.Fencing)
+	if other, ok := w.writers[progress.Fencing]; ok {
+		assert.Check(w.t, other == progress.WrittenBy, "%s and %s wrote under number %d", other, progress.WrittenBy, progress.Fencing)
+	}
+	w.highest, w.writers[progress.Fencing] = progress.Fencing, progress.WrittenBy
+}
+
 // put brings the move into a state at a host, as an operator would.
 func (h *host) put(operation string, state messenger.MoveState) error {
 	for range 20 {
