demo: give the arrivals the time that the move needs

The mover puts a drain off when arrivals are not ready 10 s before it; the demo's 3 s were put off for 10 minutes and its hosts never left.

--- a/demonstrator/demonstrate.go
+++ b/demonstrator/demonstrate.go
@@ -27,9 +27,9 @@
 
 const (
 	// duration of the load, in milliseconds.
-	duration = 20 * clocker.Second
+	duration = 30 * clocker.Second
 	// requestsPerSecond of all callers together.
-	requestsPerSecond = 20
+	requestsPerSecond = 15
 	// grantedTokens is each client account's first top-up.
 	grantedTokens = 200_000
 	// toppedUpTokens is the top-up in the middle of the cut.
--- a/demonstrator/move.go
+++ b/demonstrator/move.go
@@ -21,8 +21,14 @@
 // arrivalSuffix marks the new backend servers and host.
 const arrivalSuffix = "-new"
 
+// modelSizeMb lets the weight store load a model within a step of the demo.
+const modelSizeMb = 10
+
 func planMove(d *messenger.Declarations) movePlan {
 	p := movePlan{all: proto.CloneOf(d), before: d, move: &messenger.Move{Name: "weekend", State: messenger.MoveState_PLANNED}}
+	for _, m := range p.all.Models {
+		m.SizeMb = modelSizeMb
+	}
 	from := d.Hosts[0].AvailabilityZone
 	to := d.Hosts[len(d.Hosts)-1].AvailabilityZone
 	for _, b := range d.BackendServers {
