--- a/cmd/load.go
+++ b/cmd/load.go
@@ -61,8 +61,8 @@
 		return subcommands.ExitUsageError
 	}
 	reports, err := c.run(ctx)
-	if err == nil {
-		err = c.write(reports)
+	if failed := c.write(reports); err == nil {
+		err = failed
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/comparer/run.go
+++ b/comparer/run.go
@@ -41,7 +41,8 @@
 	History func(variant string) io.Writer
 }
 
-// Run runs each variant in turn and returns their reports.
+// Run runs each variant in turn and returns their reports; with an error, those
+// of the variants before.
 func Run(ctx context.Context, cfg Config, e Experiment) ([]loader.Report, error) {
 	setups, err := e.Setups()
 	if err != nil {
@@ -54,7 +55,7 @@
 		}
 		report, err := runVariant(ctx, cfg, s)
 		if err != nil {
-			return nil, trace.Wrap(err, "variant %s", s.Load.Name)
+			return reports, trace.Wrap(err, "variant %s", s.Load.Name)
 		}
 		reports = append(reports, report)
 	}
--- a/spreader/learn.go
+++ b/spreader/learn.go
@@ -134,7 +134,12 @@
 func (s *Spreader) fetchPart(ctx context.Context, key string) (*messenger.ConfigurationPart, error) {
 	ctx, cancel := s.cfg.Clock.WithTimeout(ctx, callMs)
 	defer cancel()
-	o, err := s.cfg.Store.Get(ctx, key)
+	var o storer.Object
+	err := s.paced(ctx, func() error {
+		var err error
+		o, err = s.cfg.Store.Get(ctx, key)
+		return err
+	})
 	if err != nil {
 		count("failed", "platform")
 		return nil, trace.Wrap(err)
--- a/spreader/parts.go
+++ b/spreader/parts.go
@@ -17,6 +17,8 @@
 	partRetentionMs = 10 * clocker.Minute
 	// maxRetired bounds the retired parts that are kept.
 	maxRetired = 64
+	// ratePauseMs is the wait after a call that the rate bound held back.
+	ratePauseMs = 50
 	// maxDeletes bounds the parts that one change deletes.
 	maxDeletes = 8
 )
@@ -27,16 +29,32 @@
 func (s *Spreader) writePart(ctx context.Context, p *messenger.ConfigurationPart) error {
 	ctx, cancel := s.cfg.Clock.WithTimeout(ctx, callMs)
 	defer cancel()
-	_, err := s.cfg.Store.Create(ctx, p.Key, p.Value)
+	err := s.paced(ctx, func() error {
+		_, err := s.cfg.Store.Create(ctx, p.Key, p.Value)
+		return err
+	})
 	if !storer.IsErrConflict(err) {
 		return err
 	}
-	o, err := s.cfg.Store.Get(ctx, p.Key)
-	if err != nil {
-		return trace.Wrap(err)
+	return s.paced(ctx, func() error {
+		o, err := s.cfg.Store.Get(ctx, p.Key)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		_, err = s.cfg.Store.Update(ctx, p.Key, o.Version, p.Value)
+		return err
+	})
+}
+
+// paced repeats a call that the rate bound of this process held back, so that
+// a configuration of many parts takes longer in place of never ending.
+func (s *Spreader) paced(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		if !storer.IsErrRateLimited(err) || s.cfg.Clock.Sleep(ctx, ratePauseMs) != nil {
+			return err
+		}
 	}
-	_, err = s.cfg.Store.Update(ctx, p.Key, o.Version, p.Value)
-	return err
 }
 
 // retire returns the parts to keep besides those of the next version.
--- a/spreader/publish.go
+++ b/spreader/publish.go
@@ -176,12 +176,14 @@
 func (s *Spreader) writeHead(ctx context.Context, objectVersion int64, value []byte) error {
 	ctx, cancel := s.cfg.Clock.WithTimeout(ctx, callMs)
 	defer cancel()
-	if objectVersion == 0 {
-		_, err := s.cfg.Store.Create(ctx, HeadKey, value)
+	return s.paced(ctx, func() error {
+		if objectVersion == 0 {
+			_, err := s.cfg.Store.Create(ctx, HeadKey, value)
+			return err
+		}
+		_, err := s.cfg.Store.Update(ctx, HeadKey, objectVersion, value)
 		return err
-	}
-	_, err := s.cfg.Store.Update(ctx, HeadKey, objectVersion, value)
-	return err
+	})
 }
 
 func nextHead(c Change, before *messenger.ConfigurationHead, parts []*messenger.ConfigurationPart, now clocker.Millis) *messenger.ConfigurationHead {
