--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -54,11 +54,22 @@
 }
 
 func (w *world) Record(_ context.Context, bill *messenger.Bill) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.bills = append(w.bills, bill)
 	return nil
 }
 
+// billed returns the bills so far.
+func (w *world) billed() []*messenger.Bill {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bills
+}
+
 func (w *world) Cancel(string, string) (int64, int64, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.cancels++
 	return 10, 7, !w.silent
 }
@@ -88,6 +99,14 @@
 	return []heartbeater.Peer{{Host: "h1", Incarnation: incarnation, AvailabilityZone: "a", ExchangeAddress: "x", Suspect: suspect}}
 }
 
+// awaitSweep waits until the tracker's own sweep sleeps, so that it does not run
+// beside the test's.
+func awaitSweep(clock *clocker.Clock) {
+	for clock.Waiting() == 0 {
+		runtime.Gosched()
+	}
+}
+
 // TestStreamIsTakenUpOnlyWhenItsHostIsGone steps time and looks when the stream
 // of a host is cancelled and billed.
 func TestStreamIsTakenUpOnlyWhenItsHostIsGone(t *testing.T) {
@@ -110,10 +129,12 @@
 			var took clocker.Millis
 			for clock.Now() < 3*deadline && took == 0 {
 				tr.Sweep(context.Background())
-				if len(w.bills) > 0 {
+				if len(w.billed()) > 0 {
 					took = clock.Now()
 				}
+				awaitSweep(clock)
 				clock.Advance(500)
+				awaitSweep(clock)
 			}
 			if c.from == 0 {
 				assert.Equal(t, took, clocker.Millis(0))
@@ -121,8 +142,8 @@
 			}
 			assert.Assert(t, took >= c.from && took <= c.from+clocker.Second, "taken up at %d", took)
 			assert.Equal(t, w.cancels, 1)
-			assert.Equal(t, w.bills[0].Tokens, int64(17))
-			assert.Assert(t, w.bills[0].Partial)
+			assert.Equal(t, w.billed()[0].Tokens, int64(17))
+			assert.Assert(t, w.billed()[0].Partial)
 		})
 	}
 }
@@ -133,7 +154,7 @@
 	hold(t, tr)
 	clock.Advance(2 * deadline)
 	tr.Sweep(context.Background())
-	assert.Equal(t, w.bills[0].Tokens, int64(100))
+	assert.Equal(t, w.billed()[0].Tokens, int64(100))
 }
 
 func TestEndedStreamIsForgotten(t *testing.T) {
@@ -146,7 +167,7 @@
 	assert.Assert(t, tr.Locate("r") == nil)
 	clock.Advance(2 * deadline)
 	tr.Sweep(context.Background())
-	assert.Equal(t, len(w.bills), 0)
+	assert.Equal(t, len(w.billed()), 0)
 }
 
 func TestNewsReachTheSecondHostInOrder(t *testing.T) {
