--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -75,6 +75,8 @@
 	late totals
 
 	demand demand
+	// kept is true if a holder keeps the policy's floor of it.
+	kept bool
 	// need is what waiting requests lack beyond the headroom.
 	need int64
 	// lowered is when the limit was last lowered.
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -29,7 +29,16 @@
 	reserve := float64(c.Policy.OfflineReserveMs) * (1 - lossShare(c, object))
 	ahead := clocker.Millis(c.Policy.HeadroomMs + int64(reserve))
 	bound := maxShare(c) * float64(rest+max(0, b.headroom()))
-	return min(b.ahead(ahead, c.Now), int64(bound))
+	return min(max(b.ahead(ahead, c.Now), b.floor(c)), int64(bound))
+}
+
+// floor is the headroom that a holder keeps whatever the demand, so that a
+// client account is not refused where it was not seen before a zone was cut off.
+func (b *allotment) floor(c Circumstances) int64 {
+	if !b.kept {
+		return 0
+	}
+	return c.Policy.FloorTokens
 }
 
 // lossShare is 0 while no host was lost and nears 1 as the limits that crashed
@@ -117,3 +126,11 @@
 	}
 	return &messenger.TransferAsk{Budget: b.name, Tokens: short + ahead, Needed: short}
 }
+
+// Keep makes a holder keep the policy's floor of a budget from now on. It
+// returns false if the platform has not told of the budget yet.
+func (a *Allotter) Keep(name string) bool {
+	b := a.allotment(name)
+	b.kept = true
+	return a.index[name] != nil
+}
--- a/allotter/policy_test.go
+++ b/allotter/policy_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"cowsliphinge/allotter"
@@ -120,3 +121,29 @@
 	limits := []int64{target(0), target(125_000), target(250_000)}
 	assert.Assert(t, limits[0] > limits[1] && limits[1] > limits[2], fmt.Sprint(limits))
 }
+
+// A holder keeps the floor of a declared budget that nobody asked it for, within
+// the share of the rest; a host that is no holder keeps none.
+func TestFloorOfADeclaredBudget(t *testing.T) {
+	for _, c := range []struct {
+		holder      bool
+		floor, want int64
+	}{{true, 50, 50}, {true, 1 << 40, -1}, {false, 50, 0}} {
+		policy := proto.CloneOf(tightPolicy)
+		policy.FloorTokens = c.floor
+		const granted = 10_000
+		a := allotter.New(allotter.Config{Incarnation: "h-1-a"})
+		assert.Assert(t, !a.Keep("mason"))
+		a.Merge(1, &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: "mason", Granted: granted}}}, 0)
+		assert.Assert(t, a.Keep("mason"))
+		w, due := a.Plan(allotter.Circumstances{Now: clocker.Minute, Policy: policy, Holder: c.holder})
+		if due {
+			a.Confirm(w, 2)
+		}
+		want := c.want
+		if want < 0 {
+			want = granted * policy.MaxShareOfRestMilli / 1000
+		}
+		assert.Equal(t, a.Headroom("mason"), want)
+	}
+}
--- a/indexer/defaults.go
+++ b/indexer/defaults.go
@@ -23,6 +23,7 @@
 	fill(&filled.StopBoundMs, 120000)
 	fill(&filled.AnswerRetentionMs, 86400000)
 	fill(&filled.AffinitySpanServers, 16)
+	fill(&filled.FloorTokens, 4096)
 	return filled
 }
 
--- a/indexer/index.go
+++ b/indexer/index.go
@@ -26,6 +26,7 @@
 	serversByGroup map[string][]*messenger.BackendServer
 	leavingServers map[string]clocker.Millis
 	leavingHosts   map[string]clocker.Millis
+	budgets        []string
 }
 
 // New builds the index of a configuration, which must not change afterwards.
@@ -49,6 +50,7 @@
 func (x *Index) addDeclarations(d *messenger.Declarations) {
 	for _, a := range d.GetClientAccounts() {
 		x.accounts[a.Name] = a
+		x.budgets = append(x.budgets, a.Budget)
 		x.accountsByKey[a.KeySha256] = a
 	}
 	for _, s := range d.GetServices() {
@@ -64,6 +66,8 @@
 	for _, m := range d.GetMoves() {
 		x.addMove(m)
 	}
+	slices.Sort(x.budgets)
+	x.budgets = slices.Compact(x.budgets)
 }
 
 // addMove records when the leavings of a move that is carried out get no new work.
@@ -101,6 +105,11 @@
 	return x.accounts[name]
 }
 
+// Budgets returns the budgets of all client accounts. It must not be changed.
+func (x *Index) Budgets() []string {
+	return x.budgets
+}
+
 // Service returns a service by name, defaults filled in, or nil.
 func (x *Index) Service(name string) *messenger.Service {
 	return x.services[name]
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -14,6 +14,10 @@
 	"cowsliphinge/messenger"
 )
 
+// keepPause is the time between two looks at the declared budgets, in
+// milliseconds.
+const keepPause = 5 * clocker.Second
+
 // view is the fleet as seen at one moment.
 type view struct {
 	now    clocker.Millis
@@ -106,7 +110,7 @@
 // inspect looks at requests that wait at every tick, and at all budgets in use
 // every inspectPause.
 func (r *Reserver) inspect(ctx context.Context) {
-	var inspected, synced clocker.Millis
+	var inspected, synced, kept clocker.Millis
 	for r.cfg.Clock.Sleep(ctx, tickPause) == nil {
 		now := r.cfg.Clock.Now()
 		r.inspectWaiting(now)
@@ -114,6 +118,10 @@
 			inspected = now
 			r.inspectAll()
 		}
+		if now-kept >= keepPause {
+			kept = now
+			r.keepDeclared()
+		}
 		if now-synced >= syncPause {
 			synced = now
 			r.syncDoubts(ctx)
@@ -132,6 +140,27 @@
 	}
 }
 
+// keepDeclared makes the holders of declared budgets keep a floor of them, and
+// reads the objects of those that the platform has not told of yet.
+func (r *Reserver) keepDeclared() {
+	if r.cfg.Declared == nil {
+		return
+	}
+	v := r.look()
+	for _, budget := range r.cfg.Declared() {
+		s := r.shard(budget)
+		if !r.holds(s, v) {
+			continue
+		}
+		s.mu.Lock()
+		known := s.allotter.Keep(budget)
+		s.mu.Unlock()
+		if !known {
+			r.wantRefill(s)
+		}
+	}
+}
+
 // inspectAll queues the shards whose budgets are not as the policy wants, and
 // sets the gauges.
 func (r *Reserver) inspectAll() {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -53,6 +53,9 @@
 	Peers func() []heartbeater.Peer
 	// Policy returns the policy in force, defaults filled in.
 	Policy func() *messenger.Policy
+	// Declared returns the budgets of the declared client accounts, of which
+	// holders keep a floor; nil means none.
+	Declared func() []string
 }
 
 // Reserver reserves and settles for one incarnation. All methods may be called
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -246,6 +246,7 @@
 	c.bounds("$.Policy.StopBoundMs", p.StopBoundMs, 0, maxMs)
 	c.bounds("$.Policy.AnswerRetentionMs", p.AnswerRetentionMs, 0, maxMs)
 	c.bounds("$.Policy.AffinitySpanServers", p.AffinitySpanServers, -1, 1_000_000)
+	c.bounds("$.Policy.FloorTokens", p.FloorTokens, 0, maxTokens)
 	if p.OfflineReserveMs != 0 && p.HeadroomMs > p.OfflineReserveMs {
 		c.add("$.Policy.OfflineReserveMs", "must be at least HeadroomMs")
 	}
