--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -14,9 +14,14 @@
 	"cowsliphinge/messenger"
 )
 
-// keepPause is the time between two looks at the declared budgets, in
-// milliseconds.
-const keepPause = 5 * clocker.Second
+const (
+	// keepPause is the time between two looks at the declared budgets, in
+	// milliseconds.
+	keepPause = clocker.Second
+	// unknownPause is the time between two reads of the object of a declared
+	// budget that the platform has not told of, in milliseconds.
+	unknownPause = 3 * clocker.Second
+)
 
 // view is the fleet as seen at one moment.
 type view struct {
@@ -154,8 +159,9 @@
 		}
 		s.mu.Lock()
 		known := s.allotter.Keep(budget)
+		readAt := s.allotter.ReadAt()
 		s.mu.Unlock()
-		if !known {
+		if !known && (readAt == 0 || v.now-readAt >= unknownPause) {
 			r.wantRefill(s)
 		}
 	}
