--- a/checker/check_test.go
+++ b/checker/check_test.go
@@ -141,6 +141,27 @@
 	}
 }
 
+func TestAttemptsTurnedAwayAtAStopAreNotCut(t *testing.T) {
+	for _, c := range []struct {
+		outcome checker.Outcome
+		code    string
+		want    int
+	}{
+		{checker.Broken, checker.CodeNotConnected, 0},
+		{checker.OutcomeUnknown, "Draining", 0},
+		{checker.Broken, "NoAnswer", 1},
+		{checker.Broken, "Truncated", 1},
+		{checker.OutcomeUnknown, "OutcomeUnknown", 1},
+		{checker.OutcomeUnknown, "AnswerBroken", 1},
+	} {
+		h := history()
+		h.Requests = append(h.Requests, checker.Request{
+			Address: "h1", RequestID: "r7", SentAt: 6100, FinishedAt: 6200, Outcome: c.outcome, Code: c.code,
+		})
+		assert.Equal(t, checker.Check(h).CutRequests, c.want, c.code)
+	}
+}
+
 func TestFalseRefusals(t *testing.T) {
 	for _, c := range []struct {
 		name     string
--- a/comparer/run.go
+++ b/comparer/run.go
@@ -25,6 +25,9 @@
 	readyBound = 30 * clocker.Second
 	// grantPause is the time between tries of one top-up, in milliseconds.
 	grantPause = 200 * clocker.Millis(1)
+	// drainAfter is the time from the start of a move to its drain, in
+	// milliseconds; an earlier drain is refused.
+	drainAfter = 6 * clocker.Second
 	// drainBound is how long a fleet may take to stop, in milliseconds.
 	drainBound = 60 * clocker.Second
 )
@@ -311,29 +314,43 @@
 	return trace.Wrap(err)
 }
 
-// leave declares a move of one backend server and starts it at once.
+// leave plans and starts a move of one backend server, which drains drainAfter
+// later: the plan has to be spread before.
 func (v *variant) leave(ctx context.Context, server string) error {
+	now := int64(v.cfg.Clock.Now())
+	move := &messenger.Move{
+		Name:                  "leave-" + server,
+		LeavingBackendServers: []string{server},
+		StartAtMs:             now,
+		DrainAtMs:             now + int64(drainAfter),
+		DueAtMs:               now + int64(clocker.Hour),
+	}
+	for _, state := range []messenger.MoveState{messenger.MoveState_PLANNED, messenger.MoveState_STARTED} {
+		move.State = state
+		if err := v.putMove(ctx, move); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	v.recorder.Record(checker.Entry{Leaving: &checker.Leaving{Server: server, At: clocker.Millis(move.DrainAtMs)}})
+	return nil
+}
+
+func (v *variant) putMove(ctx context.Context, move *messenger.Move) error {
 	host := v.firstRouter()
 	current, err := v.fleet.Querier(host).GetConfiguration(ctx, &messenger.GetConfigurationRequest{})
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	now := int64(v.cfg.Clock.Now())
-	_, err = v.fleet.Commander(host).PutMove(ctx, &messenger.PutMoveRequest{
-		OperationId:     "leave-" + server,
+	reply, err := v.fleet.Commander(host).PutMove(ctx, &messenger.PutMoveRequest{
+		OperationId:     move.Name + "-" + move.State.String(),
 		ExpectedVersion: current.Version,
-		Move: &messenger.Move{
-			Name:                  "leave-" + server,
-			State:                 messenger.MoveState_STARTED,
-			LeavingBackendServers: []string{server},
-			StartAtMs:             now,
-			DrainAtMs:             now,
-			DueAtMs:               now + int64(clocker.Hour),
-		},
+		Move:            move,
 	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	v.recorder.Record(checker.Entry{Leaving: &checker.Leaving{Server: server, At: clocker.Millis(now)}})
+	if len(reply.Findings) > 0 {
+		return trace.BadParameter("move refused: %s", reply.Findings[0].Message)
+	}
 	return nil
 }
--- a/loader/caller.go
+++ b/loader/caller.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"github.com/valyala/fasthttp"
 
@@ -60,6 +62,9 @@
 	if err := c.http.Do(req, resp); err != nil {
 		r.Outcome = checker.Broken
 		r.Code = "NoAnswer"
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.Code = checker.CodeNotConnected
+		}
 	} else {
 		c.read(&r, start, a, resp)
 	}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -137,6 +137,18 @@
 	assert.Equal(t, len(history.Runs), int(report.Sent))
 }
 
+func TestRefusedConnectionsAreTold(t *testing.T) {
+	b := start(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b.plan.Callers = []string{l.Addr().String()}
+	assert.NilError(t, l.Close())
+	_, history := run(t, b.plan)
+	for _, r := range history.Requests {
+		assert.Equal(t, r.Code, checker.CodeNotConnected)
+	}
+}
+
 func TestRepeatsThatRunTwiceAreFound(t *testing.T) {
 	b := start(t)
 	b.plan.Mix = b.plan.Mix[2:]
