Give a backend slot back before the bill; pace the bills of a lone host

Cause: an answer kept its slot while its bill waited for a second host that was not there (up to 300 ms), so 32 slots carried 100 requests/s at most, and each bill was a platform write of its own. Answers of a draining host close their connection; routers log by their settings' level throughout.

--- a/biller/biller.go
+++ b/biller/biller.go
@@ -37,6 +37,9 @@
 	copyTimeout = 300 * clocker.Millis(1)
 	// copyTries is the number of peers tried before the platform is.
 	copyTries = 3
+	// writePause is the least time between two rounds of writing, in milliseconds,
+	// so that a host without a second one leaves platform calls to its budgets.
+	writePause = 200 * clocker.Millis(1)
 	// retryEvery is the time between failed tries, in milliseconds.
 	retryEvery = 250 * clocker.Millis(1)
 	// avoidFor is how long a peer that failed is left out, in milliseconds.
--- a/biller/write.go
+++ b/biller/write.go
@@ -31,6 +31,7 @@
 			continue
 		}
 		b.tellWritten(ctx)
+		_ = b.cfg.Clock.Sleep(ctx, writePause) // an ended ctx is seen above
 		b.compact(ctx, b.cfg.CompactAfter)
 	}
 }
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -55,6 +55,7 @@
 		return status
 	}
 	log := newLogger(os.Stderr, settings)
+	slog.SetDefault(log)
 	r, err := router.New(context.Background(), router.Config{Settings: settings, Clock: clocker.NewWall(), Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cannot start:", err)
--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -27,9 +27,9 @@
 		}
 		if event.Done() {
 			s.complete(ctx)
-			writeEvent(w, event)
+			writeEvent(w, streamer.Event{Data: []byte(streamer.DoneData)})
 			err := w.Flush()
-			s.finish()
+			s.end(s.usage.Total())
 			return trace.Wrap(err)
 		}
 		writeEvent(w, event)
@@ -59,7 +59,7 @@
 		appendContent(&text, event.Data)
 	}
 	s.complete(ctx)
-	defer s.finish()
+	defer s.end(s.usage.Total())
 	body, err := json.Marshal(newCompletion(s.call, text.String(), s.usage))
 	if err != nil {
 		return nil, NewRefusal(CodeAnswerBroken, s.call.RequestID, false, err.Error())
@@ -75,9 +75,13 @@
 	return s.next(ctx)
 }
 
-// complete bills a whole answer before its last byte leaves.
+// complete gives the slot of a whole answer back and bills it before its last
+// byte leaves.
 func (s *Stream) complete(ctx context.Context) {
 	s.state = Answered
+	_, _ = s.reader.Next() // the end of the stream, so that its connection can be used again
+	s.closeAnswer()
+	s.release(picker.Succeeded)
 	partial := !s.hasUsage
 	if partial {
 		s.usage = s.upperBound()
@@ -91,15 +95,6 @@
 	}
 }
 
-// finish settles a whole answer and reads its connection to the end, so that
-// it can be used again.
-func (s *Stream) finish() {
-	_, _ = s.reader.Next() // the end of the stream
-	s.closeAnswer()
-	s.release(picker.Succeeded)
-	s.end(s.usage.Total())
-}
-
 // breakOff ends a stream of which the caller got a part: the engine's work is
 // cancelled and what it generated is billed, rounded up if it does not say.
 func (s *Stream) breakOff(ctx context.Context) {
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -136,6 +136,11 @@
 		}
 		return
 	}
+	if !l.cfg.Ready() {
+		// The balancer is told so too: no request is on its way on this
+		// connection when the listener closes.
+		ctx.SetConnectionClose()
+	}
 	call, refusal := l.authenticate(ctx)
 	if refusal != nil {
 		refuse(ctx, refusal)
--- /dev/null
+++ b/router/lone_test.go
@@ -0,0 +1,37 @@
+package router_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/loader"
+	"cowsliphinge/messenger"
+)
+
+// TestLoneHostServes loads a host that has no second host for its bills. Writing
+// them must leave it the platform calls that its budgets need.
+func TestLoneHostServes(t *testing.T) {
+	f := start(t, 10_000_000)
+	assert.Assert(t, f.DrainHost(context.Background(), "host-b"))
+	var accounts []loader.Account
+	for _, name := range others {
+		_, err := f.Commander("host-a").TopUp(context.Background(), &messenger.TopUpRequest{OperationId: name, Budget: name, Tokens: 10_000_000})
+		assert.NilError(t, err)
+		accounts = append(accounts, loader.Account{Name: name, Key: "key of " + name, Budget: name})
+	}
+	report, err := loader.Run(context.Background(), loader.Config{
+		Clock: clocker.NewWall(),
+		Plan: loader.Plan{
+			Name: "lone", DurationMs: 4 * clocker.Second, RequestsPerSecond: 60, Arrivals: loader.Poisson, Seed: 1,
+			Callers:  []string{f.CallerAddress("host-a")},
+			Accounts: accounts,
+			Mix:      []loader.Kind{{Service: "drafts", Model: "draft-1", MaxTokens: 20, Stream: true, PromptBytes: 50}},
+		},
+	})
+	assert.NilError(t, err)
+	t.Logf("%+v, first token p50 %.0f ms, p95 %.0f ms", f.Platform.Counts(), report.FirstToken.P50, report.FirstToken.P95)
+	assert.Equal(t, len(report.Codes), 0, "%v", report.Codes)
+}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -25,7 +25,7 @@
 const key = "key-of-the-mason"
 
 func declarations() *messenger.Declarations {
-	return &messenger.Declarations{
+	d := &messenger.Declarations{
 		Deployment: "test",
 		ClientAccounts: []*messenger.ClientAccount{
 			{Name: "mason", KeySha256: indexer.HashKey(key), Budget: "mason"},
@@ -46,8 +46,15 @@
 		},
 		Policy: &messenger.Policy{BalancerDelayMs: 1},
 	}
+	for _, name := range others {
+		d.ClientAccounts = append(d.ClientAccounts, &messenger.ClientAccount{Name: name, KeySha256: indexer.HashKey("key of " + name), Budget: name})
+	}
+	return d
 }
 
+// others are client accounts beside the mason, with budgets of their own.
+var others = []string{"chapel", "urns", "stone", "tiles", "granite", "marble", "slate", "basalt"}
+
 // start returns a running fleet with a budget of the given tokens.
 func start(t *testing.T, tokens int64) *fleet.Fleet {
 	t.Helper()
--- a/streamer/reader.go
+++ b/streamer/reader.go
@@ -32,9 +32,12 @@
 	Data []byte
 }
 
+// DoneData is the data of the event that closes a stream.
+const DoneData = "[DONE]"
+
 // Done reports whether the event closes the stream.
 func (e Event) Done() bool {
-	return string(e.Data) == "[DONE]"
+	return string(e.Data) == DoneData
 }
 
 // Reader reads events.
