--- a/mover/advance_test.go
+++ b/mover/advance_test.go
@@ -130,3 +130,27 @@
 		})
 	}
 }
+
+// A plan without findings must not be one that is then postponed: arrivals have
+// to be ready a while before the drain.
+func TestPlanLeavesTimeAheadOfTheDrain(t *testing.T) {
+	const now = 1000 * clocker.Second
+	d := declarations(now)
+	move := d.Moves[0]
+	move.StartAtMs = int64(now)
+	var needed clocker.Millis
+	for _, s := range mover.Plan(d, move, now).Steps {
+		if s.Kind == mover.Load || s.Kind == mover.Warm {
+			needed += clocker.Millis(s.EstimatedMs)
+		}
+	}
+	for _, c := range []struct {
+		ahead    clocker.Millis
+		findings int
+	}{{9 * clocker.Second, 1}, {10 * clocker.Second, 0}} {
+		move.DrainAtMs = int64(now + needed + c.ahead)
+		move.DueAtMs = move.DrainAtMs + int64(2*clocker.Minute)
+		report := mover.Plan(d, move, now)
+		assert.Equal(t, len(report.Findings), c.findings, "%v", report.Findings)
+	}
+}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -149,8 +149,11 @@
 		}
 	}
 	begin := max(p.now, clocker.Millis(p.move.StartAtMs))
+	if needed > 0 {
+		needed += readyAheadMs
+	}
 	if given := clocker.Millis(p.move.DrainAtMs) - begin; needed > given {
-		p.stop("$.DrainAtMs", "loading and warming the arrivals takes %d ms at %d MB/s of the weight store, there are %d ms",
+		p.stop("$.DrainAtMs", "loading and warming the arrivals ahead of the drain takes %d ms at %d MB/s of the weight store, there are %d ms",
 			needed, p.index.Policy.WeightStoreMbPerSecond, max(0, given))
 	}
 }
