Tickets through the whole path while the platform is away; forward the deadline

TestTicketRunsOnceWhileThePlatformIsAway: an order under a ticket runs during an outage, its repeat at another host is answered from its issuer, and once that host died the repeat is told that the outcome is unknown; one run.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
+	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -107,6 +108,8 @@
 	request.Header.Set("Authorization", call.Authorization)
 	request.Header.Set("Idempotency-Key", call.IdempotencyKey)
 	request.Header.Set(connector.RequestIDHeader, call.RequestID)
+	left := max(1, call.Deadline-f.cfg.Clock.Now())
+	request.Header.Set("X-Request-Deadline-Ms", strconv.FormatInt(int64(left), 10))
 	if call.ContentType != "" {
 		request.Header.SetContentType(call.ContentType)
 	}
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -70,16 +69,7 @@
 
 // isReplaced reports whether an incarnation's host lives as another one.
 func (v *view) isReplaced(incarnation string) bool {
-	return !v.live[incarnation] && v.hosts[hostOf(incarnation)]
-}
-
-// hostOf returns the host of an incarnation <host>-<start>-<random>.
-func hostOf(incarnation string) string {
-	host := incarnation
-	for range 2 {
-		host = host[:max(0, strings.LastIndexByte(host, '-'))]
-	}
-	return host
+	return !v.live[incarnation] && v.hosts[heartbeater.HostOf(incarnation)]
 }
 
 // holdersOf returns the hosts of the own availability zone that hold the shard.
--- /dev/null
+++ b/router/ticket_test.go
@@ -0,0 +1,39 @@
+package router_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/standin/platform"
+)
+
+// TestTicketRunsOnceWhileThePlatformIsAway places an order under a ticket while
+// the platform answers nothing, and repeats it at another host.
+func TestTicketRunsOnceWhileThePlatformIsAway(t *testing.T) {
+	f := start(t, 100_000)
+	assert.Equal(t, order(t, f, "host-a", "").status, 200) // brings headroom to the host
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+
+	resp := post(t, f, "host-a", "/v1/tickets", "", "")
+	assert.Equal(t, resp.StatusCode, 200)
+	var ticket struct{ IdempotencyKey string }
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&ticket))
+
+	first := order(t, f, "host-a", ticket.IdempotencyKey)
+	assert.Equal(t, first.status, 200)
+	second := post(t, f, "host-b", "/orders/place", ticket.IdempotencyKey, `{"Urn":1}`)
+	body, err := io.ReadAll(second.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, second.StatusCode, http.StatusOK, "%s", body)
+	assert.Equal(t, string(body), first.text)
+	assert.Equal(t, f.Applications["orders-1"].Runs()[ticket.IdempotencyKey], 1)
+
+	f.KillHost("host-a")
+	lost := order(t, f, "host-b", ticket.IdempotencyKey)
+	assert.Assert(t, lost.refusal != nil && !lost.refusal.NotRun)
+	assert.Equal(t, f.Applications["orders-1"].Runs()[ticket.IdempotencyKey], 1)
+}
