Let goroutines work before the spreader's test moves its clock

Cause: TestApplyRepeatAndConflict failed once on a busy machine ('not done after 1000 ms'): the clock ran its 1000 ms in a few real milliseconds, before the starting goroutine got the processor.

--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -21,6 +22,9 @@
 	return m[address].PullConfiguration(ctx, req)
 }
 
+// settle is the real time for goroutines to work before the clock moves on.
+const settle = 3 * time.Millisecond
+
 // pump advances the clock until done returns true, at most limit.
 func pump(t *testing.T, clock *clocker.Clock, limit clocker.Millis, done func() bool) {
 	t.Helper()
@@ -32,6 +36,9 @@
 			}
 			runtime.Gosched()
 		}
+		// On a busy machine the goroutines at work need real time too, or the
+		// project's clock runs ahead of them.
+		time.Sleep(settle)
 		clock.Advance(50)
 	}
 	t.Fatalf("not done after %d ms", limit)
