--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -77,6 +77,8 @@
 	demand demand
 	// kept is true if a holder keeps the policy's floor of it.
 	kept bool
+	// declared is the sum of all top-ups by the declarations; 0 if they name none.
+	declared int64
 	// need is what waiting requests lack beyond the headroom.
 	need int64
 	// lowered is when the limit was last lowered.
--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -113,11 +113,11 @@
 // object again.
 func (a *Allotter) PlatformDue(c Circumstances) bool {
 	for _, b := range a.all {
-		unknown := b.kept && c.Holder && a.index[b.name] == nil
+		unknown := b.kept && c.Holder && a.index[b.name] == nil && (b.declared == 0 || a.readAt == 0)
 		if unknown || b.need > b.headroom() {
 			return true
 		}
-		if _, ok := a.planEntry(a.index[b.name], b, c); ok {
+		if _, ok := a.planEntry(a.content(b), b, c); ok {
 			return true
 		}
 	}
@@ -131,7 +131,7 @@
 func (a *Allotter) Plan(c Circumstances) (Write, bool) {
 	var entries []entry
 	for _, b := range a.all {
-		if e, ok := a.planEntry(a.index[b.name], b, c); ok {
+		if e, ok := a.planEntry(a.content(b), b, c); ok {
 			entries = append(entries, e)
 		}
 	}
@@ -157,13 +157,21 @@
 }
 
 func (a *Allotter) write(entries []entry, c Circumstances) Write {
-	value := proto.CloneOf(a.object)
+	value := &messenger.BudgetShard{}
+	if a.object != nil {
+		value = proto.CloneOf(a.object)
+	}
 	byName := map[string]*messenger.Budget{}
 	for _, b := range value.Budgets {
 		byName[b.Name] = b
 	}
 	for _, e := range entries {
 		object := byName[e.budget.name]
+		if object == nil {
+			object = &messenger.Budget{Name: e.budget.name}
+			value.Budgets = append(value.Budgets, object)
+		}
+		object.Granted = max(object.Granted, e.budget.declared)
 		a.stage(e, object, c.Now)
 		fold(object, c.Live)
 	}
--- /dev/null
+++ b/carrier/carrier.go
@@ -0,0 +1,331 @@
+// Package carrier carries HTTP requests to backend servers one at a time on each
+// connection. It matches answers to requests by ID, never sends a request twice,
+// and tells whether a failed request can have reached the server.
+package carrier
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
+)
+
+const (
+	// inlineBytes is the largest request that is written before the answer is
+	// read; the server may answer a longer one before it has read all.
+	inlineBytes = 4 << 10
+	// maxSkippedAnswers bounds late answers to earlier requests on a connection.
+	maxSkippedAnswers = 2
+	// maxSkippedBytes bounds the body of such an answer.
+	maxSkippedBytes = 256 << 10
+	// maxIdleConns bounds unused connections to one server.
+	maxIdleConns = 32
+	// idleMargin is how long before the server's own idle timeout a connection is
+	// not used any more, in milliseconds.
+	idleMargin = clocker.Second
+)
+
+var (
+	dials       = metrics.NewCounter("cowsliphinge_backend_connections_total")
+	dialsFailed = metrics.NewCounter("cowsliphinge_backend_connections_failed_total")
+	skipped     = metrics.NewCounter("cowsliphinge_backend_late_answers_total")
+)
+
+// Config configures a Carrier.
+type Config struct {
+	Clock *clocker.Clock
+	// RequestIDHeader names a request, and is repeated in its answer.
+	RequestIDHeader string
+	// DialTimeout bounds a new connection, in milliseconds.
+	DialTimeout clocker.Millis
+	// IdleFor is how long a connection is kept for which the server named no time,
+	// in milliseconds.
+	IdleFor clocker.Millis
+}
+
+// Carrier keeps the connections to backend servers. Its methods may be called
+// from many goroutines.
+type Carrier struct {
+	cfg Config
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// Target is one backend server.
+type Target struct {
+	// ID names one life of the server; connections are never shared between two.
+	ID      string
+	Address string
+}
+
+// Request is one request as it goes to a backend server.
+type Request struct {
+	ID     string
+	Method string
+	// URI is the request target, as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HeadTimeout bounds the wait for the head of the answer, in milliseconds.
+	HeadTimeout clocker.Millis
+	// MaxIdle is how long a connection may have been unused to be taken for this
+	// request, in milliseconds.
+	MaxIdle clocker.Millis
+}
+
+// New returns a Carrier without connections.
+func New(cfg Config) *Carrier {
+	return &Carrier{cfg: cfg, idle: map[string][]*conn{}}
+}
+
+// Send sends a request and returns once the head of its answer is there. The
+// caller reads and closes the answer. The error is connector.ErrNotSent if the
+// request cannot have reached the server, else connector.ErrBroken or
+// connector.ErrCrossed.
+func (c *Carrier) Send(ctx context.Context, t Target, r Request) (*Answer, error) {
+	cn, err := c.take(ctx, t, r.MaxIdle)
+	if err != nil {
+		return nil, connector.ErrNotSent{Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	answer, err := c.exchange(cn, r)
+	if err != nil {
+		stop()
+		_ = cn.Close()
+		return nil, err
+	}
+	answer.target = t
+	answer.carrier = c
+	answer.stop = stop
+	return answer, nil
+}
+
+func (c *Carrier) exchange(cn *conn, r Request) (*Answer, error) {
+	if r.HeadTimeout > 0 {
+		_ = cn.SetReadDeadline(clocker.FromNow(r.HeadTimeout))
+	}
+	written := make(chan error, 1)
+	message := r.encode()
+	if len(message) <= inlineBytes {
+		_, err := cn.Write(message)
+		if err != nil {
+			return nil, connector.ErrBroken{Cause: err}
+		}
+		written <- nil
+	} else {
+		go func() { // ends when the connection is closed at the latest
+			_, err := cn.Write(message)
+			written <- err
+		}()
+	}
+	for range maxSkippedAnswers + 1 {
+		resp, err := readHead(cn, r.Method)
+		if err != nil {
+			return nil, connector.ErrBroken{Cause: err}
+		}
+		got := resp.Header.Get(c.cfg.RequestIDHeader)
+		if got == r.ID || got == "" && resp.StatusCode >= http.StatusMultipleChoices {
+			return &Answer{Response: resp, conn: cn, written: written}, nil
+		}
+		skipped.Inc()
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
+		if err != nil || n == maxSkippedBytes || resp.Close {
+			return nil, connector.ErrCrossed{Want: r.ID, Got: got}
+		}
+	}
+	return nil, connector.ErrCrossed{Want: r.ID}
+}
+
+func readHead(cn *conn, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// encode returns the bytes of the request.
+func (r Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1024)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	_ = r.Header.Write(&b) // a bytes.Buffer takes every write
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// take returns an unused connection, or a new one.
+func (c *Carrier) take(ctx context.Context, t Target, maxIdle clocker.Millis) (*conn, error) {
+	for {
+		cn := c.pop(t, maxIdle)
+		if cn == nil {
+			break
+		}
+		if cn.quiet() {
+			cn.reused = true
+			return cn, nil
+		}
+		_ = cn.Close()
+	}
+	dials.Inc()
+	cn, err := dial(ctx, t.Address, c.cfg.DialTimeout)
+	if err != nil {
+		dialsFailed.Inc()
+		return nil, err
+	}
+	return cn, nil
+}
+
+// pop takes the connection used last, if it is fresh enough.
+func (c *Carrier) pop(t Target, maxIdle clocker.Millis) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.idle[t.ID]
+	now := c.cfg.Clock.Now()
+	for len(conns) > 0 {
+		cn := conns[len(conns)-1]
+		conns = conns[:len(conns)-1]
+		c.idle[t.ID] = conns
+		unused := now - cn.usedAt
+		if unused <= c.keep(cn) {
+			if unused > maxIdle {
+				c.idle[t.ID] = append(conns, cn)
+				return nil
+			}
+			return cn
+		}
+		_ = cn.Close()
+	}
+	return nil
+}
+
+// keep returns how long a connection may be unused.
+func (c *Carrier) keep(cn *conn) clocker.Millis {
+	if cn.idleFor > 0 {
+		return max(0, cn.idleFor-idleMargin)
+	}
+	return c.cfg.IdleFor
+}
+
+// put keeps a connection for the next request.
+func (c *Carrier) put(t Target, cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cn.usedAt = c.cfg.Clock.Now()
+	if len(c.idle[t.ID]) >= maxIdleConns {
+		_ = cn.Close()
+		return
+	}
+	c.idle[t.ID] = append(c.idle[t.ID], cn)
+}
+
+// Keep closes the connections to all servers but those for which known is true,
+// and those that were unused for too long.
+func (c *Carrier) Keep(known func(id string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	for id, conns := range c.idle {
+		var kept []*conn
+		for _, cn := range conns {
+			if known(id) && now-cn.usedAt <= c.keep(cn) {
+				kept = append(kept, cn)
+				continue
+			}
+			_ = cn.Close()
+		}
+		if len(kept) == 0 {
+			delete(c.idle, id)
+			continue
+		}
+		c.idle[id] = kept
+	}
+}
+
+// Answer is the answer to a request, its body still to be read.
+type Answer struct {
+	*http.Response
+	conn    *conn
+	target  Target
+	carrier *Carrier
+	stop    func() bool
+	written chan error
+	whole   bool
+}
+
+// Reused reports whether the answer came on a connection with an earlier exchange.
+func (a *Answer) Reused() bool {
+	return a.conn.reused
+}
+
+// Read reads from the body. It returns io.EOF only behind a whole body.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Within bounds the wait for the next byte, in milliseconds.
+func (a *Answer) Within(d clocker.Millis) {
+	_ = a.conn.SetReadDeadline(clocker.FromNow(d))
+}
+
+// Close ends the exchange. The connection is used again only if the request was
+// written, the answer read whole, and nothing came behind it.
+func (a *Answer) Close() {
+	live := a.stop()
+	if !live || !a.whole || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 || !a.sent() || a.conn.reader.Buffered() > 0 {
+		_ = a.conn.Close()
+		return
+	}
+	_ = a.conn.SetReadDeadline(time.Time{})
+	a.conn.idleFor = keepAliveTimeout(a.Header.Get("Keep-Alive"))
+	a.carrier.put(a.target, a.conn)
+}
+
+// sent reports whether the whole request was written.
+func (a *Answer) sent() bool {
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// keepAliveTimeout returns the timeout of a Keep-Alive header; 0 if it names none.
+func keepAliveTimeout(header string) clocker.Millis {
+	for _, field := range strings.Split(header, ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout="); ok {
+			seconds, err := strconv.Atoi(value)
+			if err != nil {
+				return 0
+			}
+			return clocker.Millis(seconds) * clocker.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/chooser/server.go
@@ -0,0 +1,153 @@
+// Package chooser decides which backend server gets a request, from the entries
+// that servers write of themselves and from what requests show. It decides
+// without input, output, goroutines or wall clock.
+package chooser
+
+import "cowsliphinge/clocker"
+
+// Server is what a backend server says of itself.
+type Server struct {
+	// ID names one life of the server.
+	ID               string
+	Service          string
+	Address          string
+	AvailabilityZone string
+	// Slots is how many requests run at once.
+	Slots int
+	// Draining servers get no new work.
+	Draining bool
+	// ColdRemaining is how long the server stays slow after its start.
+	ColdRemaining clocker.Millis
+	// StartedAt is when this life began; 0 if unknown.
+	StartedAt clocker.Millis
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Service string
+	// Prompt lists the parts in order; the last one belongs to this request or
+	// session alone.
+	Prompt []Part
+	// Avoid lists the IDs of servers that this request was sent to before.
+	Avoid []string
+}
+
+// Load is what a backend server told of its work.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Outcome is how an exchange with a backend server ended.
+type Outcome int
+
+const (
+	// Answered: a whole answer, or one that the caller left.
+	Answered Outcome = iota
+	// Unreachable: no connection came about.
+	Unreachable
+	// Broken: the connection ended or fell silent before the answer was whole.
+	Broken
+	// Shed: the server refused the request without running it.
+	Shed
+	// Failed: a whole answer that says that the server failed.
+	Failed
+	// Gone: another server has the address.
+	Gone
+)
+
+// member is a server and what requests showed of it.
+type member struct {
+	Server
+	inFlight int
+	load     Load
+	loadAt   clocker.Millis
+	// startedSince counts own requests started after load was told.
+	startedSince int
+	// failures counts exchanges without an answer since the last answer.
+	failures     int
+	ejectedUntil clocker.Millis
+	// errorShare is the recent share of failed answers.
+	errorShare float64
+	// answeredAt is when a byte last came from the server.
+	answeredAt clocker.Millis
+	// missingSince is when the entry was found missing right after an outage of
+	// the store; 0 if it stands.
+	missingSince clocker.Millis
+	cache        partCache
+}
+
+const (
+	// loadAge is how long a told load counts, in milliseconds: servers tell it as
+	// of some hundred milliseconds ago.
+	loadAge = clocker.Second
+	// errorWeight is the weight of the newest answer in errorShare.
+	errorWeight = 0.1
+	// ejectFirst is how long a server is left out after a failure, in
+	// milliseconds; it doubles with each further one up to ejectMost.
+	ejectFirst = 250 * clocker.Millis(1)
+	ejectMost  = 2 * clocker.Second
+	// brokenBeforeEjection is how many exchanges in a row have to break.
+	brokenBeforeEjection = 2
+)
+
+// work is how many requests the server is taken to have.
+func (m *member) work(now clocker.Millis) int {
+	if m.loadAt == 0 || now-m.loadAt > loadAge {
+		return m.inFlight
+	}
+	return max(m.inFlight, m.load.Running+m.load.Waiting+m.startedSince)
+}
+
+func (m *member) slots() int {
+	if m.load.Slots > 0 {
+		return m.load.Slots
+	}
+	return m.Slots
+}
+
+func (m *member) ejected(now clocker.Millis) bool {
+	if m.failures == 0 {
+		return false
+	}
+	return now < m.ejectedUntil || m.ejectedUntil > 0 && m.inFlight > 0
+}
+
+func (m *member) eject(now clocker.Millis) {
+	pause := min(ejectFirst<<min(m.failures-1, 8), ejectMost)
+	m.ejectedUntil = now + pause
+}
+
+// note takes in the outcome of an exchange. It reports whether the server was
+// ejected by it.
+func (m *member) note(o Outcome, now clocker.Millis) bool {
+	share := 0.0
+	switch o {
+	case Answered, Failed, Shed:
+		m.failures = 0
+		m.ejectedUntil = 0
+		m.answeredAt = now
+		if o == Failed {
+			share = 1
+		}
+	case Unreachable, Gone:
+		m.failures++
+		m.eject(now)
+		return true
+	case Broken:
+		share = 1
+		m.failures++
+		if m.failures >= brokenBeforeEjection {
+			m.eject(now)
+		}
+	}
+	m.errorShare += errorWeight * (share - m.errorShare)
+	return m.ejectedUntil > now
+}
--- a/clocker/clock.go
+++ b/clocker/clock.go
@@ -140,3 +140,8 @@
 	c.waiters = append(c.waiters, waiter{due: c.now + d, done: done})
 	return done
 }
+
+// FromNow returns the machine's time in d, for deadlines of connections.
+func FromNow(d Millis) time.Time {
+	return time.Now().Add(d.Duration())
+}
--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -19,6 +19,7 @@
 	commander.Register(commander.CommandsCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&serveCommand{}, "router")
+	commander.Register(&routeCommand{}, "router")
 	commander.Register(&demoCommand{}, "")
 	commander.Register(&standinCommand{}, "router")
 	commander.Register(&loadCommand{}, "measure")
--- /dev/null
+++ b/cmd/route.go
@@ -0,0 +1,82 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/logger"
+	"cowsliphinge/runner"
+)
+
+const (
+	// settingsVariable names the settings file of a process on the platform.
+	settingsVariable = "COWSLIPHINGE_NODE_FILE"
+	// memoryShare is the part of the memory bound that the collector aims at.
+	memoryShare = 0.6
+	// collectPercent trades a little processor time for a small heap.
+	collectPercent = 40
+)
+
+type routeCommand struct {
+	settings string
+}
+
+// Name implements subcommands.Command.
+func (*routeCommand) Name() string { return "route" }
+
+// Synopsis implements subcommands.Command.
+func (*routeCommand) Synopsis() string { return "run a router on the operators' platform" }
+
+// Usage implements subcommands.Command.
+func (*routeCommand) Usage() string {
+	return `cowsliphinge route [-settings FILE]
+  Runs a router whose routes, client accounts and backend servers come from the
+  operators' platform, until SIGTERM, then stops without cutting a request.
+  The settings file is the one that ` + settingsVariable + ` names.
+  Example: cowsliphinge route -settings examples/platform/settings.json
+  Exit codes: 0 clean stop, 1 failed or requests were cut, 2 usage, 3 findings.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *routeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", os.Getenv(settingsVariable), "settings `file`")
+}
+
+// Execute implements subcommands.Command.
+func (c *routeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := runner.ReadSettings(c.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "settings:", err)
+		return exitFindings
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(float64(settings.MemoryMb<<20) * memoryShare))
+	out := logger.NewWriter(os.Stdout)
+	clock := clocker.NewWall()
+	defer out.Close(clock)
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil && settings.LogLevel != "" {
+		fmt.Fprintln(os.Stderr, "settings: LogLevel:", err)
+		return exitFindings
+	}
+	log := logger.New(out, level)
+	slog.SetDefault(log)
+	r, err := runner.New(context.Background(), runner.Config{Settings: settings, Clock: clock, Log: log})
+	if err != nil {
+		log.Error("cannot start", "cause", err.Error())
+		return subcommands.ExitFailure
+	}
+	<-ctx.Done()
+	if r.Stop(context.Background()) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/router/incarnation.go
+++ b/heartbeater/naming.go
@@ -1,4 +1,4 @@
-package router
+package heartbeater
 
 import (
 	"crypto/rand"
@@ -8,8 +8,8 @@
 	"cowsliphinge/clocker"
 )
 
-// newIncarnation names one process life of a host.
-func newIncarnation(host string, now clocker.Millis) string {
+// NewIncarnation names one process life of a host.
+func NewIncarnation(host string, now clocker.Millis) string {
 	var random [4]byte
 	_, _ = rand.Read(random[:])
 	return fmt.Sprintf("%s-%x-%s", host, int64(now), hex.EncodeToString(random[:]))
--- /dev/null
+++ b/relayer/answer.go
@@ -0,0 +1,157 @@
+package relayer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"cowsliphinge/carrier"
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/matcher"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is kept whole before it goes on.
+	maxAnswerBytes = 8 << 20
+	// streamReadBytes is the most that one read of a stream takes.
+	streamReadBytes = 4 << 10
+)
+
+var errEventOrder = errors.New("events of a stream are out of order")
+
+// whole reads an answer to its end and passes it on, or returns why it is not
+// whole.
+func (x *exchange) whole(server chooser.Server, answer *carrier.Answer) (refusal, bool) {
+	if answer.StatusCode/100 != 2 {
+		x.sends++
+		x.mayHaveRun = true
+	}
+	answer.Within(max(1, x.left()))
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		x.log.failed(err)
+		if x.req.Context().Err() != nil {
+			return x.finish(server, chooser.Answered, outcomeUnknown), true
+		}
+		return x.finish(server, chooser.Broken, outcomeUnknown), true
+	}
+	if answer.StatusCode >= http.StatusInternalServerError {
+		x.finish(server, chooser.Failed, refusal{reason: "server_failed"})
+		if x.route.Kind == matcher.Safe {
+			if _, ok := x.mayRepeat(refusal{reason: "server_failed"}); ok {
+				return refusal{reason: "server_failed"}, true
+			}
+		}
+	} else {
+		x.finish(server, chooser.Answered, refusal{})
+	}
+	x.passHead(answer)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(answer.StatusCode)
+	_, _ = x.w.Write(body) // a caller that has left needs no answer
+	return refusal{}, false
+}
+
+// passHead copies the headers of an answer.
+func (x *exchange) passHead(answer *carrier.Answer) {
+	x.headSent = true
+	x.log.status = answer.StatusCode
+	h := x.w.Header()
+	closing := h.Get("Connection")
+	for name, values := range passedOn(answer.Header) {
+		h[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := answer.Header[name]; !ok {
+			h[name] = nil // nothing is added that the server did not send
+		}
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+}
+
+// stream passes events on as they come, or returns why the stream broke off.
+func (x *exchange) stream(server chooser.Server, answer *carrier.Answer) (refusal, bool) {
+	control := http.NewResponseController(x.w)
+	var cutter eventCutter
+	buffer := make([]byte, streamReadBytes)
+	for {
+		answer.Within(x.eventPatience())
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			x.cfg.Servers.Heard(server.ID, nil)
+		}
+		if whole := cutter.add(buffer[:n]); len(whole) > 0 {
+			if failed := x.passEvents(answer, whole, control); failed != nil {
+				x.log.failed(failed)
+				return x.finish(server, x.streamOutcome(failed), outcomeUnknown), true
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && !cutter.open() && x.events > 0:
+			x.finish(server, chooser.Answered, refusal{})
+			return refusal{}, false
+		case err != nil || cutter.tooLong():
+			x.log.failed(err)
+			return x.finish(server, x.streamOutcome(err), outcomeUnknown), true
+		}
+	}
+}
+
+// streamOutcome does not blame the server for a caller that left.
+func (x *exchange) streamOutcome(err error) chooser.Outcome {
+	if x.req.Context().Err() != nil || errors.Is(err, errCallerLeft) {
+		return chooser.Answered
+	}
+	return chooser.Broken
+}
+
+// eventPatience is how long the next event may take, in milliseconds.
+func (x *exchange) eventPatience() clocker.Millis {
+	left := max(1, x.left())
+	if !x.route.Repeatable() || x.sends >= x.route.MaxAttempts {
+		return left
+	}
+	if x.events == 0 {
+		return min(left, max(headPatience*x.route.TargetLatency, minPatience))
+	}
+	return min(left, max(gapPatience*x.route.TargetGap, minGap))
+}
+
+var errCallerLeft = errors.New("the caller left")
+
+// passEvents writes whole events to the caller, those left out that it has.
+func (x *exchange) passEvents(answer *carrier.Answer, whole []byte, control *http.ResponseController) error {
+	var out []byte
+	for _, e := range split(whole) {
+		if e.id > 0 && x.lastEvent > 0 && e.id <= x.lastEvent && x.sends > 1 {
+			continue
+		}
+		if e.id > 0 && x.events > 0 && e.id != x.lastEvent+1 {
+			return errEventOrder
+		}
+		if e.id > 0 {
+			x.lastEvent = e.id
+		}
+		x.events++
+		out = append(out, e.bytes...)
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	if !x.headSent {
+		x.passHead(answer)
+		x.w.WriteHeader(answer.StatusCode)
+		x.log.firstEvent = x.cfg.Clock.Now() - x.started
+	}
+	if _, err := x.w.Write(out); err != nil {
+		return errCallerLeft
+	}
+	if err := control.Flush(); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
--- /dev/null
+++ b/relayer/events.go
@@ -0,0 +1,94 @@
+package relayer
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// eventCutter cuts the bytes of a stream behind whole events, so that a stream
+// that breaks off can go on with the next event elsewhere.
+type eventCutter struct {
+	pending []byte
+}
+
+// add takes bytes and returns those that end the events begun so far. The result
+// is valid until the next call.
+func (c *eventCutter) add(b []byte) []byte {
+	c.pending = append(c.pending, b...)
+	end := lastEventEnd(c.pending)
+	if end == 0 {
+		return nil
+	}
+	whole := bytes.Clone(c.pending[:end])
+	c.pending = append(c.pending[:0], c.pending[end:]...)
+	return whole
+}
+
+// open reports whether an event has begun and not ended.
+func (c *eventCutter) open() bool {
+	return len(bytes.TrimSpace(c.pending)) > 0
+}
+
+func (c *eventCutter) tooLong() bool {
+	return len(c.pending) > maxEventBytes
+}
+
+// lastEventEnd returns the length up to and with the last blank line.
+func lastEventEnd(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// event is one whole event with its blank line.
+type event struct {
+	bytes []byte
+	// id is 0 if the event names none.
+	id int64
+}
+
+// split returns the single events of whole ones.
+func split(whole []byte) []event {
+	var events []event
+	for len(whole) > 0 {
+		end := firstEventEnd(whole)
+		e := event{bytes: whole[:end]}
+		for _, line := range bytes.Split(e.bytes, []byte("\n")) {
+			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				e.id = number(value)
+			}
+		}
+		events = append(events, e)
+		whole = whole[end:]
+	}
+	return events
+}
+
+func firstEventEnd(b []byte) int {
+	end := len(b)
+	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
+		end = min(end, i+2)
+	}
+	if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 {
+		end = min(end, i+4)
+	}
+	return end
+}
+
+// number returns the event number; 0 for an ID that is no number, which can't be
+// resumed behind.
+func number(value []byte) int64 {
+	n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/relayer/refusal.go
@@ -0,0 +1,61 @@
+package relayer
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowsliphinge/clocker"
+)
+
+// refusal is an answer of this router's own.
+type refusal struct {
+	status int
+	// reason is the label of the counter and of the log line.
+	reason string
+	// retryAfter is when a repeat has a chance, in milliseconds; 0 for never.
+	retryAfter clocker.Millis
+}
+
+// Refusals before a request is sent. Each of those with status 503 means that the
+// request did not run.
+var (
+	noConfiguration   = refusal{http.StatusServiceUnavailable, "no_configuration", 300}
+	noRoute           = refusal{http.StatusNotFound, "no_route", 0}
+	unknownKey        = refusal{http.StatusUnauthorized, "unknown_key", 0}
+	bodyTooLarge      = refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+	bodyBroken        = refusal{http.StatusBadRequest, "body_broken", 0}
+	budgetExhausted   = refusal{http.StatusPaymentRequired, "budget_exhausted", 0}
+	budgetUnreachable = refusal{http.StatusServiceUnavailable, "budget_unreachable", 700}
+	noServer          = refusal{http.StatusServiceUnavailable, "no_server", 500}
+	notReached        = refusal{http.StatusServiceUnavailable, "server_unreachable", 250}
+	shed              = refusal{http.StatusServiceUnavailable, "server_shed", 250}
+	tooLate           = refusal{http.StatusServiceUnavailable, "deadline_before_sending", 0}
+	// outcomeUnknown ends a request that may have run.
+	outcomeUnknown = refusal{http.StatusBadGateway, "outcome_unknown", 0}
+	timedOut       = refusal{http.StatusGatewayTimeout, "timed_out", 0}
+)
+
+// write sends the refusal. left is the time that the caller still waits: callers
+// come back within a third of it at most.
+func (f refusal) write(w http.ResponseWriter, left clocker.Millis) {
+	metrics.GetOrCreateCounter(`cowsliphinge_relay_refusals_total{reason="` + f.reason + `"}`).Inc()
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if f.retryAfter > 0 {
+		after := float64(f.retryAfter) * (0.5 + rand.Float64()) // spreads the return
+		after = min(after, float64(max(left, 0))/3)
+		h.Set("Retry-After", strconv.FormatFloat(after/float64(clocker.Second), 'f', 3, 64))
+	}
+	body, err := json.Marshal(struct{ Reason string }{f.reason})
+	if err != nil {
+		body = []byte(fmt.Sprintf("%q", f.reason))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(f.status)
+	_, _ = w.Write(body) // a caller that has left needs no answer
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,246 @@
+// Package relayer passes callers' requests to backend servers: it finds the route
+// and the client account, reserves the budget, sends the request within the
+// attempts that its route allows, and returns the server's own answer.
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"cowsliphinge/carrier"
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/matcher"
+	"cowsliphinge/reserver"
+)
+
+// Servers chooses backend servers and learns from what requests show.
+type Servers interface {
+	// Choose returns a server for the request and notes that it is sent there, or
+	// false if none takes new work.
+	Choose(r chooser.Request) (chooser.Server, bool)
+	// Finish notes how an exchange ended.
+	Finish(id string, o chooser.Outcome)
+	// Heard notes that bytes came from a server, and its load unless nil.
+	Heard(id string, load *chooser.Load)
+	// HeardAt returns when a byte last came from a server.
+	HeardAt(id string) clocker.Millis
+}
+
+// Budgets reserves tokens of client accounts.
+type Budgets interface {
+	Reserve(ctx context.Context, budget string, tokens int64, deadline clocker.Millis) (reserver.Reservation, error)
+	Settle(r reserver.Reservation, used int64)
+}
+
+// Retries bounds repeats of all requests of a service together.
+type Retries interface {
+	Attempted(service string)
+	Allow(service, reason string) bool
+}
+
+// Config configures a Relayer.
+type Config struct {
+	Clock   *clocker.Clock
+	Dialect Dialect
+	// Table returns the routes in force, or nil while none are known.
+	Table   func() *matcher.Table
+	Servers Servers
+	Budgets Budgets
+	Retries Retries
+	Carrier *carrier.Carrier
+	// Draining reports whether callers are to open new connections elsewhere.
+	Draining func() bool
+	Log      *slog.Logger
+}
+
+// Relayer is an http.Handler for callers.
+type Relayer struct {
+	cfg      Config
+	inFlight atomic.Int64
+}
+
+// New returns a Relayer.
+func New(cfg Config) *Relayer {
+	return &Relayer{cfg: cfg}
+}
+
+// InFlight returns how many requests have no final answer yet.
+func (r *Relayer) InFlight() int64 {
+	return r.inFlight.Load()
+}
+
+// ServeHTTP answers one request of a caller.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	if r.cfg.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	x := r.newExchange(w, req)
+	defer x.end()
+	if f, ok := x.admit(); !ok {
+		x.refuse(f)
+		return
+	}
+	ctx, cancel := r.cfg.Clock.WithTimeout(req.Context(), x.left())
+	defer cancel()
+	x.ctx = ctx
+	if f, ok := x.reserve(); !ok {
+		x.refuse(f)
+		return
+	}
+	r.cfg.Retries.Attempted(x.service.Name)
+	x.relay()
+}
+
+// newExchange returns the state of a request that has just been read.
+func (r *Relayer) newExchange(w http.ResponseWriter, req *http.Request) *exchange {
+	now := r.cfg.Clock.Now()
+	return &exchange{
+		Relayer: r,
+		w:       w,
+		req:     req,
+		ctx:     req.Context(),
+		id:      req.Header.Get(r.cfg.Dialect.RequestID),
+		started: now,
+		log:     record{},
+	}
+}
+
+// admit finds out what the request is and whether it may be sent at all.
+func (x *exchange) admit() (refusal, bool) {
+	x.deadline = x.started + x.callersTime()
+	x.table = x.cfg.Table()
+	if x.table == nil {
+		return noConfiguration, false
+	}
+	uri := requestTarget(x.req)
+	path, _, _ := strings.Cut(uri, "?")
+	x.route = x.table.Route(x.req.Host, path)
+	if x.route == nil {
+		return noRoute, false
+	}
+	if x.route.Timeout > 0 {
+		x.deadline = min(x.deadline, x.started+x.route.Timeout)
+	}
+	if x.table.NeedsKeys() {
+		x.account = x.table.Account(bearerKey(x.req.Header))
+		if x.account == nil && !x.route.Public {
+			return unknownKey, false
+		}
+	}
+	x.service = x.table.Service(x.route.Service(rand.Uint64()))
+	x.prompt = parsePrompt(x.req.Header.Get(x.cfg.Dialect.Prefix))
+	x.promptTokens, x.maxOutput, x.measured = parseTokens(x.req.Header.Get(x.cfg.Dialect.Tokens))
+	if f, ok := x.readBody(); !ok {
+		return f, false
+	}
+	x.out = carrier.Request{
+		ID:     x.id,
+		Method: x.req.Method,
+		URI:    uri,
+		Host:   x.req.Host,
+		Header: x.header(),
+		Body:   x.body,
+	}
+	return refusal{}, true
+}
+
+// callersTime returns how long the caller waits, in milliseconds.
+func (x *exchange) callersTime() clocker.Millis {
+	ms, err := strconv.ParseInt(strings.TrimSpace(x.req.Header.Get(x.cfg.Dialect.Deadline)), 10, 64)
+	if err != nil || ms <= 0 {
+		return defaultTime
+	}
+	return clocker.Millis(ms)
+}
+
+// readBody reads the whole body, so that it can be sent again.
+func (x *exchange) readBody() (refusal, bool) {
+	limit := x.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.req.ContentLength > limit {
+		x.w.Header().Set("Connection", "close")
+		return bodyTooLarge, false
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(clocker.FromNow(x.left())) // a test's writer has no deadline
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.req.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return bodyTooLarge, false
+	case err != nil:
+		x.w.Header().Set("Connection", "close")
+		return bodyBroken, false
+	}
+	x.body = body
+	return refusal{}, true
+}
+
+// header returns the headers for backend servers, but for those of one attempt.
+func (x *exchange) header() http.Header {
+	d := x.cfg.Dialect
+	h := passedOn(x.req.Header)
+	for _, name := range d.Reserved {
+		h.Del(name)
+	}
+	h.Del(d.ExpectID)
+	h.Del(d.Account)
+	h.Del(d.Priority)
+	if x.table.NeedsKeys() {
+		h.Del("Authorization")
+	}
+	if x.account != nil {
+		h.Set(d.Account, x.account.Name)
+	}
+	if x.service.Engine {
+		h.Set(d.Priority, strconv.Itoa(min(max(x.priority(), 0), lowestPriority)))
+	}
+	return h
+}
+
+// priority is that of the client account, else that of the route.
+func (x *exchange) priority() int {
+	if x.account != nil && x.account.HasPriority {
+		return x.account.Priority
+	}
+	return x.route.Priority
+}
+
+// reserve takes the most that the request can cost from its budget.
+func (x *exchange) reserve() (refusal, bool) {
+	if x.account == nil || !x.account.HasPrepaid || !x.measured {
+		return refusal{}, true
+	}
+	reservation, err := x.cfg.Budgets.Reserve(x.ctx, x.account.Name, x.promptTokens+x.maxOutput, x.deadline)
+	switch {
+	case err == nil:
+		x.reservation = reservation
+		return refusal{}, true
+	case reserver.IsErrBudgetExhausted(err):
+		return budgetExhausted, false
+	default:
+		return budgetUnreachable, false
+	}
+}
+
+// requestTarget returns path and query as the caller sent them.
+func requestTarget(req *http.Request) string {
+	if strings.HasPrefix(req.RequestURI, "/") {
+		return req.RequestURI
+	}
+	return req.URL.RequestURI() // absolute form
+}
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -144,10 +144,13 @@
 	v := r.look()
 	for _, budget := range r.cfg.Declared() {
 		s := r.shard(budget)
-		if !r.holds(s, v) {
+		if !r.holds(s, v) && r.cfg.Granted == nil {
 			continue
 		}
 		s.mu.Lock()
+		if r.cfg.Granted != nil {
+			s.allotter.Declare(budget, r.cfg.Granted(budget))
+		}
 		known := s.allotter.Keep(budget)
 		readAt := s.allotter.ReadAt()
 		s.mu.Unlock()
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -56,6 +56,9 @@
 	// Declared returns the budgets of the declared client accounts, of which
 	// holders keep a floor; nil means none.
 	Declared func() []string
+	// Granted returns the sum of all top-ups of a budget as the declarations name
+	// it; nil means that top-ups come by TopUp alone.
+	Granted func(budget string) int64
 }
 
 // Reserver reserves and settles for one incarnation. All methods may be called
--- a/router/router.go
+++ b/router/router.go
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &Router{
 		cfg:         cfg,
-		incarnation: newIncarnation(cfg.Settings.Host, cfg.Clock.Now()),
+		incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now()),
 		leaving:     make(chan struct{}),
 		callerTLS:   callerTLS,
 		cancel:      cancel,
--- /dev/null
+++ b/runner/backends.go
@@ -0,0 +1,143 @@
+package runner
+
+import (
+	"log/slog"
+	"strings"
+	"sync"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/storer"
+)
+
+// backends is the shell of a Chooser: it takes over entries of backend servers
+// and answers the relayer.
+type backends struct {
+	clock  *clocker.Clock
+	log    *slog.Logger
+	kind   string
+	decode func(storer.Object) (chooser.Server, error)
+
+	mu      sync.Mutex
+	chooser *chooser.Chooser
+	listed  bool
+}
+
+// Replace implements watcher.Sink.
+func (b *backends) Replace(objects []storer.Object, afterOutage bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	present := map[string]bool{}
+	for _, o := range objects {
+		present[b.id(o)] = true
+		b.set(o)
+	}
+	for _, id := range b.chooser.IDs() {
+		if !present[id] {
+			b.remove(id, afterOutage)
+		}
+	}
+	b.listed = true
+}
+
+// Apply implements watcher.Sink.
+func (b *backends) Apply(changes []storer.Change, afterOutage bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range changes {
+		if c.Deleted {
+			b.remove(b.id(c.Object), afterOutage)
+			continue
+		}
+		b.set(c.Object)
+	}
+}
+
+func (b *backends) id(o storer.Object) string {
+	return strings.TrimPrefix(o.Key, b.kind+"/")
+}
+
+// set takes over an entry. An entry that can't be used names no server.
+func (b *backends) set(o storer.Object) {
+	s, err := b.decode(o)
+	if err != nil {
+		b.log.Warn("entry of a backend server is not usable", "server", b.id(o), "cause", err.Error())
+		b.chooser.Remove(b.id(o))
+		return
+	}
+	if old, known := b.chooser.Server(s.ID); !known || old.Draining != s.Draining || old.StartedAt != s.StartedAt {
+		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "draining", s.Draining, "revision", o.Version)
+	}
+	b.chooser.Set(s)
+}
+
+// remove forgets a server; right after an outage its entry may come back.
+func (b *backends) remove(id string, afterOutage bool) {
+	if !b.chooser.Knows(id) {
+		return
+	}
+	if afterOutage {
+		b.chooser.Miss(id, b.clock.Now())
+		return
+	}
+	b.log.Info("backend server is gone", "server", id)
+	b.chooser.Remove(id)
+}
+
+// expire forgets servers whose entries did not come back after an outage.
+func (b *backends) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range b.chooser.Expire(b.clock.Now()) {
+		b.log.Info("backend server did not come back after the outage", "server", id)
+	}
+}
+
+// known reports whether a server is known.
+func (b *backends) known(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.chooser.Knows(id)
+}
+
+// ready reports whether the servers were listed once.
+func (b *backends) ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.listed
+}
+
+// Choose implements relayer.Servers.
+func (b *backends) Choose(r chooser.Request) (chooser.Server, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.chooser.Choose(r, b.clock.Now())
+	if ok {
+		b.chooser.Start(s.ID, r)
+	}
+	return s, ok
+}
+
+// Finish implements relayer.Servers.
+func (b *backends) Finish(id string, o chooser.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was := b.chooser.Ejected(id, b.clock.Now())
+	if b.chooser.Finish(id, o, b.clock.Now()) && !was {
+		b.log.Info("backend server is left out", "server", id, "outcome", int(o))
+	}
+}
+
+// Heard implements relayer.Servers.
+func (b *backends) Heard(id string, load *chooser.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.chooser.Heard(id, load, b.clock.Now())
+}
+
+// HeardAt implements relayer.Servers.
+func (b *backends) HeardAt(id string) clocker.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.chooser.HeardAt(id)
+}
--- /dev/null
+++ b/runner/budgets.go
@@ -0,0 +1,150 @@
+package runner
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+	"cowsliphinge/platform"
+	"cowsliphinge/reserver"
+	"cowsliphinge/storer"
+)
+
+const (
+	// hostKind is the kind of the objects by which hosts find each other.
+	hostKind = "hosts"
+	// beatEvery and listEvery are the times between heartbeats and between looks at
+	// the host list, in milliseconds.
+	beatEvery = 500 * clocker.Millis(1)
+	listEvery = 3 * clocker.Second
+	// announcePause is the wait between two tries to write the own entry, in
+	// milliseconds.
+	announcePause = 300 * clocker.Millis(1)
+)
+
+// budgetPolicy: every holder keeps a twentieth of what is left of each budget, so
+// that the hosts of four availability zones hold under two fifths together, which
+// lasts an outage of the store of many seconds, and the death of all loses no more.
+var budgetPolicy = &messenger.Policy{
+	HeadroomMs:          1000,
+	OfflineReserveMs:    10000,
+	MaxShareOfRestMilli: 50,
+	PatienceMs:          800,
+	FloorTokens:         1 << 40,
+}
+
+// hostList reads the entries that hosts write of themselves.
+type hostList struct {
+	store *platform.Client
+}
+
+// Hosts implements heartbeater.HostList.
+func (l hostList) Hosts(ctx context.Context) ([]storer.ListedHost, error) {
+	objects, _, err := l.store.List(ctx, hostKind, true)
+	if err != nil {
+		return nil, err
+	}
+	hosts := make([]storer.ListedHost, 0, len(objects))
+	for _, o := range objects {
+		value, err := platform.Value(o)
+		if err != nil {
+			return nil, err
+		}
+		host := &messenger.Host{}
+		if err := proto.Unmarshal(value, host); err != nil {
+			return nil, err
+		}
+		hosts = append(hosts, storer.ListedHost{Name: host.Name, Address: host.ExchangeAddress})
+	}
+	return hosts, nil
+}
+
+func (r *Runner) startMembership(ctx context.Context) {
+	r.heartbeater = heartbeater.New(ctx, heartbeater.Config{
+		Self:      r.beat,
+		Clock:     r.cfg.Clock,
+		HostList:  hostList{store: r.store},
+		Exchange:  r.exchange,
+		BeatEvery: beatEvery,
+		ListEvery: listEvery,
+	})
+	r.group.Go(func() error {
+		for r.announce(ctx) != nil {
+			if r.cfg.Clock.Sleep(ctx, announcePause) != nil {
+				return nil
+			}
+		}
+		return nil
+	})
+}
+
+// announce writes the own entry of the host list, if it is not there already.
+func (r *Runner) announce(ctx context.Context) error {
+	s := r.cfg.Settings
+	value, err := proto.Marshal(&messenger.Host{
+		Name:             s.Host,
+		AvailabilityZone: s.AvailabilityZone,
+		CallerAddress:    s.CallerAddress,
+		ExchangeAddress:  s.ExchangeAddress,
+	})
+	if err != nil {
+		return err
+	}
+	key := hostKind + "/" + s.Host
+	_, err = r.store.Create(ctx, key, value)
+	if !storer.IsErrConflict(err) {
+		return err
+	}
+	old, err := r.store.Get(ctx, key)
+	if err != nil || string(old.Value) == string(value) {
+		return err
+	}
+	_, err = r.store.Update(ctx, key, old.Version, value)
+	return err
+}
+
+func (r *Runner) startBudgets(ctx context.Context) {
+	r.reserver = reserver.New(ctx, reserver.Config{
+		Incarnation:      r.incarnation,
+		Host:             r.cfg.Settings.Host,
+		AvailabilityZone: r.cfg.Settings.AvailabilityZone,
+		Clock:            r.cfg.Clock,
+		Store:            r.store,
+		Exchange:         r.exchange,
+		Peers:            r.heartbeater.Peers,
+		Policy:           func() *messenger.Policy { return budgetPolicy },
+		Declared:         r.declaredBudgets,
+		Granted:          r.grantedTokens,
+	})
+}
+
+// declaredBudgets returns the names of the client accounts that have paid ahead.
+func (r *Runner) declaredBudgets() []string {
+	t := r.table.Load()
+	if t == nil {
+		return nil
+	}
+	var names []string
+	for _, a := range t.Accounts {
+		if a.HasPrepaid {
+			names = append(names, a.Name)
+		}
+	}
+	return names
+}
+
+func (r *Runner) grantedTokens(budget string) int64 {
+	t := r.table.Load()
+	if t == nil {
+		return 0
+	}
+	for _, a := range t.Accounts {
+		if a.Name == budget {
+			return a.Prepaid
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/runner/configurations.go
@@ -0,0 +1,50 @@
+package runner
+
+import (
+	"log/slog"
+	"sync/atomic"
+
+	"cowsliphinge/matcher"
+	"cowsliphinge/platform"
+	"cowsliphinge/storer"
+)
+
+// configurations puts declarations in force. A host only moves to a higher
+// version.
+type configurations struct {
+	log   *slog.Logger
+	table *atomic.Pointer[matcher.Table]
+}
+
+// Replace implements watcher.Sink.
+func (c *configurations) Replace(objects []storer.Object, _ bool) {
+	for _, o := range objects {
+		c.take(o)
+	}
+}
+
+// Apply implements watcher.Sink.
+func (c *configurations) Apply(changes []storer.Change, _ bool) {
+	for _, change := range changes {
+		if !change.Deleted {
+			c.take(change.Object)
+		}
+	}
+}
+
+func (c *configurations) take(o storer.Object) {
+	if o.Key != platform.ConfigurationKind+"/"+platform.ConfigurationName {
+		return
+	}
+	d, err := platform.Declaration(o)
+	if err != nil {
+		c.log.Error("configuration can't be read, the one in force stays", "cause", err.Error())
+		return
+	}
+	old := c.table.Load()
+	if old != nil && d.Version <= old.Version {
+		return
+	}
+	c.table.Store(matcher.New(d))
+	c.log.Info("configuration in force", "version", d.Version, "revision", o.Version, "routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,238 @@
+// Package runner assembles a router on the operators' platform from its parts and
+// runs it: routes and backend servers come from the platform's store, budgets are
+// kept there, and callers are served by a relayer.
+package runner
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	"cowsliphinge/carrier"
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/exchanger"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/matcher"
+	"cowsliphinge/messenger"
+	"cowsliphinge/platform"
+	"cowsliphinge/relayer"
+	"cowsliphinge/reserver"
+	"cowsliphinge/retrier"
+	"cowsliphinge/watcher"
+)
+
+const (
+	// storeTimeout bounds a call to the store, in milliseconds: a hundred times its
+	// usual answer.
+	storeTimeout = 400 * clocker.Millis(1)
+	// watchShare is the part of the time for a configuration to be in force after
+	// which a waiting watch is made anew.
+	watchShare = 2
+	// dialTimeout bounds a connection to a backend server, in milliseconds: many
+	// round trips between availability zones.
+	dialTimeout = 250 * clocker.Millis(1)
+	// idleConnFor is how long a connection to a backend server is kept, in
+	// milliseconds.
+	idleConnFor = 10 * clocker.Second
+	// callerIdleFor is how long a caller's connection may be idle, in milliseconds:
+	// longer than any limit that callers rely on.
+	callerIdleFor = 5 * clocker.Minute
+	// callerHeaderTime bounds the reading of a request's head, in milliseconds.
+	callerHeaderTime = 10 * clocker.Second
+	// maxCallerHeaderBytes bounds the head of a request.
+	maxCallerHeaderBytes = 64 << 10
+	// sweepPause is the time between two looks at idle connections and missing
+	// servers, in milliseconds.
+	sweepPause = 500 * clocker.Millis(1)
+)
+
+// Config configures a Runner.
+type Config struct {
+	Settings Settings
+	Clock    *clocker.Clock
+	Log      *slog.Logger
+}
+
+// Runner is one running router.
+type Runner struct {
+	cfg         Config
+	incarnation string
+	cancel      context.CancelFunc
+	group       errgroup.Group
+	draining    atomic.Bool
+	table       atomic.Pointer[matcher.Table]
+
+	store       *platform.Client
+	exchange    *exchanger.Client
+	heartbeater *heartbeater.Heartbeater
+	reserver    *reserver.Reserver
+	backends    *backends
+	carrier     *carrier.Carrier
+	relayer     *relayer.Relayer
+	watchers    []*watcher.Watcher
+
+	callers *http.Server
+	probes  *http.Server
+	peers   *exchanger.Server
+}
+
+// New opens the listeners and starts a router. It is ready for callers once a
+// configuration and the backend servers are known.
+func New(ctx context.Context, cfg Config) (*Runner, error) {
+	callers, err := net.Listen("tcp4", cfg.Settings.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	probes, err := net.Listen("tcp4", cfg.Settings.ReadyAddress)
+	if err != nil {
+		return nil, errors.Join(err, callers.Close())
+	}
+	peers, err := net.Listen("tcp4", cfg.Settings.ExchangeAddress)
+	if err != nil {
+		return nil, errors.Join(err, callers.Close(), probes.Close())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r := &Runner{cfg: cfg, cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	r.store = platform.NewClient(platform.Config{Address: cfg.Settings.StoreAddress, Timeout: storeTimeout})
+	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
+	r.startWatchers(ctx)
+	r.startMembership(ctx)
+	r.startBudgets(ctx)
+	r.startRelay(ctx)
+	r.serve(callers, probes, peers)
+	cfg.Log.Info("started", "host", cfg.Settings.Host, "zone", cfg.Settings.AvailabilityZone, "incarnation", r.incarnation)
+	return r, nil
+}
+
+func (r *Runner) startWatchers(ctx context.Context) {
+	r.backends = &backends{
+		clock:  r.cfg.Clock,
+		log:    r.cfg.Log,
+		kind:   platform.ServerKind,
+		decode: platform.Server,
+		chooser: chooser.New(chooser.Config{
+			AvailabilityZone: r.cfg.Settings.AvailabilityZone,
+			CacheTokens: func(service string) int {
+				if t := r.table.Load(); t != nil {
+					return t.Service(service).CacheTokens
+				}
+				return 0
+			},
+		}),
+	}
+	configuration := &configurations{log: r.cfg.Log, table: &r.table}
+	for kind, sink := range map[string]watcher.Sink{platform.ConfigurationKind: configuration, platform.ServerKind: r.backends} {
+		r.watchers = append(r.watchers, watcher.New(ctx, watcher.Config{
+			Kind:   kind,
+			Source: r.store,
+			Sink:   sink,
+			Clock:  r.cfg.Clock,
+			Wait:   r.cfg.Settings.ConfigurationMs / watchShare,
+			Log:    r.cfg.Log,
+		}))
+	}
+}
+
+func (r *Runner) startRelay(ctx context.Context) {
+	s := r.cfg.Settings
+	r.carrier = carrier.New(carrier.Config{
+		Clock:           r.cfg.Clock,
+		RequestIDHeader: platform.Dialect.RequestID,
+		DialTimeout:     dialTimeout,
+		IdleFor:         idleConnFor,
+	})
+	r.relayer = relayer.New(relayer.Config{
+		Clock:   r.cfg.Clock,
+		Dialect: platform.Dialect,
+		Table:   r.table.Load,
+		Servers: r.backends,
+		Budgets: r.reserver,
+		Retries: retrier.NewWindow(retrier.WindowConfig{
+			Clock: r.cfg.Clock,
+			Span:  s.RetryWindowMs,
+			Ratio: s.RetryRatio,
+			Extra: s.RetryExtra,
+			Hosts: func() int { return len(r.heartbeater.Peers()) + 1 },
+		}),
+		Carrier:  r.carrier,
+		Draining: r.draining.Load,
+		Log:      r.cfg.Log,
+	})
+	r.group.Go(func() error {
+		for r.cfg.Clock.Sleep(ctx, sweepPause) == nil {
+			r.backends.expire()
+			r.carrier.Keep(r.backends.known)
+		}
+		return nil
+	})
+}
+
+// Ready reports whether this host takes callers.
+func (r *Runner) Ready() bool {
+	return !r.draining.Load() && r.table.Load() != nil && r.backends.ready()
+}
+
+func (r *Runner) serve(callers, probes, peers net.Listener) {
+	r.callers = &http.Server{
+		Handler:           r.relayer,
+		ReadHeaderTimeout: callerHeaderTime.Duration(),
+		IdleTimeout:       callerIdleFor.Duration(),
+		MaxHeaderBytes:    maxCallerHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(r.cfg.Log.Handler(), slog.LevelDebug),
+	}
+	r.probes = &http.Server{Handler: http.HandlerFunc(r.answerProbe), ReadHeaderTimeout: callerHeaderTime.Duration()}
+	r.peers = exchanger.NewServer(exchanger.ServerConfig{
+		RouterKey:   r.cfg.Settings.RouterKey,
+		Beater:      r.heartbeater,
+		Transferrer: r.reserver,
+		Ready:       r.Ready,
+	})
+	r.group.Go(func() error { return served(r.callers.Serve(callers)) })
+	r.group.Go(func() error { return served(r.probes.Serve(probes)) })
+	r.group.Go(func() error { return r.peers.Serve(peers) })
+}
+
+// answerProbe answers the platform's balancer.
+func (r *Runner) answerProbe(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path != platform.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !r.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// beat is the heartbeat of this host.
+func (r *Runner) beat() *messenger.Beat {
+	s := r.cfg.Settings
+	beat := &messenger.Beat{
+		Incarnation:      r.incarnation,
+		Host:             s.Host,
+		AvailabilityZone: s.AvailabilityZone,
+		ExchangeAddress:  s.ExchangeAddress,
+		CallerAddress:    s.CallerAddress,
+		Draining:         r.draining.Load(),
+		SentAtMs:         int64(r.cfg.Clock.Now()),
+	}
+	if t := r.table.Load(); t != nil {
+		beat.ConfigurationVersion = t.Version
+	}
+	if r.reserver != nil {
+		beat.HeldTokens = r.reserver.HeldTokens()
+	}
+	return beat
+}
--- /dev/null
+++ b/runner/settings.go
@@ -0,0 +1,85 @@
+package runner
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"cowsliphinge/clocker"
+)
+
+// Settings is the file that one process on the operators' platform starts from.
+type Settings struct {
+	Host             string
+	AvailabilityZone string
+	// CallerAddress is where callers arrive, IP and port.
+	CallerAddress string
+	// ReadyAddress is where the platform's balancer asks whether this host takes
+	// callers.
+	ReadyAddress string
+	// ExchangeAddress is where other hosts arrive; also /metrics.
+	ExchangeAddress string
+	// StoreAddress is the platform's store.
+	StoreAddress string
+	// RouterKey is presented between hosts.
+	RouterKey string
+	// MemoryMb is the most memory that the process may take.
+	MemoryMb int64
+	// StopBoundMs is the longest graceful stop.
+	StopBoundMs clocker.Millis
+	// ConfigurationMs is in what time an accepted configuration is in force.
+	ConfigurationMs clocker.Millis
+	// RetryRatio, RetryExtra and RetryWindowMs bound repeats over the fleet.
+	RetryRatio    float64
+	RetryExtra    float64
+	RetryWindowMs clocker.Millis
+	// LogLevel is Debug, Info, Warn or Error; empty means Info.
+	LogLevel string
+}
+
+// ReadSettings reads a settings file. Keys that it does not know are ignored:
+// the platform may send new ones. The error lists all findings.
+func ReadSettings(name string) (Settings, error) {
+	var s Settings
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return s, err
+	}
+	if err := json.NewDecoder(bytes.NewReader(content)).Decode(&s); err != nil {
+		return s, fmt.Errorf("%s: %w", name, err)
+	}
+	if findings := s.check(); len(findings) > 0 {
+		return s, fmt.Errorf("%s: %s", name, strings.Join(findings, "; "))
+	}
+	return s, nil
+}
+
+// check returns what is wrong with the settings, each finding with its key.
+func (s Settings) check() []string {
+	var findings []string
+	for key, value := range map[string]string{"Host": s.Host, "AvailabilityZone": s.AvailabilityZone, "RouterKey": s.RouterKey} {
+		if value == "" {
+			findings = append(findings, key+" is missing")
+		}
+	}
+	addresses := map[string]string{
+		"CallerAddress":   s.CallerAddress,
+		"ReadyAddress":    s.ReadyAddress,
+		"ExchangeAddress": s.ExchangeAddress,
+		"StoreAddress":    s.StoreAddress,
+	}
+	for key, value := range addresses {
+		if _, _, err := net.SplitHostPort(value); err != nil {
+			findings = append(findings, fmt.Sprintf("%s is %q, not an IP address and port", key, value))
+		}
+	}
+	for key, value := range map[string]clocker.Millis{"StopBoundMs": s.StopBoundMs, "ConfigurationMs": s.ConfigurationMs, "RetryWindowMs": s.RetryWindowMs} {
+		if value <= 0 {
+			findings = append(findings, fmt.Sprintf("%s is %d, not a positive time", key, value))
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,165 @@
+// Package watcher follows the objects of one kind in the platform's store: it
+// lists them, watches for changes, and lists again where the history is gone.
+package watcher
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/storer"
+)
+
+const (
+	// firstPause is the wait after a failed call, in milliseconds; it doubles up to
+	// maxPause, so that a fleet does not call a troubled store without end.
+	firstPause = 50 * clocker.Millis(1)
+	maxPause   = 400 * clocker.Millis(1)
+	// outageAfter is how long the store has to be silent for entries to have
+	// lapsed meanwhile, in milliseconds.
+	outageAfter = clocker.Second
+	// settleFor is how long after an outage entries may still be missing that
+	// come back, in milliseconds.
+	settleFor = 2 * clocker.Second
+)
+
+// Source is the part of the store that a Watcher needs.
+type Source interface {
+	// List returns all objects of a kind and the revision to watch from.
+	List(ctx context.Context, kind string, stale bool) ([]storer.Object, int64, error)
+	// Watch waits for changes after a revision, up to wait, and returns them with
+	// the revision to go on from; storer.ErrHistoryGone asks for a new list.
+	Watch(ctx context.Context, kind string, since int64, wait clocker.Millis) ([]storer.Change, int64, error)
+}
+
+// Sink takes what is learned. Its methods are called one at a time.
+type Sink interface {
+	// Replace takes over the whole kind. After an outage objects may be missing
+	// that come back within settleFor.
+	Replace(objects []storer.Object, afterOutage bool)
+	// Apply takes over changes, oldest first.
+	Apply(changes []storer.Change, afterOutage bool)
+}
+
+// Config configures a Watcher.
+type Config struct {
+	Kind   string
+	Source Source
+	Sink   Sink
+	Clock  *clocker.Clock
+	// Wait bounds one waiting watch, in milliseconds: a connection gone silent is
+	// found after it.
+	Wait clocker.Millis
+	Log  *slog.Logger
+}
+
+// Watcher follows one kind until Close.
+type Watcher struct {
+	cfg    Config
+	cancel context.CancelFunc
+	duties errgroup.Group
+
+	revision int64
+	pause    clocker.Millis
+	// heardAt is when the store last answered.
+	heardAt clocker.Millis
+	// returnedAt is when it answered again after an outage.
+	returnedAt clocker.Millis
+	lost       bool
+}
+
+// New returns a Watcher and starts it.
+func New(ctx context.Context, cfg Config) *Watcher {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &Watcher{cfg: cfg, cancel: cancel, pause: firstPause}
+	w.duties.Go(func() error {
+		for ctx.Err() == nil {
+			w.step(ctx)
+		}
+		return nil
+	})
+	return w
+}
+
+// Close ends the watch.
+func (w *Watcher) Close(context.Context) error {
+	w.cancel()
+	return w.duties.Wait()
+}
+
+// step makes one call and takes in its answer.
+func (w *Watcher) step(ctx context.Context) {
+	var err error
+	if w.revision == 0 {
+		err = w.list(ctx)
+	} else {
+		err = w.watch(ctx)
+	}
+	if err == nil {
+		w.pause = firstPause
+		return
+	}
+	w.failed(ctx, err)
+}
+
+func (w *Watcher) list(ctx context.Context) error {
+	objects, revision, err := w.cfg.Source.List(ctx, w.cfg.Kind, false)
+	if err != nil {
+		return err
+	}
+	w.heard(revision)
+	w.cfg.Sink.Replace(objects, w.settling())
+	w.revision = revision
+	return nil
+}
+
+func (w *Watcher) watch(ctx context.Context) error {
+	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait)
+	if err != nil {
+		return err
+	}
+	w.heard(revision)
+	if len(changes) > 0 {
+		w.cfg.Sink.Apply(changes, w.settling())
+	}
+	w.revision = max(w.revision, revision)
+	return nil
+}
+
+// heard notes that the store answered.
+func (w *Watcher) heard(revision int64) {
+	now := w.cfg.Clock.Now()
+	if w.lost {
+		w.lost = false
+		if now-w.heardAt >= outageAfter {
+			w.returnedAt = now
+		}
+		w.cfg.Log.Info("store answers again", "kind", w.cfg.Kind, "silent_ms", now-w.heardAt, "revision", revision)
+	}
+	w.heardAt = now
+}
+
+func (w *Watcher) settling() bool {
+	return w.returnedAt > 0 && w.cfg.Clock.Now()-w.returnedAt < settleFor
+}
+
+func (w *Watcher) failed(ctx context.Context, err error) {
+	metrics.GetOrCreateCounter(`cowsliphinge_watch_failures_total{kind="` + w.cfg.Kind + `"}`).Inc()
+	if storer.IsErrHistoryGone(err) {
+		w.cfg.Log.Info("history of the store is gone, listing again", "kind", w.cfg.Kind, "revision", w.revision)
+		w.revision = 0
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if !w.lost {
+		w.lost = true
+		w.cfg.Log.Warn("store does not answer", "kind", w.cfg.Kind, "revision", w.revision, "cause", err.Error())
+	}
+	_ = w.cfg.Clock.Sleep(ctx, w.pause)
+	w.pause = min(2*w.pause, maxPause)
+}
