--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -19,6 +19,29 @@
 	// Replaced reports whether the host of an incarnation was heard of as a
 	// later one; nil means never.
 	Replaced func(incarnation string) bool
+	// ChangePause is the least time between two extensions ahead of demand, or
+	// between two returns, of one budget; 0 means defaultChangePause.
+	ChangePause clocker.Millis
+	// ExtendShare is the share of the wanted headroom below which it is extended
+	// ahead of demand; 0 means defaultExtendShare.
+	ExtendShare float64
+	// Floor returns the headroom that a holder keeps of a budget whatever its
+	// demand; nil means that of the policy.
+	Floor func(budget string) int64
+}
+
+func (c Circumstances) extendShare() float64 {
+	if c.ExtendShare > 0 {
+		return c.ExtendShare
+	}
+	return defaultExtendShare
+}
+
+func (c Circumstances) changePause() clocker.Millis {
+	if c.ChangePause > 0 {
+		return c.ChangePause
+	}
+	return defaultChangePause
 }
 
 // Write is one conditional write of the shard's object.
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -8,9 +8,12 @@
 const (
 	// floorRequests is the least headroom ahead of demand, in requests.
 	floorRequests = 4
-	// changePause is the least time between two extensions ahead of demand, or
-	// between two returns, of one budget.
-	changePause = 5 * clocker.Second
+	// defaultChangePause is the least time between two extensions ahead of demand,
+	// or between two returns, of one budget.
+	defaultChangePause = 5 * clocker.Second
+	// defaultExtendShare is the share of the wanted headroom below which it is
+	// extended.
+	defaultExtendShare = 0.5
 	// grantAhead is the demand that a host keeps which is no holder.
 	grantAhead = clocker.Second
 	// loanAhead is the demand that is asked for beyond what requests wait for.
@@ -38,6 +41,9 @@
 	if !b.kept {
 		return 0
 	}
+	if c.Floor != nil {
+		return c.Floor(b.name)
+	}
 	return c.Policy.FloorTokens
 }
 
@@ -84,9 +90,9 @@
 	switch {
 	case free < 0:
 		return min(target-free, rest)
-	case free < target/2 && c.Now-b.extended >= changePause:
+	case float64(free) < c.extendShare()*float64(target) && c.Now-b.extended >= c.changePause():
 		return min(target-free, rest)
-	case free > returnAbove && c.Now-b.lowered >= changePause:
+	case free > returnAbove && c.Now-b.lowered >= c.changePause():
 		return -min(free-max(target, returnAbove/2), b.limit-b.base)
 	default:
 		return 0
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -99,6 +99,10 @@
 		Holder:   r.holds(s, v),
 		Live:     v.isLive,
 		Replaced: v.isReplaced,
+
+		ChangePause: r.cfg.ChangePause,
+		ExtendShare: r.cfg.ExtendShare,
+		Floor:       r.cfg.Floor,
 	}
 }
 
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -98,6 +99,9 @@
 		if !storer.IsErrConflict(err) && !storer.IsErrOutcomeUnknown(err) {
 			return balanced{}
 		}
+		if pause := r.cfg.ConflictPause; pause > 0 && r.cfg.Clock.Sleep(ctx, pause+clocker.Millis(rand.Int64N(int64(pause)))) != nil {
+			return balanced{}
+		}
 	}
 	return balanced{contended: true}
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
+	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/messenger"
@@ -16,9 +17,9 @@
 )
 
 const (
-	// shardCount is how many objects hold the budgets. It is fixed for a
-	// deployment's life: a budget's object follows from its name.
-	shardCount = 1 << 14
+	// maxShards is how many objects hold the budgets unless the configuration names
+	// fewer.
+	maxShards = 1 << 14
 	// refillRing is how many shards may wait for a refill.
 	refillRing = 4096
 	// refillers is how many shards are refilled at the same time.
@@ -56,6 +57,25 @@
 	// Declared returns the budgets of the declared client accounts, of which
 	// holders keep a floor; nil means none.
 	Declared func() []string
+	// Shards is how many objects hold the budgets; 0 means 16,384. It is fixed for a
+	// deployment's life: a budget's object follows from its name. One write raises
+	// all budgets of an object, and its writers meet more often.
+	Shards int
+	// ChangePause is the least time between two extensions of a budget ahead of
+	// demand, in milliseconds; 0 means the allotter's own.
+	ChangePause clocker.Millis
+	// ExtendShare is the share of the wanted headroom below which a budget is
+	// extended ahead of demand; 0 means the allotter's own.
+	ExtendShare float64
+	// DemandSpan is the time constant that follows a rising demand, in
+	// milliseconds; 0 means the allotter's own.
+	DemandSpan clocker.Millis
+	// Floor returns the headroom that a holder keeps of a budget whatever its
+	// demand; nil means that of the policy.
+	Floor func(budget string) int64
+	// ConflictPause is the least wait after a write that met another host's, in
+	// milliseconds; writers that met once are spread over twice that. 0 means none.
+	ConflictPause clocker.Millis
 	// Granted returns the sum of all top-ups of a budget as the declarations name
 	// it; nil means that top-ups come by TopUp alone.
 	Granted func(budget string) int64
@@ -65,7 +85,7 @@
 // from many goroutines.
 type Reserver struct {
 	cfg    Config
-	shards [shardCount]atomic.Pointer[shard]
+	shards []atomic.Pointer[shard]
 
 	mu   sync.Mutex
 	used []*shard
@@ -102,8 +122,12 @@
 	if cfg.Peers == nil {
 		cfg.Peers = func() []heartbeater.Peer { return nil }
 	}
+	if cfg.Shards <= 0 {
+		cfg.Shards = maxShards
+	}
 	return &Reserver{
 		cfg:     cfg,
+		shards:  make([]atomic.Pointer[shard], cfg.Shards),
 		refills: ringer.New[*shard]("budget_refills", refillRing),
 		stop:    func() {},
 		duties:  &errgroup.Group{},
@@ -149,7 +173,7 @@
 }
 
 func (r *Reserver) shard(budget string) *shard {
-	i := xxhash.Sum64String(budget) % shardCount
+	i := xxhash.Sum64String(budget) % uint64(len(r.shards))
 	if s := r.shards[i].Load(); s != nil {
 		return s
 	}
@@ -158,7 +182,7 @@
 	if s := r.shards[i].Load(); s != nil {
 		return s
 	}
-	s := newShard(int(i), r.cfg.Incarnation)
+	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation, DemandSpan: r.cfg.DemandSpan})
 	r.shards[i].Store(s)
 	r.used = append(r.used, s)
 	return s
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -49,12 +49,12 @@
 	err error
 }
 
-func newShard(number int, incarnation string) *shard {
+func newShard(number int, cfg allotter.Config) *shard {
 	return &shard{
 		number:   number,
 		key:      fmt.Sprintf("budget/%05d", number),
 		turn:     make(chan struct{}, 1),
-		allotter: allotter.New(allotter.Config{Incarnation: incarnation}),
+		allotter: allotter.New(cfg),
 		verdicts: map[string]verdict{},
 	}
 }
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/messenger"
@@ -23,17 +24,50 @@
 	// announcePause is the wait between two tries to write the own entry, in
 	// milliseconds.
 	announcePause = 300 * clocker.Millis(1)
+	// budgetPatience is the longest wait of a request for tokens, in milliseconds.
+	budgetPatience = 400 * clocker.Millis(1)
+	// changePause is the least time between two extensions of a budget ahead of
+	// demand, in milliseconds.
+	changePause = 1500 * clocker.Millis(1)
+	// conflictPause spreads the writers that met at the budgets' object, in
+	// milliseconds: two answers of the store.
+	conflictPause = 8 * clocker.Millis(1)
+	// budgetShards is how many objects hold the budgets: calls to the store are
+	// paid each, and one write raises all budgets of an object.
+	budgetShards = 1
 )
 
-// budgetPolicy: every holder keeps a twentieth of what is left of each budget, so
-// that the hosts of four availability zones hold under two fifths together, which
-// lasts an outage of the store of many seconds, and the death of all loses no more.
-var budgetPolicy = &messenger.Policy{
-	HeadroomMs:          1000,
-	OfflineReserveMs:    10000,
-	MaxShareOfRestMilli: 50,
-	PatienceMs:          800,
-	FloorTokens:         1 << 40,
+const (
+	// outageReserve is the demand that all holders together keep at hand, in
+	// milliseconds: it lasts an outage of the store, and is lost if all hosts die
+	// at once.
+	outageReserve = 9 * clocker.Second
+	// heldShare bounds what all holders keep of what is left of a budget.
+	heldShare = 0.6
+	// floorPart of each budget is kept by each holder before demand is known.
+	floorPart = 0.01
+	// demandSpan is the time constant that follows demand, in milliseconds.
+	demandSpan = 4 * clocker.Second
+	// extendShare of the reserve is left when it is filled up.
+	extendShare = 0.8
+)
+
+// policy returns the policy of all budgets: each holder keeps the reserve of its
+// own demand, at most its part of heldShare.
+func (r *Runner) policy() *messenger.Policy {
+	zones := map[string]bool{r.cfg.Settings.AvailabilityZone: true}
+	for _, p := range r.heartbeater.Peers() {
+		zones[p.AvailabilityZone] = true
+	}
+	holders := float64(allotter.HoldersPerZone * len(zones))
+	// Each of n holders that keeps a share s of the rest and its own headroom holds
+	// s/(1-s) of the rest.
+	each := heldShare / (1 - heldShare) / holders
+	return &messenger.Policy{
+		OfflineReserveMs:    int64(outageReserve),
+		MaxShareOfRestMilli: int64(1000 * each / (1 + each)),
+		PatienceMs:          int64(budgetPatience),
+	}
 }
 
 // hostList reads the entries that hosts write of themselves.
@@ -115,7 +149,13 @@
 		Store:            r.store,
 		Exchange:         r.exchange,
 		Peers:            r.heartbeater.Peers,
-		Policy:           func() *messenger.Policy { return budgetPolicy },
+		Policy:           r.policy,
+		Shards:           budgetShards,
+		ChangePause:      changePause,
+		ConflictPause:    conflictPause,
+		ExtendShare:      extendShare,
+		DemandSpan:       demandSpan,
+		Floor:            func(budget string) int64 { return int64(floorPart * float64(r.grantedTokens(budget))) },
 		Declared:         r.declaredBudgets,
 		Granted:          r.grantedTokens,
 	})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -31,9 +31,6 @@
 	// storeTimeout bounds a call to the store, in milliseconds: a hundred times its
 	// usual answer.
 	storeTimeout = 400 * clocker.Millis(1)
-	// watchShare is the part of the time for a configuration to be in force after
-	// which a waiting watch is made anew.
-	watchShare = 2
 	// dialTimeout bounds a connection to a backend server, in milliseconds: many
 	// round trips between availability zones.
 	dialTimeout = 250 * clocker.Millis(1)
@@ -133,7 +130,7 @@
 			Source: r.store,
 			Sink:   sink,
 			Clock:  r.cfg.Clock,
-			Wait:   r.cfg.Settings.ConfigurationMs / watchShare,
+			Wait:   r.cfg.Settings.SteadyMs,
 			Log:    r.cfg.Log,
 		}))
 	}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -32,6 +32,9 @@
 	StopBoundMs clocker.Millis
 	// ConfigurationMs is in what time an accepted configuration is in force.
 	ConfigurationMs clocker.Millis
+	// SteadyMs is how long after a disruption bounds hold again: a watch on a
+	// connection gone silent has to end within it.
+	SteadyMs clocker.Millis
 	// RetryRatio, RetryExtra and RetryWindowMs bound repeats over the fleet.
 	RetryRatio    float64
 	RetryExtra    float64
@@ -76,7 +79,7 @@
 			findings = append(findings, fmt.Sprintf("%s is %q, not an IP address and port", key, value))
 		}
 	}
-	for key, value := range map[string]clocker.Millis{"StopBoundMs": s.StopBoundMs, "ConfigurationMs": s.ConfigurationMs, "RetryWindowMs": s.RetryWindowMs} {
+	for key, value := range map[string]clocker.Millis{"StopBoundMs": s.StopBoundMs, "ConfigurationMs": s.ConfigurationMs, "SteadyMs": s.SteadyMs, "RetryWindowMs": s.RetryWindowMs} {
 		if value <= 0 {
 			findings = append(findings, fmt.Sprintf("%s is %d, not a positive time", key, value))
 		}
