--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -35,9 +35,6 @@
 	// zoneFailures is how many servers of an availability zone have to be out of
 	// reach at once for the zone to be taken as cut off.
 	zoneFailures = 2
-	// missingFor is how long an entry may be missing after an outage of the store,
-	// in milliseconds; servers write again within two seconds.
-	missingFor = 2 * clocker.Second
 )
 
 // Config configures a Chooser.
@@ -71,7 +68,7 @@
 		c.members[s.ID] = m
 	}
 	m.Server = s
-	m.missingSince = 0
+	m.missingUntil = 0
 }
 
 // Remove forgets a server whose entry is gone.
@@ -80,10 +77,10 @@
 }
 
 // Miss notes that the entry of a server was missing right after an outage of the
-// store. It is forgotten by Expire unless it is set again.
-func (c *Chooser) Miss(id string, now clocker.Millis) {
-	if m := c.members[id]; m != nil && m.missingSince == 0 {
-		m.missingSince = now
+// store. It is forgotten by Expire at the given time unless it is set again.
+func (c *Chooser) Miss(id string, until clocker.Millis) {
+	if m := c.members[id]; m != nil && m.missingUntil == 0 {
+		m.missingUntil = until
 	}
 }
 
@@ -91,7 +88,7 @@
 func (c *Chooser) Expire(now clocker.Millis) []string {
 	var gone []string
 	for id, m := range c.members {
-		if m.missingSince > 0 && now-m.missingSince >= missingFor {
+		if m.missingUntil > 0 && now >= m.missingUntil {
 			delete(c.members, id)
 			gone = append(gone, id)
 		}
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -78,9 +78,9 @@
 	errorShare float64
 	// answeredAt is when a byte last came from the server.
 	answeredAt clocker.Millis
-	// missingSince is when the entry was found missing right after an outage of
-	// the store; 0 if it stands.
-	missingSince clocker.Millis
+	// missingUntil is when the server is forgotten, its entry found missing right
+	// after an outage of the store; 0 if it stands.
+	missingUntil clocker.Millis
 	cache        partCache
 }
 
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -24,7 +24,7 @@
 }
 
 // Replace implements watcher.Sink.
-func (b *backends) Replace(objects []storer.Object, afterOutage bool) {
+func (b *backends) Replace(objects []storer.Object, grace clocker.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	present := map[string]bool{}
@@ -34,19 +34,19 @@
 	}
 	for _, id := range b.chooser.IDs() {
 		if !present[id] {
-			b.remove(id, afterOutage)
+			b.remove(id, grace)
 		}
 	}
 	b.listed = true
 }
 
 // Apply implements watcher.Sink.
-func (b *backends) Apply(changes []storer.Change, afterOutage bool) {
+func (b *backends) Apply(changes []storer.Change, grace clocker.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range changes {
 		if c.Deleted {
-			b.remove(b.id(c.Object), afterOutage)
+			b.remove(b.id(c.Object), grace)
 			continue
 		}
 		b.set(c.Object)
@@ -72,12 +72,12 @@
 }
 
 // remove forgets a server; right after an outage its entry may come back.
-func (b *backends) remove(id string, afterOutage bool) {
+func (b *backends) remove(id string, grace clocker.Millis) {
 	if !b.chooser.Knows(id) {
 		return
 	}
-	if afterOutage {
-		b.chooser.Miss(id, b.clock.Now())
+	if grace > 0 {
+		b.chooser.Miss(id, b.clock.Now()+grace)
 		return
 	}
 	b.log.Info("backend server is gone", "server", id)
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -35,6 +35,8 @@
 	// budgetShards is how many objects hold the budgets: calls to the store are
 	// paid each, and one write raises all budgets of an object.
 	budgetShards = 1
+	// budgetLogPause is the time between two log lines of a budget, in milliseconds.
+	budgetLogPause = 5 * clocker.Second
 )
 
 const (
@@ -159,6 +161,21 @@
 		Declared:         r.declaredBudgets,
 		Granted:          r.grantedTokens,
 	})
+	r.group.Go(func() error {
+		r.logBudgets(ctx)
+		return nil
+	})
+}
+
+// logBudgets tells now and then what this host believes of each budget.
+func (r *Runner) logBudgets(ctx context.Context) {
+	for r.cfg.Clock.Sleep(ctx, budgetLogPause) == nil {
+		now := r.cfg.Clock.Now()
+		for _, s := range r.reserver.Snapshots(r.declaredBudgets()) {
+			r.cfg.Log.Info("budget", "account", s.Budget, "granted", s.Granted, "rest", s.Rest, "stranded", s.Stranded,
+				"headroom", s.Headroom, "reserved", s.Reserved, "age_ms", now-s.ReadAt)
+		}
+	}
 }
 
 // declaredBudgets returns the names of the client accounts that have paid ahead.
--- a/runner/configurations.go
+++ b/runner/configurations.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"sync/atomic"
 
+	"cowsliphinge/clocker"
 	"cowsliphinge/matcher"
 	"cowsliphinge/platform"
 	"cowsliphinge/storer"
@@ -17,14 +18,14 @@
 }
 
 // Replace implements watcher.Sink.
-func (c *configurations) Replace(objects []storer.Object, _ bool) {
+func (c *configurations) Replace(objects []storer.Object, _ clocker.Millis) {
 	for _, o := range objects {
 		c.take(o)
 	}
 }
 
 // Apply implements watcher.Sink.
-func (c *configurations) Apply(changes []storer.Change, _ bool) {
+func (c *configurations) Apply(changes []storer.Change, _ clocker.Millis) {
 	for _, change := range changes {
 		if !change.Deleted {
 			c.take(change.Object)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -46,7 +46,7 @@
 	maxCallerHeaderBytes = 64 << 10
 	// sweepPause is the time between two looks at idle connections and missing
 	// servers, in milliseconds.
-	sweepPause = 500 * clocker.Millis(1)
+	sweepPause = 200 * clocker.Millis(1)
 )
 
 // Config configures a Runner.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -24,6 +24,10 @@
 	// settleFor is how long after an outage entries may still be missing that
 	// come back, in milliseconds.
 	settleFor = 2 * clocker.Second
+	// liveGrace is how long an entry that goes within settleFor may take to come
+	// back, in milliseconds: it may as well have left, and has to be out of use
+	// within two seconds then.
+	liveGrace = clocker.Second
 )
 
 // Source is the part of the store that a Watcher needs.
@@ -37,11 +41,11 @@
 
 // Sink takes what is learned. Its methods are called one at a time.
 type Sink interface {
-	// Replace takes over the whole kind. After an outage objects may be missing
-	// that come back within settleFor.
-	Replace(objects []storer.Object, afterOutage bool)
-	// Apply takes over changes, oldest first.
-	Apply(changes []storer.Change, afterOutage bool)
+	// Replace takes over the whole kind. Right after an outage objects may be
+	// missing that come back within grace, in milliseconds; else it is 0.
+	Replace(objects []storer.Object, grace clocker.Millis)
+	// Apply takes over changes, oldest first; grace as above.
+	Apply(changes []storer.Change, grace clocker.Millis)
 }
 
 // Config configures a Watcher.
@@ -68,6 +72,9 @@
 	heardAt clocker.Millis
 	// returnedAt is when it answered again after an outage.
 	returnedAt clocker.Millis
+	// catchingUp is true for the first answer after an outage, which tells what
+	// happened meanwhile.
+	catchingUp bool
 	lost       bool
 }
 
@@ -111,7 +118,8 @@
 		return err
 	}
 	w.heard(revision)
-	w.cfg.Sink.Replace(objects, w.settling())
+	defer func() { w.catchingUp = false }()
+	w.cfg.Sink.Replace(objects, w.grace())
 	w.revision = revision
 	return nil
 }
@@ -122,8 +130,9 @@
 		return err
 	}
 	w.heard(revision)
+	defer func() { w.catchingUp = false }()
 	if len(changes) > 0 {
-		w.cfg.Sink.Apply(changes, w.settling())
+		w.cfg.Sink.Apply(changes, w.grace())
 	}
 	w.revision = max(w.revision, revision)
 	return nil
@@ -136,14 +145,24 @@
 		w.lost = false
 		if now-w.heardAt >= outageAfter {
 			w.returnedAt = now
+			w.catchingUp = true
 		}
 		w.cfg.Log.Info("store answers again", "kind", w.cfg.Kind, "silent_ms", now-w.heardAt, "revision", revision)
 	}
 	w.heardAt = now
 }
 
-func (w *Watcher) settling() bool {
-	return w.returnedAt > 0 && w.cfg.Clock.Now()-w.returnedAt < settleFor
+// grace returns how long an entry that is missing now may take to come back.
+func (w *Watcher) grace() clocker.Millis {
+	since := w.cfg.Clock.Now() - w.returnedAt
+	switch {
+	case w.returnedAt == 0 || since >= settleFor:
+		return 0
+	case w.catchingUp:
+		return settleFor
+	default:
+		return liveGrace
+	}
 }
 
 func (w *Watcher) failed(ctx context.Context, err error) {
