--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -25,6 +25,11 @@
 	// ExtendShare is the share of the wanted headroom below which it is extended
 	// ahead of demand; 0 means defaultExtendShare.
 	ExtendShare float64
+	// PlatformReserve is the demand that is to stay unassigned while the budget
+	// lasts, in milliseconds, and Holders is among how many holders the rest is
+	// shared; 0 means no such reserve.
+	PlatformReserve clocker.Millis
+	Holders         int
 	// Floor returns the headroom that a holder keeps of a budget whatever its
 	// demand; nil means that of the policy.
 	Floor func(budget string) int64
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -54,7 +54,7 @@
 // half of what is left.
 func (a *Allotter) Give(to string, ask *messenger.TransferAsk, now clocker.Millis) *messenger.TransferTotal {
 	b := a.allotment(ask.Budget)
-	amount := b.spare(ask)
+	amount := b.lendable(ask)
 	if a.closing || to == a.cfg.Incarnation {
 		amount = 0
 	}
@@ -65,7 +65,7 @@
 	return b.totalTo(to)
 }
 
-func (b *allotment) spare(ask *messenger.TransferAsk) int64 {
+func (b *allotment) lendable(ask *messenger.TransferAsk) int64 {
 	headroom := max(0, b.headroom()-b.need)
 	needed := min(max(0, min(ask.Needed, ask.Tokens)), headroom)
 	ahead := min(max(0, ask.Tokens-needed), (headroom-needed)/2)
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -33,6 +33,8 @@
 	hosts map[string]bool
 	// zone are the hosts of the own availability zone that may hold budgets.
 	zone []string
+	// holders is how many hosts hold the budgets of a shard in all zones.
+	holders int
 	// zoneHash changes with zone.
 	zoneHash uint64
 }
@@ -46,7 +48,9 @@
 		hosts:  map[string]bool{r.cfg.Host: true},
 		zone:   []string{r.cfg.Host},
 	}
+	zones := map[string]bool{r.cfg.AvailabilityZone: true}
 	for _, p := range r.cfg.Peers() {
+		zones[p.AvailabilityZone] = true
 		if p.Suspect || p.Incarnation == "" || p.Incarnation == r.cfg.Incarnation {
 			continue
 		}
@@ -57,6 +61,7 @@
 			v.zone = append(v.zone, p.Host)
 		}
 	}
+	v.holders = allotter.HoldersPerZone * len(zones)
 	for _, host := range v.zone {
 		v.zoneHash += xxhash.Sum64String(host)
 	}
@@ -103,6 +108,9 @@
 		ChangePause: r.cfg.ChangePause,
 		ExtendShare: r.cfg.ExtendShare,
 		Floor:       r.cfg.Floor,
+
+		PlatformReserve: r.cfg.PlatformReserve,
+		Holders:         v.holders,
 	}
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -73,6 +73,9 @@
 	// Floor returns the headroom that a holder keeps of a budget whatever its
 	// demand; nil means that of the policy.
 	Floor func(budget string) int64
+	// PlatformReserve is the demand that is to stay unassigned while a budget
+	// lasts, in milliseconds; 0 means none.
+	PlatformReserve clocker.Millis
 	// ConflictPause is the least wait after a write that met another host's, in
 	// milliseconds; writers that met once are spread over twice that. 0 means none.
 	ConflictPause clocker.Millis
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -46,8 +46,13 @@
 	outageReserve = 9 * clocker.Second
 	// heldShare bounds what all holders keep of what is left of a budget.
 	heldShare = 0.6
-	// floorPart of each budget is kept by each holder before demand is known.
-	floorPart = 0.01
+	// platformReserve is the demand that stays unassigned, in milliseconds: the
+	// fleet lives on it when all hosts have died at once.
+	platformReserve = 16 * clocker.Second
+	// floorPart of each budget is kept by each holder whatever its demand: with
+	// eight holders less than the three hundredths of a budget that callers are
+	// not owed.
+	floorPart = 0.003
 	// demandSpan is the time constant that follows demand, in milliseconds.
 	demandSpan = 4 * clocker.Second
 	// extendShare of the reserve is left when it is filled up.
@@ -156,6 +161,7 @@
 		ChangePause:      changePause,
 		ConflictPause:    conflictPause,
 		ExtendShare:      extendShare,
+		PlatformReserve:  platformReserve,
 		DemandSpan:       demandSpan,
 		Floor:            func(budget string) int64 { return int64(floorPart * float64(r.grantedTokens(budget))) },
 		Declared:         r.declaredBudgets,
