--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -30,11 +30,21 @@
 	// shared; 0 means no such reserve.
 	PlatformReserve clocker.Millis
 	Holders         int
+	// LeastFloor is the share of the floor that a holder keeps when PlatformReserve
+	// leaves it less; 0 means all of it.
+	LeastFloor float64
 	// Floor returns the headroom that a holder keeps of a budget whatever its
 	// demand; nil means that of the policy.
 	Floor func(budget string) int64
 }
 
+func (c Circumstances) leastFloor() float64 {
+	if c.LeastFloor > 0 {
+		return c.LeastFloor
+	}
+	return 1
+}
+
 func (c Circumstances) extendShare() float64 {
 	if c.ExtendShare > 0 {
 		return c.ExtendShare
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -34,8 +34,9 @@
 	reserve := float64(c.Policy.OfflineReserveMs) * (1 - lossShare(c, object))
 	ahead := clocker.Millis(c.Policy.HeadroomMs + int64(reserve))
 	bound := maxShare(c) * float64(rest+max(0, b.headroom()))
-	wanted := min(b.ahead(ahead, c.Now), b.spare(c, rest))
-	return min(max(wanted, b.floor(c)), int64(bound))
+	floor := b.floor(c)
+	wanted := min(max(b.ahead(ahead, c.Now), floor), b.spare(c, rest))
+	return min(max(wanted, int64(c.leastFloor()*float64(floor))), int64(bound))
 }
 
 // spare is what a holder may take of its even part of the rest so that demand of
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -111,6 +111,7 @@
 
 		PlatformReserve: r.cfg.PlatformReserve,
 		Holders:         v.holders,
+		LeastFloor:      r.cfg.LeastFloor,
 	}
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -76,6 +76,9 @@
 	// PlatformReserve is the demand that is to stay unassigned while a budget
 	// lasts, in milliseconds; 0 means none.
 	PlatformReserve clocker.Millis
+	// LeastFloor is the share of a floor that is kept when PlatformReserve leaves
+	// less; 0 means all of it.
+	LeastFloor float64
 	// ConflictPause is the least wait after a write that met another host's, in
 	// milliseconds; writers that met once are spread over twice that. 0 means none.
 	ConflictPause clocker.Millis
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -43,16 +43,17 @@
 	// outageReserve is the demand that all holders together keep at hand, in
 	// milliseconds: it lasts an outage of the store, and is lost if all hosts die
 	// at once.
-	outageReserve = 9 * clocker.Second
+	outageReserve = 14 * clocker.Second
 	// heldShare bounds what all holders keep of what is left of a budget.
 	heldShare = 0.6
 	// platformReserve is the demand that stays unassigned, in milliseconds: the
 	// fleet lives on it when all hosts have died at once.
 	platformReserve = 16 * clocker.Second
-	// floorPart of each budget is kept by each holder whatever its demand: with
-	// eight holders less than the three hundredths of a budget that callers are
-	// not owed.
-	floorPart = 0.003
+	// floorPart of each budget is kept by each holder whatever its demand.
+	floorPart = 0.02
+	// leastFloor of that is kept when little is left: with eight holders less than
+	// the three hundredths of a budget that callers are not owed.
+	leastFloor = 0.15
 	// demandSpan is the time constant that follows demand, in milliseconds.
 	demandSpan = 4 * clocker.Second
 	// extendShare of the reserve is left when it is filled up.
@@ -162,6 +163,7 @@
 		ConflictPause:    conflictPause,
 		ExtendShare:      extendShare,
 		PlatformReserve:  platformReserve,
+		LeastFloor:       leastFloor,
 		DemandSpan:       demandSpan,
 		Floor:            func(budget string) int64 { return int64(floorPart * float64(r.grantedTokens(budget))) },
 		Declared:         r.declaredBudgets,
