Ask a store that was lost without waiting; reload on SIGHUP; tests

TestLostStoreIsAskedWithoutWaiting failed before. Tests of chooser, matcher, relayer, retrier, watcher, runner.

--- a/cmd/route.go
+++ b/cmd/route.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -62,21 +64,36 @@
 	out := logger.NewWriter(os.Stdout)
 	clock := clocker.NewWall()
 	defer out.Close(clock)
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil && settings.LogLevel != "" {
-		fmt.Fprintln(os.Stderr, "settings: LogLevel:", err)
-		return exitFindings
-	}
-	log := logger.New(out, level)
+	log := logger.New(out, runner.Level(settings))
 	slog.SetDefault(log)
 	r, err := runner.New(context.Background(), runner.Config{Settings: settings, Clock: clock, Log: log})
 	if err != nil {
 		log.Error("cannot start", "cause", err.Error())
 		return subcommands.ExitFailure
 	}
-	<-ctx.Done()
+	c.reloadOnHangup(ctx, r, log)
 	if r.Stop(context.Background()) > 0 {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+// reloadOnHangup takes over the settings file at each SIGHUP until ctx ends.
+func (c *routeCommand) reloadOnHangup(ctx context.Context, r *runner.Runner, log *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		settings, err := runner.ReadSettings(c.settings)
+		if err != nil {
+			log.Error("settings can't be read, those in force stay", "cause", err.Error())
+			continue
+		}
+		r.Reload(settings)
+	}
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -86,6 +86,6 @@
 }
 
 // New returns a logger of JSON lines at the given level.
-func New(w io.Writer, level slog.Level) *slog.Logger {
+func New(w io.Writer, level slog.Leveler) *slog.Logger {
 	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
 }
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -125,22 +125,9 @@
 
 // passEvents writes whole events to the caller, those left out that it has.
 func (x *exchange) passEvents(answer *carrier.Answer, whole []byte, control *http.ResponseController) error {
-	var out []byte
-	for _, e := range split(whole) {
-		if e.id > 0 && x.lastEvent > 0 && e.id <= x.lastEvent && x.sends > 1 {
-			continue
-		}
-		if e.id > 0 && x.events > 0 && e.id != x.lastEvent+1 {
-			return errEventOrder
-		}
-		if e.id > 0 {
-			x.lastEvent = e.id
-		}
-		x.events++
-		out = append(out, e.bytes...)
-	}
+	out, failed := x.inOrder(split(whole))
 	if len(out) == 0 {
-		return nil
+		return failed
 	}
 	if !x.headSent {
 		x.passHead(answer)
@@ -153,5 +140,25 @@
 	if err := control.Flush(); err != nil {
 		return errCallerLeft
 	}
-	return nil
+	return failed
+}
+
+// inOrder returns the bytes of the events that come next, without those that the
+// caller has, and errEventOrder if one is missing.
+func (x *exchange) inOrder(events []event) ([]byte, error) {
+	var out []byte
+	for _, e := range events {
+		if e.id > 0 && e.id <= x.lastEvent && x.sends > 1 {
+			continue
+		}
+		if e.id > 0 && x.events > 0 && e.id != x.lastEvent+1 {
+			return out, errEventOrder
+		}
+		if e.id > 0 {
+			x.lastEvent = e.id
+		}
+		x.events++
+		out = append(out, e.bytes...)
+	}
+	return out, nil
 }
--- /dev/null
+++ b/relayer/events_test.go
@@ -0,0 +1,56 @@
+package relayer
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCutterEndsBehindWholeEvents(t *testing.T) {
+	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n"
+	for size := 1; size <= len(stream); size++ {
+		var cutter eventCutter
+		var got []event
+		for at := 0; at < len(stream); at += size {
+			got = append(got, split(cutter.add([]byte(stream[at:min(at+size, len(stream))])))...)
+		}
+		assert.Assert(t, !cutter.open(), "reads of %d bytes", size)
+		text := ""
+		var ids []int64
+		for _, e := range got {
+			text += string(e.bytes)
+			ids = append(ids, e.id)
+		}
+		assert.Equal(t, text, stream)
+		assert.DeepEqual(t, ids, []int64{1, 2, 0, 3})
+	}
+}
+
+func TestCutterKnowsOfAnOpenEvent(t *testing.T) {
+	var cutter eventCutter
+	assert.Equal(t, string(cutter.add([]byte("id: 1\ndata: a\n\nid: 2\nda"))), "id: 1\ndata: a\n\n")
+	assert.Assert(t, cutter.open())
+}
+
+func FuzzSplit(f *testing.F) {
+	f.Add([]byte("id: 1\n\nid: x\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var cutter eventCutter
+		n := 0
+		for _, e := range split(cutter.add(b)) {
+			n += len(e.bytes)
+		}
+		assert.Equal(t, n+len(cutter.pending), len(b))
+	})
+}
+
+func Example_parseTokens() {
+	fmt.Println(parseTokens("1460,80"))
+	fmt.Println(parseTokens("1460"))
+	fmt.Println(*parseLoad("3,0,8"), parseLoad("x") == nil)
+	// Output:
+	// 1460 80 true
+	// 0 0 false
+	// {3 0 8} true
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,208 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/matcher"
+	"cowsliphinge/reserver"
+)
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	b := newBackend(t, answer(201, "made", "X-Other: o", "Keep-Alive: timeout=5"))
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, b)
+	got := w.call(t, "POST", "/r/x%2Fy?q=1;2", strings.Repeat("b", 9000), "X-Mine", "m", "X-Account", "thief", "X-Hold", "h", "X-Expect", "other", "X-Time", "900")
+	assert.Equal(t, got.status, 201)
+	assert.Equal(t, got.body, "made")
+	assert.Equal(t, got.header.Get("X-Sign"), "s")
+	assert.Equal(t, got.header.Get("X-Other"), "o")
+	assert.Equal(t, got.header.Get("Keep-Alive"), "")
+	assert.Equal(t, got.header.Get("Content-Type"), "")
+	req := b.requests[0]
+	assert.Equal(t, req.RequestURI, "/r/x%2Fy?q=1;2")
+	assert.Equal(t, req.Host, "shop.example")
+	assert.Equal(t, b.bodies[0], strings.Repeat("b", 9000))
+	assert.Equal(t, req.Header.Get("X-Mine"), "m")
+	assert.Equal(t, req.Header.Get("X-Account"), "masons")
+	assert.Equal(t, req.Header.Get("Authorization"), "")
+	assert.Equal(t, req.Header.Get("X-Hold"), "")
+	assert.Equal(t, req.Header.Get("X-Expect"), "s0")
+	assert.Assert(t, len(req.Header.Get("X-Time")) == 3 && req.Header.Get("X-Time") <= "900", req.Header.Get("X-Time"))
+}
+
+func TestRefusalsBeforeSending(t *testing.T) {
+	b := newBackend(t, answer(200, "x"))
+	w := newWorld(t, matcher.Route{}, b)
+	assert.Equal(t, w.call(t, "GET", "/none/", "").status, 404)
+	assert.Equal(t, w.call(t, "GET", "/r/", "", "Authorization", "Bearer wrong").status, 401)
+	assert.Equal(t, w.call(t, "POST", "/r/", strings.Repeat("x", 1<<16+1)).status, 413)
+	w.table = nil
+	got := w.call(t, "GET", "/r/", "")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, b.runs(), 0)
+}
+
+func TestPublicRouteNeedsNoKeyAndNamesNoAccount(t *testing.T) {
+	b := newBackend(t, answer(200, "x"))
+	w := newWorld(t, matcher.Route{}, b)
+	assert.Equal(t, w.call(t, "GET", "/open/", "", "Authorization", "Bearer wrong", "X-Account", "thief").status, 200)
+	assert.Equal(t, b.requests[0].Header.Get("X-Account"), "")
+	assert.Equal(t, b.requests[0].Header.Get("Authorization"), "")
+}
+
+// Each failure behind which a server may have run the request.
+var unknownOutcomes = map[string]script{
+	"closed without an answer":  cut(nil),
+	"body cut off":              cut(raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nContent-Length: 10\r\n\r\nabc")),
+	"no protocol":               cut(raw("garbage %s\r\n\r\n")),
+	"no signature":              raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 1\r\n\r\na"),
+	"encoded body":              raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nContent-Encoding: br\r\nContent-Length: 1\r\n\r\na"),
+	"answer to another request": cut(raw("HTTP/1.1 200 OK\r\nX-Id: not-%s\r\nX-Sign: s\r\nContent-Length: 1\r\n\r\na")),
+}
+
+func TestUnsafeRequestWithUnknownOutcomeIsNotRepeated(t *testing.T) {
+	for name, failure := range unknownOutcomes {
+		t.Run(name, func(t *testing.T) {
+			one, two := newBackend(t, failure), newBackend(t, failure)
+			w := newWorld(t, matcher.Route{Kind: matcher.Unsafe, MaxAttempts: 3}, one, two)
+			assert.Equal(t, w.call(t, "POST", "/r/", "order").status, 502)
+			assert.Equal(t, one.runs()+two.runs(), 1)
+		})
+	}
+}
+
+func TestSafeRequestIsRepeatedElsewhere(t *testing.T) {
+	for name, failure := range unknownOutcomes {
+		t.Run(name, func(t *testing.T) {
+			one, two := newBackend(t, failure), newBackend(t, answer(200, "whole"))
+			w := newWorld(t, matcher.Route{Kind: matcher.Safe, MaxAttempts: 2}, one, two)
+			got := w.call(t, "GET", "/r/", "")
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.body, "whole")
+		})
+	}
+}
+
+func TestSafeRequestStopsAtItsAttemptsAndAtTheRetryBudget(t *testing.T) {
+	one, two, three := newBackend(t, cut(nil)), newBackend(t, cut(nil)), newBackend(t, cut(nil))
+	w := newWorld(t, matcher.Route{Kind: matcher.Safe, MaxAttempts: 2}, one, two, three)
+	assert.Equal(t, w.call(t, "GET", "/r/", "").status, 502)
+	assert.Equal(t, one.runs()+two.runs()+three.runs(), 2)
+	w.relayer.cfg.Retries = retries{refuse: true}
+	assert.Equal(t, w.call(t, "GET", "/r/", "").status, 502)
+	assert.Equal(t, one.runs()+two.runs()+three.runs(), 3)
+}
+
+func TestServersOwnFailureIsPassedOnAfterARepeat(t *testing.T) {
+	one, two := newBackend(t, answer(500, "bad")), newBackend(t, answer(500, "bad"))
+	w := newWorld(t, matcher.Route{Kind: matcher.Safe, MaxAttempts: 2}, one, two)
+	got := w.call(t, "GET", "/r/", "")
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, got.header.Get("X-Sign"), "s")
+	assert.Equal(t, one.runs()+two.runs(), 2)
+}
+
+func TestRefusedByTheServerIsNotRun(t *testing.T) {
+	one, two := newBackend(t, answer(503, "full", "X-Not-Run: 1")), newBackend(t, answer(421, ""))
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe, MaxAttempts: 2}, one, two)
+	got := w.call(t, "POST", "/r/", "order")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, got.header.Get("X-Sign"), "")
+}
+
+func TestUnreachableServerIsLeftForAnother(t *testing.T) {
+	gone, live := newBackend(t, silent), newBackend(t, answer(200, "x"))
+	assert.NilError(t, gone.listener.Close())
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, gone, live)
+	for range 4 {
+		assert.Equal(t, w.call(t, "POST", "/r/", "order").status, 200)
+	}
+	assert.Equal(t, live.runs(), 4)
+}
+
+func TestLateAnswerToAnEarlierRequestIsSkipped(t *testing.T) {
+	b := newBackend(t,
+		answer(200, "first"),
+		func(w io.Writer, req *http.Request) {
+			raw("HTTP/1.1 200 OK\r\nX-Id: earlier-%s\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\nlate")(w, req)
+			answer(200, "second")(w, req)
+		})
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, b)
+	assert.Equal(t, w.call(t, "POST", "/r/", "1").body, "first")
+	assert.Equal(t, w.call(t, "POST", "/r/", "2").body, "second")
+}
+
+func TestBytesBehindAnAnswerPoisonTheConnection(t *testing.T) {
+	b := newBackend(t, func(w io.Writer, req *http.Request) {
+		answer(200, "x")(w, req)
+		raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nContent-Length: 5\r\n\r\nextra")(w, req)
+	})
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, b)
+	for range 5 {
+		got := w.call(t, "POST", "/r/", "order")
+		assert.Equal(t, got.status, 200)
+		assert.Equal(t, got.body, "x")
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	b := newBackend(t, cut(raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\n\r\nall")))
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, b)
+	got := w.call(t, "POST", "/r/", "order")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, "all")
+}
+
+func TestRouteTimeoutEndsTheRequest(t *testing.T) {
+	b := newBackend(t, silent)
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe, Timeout: 50}, b)
+	assert.Equal(t, w.call(t, "POST", "/r/", "order", "X-Time", "60000").status, 504)
+	<-b.closed
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	b := newBackend(t, silent)
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe, Timeout: clocker.Minute}, b)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for b.runs() == 0 { // until the server has the request
+			clocker.NewWall().Sleep(ctx, 1)
+		}
+		cancel()
+	}()
+	assert.Assert(t, w.callWith(t, ctx, "POST", "/r/", "order", "X-Time", "60000").broken)
+	<-b.closed
+	for w.relayer.InFlight() > 0 {
+		clocker.NewWall().Sleep(context.Background(), 1)
+	}
+	assert.DeepEqual(t, w.shell.outcomes, []chooser.Outcome{chooser.Answered})
+}
+
+func TestBudgetRefusals(t *testing.T) {
+	b := newBackend(t, answer(200, "x"))
+	w := newWorld(t, matcher.Route{}, b)
+	w.budgets.err = reserver.ErrBudgetExhausted{}
+	assert.Equal(t, w.call(t, "POST", "/r/", "p", "X-Tokens", "10,5").status, 402)
+	w.budgets.err = reserver.ErrBudgetUnreachable{}
+	got := w.call(t, "POST", "/r/", "p", "X-Tokens", "10,5")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, b.runs(), 0)
+}
+
+func TestNotRunCostsNothing(t *testing.T) {
+	b := newBackend(t, answer(503, "", "X-Not-Run: 1"))
+	w := newWorld(t, matcher.Route{}, b)
+	assert.Equal(t, w.call(t, "POST", "/r/", "p", "X-Tokens", "10,5").status, 503)
+	assert.Equal(t, <-w.budgets.settled, int64(0))
+	assert.Equal(t, w.budgets.reserved, int64(15))
+}
--- /dev/null
+++ b/relayer/stream_test.go
@@ -0,0 +1,110 @@
+package relayer
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/matcher"
+)
+
+// text is what a stream of numbered events reads like.
+func text(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: d\n\n", i)
+	}
+	return b.String()
+}
+
+var resumable = matcher.Route{Kind: matcher.Stream, Resumable: true, MaxAttempts: 2, TargetLatency: 100, TargetGap: 100}
+
+func TestStreamIsChargedByEvents(t *testing.T) {
+	b := newBackend(t, events(1, 4, true))
+	w := newWorld(t, matcher.Route{Kind: matcher.Stream}, b)
+	got := w.call(t, "POST", "/r/", "p", "X-Tokens", "100,80")
+	assert.Equal(t, got.body, text(1, 4))
+	assert.Equal(t, got.header.Get("X-Sign"), "s")
+	assert.Equal(t, <-w.budgets.settled, int64(100+4*6))
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	midEvent := func(first, last int) script {
+		return cut(func(w io.Writer, req *http.Request) {
+			events(first, last, false)(w, req)
+			_, _ = fmt.Fprintf(w, "6\r\nid: %d\n\r\n", last+1)
+		})
+	}
+	for name, failure := range map[string]script{
+		"cut between events": cut(events(1, 3, false)),
+		"cut in an event":    midEvent(1, 3),
+		"cut before events":  cut(events(1, 0, false)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			goOn := func(w io.Writer, req *http.Request) {
+				first := 1
+				_, _ = fmt.Sscan(req.Header.Get("Last-Event-Id"), &first)
+				if req.Header.Get("Last-Event-Id") != "" {
+					first++
+				}
+				events(first, 6, true)(w, req)
+			}
+			one, two := newBackend(t, failure, goOn), newBackend(t, goOn, failure)
+			two.scripts = []script{goOn}
+			w := newWorld(t, resumable, one, two)
+			got := w.call(t, "POST", "/r/", "p", "X-Tokens", "100,80")
+			assert.Assert(t, !got.broken)
+			assert.Equal(t, got.body, text(1, 6))
+			assert.Equal(t, <-w.budgets.settled, int64(100+6*6))
+		})
+	}
+}
+
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	one := newBackend(t, events(1, 2, false))
+	two := newBackend(t, func(w io.Writer, req *http.Request) {
+		if req.Header.Get("Last-Event-Id") == "2" {
+			events(3, 4, true)(w, req)
+			return
+		}
+		events(1, 2, false)(w, req)
+	})
+	one.scripts = two.scripts
+	w := newWorld(t, resumable, one, two)
+	got := w.call(t, "POST", "/r/", "p")
+	assert.Equal(t, got.body, text(1, 4))
+	<-one.closed // the silent run was ended
+}
+
+func TestStreamThatMayNotRunTwiceBreaksOffVisibly(t *testing.T) {
+	one, two := newBackend(t, cut(events(1, 3, false))), newBackend(t, cut(events(1, 3, false)))
+	w := newWorld(t, matcher.Route{Kind: matcher.Stream, MaxAttempts: 2}, one, two)
+	got := w.call(t, "POST", "/r/", "p", "X-Tokens", "100,80")
+	assert.Assert(t, got.broken)
+	assert.Equal(t, got.body, text(1, 3))
+	assert.Equal(t, one.runs()+two.runs(), 1)
+	assert.Equal(t, <-w.budgets.settled, int64(100+3*6))
+}
+
+func TestMissingEventBreaksTheStream(t *testing.T) {
+	b := newBackend(t, func(w io.Writer, req *http.Request) {
+		events(1, 1, false)(w, req)
+		_, _ = fmt.Fprintf(w, "f\r\nid: 3\ndata: d\n\n\r\n0\r\n\r\n")
+	})
+	w := newWorld(t, matcher.Route{Kind: matcher.Stream}, b)
+	got := w.call(t, "POST", "/r/", "p")
+	assert.Assert(t, got.broken)
+	assert.Equal(t, got.body, text(1, 1))
+}
+
+func TestStreamEndsAtTheRoutesTimeout(t *testing.T) {
+	b := newBackend(t, events(1, 2, false))
+	w := newWorld(t, matcher.Route{Kind: matcher.Stream, Timeout: 100}, b)
+	got := w.call(t, "POST", "/r/", "p", "X-Time", "60000")
+	assert.Assert(t, got.broken)
+	<-b.closed
+}
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -18,9 +18,9 @@
 	// Span of the window, in milliseconds.
 	Span clocker.Millis
 	// Ratio is how many repeats are allowed for each first attempt.
-	Ratio float64
+	Ratio func() float64
 	// Extra is how many repeats the whole fleet may make besides in one span.
-	Extra float64
+	Extra func() float64
 	// Hosts returns among how many hosts Extra is shared, at least 1.
 	Hosts func() int
 }
@@ -61,7 +61,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.counts(service)
-	allowed := w.cfg.Ratio*float64(sum(c.first)) + w.cfg.Extra/float64(max(1, w.cfg.Hosts()))
+	allowed := w.cfg.Ratio()*float64(sum(c.first)) + w.cfg.Extra()/float64(max(1, w.cfg.Hosts()))
 	outcome := "allowed"
 	if float64(sum(c.repeats)+1) > allowed {
 		outcome = "refused"
--- /dev/null
+++ b/retrier/window_test.go
@@ -0,0 +1,48 @@
+package retrier
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+)
+
+func window(clock *clocker.Clock, hosts int) *Window {
+	return NewWindow(WindowConfig{
+		Clock: clock,
+		Span:  10 * clocker.Second,
+		Ratio: func() float64 { return 0.2 },
+		Extra: func() float64 { return 20 },
+		Hosts: func() int { return hosts },
+	})
+}
+
+// Pattern: a service fails all that it gets; repeats stay within the ratio and
+// the host's share of the extra ones, in any window.
+func TestWindowBoundsRepeats(t *testing.T) {
+	clock := clocker.NewManual(1_000_000)
+	w := window(clock, 4)
+	allowed := 0
+	for range 100 { // 10 s at 10 requests/s
+		w.Attempted("s")
+		if w.Allow("s", "test") {
+			allowed++
+		}
+		clock.Advance(100)
+	}
+	assert.Assert(t, allowed <= 25, "%d repeats of 100 requests", allowed)
+	assert.Assert(t, allowed >= 22, "%d repeats of 100 requests", allowed)
+}
+
+func TestWindowForgets(t *testing.T) {
+	clock := clocker.NewManual(1_000_000)
+	w := window(clock, 20)
+	assert.Assert(t, w.Allow("s", "test"))
+	assert.Assert(t, !w.Allow("s", "test"))
+	assert.Assert(t, w.Allow("other", "test"))
+	clock.Advance(9 * clocker.Second)
+	assert.Assert(t, !w.Allow("s", "test"))
+	clock.Advance(2 * clocker.Second)
+	assert.Assert(t, w.Allow("s", "test"))
+}
--- /dev/null
+++ b/runner/backends_test.go
@@ -0,0 +1,59 @@
+package runner
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/storer"
+)
+
+func newBackends(clock *clocker.Clock) *backends {
+	return &backends{
+		clock: clock,
+		log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+		kind:  "servers",
+		decode: func(o storer.Object) (chooser.Server, error) {
+			if string(o.Value) == "bad" {
+				return chooser.Server{}, errors.New("bad")
+			}
+			return chooser.Server{ID: o.Key[len("servers/"):], Service: "s", Slots: 1, Draining: string(o.Value) == "draining"}, nil
+		},
+		chooser: chooser.New(chooser.Config{}),
+	}
+}
+
+func entry(id, value string) storer.Object {
+	return storer.Object{Key: "servers/" + id, Value: []byte(value)}
+}
+
+func TestEntriesOfBackendServers(t *testing.T) {
+	clock := clocker.NewManual(1000)
+	b := newBackends(clock)
+	assert.Assert(t, !b.ready())
+	b.Replace([]storer.Object{entry("one", ""), entry("two", ""), entry("odd", "bad")}, 0)
+	assert.Assert(t, b.ready() && b.known("one") && b.known("two") && !b.known("odd"))
+	b.Apply([]storer.Change{{Object: entry("one", "draining")}, {Object: entry("two", ""), Deleted: true}}, 0)
+	_, ok := b.Choose(chooser.Request{Service: "s"})
+	assert.Assert(t, !ok)
+	assert.Assert(t, !b.known("two"))
+}
+
+// A server that left while the store was away is forgotten after the grace, one
+// that comes back is not.
+func TestEntriesMissingAfterAnOutage(t *testing.T) {
+	clock := clocker.NewManual(1000)
+	b := newBackends(clock)
+	b.Replace([]storer.Object{entry("one", ""), entry("two", "")}, 0)
+	b.Replace(nil, 2000)
+	clock.Advance(1000)
+	b.Apply([]storer.Change{{Object: entry("one", "")}}, 1000)
+	clock.Advance(1000)
+	b.expire()
+	assert.Assert(t, b.known("one") && !b.known("two"))
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -64,6 +64,7 @@
 	group       errgroup.Group
 	draining    atomic.Bool
 	table       atomic.Pointer[matcher.Table]
+	settings    atomic.Pointer[Settings]
 
 	store       *platform.Client
 	exchange    *exchanger.Client
@@ -96,6 +97,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	r := &Runner{cfg: cfg, cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	r.settings.Store(&cfg.Settings)
 	r.store = platform.NewClient(platform.Config{Address: cfg.Settings.StoreAddress, Timeout: storeTimeout})
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
 	r.startWatchers(ctx)
@@ -153,8 +155,8 @@
 		Retries: retrier.NewWindow(retrier.WindowConfig{
 			Clock: r.cfg.Clock,
 			Span:  s.RetryWindowMs,
-			Ratio: s.RetryRatio,
-			Extra: s.RetryExtra,
+			Ratio: func() float64 { return r.settings.Load().RetryRatio },
+			Extra: func() float64 { return r.settings.Load().RetryExtra },
 			Hosts: func() int { return len(r.heartbeater.Peers()) + 1 },
 		}),
 		Carrier:  r.carrier,
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"strings"
 
 	"cowsliphinge/clocker"
@@ -79,10 +81,41 @@
 			findings = append(findings, fmt.Sprintf("%s is %q, not an IP address and port", key, value))
 		}
 	}
+	if s.LogLevel != "" {
+		var level slog.Level
+		if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+			findings = append(findings, fmt.Sprintf("LogLevel is %q: %v", s.LogLevel, err))
+		}
+	}
 	for key, value := range map[string]clocker.Millis{"StopBoundMs": s.StopBoundMs, "ConfigurationMs": s.ConfigurationMs, "SteadyMs": s.SteadyMs, "RetryWindowMs": s.RetryWindowMs} {
 		if value <= 0 {
 			findings = append(findings, fmt.Sprintf("%s is %d, not a positive time", key, value))
 		}
 	}
+	slices.Sort(findings)
 	return findings
 }
+
+// level is the one of all loggers of the process; a reload changes it.
+var level slog.LevelVar
+
+// Level returns the level of log lines, set to that of the settings.
+func Level(s Settings) slog.Leveler {
+	level.Set(slog.LevelInfo)
+	if s.LogLevel != "" {
+		_ = level.UnmarshalText([]byte(s.LogLevel)) // checked when the file was read
+	}
+	return &level
+}
+
+// Reload takes over settings that may change while the process runs: the bounds
+// of repeats, of the stop, and the log level. Others need a restart, and a log
+// line says so.
+func (r *Runner) Reload(s Settings) {
+	old := r.settings.Swap(&s)
+	Level(s)
+	fixed := old.Host != s.Host || old.AvailabilityZone != s.AvailabilityZone || old.CallerAddress != s.CallerAddress ||
+		old.ReadyAddress != s.ReadyAddress || old.ExchangeAddress != s.ExchangeAddress || old.StoreAddress != s.StoreAddress ||
+		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb
+	r.cfg.Log.Info("settings reloaded", "changed", *old != s, "restart_needed", fixed)
+}
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -28,7 +28,7 @@
 	clock := r.cfg.Clock
 	r.draining.Store(true)
 	r.cfg.Log.Info("stopping", "in_flight", r.relayer.InFlight())
-	due := clock.Now() + r.cfg.Settings.StopBoundMs - stopMargin
+	due := clock.Now() + r.settings.Load().StopBoundMs - stopMargin
 	_ = clock.Sleep(ctx, balancerDelay)
 	r.callers.SetKeepAlivesEnabled(false)
 	for r.relayer.InFlight() > 0 && clock.Now() < due-returnTime {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -125,7 +125,11 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait)
+	wait := w.cfg.Wait
+	if w.lost {
+		wait = 0 // a call that does not wait tells soonest that the store is back
+	}
+	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, wait)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/watcher/watcher_test.go
@@ -0,0 +1,122 @@
+package watcher
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/storer"
+)
+
+// world is a source that follows a script and a sink that records.
+type world struct {
+	clock   *clocker.Clock
+	fail    error
+	lists   int
+	waits   []clocker.Millis
+	changes []storer.Change
+	graces  []clocker.Millis
+	applied []storer.Change
+}
+
+func (w *world) List(context.Context, string, bool) ([]storer.Object, int64, error) {
+	w.lists++
+	return []storer.Object{{Key: "k/a"}}, 10, w.fail
+}
+
+func (w *world) Watch(_ context.Context, _ string, _ int64, wait clocker.Millis) ([]storer.Change, int64, error) {
+	w.waits = append(w.waits, wait)
+	return w.changes, 11, w.fail
+}
+
+func (w *world) Replace(_ []storer.Object, grace clocker.Millis) {
+	w.graces = append(w.graces, grace)
+}
+
+func (w *world) Apply(changes []storer.Change, grace clocker.Millis) {
+	w.graces = append(w.graces, grace)
+	w.applied = append(w.applied, changes...)
+}
+
+func newWatcher() (*Watcher, *world) {
+	w := &world{clock: clocker.NewManual(1000)}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	return &Watcher{cfg: Config{Kind: "k", Source: w, Sink: w, Clock: w.clock, Log: log, Wait: 3000}, pause: firstPause}, w
+}
+
+// step makes one call; the pause behind a failed one is over at once.
+func step(w *Watcher) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if w.cfg.Source.(*world).fail == nil {
+		defer cancel()
+		w.step(ctx)
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.step(ctx)
+	}()
+	for w.cfg.Clock.Waiting() == 0 { // until it waits
+	}
+	w.cfg.Clock.Advance(maxPause)
+	<-done
+	cancel()
+}
+
+func TestListsThenWatches(t *testing.T) {
+	w, world := newWatcher()
+	step(w)
+	world.changes = []storer.Change{{Object: storer.Object{Key: "k/b"}}}
+	step(w)
+	assert.Equal(t, world.lists, 1)
+	assert.Equal(t, len(world.applied), 1)
+	assert.Equal(t, w.revision, int64(11))
+	assert.DeepEqual(t, world.graces, []clocker.Millis{0, 0})
+}
+
+func TestLostHistoryIsListedAgain(t *testing.T) {
+	w, world := newWatcher()
+	step(w)
+	world.fail = storer.ErrHistoryGone{}
+	w.step(context.Background())
+	world.fail = nil
+	step(w)
+	assert.Equal(t, world.lists, 2)
+}
+
+// Pattern: the store turns one host away for seconds. A host that waits at a dead
+// connection again and again learns late that the store is back.
+func TestLostStoreIsAskedWithoutWaiting(t *testing.T) {
+	w, world := newWatcher()
+	step(w)
+	world.fail = storer.ErrOutcomeUnknown{}
+	step(w)
+	step(w)
+	world.fail = nil
+	step(w)
+	step(w)
+	assert.DeepEqual(t, world.waits, []clocker.Millis{3000, 0, 0, 3000})
+}
+
+// Entries may lapse while the store is away, and only the first answer after it
+// tells of them; a server that leaves later is out of use within two seconds.
+func TestGraceAfterAnOutage(t *testing.T) {
+	w, world := newWatcher()
+	step(w)
+	world.fail = storer.ErrOutcomeUnknown{}
+	for range 4 {
+		step(w)
+	}
+	world.fail = nil
+	world.changes = []storer.Change{{Deleted: true}}
+	step(w)
+	step(w)
+	world.clock.Advance(settleFor)
+	step(w)
+	assert.DeepEqual(t, world.graces, []clocker.Millis{0, settleFor, liveGrace, 0})
+}
