--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -25,11 +25,16 @@
 	// ExtendShare is the share of the wanted headroom below which it is extended
 	// ahead of demand; 0 means defaultExtendShare.
 	ExtendShare float64
+	// BatchShare is ExtendShare for budgets that a write carries along; 0 means the
+	// same.
+	BatchShare float64
 	// PlatformReserve is the demand that is to stay unassigned while the budget
 	// lasts, in milliseconds, and Holders is among how many holders the rest is
 	// shared; 0 means no such reserve.
 	PlatformReserve clocker.Millis
 	Holders         int
+	// LeastShare of its even part is kept by a holder however little is left.
+	LeastShare float64
 	// LeastFloor is the share of the floor that a holder keeps when PlatformReserve
 	// leaves it less; 0 means all of it.
 	LeastFloor float64
@@ -167,18 +172,32 @@
 // The caller tells the outcome by Confirm, Conflict or Unknown, and reads the
 // object again before the next Plan.
 func (a *Allotter) Plan(c Circumstances) (Write, bool) {
+	if !a.anyDue(c) {
+		return Write{}, false
+	}
+	// One write carries all budgets: those that would be due soon come along.
+	if c.BatchShare > 0 {
+		c.ExtendShare = c.BatchShare
+	}
 	var entries []entry
 	for _, b := range a.all {
 		if e, ok := a.planEntry(a.content(b), b, c); ok {
 			entries = append(entries, e)
 		}
 	}
-	if len(entries) == 0 {
-		return Write{}, false
-	}
 	return a.write(entries, c), true
 }
 
+// anyDue reports whether a write is called for by any budget.
+func (a *Allotter) anyDue(c Circumstances) bool {
+	for _, b := range a.all {
+		if _, ok := a.planEntry(a.content(b), b, c); ok {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Allotter) planEntry(object *messenger.Budget, b *allotment, c Circumstances) (entry, bool) {
 	if object == nil || b.closed {
 		return entry{}, false
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -46,7 +46,8 @@
 		return math.MaxInt64
 	}
 	part := rest/int64(c.Holders) + max(0, b.headroom())
-	return part - int64(b.demand.rate(c.Now)*float64(c.PlatformReserve))
+	beyond := part - int64(b.demand.rate(c.Now)*float64(c.PlatformReserve))
+	return max(beyond, int64(c.LeastShare*float64(part)))
 }
 
 // floor is the headroom that a holder keeps whatever the demand, so that a
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -107,11 +107,13 @@
 
 		ChangePause: r.cfg.ChangePause,
 		ExtendShare: r.cfg.ExtendShare,
+		BatchShare:  r.cfg.BatchShare,
 		Floor:       r.cfg.Floor,
 
 		PlatformReserve: r.cfg.PlatformReserve,
 		Holders:         v.holders,
 		LeastFloor:      r.cfg.LeastFloor,
+		LeastShare:      r.cfg.LeastShare,
 	}
 }
 
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 
@@ -82,10 +83,13 @@
 	}
 	defer s.release()
 	for range writeAttempts {
-		if err := r.read(ctx, s); err != nil {
-			return balanced{contended: storer.IsErrRateLimited(err)}
+		w, due := s.planKnown(r.circumstances(s, v))
+		if !due {
+			if err := r.read(ctx, s); err != nil {
+				return balanced{contended: storer.IsErrRateLimited(err)}
+			}
+			w, due = s.plan(r.circumstances(s, v))
 		}
-		w, due := s.plan(r.circumstances(s, v))
 		if !due {
 			return balanced{answered: true}
 		}
@@ -121,6 +125,7 @@
 	defer s.mu.Unlock()
 	now := r.cfg.Clock.Now()
 	s.allotter.Merge(o.Version, object, now)
+	s.known = true
 	s.wake(now)
 	return nil
 }
@@ -137,8 +142,10 @@
 	} else {
 		o, err = r.cfg.Store.Update(ctx, s.key, w.Version, value)
 	}
+	r.platform.note(err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.known = err == nil
 	switch {
 	case err == nil:
 		writes.Inc()
@@ -151,10 +158,37 @@
 	default:
 		writeConflicts.Inc()
 		s.allotter.Conflict(w)
+		s.known = r.merge(s, err)
 	}
 	return err
 }
 
+// merge takes in the object that a conflict told of. It reports whether it did.
+// The caller holds the shard's lock.
+func (r *Reserver) merge(s *shard, err error) bool {
+	var conflict storer.ErrConflict
+	if !errors.As(err, &conflict) || conflict.Value == nil {
+		return false
+	}
+	object := &messenger.BudgetShard{}
+	if proto.Unmarshal(conflict.Value, object) != nil {
+		return false
+	}
+	s.allotter.Merge(conflict.Version, object, r.cfg.Clock.Now())
+	return true
+}
+
+// planKnown plans on the content that the last call told, without reading it
+// again: a write on content that has changed has no effect.
+func (s *shard) planKnown(c allotter.Circumstances) (allotter.Write, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.known {
+		return allotter.Write{}, false
+	}
+	return s.allotter.Plan(c)
+}
+
 func (s *shard) plan(c allotter.Circumstances) (allotter.Write, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -67,6 +67,8 @@
 	// ExtendShare is the share of the wanted headroom below which a budget is
 	// extended ahead of demand; 0 means the allotter's own.
 	ExtendShare float64
+	// BatchShare is the same for budgets of an object that is written anyway.
+	BatchShare float64
 	// DemandSpan is the time constant that follows a rising demand, in
 	// milliseconds; 0 means the allotter's own.
 	DemandSpan clocker.Millis
@@ -76,6 +78,9 @@
 	// PlatformReserve is the demand that is to stay unassigned while a budget
 	// lasts, in milliseconds; 0 means none.
 	PlatformReserve clocker.Millis
+	// LeastShare of its even part of the rest is kept by a holder however little is
+	// left; 0 means none.
+	LeastShare float64
 	// LeastFloor is the share of a floor that is kept when PlatformReserve leaves
 	// less; 0 means all of it.
 	LeastFloor float64
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -24,6 +24,9 @@
 	allotter *allotter.Allotter
 	waiters  []*waiter
 	verdicts map[string]verdict
+	// known is true while the allotter knows the object as the last call told it,
+	// with no write of unknown outcome since.
+	known bool
 	// queued is true while the shard waits for a refill.
 	queued bool
 	// again is when requests that keep waiting get the next refill.
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -45,19 +45,24 @@
 	// at once.
 	outageReserve = 14 * clocker.Second
 	// heldShare bounds what all holders keep of what is left of a budget.
-	heldShare = 0.6
+	heldShare = 0.8
 	// platformReserve is the demand that stays unassigned, in milliseconds: the
 	// fleet lives on it when all hosts have died at once.
 	platformReserve = 16 * clocker.Second
 	// floorPart of each budget is kept by each holder whatever its demand.
 	floorPart = 0.02
+	// leastShare of its even part of what is left is kept by each holder when
+	// platformReserve leaves less.
+	leastShare = 0.7
 	// leastFloor of that is kept when little is left: with eight holders less than
 	// the three hundredths of a budget that callers are not owed.
 	leastFloor = 0.15
 	// demandSpan is the time constant that follows demand, in milliseconds.
 	demandSpan = 4 * clocker.Second
 	// extendShare of the reserve is left when it is filled up.
-	extendShare = 0.8
+	extendShare = 0.85
+	// batchShare is the same for budgets that a write carries along.
+	batchShare = 0.95
 )
 
 // policy returns the policy of all budgets: each holder keeps the reserve of its
@@ -162,8 +167,10 @@
 		ChangePause:      changePause,
 		ConflictPause:    conflictPause,
 		ExtendShare:      extendShare,
+		BatchShare:       batchShare,
 		PlatformReserve:  platformReserve,
 		LeastFloor:       leastFloor,
+		LeastShare:       leastShare,
 		DemandSpan:       demandSpan,
 		Floor:            func(budget string) int64 { return int64(floorPart * float64(r.grantedTokens(budget))) },
 		Declared:         r.declaredBudgets,
--- a/storer/object.go
+++ b/storer/object.go
@@ -42,6 +42,8 @@
 type ErrConflict struct {
 	Key     string
 	Version int64
+	// Value is the object's present value if the platform told it, else nil.
+	Value []byte
 }
 
 // Error implements error.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -17,7 +17,7 @@
 	// firstPause is the wait after a failed call, in milliseconds; it doubles up to
 	// maxPause, so that a fleet does not call a troubled store without end.
 	firstPause = 50 * clocker.Millis(1)
-	maxPause   = 400 * clocker.Millis(1)
+	maxPause   = 700 * clocker.Millis(1)
 	// outageAfter is how long the store has to be silent for entries to have
 	// lapsed meanwhile, in milliseconds.
 	outageAfter = clocker.Second
