--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -28,26 +28,6 @@
 	// BatchShare is ExtendShare for budgets that a write carries along; 0 means the
 	// same.
 	BatchShare float64
-	// PlatformReserve is the demand that is to stay unassigned while the budget
-	// lasts, in milliseconds, and Holders is among how many holders the rest is
-	// shared; 0 means no such reserve.
-	PlatformReserve clocker.Millis
-	Holders         int
-	// LeastShare of its even part is kept by a holder however little is left.
-	LeastShare float64
-	// LeastFloor is the share of the floor that a holder keeps when PlatformReserve
-	// leaves it less; 0 means all of it.
-	LeastFloor float64
-	// Floor returns the headroom that a holder keeps of a budget whatever its
-	// demand; nil means that of the policy.
-	Floor func(budget string) int64
-}
-
-func (c Circumstances) leastFloor() float64 {
-	if c.LeastFloor > 0 {
-		return c.LeastFloor
-	}
-	return 1
 }
 
 func (c Circumstances) extendShare() float64 {
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -1,8 +1,6 @@
 package allotter
 
 import (
-	"math"
-
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
@@ -34,20 +32,7 @@
 	reserve := float64(c.Policy.OfflineReserveMs) * (1 - lossShare(c, object))
 	ahead := clocker.Millis(c.Policy.HeadroomMs + int64(reserve))
 	bound := maxShare(c) * float64(rest+max(0, b.headroom()))
-	floor := b.floor(c)
-	wanted := min(max(b.ahead(ahead, c.Now), floor), b.spare(c, rest))
-	return min(max(wanted, int64(c.leastFloor()*float64(floor))), int64(bound))
-}
-
-// spare is what a holder may take of its even part of the rest so that demand of
-// the platform's reserve stays there, out of reach of the death of all holders.
-func (b *allotment) spare(c Circumstances, rest int64) int64 {
-	if c.PlatformReserve == 0 || c.Holders == 0 {
-		return math.MaxInt64
-	}
-	part := rest/int64(c.Holders) + max(0, b.headroom())
-	beyond := part - int64(b.demand.rate(c.Now)*float64(c.PlatformReserve))
-	return max(beyond, int64(c.LeastShare*float64(part)))
+	return min(max(b.ahead(ahead, c.Now), b.floor(c)), int64(bound))
 }
 
 // floor is the headroom that a holder keeps whatever the demand, so that a
@@ -56,9 +41,6 @@
 	if !b.kept {
 		return 0
 	}
-	if c.Floor != nil {
-		return c.Floor(b.name)
-	}
 	return c.Policy.FloorTokens
 }
 
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -33,8 +33,6 @@
 	hosts map[string]bool
 	// zone are the hosts of the own availability zone that may hold budgets.
 	zone []string
-	// holders is how many hosts hold the budgets of a shard in all zones.
-	holders int
 	// zoneHash changes with zone.
 	zoneHash uint64
 }
@@ -48,9 +46,7 @@
 		hosts:  map[string]bool{r.cfg.Host: true},
 		zone:   []string{r.cfg.Host},
 	}
-	zones := map[string]bool{r.cfg.AvailabilityZone: true}
 	for _, p := range r.cfg.Peers() {
-		zones[p.AvailabilityZone] = true
 		if p.Suspect || p.Incarnation == "" || p.Incarnation == r.cfg.Incarnation {
 			continue
 		}
@@ -61,7 +57,6 @@
 			v.zone = append(v.zone, p.Host)
 		}
 	}
-	v.holders = allotter.HoldersPerZone * len(zones)
 	for _, host := range v.zone {
 		v.zoneHash += xxhash.Sum64String(host)
 	}
@@ -108,12 +103,6 @@
 		ChangePause: r.cfg.ChangePause,
 		ExtendShare: r.cfg.ExtendShare,
 		BatchShare:  r.cfg.BatchShare,
-		Floor:       r.cfg.Floor,
-
-		PlatformReserve: r.cfg.PlatformReserve,
-		Holders:         v.holders,
-		LeastFloor:      r.cfg.LeastFloor,
-		LeastShare:      r.cfg.LeastShare,
 	}
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -69,21 +69,6 @@
 	ExtendShare float64
 	// BatchShare is the same for budgets of an object that is written anyway.
 	BatchShare float64
-	// DemandSpan is the time constant that follows a rising demand, in
-	// milliseconds; 0 means the allotter's own.
-	DemandSpan clocker.Millis
-	// Floor returns the headroom that a holder keeps of a budget whatever its
-	// demand; nil means that of the policy.
-	Floor func(budget string) int64
-	// PlatformReserve is the demand that is to stay unassigned while a budget
-	// lasts, in milliseconds; 0 means none.
-	PlatformReserve clocker.Millis
-	// LeastShare of its even part of the rest is kept by a holder however little is
-	// left; 0 means none.
-	LeastShare float64
-	// LeastFloor is the share of a floor that is kept when PlatformReserve leaves
-	// less; 0 means all of it.
-	LeastFloor float64
 	// ConflictPause is the least wait after a write that met another host's, in
 	// milliseconds; writers that met once are spread over twice that. 0 means none.
 	ConflictPause clocker.Millis
@@ -193,7 +178,7 @@
 	if s := r.shards[i].Load(); s != nil {
 		return s
 	}
-	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation, DemandSpan: r.cfg.DemandSpan})
+	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation})
 	r.shards[i].Store(s)
 	r.used = append(r.used, s)
 	return s
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -40,33 +40,17 @@
 )
 
 const (
-	// outageReserve is the demand that all holders together keep at hand, in
-	// milliseconds: it lasts an outage of the store, and is lost if all hosts die
-	// at once.
-	outageReserve = 14 * clocker.Second
-	// heldShare bounds what all holders keep of what is left of a budget.
-	heldShare = 0.8
-	// platformReserve is the demand that stays unassigned, in milliseconds: the
-	// fleet lives on it when all hosts have died at once.
-	platformReserve = 16 * clocker.Second
-	// floorPart of each budget is kept by each holder whatever its demand.
-	floorPart = 0.02
-	// leastShare of its even part of what is left is kept by each holder when
-	// platformReserve leaves less.
-	leastShare = 0.7
-	// leastFloor of that is kept when little is left: with eight holders less than
-	// the three hundredths of a budget that callers are not owed.
-	leastFloor = 0.15
-	// demandSpan is the time constant that follows demand, in milliseconds.
-	demandSpan = 4 * clocker.Second
-	// extendShare of the reserve is left when it is filled up.
-	extendShare = 0.85
-	// batchShare is the same for budgets that a write carries along.
-	batchShare = 0.95
+	// heldShare is the part of what is left of a budget that all holders together
+	// keep: it lasts an outage of the store, and is lost if all hosts die at once.
+	heldShare = 0.35
+	// extendShare of a holder's part is left when it is filled up, batchShare if a
+	// write for another budget carries it along.
+	extendShare = 0.8
+	batchShare  = 0.95
 )
 
-// policy returns the policy of all budgets: each holder keeps the reserve of its
-// own demand, at most its part of heldShare.
+// policy returns the policy of all budgets: each holder keeps its part of
+// heldShare, whatever its demand; peers lend to each other.
 func (r *Runner) policy() *messenger.Policy {
 	zones := map[string]bool{r.cfg.Settings.AvailabilityZone: true}
 	for _, p := range r.heartbeater.Peers() {
@@ -77,7 +61,8 @@
 	// s/(1-s) of the rest.
 	each := heldShare / (1 - heldShare) / holders
 	return &messenger.Policy{
-		OfflineReserveMs:    int64(outageReserve),
+		HeadroomMs:          int64(clocker.Second),
+		FloorTokens:         allotter.MaxGranted, // bounded by the share
 		MaxShareOfRestMilli: int64(1000 * each / (1 + each)),
 		PatienceMs:          int64(budgetPatience),
 	}
@@ -168,11 +153,6 @@
 		ConflictPause:    conflictPause,
 		ExtendShare:      extendShare,
 		BatchShare:       batchShare,
-		PlatformReserve:  platformReserve,
-		LeastFloor:       leastFloor,
-		LeastShare:       leastShare,
-		DemandSpan:       demandSpan,
-		Floor:            func(budget string) int64 { return int64(floorPart * float64(r.grantedTokens(budget))) },
 		Declared:         r.declaredBudgets,
 		Granted:          r.grantedTokens,
 	})
