--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -25,7 +25,7 @@
 	// milliseconds.
 	announcePause = 300 * clocker.Millis(1)
 	// budgetPatience is the longest wait of a request for tokens, in milliseconds.
-	budgetPatience = 400 * clocker.Millis(1)
+	budgetPatience = 150 * clocker.Millis(1)
 	// changePause is the least time between two extensions of a budget ahead of
 	// demand, in milliseconds.
 	changePause = 1500 * clocker.Millis(1)
