--- a/cmd/route.go
+++ b/cmd/route.go
@@ -14,6 +14,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/logger"
+	"cowsliphinge/platform"
 	"cowsliphinge/runner"
 )
 
@@ -22,6 +23,9 @@
 	settingsVariable = "COWSLIPHINGE_NODE_FILE"
 	// memoryShare is the part of the memory bound that the collector aims at.
 	memoryShare = 0.6
+	// storeTimeout bounds a call to the store, in milliseconds: a hundred times its
+	// usual answer.
+	storeTimeout = 400 * clocker.Millis(1)
 	// collectPercent trades a little processor time for a small heap.
 	collectPercent = 40
 )
@@ -66,7 +70,7 @@
 	defer out.Close(clock)
 	log := logger.New(out, runner.Level(settings))
 	slog.SetDefault(log)
-	r, err := runner.New(context.Background(), runner.Config{Settings: settings, Clock: clock, Log: log})
+	r, err := runner.New(context.Background(), runner.Config{Settings: settings, Platform: adapter(settings), Clock: clock, Log: log})
 	if err != nil {
 		log.Error("cannot start", "cause", err.Error())
 		return subcommands.ExitFailure
@@ -78,6 +82,20 @@
 	return subcommands.ExitSuccess
 }
 
+// adapter returns the operators' platform.
+func adapter(settings runner.Settings) runner.Platform {
+	return runner.Platform{
+		Store:         platform.NewClient(platform.Config{Address: settings.StoreAddress, Timeout: storeTimeout}),
+		Dialect:       platform.Dialect,
+		ReadyPath:     platform.ReadyPath,
+		Configuration: platform.ConfigurationKey,
+		Servers:       platform.ServerKind,
+		Declaration:   platform.Declaration,
+		Server:        platform.Server,
+		Value:         platform.Value,
+	}
+}
+
 // reloadOnHangup takes over the settings file at each SIGHUP until ctx ends.
 func (c *routeCommand) reloadOnHangup(ctx context.Context, r *runner.Runner, log *slog.Logger) {
 	hangups := make(chan os.Signal, 1)
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -9,7 +9,6 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/messenger"
-	"cowsliphinge/platform"
 	"cowsliphinge/reserver"
 	"cowsliphinge/storer"
 )
@@ -70,18 +69,18 @@
 
 // hostList reads the entries that hosts write of themselves.
 type hostList struct {
-	store *platform.Client
+	platform Platform
 }
 
 // Hosts implements heartbeater.HostList.
 func (l hostList) Hosts(ctx context.Context) ([]storer.ListedHost, error) {
-	objects, _, err := l.store.List(ctx, hostKind, true)
+	objects, _, err := l.platform.Store.List(ctx, hostKind, true)
 	if err != nil {
 		return nil, err
 	}
 	hosts := make([]storer.ListedHost, 0, len(objects))
 	for _, o := range objects {
-		value, err := platform.Value(o)
+		value, err := l.platform.Value(o)
 		if err != nil {
 			return nil, err
 		}
@@ -98,7 +97,7 @@
 	r.heartbeater = heartbeater.New(ctx, heartbeater.Config{
 		Self:      r.beat,
 		Clock:     r.cfg.Clock,
-		HostList:  hostList{store: r.store},
+		HostList:  hostList{platform: r.cfg.Platform},
 		Exchange:  r.exchange,
 		BeatEvery: beatEvery,
 		ListEvery: listEvery,
@@ -126,15 +125,15 @@
 		return err
 	}
 	key := hostKind + "/" + s.Host
-	_, err = r.store.Create(ctx, key, value)
+	_, err = r.cfg.Platform.Store.Create(ctx, key, value)
 	if !storer.IsErrConflict(err) {
 		return err
 	}
-	old, err := r.store.Get(ctx, key)
+	old, err := r.cfg.Platform.Store.Get(ctx, key)
 	if err != nil || string(old.Value) == string(value) {
 		return err
 	}
-	_, err = r.store.Update(ctx, key, old.Version, value)
+	_, err = r.cfg.Platform.Store.Update(ctx, key, old.Version, value)
 	return err
 }
 
@@ -144,7 +143,7 @@
 		Host:             r.cfg.Settings.Host,
 		AvailabilityZone: r.cfg.Settings.AvailabilityZone,
 		Clock:            r.cfg.Clock,
-		Store:            r.store,
+		Store:            r.cfg.Platform.Store,
 		Exchange:         r.exchange,
 		Peers:            r.heartbeater.Peers,
 		Policy:           r.policy,
--- a/runner/configurations.go
+++ b/runner/configurations.go
@@ -6,15 +6,15 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/matcher"
-	"cowsliphinge/platform"
 	"cowsliphinge/storer"
 )
 
 // configurations puts declarations in force. A host only moves to a higher
 // version.
 type configurations struct {
-	log   *slog.Logger
-	table *atomic.Pointer[matcher.Table]
+	platform Platform
+	log      *slog.Logger
+	table    *atomic.Pointer[matcher.Table]
 }
 
 // Replace implements watcher.Sink.
@@ -34,10 +34,10 @@
 }
 
 func (c *configurations) take(o storer.Object) {
-	if o.Key != platform.ConfigurationKind+"/"+platform.ConfigurationName {
+	if o.Key != c.platform.Configuration {
 		return
 	}
-	d, err := platform.Declaration(o)
+	d, err := c.platform.Declaration(o)
 	if err != nil {
 		c.log.Error("configuration can't be read, the one in force stays", "cause", err.Error())
 		return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
@@ -20,7 +21,6 @@
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/matcher"
 	"cowsliphinge/messenger"
-	"cowsliphinge/platform"
 	"cowsliphinge/relayer"
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
@@ -28,9 +28,6 @@
 )
 
 const (
-	// storeTimeout bounds a call to the store, in milliseconds: a hundred times its
-	// usual answer.
-	storeTimeout = 400 * clocker.Millis(1)
 	// dialTimeout bounds a connection to a backend server, in milliseconds: many
 	// round trips between availability zones.
 	dialTimeout = 250 * clocker.Millis(1)
@@ -52,6 +49,7 @@
 // Config configures a Runner.
 type Config struct {
 	Settings Settings
+	Platform Platform
 	Clock    *clocker.Clock
 	Log      *slog.Logger
 }
@@ -66,7 +64,6 @@
 	table       atomic.Pointer[matcher.Table]
 	settings    atomic.Pointer[Settings]
 
-	store       *platform.Client
 	exchange    *exchanger.Client
 	heartbeater *heartbeater.Heartbeater
 	reserver    *reserver.Reserver
@@ -98,7 +95,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &Runner{cfg: cfg, cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
 	r.settings.Store(&cfg.Settings)
-	r.store = platform.NewClient(platform.Config{Address: cfg.Settings.StoreAddress, Timeout: storeTimeout})
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
 	r.startWatchers(ctx)
 	r.startMembership(ctx)
@@ -113,8 +109,8 @@
 	r.backends = &backends{
 		clock:  r.cfg.Clock,
 		log:    r.cfg.Log,
-		kind:   platform.ServerKind,
-		decode: platform.Server,
+		kind:   r.cfg.Platform.Servers,
+		decode: r.cfg.Platform.Server,
 		chooser: chooser.New(chooser.Config{
 			AvailabilityZone: r.cfg.Settings.AvailabilityZone,
 			CacheTokens: func(service string) int {
@@ -125,11 +121,12 @@
 			},
 		}),
 	}
-	configuration := &configurations{log: r.cfg.Log, table: &r.table}
-	for kind, sink := range map[string]watcher.Sink{platform.ConfigurationKind: configuration, platform.ServerKind: r.backends} {
+	configuration := &configurations{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table}
+	kind, _, _ := strings.Cut(r.cfg.Platform.Configuration, "/")
+	for kind, sink := range map[string]watcher.Sink{kind: configuration, r.cfg.Platform.Servers: r.backends} {
 		r.watchers = append(r.watchers, watcher.New(ctx, watcher.Config{
 			Kind:   kind,
-			Source: r.store,
+			Source: r.cfg.Platform.Store,
 			Sink:   sink,
 			Clock:  r.cfg.Clock,
 			Wait:   r.cfg.Settings.SteadyMs,
@@ -142,13 +139,13 @@
 	s := r.cfg.Settings
 	r.carrier = carrier.New(carrier.Config{
 		Clock:           r.cfg.Clock,
-		RequestIDHeader: platform.Dialect.RequestID,
+		RequestIDHeader: r.cfg.Platform.Dialect.RequestID,
 		DialTimeout:     dialTimeout,
 		IdleFor:         idleConnFor,
 	})
 	r.relayer = relayer.New(relayer.Config{
 		Clock:   r.cfg.Clock,
-		Dialect: platform.Dialect,
+		Dialect: r.cfg.Platform.Dialect,
 		Table:   r.table.Load,
 		Servers: r.backends,
 		Budgets: r.reserver,
@@ -199,7 +196,7 @@
 
 // answerProbe answers the platform's balancer.
 func (r *Runner) answerProbe(w http.ResponseWriter, req *http.Request) {
-	if req.URL.Path != platform.ReadyPath {
+	if req.URL.Path != r.cfg.Platform.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
