--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -18,6 +18,9 @@
 type Config struct {
 	// Incarnation is this process life, the name of its entries.
 	Incarnation string
+	// DemandSpan is the time constant that follows a rising demand, in
+	// milliseconds; 0 means a minute.
+	DemandSpan clocker.Millis
 }
 
 // Allotter holds the state of one incarnation for the budgets of one shard. The
@@ -166,6 +169,7 @@
 	b, ok := a.budgets[name]
 	if !ok {
 		b = &allotment{name: name}
+		b.demand.span = a.cfg.DemandSpan
 		a.budgets[name] = b
 		a.all = append(a.all, b)
 		a.adopt(b)
--- a/allotter/declare_test.go
+++ b/allotter/declare_test.go
@@ -14,7 +14,7 @@
 	a.Declare("masons", 1000)
 	a.Keep("masons")
 	a.Merge(0, &messenger.BudgetShard{}, 1)
-	c := Circumstances{Now: 1, Holder: true, Policy: &messenger.Policy{MaxShareOfRestMilli: 100, FloorTokens: MaxGranted}}
+	c := Circumstances{Now: 10_000, Holder: true, Policy: &messenger.Policy{MaxShareOfRestMilli: 100, FloorTokens: MaxGranted}}
 	w, due := a.Plan(c)
 	assert.Assert(t, due)
 	assert.Equal(t, w.Value.Budgets[0].Granted, int64(1000))
@@ -23,7 +23,7 @@
 	a.Declare("masons", 900)
 	assert.Equal(t, a.content(a.allotment("masons")).Granted, int64(1000))
 	a.Declare("masons", 5000)
-	c.Now = 10_000
+	c.Now = 20_000
 	w, due = a.Plan(c)
 	assert.Assert(t, due)
 	assert.Equal(t, w.Value.Budgets[0].Granted, int64(5000))
@@ -34,7 +34,7 @@
 // one that has not seen the other's has no effect.
 func TestDeclaredSumIsNotCountedTwice(t *testing.T) {
 	one, two := New(Config{Incarnation: "h-1-a"}), New(Config{Incarnation: "g-1-b"})
-	c := Circumstances{Now: 1, Holder: true, Policy: &messenger.Policy{MaxShareOfRestMilli: 900, FloorTokens: MaxGranted}}
+	c := Circumstances{Now: 10_000, Holder: true, Policy: &messenger.Policy{MaxShareOfRestMilli: 900, FloorTokens: MaxGranted}}
 	for _, a := range []*Allotter{one, two} {
 		a.Declare("masons", 1000)
 		a.Keep("masons")
--- a/allotter/demand.go
+++ b/allotter/demand.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// fastDemand is the time constant that follows a rising demand.
-	fastDemand = clocker.Minute
+	// defaultSpan is the time constant that follows a rising demand.
+	defaultSpan = clocker.Minute
 	// slowDemand is the time constant that remembers a pausing demand.
 	slowDemand = clocker.Hour
 	// idleAfter is the time without a request after which none is expected.
@@ -20,6 +20,8 @@
 // demand measures how fast a budget is spent here, in tokens per millisecond,
 // and how large its requests are, in tokens.
 type demand struct {
+	// span is the time constant of fast; 0 means defaultSpan.
+	span       clocker.Millis
 	fast, slow float64
 	updated    clocker.Millis
 	size       float64
@@ -39,7 +41,7 @@
 // use observes tokens that were spent or given away.
 func (d *demand) use(tokens int64, now clocker.Millis) {
 	d.decay(now)
-	d.fast += float64(tokens) / float64(fastDemand)
+	d.fast += float64(tokens) / d.fastSpan()
 	d.slow += float64(tokens) / float64(slowDemand)
 }
 
@@ -57,12 +59,19 @@
 	return max(d.fast, d.slow)
 }
 
+func (d *demand) fastSpan() float64 {
+	if d.span > 0 {
+		return float64(d.span)
+	}
+	return float64(defaultSpan)
+}
+
 func (d *demand) decay(now clocker.Millis) {
 	passed := float64(now - d.updated)
 	if passed <= 0 {
 		return
 	}
-	d.fast *= math.Exp(-passed / float64(fastDemand))
+	d.fast *= math.Exp(-passed / d.fastSpan())
 	d.slow *= math.Exp(-passed / float64(slowDemand))
 	d.updated = now
 }
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -38,20 +38,30 @@
 		return x.finish(server, chooser.Broken, outcomeUnknown), true
 	}
 	if answer.StatusCode >= http.StatusInternalServerError {
-		x.finish(server, chooser.Failed, refusal{reason: "server_failed"})
+		f := x.finish(server, chooser.Failed, serverFailed)
 		if x.route.Kind == matcher.Safe {
-			if _, ok := x.mayRepeat(refusal{reason: "server_failed"}); ok {
-				return refusal{reason: "server_failed"}, true
-			}
+			x.failure = &failedAnswer{head: answer, body: body}
+			return f, true
 		}
 	} else {
 		x.finish(server, chooser.Answered, refusal{})
 	}
+	x.passWhole(answer, body)
+	return refusal{}, false
+}
+
+// failedAnswer is a server's own failure, passed on if no other server answers.
+type failedAnswer struct {
+	head *carrier.Answer
+	body []byte
+}
+
+// passWhole passes on an answer that was read to its end.
+func (x *exchange) passWhole(answer *carrier.Answer, body []byte) {
 	x.passHead(answer)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(answer.StatusCode)
 	_, _ = x.w.Write(body) // a caller that has left needs no answer
-	return refusal{}, false
 }
 
 // passHead copies the headers of an answer.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -73,6 +73,8 @@
 	events int64
 	// lastEvent is the number of the last one, or the one the caller began behind.
 	lastEvent int64
+	// failure is the last server's own failure of a request that may be repeated.
+	failure *failedAnswer
 	// headSent is true once the head of an answer went to the caller.
 	headSent bool
 
@@ -257,6 +259,11 @@
 	if x.req.Context().Err() != nil {
 		f.reason = "caller_left"
 	}
+	if x.failure != nil && f.reason != "caller_left" {
+		x.log.reason = f.reason
+		x.passWhole(x.failure.head, x.failure.body)
+		return
+	}
 	if !x.headSent {
 		x.refuse(f)
 		return
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -37,7 +37,9 @@
 	tooLate           = refusal{http.StatusServiceUnavailable, "deadline_before_sending", 0}
 	// outcomeUnknown ends a request that may have run.
 	outcomeUnknown = refusal{http.StatusBadGateway, "outcome_unknown", 0}
-	timedOut       = refusal{http.StatusGatewayTimeout, "timed_out", 0}
+	// serverFailed marks a server's own failure; its answer is passed on.
+	serverFailed = refusal{http.StatusBadGateway, "server_failed", 0}
+	timedOut     = refusal{http.StatusGatewayTimeout, "timed_out", 0}
 )
 
 // write sends the refusal. left is the time that the caller still waits: callers
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -110,6 +110,31 @@
 	assert.Equal(t, one.runs()+two.runs(), 2)
 }
 
+// Pattern: all servers of a service fail part of their requests until no repeat is
+// left in the budget; callers still get the servers' own answers.
+func TestServersOwnFailureIsPassedOnWithoutARepeat(t *testing.T) {
+	one, two := newBackend(t, answer(500, "bad")), newBackend(t, answer(500, "bad"))
+	w := newWorld(t, matcher.Route{Kind: matcher.Safe, MaxAttempts: 2}, one, two)
+	asked := 0
+	w.relayer.cfg.Retries = retryFunc(func() bool {
+		asked++
+		return asked == 1 // one repeat is left, and asked for once
+	})
+	for range 2 {
+		got := w.call(t, "GET", "/r/", "")
+		assert.Assert(t, !got.broken)
+		assert.Equal(t, got.status, 500)
+		assert.Equal(t, got.body, "bad")
+	}
+	assert.Equal(t, asked, 2)
+	assert.Equal(t, one.runs()+two.runs(), 3)
+}
+
+type retryFunc func() bool
+
+func (retryFunc) Attempted(string)            {}
+func (f retryFunc) Allow(string, string) bool { return f() }
+
 func TestRefusedByTheServerIsNotRun(t *testing.T) {
 	one, two := newBackend(t, answer(503, "full", "X-Not-Run: 1")), newBackend(t, answer(421, ""))
 	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe, MaxAttempts: 2}, one, two)
--- a/reserver/peers.go
+++ b/reserver/peers.go
@@ -32,7 +32,7 @@
 	holders := v.holdersOf(s)
 	for _, p := range v.peers {
 		if slices.Contains(holders, p.Host) && p.AvailabilityZone == r.cfg.AvailabilityZone {
-			r.ask(ctx, s, p, s.asks(r.circumstances(s, v), false), rd)
+			rd.heard = r.ask(ctx, s, p, s.asks(r.circumstances(s, v), false), rd) || rd.heard
 		}
 	}
 }
@@ -99,10 +99,11 @@
 }
 
 // ask puts questions to a peer and takes in its answer. A question without an
-// answer may have moved tokens: it is followed up later.
-func (r *Reserver) ask(ctx context.Context, s *shard, p heartbeater.Peer, asks []*messenger.TransferAsk, rd *round) {
+// answer may have moved tokens: it is followed up later. It reports whether the
+// peer answered.
+func (r *Reserver) ask(ctx context.Context, s *shard, p heartbeater.Peer, asks []*messenger.TransferAsk, rd *round) bool {
 	if len(asks) == 0 {
-		return
+		return false
 	}
 	request := &messenger.TransferRequest{From: r.cfg.Incarnation, To: p.Incarnation, Asks: asks}
 	s.mu.Lock()
@@ -117,6 +118,7 @@
 	for _, budget := range reply.GetBusy() {
 		rd.busy[budget] = true
 	}
+	return reply != nil
 }
 
 // send exchanges totals with a peer. It returns nil without an answer.
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -32,6 +32,8 @@
 	// contended is true if the platform was reached, but calls were held back by
 	// a rate bound or met conflicts.
 	contended bool
+	// heard is true if a holder of the own availability zone answered.
+	heard bool
 	// exhausted are budgets of which a holder knows from the platform that
 	// nothing is left.
 	exhausted map[string]bool
@@ -131,7 +133,7 @@
 	if r.platform.isFailed() {
 		r.askForLoans(ctx, s, v, &rd)
 	}
-	if r.platformDue(s, v) {
+	if r.platformDue(s, v) && !(r.cfg.HoldersFirst && rd.heard) {
 		b := r.balance(ctx, s, v)
 		rd.answered = b.answered
 		rd.contended = b.contended
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -69,6 +69,12 @@
 	ExtendShare float64
 	// BatchShare is the same for budgets of an object that is written anyway.
 	BatchShare float64
+	// DemandSpan is the time constant that follows a rising demand, in
+	// milliseconds; 0 means the allotter's own.
+	DemandSpan clocker.Millis
+	// HoldersFirst makes a host that is no holder leave the platform alone while a
+	// holder of its availability zone answers.
+	HoldersFirst bool
 	// ConflictPause is the least wait after a write that met another host's, in
 	// milliseconds; writers that met once are spread over twice that. 0 means none.
 	ConflictPause clocker.Millis
@@ -178,7 +184,7 @@
 	if s := r.shards[i].Load(); s != nil {
 		return s
 	}
-	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation})
+	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation, DemandSpan: r.cfg.DemandSpan})
 	r.shards[i].Store(s)
 	r.used = append(r.used, s)
 	return s
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -46,6 +46,9 @@
 	// write for another budget carries it along.
 	extendShare = 0.8
 	batchShare  = 0.95
+	// demandSpan is the time constant that follows demand, in milliseconds: hosts
+	// that are no holders keep the demand of a second.
+	demandSpan = 4 * clocker.Second
 )
 
 // policy returns the policy of all budgets: each holder keeps its part of
@@ -149,6 +152,8 @@
 		Policy:           r.policy,
 		Shards:           budgetShards,
 		ChangePause:      changePause,
+		DemandSpan:       demandSpan,
+		HoldersFirst:     true,
 		ConflictPause:    conflictPause,
 		ExtendShare:      extendShare,
 		BatchShare:       batchShare,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -161,7 +161,12 @@
 		Log:      r.cfg.Log,
 	})
 	r.group.Go(func() error {
+		ready := false
 		for r.cfg.Clock.Sleep(ctx, sweepPause) == nil {
+			if now := r.Ready(); now != ready {
+				ready = now
+				r.cfg.Log.Info("readiness changed", "ready", ready, "draining", r.draining.Load(), "servers_listed", r.backends.ready())
+			}
 			r.backends.expire()
 			r.carrier.Keep(r.backends.known)
 		}
