Close callers' connections only while no request is on them

A write that met a conflict no longer counts as an extension: hosts that met at the start held nothing for 1.5 s longer. The soak finds requests cut by a planned stop.

--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -256,8 +256,13 @@
 	a.accept(version, w.Value)
 }
 
-// Conflict tells that the write surely had no effect.
-func (a *Allotter) Conflict(Write) {}
+// Conflict tells that the write surely had no effect: what it was to extend is
+// still due.
+func (a *Allotter) Conflict(w Write) {
+	for _, e := range w.entries {
+		e.budget.extended = 0
+	}
+}
 
 // Unknown tells that the write may have taken effect, or may do so later. Limits
 // that it lowers stay lowered, and limits that it raises stay as they were,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -73,6 +73,7 @@
 	watchers    []*watcher.Watcher
 
 	callers *http.Server
+	conns   *callers
 	probes  *http.Server
 	peers   *exchanger.Server
 }
@@ -180,8 +181,11 @@
 }
 
 func (r *Runner) serve(callers, probes, peers net.Listener) {
+	r.conns = newCallers()
 	r.callers = &http.Server{
-		Handler:           r.relayer,
+		Handler:           r.conns.guard(r.relayer),
+		ConnContext:       r.conns.attach,
+		ConnState:         r.conns.follow,
 		ReadHeaderTimeout: callerHeaderTime.Duration(),
 		IdleTimeout:       callerIdleFor.Duration(),
 		MaxHeaderBytes:    maxCallerHeaderBytes,
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -30,8 +30,7 @@
 	r.cfg.Log.Info("stopping", "in_flight", r.relayer.InFlight())
 	due := clock.Now() + r.settings.Load().StopBoundMs - stopMargin
 	_ = clock.Sleep(ctx, balancerDelay)
-	r.callers.SetKeepAlivesEnabled(false)
-	for r.relayer.InFlight() > 0 && clock.Now() < due-returnTime {
+	for r.conns.closeIdle() > 0 && clock.Now() < due-returnTime {
 		_ = clock.Sleep(ctx, idlePause)
 	}
 	cut := r.relayer.InFlight()
@@ -40,9 +39,10 @@
 	if err := r.reserver.Close(returning); err != nil {
 		r.cfg.Log.Warn("budgets were not returned", "cause", err.Error(), "held", r.reserver.HeldTokens())
 	}
-	if err := r.callers.Shutdown(returning); err != nil {
-		r.cfg.Log.Warn("callers were cut off", "cause", err.Error(), "in_flight", cut)
+	for r.conns.closeIdle() > 0 && clock.Now() < due {
+		_ = clock.Sleep(ctx, idlePause)
 	}
+	cut = min(cut, r.relayer.InFlight())
 	r.cancel()
 	_ = r.callers.Close()
 	_ = r.probes.Close()
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -27,6 +27,9 @@
 	body   string
 	// events are the numbers of the events of a stream, in their order.
 	events []int
+	// stopping is true if the router had got SIGTERM and nothing else was harmed
+	// that could have ended the answer.
+	stopping bool
 	// foreign is true if an event or body belongs to another request.
 	foreign bool
 }
@@ -100,6 +103,9 @@
 	for _, q := range r.requests {
 		found = append(found, r.checkRuns(q)...)
 		found = append(found, checkAnswer(q)...)
+		if q.stopping && q.broken && len(r.runs[q.id]) > 0 {
+			found = append(found, fmt.Sprintf("request %s to %s was cut by a planned stop", q.id, q.path))
+		}
 		if runs := r.runs[q.id]; len(runs) > 0 && measured(q.path) {
 			spent[q.account] += promptTokens + int64(len(q.events))
 		}
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -61,6 +61,10 @@
 			r.ran("i-1", server.Run{RequestID: "a", Account: "one", At: 13 * clocker.Second})
 			r.ended(served("a", "/order/x"))
 		},
+		"was cut by a planned stop": func(r *recorder) {
+			r.ran("i-1", server.Run{RequestID: "a", Account: "one"})
+			r.ended(request{id: "a", path: "/order/x", account: "one", broken: true, stopping: true})
+		},
 		"got the answer of another": func(r *recorder) {
 			q := served("a", "/order/x")
 			q.foreign = true
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -78,6 +78,10 @@
 	servers []*backend
 	started int
 	version int
+	// broken counts the backend servers that break their answers, brokenAt is when
+	// that last changed.
+	broken   int
+	brokenAt clocker.Millis
 	// versions are those whose routes were added and not removed.
 	routes []map[string]any
 }
