--- a/reserver/closing.go
+++ b/reserver/closing.go
@@ -51,6 +51,7 @@
 func (s *shard) startClosing() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closing = true
 	s.allotter.StartClosing()
 	s.dismiss(func(w *waiter) (grant, bool) {
 		return grant{err: refuse(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "closing")}, true
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -78,7 +78,7 @@
 // balance brings the own entries of a shard to what the policy wants, in one
 // write for all its budgets.
 func (r *Reserver) balance(ctx context.Context, s *shard, v *view) balanced {
-	if !r.platform.mayCall(r.cfg.Clock.Now()) || !s.take(ctx) {
+	if !r.cfg.Reachable() || !r.platform.mayCall(r.cfg.Clock.Now()) || !s.take(ctx) {
 		return balanced{}
 	}
 	defer s.release()
@@ -103,6 +103,9 @@
 		if !storer.IsErrConflict(err) && !storer.IsErrOutcomeUnknown(err) {
 			return balanced{}
 		}
+		if r.cfg.ConflictPause > 0 && !s.urgent() {
+			return balanced{} // the next look tries again
+		}
 		if pause := r.cfg.ConflictPause; pause > 0 && r.cfg.Clock.Sleep(ctx, pause+clocker.Millis(rand.Int64N(int64(pause)))) != nil {
 			return balanced{}
 		}
@@ -163,6 +166,13 @@
 	return err
 }
 
+// urgent reports whether requests wait or entries are to be closed.
+func (s *shard) urgent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiters) > 0 || s.closing
+}
+
 // merge takes in the object that a conflict told of. It reports whether it did.
 // The caller holds the shard's lock.
 func (r *Reserver) merge(s *shard, err error) bool {
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -130,7 +130,7 @@
 	v := r.look()
 	rd := round{exhausted: map[string]bool{}, busy: map[string]bool{}}
 	r.askHolders(ctx, s, v, &rd)
-	if r.platform.isFailed() {
+	if r.platform.isFailed() || !r.cfg.Reachable() {
 		r.askForLoans(ctx, s, v, &rd)
 	}
 	if r.platformDue(s, v) && !(r.cfg.HoldersFirst && rd.heard) {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -75,6 +75,8 @@
 	// HoldersFirst makes a host that is no holder leave the platform alone while a
 	// holder of its availability zone answers.
 	HoldersFirst bool
+	// Reachable reports whether the platform is worth a call; nil means always.
+	Reachable func() bool
 	// ConflictPause is the least wait after a write that met another host's, in
 	// milliseconds; writers that met once are spread over twice that. 0 means none.
 	ConflictPause clocker.Millis
@@ -127,6 +129,9 @@
 	if cfg.Shards <= 0 {
 		cfg.Shards = maxShards
 	}
+	if cfg.Reachable == nil {
+		cfg.Reachable = func() bool { return true }
+	}
 	return &Reserver{
 		cfg:     cfg,
 		shards:  make([]atomic.Pointer[shard], cfg.Shards),
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -27,6 +27,8 @@
 	// known is true while the allotter knows the object as the last call told it,
 	// with no write of unknown outcome since.
 	known bool
+	// closing is true once the entries are to be closed.
+	closing bool
 	// queued is true while the shard waits for a refill.
 	queued bool
 	// again is when requests that keep waiting get the next refill.
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -154,6 +154,7 @@
 		ChangePause:      changePause,
 		DemandSpan:       demandSpan,
 		HoldersFirst:     true,
+		Reachable:        r.health.Reachable,
 		ConflictPause:    conflictPause,
 		ExtendShare:      extendShare,
 		BatchShare:       batchShare,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -71,6 +71,7 @@
 	carrier     *carrier.Carrier
 	relayer     *relayer.Relayer
 	watchers    []*watcher.Watcher
+	health      *watcher.Health
 
 	callers *http.Server
 	conns   *callers
@@ -124,13 +125,17 @@
 	}
 	configuration := &configurations{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table}
 	kind, _, _ := strings.Cut(r.cfg.Platform.Configuration, "/")
+	r.health = watcher.NewHealth(r.cfg.Clock)
+	probing := kind
 	for kind, sink := range map[string]watcher.Sink{kind: configuration, r.cfg.Platform.Servers: r.backends} {
 		r.watchers = append(r.watchers, watcher.New(ctx, watcher.Config{
 			Kind:   kind,
 			Source: r.cfg.Platform.Store,
 			Sink:   sink,
 			Clock:  r.cfg.Clock,
-			Wait:   r.cfg.Settings.SteadyMs,
+			Wait:   r.cfg.Settings.SteadyMs + r.cfg.Settings.ConfigurationMs/2,
+			Health: r.health,
+			Probes: kind == probing,
 			Log:    r.cfg.Log,
 		}))
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -18,6 +18,9 @@
 	// maxPause, so that a fleet does not call a troubled store without end.
 	firstPause = 50 * clocker.Millis(1)
 	maxPause   = 700 * clocker.Millis(1)
+	// outageWait is how long a watcher leaves a lost store to the one that asks it,
+	// in milliseconds.
+	outageWait = 3 * clocker.Second
 	// outageAfter is how long the store has to be silent for entries to have
 	// lapsed meanwhile, in milliseconds.
 	outageAfter = clocker.Second
@@ -57,7 +60,11 @@
 	// Wait bounds one waiting watch, in milliseconds: a connection gone silent is
 	// found after it.
 	Wait clocker.Millis
-	Log  *slog.Logger
+	// Health is shared by the watchers of a host; Probes makes this one ask a store
+	// that was lost, while the others wait for its answer. nil makes each ask.
+	Health *Health
+	Probes bool
+	Log    *slog.Logger
 }
 
 // Watcher follows one kind until Close.
@@ -145,6 +152,9 @@
 // heard notes that the store answered.
 func (w *Watcher) heard(revision int64) {
 	now := w.cfg.Clock.Now()
+	if w.cfg.Probes {
+		w.cfg.Health.note(false)
+	}
 	if w.lost {
 		w.lost = false
 		if now-w.heardAt >= outageAfter {
@@ -183,6 +193,12 @@
 		w.lost = true
 		w.cfg.Log.Warn("store does not answer", "kind", w.cfg.Kind, "revision", w.revision, "cause", err.Error())
 	}
+	if w.cfg.Probes {
+		w.cfg.Health.note(true)
+	}
 	_ = w.cfg.Clock.Sleep(ctx, w.pause)
 	w.pause = min(2*w.pause, maxPause)
+	if w.cfg.Health != nil && !w.cfg.Probes {
+		w.cfg.Health.await(ctx, outageWait)
+	}
 }
