--- a/runner/callers.go
+++ b/runner/callers.go
@@ -14,6 +14,8 @@
 type callers struct {
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
+	// shut is true once no request is passed on any more.
+	shut bool
 }
 
 type callerConn struct {
@@ -63,7 +65,7 @@
 func (c *callers) begin(state *callerConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	state.busy = !state.closing
+	state.busy = !state.closing && !c.shut
 	return state.busy
 }
 
@@ -73,8 +75,9 @@
 	state.busy = false
 }
 
-// closeIdle closes the connections without a request and returns how many have one.
-func (c *callers) closeIdle() int {
+// closeIdle closes the connections without a request and returns how many have
+// one. Once none has, or if forced, no request is passed on any more.
+func (c *callers) closeIdle(force bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	busy := 0
@@ -86,5 +89,6 @@
 		state.closing = true
 		_ = conn.Close() // it is given up
 	}
+	c.shut = c.shut || busy == 0 || force
 	return busy
 }
--- a/runner/callers_test.go
+++ b/runner/callers_test.go
@@ -17,19 +17,26 @@
 	passed := 0
 	handler := c.guard(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		passed++
-		assert.Equal(t, c.closeIdle(), 1)
+		assert.Equal(t, c.closeIdle(false), 1)
 	}))
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
 	request := httptest.NewRequest("POST", "/", nil).WithContext(c.attach(context.Background(), near))
 	handler.ServeHTTP(httptest.NewRecorder(), request)
 	assert.Equal(t, passed, 1)
-	assert.Equal(t, c.closeIdle(), 0)
+	assert.Equal(t, c.closeIdle(false), 0)
 	func() {
 		defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
 		handler.ServeHTTP(httptest.NewRecorder(), request)
 	}()
 	assert.Equal(t, passed, 1)
+	late := httptest.NewRequest("POST", "/", nil).WithContext(c.attach(context.Background(), far))
+	func() { // a connection that comes behind the last request
+		defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
+		handler.ServeHTTP(httptest.NewRecorder(), late)
+	}()
+	assert.Equal(t, passed, 1)
+	c.follow(far, http.StateClosed)
 	c.follow(near, http.StateClosed)
 	assert.Equal(t, len(c.conns), 0)
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -127,13 +127,19 @@
 	kind, _, _ := strings.Cut(r.cfg.Platform.Configuration, "/")
 	r.health = watcher.NewHealth(r.cfg.Clock)
 	probing := kind
+	// A store that drops its history may leave a watch hanging: a configuration has
+	// to be in force soon after, entries of servers also show by requests.
+	waits := map[string]clocker.Millis{
+		kind:                   r.cfg.Settings.ConfigurationMs,
+		r.cfg.Platform.Servers: r.cfg.Settings.SteadyMs,
+	}
 	for kind, sink := range map[string]watcher.Sink{kind: configuration, r.cfg.Platform.Servers: r.backends} {
 		r.watchers = append(r.watchers, watcher.New(ctx, watcher.Config{
 			Kind:   kind,
 			Source: r.cfg.Platform.Store,
 			Sink:   sink,
 			Clock:  r.cfg.Clock,
-			Wait:   r.cfg.Settings.SteadyMs + r.cfg.Settings.ConfigurationMs/2,
+			Wait:   waits[kind],
 			Health: r.health,
 			Probes: kind == probing,
 			Log:    r.cfg.Log,
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -30,7 +30,7 @@
 	r.cfg.Log.Info("stopping", "in_flight", r.relayer.InFlight())
 	due := clock.Now() + r.settings.Load().StopBoundMs - stopMargin
 	_ = clock.Sleep(ctx, balancerDelay)
-	for r.conns.closeIdle() > 0 && clock.Now() < due-returnTime {
+	for r.conns.closeIdle(false) > 0 && clock.Now() < due-returnTime {
 		_ = clock.Sleep(ctx, idlePause)
 	}
 	cut := r.relayer.InFlight()
@@ -39,7 +39,7 @@
 	if err := r.reserver.Close(returning); err != nil {
 		r.cfg.Log.Warn("budgets were not returned", "cause", err.Error(), "held", r.reserver.HeldTokens())
 	}
-	for r.conns.closeIdle() > 0 && clock.Now() < due {
+	for r.conns.closeIdle(true) > 0 && clock.Now() < due {
 		_ = clock.Sleep(ctx, idlePause)
 	}
 	cut = min(cut, r.relayer.InFlight())
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -12,7 +12,10 @@
 )
 
 // seeds are run in CI; a seed that ever failed stays here with a line on the cause.
-var seeds = []uint64{1}
+var seeds = []uint64{
+	1,
+	60, // a stopping router passed on requests between its last look at its connections and their end
+}
 
 func TestShortSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "cowsliphinge")
