--- a/chooser/server.go
+++ b/chooser/server.go
@@ -49,17 +49,17 @@
 type Outcome int
 
 const (
-	// Answered: a whole answer, or one that the caller left.
+	// Answered is a whole answer, or one that the caller left.
 	Answered Outcome = iota
-	// Unreachable: no connection came about.
+	// Unreachable means that no connection came about.
 	Unreachable
-	// Broken: the connection ended or fell silent before the answer was whole.
+	// Broken means that the connection ended or fell silent before the answer was whole.
 	Broken
-	// Shed: the server refused the request without running it.
+	// Shed means that the server refused the request without running it.
 	Shed
-	// Failed: a whole answer that says that the server failed.
+	// Failed is a whole answer that says that the server failed.
 	Failed
-	// Gone: another server has the address.
+	// Gone means that another server has the address.
 	Gone
 )
 
--- a/cmd/route.go
+++ b/cmd/route.go
@@ -58,6 +58,8 @@
 
 // Execute implements subcommands.Command.
 func (c *routeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // until the end: it must not end a process that starts or stops
 	settings, err := runner.ReadSettings(c.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "settings:", err)
@@ -75,7 +77,7 @@
 		log.Error("cannot start", "cause", err.Error())
 		return subcommands.ExitFailure
 	}
-	c.reloadOnHangup(ctx, r, log)
+	c.reloadOnHangup(ctx, hangups, r, log)
 	if r.Stop(context.Background()) > 0 {
 		return subcommands.ExitFailure
 	}
@@ -97,10 +99,7 @@
 }
 
 // reloadOnHangup takes over the settings file at each SIGHUP until ctx ends.
-func (c *routeCommand) reloadOnHangup(ctx context.Context, r *runner.Runner, log *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (c *routeCommand) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, r *runner.Runner, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -204,7 +204,7 @@
 		}
 		cancel()
 	}()
-	assert.Assert(t, w.callWith(t, ctx, "POST", "/r/", "order", "X-Time", "60000").broken)
+	assert.Assert(t, w.callWith(ctx, t, "POST", "/r/", "order", "X-Time", "60000").broken)
 	<-b.closed
 	for w.relayer.InFlight() > 0 {
 		clocker.NewWall().Sleep(context.Background(), 1)
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -270,10 +270,10 @@
 
 func (w *world) call(t *testing.T, method, path, body string, headers ...string) reply {
 	t.Helper()
-	return w.callWith(t, context.Background(), method, path, body, headers...)
+	return w.callWith(context.Background(), t, method, path, body, headers...)
 }
 
-func (w *world) callWith(t *testing.T, ctx context.Context, method, path, body string, headers ...string) reply {
+func (w *world) callWith(ctx context.Context, t *testing.T, method, path, body string, headers ...string) reply {
 	t.Helper()
 	var content io.Reader
 	if body != "" {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -15,6 +15,7 @@
 var seeds = []uint64{
 	1,
 	60, // a stopping router passed on requests between its last look at its connections and their end
+	67, // SIGHUP ended a router that was stopping
 }
 
 func TestShortSoak(t *testing.T) {
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -181,6 +182,7 @@
 	s.mu.Unlock()
 	switch {
 	case f.Silent:
+		_, _ = io.Copy(io.Discard, r.Body) // only then is a caller that leaves noticed
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case f.Status != 0:
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -65,12 +65,12 @@
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means from the start
 	s.cfg.Ran(Run{RequestID: r.Header.Get("X-Request-Id"), Account: r.Header.Get("X-Tenant"), Path: r.URL.Path, LastEvent: last, At: s.cfg.Clock.Now()})
-	broken := s.begin()
+	running, broken := s.begin()
 	defer s.end()
 	h := w.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Server-Signature", s.cfg.ID+"."+r.Header.Get("X-Request-Id"))
-	h.Set("X-Server-Load", fmt.Sprintf("%d,0,64", s.running))
+	h.Set("X-Server-Load", fmt.Sprintf("%d,0,64", running))
 	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
 		s.stream(w, r, last, broken)
 		return
@@ -83,12 +83,13 @@
 	_, _ = w.Write([]byte(body)) // a router that has left needs no answer
 }
 
-func (s *Server) begin() bool {
+// begin counts a run and returns how many go on, and whether this one breaks off.
+func (s *Server) begin() (running int, broken bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
 	s.requests++
-	return s.breaking > 0 && s.requests%s.breaking == 0
+	return s.running, s.breaking > 0 && s.requests%s.breaking == 0
 }
 
 func (s *Server) end() {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -61,7 +62,8 @@
 		defer close(done)
 		w.step(ctx)
 	}()
-	for w.cfg.Clock.Waiting() == 0 { // until it waits
+	for w.cfg.Clock.Waiting() == 0 {
+		runtime.Gosched() // until it waits
 	}
 	w.cfg.Clock.Advance(maxPause)
 	<-done
