--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -183,7 +183,6 @@
 			break
 		}
 		if cn.quiet() {
-			cn.reused = true
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -274,11 +273,6 @@
 	whole   bool
 }
 
-// Reused reports whether the answer came on a connection with an earlier exchange.
-func (a *Answer) Reused() bool {
-	return a.conn.reused
-}
-
 // Read reads from the body. It returns io.EOF only behind a whole body.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -29,7 +29,6 @@
 	// idleFor is how long the server keeps the connection without a request; 0 if
 	// it did not say.
 	idleFor clocker.Millis
-	reused  bool
 }
 
 func dial(ctx context.Context, address string, timeout clocker.Millis) (*conn, error) {
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -286,22 +286,3 @@
 	}
 	return 0
 }
-
-// InFlight returns how many exchanges with a server are open.
-func (c *Chooser) InFlight(id string) int {
-	if m := c.members[id]; m != nil {
-		return m.inFlight
-	}
-	return 0
-}
-
-// Serving returns how many servers of a service take new work.
-func (c *Chooser) Serving(service string) int {
-	n := 0
-	for _, m := range c.members {
-		if m.Service == service && !m.Draining {
-			n++
-		}
-	}
-	return n
-}
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -13,8 +13,6 @@
 	Account string
 	// ExpectID makes any other backend server refuse the request.
 	ExpectID string
-	// ServerID is the ID of the backend server that answered.
-	ServerID string
 	// NotRun marks a refusal of a backend server that did not run the request.
 	NotRun string
 	// Load holds running and waiting requests and slots, separated by commas.
@@ -27,10 +25,6 @@
 	Tokens string
 	// Prefix lists the parts of a prompt as ID:TOKENS.
 	Prefix string
-	// Resume names the copy of a run's memory to go on from.
-	Resume string
-	// Backup names the backend server that gets a copy of a run's memory.
-	Backup string
 	// Reserved are headers that callers may not send to backend servers.
 	Reserved []string
 }
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -23,7 +23,7 @@
 
 var dialect = Dialect{
 	RequestID: "X-Id", Deadline: "X-Time", Signature: "X-Sign", Account: "X-Account", ExpectID: "X-Expect",
-	ServerID: "X-Server", NotRun: "X-Not-Run", Load: "X-Load", Priority: "X-Priority", LastEventID: "Last-Event-Id",
+	NotRun: "X-Not-Run", Load: "X-Load", Priority: "X-Priority", LastEventID: "Last-Event-Id",
 	Tokens: "X-Tokens", Prefix: "X-Parts", Reserved: []string{"X-Hold"},
 }
 
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -48,7 +48,7 @@
 	drained map[string]clocker.Millis
 	// harmed are stretches in which bounds on time do not hold.
 	harmed []span
-	// served are the latest versions that a life of a router showed.
+	// prepaid are the budgets of the client accounts.
 	prepaid map[string]int64
 }
 
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -82,7 +82,7 @@
 	// that last changed.
 	broken   int
 	brokenAt clocker.Millis
-	// versions are those whose routes were added and not removed.
+	// routes are those of the newest version.
 	routes []map[string]any
 }
 
