--- /dev/null
+++ b/carrier/carrier_test.go
@@ -0,0 +1,96 @@
+package carrier
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
+)
+
+// served is a server that counts its connections and repeats request IDs.
+func served(t *testing.T, handle http.HandlerFunc) (string, *atomic.Int64) {
+	var conns atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		handle(w, r)
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), &conns
+}
+
+func send(t *testing.T, c *Carrier, target Target, maxIdle clocker.Millis) (string, error) {
+	t.Helper()
+	a, err := c.Send(context.Background(), target, Request{
+		ID: "1", Method: "POST", URI: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, Body: []byte("b"), MaxIdle: maxIdle,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func newCarrier(clock *clocker.Clock) *Carrier {
+	return New(Config{Clock: clock, RequestIDHeader: "X-Id", DialTimeout: clocker.Second, IdleFor: 10 * clocker.Second})
+}
+
+func TestConnectionsAreUsedAgainWhileFresh(t *testing.T) {
+	address, conns := served(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	clock := clocker.NewManual(1000)
+	c := newCarrier(clock)
+	one := Target{ID: "one", Address: address}
+	for range 3 {
+		body, err := send(t, c, one, clocker.Minute)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+	}
+	assert.Equal(t, conns.Load(), int64(1))
+	clock.Advance(500) // unused for longer than this request allows
+	_, err := send(t, c, one, 300)
+	assert.NilError(t, err)
+	assert.Equal(t, conns.Load(), int64(2))
+	_, err = send(t, c, Target{ID: "two", Address: address}, clocker.Minute) // another life at the address
+	assert.NilError(t, err)
+	assert.Equal(t, conns.Load(), int64(3))
+	c.Keep(func(id string) bool { return id != "one" })
+	_, err = send(t, c, one, clocker.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, conns.Load(), int64(4))
+}
+
+// The server names how long it keeps a connection; it is left a second before.
+func TestServersIdleTimeoutIsKept(t *testing.T) {
+	address, conns := served(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Keep-Alive", "timeout=3, max=9") })
+	clock := clocker.NewManual(1000)
+	c := newCarrier(clock)
+	for range 2 {
+		_, err := send(t, c, Target{ID: "one", Address: address}, clocker.Minute)
+		assert.NilError(t, err)
+		clock.Advance(2001)
+	}
+	assert.Equal(t, conns.Load(), int64(2))
+}
+
+func TestServerThatIsNotThereGotNothing(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	_, err = send(t, newCarrier(clocker.NewWall()), Target{ID: "one", Address: l.Addr().String()}, 0)
+	assert.Assert(t, connector.IsErrNotSent(err))
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -41,7 +41,9 @@
 		for {
 			select {
 			case <-ctx.Done():
-				w.write(out, nil)
+				for w.ring.Len() > 0 {
+					w.write(out, nil)
+				}
 				return
 			case line := <-w.ring.Items():
 				w.write(out, line)
