--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -132,11 +132,7 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	wait := w.cfg.Wait
-	if w.lost {
-		wait = 0 // a call that does not wait tells soonest that the store is back
-	}
-	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, wait)
+	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait)
 	if err != nil {
 		return err
 	}
@@ -193,6 +189,9 @@
 		w.lost = true
 		w.cfg.Log.Warn("store does not answer", "kind", w.cfg.Kind, "revision", w.revision, "cause", err.Error())
 	}
+	// A list does not wait, and holds the present state alone: the changes since may
+	// be more than a slow link carries in time.
+	w.revision = 0
 	if w.cfg.Probes {
 		w.cfg.Health.note(true)
 	}
