--- a/runner/runner.go
+++ b/runner/runner.go
@@ -70,7 +70,6 @@
 	backends    *backends
 	carrier     *carrier.Carrier
 	relayer     *relayer.Relayer
-	watchers    []*watcher.Watcher
 	health      *watcher.Health
 
 	callers *http.Server
@@ -123,28 +122,30 @@
 			},
 		}),
 	}
-	configuration := &configurations{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table}
-	kind, _, _ := strings.Cut(r.cfg.Platform.Configuration, "/")
 	r.health = watcher.NewHealth(r.cfg.Clock)
-	probing := kind
+	kind, _, _ := strings.Cut(r.cfg.Platform.Configuration, "/")
 	// A store that drops its history may leave a watch hanging: a configuration has
-	// to be in force soon after, entries of servers also show by requests.
-	waits := map[string]clocker.Millis{
-		kind:                   r.cfg.Settings.ConfigurationMs,
-		r.cfg.Platform.Servers: r.cfg.Settings.SteadyMs,
-	}
-	for kind, sink := range map[string]watcher.Sink{kind: configuration, r.cfg.Platform.Servers: r.backends} {
-		r.watchers = append(r.watchers, watcher.New(ctx, watcher.Config{
-			Kind:   kind,
-			Source: r.cfg.Platform.Store,
-			Sink:   sink,
-			Clock:  r.cfg.Clock,
-			Wait:   waits[kind],
-			Health: r.health,
-			Probes: kind == probing,
-			Log:    r.cfg.Log,
-		}))
-	}
+	// to be in force soon after, while servers that leave also show by requests.
+	r.watch(ctx, watcher.Config{
+		Kind:   kind,
+		Sink:   &configurations{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table},
+		Wait:   r.cfg.Settings.ConfigurationMs,
+		Probes: true,
+	})
+	r.watch(ctx, watcher.Config{
+		Kind: r.cfg.Platform.Servers,
+		Sink: r.backends,
+		Wait: r.cfg.Settings.SteadyMs,
+	})
+}
+
+// watch starts a watcher that ends with ctx.
+func (r *Runner) watch(ctx context.Context, cfg watcher.Config) {
+	cfg.Source = r.cfg.Platform.Store
+	cfg.Clock = r.cfg.Clock
+	cfg.Health = r.health
+	cfg.Log = r.cfg.Log
+	watcher.New(ctx, cfg)
 }
 
 func (r *Runner) startRelay(ctx context.Context) {
