--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/platform"
 	"cowsliphinge/soaker"
 )
 
@@ -63,6 +64,7 @@
 	for seed := c.seed; seed < c.seed+c.seeds && ctx.Err() == nil; seed++ {
 		result, err := soaker.Run(ctx, soaker.Config{
 			Clock:   clocker.NewWall(),
+			Dialect: platform.Dialect,
 			Program: program,
 			Seed:    seed,
 			For:     clocker.Millis(c.seconds) * clocker.Second,
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/relayer"
 	"cowsliphinge/standin/objects"
 )
 
@@ -24,6 +25,8 @@
 // Config configures a run.
 type Config struct {
 	Clock *clocker.Clock
+	// Dialect names the headers that callers send and read.
+	Dialect relayer.Dialect
 	// Program is the path of the cowsliphinge binary.
 	Program string
 	// Seed decides all faults and requests.
@@ -303,11 +306,11 @@
 		return q
 	}
 	req.Host = host
-	req.Header.Set("X-Request-Id", q.id)
-	req.Header.Set("X-Deadline-Ms", "3000")
+	req.Header.Set(w.cfg.Dialect.RequestID, q.id)
+	req.Header.Set(w.cfg.Dialect.Deadline, "3000")
 	req.Header.Set("Authorization", "Bearer key-"+q.account)
 	if measured(q.path) {
-		req.Header.Set("X-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, maxOutput))
+		req.Header.Set(w.cfg.Dialect.Tokens, fmt.Sprintf("%d,%d", promptTokens, maxOutput))
 	}
 	req.GetBody = nil // the transport must not send it again by itself
 	resp, err := client.Do(req)
@@ -317,7 +320,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	q.status = resp.StatusCode
-	q.signed = resp.Header.Get("X-Server-Signature") != ""
+	q.signed = resp.Header.Get(w.cfg.Dialect.Signature) != ""
 	if streams(q.path) && q.status == http.StatusOK {
 		q.readEvents(resp.Body)
 		return q
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/platform"
 )
 
 // seeds are run in CI; a seed that ever failed stays here with a line on the cause.
@@ -25,6 +26,7 @@
 	for _, seed := range seeds {
 		result, err := Run(context.Background(), Config{
 			Clock:   clocker.NewWall(),
+			Dialect: platform.Dialect,
 			Program: program,
 			Seed:    seed,
 			For:     6 * clocker.Second,
