Urgent requests go first where a budget is scarce; fewer budget writes

Hosts now keep the demand of more urgent requests of 8 s for them while no tokens can be got, also towards peers; one write in ChangePause carries all budgets; an answer younger than a second is not asked for again; a rest that serves no waiting request is not fetched.

--- a/allotter/actions_test.go
+++ b/allotter/actions_test.go
@@ -11,9 +11,10 @@
 // planDrawn plans for a drawn need.
 func (m *machine) planDrawn(t *rapid.T, h *host, budget string) {
 	need := int64(rapid.IntRange(0, 200).Draw(t, "need"))
-	h.allotter.AddNeed(budget, need)
+	rank := rapid.IntRange(0, 2).Draw(t, "rank")
+	h.allotter.AddNeed(budget, need, rank)
 	m.plan(h, rapid.Bool().Draw(t, "holder"))
-	h.allotter.AddNeed(budget, -need)
+	h.allotter.AddNeed(budget, -need, rank)
 }
 
 // actions are the steps that a run draws from.
@@ -53,7 +54,7 @@
 		"tell":           func(t *rapid.T) { m.tell(pick(t), rapid.IntRange(0, 4).Draw(t, "lost") == 0) },
 		"releaseDelayed": func(*rapid.T) { m.store.ReleaseDelayed() },
 		"reserve": func(t *rapid.T) {
-			m.reserve(pick(t), budget(t), int64(rapid.IntRange(1, 150).Draw(t, "tokens")))
+			m.reserve(pick(t), budget(t), int64(rapid.IntRange(1, 150).Draw(t, "tokens")), rapid.IntRange(0, 2).Draw(t, "rank"))
 		},
 		"settle": func(t *rapid.T) {
 			h := pick(t)
@@ -75,6 +76,7 @@
 			ask.Needed = int64(rapid.IntRange(0, int(ask.Tokens)).Draw(t, "needed"))
 			m.give(pick(t), pick(t), ask)
 		},
+		"setAway":  func(t *rapid.T) { pick(t).allotter.SetAway(rapid.Bool().Draw(t, "away")) },
 		"giveBack": func(t *rapid.T) { m.giveBack(pick(t)) },
 		"deliver": func(t *rapid.T) {
 			if len(m.messages) == 0 {
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -21,6 +21,9 @@
 	// DemandSpan is the time constant that follows a rising demand, in
 	// milliseconds; 0 means a minute.
 	DemandSpan clocker.Millis
+	// KeepAhead is how much of the demand of more urgent requests is kept for them
+	// while no more tokens can be got, in milliseconds; 0 means none.
+	KeepAhead clocker.Millis
 }
 
 // Allotter holds the state of one incarnation for the budgets of one shard. The
@@ -32,9 +35,13 @@
 	all     []*allotment
 	slots   slots
 	closing bool
+	// away is true while the platform cannot be reached.
+	away bool
 
 	// version is the highest version of the shard's object that was seen.
 	version int64
+	// planned is when a write was last planned that was not turned away.
+	planned clocker.Millis
 	// readAt is when the platform last told the content.
 	readAt clocker.Millis
 	// object is the content at version and is never changed in place.
@@ -82,8 +89,9 @@
 	kept bool
 	// declared is the sum of all top-ups by the declarations; 0 if they name none.
 	declared int64
-	// need is what waiting requests lack beyond the headroom.
-	need int64
+	// need is what waiting requests ask for, ranks the same by their urgency.
+	need  int64
+	ranks []ranked
 	// lowered is when the limit was last lowered.
 	lowered clocker.Millis
 	// extended is when an extension ahead of demand was last planned.
@@ -96,10 +104,11 @@
 }
 
 // Reserve takes tokens from the headroom of a budget and returns the
-// reservation's ID, or false if the headroom does not hold them.
-func (a *Allotter) Reserve(name string, tokens int64, now clocker.Millis) (int64, bool) {
+// reservation's ID, or false if the headroom does not hold them beside what it
+// keeps for requests of a lower rank.
+func (a *Allotter) Reserve(name string, tokens int64, rank int, now clocker.Millis) (int64, bool) {
 	b := a.allotment(name)
-	if a.closing || tokens < 0 || b.headroom() < tokens {
+	if a.closing || tokens < 0 || b.headroom()-a.kept(b, rank, tokens, now) < tokens {
 		return 0, false
 	}
 	id, ok := a.slots.open(tokens)
@@ -108,6 +117,9 @@
 	}
 	b.reserved += tokens
 	b.demand.request(tokens, now)
+	if a.cfg.KeepAhead > 0 {
+		b.of(rank).taken.use(tokens, now)
+	}
 	return id, true
 }
 
--- a/allotter/bench_test.go
+++ b/allotter/bench_test.go
@@ -44,7 +44,7 @@
 			b.ReportAllocs()
 			for i := range b.N {
 				a := allotter.New(allotter.Config{Incarnation: "host-9999-19a0c5b2f3e-00000000"})
-				a.AddNeed("account-000000", 1000)
+				a.AddNeed("account-000000", 1000, 0)
 				object := &messenger.BudgetShard{}
 				if err := proto.Unmarshal(value, object); err != nil {
 					b.Fatal(err)
@@ -57,7 +57,7 @@
 				if _, err := proto.Marshal(w.Value); err != nil {
 					b.Fatal(err)
 				}
-				a.Confirm(w, int64(i+2))
+				a.Confirm(w, int64(i+2), clocker.Hour)
 			}
 			b.ReportMetric(float64(len(value)), "object-bytes")
 		})
@@ -74,7 +74,7 @@
 		for i := range budgets {
 			name := fmt.Sprintf("account-%06d", i)
 			a.Receive("peer", &messenger.TransferTotal{Budget: name, Given: 1000})
-			a.Reserve(name, 10, clocker.Hour)
+			a.Reserve(name, 10, 0, clocker.Hour)
 		}
 		after := heap()
 		b.ReportMetric(float64(after-before)/budgets, "bytes/budget")
--- a/allotter/declare_test.go
+++ b/allotter/declare_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
 
@@ -18,7 +19,7 @@
 	w, due := a.Plan(c)
 	assert.Assert(t, due)
 	assert.Equal(t, w.Value.Budgets[0].Granted, int64(1000))
-	a.Confirm(w, 2)
+	a.Confirm(w, 2, clocker.Hour)
 	assert.Equal(t, a.Headroom("masons"), int64(100))
 	a.Declare("masons", 900)
 	assert.Equal(t, a.content(a.allotment("masons")).Granted, int64(1000))
@@ -42,12 +43,12 @@
 	}
 	first, _ := one.Plan(c)
 	second, _ := two.Plan(c)
-	one.Confirm(first, 2)
+	one.Confirm(first, 2, clocker.Hour)
 	two.Conflict(second)
 	two.Merge(2, first.Value, 1)
 	second, due := two.Plan(c)
 	assert.Assert(t, due)
-	two.Confirm(second, 3)
+	two.Confirm(second, 3, clocker.Hour)
 	assert.Equal(t, one.Headroom("masons")+two.Headroom("masons"), int64(990))
 	assert.Equal(t, second.Value.Budgets[0].Granted, int64(1000))
 }
--- a/allotter/machine_test.go
+++ b/allotter/machine_test.go
@@ -83,7 +83,7 @@
 
 func (m *machine) start() *host {
 	h := &host{incarnation: fmt.Sprintf("host-%d", len(m.hosts)+len(m.gone))}
-	h.allotter = allotter.New(allotter.Config{Incarnation: h.incarnation})
+	h.allotter = allotter.New(allotter.Config{Incarnation: h.incarnation, KeepAhead: clocker.Second})
 	m.hosts = append(m.hosts, h)
 	return h
 }
@@ -200,7 +200,7 @@
 	h.answer = func() {
 		switch {
 		case err == nil:
-			h.allotter.Confirm(w, o.Version)
+			h.allotter.Confirm(w, o.Version, m.clock.Now())
 		case storer.IsErrOutcomeUnknown(err):
 			h.allotter.Unknown(w)
 		default:
@@ -222,8 +222,8 @@
 	h.write, h.answer = nil, nil
 }
 
-func (m *machine) reserve(h *host, budget string, tokens int64) bool {
-	id, ok := h.allotter.Reserve(budget, tokens, m.clock.Now())
+func (m *machine) reserve(h *host, budget string, tokens int64, rank int) bool {
+	id, ok := h.allotter.Reserve(budget, tokens, rank, m.clock.Now())
 	if ok {
 		h.open = append(h.open, reservation{budget: budget, id: id, tokens: tokens})
 		m.exposed[budget] += tokens
--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -20,7 +20,8 @@
 	// later one; nil means never.
 	Replaced func(incarnation string) bool
 	// ChangePause is the least time between two extensions ahead of demand, or
-	// between two returns, of one budget; 0 means defaultChangePause.
+	// between two returns, of one budget, and with BatchShare of the object; 0 means
+	// defaultChangePause.
 	ChangePause clocker.Millis
 	// ExtendShare is the share of the wanted headroom below which it is extended
 	// ahead of demand; 0 means defaultExtendShare.
@@ -136,15 +137,11 @@
 // object again.
 func (a *Allotter) PlatformDue(c Circumstances) bool {
 	for _, b := range a.all {
-		unknown := b.kept && c.Holder && a.index[b.name] == nil && (b.declared == 0 || a.readAt == 0)
-		if unknown || b.need > b.headroom() {
-			return true
-		}
-		if _, ok := a.planEntry(a.content(b), b, c); ok {
+		if b.kept && c.Holder && a.index[b.name] == nil && (b.declared == 0 || a.readAt == 0) {
 			return true
 		}
 	}
-	return false
+	return a.anyLacks() || a.anyDue(c)
 }
 
 // Plan returns the write that brings the own entries of all budgets to what the
@@ -165,11 +162,18 @@
 			entries = append(entries, e)
 		}
 	}
+	if len(entries) == 0 {
+		return Write{}, false // nothing is left for the requests that wait
+	}
+	a.planned = c.Now
 	return a.write(entries, c), true
 }
 
 // anyDue reports whether a write is called for by any budget.
 func (a *Allotter) anyDue(c Circumstances) bool {
+	if c.BatchShare > 0 && c.Now-a.planned < c.changePause() && !a.closing {
+		return a.anyLacks()
+	}
 	for _, b := range a.all {
 		if _, ok := a.planEntry(a.content(b), b, c); ok {
 			return true
@@ -178,6 +182,16 @@
 	return false
 }
 
+// anyLacks reports whether requests wait for more than the headroom of a budget.
+func (a *Allotter) anyLacks() bool {
+	for _, b := range a.all {
+		if b.need > b.headroom() {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Allotter) planEntry(object *messenger.Budget, b *allotment, c Circumstances) (entry, bool) {
 	if object == nil || b.closed {
 		return entry{}, false
@@ -249,16 +263,14 @@
 }
 
 // Confirm tells that the write took effect as the given version.
-func (a *Allotter) Confirm(w Write, version int64) {
-	if version <= a.version {
-		return
-	}
-	a.accept(version, w.Value)
+func (a *Allotter) Confirm(w Write, version int64, now clocker.Millis) {
+	a.Merge(version, w.Value, now)
 }
 
 // Conflict tells that the write surely had no effect: what it was to extend is
 // still due.
 func (a *Allotter) Conflict(w Write) {
+	a.planned = 0
 	for _, e := range w.entries {
 		e.budget.extended = 0
 	}
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -20,10 +20,12 @@
 	loanAhead = 10 * clocker.Second
 )
 
-// AddNeed tells that requests began to wait for tokens of a budget, or ended
-// their wait if negative.
-func (a *Allotter) AddNeed(name string, tokens int64) {
-	a.allotment(name).need += tokens
+// AddNeed tells that requests of a rank began to wait for tokens of a budget, or
+// ended their wait if negative.
+func (a *Allotter) AddNeed(name string, tokens int64, rank int) {
+	b := a.allotment(name)
+	b.need += tokens
+	b.of(rank).need += tokens
 }
 
 // target is the headroom that the policy wants a holder to have, given the
@@ -85,6 +87,8 @@
 	}
 	free := b.headroom() - b.need
 	switch {
+	case free < 0 && float64(rest) < min(float64(-free), b.demand.size):
+		return 0 // serves no request that waits
 	case free < 0:
 		return min(target-free, rest)
 	case float64(free) < c.extendShare()*float64(target) && c.Now-b.extended >= c.changePause():
@@ -101,33 +105,31 @@
 func (a *Allotter) Asks(c Circumstances, loan bool) []*messenger.TransferAsk {
 	var asks []*messenger.TransferAsk
 	for _, b := range a.all {
-		ask := b.ask(c)
-		if ask == nil || loan && ask.Needed == 0 {
+		if b.closeSent || b.closed {
 			continue
 		}
+		lacks := a.lacks(b, c.Now)
+		ahead := b.askAhead(c)
 		if loan {
-			ask.Loan = true
-			ask.Tokens = ask.Needed + b.ahead(loanAhead, c.Now)
+			ahead = b.ahead(loanAhead, c.Now)
+		} else if len(lacks) == 0 && ahead > 0 {
+			lacks = []lack{{}}
+		}
+		for _, l := range lacks {
+			asks = append(asks, &messenger.TransferAsk{Budget: b.name, Tokens: l.tokens + ahead, Needed: l.tokens, Rank: int32(l.rank), Loan: loan})
+			ahead = 0
 		}
-		asks = append(asks, ask)
 	}
 	return asks
 }
 
-func (b *allotment) ask(c Circumstances) *messenger.TransferAsk {
-	if b.closeSent || b.closed {
-		return nil
-	}
+// askAhead is what a host that is no holder asks for beyond what requests wait for.
+func (b *allotment) askAhead(c Circumstances) int64 {
 	free := b.headroom() - b.need
-	short := max(0, -free)
-	ahead := int64(0)
 	if target := b.grantTarget(c.Now); !c.Holder && free < target/2 {
-		ahead = target - max(0, free)
-	}
-	if short == 0 && ahead == 0 {
-		return nil
+		return target - max(0, free)
 	}
-	return &messenger.TransferAsk{Budget: b.name, Tokens: short + ahead, Needed: short}
+	return 0
 }
 
 // Keep makes a holder keep the policy's floor of a budget from now on. It
--- a/allotter/policy_test.go
+++ b/allotter/policy_test.go
@@ -16,12 +16,12 @@
 // extend brings one host's entry to what it needs, without faults.
 func (m *machine) extend(t *testing.T, h *host, need int64) {
 	t.Helper()
-	h.allotter.AddNeed("mason", need)
+	h.allotter.AddNeed("mason", need, 0)
 	m.read(h)
 	m.plan(h, true)
 	m.send(h, platform.Faults{})
 	m.tell(h, false)
-	h.allotter.AddNeed("mason", -need)
+	h.allotter.AddNeed("mason", -need, 0)
 	assert.NilError(t, m.check())
 }
 
@@ -39,7 +39,7 @@
 	m := newMachine(1)
 	h := m.hosts[0]
 	m.extend(t, h, 300)
-	assert.Assert(t, m.reserve(h, "mason", 300))
+	assert.Assert(t, m.reserve(h, "mason", 300, 0))
 	m.settle(h, 0, 100)
 	assert.Assert(t, allotter.Assigned(m.mason()) > 100)
 	for range 50 {
@@ -54,7 +54,7 @@
 	h := m.hosts[0]
 	for range 3 { // demand far above what is left
 		m.extend(t, h, 100)
-		assert.Assert(t, m.reserve(h, "mason", 100))
+		assert.Assert(t, m.reserve(h, "mason", 100, 0))
 		m.settle(h, 0, 100)
 		m.clock.Advance(10 * clocker.Second)
 	}
@@ -87,9 +87,9 @@
 	m.hosts = append(m.hosts, paused)
 	m.read(paused)
 	assert.Equal(t, paused.allotter.Headroom("mason"), held)
-	assert.Assert(t, m.reserve(paused, "mason", held))
+	assert.Assert(t, m.reserve(paused, "mason", held, 0))
 	m.extend(t, paused, 5)
-	assert.Assert(t, m.reserve(paused, "mason", 5))
+	assert.Assert(t, m.reserve(paused, "mason", 5, 0))
 	assert.NilError(t, m.check())
 	m.settle(paused, 0, held)
 	m.settle(paused, 0, 5)
@@ -107,7 +107,7 @@
 		a := allotter.New(allotter.Config{Incarnation: "me"})
 		a.Merge(1, object, 0)
 		for i := range 10 {
-			id, ok := a.Reserve("mason", 500, clocker.Millis(i))
+			id, ok := a.Reserve("mason", 500, 0, clocker.Millis(i))
 			assert.Assert(t, ok)
 			a.Settle("mason", id, 500, clocker.Millis(i))
 		}
@@ -140,7 +140,7 @@
 		assert.Assert(t, a.Keep("mason"))
 		w, due := a.Plan(allotter.Circumstances{Now: clocker.Minute, Policy: policy, Holder: c.holder})
 		if due {
-			a.Confirm(w, 2)
+			a.Confirm(w, 2, clocker.Hour)
 		}
 		want := c.want
 		if want < 0 {
@@ -149,3 +149,35 @@
 		assert.Equal(t, a.Headroom("mason"), want)
 	}
 }
+
+// Pattern: many budgets of one object are drawn on at the same time. A holder
+// writes the object at most once in ChangePause; each write carries all budgets.
+func TestOneWriteCarriesAllBudgets(t *testing.T) {
+	const budgets, seconds, pause = 10, 30, 1500 * clocker.Millis(1)
+	a := allotter.New(allotter.Config{Incarnation: "h-1-a", DemandSpan: 4 * clocker.Second})
+	object := &messenger.BudgetShard{}
+	for i := range budgets {
+		object.Budgets = append(object.Budgets, &messenger.Budget{Name: fmt.Sprint("budget-", i), Granted: 10_000_000})
+		a.Keep(fmt.Sprint("budget-", i))
+	}
+	a.Merge(1, object, clocker.Hour)
+	c := allotter.Circumstances{
+		Policy: &messenger.Policy{HeadroomMs: 1000, FloorTokens: 1 << 40, MaxShareOfRestMilli: 25}, Holder: true,
+		ChangePause: pause, ExtendShare: 0.8, BatchShare: 0.95,
+	}
+	writes, lowest := 0, int64(1<<40)
+	for c.Now = clocker.Hour; c.Now < clocker.Hour+seconds*clocker.Second; c.Now += 100 {
+		if w, due := a.Plan(c); due {
+			writes++
+			a.Confirm(w, int64(1+writes), c.Now)
+		}
+		for i := range budgets {
+			id, ok := a.Reserve(fmt.Sprint("budget-", i), 1000+int64(i), 0, c.Now)
+			assert.Assert(t, ok)
+			a.Settle(fmt.Sprint("budget-", i), id, 1000+int64(i), c.Now)
+			lowest = min(lowest, a.Headroom(fmt.Sprint("budget-", i)))
+		}
+	}
+	assert.Assert(t, writes <= 1+int(seconds*clocker.Second/pause), "%d writes", writes)
+	assert.Assert(t, lowest > 100_000, "a headroom fell to %d", lowest)
+}
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -54,7 +54,7 @@
 // half of what is left.
 func (a *Allotter) Give(to string, ask *messenger.TransferAsk, now clocker.Millis) *messenger.TransferTotal {
 	b := a.allotment(ask.Budget)
-	amount := b.lendable(ask)
+	amount := a.lendable(b, ask, now)
 	if a.closing || to == a.cfg.Incarnation {
 		amount = 0
 	}
@@ -65,8 +65,8 @@
 	return b.totalTo(to)
 }
 
-func (b *allotment) lendable(ask *messenger.TransferAsk) int64 {
-	headroom := max(0, b.headroom()-b.need)
+func (a *Allotter) lendable(b *allotment, ask *messenger.TransferAsk, now clocker.Millis) int64 {
+	headroom := max(0, b.headroom()-b.need-a.kept(b, int(ask.Rank), ask.Needed, now))
 	needed := min(max(0, min(ask.Needed, ask.Tokens)), headroom)
 	ahead := min(max(0, ask.Tokens-needed), (headroom-needed)/2)
 	return needed + ahead
--- /dev/null
+++ b/allotter/urgency.go
@@ -0,0 +1,75 @@
+package allotter
+
+import (
+	"cowsliphinge/clocker"
+)
+
+// ranked is what requests of one rank want of a budget. Rank 0 is the most urgent.
+type ranked struct {
+	rank int
+	// need is what waiting requests of the rank ask for.
+	need int64
+	// taken measures the tokens that requests of the rank reserve.
+	taken demand
+}
+
+// SetAway tells whether neither the platform nor the declarations can bring more
+// tokens now.
+func (a *Allotter) SetAway(away bool) {
+	a.away = away
+}
+
+// of returns the state of a rank; ranks are few, and kept in ascending order.
+func (b *allotment) of(rank int) *ranked {
+	i := 0
+	for ; i < len(b.ranks) && b.ranks[i].rank <= rank; i++ {
+		if b.ranks[i].rank == rank {
+			return &b.ranks[i]
+		}
+	}
+	b.ranks = append(b.ranks, ranked{})
+	copy(b.ranks[i+1:], b.ranks[i:])
+	b.ranks[i] = ranked{rank: rank, taken: demand{span: b.demand.span}}
+	return &b.ranks[i]
+}
+
+// kept returns the tokens that a request of a rank leaves to more urgent ones:
+// what these are expected to reserve in KeepAhead, while the platform cannot be
+// reached or has less left than the request asks for.
+func (a *Allotter) kept(b *allotment, rank int, tokens int64, now clocker.Millis) int64 {
+	if rank == 0 || a.cfg.KeepAhead == 0 || !a.away && Rest(a.content(b)) >= tokens {
+		return 0
+	}
+	rate := 0.0
+	for i := range b.ranks {
+		if b.ranks[i].rank < rank {
+			rate += b.ranks[i].taken.rate(now)
+		}
+	}
+	return int64(rate * float64(a.cfg.KeepAhead))
+}
+
+// lack is what waiting requests of one rank lack.
+type lack struct {
+	rank   int
+	tokens int64
+}
+
+// lacks returns what waiting requests lack, the most urgent ones first.
+func (a *Allotter) lacks(b *allotment, now clocker.Millis) []lack {
+	var lacks []lack
+	free := b.headroom()
+	for i := range b.ranks {
+		need := b.ranks[i].need
+		if need <= 0 {
+			continue
+		}
+		rank := b.ranks[i].rank
+		usable := free - a.kept(b, rank, need, now)
+		if short := need - usable; short > 0 {
+			lacks = append(lacks, lack{rank: rank, tokens: short})
+		}
+		free -= need
+	}
+	return lacks
+}
--- a/capacity/durable_test.go
+++ b/capacity/durable_test.go
@@ -123,7 +123,7 @@
 		})
 		use := func(i int) {
 			budget := fmt.Sprintf("budget-%06d", i%n)
-			reservation, err := r.Reserve(context.Background(), budget, 1000, start+clocker.Hour)
+			reservation, err := r.Reserve(context.Background(), budget, 1000, 0, start+clocker.Hour)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -48,7 +48,7 @@
 
 // Reserver reserves and settles budget tokens.
 type Reserver interface {
-	Reserve(ctx context.Context, budget string, tokens int64, deadline clocker.Millis) (reserver.Reservation, error)
+	Reserve(ctx context.Context, budget string, tokens int64, rank int, deadline clocker.Millis) (reserver.Reservation, error)
 	Settle(r reserver.Reservation, used int64)
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -156,7 +156,7 @@
 	cfg := r.d.cfg
 	patience := clocker.Millis(cfg.Index().Policy.PatienceMs)
 	deadline := min(r.call.Deadline, cfg.Clock.Now()+patience)
-	reservation, err := cfg.Reserver.Reserve(ctx, r.call.Account.Budget, tokens, deadline)
+	reservation, err := cfg.Reserver.Reserve(ctx, r.call.Account.Budget, tokens, 0, deadline)
 	if err != nil {
 		return budgetRefusal(r.call, err)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -37,7 +37,7 @@
 
 // Budgets reserves tokens of client accounts.
 type Budgets interface {
-	Reserve(ctx context.Context, budget string, tokens int64, deadline clocker.Millis) (reserver.Reservation, error)
+	Reserve(ctx context.Context, budget string, tokens int64, rank int, deadline clocker.Millis) (reserver.Reservation, error)
 	Settle(r reserver.Reservation, used int64)
 }
 
@@ -225,7 +225,7 @@
 	if x.account == nil || !x.account.HasPrepaid || !x.measured {
 		return refusal{}, true
 	}
-	reservation, err := x.cfg.Budgets.Reserve(x.ctx, x.account.Name, x.promptTokens+x.maxOutput, x.deadline)
+	reservation, err := x.cfg.Budgets.Reserve(x.ctx, x.account.Name, x.promptTokens+x.maxOutput, x.route.Priority, x.deadline)
 	switch {
 	case err == nil:
 		x.reservation = reservation
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -199,7 +199,7 @@
 	reserved int64
 }
 
-func (b *budgets) Reserve(_ context.Context, budget string, tokens int64, _ clocker.Millis) (reserver.Reservation, error) {
+func (b *budgets) Reserve(_ context.Context, budget string, tokens int64, _ int, _ clocker.Millis) (reserver.Reservation, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.err != nil {
--- a/reserver/bench_test.go
+++ b/reserver/bench_test.go
@@ -20,7 +20,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
-		reservation, err := r.Reserve(context.Background(), "mason", 1000, deadline)
+		reservation, err := r.Reserve(context.Background(), "mason", 1000, 0, deadline)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/reserver/concurrent_test.go
+++ b/reserver/concurrent_test.go
@@ -102,7 +102,7 @@
 			wg.Go(func() {
 				for refusals := 0; refusals < 3; {
 					store.SetFaults(platform.Faults{LoseAnswers: i % 2})
-					reservation, err := host.Reserve(context.Background(), "mason", 300, clock.Now()+clocker.Minute)
+					reservation, err := host.Reserve(context.Background(), "mason", 300, 0, clock.Now()+clocker.Minute)
 					if err != nil {
 						refusals++
 						continue
--- a/reserver/export_test.go
+++ b/reserver/export_test.go
@@ -42,14 +42,20 @@
 
 // Begin reserves as Reserve does, without blocking.
 func (r *Reserver) Begin(budget string, tokens int64, left clocker.Millis) *Pending {
+	return r.BeginRanked(budget, tokens, 0, left)
+}
+
+// BeginRanked is Begin for a request of a rank.
+func (r *Reserver) BeginRanked(budget string, tokens int64, rank int, left clocker.Millis) *Pending {
 	s := r.shard(budget)
-	if id, ok := s.reserve(budget, tokens, r.cfg.Clock.Now()); ok {
+	w := &waiter{budget: budget, tokens: tokens, rank: rank, done: make(chan grant, 1)}
+	if id, ok := s.reserve(budget, tokens, rank, r.cfg.Clock.Now()); ok {
 		return &Pending{Ended: true, Reservation: Reservation{Budget: budget, Tokens: tokens, ID: id}}
 	}
-	if err := r.refuseAtOnce(s, budget, tokens, left); err != nil {
+	if err := r.refuseAtOnce(s, w, left); err != nil {
 		return &Pending{Ended: true, Err: err}
 	}
-	p := &Pending{shard: s, w: &waiter{budget: budget, tokens: tokens, done: make(chan grant, 1)}}
+	p := &Pending{shard: s, w: w}
 	s.join(p.w)
 	r.wantRefill(s)
 	return p
--- a/reserver/holders_test.go
+++ b/reserver/holders_test.go
@@ -66,9 +66,29 @@
 	assert.Assert(t, p.Ended)
 
 	f.nodes[0].side = 1
+	f.clock.Advance(clocker.Second) // what the platform last said is no longer fresh
 	q := a.Begin("mason", 900, clocker.Minute)
 	f.nodes[0].reserver.Settle(p.Reservation, 900)
 	a.CarryOutWaiting(t.Context())
 	q.Poll()
 	assert.Assert(t, q.Ended && reserver.IsErrBudgetUnreachable(q.Err), "%v", q.Err)
 }
+
+// Pattern: a budget is used up and its callers go on asking. The platform is asked
+// once in a while whether there is more, not for each request.
+func TestUsedUpBudgetIsNotReadForEachRequest(t *testing.T) {
+	f := newFleet(&messenger.Policy{HeadroomMs: 5000, OfflineReserveMs: 60000, MaxShareOfRestMilli: 125, PatienceMs: 2000}, 1, 1)
+	n := f.nodes[0]
+	f.topUp(t, n, "first", "mason", 1000)
+	assert.NilError(t, n.take("mason", 1000)) // stays in flight: it may free tokens
+	f.run(clocker.Second)
+	before := n.calls
+	for range 20 {
+		assert.Assert(t, n.take("mason", 900) != nil)
+		f.clock.Advance(100)
+	}
+	assert.Assert(t, n.calls-before <= 3, "%d calls in two seconds", n.calls-before)
+	f.topUp(t, n, "second", "mason", 5000)
+	assert.NilError(t, n.take("mason", 900))
+	f.check(t, "mason")
+}
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -85,6 +85,9 @@
 	for range writeAttempts {
 		w, due := s.planKnown(r.circumstances(s, v))
 		if !due {
+			if s.isFresh(r.cfg.Clock.Now()) {
+				return balanced{answered: true}
+			}
 			if err := r.read(ctx, s); err != nil {
 				return balanced{contended: storer.IsErrRateLimited(err)}
 			}
@@ -153,7 +156,7 @@
 	case err == nil:
 		writes.Inc()
 		clear(s.verdicts)
-		s.allotter.Confirm(w, o.Version)
+		s.allotter.Confirm(w, o.Version, r.cfg.Clock.Now())
 		s.wake(r.cfg.Clock.Now())
 	case storer.IsErrOutcomeUnknown(err):
 		unknownOutcomes.Inc()
@@ -205,6 +208,14 @@
 	return s.allotter.Plan(c)
 }
 
+// isFresh reports whether the platform told the content just now, so that a read
+// would tell nothing new.
+func (s *shard) isFresh(now clocker.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known && now-s.allotter.ReadAt() < verdictAge
+}
+
 // take waits for the shard's turn at the platform.
 func (s *shard) take(ctx context.Context) bool {
 	select {
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -21,6 +21,7 @@
 type verdict struct {
 	at     clocker.Millis
 	tokens int64
+	rank   int
 	// answered is true if the platform itself said that nothing is left.
 	answered bool
 }
@@ -54,26 +55,25 @@
 }
 
 // refuseAtOnce returns an error if waiting cannot help a request.
-func (r *Reserver) refuseAtOnce(s *shard, budget string, tokens int64, left clocker.Millis) error {
+func (r *Reserver) refuseAtOnce(s *shard, w *waiter, left clocker.Millis) error {
 	if r.closing.Load() {
-		return refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "closing")
+		return refuse(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "closing")
 	}
 	if left <= 0 {
-		return refuse(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "late")
+		return refuse(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "late")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v, ok := s.verdicts[budget]
+	v, ok := s.verdicts[w.budget]
 	fresh := ok && r.cfg.Clock.Now()-v.at < verdictAge
-	if fresh && tokens >= v.tokens && s.allotter.Reserved(budget) == 0 {
-		return v.err(budget, tokens)
+	if fresh && w.tokens >= v.tokens && w.rank >= v.rank && s.allotter.Reserved(w.budget) == 0 {
+		return v.err(w.budget, w.tokens)
 	}
 	return nil
 }
 
 // await waits for headroom.
-func (r *Reserver) await(ctx context.Context, s *shard, budget string, tokens int64, deadline clocker.Millis) (Reservation, error) {
-	w := &waiter{budget: budget, tokens: tokens, done: make(chan grant, 1)}
+func (r *Reserver) await(ctx context.Context, s *shard, w *waiter, deadline clocker.Millis) (Reservation, error) {
 	s.join(w)
 	r.wantRefill(s)
 	patience := min(deadline-r.cfg.Clock.Now(), clocker.Millis(r.cfg.Policy().PatienceMs))
@@ -126,11 +126,11 @@
 // of the own availability zone, from the platform, then as a loan from peers.
 // While the platform does not answer, peers are asked first.
 func (r *Reserver) refill(ctx context.Context, s *shard) {
-	s.startRefill()
+	s.startRefill(r.isAway())
 	v := r.look()
 	rd := round{exhausted: map[string]bool{}, busy: map[string]bool{}}
 	r.askHolders(ctx, s, v, &rd)
-	if r.platform.isFailed() || !r.cfg.Reachable() {
+	if r.isAway() {
 		r.askForLoans(ctx, s, v, &rd)
 	}
 	if r.platformDue(s, v) && !(r.cfg.HoldersFirst && rd.heard) {
@@ -150,9 +150,15 @@
 	return s.allotter.PlatformDue(c)
 }
 
-func (s *shard) startRefill() {
+// isAway reports whether the platform is out of reach, as far as is known.
+func (r *Reserver) isAway() bool {
+	return r.platform.isFailed() || !r.cfg.Reachable()
+}
+
+func (s *shard) startRefill(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.allotter.SetAway(away)
 	s.queued = false
 	for _, w := range s.waiters {
 		w.seen = true
@@ -169,7 +175,7 @@
 		if !w.seen || rd.contended || rd.busy[w.budget] || s.allotter.Reserved(w.budget) > 0 {
 			return grant{}, false
 		}
-		v := verdict{at: now, tokens: w.tokens, answered: rd.answered || rd.exhausted[w.budget]}
+		v := verdict{at: now, tokens: w.tokens, rank: w.rank, answered: rd.answered || rd.exhausted[w.budget]}
 		s.verdicts[w.budget] = v
 		return grant{err: v.err(w.budget, w.tokens)}, true
 	})
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -72,6 +72,9 @@
 	// DemandSpan is the time constant that follows a rising demand, in
 	// milliseconds; 0 means the allotter's own.
 	DemandSpan clocker.Millis
+	// KeepAhead is how much of the demand of more urgent requests is kept for them
+	// while no more tokens can be got, in milliseconds; 0 means none.
+	KeepAhead clocker.Millis
 	// HoldersFirst makes a host that is no holder leave the platform alone while a
 	// holder of its availability zone answers.
 	HoldersFirst bool
@@ -142,18 +145,20 @@
 }
 
 // Reserve takes the worst case of a request from a budget. It waits until
-// deadline, or for the policy's patience, while more tokens may come. It returns
-// ErrBudgetExhausted or ErrBudgetUnreachable; nothing is reserved then.
-func (r *Reserver) Reserve(ctx context.Context, budget string, tokens int64, deadline clocker.Millis) (Reservation, error) {
+// deadline, or for the policy's patience, while more tokens may come. Requests of
+// a lower rank go first where tokens are scarce. It returns ErrBudgetExhausted or
+// ErrBudgetUnreachable; nothing is reserved then.
+func (r *Reserver) Reserve(ctx context.Context, budget string, tokens int64, rank int, deadline clocker.Millis) (Reservation, error) {
 	now := r.cfg.Clock.Now()
+	w := &waiter{budget: budget, tokens: tokens, rank: rank, done: make(chan grant, 1)}
 	s := r.shard(budget)
-	if id, ok := s.reserve(budget, tokens, now); ok {
-		return Reservation{Budget: budget, Tokens: tokens, ID: id}, nil
+	if id, ok := s.reserve(budget, tokens, rank, now); ok {
+		return grant{id: id}.reservation(w)
 	}
-	if err := r.refuseAtOnce(s, budget, tokens, deadline-now); err != nil {
+	if err := r.refuseAtOnce(s, w, deadline-now); err != nil {
 		return Reservation{}, err
 	}
-	return r.await(ctx, s, budget, tokens, deadline)
+	return r.await(ctx, s, w, deadline)
 }
 
 // Settle ends a reservation with the tokens that were used, at most the
@@ -189,7 +194,7 @@
 	if s := r.shards[i].Load(); s != nil {
 		return s
 	}
-	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation, DemandSpan: r.cfg.DemandSpan})
+	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation, DemandSpan: r.cfg.DemandSpan, KeepAhead: r.cfg.KeepAhead})
 	r.shards[i].Store(s)
 	r.used = append(r.used, s)
 	return s
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -36,13 +36,13 @@
 	assert.Assert(t, reply.Repeated && reply.Granted == 1000)
 
 	deadline := clock.Now() + clocker.Minute
-	reservation, err := r.Reserve(ctx, "mason", 700, deadline)
+	reservation, err := r.Reserve(ctx, "mason", 700, 0, deadline)
 	assert.NilError(t, err)
 	r.Settle(reservation, 300)
 	r.Settle(reservation, 300)
-	_, err = r.Reserve(ctx, "mason", 701, deadline)
+	_, err = r.Reserve(ctx, "mason", 701, 0, deadline)
 	assert.Assert(t, reserver.IsErrBudgetExhausted(err), "%v", err)
-	reservation, err = r.Reserve(ctx, "mason", 700, deadline)
+	reservation, err = r.Reserve(ctx, "mason", 700, 0, deadline)
 	assert.NilError(t, err)
 	r.Settle(reservation, 700)
 
@@ -58,7 +58,7 @@
 func TestReserveWithoutBudget(t *testing.T) {
 	clock := clocker.NewManual(clocker.Hour)
 	r := newReserver(t, clock, platform.New(clock), "h1")
-	_, err := r.Reserve(context.Background(), "nobody", 1, clock.Now()+clocker.Minute)
+	_, err := r.Reserve(context.Background(), "nobody", 1, 0, clock.Now()+clocker.Minute)
 	assert.Assert(t, reserver.IsErrBudgetExhausted(err), "%v", err)
 	assert.NilError(t, r.Close(context.Background()))
 }
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -43,6 +43,7 @@
 type waiter struct {
 	budget string
 	tokens int64
+	rank   int
 	// seen is true once a refill has started that knew of it.
 	seen bool
 	done chan grant
@@ -64,10 +65,10 @@
 	}
 }
 
-func (s *shard) reserve(budget string, tokens int64, now clocker.Millis) (int64, bool) {
+func (s *shard) reserve(budget string, tokens int64, rank int, now clocker.Millis) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.allotter.Reserve(budget, tokens, now)
+	return s.allotter.Reserve(budget, tokens, rank, now)
 }
 
 // settle ends a reservation. It returns true if requests wait that no
@@ -92,7 +93,7 @@
 	defer s.mu.Unlock()
 	s.waiters = append(s.waiters, w)
 	s.pause = retryPause
-	s.allotter.AddNeed(w.budget, w.tokens)
+	s.allotter.AddNeed(w.budget, w.tokens, w.rank)
 }
 
 // leave removes a waiter and returns its grant if one came meanwhile.
@@ -111,7 +112,7 @@
 // wake grants what now fits, oldest first. The caller holds mu.
 func (s *shard) wake(now clocker.Millis) {
 	s.dismiss(func(w *waiter) (grant, bool) {
-		id, ok := s.allotter.Reserve(w.budget, w.tokens, now)
+		id, ok := s.allotter.Reserve(w.budget, w.tokens, w.rank, now)
 		return grant{id: id}, ok
 	})
 }
@@ -122,7 +123,7 @@
 		g, ended := judge(w)
 		if ended {
 			w.done <- g
-			s.allotter.AddNeed(w.budget, -w.tokens)
+			s.allotter.AddNeed(w.budget, -w.tokens, w.rank)
 		}
 		return ended
 	})
--- a/router/ticket_test.go
+++ b/router/ticket_test.go
@@ -24,7 +24,7 @@
 	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&ticket))
 
 	first := order(t, f, "host-a", ticket.IdempotencyKey)
-	assert.Equal(t, first.status, 200)
+	assert.Equal(t, first.status, 200, "%+v", first.refusal)
 	second := post(t, f, "host-b", "/orders/place", ticket.IdempotencyKey, `{"Urn":1}`)
 	body, err := io.ReadAll(second.Body)
 	assert.NilError(t, err)
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -49,6 +49,10 @@
 	// demandSpan is the time constant that follows demand, in milliseconds: hosts
 	// that are no holders keep the demand of a second.
 	demandSpan = 4 * clocker.Second
+	// keepAhead is how much of the demand of more urgent requests is kept for them
+	// while the store is away or a budget ends, in milliseconds: an outage that is
+	// to be borne.
+	keepAhead = 8 * clocker.Second
 )
 
 // policy returns the policy of all budgets: each holder keeps its part of
@@ -153,6 +157,7 @@
 		Shards:           budgetShards,
 		ChangePause:      changePause,
 		DemandSpan:       demandSpan,
+		KeepAhead:        keepAhead,
 		HoldersFirst:     true,
 		Reachable:        r.health.Reachable,
 		ConflictPause:    conflictPause,
