--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -41,7 +41,7 @@
 const (
 	// heldShare is the part of what is left of a budget that all holders together
 	// keep: it lasts an outage of the store, and is lost if all hosts die at once.
-	heldShare = 0.2
+	heldShare = 0.3
 	// extendShare of a holder's part is left when it is filled up, batchShare if a
 	// write for another budget carries it along.
 	extendShare = 0.8
