Most hosts watch the store with long waits and compare with their peers

Behind a burst of configurations the newest alone is listed. The start no longer races: heartbeats read the reserver while it is made.

--- a/runner/backends.go
+++ b/runner/backends.go
@@ -1,10 +1,13 @@
 package runner
 
 import (
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/storer"
@@ -21,6 +24,37 @@
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	listed  bool
+	// print is the fingerprint of the entries, 0 before the first list.
+	print uint64
+}
+
+// newBackends returns the shell of a chooser that knows no server yet.
+func newBackends(cfg Config, cacheTokens func(service string) int) *backends {
+	return &backends{
+		clock:   cfg.Clock,
+		log:     cfg.Log,
+		kind:    cfg.Platform.Servers,
+		decode:  cfg.Platform.Server,
+		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens}),
+	}
+}
+
+// fingerprint returns a value that two hosts share if they know the same servers in
+// the same state; 0 before the first list.
+func (b *backends) fingerprint() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.print
+}
+
+// seal computes the fingerprint. The caller holds mu.
+func (b *backends) seal() {
+	sum := uint64(1)
+	for _, id := range b.chooser.IDs() {
+		s, _ := b.chooser.Server(id)
+		sum ^= xxhash.Sum64String(fmt.Sprint(id, s.Draining, s.StartedAt))
+	}
+	b.print = sum
 }
 
 // Replace implements watcher.Sink.
@@ -38,6 +72,7 @@
 		}
 	}
 	b.listed = true
+	b.seal()
 }
 
 // Apply implements watcher.Sink.
@@ -51,6 +86,7 @@
 		}
 		b.set(c.Object)
 	}
+	b.seal()
 }
 
 func (b *backends) id(o storer.Object) string {
@@ -91,6 +127,9 @@
 	for _, id := range b.chooser.Expire(b.clock.Now()) {
 		b.log.Info("backend server did not come back after the outage", "server", id)
 	}
+	if b.listed {
+		b.seal()
+	}
 }
 
 // known reports whether a server is known.
--- a/runner/backends_test.go
+++ b/runner/backends_test.go
@@ -13,7 +13,7 @@
 	"cowsliphinge/storer"
 )
 
-func newBackends(clock *clocker.Clock) *backends {
+func testBackends(clock *clocker.Clock) *backends {
 	return &backends{
 		clock: clock,
 		log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -34,7 +34,7 @@
 
 func TestEntriesOfBackendServers(t *testing.T) {
 	clock := clocker.NewManual(1000)
-	b := newBackends(clock)
+	b := testBackends(clock)
 	assert.Assert(t, !b.ready())
 	b.Replace([]storer.Object{entry("one", ""), entry("two", ""), entry("odd", "bad")}, 0)
 	assert.Assert(t, b.ready() && b.known("one") && b.known("two") && !b.known("odd"))
@@ -48,7 +48,7 @@
 // that comes back is not.
 func TestEntriesMissingAfterAnOutage(t *testing.T) {
 	clock := clocker.NewManual(1000)
-	b := newBackends(clock)
+	b := testBackends(clock)
 	b.Replace([]storer.Object{entry("one", ""), entry("two", "")}, 0)
 	b.Replace(nil, 2000)
 	clock.Advance(1000)
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -145,7 +145,7 @@
 }
 
 func (r *Runner) startBudgets(ctx context.Context) {
-	r.reserver = reserver.New(ctx, reserver.Config{
+	r.reserver.Store(reserver.New(ctx, reserver.Config{
 		Incarnation:      r.incarnation,
 		Host:             r.cfg.Settings.Host,
 		AvailabilityZone: r.cfg.Settings.AvailabilityZone,
@@ -165,7 +165,7 @@
 		BatchShare:       batchShare,
 		Declared:         r.declaredBudgets,
 		Granted:          r.grantedTokens,
-	})
+	}))
 	r.group.Go(func() error {
 		r.logBudgets(ctx)
 		return nil
@@ -176,7 +176,7 @@
 func (r *Runner) logBudgets(ctx context.Context) {
 	for r.cfg.Clock.Sleep(ctx, budgetLogPause) == nil {
 		now := r.cfg.Clock.Now()
-		for _, s := range r.reserver.Snapshots(r.declaredBudgets()) {
+		for _, s := range r.reserver.Load().Snapshots(r.declaredBudgets()) {
 			r.cfg.Log.Info("budget", "account", s.Budget, "granted", s.Granted, "rest", s.Rest, "stranded", s.Stranded,
 				"headroom", s.Headroom, "reserved", s.Reserved, "age_ms", now-s.ReadAt)
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowsliphinge/carrier"
-	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/exchanger"
 	"cowsliphinge/heartbeater"
@@ -69,7 +68,7 @@
 
 	exchange    *exchanger.Client
 	heartbeater *heartbeater.Heartbeater
-	reserver    *reserver.Reserver
+	reserver    atomic.Pointer[reserver.Reserver]
 	backends    *backends
 	carrier     *carrier.Carrier
 	relayer     *relayer.Relayer
@@ -100,8 +99,9 @@
 	r := &Runner{cfg: cfg, cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
-	r.startWatchers(ctx)
+	r.backends = newBackends(cfg, r.cacheTokens)
 	r.startMembership(ctx)
+	r.startWatchers(ctx)
 	r.startBudgets(ctx)
 	r.startRelay(ctx)
 	r.serve(callers, probes, peers)
@@ -109,48 +109,47 @@
 	return r, nil
 }
 
-func (r *Runner) startWatchers(ctx context.Context) {
-	r.backends = &backends{
-		clock:  r.cfg.Clock,
-		log:    r.cfg.Log,
-		kind:   r.cfg.Platform.Servers,
-		decode: r.cfg.Platform.Server,
-		chooser: chooser.New(chooser.Config{
-			AvailabilityZone: r.cfg.Settings.AvailabilityZone,
-			CacheTokens: func(service string) int {
-				if t := r.table.Load(); t != nil {
-					return t.Service(service).CacheTokens
-				}
-				return 0
-			},
-		}),
+// cacheTokens returns how many tokens a server of a service keeps, 0 if unknown.
+func (r *Runner) cacheTokens(service string) int {
+	if t := r.table.Load(); t != nil {
+		return t.Service(service).CacheTokens
 	}
+	return 0
+}
+
+func (r *Runner) startWatchers(ctx context.Context) {
 	r.health = watcher.NewHealth(r.cfg.Clock)
 	kind, _, _ := strings.Cut(r.cfg.Platform.Configuration, "/")
 	// A store that drops its history may leave a watch hanging: a configuration has
 	// to be in force soon after, while servers that leave also show by requests.
-	r.watch(ctx, watcher.Config{
+	configurations := r.watch(ctx, watcher.Config{
 		Kind:   kind,
 		Sink:   &configurations{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table},
-		Wait:   r.cfg.Settings.ConfigurationMs,
+		Wait:   r.wait(r.cfg.Settings.ConfigurationMs),
 		Gather: r.cfg.Settings.ConfigurationMs / gatherPart,
 		Probes: true,
+
+		ListBursts: true,
 	})
-	r.watch(ctx, watcher.Config{
+	servers := r.watch(ctx, watcher.Config{
 		Kind:   r.cfg.Platform.Servers,
 		Sink:   r.backends,
-		Wait:   r.cfg.Settings.SteadyMs,
+		Wait:   r.wait(r.cfg.Settings.SteadyMs),
 		Gather: r.cfg.Settings.LeaveMs / gatherPart,
 	})
+	r.group.Go(func() error {
+		r.compare(ctx, configurations, servers)
+		return nil
+	})
 }
 
 // watch starts a watcher that ends with ctx.
-func (r *Runner) watch(ctx context.Context, cfg watcher.Config) {
+func (r *Runner) watch(ctx context.Context, cfg watcher.Config) *watcher.Watcher {
 	cfg.Source = r.cfg.Platform.Store
 	cfg.Clock = r.cfg.Clock
 	cfg.Health = r.health
 	cfg.Log = r.cfg.Log
-	watcher.New(ctx, cfg)
+	return watcher.New(ctx, cfg)
 }
 
 func (r *Runner) startRelay(ctx context.Context) {
@@ -166,7 +165,7 @@
 		Dialect: r.cfg.Platform.Dialect,
 		Table:   r.table.Load,
 		Servers: r.backends,
-		Budgets: r.reserver,
+		Budgets: r.reserver.Load(),
 		Retries: retrier.NewWindow(retrier.WindowConfig{
 			Clock: r.cfg.Clock,
 			Span:  s.RetryWindowMs,
@@ -212,7 +211,7 @@
 	r.peers = exchanger.NewServer(exchanger.ServerConfig{
 		RouterKey:   r.cfg.Settings.RouterKey,
 		Beater:      r.heartbeater,
-		Transferrer: r.reserver,
+		Transferrer: r.reserver.Load(),
 		Ready:       r.Ready,
 	})
 	r.group.Go(func() error { return served(r.callers.Serve(callers)) })
@@ -249,12 +248,14 @@
 		CallerAddress:    s.CallerAddress,
 		Draining:         r.draining.Load(),
 		SentAtMs:         int64(r.cfg.Clock.Now()),
+
+		ServersFingerprint: r.backends.fingerprint(),
 	}
 	if t := r.table.Load(); t != nil {
 		beat.ConfigurationVersion = t.Version
 	}
-	if r.reserver != nil {
-		beat.HeldTokens = r.reserver.HeldTokens()
+	if budgets := r.reserver.Load(); budgets != nil {
+		beat.HeldTokens = budgets.HeldTokens()
 	}
 	return beat
 }
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -36,8 +36,8 @@
 	cut := r.relayer.InFlight()
 	returning, cancel := clock.WithTimeout(ctx, max(1, due-clock.Now()))
 	defer cancel()
-	if err := r.reserver.Close(returning); err != nil {
-		r.cfg.Log.Warn("budgets were not returned", "cause", err.Error(), "held", r.reserver.HeldTokens())
+	if err := r.reserver.Load().Close(returning); err != nil {
+		r.cfg.Log.Warn("budgets were not returned", "cause", err.Error(), "held", r.reserver.Load().HeldTokens())
 	}
 	for r.conns.closeIdle(true) > 0 && clock.Now() < due {
 		_ = clock.Sleep(ctx, idlePause)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
@@ -57,12 +58,15 @@
 	Source Source
 	Sink   Sink
 	Clock  *clocker.Clock
-	// Wait bounds one waiting watch, in milliseconds: a connection gone silent is
-	// found after it.
-	Wait clocker.Millis
+	// Wait returns the bound of the next waiting watch, in milliseconds: a watch that
+	// hangs is found after it, unless ListAgain comes first.
+	Wait func() clocker.Millis
 	// Gather is how long after a change the next call is made, in milliseconds:
 	// changes that come together take one call.
 	Gather clocker.Millis
+	// ListBursts makes the call behind several changes a list, which holds the
+	// present state alone: for few large objects that change often.
+	ListBursts bool
 	// Health is shared by the watchers of a host; Probes makes this one ask a store
 	// that was lost, while the others wait for its answer. nil makes each ask.
 	Health *Health
@@ -76,6 +80,11 @@
 	cancel context.CancelFunc
 	duties errgroup.Group
 
+	mu sync.Mutex
+	// behind is true from ListAgain until the list, interrupt ends a waiting watch.
+	behind    bool
+	interrupt context.CancelFunc
+
 	revision int64
 	pause    clocker.Millis
 	// heardAt is when the store last answered.
@@ -107,8 +116,23 @@
 	return w.duties.Wait()
 }
 
+// ListAgain ends a waiting watch and lists: other hosts know of changes that did not
+// come here.
+func (w *Watcher) ListAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.behind = true
+	if w.interrupt != nil {
+		w.interrupt()
+	}
+}
+
 // step makes one call and takes in its answer.
 func (w *Watcher) step(ctx context.Context) {
+	if w.isBehind() {
+		w.cfg.Log.Info("other hosts know more, listing again", "kind", w.cfg.Kind, "revision", w.revision)
+		w.revision = 0
+	}
 	var err error
 	if w.revision == 0 {
 		err = w.list(ctx)
@@ -131,11 +155,37 @@
 	defer func() { w.catchingUp = false }()
 	w.cfg.Sink.Replace(objects, w.grace())
 	w.revision = revision
+	w.mu.Lock()
+	w.behind = false
+	w.mu.Unlock()
 	return nil
 }
 
+func (w *Watcher) isBehind() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.behind
+}
+
+// setInterrupt takes what ends the call that begins, nil behind it. It reports
+// whether the call is worth to begin.
+func (w *Watcher) setInterrupt(cancel context.CancelFunc) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.interrupt = cancel
+	return !w.behind
+}
+
 func (w *Watcher) watch(ctx context.Context) error {
-	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !w.setInterrupt(cancel) {
+		return nil
+	}
+	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait())
+	if !w.setInterrupt(nil) {
+		return nil // the list tells all
+	}
 	if err != nil {
 		return err
 	}
@@ -144,6 +194,9 @@
 	w.revision = max(w.revision, revision)
 	if len(changes) > 0 {
 		w.cfg.Sink.Apply(changes, w.grace())
+		if w.cfg.ListBursts && len(changes) > 1 {
+			w.revision = 0
+		}
 		_ = w.cfg.Clock.Sleep(ctx, w.cfg.Gather) // an ended ctx ends the loop
 	}
 	return nil
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -46,7 +46,7 @@
 func newWatcher() (*Watcher, *world) {
 	w := &world{clock: clocker.NewManual(1000)}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return &Watcher{cfg: Config{Kind: "k", Source: w, Sink: w, Clock: w.clock, Log: log, Wait: 3000}, pause: firstPause}, w
+	return &Watcher{cfg: Config{Kind: "k", Source: w, Sink: w, Clock: w.clock, Log: log, Wait: func() clocker.Millis { return 3000 }}, pause: firstPause}, w
 }
 
 // step makes one call; the pause behind a failed one is over at once.
@@ -137,6 +137,56 @@
 	assert.Equal(t, len(world.applied), 3)
 }
 
+// Pattern: a large configuration changes several times a second. Each change is the
+// whole of it again, more than a slow link carries; a list is the newest alone.
+func TestBurstOfLargeChangesIsListed(t *testing.T) {
+	w, world := newWatcher()
+	w.cfg.ListBursts = true
+	step(w)
+	world.changes = make([]storer.Change, 1)
+	step(w)
+	step(w)
+	assert.Equal(t, world.lists, 1)
+	world.changes = make([]storer.Change, 2)
+	step(w)
+	step(w)
+	assert.Equal(t, world.lists, 2)
+	assert.Equal(t, len(world.waits), 3)
+}
+
+// hanging is a source whose watches wait until they are ended.
+type hanging struct {
+	world
+	waiting chan struct{}
+}
+
+func (h *hanging) Watch(ctx context.Context, _ string, _ int64, _ clocker.Millis) ([]storer.Change, int64, error) {
+	h.waiting <- struct{}{}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Pattern: the store drops its history and leaves a watch hanging, while other hosts
+// hear of changes. The host that hangs lists again; it takes the store for no worse.
+func TestHangingWatchEndsWhenOthersKnowMore(t *testing.T) {
+	w, world := newWatcher()
+	h := &hanging{waiting: make(chan struct{})}
+	w.cfg.Source, w.cfg.Sink = h, world
+	w.step(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.step(context.Background())
+	}()
+	<-h.waiting
+	w.ListAgain()
+	<-done
+	w.step(context.Background())
+	assert.Equal(t, h.lists, 2)
+	assert.Assert(t, !w.lost)
+	assert.Assert(t, !w.isBehind())
+}
+
 // Entries may lapse while the store is away, and only the first answer after it
 // tells of them; a server that leaves later is out of use within two seconds.
 func TestGraceAfterAnOutage(t *testing.T) {
