Busy holders hold for their demand; hot hosts go to the store themselves

Ruled out: the outage before (over for seconds), used-up budgets (a third left unassigned). A host now goes to the store for what its holders lack, with a second of demand; a holder keeps 1.5 s of its demand beyond its even part, within a tenth of the rest.

--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -29,12 +29,15 @@
 }
 
 // target is the headroom that the policy wants a holder to have, given the
-// unassigned rest: demand times the time ahead, at most a share of what is left.
+// unassigned rest: demand times the time ahead, or the floor within the share of what
+// is left that each holder may have.
 func (b *allotment) target(c Circumstances, object *messenger.Budget, rest int64) int64 {
 	reserve := float64(c.Policy.OfflineReserveMs) * (1 - lossShare(c, object))
 	ahead := clocker.Millis(c.Policy.HeadroomMs + int64(reserve))
-	bound := maxShare(c) * float64(rest+max(0, b.headroom()))
-	return min(max(b.ahead(ahead, c.Now), b.floor(c)), int64(bound))
+	left := float64(rest + max(0, b.headroom()))
+	demand := b.ahead(ahead, c.Now)
+	even := min(max(demand, b.floor(c)), int64(maxShare(c)*left))
+	return max(even, min(demand, int64(busyShare(c)*left)))
 }
 
 // floor is the headroom that a holder keeps whatever the demand, so that a
@@ -62,6 +65,11 @@
 	return min(1, float64(lost)/(maxShare(c)*float64(object.Granted)))
 }
 
+// busyShare is the share of what is left that a holder may hold for its demand.
+func busyShare(c Circumstances) float64 {
+	return float64(max(c.Policy.BusyShareOfRestMilli, c.Policy.MaxShareOfRestMilli)) / 1000
+}
+
 func maxShare(c Circumstances) float64 {
 	return float64(c.Policy.MaxShareOfRestMilli) / 1000
 }
@@ -80,12 +88,15 @@
 // What waiting requests lack is not bounded by the policy's share.
 func (b *allotment) change(c Circumstances, object *messenger.Budget, rest int64) int64 {
 	var target int64
+	free := b.headroom() - b.need
 	returnAbove := 2 * b.grantTarget(c.Now)
-	if c.Holder {
+	switch {
+	case c.Holder:
 		target = b.target(c, object, rest)
 		returnAbove = 2 * target
+	case free < 0:
+		target = b.grantTarget(c.Now) // its holders did not have enough
 	}
-	free := b.headroom() - b.need
 	switch {
 	case free < 0 && float64(rest) < min(float64(-free), b.demand.size):
 		return 0 // serves no request that waits
--- a/allotter/policy_test.go
+++ b/allotter/policy_test.go
@@ -181,3 +181,29 @@
 	assert.Assert(t, writes <= 1+int(seconds*clocker.Second/pause), "%d writes", writes)
 	assert.Assert(t, lowest > 100_000, "a headroom fell to %d", lowest)
 }
+
+// Pattern: one availability zone gets most of the requests. Its holders hold more than
+// an even part, for their demand and within the busy share.
+func TestBusyHolderHoldsForItsDemand(t *testing.T) {
+	const granted = 10_000_000
+	policy := &messenger.Policy{HeadroomMs: 2000, FloorTokens: 1 << 40, MaxShareOfRestMilli: 20, BusyShareOfRestMilli: 100}
+	held := func(perSecond int64) int64 {
+		a := allotter.New(allotter.Config{Incarnation: "h-1-a", DemandSpan: 4 * clocker.Second})
+		a.Keep("mason")
+		a.Receive("h-2-a", &messenger.TransferTotal{Budget: "mason", Given: 60 * perSecond})
+		a.Merge(1, &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: "mason", Granted: granted}}}, clocker.Hour)
+		now := clocker.Hour
+		for range 60 {
+			id, ok := a.Reserve("mason", perSecond, 0, now)
+			assert.Assert(t, ok)
+			a.Settle("mason", id, perSecond, now)
+			now += clocker.Second
+		}
+		w, due := a.Plan(allotter.Circumstances{Now: now, Policy: policy, Holder: true})
+		assert.Assert(t, due)
+		return w.Value.Budgets[0].Holders[0].Limit
+	}
+	assert.Equal(t, held(1000), int64(granted/50))
+	assert.Assert(t, held(200_000) > granted/30, "%d", held(200_000))
+	assert.Equal(t, held(2_000_000), int64(granted/10))
+}
--- a/reserver/export_test.go
+++ b/reserver/export_test.go
@@ -11,6 +11,11 @@
 	return prepare(cfg)
 }
 
+// SetHoldersFirst makes the Reserver ask holders before the platform.
+func (r *Reserver) SetHoldersFirst() {
+	r.cfg.HoldersFirst = true
+}
+
 // CarryOut does what the duties would do now.
 func (r *Reserver) CarryOut(ctx context.Context) {
 	r.inspectAll()
--- a/reserver/holders_test.go
+++ b/reserver/holders_test.go
@@ -110,3 +110,21 @@
 	p.Poll()
 	assert.Assert(t, p.Ended && reserver.IsErrBudgetExhausted(p.Err), "%v", p.Err)
 }
+
+// Pattern: a tenant's callers all arrive at one host that is no holder, and want more
+// than its zone's holders hold. It gets the tokens from the platform, in time.
+func TestHotHostGoesToThePlatformItself(t *testing.T) {
+	f := newFleet(&messenger.Policy{HeadroomMs: 1000, OfflineReserveMs: 1000, MaxShareOfRestMilli: 1, PatienceMs: 2000}, 1, 6)
+	f.topUp(t, f.nodes[0], "first", "mason", 10_000_000)
+	f.run(5 * clocker.Second)
+	for _, n := range f.nodes {
+		n.reserver.SetHoldersFirst()
+	}
+	for _, n := range f.nodes {
+		for range 20 {
+			assert.NilError(t, n.take("mason", 40_000), n.name)
+			n.settle(40_000)
+		}
+	}
+	f.check(t, "mason")
+}
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -140,7 +140,7 @@
 	if r.isAway() {
 		r.askForLoans(ctx, s, v, &rd)
 	}
-	if r.platformDue(s, v) && !(r.cfg.HoldersFirst && rd.heard) {
+	if r.platformDue(s, v) && (!r.cfg.HoldersFirst || !rd.heard || s.lacks(rd.exhausted)) {
 		b := r.balance(ctx, s, v)
 		rd.answered = b.answered
 		rd.contended = b.contended
@@ -150,6 +150,18 @@
 	s.endRefill(rd, r.cfg.Clock.Now())
 }
 
+// lacks reports whether requests wait for tokens that may be left at the platform.
+func (s *shard) lacks(exhausted map[string]bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.waiters {
+		if !exhausted[w.budget] && s.allotter.Headroom(w.budget) < w.tokens {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Reserver) platformDue(s *shard, v *view) bool {
 	c := r.circumstances(s, v)
 	s.mu.Lock()
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -75,8 +75,8 @@
 	// KeepAhead is how much of the demand of more urgent requests is kept for them
 	// while no more tokens can be got, in milliseconds; 0 means none.
 	KeepAhead clocker.Millis
-	// HoldersFirst makes a host that is no holder leave the platform alone while a
-	// holder of its availability zone answers.
+	// HoldersFirst makes a host that is no holder leave the platform alone while the
+	// holders of its availability zone have what its requests wait for.
 	HoldersFirst bool
 	// Reachable reports whether the platform is worth a call; nil means always.
 	Reachable func() bool
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -42,6 +42,10 @@
 	// heldShare is the part of what is left of a budget that all holders together
 	// keep: it lasts an outage of the store, and is lost if all hosts die at once.
 	heldShare = 0.3
+	// busyAhead is the demand that a holder keeps beyond its even part, in
+	// milliseconds, within busyShare of what is left: the time between two writes.
+	busyAhead = changePause
+	busyShare = 0.1
 	// extendShare of a holder's part is left when it is filled up, batchShare if a
 	// write for another budget carries it along.
 	extendShare = 0.8
@@ -67,10 +71,12 @@
 	// s/(1-s) of the rest.
 	each := heldShare / (1 - heldShare) / holders
 	return &messenger.Policy{
-		HeadroomMs:          int64(clocker.Second),
+		HeadroomMs:          int64(busyAhead),
 		FloorTokens:         allotter.MaxGranted, // bounded by the share
 		MaxShareOfRestMilli: int64(1000 * each / (1 + each)),
-		PatienceMs:          int64(budgetPatience),
+
+		BusyShareOfRestMilli: int64(1000 * busyShare),
+		PatienceMs:           int64(budgetPatience),
 	}
 }
 
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -238,6 +238,7 @@
 	c.bounds("$.Policy.HeadroomMs", p.HeadroomMs, 0, maxMs)
 	c.bounds("$.Policy.OfflineReserveMs", p.OfflineReserveMs, 0, maxMs)
 	c.bounds("$.Policy.MaxShareOfRestMilli", p.MaxShareOfRestMilli, 0, 1000)
+	c.bounds("$.Policy.BusyShareOfRestMilli", p.BusyShareOfRestMilli, 0, 1000)
 	c.bounds("$.Policy.PatienceMs", p.PatienceMs, 0, maxMs)
 	c.bounds("$.Policy.RetryPercent", p.RetryPercent, 0, 100)
 	c.bounds("$.Policy.PlatformCallsPerSecond", p.PlatformCallsPerSecond, 0, 1000)
