--- a/runner/behind.go
+++ b/runner/behind.go
@@ -62,10 +62,8 @@
 // holders of budgets, which call it anyway.
 func (r *Runner) isScout() bool {
 	zone := []string{r.cfg.Settings.Host}
-	for _, p := range r.livePeers() {
-		if p.AvailabilityZone == r.cfg.Settings.AvailabilityZone && !p.Draining {
-			zone = append(zone, p.Host)
-		}
+	for _, p := range r.zonePeers() {
+		zone = append(zone, p.Host)
 	}
 	for _, host := range allotter.Holders(0, zone) {
 		if host == r.cfg.Settings.Host {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -63,6 +63,7 @@
 	cancel      context.CancelFunc
 	group       errgroup.Group
 	draining    atomic.Bool
+	overloaded  atomic.Bool
 	table       atomic.Pointer[matcher.Table]
 	settings    atomic.Pointer[Settings]
 
@@ -71,7 +72,7 @@
 	reserver    atomic.Pointer[reserver.Reserver]
 	backends    *backends
 	carrier     *carrier.Carrier
-	relayer     *relayer.Relayer
+	relayer     atomic.Pointer[relayer.Relayer]
 	health      *watcher.Health
 
 	callers *http.Server
@@ -160,7 +161,7 @@
 		DialTimeout:     dialTimeout,
 		IdleFor:         idleConnFor,
 	})
-	r.relayer = relayer.New(relayer.Config{
+	r.relayer.Store(relayer.New(relayer.Config{
 		Clock:   r.cfg.Clock,
 		Dialect: r.cfg.Platform.Dialect,
 		Table:   r.table.Load,
@@ -174,15 +175,19 @@
 			Hosts: func() int { return len(r.heartbeater.Peers()) + 1 },
 		}),
 		Carrier:  r.carrier,
-		Draining: r.draining.Load,
+		Draining: func() bool { return r.draining.Load() || r.overloaded.Load() },
 		Log:      r.cfg.Log,
+	}))
+	r.group.Go(func() error {
+		r.watchLoad(ctx)
+		return nil
 	})
 	r.group.Go(func() error {
 		ready := false
 		for r.cfg.Clock.Sleep(ctx, sweepPause) == nil {
 			if now := r.Ready(); now != ready {
 				ready = now
-				r.cfg.Log.Info("readiness changed", "ready", ready, "draining", r.draining.Load(), "servers_listed", r.backends.ready())
+				r.cfg.Log.Info("readiness changed", "ready", ready, "draining", r.draining.Load(), "overloaded", r.overloaded.Load(), "servers_listed", r.backends.ready())
 			}
 			r.backends.expire()
 			r.carrier.Keep(r.backends.known)
@@ -193,13 +198,13 @@
 
 // Ready reports whether this host takes callers.
 func (r *Runner) Ready() bool {
-	return !r.draining.Load() && r.table.Load() != nil && r.backends.ready()
+	return !r.draining.Load() && !r.overloaded.Load() && r.table.Load() != nil && r.backends.ready()
 }
 
 func (r *Runner) serve(callers, probes, peers net.Listener) {
 	r.conns = newCallers()
 	r.callers = &http.Server{
-		Handler:           r.conns.guard(r.relayer),
+		Handler:           r.conns.guard(r.relayer.Load()),
 		ConnContext:       r.conns.attach,
 		ConnState:         r.conns.follow,
 		ReadHeaderTimeout: callerHeaderTime.Duration(),
@@ -257,5 +262,8 @@
 	if budgets := r.reserver.Load(); budgets != nil {
 		beat.HeldTokens = budgets.HeldTokens()
 	}
+	if relay := r.relayer.Load(); relay != nil {
+		beat.InFlight = relay.InFlight()
+	}
 	return beat
 }
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -27,13 +27,13 @@
 func (r *Runner) Stop(ctx context.Context) int64 {
 	clock := r.cfg.Clock
 	r.draining.Store(true)
-	r.cfg.Log.Info("stopping", "in_flight", r.relayer.InFlight())
+	r.cfg.Log.Info("stopping", "in_flight", r.relayer.Load().InFlight())
 	due := clock.Now() + r.settings.Load().StopBoundMs - stopMargin
 	_ = clock.Sleep(ctx, balancerDelay)
 	for r.conns.closeIdle(false) > 0 && clock.Now() < due-returnTime {
 		_ = clock.Sleep(ctx, idlePause)
 	}
-	cut := r.relayer.InFlight()
+	cut := r.relayer.Load().InFlight()
 	returning, cancel := clock.WithTimeout(ctx, max(1, due-clock.Now()))
 	defer cancel()
 	if err := r.reserver.Load().Close(returning); err != nil {
@@ -42,7 +42,7 @@
 	for r.conns.closeIdle(true) > 0 && clock.Now() < due {
 		_ = clock.Sleep(ctx, idlePause)
 	}
-	cut = min(cut, r.relayer.InFlight())
+	cut = min(cut, r.relayer.Load().InFlight())
 	r.cancel()
 	_ = r.callers.Close()
 	_ = r.probes.Close()
