--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -65,7 +65,7 @@
 	if s.exhausted(ask.Budget, v) {
 		reply.Exhausted = append(reply.Exhausted, ask.Budget)
 	}
-	due := given > 0 && s.allotter.Due(c)
+	due := (given > 0 || ask.Needed > 0) && s.allotter.Due(c)
 	s.mu.Unlock()
 	tokensGiven.Add(int(given))
 	reply.Totals = append(reply.Totals, total)
