--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -52,8 +52,22 @@
 	// IdleFor is how long a connection is kept for which the server named no time,
 	// in milliseconds.
 	IdleFor clocker.Millis
+	// Traffic counts what goes over the connections; nil counts nothing.
+	Traffic Traffic
 }
 
+// Traffic counts bytes, one call for each packet or so.
+type Traffic interface {
+	Sent(bytes int)
+	Received(bytes int)
+}
+
+// uncounted is the Traffic of a Carrier that has none.
+type uncounted struct{}
+
+func (uncounted) Sent(int)     {}
+func (uncounted) Received(int) {}
+
 // Carrier keeps the connections to backend servers. Its methods may be called
 // from many goroutines.
 type Carrier struct {
@@ -88,6 +102,9 @@
 
 // New returns a Carrier without connections.
 func New(cfg Config) *Carrier {
+	if cfg.Traffic == nil {
+		cfg.Traffic = uncounted{}
+	}
 	return &Carrier{cfg: cfg, idle: map[string][]*conn{}}
 }
 
@@ -188,7 +205,7 @@
 		_ = cn.Close()
 	}
 	dials.Inc()
-	cn, err := dial(ctx, t.Address, c.cfg.DialTimeout)
+	cn, err := dial(ctx, t.Address, c.cfg.DialTimeout, c.cfg.Traffic)
 	if err != nil {
 		dialsFailed.Inc()
 		return nil, err
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -23,7 +23,8 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader  *bufio.Reader
+	traffic Traffic
 	// usedAt is when the last exchange ended.
 	usedAt clocker.Millis
 	// idleFor is how long the server keeps the connection without a request; 0 if
@@ -31,13 +32,29 @@
 	idleFor clocker.Millis
 }
 
-func dial(ctx context.Context, address string, timeout clocker.Millis) (*conn, error) {
+func dial(ctx context.Context, address string, timeout clocker.Millis, traffic Traffic) (*conn, error) {
 	dialer := net.Dialer{Timeout: timeout.Duration(), Control: control}
 	c, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	cn := &conn{Conn: c, traffic: traffic}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, nil
+}
+
+// Read and Write count what goes over the link.
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received(n)
+	return n, err
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent(n)
+	return n, err
 }
 
 // control makes the kernel give up on a peer that acknowledges nothing.
--- a/runner/overload.go
+++ b/runner/overload.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -10,42 +12,98 @@
 )
 
 const (
-	// lagPause is the sleep whose lateness is measured, in milliseconds.
-	lagPause = 25 * clocker.Millis(1)
-	// lagWeight is the share of the newest measurement in the mean lag: the mean
-	// follows within a second.
-	lagWeight = 0.05
-	// highLag and lowLag are the mean lags at which a host begins and ceases to turn
-	// new connections away, in milliseconds: an eighth and a fiftieth of the target
-	// latency of a model request, 500 ms.
-	highLag = 60
-	lowLag  = 10
+	// loadPause is the time between two looks at the load of the link, in milliseconds.
+	loadPause = 250 * clocker.Millis(1)
+	// loadWeight is the share of the newest look in the mean: it follows within a
+	// second.
+	loadWeight = 0.25
+	// highLoad and lowLoad are the shares of the link at which a host begins and ceases
+	// to turn new connections away: bodies come in bursts, and from two thirds on
+	// packets queue.
+	highLoad = 0.65
+	lowLoad  = 0.4
 	// overloadFor is the least time that a host turns new connections away, in
 	// milliseconds: the balancer takes two of its looks, a second apart, to notice.
 	overloadFor = 3 * clocker.Second
 	// othersShare is the most that the other hosts of the zone may carry on average,
 	// as a share of the own requests in flight, for a move to help.
 	othersShare = 0.5
+	// packetBytes is the head of a packet on the link: Ethernet, IPv4 and TCP with a
+	// timestamp.
+	packetBytes = 66
 )
 
 var overloads = metrics.NewCounter("cowsliphinge_overloads_total")
 
-// overload tells whether this host has less processor time than its callers ask for,
-// by how late its timers fire.
+// traffic counts bytes on the link, in each direction.
+type traffic struct {
+	sent, received atomic.Int64
+}
+
+// Sent implements carrier.Traffic.
+func (t *traffic) Sent(n int) {
+	t.sent.Add(int64(n) + packetBytes)
+}
+
+// Received implements carrier.Traffic.
+func (t *traffic) Received(n int) {
+	t.received.Add(int64(n) + packetBytes)
+}
+
+// take returns the larger of both directions since the last call, in bytes.
+func (t *traffic) take() int64 {
+	return max(t.sent.Swap(0), t.received.Swap(0))
+}
+
+// countingListener counts what goes over the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: c, traffic: l.traffic}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent(n)
+	return n, err
+}
+
+// overload tells whether the link of this host carries nearly what it can.
 type overload struct {
-	lag   float64
+	load  float64
 	high  bool
 	since clocker.Millis
 }
 
-// note takes in a lateness and whether others could carry more. It reports whether
-// new connections are to go elsewhere.
-func (o *overload) note(late clocker.Millis, othersCan bool, now clocker.Millis) bool {
-	o.lag += lagWeight * (float64(max(late, 0)) - o.lag)
+// note takes in the share of the link that was used, and whether other hosts could
+// carry more. It reports whether new connections are to go elsewhere.
+func (o *overload) note(share float64, othersCan bool, now clocker.Millis) bool {
+	o.load += loadWeight * (share - o.load)
 	switch {
-	case !o.high && o.lag > highLag && othersCan:
+	case !o.high && o.load > highLoad && othersCan:
 		o.high, o.since = true, now
-	case o.high && now-o.since >= overloadFor && (o.lag < lowLag || !othersCan):
+	case o.high && now-o.since >= overloadFor && (o.load < lowLoad || !othersCan):
 		o.high = false
 	}
 	return o.high
@@ -67,21 +125,20 @@
 // watchLoad turns new connections away while this host is overloaded.
 func (r *Runner) watchLoad(ctx context.Context) {
 	var o overload
-	for {
-		before := r.cfg.Clock.Now()
-		if r.cfg.Clock.Sleep(ctx, lagPause) != nil {
-			return
-		}
+	perMs := float64(r.cfg.Settings.LinkMbps) * 1e6 / 8 / float64(clocker.Second)
+	before := r.cfg.Clock.Now()
+	for r.cfg.Clock.Sleep(ctx, loadPause) == nil {
 		now := r.cfg.Clock.Now()
-		can := o.lag > lowLag && othersCan(r.relayer.Load().InFlight(), r.zonePeers())
-		high := o.note(now-before-lagPause, can, now)
+		share := float64(r.traffic.take()) / perMs / float64(max(1, now-before))
+		before = now
+		high := o.note(share, othersCan(r.relayer.Load().InFlight(), r.zonePeers()), now)
 		if high == r.overloaded.Swap(high) {
 			continue
 		}
 		if high {
 			overloads.Inc()
 		}
-		r.cfg.Log.Info("load changed", "overloaded", high, "lag_ms", int64(o.lag), "in_flight", r.relayer.Load().InFlight())
+		r.cfg.Log.Info("load changed", "overloaded", high, "link_share", o.load, "in_flight", r.relayer.Load().InFlight())
 	}
 }
 
--- a/runner/overload_test.go
+++ b/runner/overload_test.go
@@ -9,33 +9,43 @@
 	"cowsliphinge/heartbeater"
 )
 
-// Pattern: one tenant's callers all arrive at one small host, whose neighbours idle.
-// It turns new connections away until its timers are on time again.
+// Pattern: one tenant's callers all arrive at one host behind a narrow link, whose
+// neighbours idle. It turns new connections away until its link has room again.
 func TestHotHostTurnsNewConnectionsAway(t *testing.T) {
 	var o overload
 	now := clocker.Millis(0)
-	play := func(late clocker.Millis, can bool, d clocker.Millis) bool {
+	play := func(share float64, can bool, d clocker.Millis) bool {
 		high := false
-		for end := now + d; now < end; now += lagPause + late {
-			high = o.note(late, can, now)
+		for end := now + d; now < end; now += loadPause {
+			high = o.note(share, can, now)
 		}
 		return high
 	}
-	assert.Assert(t, !play(1, true, 5*clocker.Second))
-	assert.Assert(t, !play(90, true, 300), "a short burst")
-	assert.Assert(t, play(90, true, 3*clocker.Second))
-	assert.Assert(t, play(1, true, clocker.Second), "ceased before the balancer noticed")
-	assert.Assert(t, !play(1, true, 4*clocker.Second))
+	assert.Assert(t, !play(0.5, true, 5*clocker.Second))
+	assert.Assert(t, !play(0.9, true, 2*loadPause), "a short burst")
+	assert.Assert(t, play(0.9, true, 2*clocker.Second))
+	assert.Assert(t, play(0.1, true, clocker.Second), "ceased before the balancer noticed")
+	assert.Assert(t, !play(0.1, true, 4*clocker.Second))
 }
 
 // Pattern: a surge at all hosts. Nobody turns callers away: they have no better place.
 func TestSurgeEverywhereMovesNobody(t *testing.T) {
 	var o overload
-	for now := clocker.Millis(0); now < 10*clocker.Second; now += 100 {
-		assert.Assert(t, !o.note(200, false, now))
+	for now := clocker.Millis(0); now < 10*clocker.Second; now += loadPause {
+		assert.Assert(t, !o.note(0.95, false, now))
 	}
 	zone := []heartbeater.Peer{{InFlight: 40}, {InFlight: 60}}
 	assert.Assert(t, !othersCan(60, zone))
 	assert.Assert(t, othersCan(120, zone))
 	assert.Assert(t, !othersCan(120, nil))
 }
+
+// Both directions are counted apart: a body passed on takes each of them once.
+func TestTrafficIsTheBusierDirection(t *testing.T) {
+	var c traffic
+	c.Received(1000)
+	c.Sent(400)
+	c.Sent(400)
+	assert.Equal(t, c.take(), int64(1000+packetBytes))
+	assert.Equal(t, c.take(), int64(0))
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -64,6 +64,7 @@
 	group       errgroup.Group
 	draining    atomic.Bool
 	overloaded  atomic.Bool
+	traffic     traffic
 	table       atomic.Pointer[matcher.Table]
 	settings    atomic.Pointer[Settings]
 
@@ -160,6 +161,7 @@
 		RequestIDHeader: r.cfg.Platform.Dialect.RequestID,
 		DialTimeout:     dialTimeout,
 		IdleFor:         idleConnFor,
+		Traffic:         &r.traffic,
 	})
 	r.relayer.Store(relayer.New(relayer.Config{
 		Clock:   r.cfg.Clock,
@@ -219,7 +221,7 @@
 		Transferrer: r.reserver.Load(),
 		Ready:       r.Ready,
 	})
-	r.group.Go(func() error { return served(r.callers.Serve(callers)) })
+	r.group.Go(func() error { return served(r.callers.Serve(countingListener{Listener: callers, traffic: &r.traffic})) })
 	r.group.Go(func() error { return served(r.probes.Serve(probes)) })
 	r.group.Go(func() error { return r.peers.Serve(peers) })
 }
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -30,6 +30,8 @@
 	RouterKey string
 	// MemoryMb is the most memory that the process may take.
 	MemoryMb int64
+	// LinkMbps is what the link of this host carries in each direction.
+	LinkMbps float64
 	// StopBoundMs is the longest graceful stop.
 	StopBoundMs clocker.Millis
 	// ConfigurationMs is in what time an accepted configuration is in force.
@@ -94,6 +96,9 @@
 			findings = append(findings, fmt.Sprintf("%s is %d, not a positive time", key, value))
 		}
 	}
+	if s.LinkMbps <= 0 {
+		findings = append(findings, fmt.Sprintf("LinkMbps is %v, not a positive rate", s.LinkMbps))
+	}
 	slices.Sort(findings)
 	return findings
 }
@@ -118,6 +123,6 @@
 	Level(s)
 	fixed := old.Host != s.Host || old.AvailabilityZone != s.AvailabilityZone || old.CallerAddress != s.CallerAddress ||
 		old.ReadyAddress != s.ReadyAddress || old.ExchangeAddress != s.ExchangeAddress || old.StoreAddress != s.StoreAddress ||
-		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb
+		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb || old.LinkMbps != s.LinkMbps
 	r.cfg.Log.Info("settings reloaded", "changed", *old != s, "restart_needed", fixed)
 }
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -208,7 +208,7 @@
 	r := &router{number: number, store: p, file: filepath.Join(w.folder, fmt.Sprintf("router-%d.json", number)), settings: runner.Settings{
 		Host: fmt.Sprint("router-", number), AvailabilityZone: fmt.Sprint("z", number%2),
 		CallerAddress: ports[0], ReadyAddress: ports[1], ExchangeAddress: ports[2], StoreAddress: p.address(),
-		RouterKey: "soak", MemoryMb: 256, StopBoundMs: stopBound, ConfigurationMs: 2000, LeaveMs: 2000, SteadyMs: 1500,
+		RouterKey: "soak", MemoryMb: 256, LinkMbps: 10_000, StopBoundMs: stopBound, ConfigurationMs: 2000, LeaveMs: 2000, SteadyMs: 1500,
 		RetryRatio: 0.2, RetryExtra: 40, RetryWindowMs: 10000,
 	}}
 	content, err := json.Marshal(r.settings)
