--- a/runner/overload.go
+++ b/runner/overload.go
@@ -14,9 +14,9 @@
 const (
 	// loadPause is the time between two looks at the load of the link, in milliseconds.
 	loadPause = 250 * clocker.Millis(1)
-	// loadWeight is the share of the newest look in the mean: it follows within a
-	// second.
-	loadWeight = 0.25
+	// loadWeight is the share of the newest look in the mean: it follows within two
+	// seconds.
+	loadWeight = 0.15
 	// highLoad and lowLoad are the shares of the link at which a host begins and ceases
 	// to turn new connections away: bodies come in bursts, and from two thirds on
 	// packets queue.
