--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -129,7 +129,7 @@
 
 // step makes one call and takes in its answer.
 func (w *Watcher) step(ctx context.Context) {
-	if w.isBehind() {
+	if w.revision != 0 && w.isBehind() {
 		w.cfg.Log.Info("other hosts know more, listing again", "kind", w.cfg.Kind, "revision", w.revision)
 		w.revision = 0
 	}
