--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -43,14 +43,14 @@
 	return cn, nil
 }
 
-// Read and Write count what goes over the link.
-
+// Read implements net.Conn and counts what goes over the link.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.Received(n)
 	return n, err
 }
 
+// Write implements net.Conn and counts what goes over the link.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.traffic.Sent(n)
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -24,8 +24,8 @@
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	listed  bool
-	// print is the fingerprint of the entries, 0 before the first list.
-	print uint64
+	// sum is the fingerprint of the entries, 0 before the first list.
+	sum uint64
 }
 
 // newBackends returns the shell of a chooser that knows no server yet.
@@ -44,7 +44,7 @@
 func (b *backends) fingerprint() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.print
+	return b.sum
 }
 
 // seal computes the fingerprint. The caller holds mu.
@@ -54,7 +54,7 @@
 		s, _ := b.chooser.Server(id)
 		sum ^= xxhash.Sum64String(fmt.Sprint(id, s.Draining, s.StartedAt))
 	}
-	b.print = sum
+	b.sum = sum
 }
 
 // Replace implements watcher.Sink.
@@ -124,10 +124,11 @@
 func (b *backends) expire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, id := range b.chooser.Expire(b.clock.Now()) {
+	expired := b.chooser.Expire(b.clock.Now())
+	for _, id := range expired {
 		b.log.Info("backend server did not come back after the outage", "server", id)
 	}
-	if b.listed {
+	if len(expired) > 0 {
 		b.seal()
 	}
 }
