The end of a budget is left to urgent requests

All budgets were used up; tokens were kept for urgent requests at hosts only, and the headroom there shrinks with the rest. Ruled out: callers refused while a rest was left. Holders now write their urgent demand into their entries, and the rest that all need for 12 s is left to urgent requests, also by hosts that start anew.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -94,6 +94,9 @@
 	ranks []ranked
 	// supplied is the urgent demand of hosts that get their tokens here.
 	supplied map[string]supply
+	// fleetUrgent is what urgent requests of all hosts reserve, in tokens per second, as
+	// the known content tells.
+	fleetUrgent int64
 	// unused is the share of reserved tokens that settling frees.
 	unused float64
 	// lowered is when the limit was last lowered.
--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -97,8 +97,10 @@
 	}
 }
 
-// adopt takes over what the known content says of the own entry.
+// adopt takes over what the known content says of the own entry, and of the urgent
+// demand of all.
 func (a *Allotter) adopt(b *allotment) {
+	b.fleetUrgent = urgentOf(a.index[b.name])
 	h := holderOf(a.index[b.name], a.cfg.Incarnation)
 	switch {
 	case h == nil && b.closeSent:
@@ -201,7 +203,7 @@
 	}
 	written := b.base + holderOf(object, a.cfg.Incarnation).GetLimit()
 	rest := max(0, Rest(object))
-	delta := b.change(c, object, rest)
+	delta := b.change(c, object, rest, -a.pressing(b, rest))
 	limit := min(max(b.limit+delta, b.base), written+rest)
 	due := delta != 0 || b.inDoubt
 	return entry{budget: b, limit: limit}, due && limit != written
@@ -250,6 +252,7 @@
 		return
 	}
 	h.Limit = e.limit - b.base
+	h.UrgentPerSecond = b.urgentPerSecond(now) + int64(b.suppliedRate(now)*float64(clocker.Second))
 	switch {
 	case e.limit > b.limit:
 		b.extended = now
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -85,10 +85,10 @@
 }
 
 // change returns by how much the limit is to be raised, or lowered if negative.
-// What waiting requests lack is not bounded by the policy's share.
-func (b *allotment) change(c Circumstances, object *messenger.Budget, rest int64) int64 {
+// free is what waiting requests leave of the headroom. What they lack is not bounded
+// by the policy's share.
+func (b *allotment) change(c Circumstances, object *messenger.Budget, rest, free int64) int64 {
 	var target int64
-	free := b.headroom() - b.need
 	returnAbove := 2 * b.grantTarget(c.Now)
 	switch {
 	case c.Holder:
--- a/allotter/urgency.go
+++ b/allotter/urgency.go
@@ -36,18 +36,52 @@
 
 // kept returns the tokens that a request of a rank leaves to more urgent ones:
 // what these are expected to reserve in KeepAhead, while the platform cannot be
-// reached or has less left than the request asks for.
+// reached, or would be left with less than all hosts keep.
 func (a *Allotter) kept(b *allotment, rank int, tokens int64, now clocker.Millis) int64 {
-	if rank == 0 || a.cfg.KeepAhead == 0 || !a.away && Rest(a.content(b)) >= tokens {
+	if rank == 0 || a.cfg.KeepAhead == 0 || !a.away && Rest(a.content(b)) >= tokens+a.keptByAll(b) {
 		return 0
 	}
-	rate := b.rateBelow(rank, now)
+	return int64((b.rateBelow(rank, now) + b.suppliedRate(now)) * float64(a.cfg.KeepAhead))
+}
+
+// keptByAll returns the tokens of the rest that are left to urgent requests of all
+// hosts, by what the holders' entries tell. The entries of hosts that died count: their
+// callers come back to others.
+func (a *Allotter) keptByAll(b *allotment) int64 {
+	return b.fleetUrgent * int64(a.cfg.KeepAhead) / int64(clocker.Second)
+}
+
+// urgentOf sums up what the holders of a budget tell of their urgent demand.
+func urgentOf(object *messenger.Budget) int64 {
+	var sum int64
+	for _, h := range object.GetHolders() {
+		if !h.Closed {
+			sum += h.UrgentPerSecond
+		}
+	}
+	return sum
+}
+
+// pressing returns what waiting requests lack beyond the headroom, negative if
+// nothing: all of them, or the urgent ones alone if the rest is kept for these.
+func (a *Allotter) pressing(b *allotment, rest int64) int64 {
+	need := b.need
+	if last := len(b.ranks) - 1; last > 0 && rest < need+a.keptByAll(b) {
+		need -= b.ranks[last].need
+	}
+	return need - b.headroom()
+}
+
+// suppliedRate returns what urgent requests reserve at the hosts that get their tokens
+// here, in tokens per millisecond.
+func (b *allotment) suppliedRate(now clocker.Millis) float64 {
+	rate := 0.0
 	for _, s := range b.supplied {
 		if now-s.at < supplyFor {
 			rate += s.rate
 		}
 	}
-	return int64(rate * float64(a.cfg.KeepAhead))
+	return rate
 }
 
 // rateBelow returns what requests of lower ranks reserve here, in tokens per
--- a/allotter/urgency_test.go
+++ b/allotter/urgency_test.go
@@ -118,3 +118,28 @@
 	a.Give("host-d-1-00000000", ask, now+11*clocker.Second)
 	assert.Assert(t, a.Headroom("mason") < before, "kept for a host that no longer asks")
 }
+
+// Pattern: a budget nears its end, and all hosts died a moment ago. The entries of
+// before tell what urgent requests take in eight seconds: a large request gets none of
+// it, urgent ones do.
+func TestEndOfABudgetIsLeftToUrgentRequests(t *testing.T) {
+	object := &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: "mason", Granted: 110_000, Holders: []*messenger.Holder{
+		{Incarnation: "host-a-1-00000000", Limit: 60_000, UrgentPerSecond: 3000},
+		{Incarnation: "host-b-1-00000000", Limit: 30_000, UrgentPerSecond: 2000},
+	}}}}
+	a := allotter.New(allotter.Config{Incarnation: "host-a-2-00000000", KeepAhead: 8 * clocker.Second})
+	a.Merge(7, object, clocker.Hour)
+	a.Reserve("mason", urgentTokens, urgent, clocker.Hour) // knows both ranks
+	c := allotter.Circumstances{Now: clocker.Hour, Policy: tightPolicy}
+	a.AddNeed("mason", 0, urgent)
+	a.AddNeed("mason", bigTokens, large)
+	_, due := a.Plan(c)
+	assert.Assert(t, !due, "a large request takes what is kept")
+	a.AddNeed("mason", urgentTokens, urgent)
+	w, due := a.Plan(c)
+	assert.Assert(t, due)
+	assert.Assert(t, w.Value.Budgets[0].Holders[2].Limit >= urgentTokens)
+	a.Confirm(w, 8, clocker.Hour)
+	_, ok := a.Reserve("mason", urgentTokens, urgent, clocker.Hour)
+	assert.Assert(t, ok)
+}
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
 )
 
@@ -194,7 +195,8 @@
 		if !w.seen || rd.contended || rd.busy[w.budget] || s.mayBeFreed(w) {
 			return grant{}, false
 		}
-		v := verdict{at: now, tokens: w.tokens, rank: w.rank, answered: rd.answered || rd.exhausted[w.budget]}
+		left := allotter.Rest(s.allotter.Object(w.budget)) >= w.tokens // but kept for urgent requests
+		v := verdict{at: now, tokens: w.tokens, rank: w.rank, answered: rd.answered && !left || rd.exhausted[w.budget]}
 		s.verdicts[w.budget] = v
 		return grant{err: v.err(w.budget, w.tokens)}, true
 	})
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -54,9 +54,10 @@
 	// that are no holders keep the demand of a second.
 	demandSpan = 4 * clocker.Second
 	// keepAhead is how much of the demand of more urgent requests is kept for them
-	// while the store is away or a budget ends, in milliseconds: an outage that is
-	// to be borne.
-	keepAhead = 8 * clocker.Second
+	// while the store is away or a budget ends, in milliseconds: longer than outages
+	// that are to be borne, and the time in which service has to be back after the
+	// death of all hosts.
+	keepAhead = 12 * clocker.Second
 )
 
 // policy returns the policy of all budgets: each holder keeps its part of
