--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -191,7 +191,6 @@
 	p.PlatformReachable = beat.PlatformReachable
 	p.InFlight = beat.InFlight
 	p.HeldTokens = beat.HeldTokens
-	p.ServersFingerprint = beat.ServersFingerprint
 	p.LeavingInFlight = beat.LeavingInFlight
 	p.RequestsCut = beat.RequestsCut
 }
--- a/heartbeater/peer.go
+++ b/heartbeater/peer.go
@@ -23,8 +23,6 @@
 	PlatformReachable bool
 	InFlight          int64
 	HeldTokens        int64
-	// ServersFingerprint of the backend servers' entries that it knows.
-	ServersFingerprint uint64
 	// LeavingInFlight counts its requests on leaving backend servers.
 	LeavingInFlight int64
 	// RequestsCut counts what it cut in its graceful stop.
--- a/heartbeater/relay.go
+++ b/heartbeater/relay.go
@@ -57,7 +57,6 @@
 		SentAtMs:             int64(known.sentAt),
 		InFlight:             known.peer.InFlight,
 		HeldTokens:           known.peer.HeldTokens,
-		ServersFingerprint:   known.peer.ServersFingerprint,
 		LeavingInFlight:      known.peer.LeavingInFlight,
 		RequestsCut:          known.peer.RequestsCut,
 		AgeMs:                int64(now - known.peer.LastHeard),
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -1,13 +1,10 @@
 package runner
 
 import (
-	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/storer"
@@ -24,8 +21,6 @@
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	listed  bool
-	// sum is the fingerprint of the entries, 0 before the first list.
-	sum uint64
 }
 
 // newBackends returns the shell of a chooser that knows no server yet.
@@ -39,24 +34,6 @@
 	}
 }
 
-// fingerprint returns a value that two hosts share if they know the same servers in
-// the same state; 0 before the first list.
-func (b *backends) fingerprint() uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.sum
-}
-
-// seal computes the fingerprint. The caller holds mu.
-func (b *backends) seal() {
-	sum := uint64(1)
-	for _, id := range b.chooser.IDs() {
-		s, _ := b.chooser.Server(id)
-		sum ^= xxhash.Sum64String(fmt.Sprint(id, s.Draining, s.StartedAt))
-	}
-	b.sum = sum
-}
-
 // Replace implements watcher.Sink.
 func (b *backends) Replace(objects []storer.Object, grace clocker.Millis) {
 	b.mu.Lock()
@@ -72,7 +49,6 @@
 		}
 	}
 	b.listed = true
-	b.seal()
 }
 
 // Apply implements watcher.Sink.
@@ -86,7 +62,6 @@
 		}
 		b.set(c.Object)
 	}
-	b.seal()
 }
 
 func (b *backends) id(o storer.Object) string {
@@ -124,13 +99,9 @@
 func (b *backends) expire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	expired := b.chooser.Expire(b.clock.Now())
-	for _, id := range expired {
+	for _, id := range b.chooser.Expire(b.clock.Now()) {
 		b.log.Info("backend server did not come back after the outage", "server", id)
 	}
-	if len(expired) > 0 {
-		b.seal()
-	}
 }
 
 // known reports whether a server is known.
--- a/runner/behind_test.go
+++ b/runner/behind_test.go
@@ -8,26 +8,26 @@
 	"cowsliphinge/clocker"
 )
 
-// Pattern: a host whose watch hangs knows an old state, while the others agree on a
-// new one.
-func TestDiffersFromAnAgreedValueAfterAWhile(t *testing.T) {
-	var m majority
-	others := []uint64{7, 7, 5, 0}
-	assert.Assert(t, !m.differs(5, others, 1000, 0), "two of four are no majority")
-	others = []uint64{7, 7, 7, 5}
-	assert.Assert(t, !m.differs(5, others, 1000, 100))
-	assert.Assert(t, !m.differs(5, others, 1000, 1000))
-	assert.Assert(t, m.differs(5, others, 1000, 1100))
-	assert.Assert(t, !m.differs(5, others, 1000, 1200), "asked just now")
-	assert.Assert(t, m.differs(5, others, 1000, 2100))
-	assert.Assert(t, !m.differs(7, others, 1000, 5000))
+// Pattern: the store drops its history, and the watches of nearly all hosts hang. One
+// host that hears of a new version is enough.
+func TestOneHostThatKnowsMoreIsEnough(t *testing.T) {
+	var l lag
+	assert.Assert(t, !l.lasts(5, 5, 600, 0))
+	assert.Assert(t, !l.lasts(5, 7, 600, 100), "the own watch may bring it")
+	assert.Assert(t, !l.lasts(5, 7, 600, 600))
+	assert.Assert(t, l.lasts(5, 8, 600, 700), "versions that go on do not start the wait anew")
+	assert.Assert(t, !l.lasts(5, 8, 600, 800), "asked just now")
+	assert.Assert(t, l.lasts(5, 8, 600, 1300))
+	assert.Assert(t, !l.lasts(8, 8, 600, 5000))
+	assert.Assert(t, !l.lasts(8, 9, 600, 9000))
 }
 
-// Pattern: servers come and go all the time. The others agree on a new value at each
-// look, which this host will hear of by its own watch.
-func TestMovingValueIsNoDifference(t *testing.T) {
-	var m majority
+// Pattern: a storm of versions that the own watch follows a step behind.
+func TestFollowingIsNoLag(t *testing.T) {
+	var l lag
 	for now := clocker.Millis(0); now < 10*clocker.Second; now += 500 {
-		assert.Assert(t, !m.differs(1, []uint64{uint64(now) + 2, uint64(now) + 2}, 1000, now))
+		version := int64(now)
+		assert.Assert(t, !l.lasts(version, version+1, 600, now))
+		assert.Assert(t, !l.lasts(version+1, version+1, 600, now+100))
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -127,20 +127,20 @@
 	configurations := r.watch(ctx, watcher.Config{
 		Kind:   kind,
 		Sink:   &configurations{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table},
-		Wait:   r.wait(r.cfg.Settings.ConfigurationMs),
+		Wait:   r.cfg.Settings.ConfigurationMs,
 		Gather: r.cfg.Settings.ConfigurationMs / gatherPart,
 		Probes: true,
 
 		ListBursts: true,
 	})
-	servers := r.watch(ctx, watcher.Config{
+	r.watch(ctx, watcher.Config{
 		Kind:   r.cfg.Platform.Servers,
 		Sink:   r.backends,
-		Wait:   r.wait(r.cfg.Settings.SteadyMs),
+		Wait:   r.cfg.Settings.SteadyMs,
 		Gather: r.cfg.Settings.LeaveMs / gatherPart,
 	})
 	r.group.Go(func() error {
-		r.compare(ctx, configurations, servers)
+		r.compare(ctx, configurations)
 		return nil
 	})
 }
@@ -255,8 +255,6 @@
 		CallerAddress:    s.CallerAddress,
 		Draining:         r.draining.Load(),
 		SentAtMs:         int64(r.cfg.Clock.Now()),
-
-		ServersFingerprint: r.backends.fingerprint(),
 	}
 	if t := r.table.Load(); t != nil {
 		beat.ConfigurationVersion = t.Version
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -58,9 +58,9 @@
 	Source Source
 	Sink   Sink
 	Clock  *clocker.Clock
-	// Wait returns the bound of the next waiting watch, in milliseconds: a watch that
-	// hangs is found after it, unless ListAgain comes first.
-	Wait func() clocker.Millis
+	// Wait bounds one waiting watch, in milliseconds: a watch that hangs is found after
+	// it, unless ListAgain comes first.
+	Wait clocker.Millis
 	// Gather is how long after a change the next call is made, in milliseconds:
 	// changes that come together take one call.
 	Gather clocker.Millis
@@ -182,7 +182,7 @@
 	if !w.setInterrupt(cancel) {
 		return nil
 	}
-	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait())
+	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait)
 	if !w.setInterrupt(nil) {
 		return nil // the list tells all
 	}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -46,7 +46,7 @@
 func newWatcher() (*Watcher, *world) {
 	w := &world{clock: clocker.NewManual(1000)}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return &Watcher{cfg: Config{Kind: "k", Source: w, Sink: w, Clock: w.clock, Log: log, Wait: func() clocker.Millis { return 3000 }}, pause: firstPause}, w
+	return &Watcher{cfg: Config{Kind: "k", Source: w, Sink: w, Clock: w.clock, Log: log, Wait: 3000}, pause: firstPause}, w
 }
 
 // step makes one call; the pause behind a failed one is over at once.
