--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -115,7 +115,7 @@
 // keeps for requests of a lower rank.
 func (a *Allotter) Reserve(name string, tokens int64, rank int, now clocker.Millis) (int64, bool) {
 	b := a.allotment(name)
-	if a.closing || tokens < 0 || b.headroom()-a.kept(b, rank, tokens, now) < tokens {
+	if a.closing || tokens < 0 || b.headroom()-a.leftToUrgent(b, rank, tokens, now) < tokens {
 		return 0, false
 	}
 	id, ok := a.slots.open(tokens)
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -69,7 +69,7 @@
 }
 
 func (a *Allotter) lendable(b *allotment, ask *messenger.TransferAsk, now clocker.Millis) int64 {
-	headroom := max(0, b.headroom()-b.need-a.kept(b, int(ask.Rank), ask.Needed, now))
+	headroom := max(0, b.headroom()-b.need-a.leftToUrgent(b, int(ask.Rank), ask.Needed, now))
 	needed := min(max(0, min(ask.Needed, ask.Tokens)), headroom)
 	ahead := min(max(0, ask.Tokens-needed), (headroom-needed)/2)
 	return needed + ahead
--- a/allotter/urgency.go
+++ b/allotter/urgency.go
@@ -34,20 +34,20 @@
 	return &b.ranks[i]
 }
 
-// kept returns the tokens that a request of a rank leaves to more urgent ones:
+// leftToUrgent returns the tokens that a request of a rank leaves to more urgent ones:
 // what these are expected to reserve in KeepAhead, while the platform cannot be
 // reached, or would be left with less than all hosts keep.
-func (a *Allotter) kept(b *allotment, rank int, tokens int64, now clocker.Millis) int64 {
-	if rank == 0 || a.cfg.KeepAhead == 0 || !a.away && Rest(a.content(b)) >= tokens+a.keptByAll(b) {
+func (a *Allotter) leftToUrgent(b *allotment, rank int, tokens int64, now clocker.Millis) int64 {
+	if rank == 0 || a.cfg.KeepAhead == 0 || !a.away && Rest(a.content(b)) >= tokens+a.restForUrgent(b) {
 		return 0
 	}
 	return int64((b.rateBelow(rank, now) + b.suppliedRate(now)) * float64(a.cfg.KeepAhead))
 }
 
-// keptByAll returns the tokens of the rest that are left to urgent requests of all
+// restForUrgent returns the tokens of the rest that are left to urgent requests of all
 // hosts, by what the holders' entries tell. The entries of hosts that died count: their
 // callers come back to others.
-func (a *Allotter) keptByAll(b *allotment) int64 {
+func (a *Allotter) restForUrgent(b *allotment) int64 {
 	return b.fleetUrgent * int64(a.cfg.KeepAhead) / int64(clocker.Second)
 }
 
@@ -66,7 +66,7 @@
 // nothing: all of them, or the urgent ones alone if the rest is kept for these.
 func (a *Allotter) pressing(b *allotment, rest int64) int64 {
 	need := b.need
-	if last := len(b.ranks) - 1; last > 0 && rest < need+a.keptByAll(b) {
+	if last := len(b.ranks) - 1; last > 0 && rest < need+a.restForUrgent(b) {
 		need -= b.ranks[last].need
 	}
 	return need - b.headroom()
@@ -148,7 +148,7 @@
 			continue
 		}
 		rank := b.ranks[i].rank
-		usable := free - a.kept(b, rank, need, now)
+		usable := free - a.leftToUrgent(b, rank, need, now)
 		if short := need - usable; short > 0 {
 			lacks = append(lacks, lack{rank: rank, tokens: short})
 		}
