--- a/soaker/soak_test.go
+++ b/cmd/soak_test.go
@@ -1,4 +1,4 @@
-package soaker
+package cmd
 
 import (
 	"context"
@@ -10,10 +10,11 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/platform"
+	"cowsliphinge/soaker"
 )
 
-// seeds are run in CI; a seed that ever failed stays here with a line on the cause.
-var seeds = []uint64{
+// soakSeeds are run in CI; a seed that ever failed stays here with a line on the cause.
+var soakSeeds = []uint64{
 	1,
 	60, // a stopping router passed on requests between its last look at its connections and their end
 	67, // SIGHUP ended a router that was stopping
@@ -23,8 +24,8 @@
 	program := filepath.Join(t.TempDir(), "cowsliphinge")
 	out, err := exec.Command("go", "build", "-o", program, "cowsliphinge").CombinedOutput()
 	assert.NilError(t, err, string(out))
-	for _, seed := range seeds {
-		result, err := Run(context.Background(), Config{
+	for _, seed := range soakSeeds {
+		result, err := soaker.Run(context.Background(), soaker.Config{
 			Clock:   clocker.NewWall(),
 			Dialect: platform.Dialect,
 			Program: program,
--- a/runner/overload.go
+++ b/runner/overload.go
@@ -18,8 +18,8 @@
 	// seconds.
 	loadWeight = 0.15
 	// highLoad and lowLoad are the shares of the link at which a host begins and ceases
-	// to turn new connections away: bodies come in bursts, and from two thirds on
-	// packets queue.
+	// to turn new connections away: the rest of the link is room for bursts of large
+	// bodies.
 	highLoad = 0.65
 	lowLoad  = 0.4
 	// overloadFor is the least time that a host turns new connections away, in
