Answers of backend servers are bounded in bytes and matched to one exchange

Cause: the head of an answer was read by the library without a bound in bytes, so a server that sends without end was read until the deadline; a late answer's head and a stalled stream's single bytes as well. A connection could carry two requests of one ID, so that a second answer to the first passed for that to the second (TestBytesBehindAnAnswerPoisonTheConnection beside load), and an answer without an ID was believed on a connection that had carried other requests.

Ruled out: a bound for each header line alone (interim answers and late answers come on top); looking at the connection again before each read (the extra bytes may come right behind the look).

Change: 128 KB for all that comes before the right body; a connection remembers the IDs that it carried (up to 1,024) and takes none twice; an answer without an ID counts on a connection's first exchange alone; the patience for an event ends with a whole event and not with a byte; an answer above 128 KB is passed on as it comes.

Before: the new tests at: the endless ones do not end within 90 s, TestStreamOfBytesWithoutEventsGoesOnElsewhere and TestBodyWithoutEndIsNoWholeAnswer fail. After: carrier and relayer pass three times with the race detector; at most 256 KB read for each exchange with a server in trouble; FuzzAnswer 230,145 runs, no finding.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,10 +28,15 @@
 	inlineBytes = 4 << 10
 	// maxSkippedAnswers bounds late answers to earlier requests on a connection.
 	maxSkippedAnswers = 2
-	// maxSkippedBytes bounds the body of such an answer.
-	maxSkippedBytes = 256 << 10
+	// maxPreludeBytes bounds all that a server may send before the body of the right
+	// answer: late answers to earlier requests, interim answers and the head. Heads
+	// of common servers stay below 16 KB.
+	maxPreludeBytes = 128 << 10
 	// maxIdleConns bounds unused connections to one server.
 	maxIdleConns = 32
+	// maxExchanges bounds the requests on one connection, since their IDs are kept
+	// with it.
+	maxExchanges = 1024
 	// idleMargin is how long before the server's own idle timeout a connection is
 	// not used any more, in milliseconds.
 	idleMargin = clocker.Second
@@ -113,7 +119,7 @@
 // request cannot have reached the server, else connector.ErrBroken or
 // connector.ErrCrossed.
 func (c *Carrier) Send(ctx context.Context, t Target, r Request) (*Answer, error) {
-	cn, err := c.take(ctx, t, r.MaxIdle)
+	cn, err := c.take(ctx, t, r)
 	if err != nil {
 		return nil, connector.ErrNotSent{Cause: err}
 	}
@@ -131,6 +137,7 @@
 }
 
 func (c *Carrier) exchange(cn *conn, r Request) (*Answer, error) {
+	cn.begin(r.ID)
 	if r.HeadTimeout > 0 {
 		_ = cn.SetReadDeadline(clocker.FromNow(r.HeadTimeout))
 	}
@@ -148,18 +155,32 @@
 			written <- err
 		}()
 	}
+	resp, err := c.readAnswer(cn, r)
+	if err != nil {
+		return nil, err
+	}
+	return &Answer{Response: resp, conn: cn, written: written}, nil
+}
+
+// readAnswer reads up to the body of the answer to the request. Late answers to
+// earlier requests on the connection are skipped.
+func (c *Carrier) readAnswer(cn *conn, r Request) (*http.Response, error) {
+	cn.limit(maxPreludeBytes)
+	defer cn.limit(unlimited)
 	for range maxSkippedAnswers + 1 {
 		resp, err := readHead(cn, r.Method)
 		if err != nil {
 			return nil, connector.ErrBroken{Cause: err}
 		}
 		got := resp.Header.Get(c.cfg.RequestIDHeader)
-		if got == r.ID || got == "" && resp.StatusCode >= http.StatusMultipleChoices {
-			return &Answer{Response: resp, conn: cn, written: written}, nil
+		if got == r.ID || got == "" && cn.first() && resp.StatusCode >= http.StatusMultipleChoices {
+			return resp, nil
+		}
+		if got == "" {
+			return nil, connector.ErrCrossed{Want: r.ID}
 		}
 		skipped.Inc()
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
-		if err != nil || n == maxSkippedBytes || resp.Close {
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 			return nil, connector.ErrCrossed{Want: r.ID, Got: got}
 		}
 	}
@@ -193,9 +214,9 @@
 }
 
 // take returns an unused connection, or a new one.
-func (c *Carrier) take(ctx context.Context, t Target, maxIdle clocker.Millis) (*conn, error) {
+func (c *Carrier) take(ctx context.Context, t Target, r Request) (*conn, error) {
 	for {
-		cn := c.pop(t, maxIdle)
+		cn := c.pop(t, r)
 		if cn == nil {
 			break
 		}
@@ -213,22 +234,27 @@
 	return cn, nil
 }
 
-// pop takes the connection used last, if it is fresh enough.
-func (c *Carrier) pop(t Target, maxIdle clocker.Millis) *conn {
+// pop takes the connection used last that is fresh enough and did not carry a
+// request of the same ID: a second answer to that one could not be told from the
+// answer to this one.
+func (c *Carrier) pop(t Target, r Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conns := c.idle[t.ID]
 	now := c.cfg.Clock.Now()
-	for len(conns) > 0 {
-		cn := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		c.idle[t.ID] = conns
+	conns := c.idle[t.ID]
+	for i := len(conns) - 1; i >= 0; i-- {
+		cn := conns[i]
 		unused := now - cn.usedAt
-		if unused <= c.keep(cn) {
-			if unused > maxIdle {
-				c.idle[t.ID] = append(conns, cn)
-				return nil
-			}
+		expired := unused > c.keep(cn)
+		if !expired && unused > r.MaxIdle {
+			return nil
+		}
+		if !expired && cn.carried(r.ID) {
+			continue
+		}
+		conns = slices.Delete(conns, i, i+1)
+		c.idle[t.ID] = conns
+		if !expired {
 			return cn
 		}
 		_ = cn.Close()
@@ -249,7 +275,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cn.usedAt = c.cfg.Clock.Now()
-	if len(c.idle[t.ID]) >= maxIdleConns {
+	if len(c.idle[t.ID]) >= maxIdleConns || len(cn.ids) >= maxExchanges {
 		_ = cn.Close()
 		return
 	}
@@ -299,6 +325,11 @@
 	return n, err
 }
 
+// Whole reports whether the body was read to its end.
+func (a *Answer) Whole() bool {
+	return a.whole
+}
+
 // Within bounds the wait for the next byte, in milliseconds.
 func (a *Answer) Within(d clocker.Millis) {
 	_ = a.conn.SetReadDeadline(clocker.FromNow(d))
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,10 +34,18 @@
 	return strings.TrimPrefix(s.URL, "http://"), &conns
 }
 
+var lastID atomic.Int64
+
+// send sends a request with an ID of its own.
 func send(t *testing.T, c *Carrier, target Target, maxIdle clocker.Millis) (string, error) {
+	t.Helper()
+	return sendAs(t, c, target, maxIdle, fmt.Sprint("id-", lastID.Add(1)))
+}
+
+func sendAs(t *testing.T, c *Carrier, target Target, maxIdle clocker.Millis, id string) (string, error) {
 	t.Helper()
 	a, err := c.Send(context.Background(), target, Request{
-		ID: "1", Method: "POST", URI: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, Body: []byte("b"), MaxIdle: maxIdle,
+		ID: id, Method: "POST", URI: "/", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("b"), MaxIdle: maxIdle,
 	})
 	if err != nil {
 		return "", err
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"cowsliphinge/clocker"
@@ -18,8 +20,15 @@
 	// unackedFor is how long sent bytes may stay without acknowledgement, in
 	// milliseconds, before the connection counts as dead.
 	unackedFor = 1500 * clocker.Millis(1)
+	// receiveBufferBytes bounds what a server can send to a connection that is not
+	// read, such as an unused one.
+	receiveBufferBytes = 64 << 10
+	// unlimited ends the bound of conn.limit.
+	unlimited = -1
 )
 
+var errPreludeTooLong = errors.New("the server sent too much before the body of its answer")
+
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
@@ -30,6 +39,10 @@
 	// idleFor is how long the server keeps the connection without a request; 0 if
 	// it did not say.
 	idleFor clocker.Millis
+	// ids are hashes of the IDs of all requests that the connection carried.
+	ids []uint64
+	// left is how many bytes may still be received, or unlimited.
+	left int
 }
 
 func dial(ctx context.Context, address string, timeout clocker.Millis, traffic Traffic) (*conn, error) {
@@ -38,14 +51,47 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &conn{Conn: c, traffic: traffic}
+	return newConn(c, traffic), nil
+}
+
+func newConn(c net.Conn, traffic Traffic) *conn {
+	cn := &conn{Conn: c, traffic: traffic, left: unlimited}
 	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
-	return cn, nil
+	return cn
+}
+
+// begin notes that a request of this ID is sent.
+func (c *conn) begin(id string) {
+	c.ids = append(c.ids, xxhash.Sum64String(id))
+}
+
+// carried reports whether a request of this ID was sent before.
+func (c *conn) carried(id string) bool {
+	return slices.Contains(c.ids, xxhash.Sum64String(id))
+}
+
+// first reports whether the exchange is the first one on the connection.
+func (c *conn) first() bool {
+	return len(c.ids) == 1
+}
+
+// limit bounds the bytes that are received from now on.
+func (c *conn) limit(n int) {
+	c.left = n
 }
 
 // Read implements net.Conn and counts what goes over the link.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.left == 0 {
+		return 0, errPreludeTooLong
+	}
+	if c.left > 0 {
+		b = b[:min(len(b), c.left)]
+	}
 	n, err := c.Conn.Read(b)
+	if c.left > 0 {
+		c.left -= n
+	}
 	c.traffic.Received(n)
 	return n, err
 }
@@ -57,11 +103,15 @@
 	return n, err
 }
 
-// control makes the kernel give up on a peer that acknowledges nothing.
+// control makes the kernel give up on a peer that acknowledges nothing, and bounds
+// what it keeps of bytes that were not read.
 func control(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedFor))
+		failed = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedFor)),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes),
+		)
 	})
 	return errors.Join(err, failed)
 }
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -13,7 +14,10 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is kept whole before it goes on.
+	// maxWholeBytes bounds an answer that is kept whole before it goes on. The rest
+	// of a longer one is passed on as it comes.
+	maxWholeBytes = 128 << 10
+	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 8 << 20
 	// streamReadBytes is the most that one read of a stream takes.
 	streamReadBytes = 4 << 10
@@ -29,8 +33,12 @@
 		x.mayHaveRun = true
 	}
 	answer.Within(max(1, x.left()))
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
+	body, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
+	if err == nil && len(body) == maxWholeBytes {
+		x.passLong(server, answer, body)
+		return refusal{}, false
+	}
+	if err != nil {
 		x.log.failed(err)
 		if x.req.Context().Err() != nil {
 			return x.finish(server, chooser.Answered, outcomeUnknown), true
@@ -50,6 +58,25 @@
 	return refusal{}, false
 }
 
+// passLong passes on an answer that is too long to be kept. It breaks off visibly
+// where the server does.
+func (x *exchange) passLong(server chooser.Server, answer *carrier.Answer, begun []byte) {
+	x.passHead(answer)
+	if answer.ContentLength > 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	x.w.WriteHeader(answer.StatusCode)
+	rest := io.LimitReader(answer, maxAnswerBytes-maxWholeBytes)
+	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(begun), rest))
+	if err == nil && answer.Whole() {
+		x.finish(server, chooser.Answered, refusal{})
+		return
+	}
+	x.log.failed(err)
+	x.finish(server, x.streamOutcome(err), outcomeUnknown)
+	x.giveUp(outcomeUnknown)
+}
+
 // failedAnswer is a server's own failure, passed on if no other server answers.
 type failedAnswer struct {
 	head *carrier.Answer
@@ -88,8 +115,8 @@
 	control := http.NewResponseController(x.w)
 	var cutter eventCutter
 	buffer := make([]byte, streamReadBytes)
+	answer.Within(x.eventPatience())
 	for {
-		answer.Within(x.eventPatience())
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			x.cfg.Servers.Heard(server.ID, nil)
@@ -99,6 +126,7 @@
 				x.log.failed(failed)
 				return x.finish(server, x.streamOutcome(failed), outcomeUnknown), true
 			}
+			answer.Within(x.eventPatience()) // bytes without a whole event do not extend it
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !cutter.open() && x.events > 0:
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -5,8 +5,8 @@
 	"strconv"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, which is kept until it is whole.
+const maxEventBytes = 128 << 10
 
 // eventCutter cuts the bytes of a stream behind whole events, so that a stream
 // that breaks off can go on with the next event elsewhere.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -259,7 +259,7 @@
 	if x.req.Context().Err() != nil {
 		f.reason = "caller_left"
 	}
-	if x.failure != nil && f.reason != "caller_left" {
+	if x.failure != nil && !x.headSent && f.reason != "caller_left" {
 		x.log.reason = f.reason
 		x.passWhole(x.failure.head, x.failure.body)
 		return
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -231,3 +231,32 @@
 	assert.Equal(t, <-w.budgets.settled, int64(0))
 	assert.Equal(t, w.budgets.reserved, int64(15))
 }
+
+// A long answer is passed on as it comes, whole.
+func TestLongAnswerIsPassedOnWhole(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", maxWholeBytes/8)
+	b := newBackend(t, answer(200, long), answer(200, long[:maxWholeBytes]))
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, b)
+	for _, want := range []string{long, long[:maxWholeBytes]} {
+		got := w.call(t, "POST", "/r/", "order")
+		assert.Assert(t, !got.broken)
+		assert.Equal(t, got.body, want)
+	}
+}
+
+// A body without end and without a length is cut, visibly for the caller, and its
+// connection closed.
+func TestBodyWithoutEndIsNoWholeAnswer(t *testing.T) {
+	b := newBackend(t, func(w io.Writer, req *http.Request) {
+		raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nTransfer-Encoding: chunked\r\n\r\n")(w, req)
+		var err error
+		for err == nil {
+			_, err = io.WriteString(w, "1000\r\n"+strings.Repeat("b", 1<<12)+"\r\n")
+		}
+	})
+	w := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, b)
+	got := w.call(t, "POST", "/r/", "order", "X-Time", "60000")
+	assert.Assert(t, got.broken)
+	assert.Assert(t, len(got.body) <= maxAnswerBytes)
+	<-b.closed
+}
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/clocker"
 	"cowsliphinge/matcher"
 )
 
@@ -108,3 +109,66 @@
 	assert.Assert(t, got.broken)
 	<-b.closed
 }
+
+// A server that keeps a stream alive byte by byte, without an event, is as good as
+// silent.
+func TestStreamOfBytesWithoutEventsGoesOnElsewhere(t *testing.T) {
+	trickle := func(w io.Writer, req *http.Request) {
+		events(1, 2, false)(w, req)
+		_, err := io.WriteString(w, "5\r\nid: 3\r\n")
+		for err == nil {
+			_, err = io.WriteString(w, "1\r\n \r\n")
+			if clocker.NewWall().Sleep(req.Context(), 100) != nil {
+				return
+			}
+		}
+	}
+	two := newBackend(t, func(w io.Writer, req *http.Request) {
+		if req.Header.Get("Last-Event-Id") == "2" {
+			events(3, 4, true)(w, req)
+			return
+		}
+		trickle(w, req)
+	})
+	one := newBackend(t, two.scripts[0])
+	w := newWorld(t, resumable, one, two)
+	got := w.call(t, "POST", "/r/", "p", "X-Time", "60000")
+	assert.Equal(t, got.body, text(1, 4))
+	<-one.closed
+}
+
+// Each event comes within the patience, the whole stream takes much longer.
+func TestSlowSoundStreamIsNotCut(t *testing.T) {
+	slow := func(w io.Writer, req *http.Request) {
+		events(1, 1, false)(w, req)
+		for i := 2; i <= 4; i++ {
+			if clocker.NewWall().Sleep(req.Context(), minGap/2) != nil {
+				return
+			}
+			e := fmt.Sprintf("id: %d\ndata: d\n\n", i)
+			_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}
+	one, two := newBackend(t, slow), newBackend(t, slow)
+	w := newWorld(t, resumable, one, two)
+	got := w.call(t, "POST", "/r/", "p")
+	assert.Assert(t, !got.broken)
+	assert.Equal(t, got.body, text(1, 4))
+	assert.Equal(t, one.runs()+two.runs(), 1)
+}
+
+func TestEventWithoutEndIsBounded(t *testing.T) {
+	b := newBackend(t, func(w io.Writer, req *http.Request) {
+		events(1, 1, false)(w, req)
+		var err error
+		for err == nil {
+			_, err = fmt.Fprintf(w, "1000\r\n%s\r\n", strings.Repeat("d", 1<<12))
+		}
+	})
+	w := newWorld(t, matcher.Route{Kind: matcher.Stream}, b)
+	got := w.call(t, "POST", "/r/", "p")
+	assert.Assert(t, got.broken)
+	assert.Equal(t, got.body, text(1, 1))
+	<-b.closed
+}
