A backend server's own word steers the choice: leaving, and pauses that it asks for

Cause: nothing on the path to backend servers knew the header by which a leaving server tells so in its answers, nor the Retry-After of a server that turns a request away. A host could send to a server that had told it that it leaves (entry still ready, or lapsed and back), and to one that wanted to be left alone.

Ruled out: marking the entry as draining (the next write of the entry undoes it); keeping the word in the list of entries alone (an entry that lapses in an outage and comes back would lose it).

Change: chooser.Word, decoded once by the relayer's dialect; a server that told that it leaves gets nothing new for the rest of its life, one that asked for a pause none until that is over; removed entries are remembered for ten minutes, so that the same life comes back as what it was. Where all servers of a service pause, requests are refused at once with the time at which the first takes requests again.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -35,6 +35,9 @@
 	// zoneFailures is how many servers of an availability zone have to be out of
 	// reach at once for the zone to be taken as cut off.
 	zoneFailures = 2
+	// rememberFor is how long a server without an entry is remembered, in
+	// milliseconds: entries also lapse in outages of the store, and come back.
+	rememberFor = 10 * clocker.Minute
 )
 
 // Config configures a Chooser.
@@ -50,29 +53,42 @@
 type Chooser struct {
 	cfg     Config
 	members map[string]*member
+	// removed are servers whose entry went; one that comes back in the same life is
+	// what it was.
+	removed map[string]*member
 }
 
 // New returns a Chooser that knows no server.
 func New(cfg Config) *Chooser {
-	return &Chooser{cfg: cfg, members: map[string]*member{}}
+	return &Chooser{cfg: cfg, members: map[string]*member{}, removed: map[string]*member{}}
 }
 
 // Set takes over the entry of a server.
 func (c *Chooser) Set(s Server) {
 	m := c.members[s.ID]
-	if m == nil || m.StartedAt != s.StartedAt || m.Address != s.Address {
+	if m == nil {
+		m = c.removed[s.ID]
+		delete(c.removed, s.ID)
+	}
+	if m == nil || !m.sameLife(s) {
 		m = &member{}
 		if c.cfg.CacheTokens != nil {
 			m.cache.capacity = c.cfg.CacheTokens(s.Service)
 		}
-		c.members[s.ID] = m
 	}
+	c.members[s.ID] = m
 	m.Server = s
 	m.missingUntil = 0
 }
 
-// Remove forgets a server whose entry is gone.
-func (c *Chooser) Remove(id string) {
+// Remove drops a server whose entry is gone.
+func (c *Chooser) Remove(id string, now clocker.Millis) {
+	m := c.members[id]
+	if m == nil {
+		return
+	}
+	m.removedAt = now
+	c.removed[id] = m
 	delete(c.members, id)
 }
 
@@ -84,15 +100,17 @@
 	}
 }
 
-// Expire forgets the servers whose entries stayed missing and returns their IDs.
+// Expire drops the servers whose entries stayed missing and returns their IDs. It
+// forgets those that were dropped long ago.
 func (c *Chooser) Expire(now clocker.Millis) []string {
 	var gone []string
 	for id, m := range c.members {
 		if m.missingUntil > 0 && now >= m.missingUntil {
-			delete(c.members, id)
+			c.Remove(id, now)
 			gone = append(gone, id)
 		}
 	}
+	maps.DeleteFunc(c.removed, func(_ string, m *member) bool { return now-m.removedAt > rememberFor })
 	return gone
 }
 
@@ -121,13 +139,12 @@
 	return m != nil && m.ejected(now)
 }
 
-// Choose returns the server that serves a request soonest, or false if the
-// service has none that takes new work. The caller calls Start once it sends the
-// request there.
-func (c *Chooser) Choose(r Request, now clocker.Millis) (Server, bool) {
+// Choose returns the server that serves a request soonest, if one of the service
+// takes new work. The caller calls Start once it sends the request there.
+func (c *Chooser) Choose(r Request, now clocker.Millis) Choice {
 	candidates := c.candidates(r, now)
 	if len(candidates) == 0 {
-		return Server{}, false
+		return Choice{BackAt: c.backAt(r, now)}
 	}
 	home := c.home(candidates, r)
 	best, bestCost := (*member)(nil), 0.0
@@ -137,7 +154,22 @@
 			best, bestCost = m, cost
 		}
 	}
-	return best.Server, true
+	return Choice{Server: best.Server, Found: true}
+}
+
+// backAt returns when the first server of the service ends its pause; 0 if none
+// has one.
+func (c *Chooser) backAt(r Request, now clocker.Millis) clocker.Millis {
+	var first clocker.Millis
+	for _, m := range c.members {
+		if m.Service != r.Service || m.Draining || m.toldLeaving || m.pausedUntil <= now {
+			continue
+		}
+		if first == 0 || m.pausedUntil < first {
+			first = m.pausedUntil
+		}
+	}
+	return first
 }
 
 // candidates returns the servers that may get the request: those that answer, or
@@ -147,7 +179,7 @@
 	cut := c.cutZones(now)
 	for _, id := range c.IDs() {
 		m := c.members[id]
-		if m.Service != r.Service || m.Draining || slices.Contains(r.Avoid, id) {
+		if m.Service != r.Service || m.closed(now) || slices.Contains(r.Avoid, id) {
 			continue
 		}
 		if m.ejected(now) || cut[m.AvailabilityZone] && m.failures == 0 {
@@ -265,18 +297,19 @@
 	return m.note(o, now)
 }
 
-// Heard notes that bytes came from a server, and what it told of its load.
-func (c *Chooser) Heard(id string, load *Load, now clocker.Millis) {
+// Heard notes that bytes came from a server, and what it told of itself. It reports
+// whether the server asked for something that it had not asked for before.
+func (c *Chooser) Heard(id string, w Word, now clocker.Millis) bool {
 	m := c.members[id]
 	if m == nil {
-		return
+		m = c.removed[id]
 	}
-	m.answeredAt = now
-	if load != nil {
-		m.load = *load
-		m.loadAt = now
-		m.startedSince = 0
+	if m == nil {
+		return false
 	}
+	asks := w.Leaving && !m.toldLeaving || w.Pause > 0 && now >= m.pausedUntil
+	m.take(w, now)
+	return asks
 }
 
 // HeardAt returns when a byte last came from a server; 0 for never.
--- a/chooser/chooser_test.go
+++ b/chooser/chooser_test.go
@@ -20,6 +20,11 @@
 	return c
 }
 
+func choose(c *Chooser, r Request, now clocker.Millis) (Server, bool) {
+	choice := c.Choose(r, now)
+	return choice.Server, choice.Found
+}
+
 func prompt(session string) []Part {
 	return []Part{{ID: "system", Tokens: 2500}, {ID: session, Tokens: 3800}, {ID: session + "-own", Tokens: 2900}}
 }
@@ -31,9 +36,9 @@
 	second.cfg.AvailabilityZone = "b"
 	for i := range 50 {
 		r := Request{Service: "engine", Prompt: prompt(fmt.Sprint("session", i))}
-		one, ok := first.Choose(r, 0)
+		one, ok := choose(first, r, 0)
 		assert.Assert(t, ok)
-		other, _ := second.Choose(r, 0)
+		other, _ := choose(second, r, 0)
 		assert.Equal(t, one.ID, other.ID)
 	}
 }
@@ -44,7 +49,7 @@
 	r := Request{Service: "engine", Prompt: prompt("hot")}
 	counts := map[string]int{}
 	for range 120 {
-		s, ok := c.Choose(r, 0)
+		s, ok := choose(c, r, 0)
 		assert.Assert(t, ok)
 		c.Start(s.ID, r)
 		counts[s.ID]++
@@ -59,19 +64,19 @@
 func TestDarkServerIsLeftOut(t *testing.T) {
 	c := fleet(2)
 	r := Request{Service: "engine", Prompt: prompt("x")}
-	home, _ := c.Choose(r, 0)
+	home, _ := choose(c, r, 0)
 	c.Start(home.ID, r)
 	assert.Assert(t, c.Finish(home.ID, Unreachable, 0))
 	for now := clocker.Millis(0); now < ejectFirst; now += 10 {
-		s, ok := c.Choose(r, now)
+		s, ok := choose(c, r, now)
 		assert.Assert(t, ok)
 		assert.Assert(t, s.ID != home.ID)
 	}
-	back, _ := c.Choose(r, ejectFirst)
+	back, _ := choose(c, r, ejectFirst)
 	assert.Equal(t, back.ID, home.ID)
 	c.Start(home.ID, r)
 	c.Finish(home.ID, Unreachable, ejectFirst)
-	s, _ := c.Choose(r, 2*ejectFirst)
+	s, _ := choose(c, r, 2*ejectFirst)
 	assert.Assert(t, s.ID != home.ID)
 }
 
@@ -84,7 +89,7 @@
 		c.Finish(id, Unreachable, 1000)
 	}
 	for i := range 50 {
-		s, ok := c.Choose(Request{Service: "engine", Prompt: prompt(fmt.Sprint(i))}, 1100)
+		s, ok := choose(c, Request{Service: "engine", Prompt: prompt(fmt.Sprint(i))}, 1100)
 		assert.Assert(t, ok)
 		assert.Equal(t, s.AvailabilityZone, "a")
 	}
@@ -98,7 +103,7 @@
 		c.Finish("a0", Failed, 0)
 	}
 	for range 20 {
-		s, _ := c.Choose(Request{Service: "engine"}, 0)
+		s, _ := choose(c, Request{Service: "engine"}, 0)
 		assert.Assert(t, s.ID != "a0")
 	}
 }
@@ -107,11 +112,11 @@
 func TestLeavingServersGetNothing(t *testing.T) {
 	c := fleet(1)
 	c.Set(Server{ID: "a0", Service: "engine", AvailabilityZone: "a", Slots: 8, Address: "10.0.0.1:1", Draining: true})
-	s, ok := c.Choose(Request{Service: "engine"}, 0)
+	s, ok := choose(c, Request{Service: "engine"}, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, s.ID, "b0")
-	c.Remove("b0")
-	_, ok = c.Choose(Request{Service: "engine"}, 0)
+	c.Remove("b0", 0)
+	_, ok = choose(c, Request{Service: "engine"}, 0)
 	assert.Assert(t, !ok)
 }
 
@@ -132,7 +137,7 @@
 	c := fleet(2)
 	counts := map[string]int{}
 	for range 40 {
-		s, _ := c.Choose(Request{Service: "engine"}, 0)
+		s, _ := choose(c, Request{Service: "engine"}, 0)
 		c.Start(s.ID, Request{Service: "engine"})
 		counts[s.AvailabilityZone]++
 	}
@@ -143,7 +148,7 @@
 	c := New(Config{AvailabilityZone: "a"})
 	c.Set(Server{ID: "near", Service: "orders", AvailabilityZone: "a", Slots: 6})
 	c.Set(Server{ID: "far", Service: "orders", AvailabilityZone: "b", Slots: 6})
-	server, ok := c.Choose(Request{Service: "orders"}, 0)
+	server, ok := choose(c, Request{Service: "orders"}, 0)
 	fmt.Println(server.ID, ok)
 	// Output: near true
 }
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -45,6 +45,27 @@
 	Slots   int
 }
 
+// Word is what a backend server told of itself in an answer.
+type Word struct {
+	// Load is nil if the server told none.
+	Load *Load
+	// Leaving is true if the server will stop; it stays so for the rest of its life.
+	Leaving bool
+	// Pause is how long the server wants no request from this host, in
+	// milliseconds; 0 if it told nothing.
+	Pause clocker.Millis
+}
+
+// Choice is the answer to a Request.
+type Choice struct {
+	// Server is the one to send to, if Found.
+	Server Server
+	Found  bool
+	// BackAt is when the first server that asked for a pause takes requests again, if
+	// none is found and one is expected back; else 0.
+	BackAt clocker.Millis
+}
+
 // Outcome is how an exchange with a backend server ended.
 type Outcome int
 
@@ -81,7 +102,38 @@
 	// missingUntil is when the server is forgotten, its entry found missing right
 	// after an outage of the store; 0 if it stands.
 	missingUntil clocker.Millis
-	cache        partCache
+	// toldLeaving is true once an answer said that the server leaves, whatever its
+	// entry says.
+	toldLeaving bool
+	// pausedUntil is when the server takes requests of this host again.
+	pausedUntil clocker.Millis
+	// removedAt is when the entry went.
+	removedAt clocker.Millis
+	cache     partCache
+}
+
+// sameLife reports whether an entry tells of the same life of a server.
+func (m *member) sameLife(s Server) bool {
+	return m.StartedAt == s.StartedAt && m.Address == s.Address
+}
+
+// closed reports whether the server gets nothing new for now.
+func (m *member) closed(now clocker.Millis) bool {
+	return m.Draining || m.toldLeaving || now < m.pausedUntil
+}
+
+// take notes what the server told of itself.
+func (m *member) take(w Word, now clocker.Millis) {
+	m.answeredAt = now
+	m.toldLeaving = m.toldLeaving || w.Leaving
+	if w.Pause > 0 {
+		m.pausedUntil = max(m.pausedUntil, now+w.Pause)
+	}
+	if w.Load != nil {
+		m.load = *w.Load
+		m.loadAt = now
+		m.startedSince = 0
+	}
 }
 
 const (
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -1,5 +1,22 @@
 package relayer
 
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+)
+
+const (
+	// maxPause bounds the pause that a backend server may ask for, in milliseconds.
+	maxPause = clocker.Minute
+	// pauseMargin is added to it: an answer takes its time to come, and clocks of two
+	// machines do not run at quite the same speed. In milliseconds.
+	pauseMargin = 20 * clocker.Millis(1)
+)
+
 // Dialect names the headers that a Relayer reads and sets. They belong to the
 // protocol of the deployment; an empty name is never sent.
 type Dialect struct {
@@ -15,6 +32,8 @@
 	ExpectID string
 	// NotRun marks a refusal of a backend server that did not run the request.
 	NotRun string
+	// Leaving marks the answers of a backend server that is about to stop.
+	Leaving string
 	// Load holds running and waiting requests and slots, separated by commas.
 	Load string
 	// Priority is 0 to 9 towards model engines, 0 is first.
@@ -28,3 +47,21 @@
 	// Reserved are headers that callers may not send to backend servers.
 	Reserved []string
 }
+
+// word returns what a backend server told of itself in an answer.
+func (d Dialect) word(status int, h http.Header) chooser.Word {
+	w := chooser.Word{Load: parseLoad(h.Get(d.Load)), Leaving: h.Get(d.Leaving) != ""}
+	if status == http.StatusServiceUnavailable {
+		w.Pause = parsePause(h.Get("Retry-After"))
+	}
+	return w
+}
+
+// parsePause reads a number of seconds, fractions included; 0 if it is none.
+func parsePause(header string) clocker.Millis {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return clocker.Millis(min(seconds*float64(clocker.Second), float64(maxPause))) + pauseMargin
+}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -131,11 +131,12 @@
 // or false once the caller has its final answer.
 func (x *exchange) attempt() (refusal, bool) {
 	choice := chooser.Request{Service: x.service.Name, Prompt: x.prompt, Avoid: x.avoid}
-	server, ok := x.cfg.Servers.Choose(choice)
-	if !ok {
-		x.giveUp(x.unserved())
+	chosen := x.cfg.Servers.Choose(choice)
+	if !chosen.Found {
+		x.giveUp(x.unserved(chosen.BackAt))
 		return refusal{}, false
 	}
+	server := chosen.Server
 	x.avoid = append(x.avoid, server.ID)
 	x.log.try(server, x.cfg.Clock.Now()-x.started)
 	answer, err := x.cfg.Carrier.Send(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, x.request(server))
@@ -147,7 +148,9 @@
 		x.sends++
 		x.mayHaveRun = true
 	}
-	x.cfg.Servers.Heard(server.ID, parseLoad(answer.Header.Get(x.cfg.Dialect.Load)))
+	if answer.StatusCode != http.StatusMisdirectedRequest { // that is another server
+		x.cfg.Servers.Heard(server.ID, x.cfg.Dialect.word(answer.StatusCode, answer.Header))
+	}
 	if f, refused := x.refused(server, answer); refused {
 		return f, true
 	}
@@ -160,15 +163,18 @@
 	return x.whole(server, answer)
 }
 
-// unserved is the answer where no server is left to try.
-func (x *exchange) unserved() refusal {
+// unserved is the answer where no server is left to try. backAt is when one takes
+// requests again; 0 if that is not known.
+func (x *exchange) unserved(backAt clocker.Millis) refusal {
 	switch {
 	case x.mayHaveRun:
 		return outcomeUnknown
-	case x.sends > 0:
+	case x.sends > 0 && backAt == 0:
 		return shed
 	case x.unreached > 0:
 		return notReached
+	case backAt > 0:
+		return serversPaused.after(backAt - x.cfg.Clock.Now())
 	}
 	return noServer
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,13 +24,13 @@
 
 // Servers chooses backend servers and learns from what requests show.
 type Servers interface {
-	// Choose returns a server for the request and notes that it is sent there, or
-	// false if none takes new work.
-	Choose(r chooser.Request) (chooser.Server, bool)
+	// Choose returns a server for the request and notes that it is sent there, if one
+	// takes new work.
+	Choose(r chooser.Request) chooser.Choice
 	// Finish notes how an exchange ended.
 	Finish(id string, o chooser.Outcome)
-	// Heard notes that bytes came from a server, and its load unless nil.
-	Heard(id string, load *chooser.Load)
+	// Heard notes that bytes came from a server, and what it told of itself.
+	Heard(id string, w chooser.Word)
 	// HeardAt returns when a byte last came from a server.
 	HeardAt(id string) clocker.Millis
 }
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -23,7 +23,7 @@
 
 var dialect = Dialect{
 	RequestID: "X-Id", Deadline: "X-Time", Signature: "X-Sign", Account: "X-Account", ExpectID: "X-Expect",
-	NotRun: "X-Not-Run", Load: "X-Load", Priority: "X-Priority", LastEventID: "Last-Event-Id",
+	NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load", Priority: "X-Priority", LastEventID: "Last-Event-Id",
 	Tokens: "X-Tokens", Prefix: "X-Parts", Reserved: []string{"X-Hold"},
 }
 
@@ -161,14 +161,14 @@
 	outcomes []chooser.Outcome
 }
 
-func (s *shell) Choose(r chooser.Request) (chooser.Server, bool) {
+func (s *shell) Choose(r chooser.Request) chooser.Choice {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	server, ok := s.chooser.Choose(r, s.clock.Now())
-	if ok {
-		s.chooser.Start(server.ID, r)
+	choice := s.chooser.Choose(r, s.clock.Now())
+	if choice.Found {
+		s.chooser.Start(choice.Server.ID, r)
 	}
-	return server, ok
+	return choice
 }
 
 func (s *shell) Finish(id string, o chooser.Outcome) {
@@ -178,10 +178,10 @@
 	s.chooser.Finish(id, o, s.clock.Now())
 }
 
-func (s *shell) Heard(id string, load *chooser.Load) {
+func (s *shell) Heard(id string, w chooser.Word) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.chooser.Heard(id, load, s.clock.Now())
+	s.chooser.Heard(id, w, s.clock.Now())
 }
 
 func (s *shell) HeardAt(id string) clocker.Millis {
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -73,7 +73,7 @@
 	s, err := b.decode(o)
 	if err != nil {
 		b.log.Warn("entry of a backend server is not usable", "server", b.id(o), "cause", err.Error())
-		b.chooser.Remove(b.id(o))
+		b.chooser.Remove(b.id(o), b.clock.Now())
 		return
 	}
 	if old, known := b.chooser.Server(s.ID); !known || old.Draining != s.Draining || old.StartedAt != s.StartedAt {
@@ -92,7 +92,7 @@
 		return
 	}
 	b.log.Info("backend server is gone", "server", id)
-	b.chooser.Remove(id)
+	b.chooser.Remove(id, b.clock.Now())
 }
 
 // expire forgets servers whose entries did not come back after an outage.
@@ -119,14 +119,14 @@
 }
 
 // Choose implements relayer.Servers.
-func (b *backends) Choose(r chooser.Request) (chooser.Server, bool) {
+func (b *backends) Choose(r chooser.Request) chooser.Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, ok := b.chooser.Choose(r, b.clock.Now())
-	if ok {
-		b.chooser.Start(s.ID, r)
+	choice := b.chooser.Choose(r, b.clock.Now())
+	if choice.Found {
+		b.chooser.Start(choice.Server.ID, r)
 	}
-	return s, ok
+	return choice
 }
 
 // Finish implements relayer.Servers.
@@ -140,10 +140,12 @@
 }
 
 // Heard implements relayer.Servers.
-func (b *backends) Heard(id string, load *chooser.Load) {
+func (b *backends) Heard(id string, w chooser.Word) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.chooser.Heard(id, load, b.clock.Now())
+	if b.chooser.Heard(id, w, b.clock.Now()) {
+		b.log.Info("backend server asks for no more requests", "server", id, "leaving", w.Leaving, "pause_ms", w.Pause)
+	}
 }
 
 // HeardAt implements relayer.Servers.
--- a/runner/backends_test.go
+++ b/runner/backends_test.go
@@ -39,7 +39,7 @@
 	b.Replace([]storer.Object{entry("one", ""), entry("two", ""), entry("odd", "bad")}, 0)
 	assert.Assert(t, b.ready() && b.known("one") && b.known("two") && !b.known("odd"))
 	b.Apply([]storer.Change{{Object: entry("one", "draining")}, {Object: entry("two", ""), Deleted: true}}, 0)
-	_, ok := b.Choose(chooser.Request{Service: "s"})
+	ok := b.Choose(chooser.Request{Service: "s"}).Found
 	assert.Assert(t, !ok)
 	assert.Assert(t, !b.known("two"))
 }
