Hosts that are no holders keep a share of a budget ahead, not four requests each

Cause: a host that holds no budget asked its zone's holders for the demand of a second or four requests, whichever is more, for each client account. With 195 hosts each host sees a request of an account every 20 seconds or so, and four requests of 9,000 tokens at every host are 7 of 5 million tokens that an account has paid for: the budgets lie idle with hosts that do not need them, and others are refused.

Ruled out: by the test's model, holders' shares (one holder has everything there).

Change: what is asked for beyond the demand of a second is bounded by a tenth of the declared budget over all hosts (aheadShare, a third of what holders keep).

Before: TestHostsOfALargeFleetKeepLittleAhead fails at the 79th host of the second round, with a third of the budget used. After: all rounds served, what lies idle within the share.

--- /dev/null
+++ b/allotter/crowd_test.go
@@ -0,0 +1,59 @@
+package allotter_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/allotter"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+)
+
+// Pattern: hundreds of hosts, each of which sees a request of each client account
+// now and then. What lies idle with them stays within its share of the budget, and
+// every request is served.
+func TestHostsOfALargeFleetKeepLittleAhead(t *testing.T) {
+	const (
+		hosts   = 195
+		granted = 5_000_000
+		size    = 9_000
+		used    = 6_000
+		rounds  = 2
+		share   = 0.1
+	)
+	c := allotter.Circumstances{Policy: tightPolicy, Hosts: hosts, AheadShare: share, Live: func(string) bool { return true }}
+	holder := allotter.New(allotter.Config{Incarnation: "holder"})
+	holder.Merge(1, &messenger.BudgetShard{Budgets: []*messenger.Budget{{
+		Name: "mason", Granted: granted,
+		Holders: []*messenger.Holder{{Incarnation: "holder", Limit: granted}},
+	}}}, 1)
+	fleet := make([]*allotter.Allotter, hosts)
+	for i := range fleet {
+		fleet[i] = allotter.New(allotter.Config{Incarnation: fmt.Sprint("host-", i), DemandSpan: 4 * clocker.Second})
+		fleet[i].Declare("mason", granted)
+	}
+	for round := range rounds {
+		for i, a := range fleet {
+			c.Now = clocker.Millis(round*hosts+i+1) * 100 // each host sees one request in 19.5 s
+			a.AddNeed("mason", size, 0)
+			for _, ask := range a.Asks(c, false) {
+				a.Receive("holder", holder.Give(fmt.Sprint("host-", i), ask, c.Now))
+			}
+			a.AddNeed("mason", -size, 0)
+			id, ok := a.Reserve("mason", size, 0, c.Now)
+			assert.Assert(t, ok, "round %d, host %d", round, i)
+			a.Settle("mason", id, used, c.Now)
+			for _, back := range a.GiveBack(c) {
+				holder.Receive(fmt.Sprint("host-", i), back.Total)
+			}
+		}
+	}
+	var idle int64
+	for _, a := range fleet {
+		idle += a.Held()
+	}
+	demand := float64(size) // of a second and more, at each host that has just served one
+	assert.Assert(t, float64(idle) <= share*granted+demand, "%d of %d tokens lie idle", idle, granted)
+}
--- a/allotter/platform.go
+++ b/allotter/platform.go
@@ -29,6 +29,11 @@
 	// BatchShare is ExtendShare for budgets that a write carries along; 0 means the
 	// same.
 	BatchShare float64
+	// Hosts is how many hosts are known, this one included.
+	Hosts int
+	// AheadShare is the part of a declared budget that all hosts together may ask for
+	// beyond their demand of the near future; 0 means no bound.
+	AheadShare float64
 }
 
 func (c Circumstances) extendShare() float64 {
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -75,8 +75,19 @@
 }
 
 // grantTarget is the headroom of a host that is no holder.
-func (b *allotment) grantTarget(now clocker.Millis) int64 {
-	return b.ahead(grantAhead, now)
+func (b *allotment) grantTarget(c Circumstances) int64 {
+	return b.askedAhead(grantAhead, c)
+}
+
+// askedAhead is the expected demand of the given time, or that of a few requests
+// within the host's part of AheadShare: the more hosts there are, the fewer requests
+// each one sees, and the more would lie idle with all of them.
+func (b *allotment) askedAhead(d clocker.Millis, c Circumstances) int64 {
+	few := b.demand.requests(floorRequests, c.Now)
+	if c.AheadShare > 0 && b.declared > 0 {
+		few = min(few, c.AheadShare*float64(b.declared)/float64(max(1, c.Hosts)))
+	}
+	return int64(max(b.demand.rate(c.Now)*float64(d), few))
 }
 
 // ahead is the expected demand of the given time, at least of a few requests.
@@ -89,13 +100,13 @@
 // by the policy's share.
 func (b *allotment) change(c Circumstances, object *messenger.Budget, rest, free int64) int64 {
 	var target int64
-	returnAbove := 2 * b.grantTarget(c.Now)
+	returnAbove := 2 * b.grantTarget(c)
 	switch {
 	case c.Holder:
 		target = b.target(c, object, rest)
 		returnAbove = 2 * target
 	case free < 0:
-		target = b.grantTarget(c.Now) // its holders did not have enough
+		target = b.grantTarget(c) // its holders did not have enough
 	}
 	switch {
 	case free < 0 && float64(rest) < min(float64(-free), b.demand.size):
@@ -122,7 +133,7 @@
 		lacks := a.lacks(b, c.Now)
 		ahead, urgent := b.askAhead(c), b.urgentPerSecond(c.Now)
 		if loan {
-			ahead = b.ahead(loanAhead, c.Now)
+			ahead = b.askedAhead(loanAhead, c)
 		} else if len(lacks) == 0 && ahead > 0 {
 			lacks = []lack{{}}
 		}
@@ -137,7 +148,7 @@
 // askAhead is what a host that is no holder asks for beyond what requests wait for.
 func (b *allotment) askAhead(c Circumstances) int64 {
 	free := b.headroom() - b.need
-	if target := b.grantTarget(c.Now); !c.Holder && free < target/2 {
+	if target := b.grantTarget(c); !c.Holder && free < target/2 {
 		return target - max(0, free)
 	}
 	return 0
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -98,7 +98,7 @@
 	if closing {
 		return min(b.headroom(), fromPeers)
 	}
-	target := b.grantTarget(c.Now)
+	target := b.grantTarget(c)
 	free := b.headroom() - b.need
 	if c.Holder || free <= 2*target {
 		return 0
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -103,6 +103,8 @@
 		ChangePause: r.cfg.ChangePause,
 		ExtendShare: r.cfg.ExtendShare,
 		BatchShare:  r.cfg.BatchShare,
+		Hosts:       len(v.hosts),
+		AheadShare:  r.cfg.AheadShare,
 	}
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -69,6 +69,9 @@
 	ExtendShare float64
 	// BatchShare is the same for budgets of an object that is written anyway.
 	BatchShare float64
+	// AheadShare is the part of a declared budget that all hosts together may ask for
+	// beyond their demand of the near future; 0 means no bound.
+	AheadShare float64
 	// DemandSpan is the time constant that follows a rising demand, in
 	// milliseconds; 0 means the allotter's own.
 	DemandSpan clocker.Millis
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -50,6 +50,9 @@
 	// write for another budget carries it along.
 	extendShare = 0.8
 	batchShare  = 0.95
+	// aheadShare is the part of a budget that all hosts together ask their holders for
+	// beyond their demand of a second: a third of what holders keep.
+	aheadShare = heldShare / 3
 	// demandSpan is the time constant that follows demand, in milliseconds: hosts
 	// that are no holders keep the demand of a second.
 	demandSpan = 4 * clocker.Second
@@ -170,6 +173,7 @@
 		ConflictPause:    conflictPause,
 		ExtendShare:      extendShare,
 		BatchShare:       batchShare,
+		AheadShare:       aheadShare,
 		Declared:         r.declaredBudgets,
 		Granted:          r.grantedTokens,
 	}))
