Rested connections serve requests that may be repeated

Cause: a host took no connection to a server that had rested for over 300 ms unless it had just heard of that server.

Ruled out: the same for requests that may not be repeated: servers forget connections that rested for 300 ms, and what is sent then is lost.

Change: a request with a further attempt left takes a connection whatever its rest; where one breaks, the other unused ones to that server are closed.

Before: 300 ms for all. After: tests of both (relayer/idle_test.go, carrier).

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -128,6 +128,9 @@
 	if err != nil {
 		stop()
 		_ = cn.Close()
+		if !cn.first() && ctx.Err() == nil {
+			c.drop(t) // what ended one unused connection may have ended all
+		}
 		return nil, err
 	}
 	answer.target = t
@@ -282,6 +285,16 @@
 	c.idle[t.ID] = append(c.idle[t.ID], cn)
 }
 
+// drop closes the unused connections to a server.
+func (c *Carrier) drop(t Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cn := range c.idle[t.ID] {
+		_ = cn.Close()
+	}
+	delete(c.idle, t.ID)
+}
+
 // Keep closes the connections to all servers but those for which known is true,
 // and those that were unused for too long.
 func (c *Carrier) Keep(known func(id string) bool) {
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -103,3 +103,36 @@
 	_, err = send(t, newCarrier(clocker.NewWall()), Target{ID: "one", Address: l.Addr().String()}, 0)
 	assert.Assert(t, connector.IsErrNotSent(err))
 }
+
+// Pattern: something between the two ends forgets all connections that rest. One
+// request finds that out, the next ones get new connections.
+func TestBrokenUnusedConnectionEndsTheOthers(t *testing.T) {
+	var forgotten atomic.Bool
+	address, conns := served(t, func(w http.ResponseWriter, _ *http.Request) {
+		if forgotten.Load() {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c := newCarrier(clocker.NewWall())
+	one := Target{ID: "one", Address: address}
+	var open []*Answer
+	for i := range 3 {
+		id := fmt.Sprint("open-", i)
+		a, err := c.Send(context.Background(), one, Request{ID: id, Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {id}}, MaxIdle: clocker.Minute})
+		assert.NilError(t, err)
+		open = append(open, a)
+	}
+	for _, a := range open {
+		_, err := io.ReadAll(a)
+		assert.NilError(t, err)
+		a.Close()
+	}
+	assert.Equal(t, conns.Load(), int64(3))
+	forgotten.Store(true)
+	_, err := send(t, c, one, clocker.Minute)
+	assert.Assert(t, connector.IsErrBroken(err))
+	forgotten.Store(false)
+	_, err = send(t, c, one, clocker.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, conns.Load(), int64(4))
+}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -35,7 +35,7 @@
 	minGap      = clocker.Second
 	// provenFor is how long a byte from a server proves that it can be reached, in
 	// milliseconds; after that a new connection has to prove it before a request
-	// is sent that can't be repeated.
+	// is sent that can't be repeated. Servers may drop connections after that rest.
 	provenFor = 300 * clocker.Millis(1)
 )
 
@@ -190,11 +190,12 @@
 		out.Header.Set(d.LastEventID, strconv.FormatInt(x.lastEvent, 10))
 	}
 	out.MaxIdle = defaultTime
-	if x.cfg.Clock.Now()-x.cfg.Servers.HeardAt(server.ID) > provenFor {
+	out.HeadTimeout = max(1, x.left())
+	mayMiss := x.route.Repeatable() && x.sends+1 < x.route.MaxAttempts
+	if !mayMiss && x.cfg.Clock.Now()-x.cfg.Servers.HeardAt(server.ID) > provenFor {
 		out.MaxIdle = provenFor
 	}
-	out.HeadTimeout = max(1, x.left())
-	if x.route.Repeatable() && x.sends+1 < x.route.MaxAttempts {
+	if mayMiss {
 		out.HeadTimeout = min(out.HeadTimeout, max(headPatience*x.route.TargetLatency, minPatience))
 	}
 	return out
--- /dev/null
+++ b/relayer/idle_test.go
@@ -0,0 +1,50 @@
+package relayer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/matcher"
+)
+
+// Pattern: hundreds of hosts before a hundred servers, so that each host meets each
+// server seldom. A request that may go to a second server takes a connection that
+// has rested; any other one takes none that might have been dropped.
+func TestRestedConnectionsServeRequestsThatMayBeRepeated(t *testing.T) {
+	server := chooser.Server{ID: "s0", Service: "s"}
+	for _, c := range []struct {
+		name   string
+		route  matcher.Route
+		sends  int
+		rested bool
+	}{
+		{"safe", matcher.Route{Kind: matcher.Safe, MaxAttempts: 2}, 0, true},
+		{"resumable stream", matcher.Route{Kind: matcher.Stream, Resumable: true, MaxAttempts: 2}, 0, true},
+		{"last attempt", matcher.Route{Kind: matcher.Safe, MaxAttempts: 2}, 1, false},
+		{"single attempt", matcher.Route{Kind: matcher.Safe, MaxAttempts: 1}, 0, false},
+		{"unsafe", matcher.Route{Kind: matcher.Unsafe, MaxAttempts: 2}, 0, false},
+		{"stream", matcher.Route{Kind: matcher.Stream, MaxAttempts: 2}, 0, false},
+	} {
+		clock := clocker.NewManual(clocker.Hour)
+		ch := chooser.New(chooser.Config{})
+		ch.Set(server)
+		ch.Heard(server.ID, chooser.Word{}, clock.Now())
+		x := &exchange{
+			Relayer:  New(Config{Clock: clock, Dialect: dialect, Servers: &shell{chooser: ch, clock: clock}}),
+			route:    &c.route,
+			sends:    c.sends,
+			deadline: clock.Now() + clocker.Minute,
+		}
+		x.out.Header = map[string][]string{}
+		assert.Equal(t, x.request(server).MaxIdle, defaultTime, c.name)
+		clock.Advance(provenFor + 1)
+		want := provenFor
+		if c.rested {
+			want = defaultTime
+		}
+		assert.Equal(t, x.request(server).MaxIdle, want, c.name)
+	}
+}
