--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,8 @@
 	zone []string
 	// zoneHash changes with zone.
 	zoneHash uint64
+	// settled is true once the fleet is known.
+	settled bool
 }
 
 // look returns the present view.
@@ -60,6 +63,11 @@
 	for _, host := range v.zone {
 		v.zoneHash += xxhash.Sum64String(host)
 	}
+	var hosts uint64
+	for host := range v.hosts {
+		hosts += xxhash.Sum64String(host)
+	}
+	v.settled = r.fleet.note(hosts, len(v.peers) == 0, v.now, r.cfg.SettleFor, r.cfg.SettleMost)
 	return v
 }
 
@@ -83,7 +91,11 @@
 	return s.holders
 }
 
+// holds reports whether this host holds the shard's budgets.
 func (r *Reserver) holds(s *shard, v *view) bool {
+	if !v.settled {
+		return false
+	}
 	for _, host := range v.holdersOf(s) {
 		if host == r.cfg.Host {
 			return true
@@ -111,7 +123,11 @@
 // inspect looks at requests that wait at every tick, and at all budgets in use
 // every inspectPause.
 func (r *Reserver) inspect(ctx context.Context) {
-	var inspected, synced, kept clocker.Millis
+	// Hosts that start together look at different moments, so that their writes
+	// seldom meet.
+	phase := clocker.Millis(rand.Int64N(int64(inspectPause)))
+	inspected := r.cfg.Clock.Now() - phase
+	kept, synced := inspected, inspected
 	for r.cfg.Clock.Sleep(ctx, tickPause) == nil {
 		now := r.cfg.Clock.Now()
 		r.inspectWaiting(now)
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 
@@ -23,6 +24,9 @@
 	// probePause is the time between two calls to a platform that left the last
 	// one unanswered.
 	probePause = clocker.Second
+	// peekAge is how old what is known of an object may be for a write to go by it, in
+	// milliseconds: several answers of the store.
+	peekAge = 20 * clocker.Millis(1)
 )
 
 var (
@@ -82,6 +86,7 @@
 		return balanced{}
 	}
 	defer s.release()
+	r.peek(ctx, s)
 	for range writeAttempts {
 		w, due := s.planKnown(r.circumstances(s, v))
 		if !due {
@@ -116,6 +121,36 @@
 	return balanced{contended: true}
 }
 
+// peek takes in the shard's object before a write that may meet one of another host.
+// What it tells may be old: the write is conditional.
+func (r *Reserver) peek(ctx context.Context, s *shard) {
+	if r.cfg.Peek == nil {
+		return
+	}
+	s.mu.Lock()
+	due := s.known && r.cfg.Clock.Now()-s.allotter.ReadAt() >= peekAge
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	o, err := r.cfg.Peek(ctx, s.key)
+	if err != nil {
+		r.platform.note(err)
+		return // the write tells
+	}
+	object := &messenger.BudgetShard{}
+	if err := proto.Unmarshal(o.Value, object); err != nil {
+		slog.Warn("budgets can't be read", "key", s.key, "version", o.Version, "cause", err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Version > s.allotter.Version() {
+		s.allotter.Merge(o.Version, object, r.cfg.Clock.Now())
+		s.wake(r.cfg.Clock.Now())
+	}
+}
+
 // read takes in the shard's object; a missing one is empty.
 func (r *Reserver) read(ctx context.Context, s *shard) error {
 	o, err := r.cfg.Store.Get(ctx, s.key)
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -86,6 +86,14 @@
 	// ConflictPause is the least wait after a write that met another host's, in
 	// milliseconds; writers that met once are spread over twice that. 0 means none.
 	ConflictPause clocker.Millis
+	// Peek reads an object at a low price, possibly as it was a while ago. It is used
+	// before a write, so that the write seldom meets another host's; nil means that
+	// writes go by what is known.
+	Peek func(ctx context.Context, key string) (storer.Object, error)
+	// SettleFor is how long the known hosts have to stay the same after the start
+	// before this one holds budgets ahead of demand, and SettleMost is the longest wait
+	// for that, in milliseconds; 0 means from the start on.
+	SettleFor, SettleMost clocker.Millis
 	// Granted returns the sum of all top-ups of a budget as the declarations name
 	// it; nil means that top-ups come by TopUp alone.
 	Granted func(budget string) int64
@@ -107,6 +115,7 @@
 
 	platform health
 	doubts   doubts
+	fleet    settling
 }
 
 // New returns a Reserver and starts its duties, which end with ctx or Close.
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -28,6 +28,11 @@
 	// changePause is the least time between two extensions of a budget ahead of
 	// demand, in milliseconds.
 	changePause = 1500 * clocker.Millis(1)
+	// settleFor is how long the known hosts have to stay the same after a start before
+	// a host holds budgets, in milliseconds: three heartbeats. settleMost is the longest
+	// wait for that: two looks at the host list and the heartbeats behind them.
+	settleFor  = 3 * beatEvery
+	settleMost = 2*listEvery + settleFor
 	// conflictPause spreads the writers that met at the budgets' object, in
 	// milliseconds: two answers of the store.
 	conflictPause = 8 * clocker.Millis(1)
@@ -161,6 +166,7 @@
 		AvailabilityZone: r.cfg.Settings.AvailabilityZone,
 		Clock:            r.cfg.Clock,
 		Store:            r.cfg.Platform.Store,
+		Peek:             r.cfg.Platform.Store.Peek,
 		Exchange:         r.exchange,
 		Peers:            r.heartbeater.Peers,
 		Policy:           r.policy,
@@ -171,6 +177,8 @@
 		HoldersFirst:     true,
 		Reachable:        r.health.Reachable,
 		ConflictPause:    conflictPause,
+		SettleFor:        settleFor,
+		SettleMost:       settleMost,
 		ExtendShare:      extendShare,
 		BatchShare:       batchShare,
 		AheadShare:       aheadShare,
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"context"
+
 	"cowsliphinge/chooser"
 	"cowsliphinge/matcher"
 	"cowsliphinge/relayer"
@@ -13,6 +15,8 @@
 type Store interface {
 	watcher.Source
 	reserver.Store
+	// Peek reads an object at a low price, possibly as it was a while ago.
+	Peek(ctx context.Context, key string) (storer.Object, error)
 }
 
 // Platform is the platform that a router runs on, as its adapter offers it.
