Relayed news and zone beats go to all hosts of a zone alike

Cause: a host relays news of eight hosts of its zone in each beat, taken along the ring of all hosts from a random place. Hosts of a zone stand together on that ring, so that the place is outside the zone most of the time and the first hosts by name are chosen; the beats to a random host of the zone went to the first one for the same reason.

Change: both choices are random among the hosts of the zone.

Before: TestHostsOfALargeFleetAreNotSuspected: 42,919 of 1,599,246 looks at a live host found it suspect. After: it passes (under one in a thousand, beats spread within four to one).

--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -242,19 +242,22 @@
 	return m.add(targets, m.random(false))
 }
 
-// random returns the exchange address of a random member, or "" for none.
+// random returns the exchange address of a random member, of the own zone or of any;
+// "" for none.
 func (m *Members) random(ofZone bool) string {
-	if len(m.ordered) == 0 {
-		return ""
-	}
-	start := m.rng.IntN(len(m.ordered))
-	for i := range m.ordered {
-		p := m.ordered[(start+i)%len(m.ordered)].peer
-		if !ofZone || p.AvailabilityZone == m.cfg.AvailabilityZone {
-			return p.ExchangeAddress
+	candidates := m.ordered
+	if ofZone {
+		candidates = make([]*member, 0, m.zone)
+		for _, known := range m.ordered {
+			if known.peer.AvailabilityZone == m.cfg.AvailabilityZone {
+				candidates = append(candidates, known)
+			}
 		}
 	}
-	return ""
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[m.rng.IntN(len(candidates))].peer.ExchangeAddress
 }
 
 func (*Members) add(targets []string, address string) []string {
--- a/heartbeater/relay.go
+++ b/heartbeater/relay.go
@@ -24,21 +24,27 @@
 	return sample
 }
 
-// choose appends members until there are n: those with fresh news along the
-// ring from a random place, then others.
+// choose appends members until there are n: those with fresh news along the ring of
+// the ones to keep, from a random place on it, then others. The place is one of that
+// ring: on the ring of all hosts those behind a gap would be chosen most of the time.
 func (m *Members) choose(chosen []*member, now clocker.Millis, n int, keep func(*member) bool) []*member {
-	if len(m.ordered) == 0 {
+	var kept []*member
+	for _, known := range m.ordered {
+		if known.heard && keep(known) && !m.suspect(known, now) {
+			kept = append(kept, known)
+		}
+	}
+	if len(kept) == 0 {
 		return chosen
 	}
-	start := m.rng.IntN(len(m.ordered))
+	start := m.rng.IntN(len(kept))
 	for _, fresh := range []bool{true, false} {
-		for i := range m.ordered {
+		for i := range kept {
 			if len(chosen) >= n {
 				return chosen
 			}
-			known := m.ordered[(start+i)%len(m.ordered)]
-			recent := now-known.peer.LastHeard <= freshFor
-			if known.heard && recent == fresh && keep(known) && !m.suspect(known, now) {
+			known := kept[(start+i)%len(kept)]
+			if recent := now-known.peer.LastHeard <= freshFor; recent == fresh {
 				chosen = append(chosen, known)
 			}
 		}
