Two hosts of a large zone watch the store closely, the others with long waits

Change: in zones of six hosts and more two wait half of the bound, the others 12 s. A configuration version of any peer, or other backend servers by a later answer of the store, makes a host list again. Changes of backend servers are gathered for a third of their bound.

Small zones wait as before.

--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -186,6 +186,8 @@
 	}
 	p.Incarnation = beat.Incarnation
 	p.ConfigurationVersion = beat.ConfigurationVersion
+	p.ServersFingerprint = beat.ServersFingerprint
+	p.ServersRevision = beat.ServersRevision
 	p.LastHeard = heard
 	p.Draining = beat.Draining
 	p.PlatformReachable = beat.PlatformReachable
--- a/heartbeater/peer.go
+++ b/heartbeater/peer.go
@@ -15,6 +15,10 @@
 	CallerAddress    string
 	// ConfigurationVersion that it last told.
 	ConfigurationVersion int64
+	// ServersFingerprint of the backend servers that it knows, as the store told at
+	// ServersRevision.
+	ServersFingerprint uint64
+	ServersRevision    int64
 	// LastHeard is when the last news of it arrived; 0 for never.
 	LastHeard clocker.Millis
 	Draining  bool
--- a/heartbeater/relay.go
+++ b/heartbeater/relay.go
@@ -58,6 +58,8 @@
 	beat := &messenger.Beat{
 		Incarnation:          known.peer.Incarnation,
 		ConfigurationVersion: known.peer.ConfigurationVersion,
+		ServersFingerprint:   known.peer.ServersFingerprint,
+		ServersRevision:      known.peer.ServersRevision,
 		Draining:             known.peer.Draining,
 		PlatformReachable:    known.peer.PlatformReachable,
 		SentAtMs:             int64(known.sentAt),
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -1,10 +1,13 @@
 package runner
 
 import (
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/storer"
@@ -21,6 +24,8 @@
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	listed  bool
+	// print is the fingerprint of the servers, 0 before the first list.
+	print uint64
 }
 
 // newBackends returns the shell of a chooser that knows no server yet.
@@ -49,6 +54,25 @@
 		}
 	}
 	b.listed = true
+	b.seal()
+}
+
+// fingerprint returns a value that two hosts share if they know the same servers in
+// the same state; 0 before the first list.
+func (b *backends) fingerprint() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.print
+}
+
+// seal computes the fingerprint. The caller holds mu.
+func (b *backends) seal() {
+	sum := uint64(1)
+	for _, id := range b.chooser.IDs() {
+		s, _ := b.chooser.Server(id)
+		sum ^= xxhash.Sum64String(fmt.Sprint(id, s.Draining, s.StartedAt))
+	}
+	b.print = sum
 }
 
 // Apply implements watcher.Sink.
@@ -62,6 +86,7 @@
 		}
 		b.set(c.Object)
 	}
+	b.seal()
 }
 
 func (b *backends) id(o storer.Object) string {
@@ -99,9 +124,13 @@
 func (b *backends) expire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, id := range b.chooser.Expire(b.clock.Now()) {
+	expired := b.chooser.Expire(b.clock.Now())
+	for _, id := range expired {
 		b.log.Info("backend server did not come back after the outage", "server", id)
 	}
+	if len(expired) > 0 {
+		b.seal()
+	}
 }
 
 // known reports whether a server is known.
--- a/runner/behind_test.go
+++ b/runner/behind_test.go
@@ -1,11 +1,14 @@
 package runner
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
 )
 
 // Pattern: the store drops its history, and the watches of nearly all hosts hang. One
@@ -31,3 +34,39 @@
 		assert.Assert(t, !l.lasts(version+1, version+1, 600, now+100))
 	}
 }
+
+// Pattern: many hosts of a zone watch a store whose calls are paid each. Two of them
+// watch closely; in a small zone all wait as the bound allows.
+func TestTwoHostsOfALargeZoneWatchClosely(t *testing.T) {
+	const bound = 4000
+	var zone []string
+	for i := range 33 {
+		zone = append(zone, fmt.Sprint("host-", i))
+		close, long := 0, 0
+		for _, host := range zone {
+			switch waitOf(host, zone, bound) {
+			case bound / scoutPart:
+				close++
+			case longWait:
+				long++
+			}
+		}
+		if len(zone) < manyHosts {
+			assert.Equal(t, close+long, 0)
+			continue
+		}
+		assert.Equal(t, close, allotter.HoldersPerZone)
+		assert.Equal(t, long, len(zone)-close)
+	}
+}
+
+// Pattern: the watch of backend servers hangs. A peer whose later answer tells of other
+// servers shows it; one with an earlier answer, or with the same servers, does not.
+func TestMissedBackendServersShowByALaterAnswer(t *testing.T) {
+	peer := func(revision int64, fingerprint uint64) heartbeater.Peer {
+		return heartbeater.Peer{ServersRevision: revision, ServersFingerprint: fingerprint}
+	}
+	assert.Assert(t, !missed(7, 100, nil))
+	assert.Assert(t, !missed(7, 100, []heartbeater.Peer{peer(90, 8), peer(120, 7), peer(0, 0)}))
+	assert.Assert(t, missed(7, 100, []heartbeater.Peer{peer(90, 8), peer(101, 9)}))
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -46,6 +46,9 @@
 	// gatherPart is the part of a bound during which changes of the store are
 	// gathered: the rest is for a slow store and for what follows.
 	gatherPart = 5
+	// serversPart is the same for entries of backend servers, which also say in their
+	// answers that they leave.
+	serversPart = 3
 )
 
 // Config configures a Runner.
@@ -75,6 +78,7 @@
 	carrier     *carrier.Carrier
 	relayer     atomic.Pointer[relayer.Relayer]
 	health      *watcher.Health
+	servers     atomic.Pointer[watcher.Watcher]
 
 	callers *http.Server
 	conns   *callers
@@ -127,18 +131,18 @@
 	configurations := r.watch(ctx, watcher.Config{
 		Kind:   kind,
 		Sink:   &configurations{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table},
-		Wait:   r.cfg.Settings.ConfigurationMs,
+		Waits:  r.waits(r.cfg.Settings.ConfigurationMs),
 		Gather: r.cfg.Settings.ConfigurationMs / gatherPart,
 		Probes: true,
 
 		ListBursts: true,
 	})
-	r.watch(ctx, watcher.Config{
+	r.servers.Store(r.watch(ctx, watcher.Config{
 		Kind:   r.cfg.Platform.Servers,
 		Sink:   r.backends,
-		Wait:   r.cfg.Settings.SteadyMs,
-		Gather: r.cfg.Settings.LeaveMs / gatherPart,
-	})
+		Waits:  r.waits(r.cfg.Settings.SteadyMs),
+		Gather: r.cfg.Settings.LeaveMs / serversPart,
+	}))
 	r.group.Go(func() error {
 		r.compare(ctx, configurations)
 		return nil
@@ -259,6 +263,10 @@
 	if t := r.table.Load(); t != nil {
 		beat.ConfigurationVersion = t.Version
 	}
+	beat.ServersFingerprint = r.backends.fingerprint()
+	if w := r.servers.Load(); w != nil {
+		beat.ServersRevision = w.AsOf()
+	}
 	if budgets := r.reserver.Load(); budgets != nil {
 		beat.HeldTokens = budgets.HeldTokens()
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
@@ -61,6 +62,8 @@
 	// Wait bounds one waiting watch, in milliseconds: a watch that hangs is found after
 	// it, unless ListAgain comes first.
 	Wait clocker.Millis
+	// Waits, unless nil, returns the wait of the next watch in place of Wait.
+	Waits func() clocker.Millis
 	// Gather is how long after a change the next call is made, in milliseconds:
 	// changes that come together take one call.
 	Gather clocker.Millis
@@ -86,7 +89,9 @@
 	interrupt context.CancelFunc
 
 	revision int64
-	pause    clocker.Millis
+	// asOf is the revision of the last answer.
+	asOf  atomic.Int64
+	pause clocker.Millis
 	// heardAt is when the store last answered.
 	heardAt clocker.Millis
 	// returnedAt is when it answered again after an outage.
@@ -155,6 +160,7 @@
 	defer func() { w.catchingUp = false }()
 	w.cfg.Sink.Replace(objects, w.grace())
 	w.revision = revision
+	w.asOf.Store(revision)
 	w.mu.Lock()
 	w.behind = false
 	w.mu.Unlock()
@@ -182,7 +188,7 @@
 	if !w.setInterrupt(cancel) {
 		return nil
 	}
-	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.cfg.Wait)
+	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.wait())
 	if !w.setInterrupt(nil) {
 		return nil // the list tells all
 	}
@@ -194,6 +200,9 @@
 	w.revision = max(w.revision, revision)
 	if len(changes) > 0 {
 		w.cfg.Sink.Apply(changes, w.grace())
+	}
+	w.asOf.Store(w.revision)
+	if len(changes) > 0 {
 		if w.cfg.ListBursts && len(changes) > 1 {
 			w.revision = 0
 		}
@@ -202,6 +211,19 @@
 	return nil
 }
 
+// wait returns the wait of the next watch.
+func (w *Watcher) wait() clocker.Millis {
+	if w.cfg.Waits != nil {
+		return w.cfg.Waits()
+	}
+	return w.cfg.Wait
+}
+
+// AsOf returns the revision that the store's last answer told; 0 before the first.
+func (w *Watcher) AsOf() int64 {
+	return w.asOf.Load()
+}
+
 // heard notes that the store answered.
 func (w *Watcher) heard(revision int64) {
 	now := w.cfg.Clock.Now()
