Holders go to the platform for what the hosts of their zone lack

Cause: where a zone's holders lacked tokens, each host that asked them went to the store itself. Writers that met came back within 16 ms, twelve and more at once.

Ruled out: holders' views (by then exactly twelve hosts held).

The pause behind a conflict doubles with each one.

Before: TestHoldersExtendForTheHostsOfTheirZone: 12 hosts called the platform. After: 2 at most.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -147,6 +147,16 @@
 	return true
 }
 
+// Cancel ends a reservation as if it had not been made. It returns false, and changes
+// nothing, if the reservation is not open.
+func (a *Allotter) Cancel(name string, id int64) bool {
+	tokens, ok := a.slots.close(id, a.mistakes.settleTwice)
+	if ok {
+		a.allotment(name).reserved -= tokens
+	}
+	return ok
+}
+
 // Headroom returns the tokens of a budget that may be reserved at once.
 func (a *Allotter) Headroom(name string) int64 {
 	b, ok := a.budgets[name]
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -87,7 +87,7 @@
 	}
 	defer s.release()
 	r.peek(ctx, s)
-	for range writeAttempts {
+	for attempt := range writeAttempts {
 		w, due := s.planKnown(r.circumstances(s, v))
 		if !due {
 			if s.isFresh(r.cfg.Clock.Now()) {
@@ -114,7 +114,8 @@
 		if r.cfg.ConflictPause > 0 && !s.urgent() {
 			return balanced{} // the next look tries again
 		}
-		if pause := r.cfg.ConflictPause; pause > 0 && r.cfg.Clock.Sleep(ctx, pause+clocker.Millis(rand.Int64N(int64(pause)))) != nil {
+		// Writers that met again are more than the pause spreads.
+		if pause := r.cfg.ConflictPause << attempt; pause > 0 && r.cfg.Clock.Sleep(ctx, pause+clocker.Millis(rand.Int64N(int64(pause)))) != nil {
 			return balanced{}
 		}
 	}
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -14,6 +14,9 @@
 	// waiting; it doubles up to maxRetryPause.
 	retryPause    = 100 * clocker.Millis(1)
 	maxRetryPause = clocker.Second
+	// manyHosts is how many hosts of an availability zone are too many for each of them
+	// to go to the platform for what its holders lack.
+	manyHosts = 2 * allotter.HoldersPerZone
 	// verdictAge is how long a refusal's reason holds for the next requests.
 	verdictAge = clocker.Second
 )
@@ -141,7 +144,12 @@
 	if r.isAway() {
 		r.askForLoans(ctx, s, v, &rd)
 	}
-	if r.platformDue(s, v) && (!r.cfg.HoldersFirst || !rd.heard || s.lacks(rd.exhausted)) {
+	switch {
+	case !r.platformDue(s, v):
+	case r.cfg.HoldersFirst && rd.heard && !s.lacks(rd.exhausted):
+	case r.cfg.HoldersFirst && rd.heard && len(v.zone) > manyHosts:
+		rd.contended = true // the holders go to the platform for all
+	default:
 		b := r.balance(ctx, s, v)
 		rd.answered = b.answered
 		rd.contended = b.contended
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -7,9 +7,14 @@
 	"github.com/gravitational/trace"
 
 	"cowsliphinge/allotter"
+	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
 
+// extendPatience is how long an answer to a peer may wait for tokens from the platform,
+// in milliseconds: several of its answers, within the patience of a request.
+const extendPatience = 60 * clocker.Millis(1)
+
 var (
 	tokensReceived = metrics.NewCounter("cowsliphinge_budget_transferred_tokens_total{direction=\"received\"}")
 	tokensGiven    = metrics.NewCounter("cowsliphinge_budget_transferred_tokens_total{direction=\"given\"}")
@@ -19,7 +24,7 @@
 
 // Transfer merges the totals that a peer gave and answers what it asks for. A
 // repeated or late request is harmless.
-func (r *Reserver) Transfer(_ context.Context, request *messenger.TransferRequest) (*messenger.TransferReply, error) {
+func (r *Reserver) Transfer(ctx context.Context, request *messenger.TransferRequest) (*messenger.TransferReply, error) {
 	if request.To != r.cfg.Incarnation {
 		return nil, trace.NotFound("incarnation %s is not here", request.To)
 	}
@@ -29,8 +34,10 @@
 		reply.Received = append(reply.Received, &messenger.TransferTotal{Budget: t.Budget, Given: received})
 	}
 	v := r.look()
+	ctx, cancel := r.cfg.Clock.WithTimeout(ctx, extendPatience)
+	defer cancel()
 	for _, ask := range request.Asks {
-		r.answer(request.From, ask, v, reply)
+		r.answer(ctx, request.From, ask, v, reply)
 	}
 	return reply, nil
 }
@@ -52,7 +59,7 @@
 }
 
 // answer gives what is asked for, as far as it is here.
-func (r *Reserver) answer(to string, ask *messenger.TransferAsk, v *view, reply *messenger.TransferReply) {
+func (r *Reserver) answer(ctx context.Context, to string, ask *messenger.TransferAsk, v *view, reply *messenger.TransferReply) {
 	s := r.shard(ask.Budget)
 	c := r.circumstances(s, v)
 	s.mu.Lock()
@@ -68,10 +75,40 @@
 	due := (given > 0 || ask.Needed > 0) && s.allotter.Due(c)
 	s.mu.Unlock()
 	tokensGiven.Add(int(given))
-	reply.Totals = append(reply.Totals, total)
-	if due {
+	if missing := ask.Needed - given; missing > 0 && r.extendsForOthers(s, v, ask) {
+		if more := r.extendFor(ctx, s, v, to, ask, missing); more != nil {
+			total = more
+		}
+	} else if due {
 		r.wantRefill(s)
 	}
+	reply.Totals = append(reply.Totals, total)
+}
+
+// extendsForOthers reports whether this host gets from the platform what a host of its
+// zone lacks: one write of a holder serves all hosts that ask it meanwhile, while their
+// own ones would meet.
+func (r *Reserver) extendsForOthers(s *shard, v *view, ask *messenger.TransferAsk) bool {
+	return r.cfg.HoldersFirst && !ask.Loan && r.holds(s, v) && !r.isAway() && !r.closing.Load()
+}
+
+// extendFor gets the missing tokens from the platform and gives them, or returns nil if
+// they do not come in time.
+func (r *Reserver) extendFor(ctx context.Context, s *shard, v *view, to string, ask *messenger.TransferAsk, missing int64) *messenger.TransferTotal {
+	w := &waiter{budget: ask.Budget, tokens: missing, rank: int(ask.Rank), done: make(chan grant, 1)}
+	s.join(w)
+	r.balance(ctx, s, v)
+	g, ended := s.leave(w)
+	if !ended || g.err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allotter.Cancel(ask.Budget, g.id)
+	before := s.allotter.TotalTo(to, ask.Budget).Given
+	total := s.allotter.Give(to, &messenger.TransferAsk{Budget: ask.Budget, Tokens: missing, Needed: missing, Rank: ask.Rank}, r.cfg.Clock.Now())
+	tokensGiven.Add(int(total.Given - before))
+	return total
 }
 
 // exhausted reports whether the platform said just now that nothing of the
