--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -108,7 +108,7 @@
 // request finds that out, the next ones get new connections.
 func TestBrokenUnusedConnectionEndsTheOthers(t *testing.T) {
 	var forgotten atomic.Bool
-	address, conns := served(t, func(w http.ResponseWriter, _ *http.Request) {
+	address, conns := served(t, func(http.ResponseWriter, *http.Request) {
 		if forgotten.Load() {
 			panic(http.ErrAbortHandler)
 		}
--- a/reserver/peek_test.go
+++ b/reserver/peek_test.go
@@ -53,4 +53,3 @@
 	}
 	return o, err
 }
-
--- a/reserver/settling_test.go
+++ b/reserver/settling_test.go
@@ -13,7 +13,9 @@
 func TestFleetIsKnownOnceItStaysTheSame(t *testing.T) {
 	const settleFor, most = 1500, 7500
 	var s settling
-	at := func(now clocker.Millis, hosts uint64, alone bool) bool { return s.note(hosts, alone, now, settleFor, most) }
+	at := func(now clocker.Millis, hosts uint64, alone bool) bool {
+		return s.note(hosts, alone, now, settleFor, most)
+	}
 	assert.Assert(t, !at(1000, 1, true))
 	assert.Assert(t, !at(4000, 1, true), "alone for long, and the host list may lag")
 	assert.Assert(t, !at(4500, 20, false))
--- a/runner/behind_test.go
+++ b/runner/behind_test.go
@@ -42,21 +42,21 @@
 	var zone []string
 	for i := range 33 {
 		zone = append(zone, fmt.Sprint("host-", i))
-		close, long := 0, 0
+		near, far := 0, 0
 		for _, host := range zone {
 			switch waitOf(host, zone, bound) {
 			case bound / scoutPart:
-				close++
+				near++
 			case longWait:
-				long++
+				far++
 			}
 		}
 		if len(zone) < manyHosts {
-			assert.Equal(t, close+long, 0)
+			assert.Equal(t, near+far, 0)
 			continue
 		}
-		assert.Equal(t, close, allotter.HoldersPerZone)
-		assert.Equal(t, long, len(zone)-close)
+		assert.Equal(t, near, allotter.HoldersPerZone)
+		assert.Equal(t, far, len(zone)-near)
 	}
 }
 
