Servers that are not known are taken to have the mean; ties go to random ones

Cause: a host before a hundred servers has a late word of a few alone.

Ruled out: shared parts (their homes spread by hash).

Change: a server without a late word is taken to have what servers of its service told on average; a random cost of up to 10 ms decides between servers that cost about the same.

Before: TestHostsThatKnowLittleSpreadTheirRequests, 33 of 33 hosts on one server by the old order. After: at most 8.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,12 @@
 	// minShared is how many tokens of shared parts make a request stay with the
 	// server that has them.
 	minShared = 1000
+	// spreadCost bounds a random cost, in milliseconds: hosts that know the same of
+	// their servers do not all choose the same one. It is less than two requests in a
+	// batch cost.
+	spreadCost = 10
+	// meanWeight is the weight of the newest told load in the mean of a service.
+	meanWeight = 0.05
 	// zoneFailures is how many servers of an availability zone have to be out of
 	// reach at once for the zone to be taken as cut off.
 	zoneFailures = 2
@@ -47,6 +54,8 @@
 	// CacheTokens returns the memory of one model engine of a service; 0 for
 	// plain services.
 	CacheTokens func(service string) int
+	// Seed of the random choice among servers that cost about the same.
+	Seed uint64
 }
 
 // Chooser knows the backend servers. It is not safe for concurrent use.
@@ -56,11 +65,20 @@
 	// removed are servers whose entry went; one that comes back in the same life is
 	// what it was.
 	removed map[string]*member
+	// meanWork is what servers of a service told of their work lately, on average.
+	meanWork map[string]float64
+	random   *rand.Rand
 }
 
 // New returns a Chooser that knows no server.
 func New(cfg Config) *Chooser {
-	return &Chooser{cfg: cfg, members: map[string]*member{}, removed: map[string]*member{}}
+	return &Chooser{
+		cfg:      cfg,
+		members:  map[string]*member{},
+		removed:  map[string]*member{},
+		meanWork: map[string]float64{},
+		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
 }
 
 // Set takes over the entry of a server.
@@ -243,10 +261,10 @@
 // cost estimates the time that a request takes longer at a server than at an
 // idle near one, in milliseconds.
 func (c *Chooser) cost(m *member, r Request, home bool, now clocker.Millis) float64 {
-	work := m.work(now)
-	cost := float64(workCost * work)
-	if over := work + 1 - m.slots(); over > 0 {
-		cost += float64(queueCost * over)
+	work := m.work(now, c.meanWork[m.Service])
+	cost := workCost*work + spreadCost*c.random.Float64()
+	if over := work + 1 - float64(m.slots()); over > 0 {
+		cost += queueCost * over
 	}
 	if m.AvailabilityZone != c.cfg.AvailabilityZone {
 		cost += zoneCost
@@ -307,6 +325,10 @@
 	if m == nil {
 		return false
 	}
+	if w.Load != nil {
+		mean := c.meanWork[m.Service]
+		c.meanWork[m.Service] = mean + meanWeight*(float64(w.Load.Running+w.Load.Waiting)-mean)
+	}
 	asks := w.Leaving && !m.toldLeaving || w.Pause > 0 && now >= m.pausedUntil
 	m.take(w, now)
 	return asks
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -150,12 +150,13 @@
 	brokenBeforeEjection = 2
 )
 
-// work is how many requests the server is taken to have.
-func (m *member) work(now clocker.Millis) int {
+// work is how many requests the server is taken to have: what it told of late, else
+// the mean of its service.
+func (m *member) work(now clocker.Millis, mean float64) float64 {
 	if m.loadAt == 0 || now-m.loadAt > loadAge {
-		return m.inFlight
+		return max(float64(m.inFlight), mean)
 	}
-	return max(m.inFlight, m.load.Running+m.load.Waiting+m.startedSince)
+	return float64(max(m.inFlight, m.load.Running+m.load.Waiting+m.startedSince))
 }
 
 func (m *member) slots() int {
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 
@@ -35,7 +36,7 @@
 		log:     cfg.Log,
 		kind:    cfg.Platform.Servers,
 		decode:  cfg.Platform.Server,
-		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens}),
+		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Seed: rand.Uint64()}),
 	}
 }
 
