Known red: the ticket's test waits for the tokens that it needs; first look at once

Cause of TestTicketRunsOnceWhileThePlatformIsAway, traced by its refusal ("no 5 tokens of budget mason within reach"): the first order takes just what it needs from the store, and the host extends its budget ahead of demand at the next look of its duties, up to a second later. The test ended the store's service in between; a host that holds nothing rightly refuses then. The random moment of the looks, new today, made the wait longer.

Ruled out: a lost or stranded grant (the tokens were never asked for).

Change: the first look comes at once again, and the later ones at a random moment. The test waits until the host holds tokens for three orders, by what status tells; its checks are unchanged.

--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -123,20 +123,20 @@
 // inspect looks at requests that wait at every tick, and at all budgets in use
 // every inspectPause.
 func (r *Reserver) inspect(ctx context.Context) {
-	// Hosts that start together look at different moments, so that their writes
-	// seldom meet.
+	// Hosts that start together look at different moments behind the first look, so that
+	// their writes seldom meet.
 	phase := clocker.Millis(rand.Int64N(int64(inspectPause)))
-	inspected := r.cfg.Clock.Now() - phase
-	kept, synced := inspected, inspected
+	var inspected, synced, kept clocker.Millis
 	for r.cfg.Clock.Sleep(ctx, tickPause) == nil {
 		now := r.cfg.Clock.Now()
 		r.inspectWaiting(now)
 		if now-inspected >= inspectPause {
-			inspected = now
+			inspected = now - phase
 			r.inspectAll()
 		}
 		if now-kept >= keepPause {
-			kept = now
+			kept = now - phase
+			phase = 0
 			r.keepDeclared()
 		}
 		if now-synced >= syncPause {
--- a/router/ticket_test.go
+++ b/router/ticket_test.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/fleet"
 	"cowsliphinge/standin/platform"
 )
 
@@ -15,7 +18,10 @@
 // the platform answers nothing, and repeats it at another host.
 func TestTicketRunsOnceWhileThePlatformIsAway(t *testing.T) {
 	f := start(t, 100_000)
-	assert.Equal(t, order(t, f, "host-a", "").status, 200) // brings headroom to the host
+	assert.Equal(t, order(t, f, "host-a", "").status, 200)
+	// The order makes the host extend its budget ahead of demand, which takes a look of
+	// its duties; a host that holds nothing rightly refuses in an outage.
+	awaitTokens(t, f, "host-a")
 	f.Platform.SetFaults(platform.Faults{Outage: true})
 
 	resp := post(t, f, "host-a", "/v1/tickets", "", "")
@@ -37,3 +43,16 @@
 	assert.Assert(t, lost.refusal != nil && !lost.refusal.NotRun)
 	assert.Equal(t, f.Applications["orders-1"].Runs()[ticket.IdempotencyKey], 1)
 }
+
+// awaitTokens waits until a host holds tokens for a few orders.
+func awaitTokens(t *testing.T, f *fleet.Fleet, host string) {
+	t.Helper()
+	const fewOrders = 15
+	assert.NilError(t, f.Await(t.Context(), func() bool {
+		status, err := f.Querier(host).GetStatus(t.Context(), &messenger.GetStatusRequest{})
+		assert.NilError(t, err)
+		return slices.ContainsFunc(status.Hosts, func(h *messenger.HostStatus) bool {
+			return h.Name == host && h.HeldTokens >= fewOrders
+		})
+	}))
+}
