The first top-up of a budget is seen at once

Ruled out: a lost top-up (the object held it).

Change: for a budget that is not in the object the store is always read.

Before: TestFirstTopUpIsSeenAtOnce fails.

--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -245,11 +246,13 @@
 }
 
 // isFresh reports whether the platform told the content just now, so that a read
-// would tell nothing new.
+// would tell nothing new. Of a budget that is not there this is never taken for granted:
+// its first top-up may have just come.
 func (s *shard) isFresh(now clocker.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.known && now-s.allotter.ReadAt() < verdictAge
+	unknown := slices.ContainsFunc(s.waiters, func(w *waiter) bool { return s.allotter.Object(w.budget) == nil })
+	return s.known && !unknown && now-s.allotter.ReadAt() < verdictAge
 }
 
 // take waits for the shard's turn at the platform.
