A host that is cut off from all turns callers away and asks nobody

Ruled out: outages of the store and cuts of a zone alone, where hosts of the zone lend.

Change: a host that does not reach the store and heard of no other host for two seconds is not ready, closes connections behind their answers, asks nobody and refuses at once what it has no tokens for.

--- a/reserver/extend_test.go
+++ b/reserver/extend_test.go
@@ -1,11 +1,13 @@
 package reserver_test
 
 import (
+	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
 	"cowsliphinge/messenger"
 	"cowsliphinge/reserver"
 )
@@ -58,3 +60,44 @@
 	assert.Equal(t, served, 5)
 	f.check(t, "mason")
 }
+
+// Pattern: all hosts are cut off from each other and from the store. One that knows asks
+// nobody, and refuses at once what it has no tokens for.
+func TestHostThatIsAloneAsksNobody(t *testing.T) {
+	f := newFleet(&messenger.Policy{HeadroomMs: 1000, MaxShareOfRestMilli: 2, PatienceMs: 2000}, 2, 6)
+	f.topUp(t, f.nodes[0], "first", "mason", 10_000_000)
+	f.run(5 * clocker.Second)
+	n := f.nodes[3]
+	n.side = 1
+	asked := 0
+	n.reserver = reserver.Prepare(reserver.Config{
+		Incarnation: n.incarnation, Host: n.name, AvailabilityZone: n.zone, Clock: f.clock,
+		Store: n, Exchange: countingExchange{n, &asked}, HoldersFirst: true,
+		Peers: func() []heartbeater.Peer { // not yet found silent
+			peers := n.peers()
+			for i := range peers {
+				peers[i].Suspect = false
+			}
+			return peers
+		},
+		Policy:    func() *messenger.Policy { return f.policy },
+		Reachable: func() bool { return false },
+		Alone:     func() bool { return true },
+	})
+	p := n.reserver.Begin("mason", 20_000, clocker.Minute)
+	n.reserver.CarryOutWaiting(t.Context())
+	p.Poll()
+	assert.Assert(t, p.Ended && reserver.IsErrBudgetUnreachable(p.Err), "%v", p.Err)
+	assert.Equal(t, asked, 0)
+}
+
+// countingExchange counts what a node asks of others.
+type countingExchange struct {
+	*node
+	asked *int
+}
+
+func (c countingExchange) Transfer(ctx context.Context, address string, request *messenger.TransferRequest) (*messenger.TransferReply, error) {
+	*c.asked++
+	return c.node.Transfer(ctx, address, request)
+}
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -27,7 +27,8 @@
 type view struct {
 	now    clocker.Millis
 	policy *messenger.Policy
-	peers  []heartbeater.Peer
+	// peers are the hosts to ask; none while this host is cut off from all.
+	peers []heartbeater.Peer
 	// live are the incarnations that were heard of lately, this one included.
 	live map[string]bool
 	// hosts are the hosts of the live incarnations.
@@ -68,6 +69,9 @@
 		hosts += xxhash.Sum64String(host)
 	}
 	v.settled = r.fleet.note(hosts, len(v.peers) == 0, v.now, r.cfg.SettleFor, r.cfg.SettleMost)
+	if r.cfg.Alone() {
+		v.peers = nil
+	}
 	return v
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -83,6 +83,9 @@
 	HoldersFirst bool
 	// Reachable reports whether the platform is worth a call; nil means always.
 	Reachable func() bool
+	// Alone reports whether no other host can be reached, so that none is asked; nil
+	// means never.
+	Alone func() bool
 	// ConflictPause is the least wait after a write that met another host's, in
 	// milliseconds; writers that met once are spread over twice that. 0 means none.
 	ConflictPause clocker.Millis
@@ -144,6 +147,9 @@
 	if cfg.Shards <= 0 {
 		cfg.Shards = maxShards
 	}
+	if cfg.Alone == nil {
+		cfg.Alone = func() bool { return false }
+	}
 	if cfg.Reachable == nil {
 		cfg.Reachable = func() bool { return true }
 	}
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -176,6 +176,7 @@
 		KeepAhead:        keepAhead,
 		HoldersFirst:     true,
 		Reachable:        r.health.Reachable,
+		Alone:            r.isolated.Load,
 		ConflictPause:    conflictPause,
 		SettleFor:        settleFor,
 		SettleMost:       settleMost,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -67,6 +67,7 @@
 	group       errgroup.Group
 	draining    atomic.Bool
 	overloaded  atomic.Bool
+	isolated    atomic.Bool
 	traffic     traffic
 	table       atomic.Pointer[matcher.Table]
 	settings    atomic.Pointer[Settings]
@@ -181,7 +182,7 @@
 			Hosts: func() int { return len(r.heartbeater.Peers()) + 1 },
 		}),
 		Carrier:  r.carrier,
-		Draining: func() bool { return r.draining.Load() || r.overloaded.Load() },
+		Draining: func() bool { return r.draining.Load() || r.overloaded.Load() || r.isolated.Load() },
 		Log:      r.cfg.Log,
 	}))
 	r.group.Go(func() error {
@@ -191,6 +192,7 @@
 	r.group.Go(func() error {
 		ready := false
 		for r.cfg.Clock.Sleep(ctx, sweepPause) == nil {
+			r.watchIsolation()
 			if now := r.Ready(); now != ready {
 				ready = now
 				r.cfg.Log.Info("readiness changed", "ready", ready, "draining", r.draining.Load(), "overloaded", r.overloaded.Load(), "servers_listed", r.backends.ready())
@@ -204,7 +206,7 @@
 
 // Ready reports whether this host takes callers.
 func (r *Runner) Ready() bool {
-	return !r.draining.Load() && !r.overloaded.Load() && r.table.Load() != nil && r.backends.ready()
+	return !r.draining.Load() && !r.overloaded.Load() && !r.isolated.Load() && r.table.Load() != nil && r.backends.ready()
 }
 
 func (r *Runner) serve(callers, probes, peers net.Listener) {
