Requests are served before the fleet is known

Cause, found by reading: a host holds no budgets before the known hosts have stayed the same for a while, and in zones of more than four hosts the others leave the store to the holders. After a start of all hosts at once nobody went to the store for up to 7.5 s.

Ruled out: small zones, where each host goes to the store itself.

Change: the holders of a zone go to the store for what requests need from the start on; only holding ahead of demand waits.

Before: TestRequestsAreServedBeforeTheFleetIsKnown fails at the first host. After: it passes.

--- a/reserver/extend_test.go
+++ b/reserver/extend_test.go
@@ -101,3 +101,22 @@
 	*c.asked++
 	return c.node.Transfer(ctx, address, request)
 }
+
+// Pattern: all hosts of a large fleet start again at once. Until the fleet is known none
+// holds budgets ahead of demand, but requests are served.
+func TestRequestsAreServedBeforeTheFleetIsKnown(t *testing.T) {
+	f := newFleet(&messenger.Policy{HeadroomMs: 1000, MaxShareOfRestMilli: 2, PatienceMs: 2000}, 1, 12)
+	f.topUp(t, f.nodes[0], "first", "mason", 10_000_000)
+	for _, n := range f.nodes {
+		n.reserver = reserver.Prepare(reserver.Config{
+			Incarnation: n.incarnation, Host: n.name, AvailabilityZone: n.zone, Clock: f.clock, Store: n, Exchange: n,
+			Peers: n.peers, Policy: func() *messenger.Policy { return f.policy }, HoldersFirst: true,
+			SettleFor: clocker.Minute, SettleMost: clocker.Minute,
+		})
+	}
+	for _, n := range f.nodes {
+		assert.NilError(t, n.take("mason", 20_000), n.name)
+		n.settle(20_000)
+	}
+	f.check(t, "mason")
+}
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -95,17 +96,16 @@
 	return s.holders
 }
 
-// holds reports whether this host holds the shard's budgets.
+// isHolder reports whether this host is one of those that go to the platform for the
+// shard's budgets.
+func (r *Reserver) isHolder(s *shard, v *view) bool {
+	return slices.Contains(v.holdersOf(s), r.cfg.Host)
+}
+
+// holds reports whether this host holds the shard's budgets ahead of demand: a holder,
+// once the fleet is known.
 func (r *Reserver) holds(s *shard, v *view) bool {
-	if !v.settled {
-		return false
-	}
-	for _, host := range v.holdersOf(s) {
-		if host == r.cfg.Host {
-			return true
-		}
-	}
-	return false
+	return v.settled && r.isHolder(s, v)
 }
 
 func (r *Reserver) circumstances(s *shard, v *view) allotter.Circumstances {
--- a/reserver/peers.go
+++ b/reserver/peers.go
@@ -26,7 +26,7 @@
 
 // askHolders asks the holders of the own availability zone, if this host is none.
 func (r *Reserver) askHolders(ctx context.Context, s *shard, v *view, rd *round) {
-	if r.holds(s, v) {
+	if r.isHolder(s, v) {
 		return
 	}
 	holders := v.holdersOf(s)
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -89,7 +89,7 @@
 // zone lacks: one write of a holder serves all hosts that ask it meanwhile, while their
 // own ones would meet.
 func (r *Reserver) extendsForOthers(s *shard, v *view, ask *messenger.TransferAsk) bool {
-	return r.cfg.HoldersFirst && !ask.Loan && r.holds(s, v) && !r.isAway() && !r.closing.Load()
+	return r.cfg.HoldersFirst && !ask.Loan && r.isHolder(s, v) && !r.isAway() && !r.closing.Load()
 }
 
 // extendFor gets the missing tokens from the platform and gives them, or returns nil if
