Request lines tell how the caller's answer ended

Now `status` is the one that the caller got, `ended` is whole, broken_off or refused, each try has the status of the server's answer and the events of it that went to the caller, and cowsliphinge_relay_ends_total{end,resumed} counts the same. No decision changes.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -69,6 +69,7 @@
 	rest := io.LimitReader(answer, maxAnswerBytes-maxWholeBytes)
 	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(begun), rest))
 	if err == nil && answer.Whole() {
+		x.log.ended = endedWhole
 		x.finish(server, chooser.Answered, refusal{})
 		return
 	}
@@ -88,13 +89,14 @@
 	x.passHead(answer)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(answer.StatusCode)
+	x.log.ended = endedWhole
 	_, _ = x.w.Write(body) // a caller that has left needs no answer
 }
 
 // passHead copies the headers of an answer.
 func (x *exchange) passHead(answer *carrier.Answer) {
 	x.headSent = true
-	x.log.status = answer.StatusCode
+	x.log.begun(answer.StatusCode)
 	h := x.w.Header()
 	closing := h.Get("Connection")
 	for name, values := range passedOn(answer.Header) {
@@ -130,6 +132,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !cutter.open() && x.events > 0:
+			x.log.ended = endedWhole
 			x.finish(server, chooser.Answered, refusal{})
 			return refusal{}, false
 		case err != nil || cutter.tooLong():
@@ -163,7 +166,9 @@
 
 // passEvents writes whole events to the caller, those left out that it has.
 func (x *exchange) passEvents(answer *carrier.Answer, whole []byte, control *http.ResponseController) error {
+	before := x.events
 	out, failed := x.inOrder(split(whole))
+	x.log.passed(x.events - before)
 	if len(out) == 0 {
 		return failed
 	}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -144,6 +144,7 @@
 		return x.unanswered(server, err), true
 	}
 	defer answer.Close()
+	x.log.answered(answer.StatusCode)
 	if answer.StatusCode/100 == 2 {
 		x.sends++
 		x.mayHaveRun = true
@@ -256,7 +257,8 @@
 // refuse answers a request that was not sent.
 func (x *exchange) refuse(f refusal) {
 	x.log.reason = f.reason
-	x.log.status = f.status
+	x.log.ended = endedRefused
+	x.log.begun(f.status)
 	f.write(x.w, x.left())
 }
 
@@ -276,5 +278,6 @@
 		return
 	}
 	x.log.reason = f.reason
+	x.log.ended = endedBroken
 	panic(http.ErrAbortHandler)
 }
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -11,9 +11,26 @@
 
 var latencies = metrics.NewHistogram("cowsliphinge_relay_seconds")
 
+// ending is how the answer to a caller ended.
+type ending string
+
+const (
+	// endedNot is the ending of a request whose answer never ended, as after a panic.
+	endedNot ending = "not"
+	// endedWhole answers were framed as complete.
+	endedWhole ending = "whole"
+	// endedBroken answers broke off visibly.
+	endedBroken ending = "broken_off"
+	// endedRefused requests got an answer of this router's own.
+	endedRefused ending = "refused"
+)
+
 // record is what the log tells of one request.
 type record struct {
-	status     int
+	// status is the one that the caller got.
+	status int
+	// ended is how the caller's answer ended, whatever the servers sent.
+	ended      ending
 	reason     string
 	firstEvent clocker.Millis
 	tries      []try
@@ -25,13 +42,38 @@
 	Zone    string
 	AtMs    clocker.Millis
 	Outcome string
-	Cause   string `json:",omitempty"`
+	// Status is that of the server's answer; 0 if none came.
+	Status int `json:",omitempty"`
+	// Events counts the events of this try that went to the caller.
+	Events int64  `json:",omitempty"`
+	Cause  string `json:",omitempty"`
 }
 
 func (r *record) try(s chooser.Server, at clocker.Millis) {
 	r.tries = append(r.tries, try{Server: s.ID, Zone: s.AvailabilityZone, AtMs: at})
 }
 
+// answered notes the status of the server's answer.
+func (r *record) answered(status int) {
+	if len(r.tries) > 0 {
+		r.tries[len(r.tries)-1].Status = status
+	}
+}
+
+// passed notes that events of the last try went to the caller.
+func (r *record) passed(events int64) {
+	if len(r.tries) > 0 {
+		r.tries[len(r.tries)-1].Events += events
+	}
+}
+
+// begun notes the status that the caller got, if none went before.
+func (r *record) begun(status int) {
+	if r.status == 0 {
+		r.status = status
+	}
+}
+
 func (r *record) failed(err error) {
 	if len(r.tries) > 0 && err != nil {
 		r.tries[len(r.tries)-1].Cause = err.Error()
@@ -47,13 +89,25 @@
 	}
 }
 
+// resumed reports whether a server was tried after events of another one had gone
+// to the caller.
+func (r *record) resumed() bool {
+	for i, t := range r.tries {
+		if t.Events > 0 && i+1 < len(r.tries) {
+			return true
+		}
+	}
+	return false
+}
+
 // writeLog writes the one line of a request: what was asked, what decided it and
 // how it ended.
 func (x *exchange) writeLog(used int64) {
 	took := x.cfg.Clock.Now() - x.started
 	latencies.Update(float64(took) / float64(clocker.Second))
 	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_relay_answers_total{status="%d"}`, x.log.status)).Inc()
-	attributes := []any{"id", x.id, "status", x.log.status, "reason", x.log.reason, "took_ms", took}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_relay_ends_total{end="%s",resumed="%t"}`, x.log.ended, x.log.resumed())).Inc()
+	attributes := []any{"id", x.id, "status", x.log.status, "reason", x.log.reason, "ended", x.log.ended, "took_ms", took}
 	if x.table != nil {
 		attributes = append(attributes, "version", x.table.Version)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -112,7 +112,7 @@
 		ctx:     req.Context(),
 		id:      req.Header.Get(r.cfg.Dialect.RequestID),
 		started: now,
-		log:     record{},
+		log:     record{ended: endedNot},
 	}
 }
 
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -151,6 +151,15 @@
 	table   *matcher.Table
 	shell   *shell
 	budgets *budgets
+	lines   lines
+}
+
+// lines gets the log lines of requests, one a value.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	l <- string(b)
+	return len(b), nil
 }
 
 // shell serializes a chooser as the router does.
@@ -233,6 +242,7 @@
 	w := &world{
 		shell:   &shell{chooser: chooser.New(chooser.Config{AvailabilityZone: "a"}), clock: clock},
 		budgets: &budgets{settled: make(chan int64, 100)},
+		lines:   make(lines, 100),
 		table: matcher.New(matcher.Declaration{
 			Version:  1,
 			Routes:   []*matcher.Route{&route, {Name: "open", Host: "shop.example", PathPrefix: "/open/", Public: true, Timeout: route.Timeout, MaxAttempts: 1, Splits: route.Splits}},
@@ -253,7 +263,7 @@
 		Retries:  retries{},
 		Carrier:  carrier.New(carrier.Config{Clock: clock, RequestIDHeader: "X-Id", DialTimeout: clocker.Second, IdleFor: clocker.Minute}),
 		Draining: func() bool { return false },
-		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Log:      slog.New(slog.NewJSONHandler(w.lines, nil)),
 	})
 	w.front = httptest.NewServer(w.relayer)
 	t.Cleanup(w.front.Close)
