--- /dev/null
+++ b/relayer/ending_test.go
@@ -0,0 +1,185 @@
+package relayer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/matcher"
+)
+
+// breaksThen sends three events and crashes; resumed answers the request that goes on
+// behind them.
+func breaksThen(resumed script) script {
+	return func(w io.Writer, req *http.Request) {
+		if req.Header.Get("Last-Event-Id") == "" {
+			cut(events(1, 3, false))(w, req)
+			return
+		}
+		resumed(w, req)
+	}
+}
+
+// unnumbered is a stream of events without IDs.
+func unnumbered(w io.Writer, req *http.Request) {
+	events(1, 0, false)(w, req)
+	_, _ = io.WriteString(w, "9\r\ndata: d\n\n\r\n0\r\n\r\n")
+}
+
+// Guards against incident ORDER: a second server fails a stream that goes on there, and
+// the caller's answer ends as if it were complete.
+func TestStreamThatASecondServerFailsIsNotFramedAsComplete(t *testing.T) {
+	b := breaksThen(answer(500, ""))
+	w := newWorld(t, resumable, newBackend(t, b), newBackend(t, b))
+	got := w.call(t, "POST", "/r/", "p")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, text(1, 3))
+	assert.Assert(t, got.broken)
+}
+
+// Guards against an answer that has begun as a stream and ends by the word of a later
+// server: whatever that one sends, the caller gets the events once each, and an end of
+// the answer only behind the last of them.
+func TestBegunStreamEndsWholeOnlyBehindItsLastEvent(t *testing.T) {
+	unsigned := raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n")
+	for _, c := range []struct {
+		name    string
+		resumed script
+		body    string
+		whole   bool
+	}{
+		{"the rest", events(4, 6, true), text(1, 6), true},
+		{"all again", events(1, 6, true), text(1, 6), true},
+		{"500 with a body", answer(500, "failed"), text(1, 3), false},
+		{"500 without a body", answer(500, ""), text(1, 3), false},
+		{"500 longer than is kept", answer(500, strings.Repeat("x", maxWholeBytes+1)), text(1, 3), false},
+		{"404", answer(404, "none"), text(1, 3), false},
+		{"204", raw("HTTP/1.1 204 No Content\r\nX-Id: %s\r\nX-Sign: s\r\n\r\n"), text(1, 3), false},
+		{"206", answer(206, text(4, 6)), text(1, 3), false},
+		{"302", answer(302, "", "Location: /"), text(1, 3), false},
+		{"503 that may have run", answer(503, ""), text(1, 3), false},
+		{"503 not run", answer(503, "", "X-Not-Run: 1"), text(1, 3), false},
+		{"421", answer(421, ""), text(1, 3), false},
+		{"200 without events", events(4, 3, true), text(1, 3), false},
+		{"200 of the known events alone", events(1, 3, true), text(1, 3), true},
+		{"200 of fewer events than are known", events(1, 2, true), text(1, 3), false},
+		{"200 without signature", unsigned, text(1, 3), false},
+		{"events behind a gap", events(5, 6, true), text(1, 3), false},
+		{"events without IDs", unnumbered, text(1, 3), false},
+		{"broken again", cut(events(4, 4, false)), text(1, 4), false},
+		{"no answer", cut(nil), text(1, 3), false},
+		{"no protocol", cut(raw("garbage %s\r\n\r\n")), text(1, 3), false},
+		{"another request's answer", cut(raw("HTTP/1.1 200 OK\r\nX-Id: not-%s\r\nX-Sign: s\r\nContent-Length: 1\r\n\r\na")), text(1, 3), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := breaksThen(c.resumed)
+			w := newWorld(t, resumable, newBackend(t, b), newBackend(t, b))
+			got := w.call(t, "POST", "/r/", "p")
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.body, c.body)
+			assert.Equal(t, !got.broken, c.whole)
+		})
+	}
+}
+
+// Guards against a resumed stream that joins pieces of two runs: behind an event
+// without an ID nobody can say where to go on.
+func TestStreamOfUnnumberedEventsIsNotResumed(t *testing.T) {
+	b := func(w io.Writer, req *http.Request) {
+		events(1, 0, false)(w, req)
+		_, _ = io.WriteString(w, "9\r\ndata: d\n\n\r\n")
+		_ = w.(io.Closer).Close()
+	}
+	one, two := newBackend(t, b), newBackend(t, b)
+	w := newWorld(t, resumable, one, two)
+	got := w.call(t, "POST", "/r/", "p")
+	assert.Equal(t, got.body, "data: d\n\n")
+	assert.Assert(t, got.broken)
+	assert.Equal(t, one.runs()+two.runs(), 1)
+}
+
+// Guards against a caller that resumes by itself and gets events that it has, or misses
+// the first ones behind them.
+func TestCallersOwnResumptionBeginsBehindItsLastEvent(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		first      int
+		status     int
+	}{
+		{"next event", text(3, 6), 3, 200},
+		{"from the start", text(3, 6), 1, 200},
+		{"gap", "", 4, 502},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, matcher.Route{Kind: matcher.Stream, Resumable: true}, newBackend(t, events(c.first, 6, true)))
+			got := w.call(t, "POST", "/r/", "p", "Last-Event-Id", "2")
+			assert.Equal(t, got.status, c.status)
+			if c.status == http.StatusOK {
+				assert.Equal(t, got.body, c.body)
+				assert.Assert(t, !got.broken)
+			}
+		})
+	}
+}
+
+// Guards against an untrue refusal: a request that one server may have run is not told
+// as not run because a later server refused it or was not there.
+func TestRefusalBehindATryThatMayHaveRunDoesNotSayNotRun(t *testing.T) {
+	for name, later := range map[string]script{
+		"refused":       answer(503, "", "X-Not-Run: 1"),
+		"another life":  answer(421, ""),
+		"not reachable": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			scripts := []script{cut(nil), later}
+			servers := newSequence(scripts)
+			one, two := newBackend(t, servers), newBackend(t, servers)
+			if later == nil {
+				one, two = newBackend(t, closing(cut(nil), &two)), newBackend(t, closing(cut(nil), &one))
+			}
+			w := newWorld(t, matcher.Route{Kind: matcher.Safe, MaxAttempts: 2}, one, two)
+			got := w.call(t, "GET", "/r/", "")
+			assert.Equal(t, got.status, 502)
+			assert.Equal(t, got.header.Get("Retry-After"), "")
+		})
+	}
+}
+
+// newSequence answers the first request, at whichever server, by the first script, and
+// so on.
+func newSequence(scripts []script) script {
+	queue := make(chan script, len(scripts))
+	for _, s := range scripts {
+		queue <- s
+	}
+	return func(w io.Writer, req *http.Request) {
+		(<-queue)(w, req)
+	}
+}
+
+// closing stops another server's listener before the script runs.
+func closing(s script, other **backend) script {
+	return func(w io.Writer, req *http.Request) {
+		_ = (*other).listener.Close()
+		s(w, req)
+	}
+}
+
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0, whose
+// answers end with the connection.
+func TestBrokenStreamIsVisibleToACallerOfHTTP10(t *testing.T) {
+	w := newWorld(t, matcher.Route{Kind: matcher.Stream}, newBackend(t, cut(events(1, 3, false))))
+	c, err := net.Dial("tcp4", strings.TrimPrefix(w.front.URL, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /r/ HTTP/1.0\r\nHost: shop.example\r\nX-Id: id-1\r\nAuthorization: Bearer key\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(c)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
