--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
@@ -28,9 +27,8 @@
 // whole reads an answer to its end and passes it on, or returns why it is not
 // whole.
 func (x *exchange) whole(server chooser.Server, answer *carrier.Answer) (refusal, bool) {
-	if answer.StatusCode/100 != 2 {
-		x.sends++
-		x.mayHaveRun = true
+	if x.reply.begun { // events of an earlier server: only a stream can go on there
+		return x.finish(server, chooser.Failed, notContinued), true
 	}
 	answer.Within(max(1, x.left()))
 	body, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
@@ -60,16 +58,13 @@
 
 // passLong passes on an answer that is too long to be kept. It breaks off visibly
 // where the server does.
-func (x *exchange) passLong(server chooser.Server, answer *carrier.Answer, begun []byte) {
-	x.passHead(answer)
-	if answer.ContentLength > 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
-	}
-	x.w.WriteHeader(answer.StatusCode)
+func (x *exchange) passLong(server chooser.Server, answer *carrier.Answer, start []byte) {
+	x.log.begun(answer.StatusCode)
+	x.reply.begin(answer, answer.ContentLength)
 	rest := io.LimitReader(answer, maxAnswerBytes-maxWholeBytes)
-	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(begun), rest))
+	_, err := io.Copy(x.reply.w, io.MultiReader(bytes.NewReader(start), rest))
 	if err == nil && answer.Whole() {
-		x.log.ended = endedWhole
+		x.reply.complete = true
 		x.finish(server, chooser.Answered, refusal{})
 		return
 	}
@@ -86,35 +81,12 @@
 
 // passWhole passes on an answer that was read to its end.
 func (x *exchange) passWhole(answer *carrier.Answer, body []byte) {
-	x.passHead(answer)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(answer.StatusCode)
-	x.log.ended = endedWhole
-	_, _ = x.w.Write(body) // a caller that has left needs no answer
-}
-
-// passHead copies the headers of an answer.
-func (x *exchange) passHead(answer *carrier.Answer) {
-	x.headSent = true
 	x.log.begun(answer.StatusCode)
-	h := x.w.Header()
-	closing := h.Get("Connection")
-	for name, values := range passedOn(answer.Header) {
-		h[name] = values
-	}
-	for _, name := range []string{"Content-Type", "Date"} {
-		if _, ok := answer.Header[name]; !ok {
-			h[name] = nil // nothing is added that the server did not send
-		}
-	}
-	if closing != "" {
-		h.Set("Connection", closing)
-	}
+	x.reply.whole(answer, body)
 }
 
 // stream passes events on as they come, or returns why the stream broke off.
 func (x *exchange) stream(server chooser.Server, answer *carrier.Answer) (refusal, bool) {
-	control := http.NewResponseController(x.w)
 	var cutter eventCutter
 	buffer := make([]byte, streamReadBytes)
 	answer.Within(x.eventPatience())
@@ -124,7 +96,7 @@
 			x.cfg.Servers.Heard(server.ID, chooser.Word{})
 		}
 		if whole := cutter.add(buffer[:n]); len(whole) > 0 {
-			if failed := x.passEvents(answer, whole, control); failed != nil {
+			if failed := x.passEvents(answer, whole); failed != nil {
 				x.log.failed(failed)
 				return x.finish(server, x.streamOutcome(failed), outcomeUnknown), true
 			}
@@ -132,7 +104,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !cutter.open() && x.events > 0:
-			x.log.ended = endedWhole
+			x.reply.complete = true
 			x.finish(server, chooser.Answered, refusal{})
 			return refusal{}, false
 		case err != nil || cutter.tooLong():
@@ -165,23 +137,20 @@
 var errCallerLeft = errors.New("the caller left")
 
 // passEvents writes whole events to the caller, those left out that it has.
-func (x *exchange) passEvents(answer *carrier.Answer, whole []byte, control *http.ResponseController) error {
+func (x *exchange) passEvents(answer *carrier.Answer, whole []byte) error {
 	before := x.events
 	out, failed := x.inOrder(split(whole))
 	x.log.passed(x.events - before)
 	if len(out) == 0 {
 		return failed
 	}
-	if !x.headSent {
-		x.passHead(answer)
-		x.w.WriteHeader(answer.StatusCode)
+	if !x.reply.begun {
+		x.log.begun(answer.StatusCode)
 		x.log.firstEvent = x.cfg.Clock.Now() - x.started
+		x.reply.begin(answer, -1)
 	}
-	if _, err := x.w.Write(out); err != nil {
-		return errCallerLeft
-	}
-	if err := control.Flush(); err != nil {
-		return errCallerLeft
+	if err := x.reply.events(out); err != nil {
+		return err
 	}
 	return failed
 }
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -42,9 +42,9 @@
 // exchange is one request of a caller on its way.
 type exchange struct {
 	*Relayer
-	w   http.ResponseWriter
-	req *http.Request
-	ctx context.Context
+	reply callerReply
+	req   *http.Request
+	ctx   context.Context
 
 	id       string
 	started  clocker.Millis
@@ -75,8 +75,6 @@
 	lastEvent int64
 	// failure is the last server's own failure of a request that may be repeated.
 	failure *failedAnswer
-	// headSent is true once the head of an answer went to the caller.
-	headSent bool
 
 	log record
 }
@@ -145,16 +143,14 @@
 	}
 	defer answer.Close()
 	x.log.answered(answer.StatusCode)
-	if answer.StatusCode/100 == 2 {
-		x.sends++
-		x.mayHaveRun = true
-	}
 	if answer.StatusCode != http.StatusMisdirectedRequest { // that is another server
 		x.cfg.Servers.Heard(server.ID, x.cfg.Dialect.word(answer.StatusCode, answer.Header))
 	}
 	if f, refused := x.refused(server, answer); refused {
 		return f, true
 	}
+	x.sends++
+	x.mayHaveRun = true
 	if answer.StatusCode/100 == 2 && (answer.Header.Get(x.cfg.Dialect.Signature) == "" || answer.Header.Get("Content-Encoding") != "") {
 		return x.finish(server, chooser.Broken, outcomeUnknown), true
 	}
@@ -254,12 +250,12 @@
 	x.writeLog(used)
 }
 
-// refuse answers a request that was not sent.
+// refuse answers a request that got no answer from a server.
 func (x *exchange) refuse(f refusal) {
 	x.log.reason = f.reason
-	x.log.ended = endedRefused
+	x.log.refused = true
 	x.log.begun(f.status)
-	f.write(x.w, x.left())
+	x.reply.refuse(f, x.left())
 }
 
 // giveUp ends a request that no server answered whole: by a refusal, or by an
@@ -268,16 +264,12 @@
 	if x.req.Context().Err() != nil {
 		f.reason = "caller_left"
 	}
-	if x.failure != nil && !x.headSent && f.reason != "caller_left" {
-		x.log.reason = f.reason
+	x.log.reason = f.reason
+	switch {
+	case x.reply.begun: // it stays incomplete
+	case x.failure != nil && f.reason != "caller_left":
 		x.passWhole(x.failure.head, x.failure.body)
-		return
-	}
-	if !x.headSent {
+	default:
 		x.refuse(f)
-		return
 	}
-	x.log.reason = f.reason
-	x.log.ended = endedBroken
-	panic(http.ErrAbortHandler)
 }
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -15,8 +15,6 @@
 type ending string
 
 const (
-	// endedNot is the ending of a request whose answer never ended, as after a panic.
-	endedNot ending = "not"
 	// endedWhole answers were framed as complete.
 	endedWhole ending = "whole"
 	// endedBroken answers broke off visibly.
@@ -29,8 +27,8 @@
 type record struct {
 	// status is the one that the caller got.
 	status int
-	// ended is how the caller's answer ended, whatever the servers sent.
-	ended      ending
+	// refused is true if the answer is one of this router's own.
+	refused    bool
 	reason     string
 	firstEvent clocker.Millis
 	tries      []try
@@ -100,14 +98,26 @@
 	return false
 }
 
+// ended returns how the answer to the caller ended.
+func (x *exchange) ended() ending {
+	switch {
+	case !x.reply.complete:
+		return endedBroken
+	case x.log.refused:
+		return endedRefused
+	}
+	return endedWhole
+}
+
 // writeLog writes the one line of a request: what was asked, what decided it and
 // how it ended.
 func (x *exchange) writeLog(used int64) {
 	took := x.cfg.Clock.Now() - x.started
 	latencies.Update(float64(took) / float64(clocker.Second))
 	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_relay_answers_total{status="%d"}`, x.log.status)).Inc()
-	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_relay_ends_total{end="%s",resumed="%t"}`, x.log.ended, x.log.resumed())).Inc()
-	attributes := []any{"id", x.id, "status", x.log.status, "reason", x.log.reason, "ended", x.log.ended, "took_ms", took}
+	ended := x.ended()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cowsliphinge_relay_ends_total{end="%s",resumed="%t"}`, ended, x.log.resumed())).Inc()
+	attributes := []any{"id", x.id, "status", x.log.status, "reason", x.log.reason, "ended", ended, "took_ms", took}
 	if x.table != nil {
 		attributes = append(attributes, "version", x.table.Version)
 	}
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -43,6 +43,8 @@
 	outcomeUnknown = refusal{http.StatusBadGateway, "outcome_unknown", 0, 0}
 	// serverFailed marks a server's own failure; its answer is passed on.
 	serverFailed = refusal{http.StatusBadGateway, "server_failed", 0, 0}
+	// notContinued ends a stream that a later server does not go on with.
+	notContinued = refusal{http.StatusBadGateway, "stream_not_continued", 0, 0}
 	timedOut     = refusal{http.StatusGatewayTimeout, "timed_out", 0, 0}
 )
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -87,18 +87,26 @@
 	}
 	x := r.newExchange(w, req)
 	defer x.end()
+	x.serve()
+	if x.reply.broken() {
+		panic(http.ErrAbortHandler) // a return would frame the answer as complete
+	}
+}
+
+// serve answers the request, or leaves an answer that has begun incomplete.
+func (x *exchange) serve() {
 	if f, ok := x.admit(); !ok {
 		x.refuse(f)
 		return
 	}
-	ctx, cancel := r.cfg.Clock.WithTimeout(req.Context(), x.left())
+	ctx, cancel := x.cfg.Clock.WithTimeout(x.req.Context(), x.left())
 	defer cancel()
 	x.ctx = ctx
 	if f, ok := x.reserve(); !ok {
 		x.refuse(f)
 		return
 	}
-	r.cfg.Retries.Attempted(x.service.Name)
+	x.cfg.Retries.Attempted(x.service.Name)
 	x.relay()
 }
 
@@ -107,12 +115,11 @@
 	now := r.cfg.Clock.Now()
 	return &exchange{
 		Relayer: r,
-		w:       w,
+		reply:   callerReply{w: w},
 		req:     req,
 		ctx:     req.Context(),
 		id:      req.Header.Get(r.cfg.Dialect.RequestID),
 		started: now,
-		log:     record{ended: endedNot},
 	}
 }
 
@@ -171,19 +178,19 @@
 		limit = defaultBodyBytes
 	}
 	if x.req.ContentLength > limit {
-		x.w.Header().Set("Connection", "close")
+		x.reply.w.Header().Set("Connection", "close")
 		return bodyTooLarge, false
 	}
-	control := http.NewResponseController(x.w)
+	control := http.NewResponseController(x.reply.w)
 	_ = control.SetReadDeadline(clocker.FromNow(x.left())) // a test's writer has no deadline
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.req.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(x.reply.w, x.req.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return bodyTooLarge, false
 	case err != nil:
-		x.w.Header().Set("Connection", "close")
+		x.reply.w.Header().Set("Connection", "close")
 		return bodyBroken, false
 	}
 	x.body = body
--- /dev/null
+++ b/relayer/reply.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"net/http"
+	"strconv"
+
+	"cowsliphinge/carrier"
+	"cowsliphinge/clocker"
+)
+
+// callerReply is the answer to the caller. Once begun it counts as broken off until it is
+// complete, so how it ends follows from what the caller got, and not from the way on
+// which the request was given up.
+type callerReply struct {
+	w        http.ResponseWriter
+	begun    bool
+	complete bool
+}
+
+// refuse answers with a refusal, unless an answer has begun.
+func (r *callerReply) refuse(f refusal, left clocker.Millis) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	f.write(r.w, left)
+	r.complete = true
+}
+
+// whole passes on an answer that was read to its end, unless another has begun.
+func (r *callerReply) whole(answer *carrier.Answer, body []byte) {
+	if r.begun {
+		return
+	}
+	r.begin(answer, int64(len(body)))
+	_, _ = r.w.Write(body) // a caller that has left needs no answer
+	r.complete = true
+}
+
+// begin sends the head of a server's answer. length is that of the body, negative if
+// it is not known.
+func (r *callerReply) begin(answer *carrier.Answer, length int64) {
+	r.begun = true
+	r.copyHeader(answer.Header)
+	if length >= 0 {
+		r.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	r.w.WriteHeader(answer.StatusCode)
+}
+
+// events passes on whole events of a stream.
+func (r *callerReply) events(b []byte) error {
+	if _, err := r.w.Write(b); err != nil {
+		return errCallerLeft
+	}
+	if err := http.NewResponseController(r.w).Flush(); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
+
+// broken reports whether the answer has to end visibly broken.
+func (r *callerReply) broken() bool {
+	return r.begun && !r.complete
+}
+
+func (r *callerReply) copyHeader(from http.Header) {
+	h := r.w.Header()
+	closing := h.Get("Connection")
+	for name, values := range passedOn(from) {
+		h[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := from[name]; !ok {
+			h[name] = nil // nothing is added that the server did not send
+		}
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+}
