The end of a server's answer ends a stream only if it has shown the last event

Cause: the end of an answer was taken for the end of the stream if any event had gone to the caller, from whichever server, and events without a number were passed on wherever they came.

Change: the type position (no I/O) knows what the caller has and what the present server has shown. A stream ends whole if that server has shown events up to the caller's last one; an event is passed on only where its place is certain. An event numbered 0 is a numbered one now.

New: TestPositionPlacesEventsOfSeveralServers.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -22,8 +22,6 @@
 	streamReadBytes = 4 << 10
 )
 
-var errEventOrder = errors.New("events of a stream are out of order")
-
 // whole reads an answer to its end and passes it on, or returns why it is not
 // whole.
 func (x *exchange) whole(server chooser.Server, answer *carrier.Answer) (refusal, bool) {
@@ -87,6 +85,7 @@
 
 // stream passes events on as they come, or returns why the stream broke off.
 func (x *exchange) stream(server chooser.Server, answer *carrier.Answer) (refusal, bool) {
+	x.position.restart()
 	var cutter eventCutter
 	buffer := make([]byte, streamReadBytes)
 	answer.Within(x.eventPatience())
@@ -103,7 +102,7 @@
 			answer.Within(x.eventPatience()) // bytes without a whole event do not extend it
 		}
 		switch {
-		case errors.Is(err, io.EOF) && !cutter.open() && x.events > 0:
+		case errors.Is(err, io.EOF) && !cutter.open() && x.position.ended():
 			x.reply.complete = true
 			x.finish(server, chooser.Answered, refusal{})
 			return refusal{}, false
@@ -128,7 +127,7 @@
 	if !x.route.Repeatable() || x.sends >= x.route.MaxAttempts {
 		return left
 	}
-	if x.events == 0 {
+	if x.position.events == 0 {
 		return min(left, max(headPatience*x.route.TargetLatency, minPatience))
 	}
 	return min(left, max(gapPatience*x.route.TargetGap, minGap))
@@ -138,9 +137,9 @@
 
 // passEvents writes whole events to the caller, those left out that it has.
 func (x *exchange) passEvents(answer *carrier.Answer, whole []byte) error {
-	before := x.events
-	out, failed := x.inOrder(split(whole))
-	x.log.passed(x.events - before)
+	before := x.position.events
+	out, failed := x.position.take(split(whole))
+	x.log.passed(x.position.events - before)
 	if len(out) == 0 {
 		return failed
 	}
@@ -154,23 +153,3 @@
 	}
 	return failed
 }
-
-// inOrder returns the bytes of the events that come next, without those that the
-// caller has, and errEventOrder if one is missing.
-func (x *exchange) inOrder(events []event) ([]byte, error) {
-	var out []byte
-	for _, e := range events {
-		if e.id > 0 && e.id <= x.lastEvent && x.sends > 1 {
-			continue
-		}
-		if e.id > 0 && x.events > 0 && e.id != x.lastEvent+1 {
-			return out, errEventOrder
-		}
-		if e.id > 0 {
-			x.lastEvent = e.id
-		}
-		x.events++
-		out = append(out, e.bytes...)
-	}
-	return out, nil
-}
--- a/relayer/ending_test.go
+++ b/relayer/ending_test.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// unnumbered is a stream of events without IDs.
-func unnumbered(w io.Writer, req *http.Request) {
+// withoutIDs is a stream of events without IDs.
+func withoutIDs(w io.Writer, req *http.Request) {
 	events(1, 0, false)(w, req)
 	_, _ = io.WriteString(w, "9\r\ndata: d\n\n\r\n0\r\n\r\n")
 }
@@ -71,7 +71,7 @@
 		{"200 of fewer events than are known", events(1, 2, true), text(1, 3), false},
 		{"200 without signature", unsigned, text(1, 3), false},
 		{"events behind a gap", events(5, 6, true), text(1, 3), false},
-		{"events without IDs", unnumbered, text(1, 3), false},
+		{"events without IDs", withoutIDs, text(1, 3), false},
 		{"broken again", cut(events(4, 4, false)), text(1, 4), false},
 		{"no answer", cut(nil), text(1, 3), false},
 		{"no protocol", cut(raw("garbage %s\r\n\r\n")), text(1, 3), false},
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -48,11 +48,22 @@
 	return end
 }
 
+// unnumbered is the ID of an event that has no number, behind which no stream can be
+// resumed.
+const unnumbered = -1
+
 // event is one whole event with its blank line.
 type event struct {
 	bytes []byte
-	// id is 0 if the event names none.
+	// id is unnumbered if the event names no number.
 	id int64
+	// hasData is false for comments and other blocks that callers ignore.
+	hasData bool
+}
+
+// ignored reports whether callers pass over the block, as over a comment.
+func (e event) ignored() bool {
+	return e.id == unnumbered && !e.hasData
 }
 
 // split returns the single events of whole ones.
@@ -60,11 +71,12 @@
 	var events []event
 	for len(whole) > 0 {
 		end := firstEventEnd(whole)
-		e := event{bytes: whole[:end]}
+		e := event{bytes: whole[:end], id: unnumbered}
 		for _, line := range bytes.Split(e.bytes, []byte("\n")) {
 			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 				e.id = number(value)
 			}
+			e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data"))
 		}
 		events = append(events, e)
 		whole = whole[end:]
@@ -83,12 +95,11 @@
 	return end
 }
 
-// number returns the event number; 0 for an ID that is no number, which can't be
-// resumed behind.
+// number returns the event number, or unnumbered for an ID that is none.
 func number(value []byte) int64 {
 	n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-	if err != nil {
-		return 0
+	if err != nil || n < 0 {
+		return unnumbered
 	}
 	return n
 }
--- a/relayer/events_test.go
+++ b/relayer/events_test.go
@@ -23,7 +23,7 @@
 			ids = append(ids, e.id)
 		}
 		assert.Equal(t, text, stream)
-		assert.DeepEqual(t, ids, []int64{1, 2, 0, 3})
+		assert.DeepEqual(t, ids, []int64{1, 2, unnumbered, 3})
 	}
 }
 
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -69,10 +69,8 @@
 	unreached int
 	// mayHaveRun is true once a server got the request and did not refuse it.
 	mayHaveRun bool
-	// events counts the events that were passed to the caller.
-	events int64
-	// lastEvent is the number of the last one, or the one the caller began behind.
-	lastEvent int64
+	// position is how far the caller has got in its stream.
+	position position
 	// failure is the last server's own failure of a request that may be repeated.
 	failure *failedAnswer
 
@@ -183,8 +181,8 @@
 	out.Header = x.out.Header.Clone()
 	out.Header.Set(d.Deadline, strconv.FormatInt(int64(max(1, x.left())), 10))
 	out.Header.Set(d.ExpectID, server.ID)
-	if x.events > 0 {
-		out.Header.Set(d.LastEventID, strconv.FormatInt(x.lastEvent, 10))
+	if x.position.last != unnumbered {
+		out.Header.Set(d.LastEventID, strconv.FormatInt(x.position.last, 10))
 	}
 	out.MaxIdle = defaultTime
 	out.HeadTimeout = max(1, x.left())
@@ -244,7 +242,7 @@
 		if x.service != nil {
 			perEvent = int64(max(1, x.service.TokensPerEvent))
 		}
-		used = x.promptTokens + min(x.maxOutput, x.events*perEvent)
+		used = x.promptTokens + min(x.maxOutput, x.position.events*perEvent)
 	}
 	x.cfg.Budgets.Settle(x.reservation, used)
 	x.writeLog(used)
--- /dev/null
+++ b/relayer/position.go
@@ -0,0 +1,71 @@
+package relayer
+
+import "errors"
+
+var errEventOrder = errors.New("events of a stream are out of order")
+
+// position is how far a caller has got in a stream that may come from several
+// servers one after the other.
+type position struct {
+	// events counts those that were passed to the caller.
+	events int64
+	// last is the number of the last of them, or unnumbered.
+	last int64
+	// shown counts the events of the present server, those that the caller had included.
+	shown int64
+	// reached is the number of the last event of the present server, or unnumbered.
+	reached int64
+}
+
+// newPosition is the start of a stream.
+func newPosition() position {
+	return position{last: unnumbered, reached: unnumbered}
+}
+
+// restart notes that the next events come from another server.
+func (p *position) restart() {
+	p.shown = 0
+	p.reached = unnumbered
+}
+
+// take returns the bytes of the events that come next, without those that the caller
+// has, and errEventOrder behind them if one is missing or can't be placed.
+func (p *position) take(events []event) ([]byte, error) {
+	var out []byte
+	for _, e := range events {
+		if e.ignored() {
+			out = append(out, e.bytes...)
+			continue
+		}
+		if !p.follows(e) {
+			return out, errEventOrder
+		}
+		p.shown++
+		p.reached = max(p.reached, e.id)
+		if p.reached < p.last || e.id != unnumbered && e.id == p.last {
+			continue // the caller has it
+		}
+		p.last = p.reached
+		p.events++
+		out = append(out, e.bytes...)
+	}
+	return out, nil
+}
+
+// follows reports whether the place of an event is certain: behind the present
+// server's event before, and with no gap behind what the caller has.
+func (p *position) follows(e event) bool {
+	switch {
+	case e.id == unnumbered:
+		return p.reached != unnumbered || p.last == unnumbered
+	case p.reached != unnumbered:
+		return e.id == p.reached+1
+	}
+	return p.last == unnumbered || e.id <= p.last+1
+}
+
+// ended reports whether the end of the present server's answer ends the stream: it
+// has shown the last event that the caller has.
+func (p *position) ended() bool {
+	return p.shown > 0 && p.reached == p.last
+}
--- /dev/null
+++ b/relayer/position_test.go
@@ -0,0 +1,52 @@
+package relayer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func numbered(ids ...int64) []event {
+	var events []event
+	for _, id := range ids {
+		events = append(events, event{id: id, hasData: true, bytes: []byte{'0' + byte(max(id, 0))}})
+	}
+	return events
+}
+
+// Guards against events joined from two runs that are missing, twice or in another
+// order, and against an end that only the answer of the last server shows.
+func TestPositionPlacesEventsOfSeveralServers(t *testing.T) {
+	const u = unnumbered
+	for _, c := range []struct {
+		name          string
+		first, second []int64
+		got           string
+		fails, ended  bool
+	}{
+		{"goes on", []int64{1, 2}, []int64{3, 4}, "1234", false, true},
+		{"from the start", []int64{1, 2}, []int64{1, 2, 3}, "123", false, true},
+		{"from the middle", []int64{1, 2, 3}, []int64{2, 3, 4}, "1234", false, true},
+		{"numbered from 0", []int64{0, 1}, []int64{2}, "012", false, true},
+		{"all known", []int64{1, 2}, []int64{1, 2}, "12", false, true},
+		{"fewer than known", []int64{1, 2}, []int64{1}, "12", false, false},
+		{"nothing", []int64{1, 2}, nil, "12", false, false},
+		{"gap", []int64{1, 2}, []int64{4}, "12", true, false},
+		{"gap in known ones", []int64{1, 2, 3}, []int64{1, 3}, "123", true, false},
+		{"twice", []int64{1, 2}, []int64{3, 3}, "123", true, true},
+		{"unnumbered first", []int64{1, 2}, []int64{u}, "12", true, false},
+		{"unnumbered last", []int64{1, 2}, []int64{3, u}, "1230", false, true},
+		{"unnumbered among known ones", []int64{1, 2}, []int64{1, u, 2, 3}, "123", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPosition()
+			got, err := p.take(numbered(c.first...))
+			assert.NilError(t, err)
+			p.restart()
+			more, err := p.take(numbered(c.second...))
+			assert.Equal(t, string(got)+string(more), c.got)
+			assert.Equal(t, err != nil, c.fails)
+			assert.Equal(t, p.ended(), c.ended)
+		})
+	}
+}
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -130,8 +130,8 @@
 	if x.service != nil {
 		attributes = append(attributes, "service", x.service.Name, "tries", x.log.tries)
 	}
-	if x.events > 0 {
-		attributes = append(attributes, "events", x.events, "last_event", x.lastEvent, "first_event_ms", x.log.firstEvent)
+	if x.position.events > 0 {
+		attributes = append(attributes, "events", x.position.events, "last_event", x.position.last, "first_event_ms", x.log.firstEvent)
 	}
 	x.cfg.Log.Info("request", attributes...)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -114,12 +114,13 @@
 func (r *Relayer) newExchange(w http.ResponseWriter, req *http.Request) *exchange {
 	now := r.cfg.Clock.Now()
 	return &exchange{
-		Relayer: r,
-		reply:   callerReply{w: w},
-		req:     req,
-		ctx:     req.Context(),
-		id:      req.Header.Get(r.cfg.Dialect.RequestID),
-		started: now,
+		Relayer:  r,
+		reply:    callerReply{w: w},
+		req:      req,
+		ctx:      req.Context(),
+		id:       req.Header.Get(r.cfg.Dialect.RequestID),
+		started:  now,
+		position: newPosition(),
 	}
 }
 
