A stream with an event without a number is not resumed elsewhere

Callers saw, in a test: the events of a second run behind those of a first one, as one stream. A server that numbers no events broke off, and the request went to the next one with `Last-Event-Id: 0`, which ran it from the start.

Once such an event has gone to the caller the request can't be repeated: its stream breaks off visibly, and a slow server gets all the time that is left.

Before: TestStreamOfUnnumberedEventsIsNotResumed fails (two runs, events joined); after: it passes.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -124,7 +124,7 @@
 // eventPatience is how long the next event may take, in milliseconds.
 func (x *exchange) eventPatience() clocker.Millis {
 	left := max(1, x.left())
-	if !x.route.Repeatable() || x.sends >= x.route.MaxAttempts {
+	if !x.repeatable() || x.sends >= x.route.MaxAttempts {
 		return left
 	}
 	if x.position.events == 0 {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -105,7 +105,7 @@
 	case failure == notReached:
 		x.unreached++
 		return failure, x.unreached < maxUnreached
-	case x.mayHaveRun && !x.route.Repeatable():
+	case x.mayHaveRun && !x.repeatable():
 		return outcomeUnknown, false
 	case x.sends >= x.route.MaxAttempts:
 		return failure, false
@@ -115,6 +115,12 @@
 	return failure, true
 }
 
+// repeatable reports whether the request may run at another server after it may have
+// run at one.
+func (x *exchange) repeatable() bool {
+	return x.route.Repeatable() && !x.position.fixed
+}
+
 // late is the final answer of a request whose time is over.
 func (x *exchange) late() refusal {
 	if x.mayHaveRun {
@@ -186,7 +192,7 @@
 	}
 	out.MaxIdle = defaultTime
 	out.HeadTimeout = max(1, x.left())
-	mayMiss := x.route.Repeatable() && x.sends+1 < x.route.MaxAttempts
+	mayMiss := x.repeatable() && x.sends+1 < x.route.MaxAttempts
 	if !mayMiss && x.cfg.Clock.Now()-x.cfg.Servers.HeardAt(server.ID) > provenFor {
 		out.MaxIdle = provenFor
 	}
--- a/relayer/position.go
+++ b/relayer/position.go
@@ -11,6 +11,9 @@
 	events int64
 	// last is the number of the last of them, or unnumbered.
 	last int64
+	// fixed is true once an event without a number was passed: no other server can
+	// tell where to go on.
+	fixed bool
 	// shown counts the events of the present server, those that the caller had included.
 	shown int64
 	// reached is the number of the last event of the present server, or unnumbered.
@@ -46,6 +49,7 @@
 			continue // the caller has it
 		}
 		p.last = p.reached
+		p.fixed = p.fixed || e.id == unnumbered
 		p.events++
 		out = append(out, e.bytes...)
 	}
