A stream that a caller resumes by itself begins behind its last event

Callers saw, in a test: a request with `Last-Event-Id: 2` whose answer began with event 1, or with event 4, and ended whole.

Cause: the position of a stream took no notice of the caller's own Last-Event-Id, so the first event of the answer was never checked. On a resumable route it starts there now: known events are left out, and behind a gap the answer fails.

Before: TestCallersOwnResumptionBeginsBehindItsLastEvent fails for "from the start" and "gap"; after: all four cases pass.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -20,6 +20,8 @@
 	maxAnswerBytes = 8 << 20
 	// streamReadBytes is the most that one read of a stream takes.
 	streamReadBytes = 4 << 10
+	// unknownLength is that of a body without a declared length.
+	unknownLength = -1
 )
 
 // whole reads an answer to its end and passes it on, or returns why it is not
@@ -103,6 +105,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !cutter.open() && x.position.ended():
+			x.beginStream(answer) // it may hold only events that the caller has
 			x.reply.complete = true
 			x.finish(server, chooser.Answered, refusal{})
 			return refusal{}, false
@@ -143,13 +146,19 @@
 	if len(out) == 0 {
 		return failed
 	}
-	if !x.reply.begun {
-		x.log.begun(answer.StatusCode)
-		x.log.firstEvent = x.cfg.Clock.Now() - x.started
-		x.reply.begin(answer, -1)
-	}
+	x.beginStream(answer)
 	if err := x.reply.events(out); err != nil {
 		return err
 	}
 	return failed
 }
+
+// beginStream sends the head of the answer once.
+func (x *exchange) beginStream(answer *carrier.Answer) {
+	if x.reply.begun {
+		return
+	}
+	x.log.begun(answer.StatusCode)
+	x.log.firstEvent = x.cfg.Clock.Now() - x.started
+	x.reply.begin(answer, unknownLength)
+}
--- a/relayer/ending_test.go
+++ b/relayer/ending_test.go
@@ -108,16 +108,17 @@
 // the first ones behind them.
 func TestCallersOwnResumptionBeginsBehindItsLastEvent(t *testing.T) {
 	for _, c := range []struct {
-		name, body string
-		first      int
-		status     int
+		name, body  string
+		first, last int
+		status      int
 	}{
-		{"next event", text(3, 6), 3, 200},
-		{"from the start", text(3, 6), 1, 200},
-		{"gap", "", 4, 502},
+		{"next event", text(3, 6), 3, 6, 200},
+		{"from the start", text(3, 6), 1, 6, 200},
+		{"gap", "", 4, 6, 502},
+		{"known ones alone", "", 1, 2, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newWorld(t, matcher.Route{Kind: matcher.Stream, Resumable: true}, newBackend(t, events(c.first, 6, true)))
+			w := newWorld(t, matcher.Route{Kind: matcher.Stream, Resumable: true}, newBackend(t, events(c.first, c.last, true)))
 			got := w.call(t, "POST", "/r/", "p", "Last-Event-Id", "2")
 			assert.Equal(t, got.status, c.status)
 			if c.status == http.StatusOK {
--- a/relayer/position.go
+++ b/relayer/position.go
@@ -20,9 +20,10 @@
 	reached int64
 }
 
-// newPosition is the start of a stream.
-func newPosition() position {
-	return position{last: unnumbered, reached: unnumbered}
+// positionBehind is that of a caller that has the events up to a number; unnumbered is
+// the start of a stream.
+func positionBehind(last int64) position {
+	return position{last: last, reached: unnumbered}
 }
 
 // restart notes that the next events come from another server.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -120,7 +120,7 @@
 		ctx:      req.Context(),
 		id:       req.Header.Get(r.cfg.Dialect.RequestID),
 		started:  now,
-		position: newPosition(),
+		position: positionBehind(unnumbered),
 	}
 }
 
@@ -140,6 +140,9 @@
 	if x.route.Timeout > 0 {
 		x.deadline = min(x.deadline, x.started+x.route.Timeout)
 	}
+	if x.route.Kind == matcher.Stream && x.route.Resumable {
+		x.position = positionBehind(number([]byte(x.req.Header.Get(x.cfg.Dialect.LastEventID))))
+	}
 	if x.table.NeedsKeys() {
 		x.account = x.table.Account(bearerKey(x.req.Header))
 		if x.account == nil && !x.route.Public {
--- a/relayer/reply.go
+++ b/relayer/reply.go
@@ -37,12 +37,12 @@
 	r.complete = true
 }
 
-// begin sends the head of a server's answer. length is that of the body, negative if
-// it is not known.
+// begin sends the head of a server's answer. length is that of the body, or
+// unknownLength.
 func (r *callerReply) begin(answer *carrier.Answer, length int64) {
 	r.begun = true
 	r.copyHeader(answer.Header)
-	if length >= 0 {
+	if length != unknownLength {
 		r.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	r.w.WriteHeader(answer.StatusCode)
