A refusal says "not run" only if no server may have run the request

Callers saw, in a test: 503 with Retry-After for a request whose first server had closed the connection without an answer (so it may have run) and whose second one refused it.

Requests that may not be repeated were not affected; they end at the first server that may have run them.

Before: TestRefusalBehindATryThatMayHaveRunDoesNotSayNotRun fails for "refused" and "another life" (503); after: its three cases pass.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -265,6 +265,9 @@
 // giveUp ends a request that no server answered whole: by a refusal, or by an
 // answer that visibly breaks off.
 func (x *exchange) giveUp(f refusal) {
+	if x.mayHaveRun && f.saysNotRun() {
+		f = outcomeUnknown // true of the last server alone
+	}
 	if x.req.Context().Err() != nil {
 		f.reason = "caller_left"
 	}
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -48,6 +48,11 @@
 	timedOut     = refusal{http.StatusGatewayTimeout, "timed_out", 0, 0}
 )
 
+// saysNotRun reports whether the refusal promises that the request has not run.
+func (f refusal) saysNotRun() bool {
+	return f.status == http.StatusServiceUnavailable
+}
+
 // after returns the refusal with the time before which a repeat has no chance.
 func (f refusal) after(d clocker.Millis) refusal {
 	f.earliest = max(0, d)
