A broken answer is visible to callers of HTTP/1.0 too

Callers saw, in a test over TCP: a stream that broke off, and a proper end of the connection. Answers of HTTP/1.0 have no chunks; the end of the connection is the end of the answer, so the abort of the handler looks like a whole answer there.

The connection is reset instead. The type that counts the bytes of callers' connections hid the way to do that.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -89,7 +89,7 @@
 	defer x.end()
 	x.serve()
 	if x.reply.broken() {
-		panic(http.ErrAbortHandler) // a return would frame the answer as complete
+		x.reply.breakOff(req)
 	}
 }
 
--- a/relayer/reply.go
+++ b/relayer/reply.go
@@ -64,6 +64,28 @@
 	return r.begun && !r.complete
 }
 
+// breakOff ends the handler of a broken answer: a return would frame the answer as
+// complete.
+func (r *callerReply) breakOff(req *http.Request) {
+	if !req.ProtoAtLeast(1, 1) {
+		r.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection of an answer that has no other end than that of the
+// connection. If the server does not hand the connection over, it is closed.
+func (r *callerReply) reset() {
+	conn, _, err := http.NewResponseController(r.w).Hijack()
+	if err != nil {
+		return
+	}
+	if l, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0) // the close below tells of a connection that is gone
+	}
+	_ = conn.Close()
+}
+
 func (r *callerReply) copyHeader(from http.Header) {
 	h := r.w.Header()
 	closing := h.Get("Connection")
--- a/runner/overload.go
+++ b/runner/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 
@@ -89,6 +90,15 @@
 	return n, err
 }
 
+// SetLinger passes on how the connection is closed, or returns errors.ErrUnsupported.
+func (c countingConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // overload tells whether the link of this host carries nearly what it can.
 type overload struct {
 	load  float64
--- a/runner/overload_test.go
+++ b/runner/overload_test.go
@@ -1,6 +1,9 @@
 package runner
 
 import (
+	"errors"
+	"net"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -49,3 +52,19 @@
 	assert.Equal(t, c.take(), int64(1000+packetBytes))
 	assert.Equal(t, c.take(), int64(0))
 }
+
+// Guards against a broken answer of HTTP/1.0 that looks complete: the connections of
+// callers have to be resettable through the type that counts their bytes.
+func TestCountedConnectionCanBeReset(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = inner.Close() }()
+	far, err := net.Dial("tcp4", inner.Addr().String())
+	assert.NilError(t, err)
+	near, err := countingListener{Listener: inner, traffic: &traffic{}}.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, near.(interface{ SetLinger(int) error }).SetLinger(0))
+	assert.NilError(t, near.Close())
+	_, err = far.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
