A server's 503 that does not say "not run" is not passed on for orders

Callers repeat a request behind 408, 421, 429 and 503. Such a status of a server that did not mark it as not run was passed on for requests that may not run twice, so an order that ran could be repeated. It ends 502, outcome_unknown, now. Requests that may be repeated get the server's answer as before.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -43,6 +43,9 @@
 		}
 		return x.finish(server, chooser.Broken, outcomeUnknown), true
 	}
+	if callersRepeatBehind(answer.StatusCode) && !x.route.Repeatable() {
+		return x.finish(server, chooser.Failed, outcomeUnknown), true
+	}
 	if answer.StatusCode >= http.StatusInternalServerError {
 		f := x.finish(server, chooser.Failed, serverFailed)
 		if x.route.Kind == matcher.Safe {
@@ -56,6 +59,16 @@
 	return refusal{}, false
 }
 
+// callersRepeatBehind reports whether callers take the status for a promise that the
+// request has not run. A server that means that says so, see refused.
+func callersRepeatBehind(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // passLong passes on an answer that is too long to be kept. It breaks off visibly
 // where the server does.
 func (x *exchange) passLong(server chooser.Server, answer *carrier.Answer, start []byte) {
