Tests of refused connections keep the port of the server that is gone

Cause: the tests closed a listener and took its port for one where nobody listens. Not the product: it did what an answering server asks for.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -15,6 +15,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
+	"cowsliphinge/standin/refuser"
 )
 
 // served is a server that counts its connections and repeats request IDs.
@@ -97,8 +98,9 @@
 }
 
 func TestServerThatIsNotThereGotNothing(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := refuser.Listen()
 	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Release() })
 	assert.NilError(t, l.Close())
 	_, err = send(t, newCarrier(clocker.NewWall()), Target{ID: "one", Address: l.Addr().String()}, 0)
 	assert.Assert(t, connector.IsErrNotSent(err))
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -18,6 +18,7 @@
 	"cowsliphinge/standin/application"
 	"cowsliphinge/standin/engine"
 	"cowsliphinge/standin/faulter"
+	"cowsliphinge/standin/refuser"
 )
 
 // listen serves a handler on loopback and returns its address.
@@ -139,8 +140,9 @@
 
 func TestRefusedConnectionsAreTold(t *testing.T) {
 	b := start(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := refuser.Listen()
 	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Release() })
 	b.plan.Callers = []string{l.Addr().String()}
 	assert.NilError(t, l.Close())
 	_, history := run(t, b.plan)
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -19,6 +19,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/matcher"
 	"cowsliphinge/reserver"
+	"cowsliphinge/standin/refuser"
 )
 
 var dialect = Dialect{
@@ -32,7 +33,7 @@
 
 // backend is a server that follows scripts, one a request; the last one repeats.
 type backend struct {
-	listener net.Listener
+	listener *refuser.Listener
 	mu       sync.Mutex
 	scripts  []script
 	requests []*http.Request
@@ -42,10 +43,10 @@
 }
 
 func newBackend(t *testing.T, scripts ...script) *backend {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := refuser.Listen()
 	assert.NilError(t, err)
 	b := &backend{listener: l, scripts: scripts, closed: make(chan struct{}, 100)}
-	t.Cleanup(func() { _ = l.Close() })
+	t.Cleanup(func() { _ = l.Release() })
 	go func() {
 		for {
 			c, err := l.Accept()
