A resumable stream that a server fails is tried elsewhere

Only safe requests were sent on behind a server's own failure.

A resumable stream of which nothing has come is sent on too, within its attempts and the retry budget; if no other server answers, the caller gets the first one's failure as before. Streams that may not run twice keep it at once.

Test, failing before (500 for 200): TestStreamThatAServerFailsIsTriedElsewhere.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -9,7 +9,6 @@
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
-	"cowsliphinge/matcher"
 )
 
 const (
@@ -48,7 +47,7 @@
 	}
 	if answer.StatusCode >= http.StatusInternalServerError {
 		f := x.finish(server, chooser.Failed, serverFailed)
-		if x.route.Kind == matcher.Safe {
+		if x.repeatable() {
 			x.failure = &failedAnswer{head: answer, body: body}
 			return f, true
 		}
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+// Pattern: servers fail part of their requests at once while their health is good.
+// A stream of which nothing has come yet is tried elsewhere, if it may run twice.
+func TestStreamThatAServerFailsIsTriedElsewhere(t *testing.T) {
+	failing := func() (*backend, *backend) {
+		b := newSequence([]script{answer(500, "failed"), events(1, 3, true)})
+		return newBackend(t, b), newBackend(t, b)
+	}
+	one, two := failing()
+	got := newWorld(t, resumable, one, two).call(t, "POST", "/r/", "p")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, text(1, 3))
+	one, two = failing()
+	got = newWorld(t, matcher.Route{Kind: matcher.Stream, MaxAttempts: 2}, one, two).call(t, "POST", "/r/", "p")
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, one.runs()+two.runs(), 1)
+}
+
 func TestSilentStreamGoesOnElsewhere(t *testing.T) {
 	one := newBackend(t, events(1, 2, false))
 	two := newBackend(t, func(w io.Writer, req *http.Request) {
