A long 503 that does not say "not run" is not passed on for orders either

The check stood behind the way for answers above 128 KB. It looks at the status before the body is read now; TestServersRefusalWithoutNotRunIsNotPassedOnForOrders has a long body beside the short one and fails before (503 for 502).

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -29,6 +29,9 @@
 	if x.reply.begun { // events of an earlier server: only a stream can go on there
 		return x.finish(server, chooser.Failed, notContinued), true
 	}
+	if callersRepeatBehind(answer.StatusCode) && !x.route.Repeatable() {
+		return x.finish(server, chooser.Failed, outcomeUnknown), true
+	}
 	answer.Within(max(1, x.left()))
 	body, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
 	if err == nil && len(body) == maxWholeBytes {
@@ -42,9 +45,6 @@
 		}
 		return x.finish(server, chooser.Broken, outcomeUnknown), true
 	}
-	if callersRepeatBehind(answer.StatusCode) && !x.route.Repeatable() {
-		return x.finish(server, chooser.Failed, outcomeUnknown), true
-	}
 	if answer.StatusCode >= http.StatusInternalServerError {
 		f := x.finish(server, chooser.Failed, serverFailed)
 		if x.repeatable() {
--- a/relayer/ending_test.go
+++ b/relayer/ending_test.go
@@ -189,12 +189,14 @@
 // 421, so a server's answer of that status is passed on only if it says not run.
 func TestServersRefusalWithoutNotRunIsNotPassedOnForOrders(t *testing.T) {
 	for _, status := range []int{408, 429, 503} {
-		order := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, newBackend(t, answer(status, "busy")))
-		got := order.call(t, "POST", "/r/", "order")
-		assert.Equal(t, got.status, 502)
-		assert.Equal(t, got.header.Get("X-Sign"), "")
+		for _, body := range []string{"busy", strings.Repeat("b", maxWholeBytes)} {
+			order := newWorld(t, matcher.Route{Kind: matcher.Unsafe}, newBackend(t, answer(status, body)))
+			got := order.call(t, "POST", "/r/", "order")
+			assert.Equal(t, got.status, 502)
+			assert.Equal(t, got.header.Get("X-Sign"), "")
+		}
 		read := newWorld(t, matcher.Route{Kind: matcher.Safe}, newBackend(t, answer(status, "busy")))
-		got = read.call(t, "GET", "/r/", "")
+		got := read.call(t, "GET", "/r/", "")
 		assert.Equal(t, got.status, status)
 		assert.Equal(t, got.header.Get("X-Sign"), "s")
 	}
