A reset answer without a length is not whole while its request is being written

A request above 4 KB is written beside the reading of its answer; where the write is blocked when the reset comes, the kernel tells the write of it, and the read gets a plain end.

At such an end the carrier waits up to 200 ms for the writing, and the answer is whole only if the request was written. Answers with a length or in chunks are not concerned; an early answer whose server reads on stays whole (TestEarlyAnswerWithoutLengthIsWhole).

--- a/carrier/answer.go
+++ b/carrier/answer.go
@@ -21,6 +21,10 @@
 	// answer: late answers to earlier requests, interim answers and the head. Heads
 	// of common servers stay below 16 KB.
 	maxPreludeBytes = 128 << 10
+	// lateWriteTime is how long a request may still be written when its answer has
+	// ended with the connection, in milliseconds: bytes that the server reads take a
+	// round trip.
+	lateWriteTime = 200 * clocker.Millis(1)
 )
 
 var skipped = metrics.NewCounter("cowsliphinge_backend_late_answers_total")
@@ -69,19 +73,36 @@
 	target  Target
 	carrier *Carrier
 	stop    func() bool
-	written chan error
+	request *writing
 	whole   bool
 }
 
 // Read reads from the body. It returns io.EOF only behind a whole body.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
-	if errors.Is(err, io.EOF) {
-		a.whole = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if !a.framed() && a.written() != nil {
+		return n, io.ErrUnexpectedEOF // a reset tells the write or the read, not both
+	}
+	a.whole = true
 	return n, err
 }
 
+// framed reports whether the answer shows its end by a length or by chunks, and not by
+// the end of its connection.
+func (a *Answer) framed() bool {
+	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
+}
+
+// written waits a little for the end of the request's writing and returns its error.
+func (a *Answer) written() error {
+	_ = a.conn.SetWriteDeadline(clocker.FromNow(lateWriteTime))
+	<-a.request.done
+	return a.request.err
+}
+
 // Whole reports whether the body was read to its end.
 func (a *Answer) Whole() bool {
 	return a.whole
@@ -96,7 +117,7 @@
 // written, the answer read whole, and nothing came behind it.
 func (a *Answer) Close() {
 	live := a.stop()
-	if !live || !a.whole || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 || !a.sent() || a.conn.reader.Buffered() > 0 {
+	if !live || !a.whole || a.Response.Close || !a.framed() || !a.sent() || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
 	}
@@ -108,8 +129,8 @@
 // sent reports whether the whole request was written.
 func (a *Answer) sent() bool {
 	select {
-	case err := <-a.written:
-		return err == nil
+	case <-a.request.done:
+		return a.request.err == nil
 	default:
 		return false
 	}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -114,25 +114,33 @@
 	if r.HeadTimeout > 0 {
 		_ = cn.SetReadDeadline(clocker.FromNow(r.HeadTimeout))
 	}
-	written := make(chan error, 1)
+	w := &writing{done: make(chan struct{})}
 	message := r.encode()
 	if len(message) <= inlineBytes {
-		_, err := cn.Write(message)
-		if err != nil {
-			return nil, connector.ErrBroken{Cause: err}
+		w.write(cn, message)
+		if w.err != nil {
+			return nil, connector.ErrBroken{Cause: w.err}
 		}
-		written <- nil
 	} else {
-		go func() { // ends when the connection is closed at the latest
-			_, err := cn.Write(message)
-			written <- err
-		}()
+		go w.write(cn, message) // ends when the connection is closed at the latest
 	}
 	resp, err := c.readAnswer(cn, r)
 	if err != nil {
 		return nil, err
 	}
-	return &Answer{Response: resp, conn: cn, written: written}, nil
+	return &Answer{Response: resp, conn: cn, request: w}, nil
+}
+
+// writing is the write of a request.
+type writing struct {
+	done chan struct{}
+	// err may be read once done is closed.
+	err error
+}
+
+func (w *writing) write(cn *conn, message []byte) {
+	defer close(w.done)
+	_, w.err = cn.Write(message)
 }
 
 // encode returns the bytes of the request.
