What a later server's 200 without events means for a stream

- Text or JSON with status 200 of a later server was joined to a begun stream: blocks without data were passed on before that server had shown its place.
They are left out until it has.
An answer that is signed, ends by its length or its last chunk and has no byte at all ends the stream now; so it does for a caller that resumes by itself, who got 502 before.
Trusted on the same ground as the first server's end.

--- a/relayer/position.go
+++ b/relayer/position.go
@@ -38,7 +38,9 @@
 	var out []byte
 	for _, e := range events {
 		if e.ignored() {
-			out = append(out, e.bytes...)
+			if p.placed() {
+				out = append(out, e.bytes...)
+			}
 			continue
 		}
 		if !p.follows(e) {
@@ -69,8 +71,18 @@
 	return p.last == unnumbered || e.id <= p.last+1
 }
 
-// ended reports whether the end of the present server's answer ends the stream: it
-// has shown the last event that the caller has.
-func (p *position) ended() bool {
-	return p.shown > 0 && p.reached == p.last
+// placed reports whether the present server has got to the last event that the caller
+// has.
+func (p *position) placed() bool {
+	return p.reached == p.last
+}
+
+// ended reports whether the end of the present server's answer ends the stream: the
+// server has shown the last event that the caller has, or had nothing to send after it
+// (empty).
+func (p *position) ended(empty bool) bool {
+	if empty {
+		return p.last != unnumbered
+	}
+	return p.shown > 0 && p.placed()
 }
