A 408 or 429 that is not passed on is no failure of its server

Found by the review: where such an answer ends an order as outcome_unknown, or does not go on with a stream, the server was marked as failing, which steers requests away from it.

Before: TestServersRefusalWithoutNotRunIsNotPassedOnForOrders, with the outcome of the server checked, fails for 408 and 429; after: it passes. promisesNotRun is the plainer name of callersRepeatBehind.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -26,11 +26,15 @@
 // whole reads an answer to its end and passes it on, or returns why it is not
 // whole.
 func (x *exchange) whole(server chooser.Server, answer *carrier.Answer) (refusal, bool) {
+	outcome := chooser.Answered
+	if answer.StatusCode >= http.StatusInternalServerError {
+		outcome = chooser.Failed
+	}
 	if x.reply.begun { // events of an earlier server: only a stream can go on there
-		return x.finish(server, chooser.Failed, notContinued), true
+		return x.finish(server, outcome, notContinued), true
 	}
-	if callersRepeatBehind(answer.StatusCode) && !x.route.Repeatable() {
-		return x.finish(server, chooser.Failed, outcomeUnknown), true
+	if promisesNotRun(answer.StatusCode) && !x.route.Repeatable() {
+		return x.finish(server, outcome, outcomeUnknown), true
 	}
 	answer.Within(max(1, x.left()))
 	body, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
@@ -45,22 +49,23 @@
 		}
 		return x.finish(server, chooser.Broken, outcomeUnknown), true
 	}
-	if answer.StatusCode >= http.StatusInternalServerError {
-		f := x.finish(server, chooser.Failed, serverFailed)
-		if x.repeatable() {
-			x.failure = &failedAnswer{head: answer, body: body}
-			return f, true
-		}
-	} else {
-		x.finish(server, chooser.Answered, refusal{})
+	if outcome == chooser.Answered {
+		x.finish(server, outcome, refusal{})
+		x.passWhole(answer, body)
+		return refusal{}, false
+	}
+	f := x.finish(server, outcome, serverFailed)
+	if x.repeatable() {
+		x.failure = &failedAnswer{head: answer, body: body}
+		return f, true
 	}
 	x.passWhole(answer, body)
 	return refusal{}, false
 }
 
-// callersRepeatBehind reports whether callers take the status for a promise that the
-// request has not run. A server that means that says so, see refused.
-func callersRepeatBehind(status int) bool {
+// promisesNotRun reports whether callers take the status for a promise that the request
+// has not run. A server that means that also says so in a header, see refused.
+func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
--- a/relayer/ending_test.go
+++ b/relayer/ending_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/chooser"
 	"cowsliphinge/matcher"
 )
 
@@ -203,6 +204,7 @@
 			got := order.call(t, "POST", "/r/", "order")
 			assert.Equal(t, got.status, 502)
 			assert.Equal(t, got.header.Get("X-Sign"), "")
+			assert.Equal(t, order.shell.outcomes[0] == chooser.Failed, status == 503)
 		}
 		read := newWorld(t, matcher.Route{Kind: matcher.Safe}, newBackend(t, answer(status, "busy")))
 		got := read.call(t, "GET", "/r/", "")
