A collected completion holds the text of one run

Callers of a completion without stream got 200 with the first part of one run followed by the whole text of the next. Cause: an engine broke off, its stream could not be resumed, and recover started another run (allowed, the caller had nothing yet), while Collect kept the text of the first in a local variable. The usage of a run that broke off behind its last event was kept the same way. Now the stream owns both, and forget drops them with the event number.

Ruled out: Copy has delivered at least one event before it can get there, so that recover ends the answer instead.

--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -47,7 +47,6 @@
 
 // Collect returns the stream as one whole answer.
 func (s *Stream) Collect(ctx context.Context) (*Answer, *Refusal) {
-	var text strings.Builder
 	for {
 		event, refusal := s.following(ctx)
 		if refusal != nil {
@@ -56,11 +55,11 @@
 		if event.Done() {
 			break
 		}
-		appendContent(&text, event.Data)
+		appendContent(&s.text, event.Data)
 	}
 	s.complete(ctx)
 	defer s.end(s.usage.Total())
-	body, err := json.Marshal(newCompletion(s.call, text.String(), s.usage))
+	body, err := json.Marshal(newCompletion(s.call, s.text.String(), s.usage))
 	if err != nil {
 		return nil, NewRefusal(CodeAnswerBroken, s.call.RequestID, false, err.Error())
 	}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -38,9 +39,11 @@
 	// delivered counts events, and contentBytes their size, that went to the caller.
 	delivered    int64
 	contentBytes int64
-	usage        Usage
-	hasUsage     bool
-	resumes      int
+	// text is what Collect has of the present run.
+	text     strings.Builder
+	usage    Usage
+	hasUsage bool
+	resumes  int
 }
 
 // StartCompletion hands a chat completion to a model engine and returns once
@@ -269,9 +272,17 @@
 	if !s.again(ctx, "broken_stream") {
 		return NewRefusal(CodeOutcomeUnknown, s.call.RequestID, false, fmt.Sprintf("the answer broke off: %v", cause))
 	}
+	s.forget()
+	return s.open(ctx)
+}
+
+// forget drops what came of a run, before another run of the same request.
+func (s *Stream) forget() {
 	s.last = 0
 	s.resumes = 0
-	return s.open(ctx)
+	s.text.Reset()
+	s.usage = Usage{}
+	s.hasUsage = false
 }
 
 // abort ends a stream of which the caller got nothing.
