A stream that broke off ends without the last chunk

A caller that reads the body and ignores the type of events saw an incomplete stream as a whole HTTP message: behind the error event Copy returned normally from the body writer, and fasthttp wrote the last chunk. Now Copy returns nil only behind [DONE], and the body counts as broken unless its writer returned nil: Read then gives an error other than io.EOF, and fasthttp closes the connection without the last chunk.

Open: if the caller has sent more bytes that nobody has read (a pipelined request), the kernel resets the connection on close, and the error event can be lost with it; the answer is visibly broken then too.

The router's matrix now asks for io.ErrUnexpectedEOF behind an error event and io.EOF behind [DONE].

--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -14,8 +14,9 @@
 	"cowsliphinge/streamer"
 )
 
-// Copy delivers the stream as server-sent events. An answer that breaks off
-// ends with an event of type error that holds the Refusal. The error tells that
+// Copy delivers the stream as server-sent events. It returns nil only once the
+// whole answer is written. An answer that breaks off ends with an event of type
+// error that holds the Refusal, which is returned too; another error tells that
 // the caller left.
 func (s *Stream) Copy(ctx context.Context, w *bufio.Writer) error {
 	for {
@@ -23,7 +24,10 @@
 		if refusal != nil {
 			s.breakOff(ctx)
 			writeError(w, refusal)
-			return trace.Wrap(w.Flush())
+			if err := w.Flush(); err != nil {
+				return trace.Wrap(err)
+			}
+			return refusal
 		}
 		if event.Done() {
 			s.complete(ctx)
--- a/listener/serve.go
+++ b/listener/serve.go
@@ -68,9 +68,9 @@
 	ctx.Response.Header.Set(connector.RequestIDHeader, call.RequestID)
 	ctx.Response.Header.Set("Cache-Control", "no-store")
 	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		_ = stream.Copy(l.ctx, w) // the caller left; it is counted and billed there
-	})
+	ctx.Response.SetBodyStream(newStreamBody(func(w *bufio.Writer) error {
+		return stream.Copy(l.ctx, w)
+	}), -1)
 }
 
 func (l *Listener) serveApplication(ctx *fasthttp.RequestCtx, call dispatcher.Call, path string) {
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -36,3 +40,56 @@
 	got, _ := collected(t, s)
 	assert.Equal(t, got, text("e2"))
 }
+
+// Guards against an incomplete stream framed as complete: the error event was
+// followed by the last chunk, so that the HTTP message looked whole.
+func TestBrokenStreamEndsWithoutTheLastChunk(t *testing.T) {
+	for _, keepAlive := range []bool{false, true} {
+		b := &backend{name: "e1", call: reply{head: eventsHead, body: chunk(words("e1", 1, 2))}}
+		w := newWorld(t, true, b)
+		raw := closing("/v1/chat/completions", "", streamedDraft)
+		if keepAlive {
+			raw = request("/v1/chat/completions", auth, streamedDraft)
+		}
+		s := w.call(t, raw)
+		assert.Equal(t, s.status, 200)
+		assert.Assert(t, strings.Contains(s.body, `"Code":"AnswerBroken"`), s.body)
+		assert.Assert(t, strings.HasSuffix(s.body, "}\n\n"), "the error event is cut: %s", s.body)
+		assert.Assert(t, !s.ended, "%q", s.raw)
+		assert.Assert(t, !strings.HasSuffix(string(s.raw), lastChunk), "%q", s.raw)
+	}
+}
+
+// Guards against a whole stream that is taken for a broken one.
+func TestWholeStreamEndsWithTheLastChunk(t *testing.T) {
+	events := words("e1", 1, 3) + ending(4, "stop") + doneEvent
+	w := newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+	s := w.call(t, closing("/v1/chat/completions", "", streamedDraft))
+	assert.Equal(t, s.body, events)
+	assert.Assert(t, s.ended)
+	assert.Assert(t, strings.HasSuffix(string(s.raw), lastChunk), "%q", s.raw)
+}
+
+// Guards against an incomplete stream framed as complete when the listener is
+// aborted while the engine still sends.
+func TestAbortInAStreamBreaksIt(t *testing.T) {
+	b := &backend{name: "e1", call: reply{head: eventsHead, body: chunk(words("e1", 1, 2))}, hold: make(chan struct{})}
+	defer close(b.hold)
+	w := newWorld(t, true, b)
+	conn, err := net.Dial("tcp", w.address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(hangLimit)))
+	_, err = io.WriteString(conn, closing("/v1/chat/completions", "", streamedDraft))
+	assert.NilError(t, err)
+	var raw []byte
+	for !strings.Contains(string(raw), "e1-2") {
+		var part [512]byte
+		n, err := conn.Read(part[:])
+		assert.NilError(t, err)
+		raw = append(raw, part[:n]...)
+	}
+	assert.NilError(t, w.stop())
+	rest, _ := io.ReadAll(conn) // a reset breaks it as visibly as an early end
+	assert.Assert(t, !parse(t, append(raw, rest...)).ended)
+}
--- a/listener/world_test.go
+++ b/listener/world_test.go
@@ -45,6 +45,9 @@
 	call, resume reply
 	// down is true if no connection comes about.
 	down bool
+	// hold keeps the connection open behind an answer until it is closed; nil
+	// does not.
+	hold chan struct{}
 	// notRun is true if the answer to a call says that it did not run.
 	notRun bool
 
@@ -104,6 +107,9 @@
 	}
 	head := strings.ReplaceAll(r.head, "%s", request.Header.Get("X-Request-Id"))
 	_, _ = io.WriteString(conn, head+r.body) // the router may have closed the connection
+	if b.hold != nil && !resumed {
+		<-b.hold
+	}
 }
 
 // world is a listener with its dispatcher and connector before prepared backend
--- a/router/matrix_test.go
+++ b/router/matrix_test.go
@@ -79,9 +79,13 @@
 		case string(event.Name) == "error":
 			r.refusal = &dispatcher.Refusal{}
 			assert.NilError(t, json.Unmarshal(event.Data, r.refusal))
+			_, err := reader.Next()
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "a broken answer must not end properly")
 			return r
 		case event.Done():
 			r.whole = true
+			_, err := reader.Next()
+			assert.ErrorIs(t, err, io.EOF, "a whole answer must end properly")
 			return r
 		}
 		r.add(t, event.Data)
