An error that an engine sends in its stream breaks the answer off

Engines tell a failed run by an event of type error, or by an object with an error, and send [DONE] behind it. Callers of a stream got it as one more event without its type and then [DONE], a proper end; callers without stream got 200 with the text so far. Now such an event counts as a break: elsewhere if the caller has nothing yet and the service is idempotent, else AnswerBroken. The stream is not resumed, because the same run would only tell the same again. The cause of a left-out event is named too; it read "<nil>" before.

Ruled out: text that holds the word is not taken for an error (TestTextAboutAnErrorIsPassedOn, passes before and after).

Before: TestErrorOfAnEngineIsNotAnEnd/error_event: strings.Contains(s.body, doneEvent) is true: ... data: {"message":"out of memory"} data: [DONE] (the same in error_event_first, error_object, numbered_error) TestErrorOfAnEngineIsTriedElsewhere: got the event of the first server and [DONE] instead of the answer of the second After: ok, go test -race ./listener ./dispatcher.

--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -219,10 +220,13 @@
 func (s *Stream) next(ctx context.Context) (streamer.Event, *Refusal) {
 	for {
 		event, err := s.reader.Next()
-		switch {
-		case err == nil && event.ID != 0 && event.ID <= s.last:
+		if err == nil && event.ID != 0 && event.ID <= s.last {
 			continue
-		case err == nil && (event.ID == 0 || event.ID == s.last+1):
+		}
+		if err == nil {
+			err = s.check(event)
+		}
+		if err == nil {
 			return s.accept(event)
 		}
 		s.closeAnswer()
@@ -232,6 +236,14 @@
 	}
 }
 
+// check tells why an event does not go on with the answer.
+func (s *Stream) check(event streamer.Event) error {
+	if event.ID > s.last+1 {
+		return errEventMissing
+	}
+	return failureIn(event)
+}
+
 func (s *Stream) accept(event streamer.Event) (streamer.Event, *Refusal) {
 	if event.ID != 0 {
 		s.last = event.ID
@@ -261,7 +273,7 @@
 	if s.d.cfg.Clock.Now() >= s.call.Deadline {
 		return NewRefusal(CodeDeadlineExceeded, s.call.RequestID, false, "deadline passed before the answer was whole")
 	}
-	if s.resume() {
+	if !errors.Is(cause, errRunFailed) && s.resume() {
 		return nil
 	}
 	if s.delivered > 0 || s.call.After > 0 || !s.call.Service.Idempotent {
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -93,3 +93,47 @@
 	rest, _ := io.ReadAll(conn) // a reset breaks it as visibly as an early end
 	assert.Assert(t, !parse(t, append(raw, rest...)).ended)
 }
+
+// failures are streams in which an engine says that its run failed, all with
+// [DONE] and proper framing behind it.
+var failures = map[string]string{
+	"error event":       words("e1", 1, 2) + "event: error\ndata: {\"message\":\"out of memory\"}\n\n" + doneEvent,
+	"error event first": "event: error\ndata: {\"message\":\"out of memory\"}\n\n" + doneEvent,
+	"error object":      words("e1", 1, 2) + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n" + doneEvent,
+	"numbered error":    words("e1", 1, 2) + "id: 3\ndata: {\"error\":{\"message\":\"out of memory\"}}\n\n" + doneEvent,
+}
+
+// Guards against an engine's own error passed on as one more event, with [DONE]
+// behind it, or left out of a collected answer.
+func TestErrorOfAnEngineIsNotAnEnd(t *testing.T) {
+	for name, events := range failures {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+			s := w.call(t, closing("/v1/chat/completions", "", streamedDraft))
+			assert.Assert(t, !strings.Contains(s.body, doneEvent), s.body)
+			assert.Assert(t, !s.ended || s.status != 200, "%q", s.raw)
+			w = newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+			s = w.call(t, closing("/v1/chat/completions", "", collectedDraft))
+			assert.Assert(t, s.status != 200, s.body)
+		})
+	}
+}
+
+// Guards against an answer that is not tried elsewhere although the caller has
+// nothing of it.
+func TestErrorOfAnEngineIsTriedElsewhere(t *testing.T) {
+	first := &backend{name: "e1", call: eventsReply(failures["error event first"])}
+	events := words("e2", 1, 3) + ending(4, "stop") + doneEvent
+	w := newWorld(t, true, first, &backend{name: "e2", call: eventsReply(events)})
+	s := w.call(t, closing("/v1/chat/completions", "", streamedDraft))
+	assert.Equal(t, s.body, events)
+}
+
+// Guards against a text that holds the word and is taken for an error.
+func TestTextAboutAnErrorIsPassedOn(t *testing.T) {
+	events := "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"\\\"error\\\": 1\"}}],\"error\":null}\n\n" +
+		"id: 2\ndata: {\"choices\":[{\"delta\":{\"tool_calls\":[{\"error\":1}]}}]}\n\n" + ending(3, "stop") + doneEvent
+	w := newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+	s := w.call(t, closing("/v1/chat/completions", "", streamedDraft))
+	assert.Equal(t, s.body, events)
+}
