The part of a cancelled run does not pass for a whole answer

A stream may be cancelled by others while a caller reads it: two callers with one key share a run and one leaves, the second host of a dead one takes the stream up, or a keyed repeat meets the run that its first caller left (the engine answers 409, and the router resumes). The engine then ends the stream with finish_reason "cancelled" (vLLM: "abort") and [DONE], and the caller got the part as a whole answer. Now that event counts as a break like an error of the engine: a collected completion runs elsewhere, a stream ends with AnswerBroken.

Open: a keyed stream repeated at the engine that holds the cancelled run is broken visibly each time until the engine forgets the run; it may take the part before the router sees the end. Before, it was cut silently.

--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -4,33 +4,55 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"cowsliphinge/streamer"
 )
 
 var (
 	errEventMissing = errors.New("the model engine left out an event")
-	errRunFailed    = errors.New("the model engine says that its run failed")
+	errRunFailed    = errors.New("the model engine says that its run failed or was cancelled")
 )
 
-// failureIn returns errRunFailed if an event says that the run failed: an event
-// of type error, or an object with an error. What follows it, [DONE] included,
-// does not make the answer whole.
+// cancelReasons are the finish reasons of a run that was cancelled, as the
+// stream protocol and vLLM name them.
+var cancelReasons = []string{"cancelled", "abort"}
+
+// failureIn returns errRunFailed if an event says that the run failed or was
+// cancelled. What follows it, [DONE] included, does not make the answer whole.
 func failureIn(event streamer.Event) error {
 	if string(event.Name) == "error" {
 		return errRunFailed
 	}
-	if !bytes.Contains(event.Data, []byte(`"error"`)) {
+	if !mayTellFailure(event.Data) {
 		return nil
 	}
 	var told struct {
-		Error json.RawMessage `json:"error"`
+		Error   json.RawMessage `json:"error"`
+		Choices []struct {
+			FinishReason string `json:"finish_reason"`
+		} `json:"choices"`
 	}
 	if err := json.Unmarshal(event.Data, &told); err != nil {
 		return nil // text for the caller to read, in a form that is not known here
 	}
-	if len(told.Error) == 0 || string(told.Error) == "null" {
-		return nil
+	if len(told.Error) > 0 && string(told.Error) != "null" {
+		return errRunFailed
+	}
+	for _, c := range told.Choices {
+		if slices.Contains(cancelReasons, c.FinishReason) {
+			return errRunFailed
+		}
+	}
+	return nil
+}
+
+// mayTellFailure spares most events from being decoded.
+func mayTellFailure(data []byte) bool {
+	if bytes.Contains(data, []byte(`"error"`)) {
+		return true
 	}
-	return errRunFailed
+	return slices.ContainsFunc(cancelReasons, func(reason string) bool {
+		return bytes.Contains(data, []byte(`"`+reason+`"`))
+	})
 }
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -137,3 +137,18 @@
 	s := w.call(t, closing("/v1/chat/completions", "", streamedDraft))
 	assert.Equal(t, s.body, events)
 }
+
+// Guards against the part of a cancelled run that looks like a whole answer:
+// another caller of the same stream, or the host that takes it up, cancelled it.
+func TestCancelledRunIsNotAnEnd(t *testing.T) {
+	for _, reason := range []string{"cancelled", "abort"} {
+		events := words("e1", 1, 2) + ending(3, reason) + doneEvent
+		w := newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+		s := w.call(t, closing("/v1/chat/completions", "", streamedDraft))
+		assert.Assert(t, !strings.Contains(s.body, doneEvent), s.body)
+		assert.Assert(t, !s.ended, "%q", s.raw)
+		w = newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+		s = w.call(t, closing("/v1/chat/completions", "", collectedDraft))
+		assert.Assert(t, s.status != 200, s.body)
+	}
+}
