A collected completion keeps the engine's finish reason

Callers without stream were told "stop", the end of the model's own answer, for each completion, also for one that was cut at max_tokens ("length"). The reason was a constant; it is now the one that the engine names, "stop" if it names none.

Before: TestCollectedCompletionKeepsTheFinishReason: wire_test.go:162: assertion failed: stop (reason string) != length (string) After: ok, go test -race ./listener ./dispatcher.

--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -59,11 +58,11 @@
 		if event.Done() {
 			break
 		}
-		appendContent(&s.text, event.Data)
+		s.collect(event.Data)
 	}
 	s.complete(ctx)
 	defer s.end(s.usage.Total())
-	body, err := json.Marshal(newCompletion(s.call, s.text.String(), s.usage))
+	body, err := json.Marshal(s.completion())
 	if err != nil {
 		return nil, NewRefusal(CodeAnswerBroken, s.call.RequestID, false, err.Error())
 	}
@@ -152,16 +151,20 @@
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
 }
 
-func appendContent(text *strings.Builder, data []byte) {
+func (s *Stream) collect(data []byte) {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return
 	}
 	for _, choice := range c.Choices {
-		text.WriteString(choice.Delta.Content)
+		s.text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != "" {
+			s.finishReason = choice.FinishReason
+		}
 	}
 }
 
@@ -179,16 +182,21 @@
 	FinishReason string  `json:"finish_reason"`
 }
 
-func newCompletion(call Call, text string, usage Usage) completion {
+func (s *Stream) completion() completion {
+	reason := s.finishReason
+	if reason == "" {
+		reason = "stop" // the engine named none
+	}
+	usage := s.usage
 	usage.TotalTokens = usage.Total()
 	return completion{
-		ID:     call.RequestID,
+		ID:     s.call.RequestID,
 		Object: "chat.completion",
-		Model:  call.Completion.Model,
+		Model:  s.call.Completion.Model,
 		Usage:  usage,
 		Choices: []completionChoice{{
-			Message:      Message{Role: "assistant", Content: text},
-			FinishReason: "stop",
+			Message:      Message{Role: "assistant", Content: s.text.String()},
+			FinishReason: reason,
 		}},
 	}
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -40,11 +40,12 @@
 	// delivered counts events, and contentBytes their size, that went to the caller.
 	delivered    int64
 	contentBytes int64
-	// text is what Collect has of the present run.
-	text     strings.Builder
-	usage    Usage
-	hasUsage bool
-	resumes  int
+	// text and finishReason are what Collect has of the present run.
+	text         strings.Builder
+	finishReason string
+	usage        Usage
+	hasUsage     bool
+	resumes      int
 }
 
 // StartCompletion hands a chat completion to a model engine and returns once
@@ -293,6 +294,7 @@
 	s.last = 0
 	s.resumes = 0
 	s.text.Reset()
+	s.finishReason = ""
 	s.usage = Usage{}
 	s.hasUsage = false
 }
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -152,3 +152,12 @@
 		assert.Assert(t, s.status != 200, s.body)
 	}
 }
+
+// Guards against an answer cut at max_tokens that is told to have come to its end.
+func TestCollectedCompletionKeepsTheFinishReason(t *testing.T) {
+	events := words("e1", 1, 3) + ending(4, "length") + doneEvent
+	w := newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+	got, reason := collected(t, w.call(t, closing("/v1/chat/completions", "", collectedDraft)))
+	assert.Equal(t, got, text("e1"))
+	assert.Equal(t, reason, "length")
+}
