An event that cannot be read breaks a collected completion

A collected completion left out each event whose data was not JSON, without a log line or a trace: callers got 200 with a text that lacked a piece. It is now AnswerBroken. An event without data (a sign of life) is left out as before.

--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 
 	"github.com/gravitational/trace"
@@ -58,7 +59,10 @@
 		if event.Done() {
 			break
 		}
-		s.collect(event.Data)
+		if err := s.collect(event.Data); err != nil {
+			refusal := NewRefusal(CodeAnswerBroken, s.call.RequestID, false, fmt.Sprintf("an event of the model engine cannot be read: %v", err))
+			return nil, s.abort(ctx, refusal)
+		}
 	}
 	s.complete(ctx)
 	defer s.end(s.usage.Total())
@@ -155,10 +159,13 @@
 	} `json:"choices"`
 }
 
-func (s *Stream) collect(data []byte) {
+func (s *Stream) collect(data []byte) error {
+	if len(data) == 0 {
+		return nil // a sign of life
+	}
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
-		return
+		return trace.Wrap(err)
 	}
 	for _, choice := range c.Choices {
 		s.text.WriteString(choice.Delta.Content)
@@ -166,6 +173,7 @@
 			s.finishReason = choice.FinishReason
 		}
 	}
+	return nil
 }
 
 type completion struct {
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -161,3 +161,18 @@
 	assert.Equal(t, got, text("e1"))
 	assert.Equal(t, reason, "length")
 }
+
+// Guards against a collected completion that lacks the text of an event which
+// could not be read.
+func TestUnreadableEventBreaksACollectedCompletion(t *testing.T) {
+	events := word("e1", 1) + "id: 2\ndata: {\"choices\":\n\n" + word("e1", 3) + ending(4, "stop") + doneEvent
+	w := newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+	s := w.call(t, closing("/v1/chat/completions", "", collectedDraft))
+	assert.Equal(t, s.status, 502, s.body)
+	assert.Assert(t, strings.Contains(s.body, `"Code":"AnswerBroken"`), s.body)
+
+	events = word("e1", 1) + "event: ping\n\n" + words("e1", 2, 3) + ending(4, "stop") + doneEvent
+	w = newWorld(t, true, &backend{name: "e1", call: eventsReply(events)})
+	got, _ := collected(t, w.call(t, closing("/v1/chat/completions", "", collectedDraft)))
+	assert.Equal(t, got, text("e1"))
+}
