A killed router sends nothing any more

TestStreamOfADeadHostIsResumed passed on an answer of 7 of 234 tokens. The killed router of a test lives on in the process: it found its caller gone and cancelled the stream at the engine, which a crashed host cannot do. The engine ended the cancelled run with [DONE], and the test compared the text with as many tokens as the usage named.

--- a/router/router.go
+++ b/router/router.go
@@ -54,6 +54,7 @@
 	incarnation string
 	ready       atomic.Bool
 	started     atomic.Bool // the parts that beat asks are there
+	killed      atomic.Bool
 	leaving     chan struct{}
 	callerTLS   *tls.Config // towards the callers' listeners of other routers
 	cancel      context.CancelFunc
@@ -201,9 +202,10 @@
 }
 
 // Kill ends the router as a crash would: connections break, nothing is
-// returned or written.
+// returned, written or sent.
 func (r *Router) Kill() error {
 	r.ready.Store(false)
+	r.killed.Store(true)
 	r.cancel()
 	return trace.NewAggregate(r.server.Close(), r.listener.Abort())
 }
@@ -229,6 +231,9 @@
 }
 
 func (r *Router) reaches(address string) bool {
+	if r.killed.Load() {
+		return false
+	}
 	return r.cfg.Network == nil || r.cfg.Network.Reaches(r.cfg.Settings.Host, address)
 }
 
