Last-Event-ID goes on only in the run that the caller has a part of

A repeat with Last-Event-ID at a host that did not know the stream started another run and left out as many of its events as the caller had: the caller joined pieces of two runs, ended with [DONE]. It is now refused with AnswerBroken (NotRun false), and says that a repeat without Last-Event-ID gets another run. Without stream, the rest of the text was told as the whole of it; that is BadRequest now.

Ruled out: in the middle of a stream recover starts no other run for such a caller (it looks at After). Price: a repeat that would have met its own run by chance (the balancer chose the same engine, which answered 409) is refused too.

--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -65,7 +65,7 @@
 	}
 	s := &Stream{run: r, body: body, last: call.After}
 	if !s.adopt() {
-		if refusal := s.open(ctx); refusal != nil {
+		if refusal := s.begin(ctx); refusal != nil {
 			return nil, s.abort(ctx, refusal)
 		}
 	}
@@ -120,6 +120,14 @@
 	})
 }
 
+// begin opens the stream of a new run, of which the caller can have no part.
+func (s *Stream) begin(ctx context.Context) *Refusal {
+	if s.call.After > 0 {
+		return NewRefusal(CodeAnswerBroken, s.call.RequestID, false, "the run of which the caller has a part is not found; repeat without Last-Event-ID for another run")
+	}
+	return s.open(ctx)
+}
+
 // open hands the request to a model engine until one answers with a stream.
 func (s *Stream) open(ctx context.Context) *Refusal {
 	for {
--- a/listener/serve.go
+++ b/listener/serve.go
@@ -61,6 +61,9 @@
 	if err != nil || call.After < 0 || call.IdempotencyKey == "" {
 		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Last-Event-ID: must be an event number of a request with an Idempotency-Key")
 	}
+	if call.After > 0 && !completion.Stream {
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Last-Event-ID: needs stream to be true")
+	}
 	return nil
 }
 
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cowsliphinge/messenger"
 )
 
 // eventsReply is a streamed answer with the given events and proper framing.
@@ -176,3 +178,31 @@
 	got, _ := collected(t, w.call(t, closing("/v1/chat/completions", "", collectedDraft)))
 	assert.Equal(t, got, text("e1"))
 }
+
+// Guards against pieces of two runs in one answer: a repeat with Last-Event-ID
+// started another run and left out as many of its events as the caller had.
+func TestLastEventIDGoesOnOnlyInTheSameRun(t *testing.T) {
+	b := &backend{name: "e1", call: eventsReply(words("e1", 1, 3) + ending(4, "stop") + doneEvent)}
+	w := newWorld(t, true, b)
+	s := w.call(t, closing("/v1/chat/completions", "Idempotency-Key: k\r\nLast-Event-ID: 2\r\n", streamedDraft))
+	assert.Equal(t, s.status, 502, s.body)
+	assert.Assert(t, strings.Contains(s.body, `"NotRun":false`), s.body)
+	assert.Assert(t, !w.mayHaveRun())
+
+	b.resume = eventsReply(word("e1", 3) + ending(4, "stop") + doneEvent)
+	w = newWorld(t, true, b)
+	w.open = &messenger.OpenStream{BackendServer: "e1"}
+	s = w.call(t, closing("/v1/chat/completions", "Idempotency-Key: k\r\nLast-Event-ID: 2\r\n", streamedDraft))
+	assert.Equal(t, s.body, word("e1", 3)+ending(4, "stop")+doneEvent)
+	assert.Assert(t, s.ended)
+	assert.Assert(t, !w.mayHaveRun())
+}
+
+// Guards against the rest of an answer told as the whole of it.
+func TestLastEventIDIsForStreams(t *testing.T) {
+	b := &backend{name: "e1", call: eventsReply(words("e1", 1, 3) + ending(4, "stop") + doneEvent)}
+	w := newWorld(t, true, b)
+	s := w.call(t, closing("/v1/chat/completions", "Idempotency-Key: k\r\nLast-Event-ID: 2\r\n", collectedDraft))
+	assert.Equal(t, s.status, 400, s.body)
+	assert.Assert(t, !w.mayHaveRun())
+}
