A stream without event numbers is not resumed

The router leaves out repeated events by their numbers. A stream without numbers that broke off was resumed behind event 0, its beginning, and the caller got each event so far twice, then [DONE]. The same came of an engine that numbers a stream but not its resumption. Now the first is not resumed (it breaks off visibly, or runs elsewhere if the caller has nothing), and an unnumbered event behind a resumption counts as a break. Events with a name or without data (signs of life) are passed on as before.

Before: TestStreamWithoutNumbersIsNotResumed: wire_test.go:225: assertion failed: 2 (int) != 1 (int): ... e1-1 ... e1-2 ... e1-3 ... e1-1 ... data: [DONE] TestEventsWithoutNumbersDoNotFollowNumberedOnes: wire_test.go:245: assertion failed: 2 (int) != 1 (int) After: ok, go test -race ./listener ./dispatcher, ./router -run 'Matrix|Resumed'.

--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -10,10 +10,17 @@
 )
 
 var (
-	errEventMissing = errors.New("the model engine left out an event")
-	errRunFailed    = errors.New("the model engine says that its run failed or was cancelled")
+	errEventMissing    = errors.New("the model engine left out an event")
+	errEventUnnumbered = errors.New("the model engine resumed the stream without event numbers")
+	errRunFailed       = errors.New("the model engine says that its run failed or was cancelled")
 )
 
+// unnumbered reports whether an event is a part of the answer without a number,
+// so that it cannot be told from one that came before.
+func unnumbered(event streamer.Event) bool {
+	return event.ID == 0 && !event.Done() && len(event.Name) == 0 && len(event.Data) > 0
+}
+
 // cancelReasons are the finish reasons of a run that was cancelled, as the
 // stream protocol and vLLM name them.
 var cancelReasons = []string{"cancelled", "abort"}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -37,6 +37,8 @@
 	hasPending bool
 	// last is the number of the last event that was read.
 	last int64
+	// unnumbered is true if an event came that a resumption could repeat.
+	unnumbered bool
 	// delivered counts events, and contentBytes their size, that went to the caller.
 	delivered    int64
 	contentBytes int64
@@ -206,7 +208,7 @@
 
 // resume goes on with the stream on a new connection behind the last event.
 func (s *Stream) resume() bool {
-	if s.resumes >= maxAttempts || s.choice.Server == nil {
+	if s.unnumbered || s.resumes >= maxAttempts || s.choice.Server == nil {
 		return false
 	}
 	s.resumes++
@@ -247,8 +249,11 @@
 
 // check tells why an event does not go on with the answer.
 func (s *Stream) check(event streamer.Event) error {
-	if event.ID > s.last+1 {
+	switch {
+	case event.ID > s.last+1:
 		return errEventMissing
+	case unnumbered(event) && s.resumes > 0 && s.last > 0:
+		return errEventUnnumbered
 	}
 	return failureIn(event)
 }
@@ -257,6 +262,9 @@
 	if event.ID != 0 {
 		s.last = event.ID
 	}
+	if unnumbered(event) {
+		s.unnumbered = true
+	}
 	if bytes.Contains(event.Data, []byte(`"usage"`)) {
 		s.readUsage(event.Data)
 	}
@@ -300,6 +308,7 @@
 // forget drops what came of a run, before another run of the same request.
 func (s *Stream) forget() {
 	s.last = 0
+	s.unnumbered = false
 	s.resumes = 0
 	s.text.Reset()
 	s.finishReason = ""
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -206,3 +206,42 @@
 	assert.Equal(t, s.status, 400, s.body)
 	assert.Assert(t, !w.mayHaveRun())
 }
+
+// unnumbered are the words of a run without event numbers.
+func unnumbered(run string) string {
+	return strings.NewReplacer("id: 1\n", "", "id: 2\n", "", "id: 3\n", "").Replace(words(run, 1, 3))
+}
+
+// Guards against events delivered twice: a stream without event numbers was
+// resumed behind event 0, which is its beginning.
+func TestStreamWithoutNumbersIsNotResumed(t *testing.T) {
+	events := unnumbered("e1") + doneEvent
+	b := &backend{
+		name:   "e1",
+		call:   reply{head: eventsHead, body: chunk(unnumbered("e1"))},
+		resume: eventsReply(events),
+	}
+	s := newWorld(t, true, b).call(t, closing("/v1/chat/completions", "", streamedDraft))
+	assert.Equal(t, strings.Count(s.body, "e1-1 "), 1, s.body)
+	assert.Assert(t, !s.ended)
+	s = newWorld(t, true, b).call(t, closing("/v1/chat/completions", "", collectedDraft))
+	assert.Equal(t, strings.Count(s.body, "e1-1 "), 0, s.body)
+
+	b.call = eventsReply(events)
+	s = newWorld(t, true, b).call(t, closing("/v1/chat/completions", "", streamedDraft))
+	assert.Equal(t, s.body, events)
+	assert.Assert(t, s.ended)
+}
+
+// Guards against events delivered twice by an engine that numbers the events of
+// a stream, but not those of its resumption.
+func TestEventsWithoutNumbersDoNotFollowNumberedOnes(t *testing.T) {
+	b := &backend{
+		name:   "e1",
+		call:   reply{head: eventsHead, body: chunk(words("e1", 1, 2))},
+		resume: eventsReply(unnumbered("e1") + doneEvent),
+	}
+	s := newWorld(t, true, b).call(t, closing("/v1/chat/completions", "", streamedDraft))
+	assert.Equal(t, strings.Count(s.body, "e1-1 "), 1, s.body)
+	assert.Assert(t, !s.ended)
+}
