An engine's error status alone does not say "not run"

A status from 400 to 499 of a model engine was told as "not run", though the rule is that only X-Not-Run says so: an engine may answer 408 or 499 to work that it began. A claim on the key was released too, so that a repeat could run it again. The refusal says NotRun now only with X-Not-Run, which is read with each error status (only 429 and 503 let another server take the request, as before).

Before: TestErrorStatusOfAnEngineIsNotAWordThatItDidNotRun: wire_test.go:261: 400 Bad Request: {"Code":"BadRequest", ... "NotRun":true, ...} After: ok, go test -race ./listener ./dispatcher, ./router -run 'Matrix|Bad'.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -119,6 +119,12 @@
 	response *fasthttp.Response
 }
 
+// Refused reports whether the backend server took no request now, so that
+// another one may.
+func (a *Answer) Refused() bool {
+	return a.NotRun && (a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable)
+}
+
 // Read reads from a streamed answer.
 func (a *Answer) Read(b []byte) (int, error) {
 	return a.response.BodyStream().Read(b)
@@ -200,16 +206,8 @@
 	return &Answer{
 		Status:      response.StatusCode(),
 		ContentType: string(response.Header.ContentType()),
-		NotRun:      isRefusal(response),
-	}
-}
-
-func isRefusal(response *fasthttp.Response) bool {
-	status := response.StatusCode()
-	if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
-		return false
+		NotRun:      response.StatusCode() >= 400 && string(response.Header.Peek(NotRunHeader)) == "true",
 	}
-	return string(response.Header.Peek(NotRunHeader)) == "true"
 }
 
 func (c *Connector) do(address string, r Request, response *fasthttp.Response) error {
--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -125,7 +125,7 @@
 		r.state = before
 		r.release(picker.Failed)
 		return "not_sent", nil
-	case err == nil && answer.NotRun:
+	case err == nil && answer.Refused():
 		r.state = before
 		r.release(picker.Refused)
 		return "refused_by_server", nil
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -157,7 +157,7 @@
 	if connector.IsErrBroken(err) && s.resume() {
 		return "", nil
 	}
-	if err != nil || answer.NotRun {
+	if err != nil || answer.Refused() {
 		if answer != nil {
 			answer.Close()
 		}
@@ -187,7 +187,9 @@
 func (s *Stream) badRequest(answer *connector.Answer, before State) *Refusal {
 	text, _ := io.ReadAll(io.LimitReader(answer, 1024))
 	answer.Close()
-	s.state = before
+	if answer.NotRun {
+		s.state = before
+	}
 	s.release(picker.Left)
 	return NewRefusal(CodeBadRequest, s.call.RequestID, s.state == NotDispatched, "the model engine refused the request: "+string(text))
 }
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -245,3 +246,23 @@
 	assert.Equal(t, strings.Count(s.body, "e1-1 "), 1, s.body)
 	assert.Assert(t, !s.ended)
 }
+
+func plain(status, headers, body string) reply {
+	return reply{head: "HTTP/1.1 " + status + "\r\nX-Request-Id: %s\r\n" + headers + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), body: body}
+}
+
+// Guards against "not run" without the word of the engine: a status from 400 to
+// 499 does not say that the request did not run, X-Not-Run does.
+func TestErrorStatusOfAnEngineIsNotAWordThatItDidNotRun(t *testing.T) {
+	for _, status := range []string{"400 Bad Request", "408 Request Timeout", "429 Too Many Requests", "499 Closed"} {
+		for _, idempotent := range []bool{false, true} {
+			b := &backend{name: "e1", call: plain(status, "", "text")}
+			s := newWorld(t, idempotent, b).call(t, closing("/v1/chat/completions", "Idempotency-Key: k\r\n", streamedDraft))
+			assert.Assert(t, strings.Contains(s.body, `"NotRun":false`), "%s: %s", status, s.body)
+		}
+	}
+	b := &backend{name: "e1", call: plain("400 Bad Request", "X-Not-Run: true\r\n", "text")}
+	s := newWorld(t, false, b).call(t, closing("/v1/chat/completions", "Idempotency-Key: k\r\n", streamedDraft))
+	assert.Equal(t, s.status, 400)
+	assert.Assert(t, strings.Contains(s.body, `"NotRun":true`), s.body)
+}
