A caller of HTTP/1.0 gets a stream once it is whole

fasthttp frames a body of unknown length in chunks for HTTP/1.0 too. Such a caller does not know chunks: it took their sizes for content, and the end of the connection for the end of the answer, also where the answer broke off. It now gets the stream with its length once it is whole, or a refusal. Refusing such callers was weighed: proxies that speak HTTP/1.0 to their upstream would get no stream at all.

--- a/listener/serve.go
+++ b/listener/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -71,11 +73,31 @@
 	ctx.Response.Header.Set(connector.RequestIDHeader, call.RequestID)
 	ctx.Response.Header.Set("Cache-Control", "no-store")
 	ctx.SetContentType("text/event-stream")
+	if !ctx.Request.Header.IsHTTP11() {
+		l.copyWhole(ctx, call, stream)
+		return
+	}
 	ctx.Response.SetBodyStream(newStreamBody(func(w *bufio.Writer) error {
 		return stream.Copy(l.ctx, w)
 	}), -1)
 }
 
+// copyWhole answers a caller that does not know chunks, and could not tell the
+// end of a stream from a break, once the stream is whole.
+func (l *Listener) copyWhole(ctx *fasthttp.RequestCtx, call dispatcher.Call, stream *dispatcher.Stream) {
+	var body bytes.Buffer
+	err := stream.Copy(l.ctx, bufio.NewWriter(&body))
+	var refusal *dispatcher.Refusal
+	if err != nil && !errors.As(err, &refusal) {
+		refusal = dispatcher.NewRefusal(dispatcher.CodeAnswerBroken, call.RequestID, false, err.Error())
+	}
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	ctx.SetBody(body.Bytes())
+}
+
 func (l *Listener) serveApplication(ctx *fasthttp.RequestCtx, call dispatcher.Call, path string) {
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	service := l.cfg.Index().Service(name)
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -266,3 +266,20 @@
 	assert.Equal(t, s.status, 400)
 	assert.Assert(t, strings.Contains(s.body, `"NotRun":true`), s.body)
 }
+
+// Guards against a stream framed in chunks for a caller that does not know them,
+// and whose end is the end of the connection, whole or not.
+func TestCallerOfHTTP10GetsAWholeStreamOrARefusal(t *testing.T) {
+	raw := strings.Replace(closing("/v1/chat/completions", "", streamedDraft), "HTTP/1.1", "HTTP/1.0", 1)
+	events := words("e1", 1, 3) + ending(4, "stop") + doneEvent
+	s := newWorld(t, true, &backend{name: "e1", call: eventsReply(events)}).call(t, raw)
+	assert.Equal(t, s.status, 200)
+	assert.Equal(t, s.header.Get("Content-Length"), fmt.Sprint(len(events)), "%q", s.raw)
+	assert.Equal(t, s.header.Get("Content-Type"), "text/event-stream")
+	assert.Equal(t, s.body, events)
+
+	b := &backend{name: "e1", call: reply{head: eventsHead, body: chunk(words("e1", 1, 2))}}
+	s = newWorld(t, true, b).call(t, raw)
+	assert.Equal(t, s.status, 502, "%q", s.raw)
+	assert.Assert(t, strings.Contains(s.body, `"Code":"AnswerBroken"`), s.body)
+}
