A refusal before the claim does not say "not run" of a keyed request

docs/ERRORS.md promises for a non-idempotent request with a key that "not run" holds for each attempt under the key. Refusals that come before the claim said "not run" although they knew nothing of earlier attempts: an order whose answer was lost, repeated after its service was taken out or its account's key was changed, or with a wrong header, was told that it had not run. They now follow the rule that Draining and Overloaded follow (NeedsClaim; a service that is not known counts as one that needs it). The caller loses nothing: the key may be repeated.

Left: TooLarge and malformed HTTP, where the head was not read as far as the key, and a key above 255 bytes, which no attempt can have run.

--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -32,7 +32,7 @@
 // makeClaim claims a non-idempotent call with a key. It returns the answer of
 // an earlier run, or a refusal, or neither if the call may be dispatched.
 func (r *run) makeClaim(ctx context.Context) (*Answer, *Refusal) {
-	if !r.call.needsClaim() {
+	if !r.call.NeedsClaim() {
 		return nil, nil
 	}
 	decision := r.d.cfg.Claimer.Claim(ctx, claimer.Request{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -125,12 +125,12 @@
 // of budget could not say "not run" of it.
 func (d *Dispatcher) admit(ctx context.Context, call Call, tokens int64) (*run, *Answer, *Refusal) {
 	if !d.enter() {
-		return nil, nil, NewRefusal(CodeDraining, call.RequestID, !call.needsClaim(), "this host takes no new requests")
+		return nil, nil, NewRefusal(CodeDraining, call.RequestID, !call.NeedsClaim(), "this host takes no new requests")
 	}
 	r := &run{d: d, call: call}
 	if !d.cfg.Biller.Room() {
 		d.leave()
-		return nil, nil, NewRefusal(CodeOverloaded, call.RequestID, !call.needsClaim(), "too many bills wait for the platform")
+		return nil, nil, NewRefusal(CodeOverloaded, call.RequestID, !call.NeedsClaim(), "too many bills wait for the platform")
 	}
 	stored, refusal := r.makeClaim(ctx)
 	if stored != nil || refusal != nil {
@@ -147,9 +147,11 @@
 	return r, nil, nil
 }
 
-// needsClaim reports whether the call may run only once under its key.
-func (c Call) needsClaim() bool {
-	return !c.Service.Idempotent && c.IdempotencyKey != ""
+// NeedsClaim reports whether the call may run only once under its key. Until it
+// is claimed, an earlier attempt may have run it. A call whose service is not
+// known counts.
+func (c Call) NeedsClaim() bool {
+	return c.IdempotencyKey != "" && (c.Service == nil || !c.Service.Idempotent)
 }
 
 func (r *run) reserve(ctx context.Context, tokens int64) *Refusal {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -56,7 +56,7 @@
 	d.cfg.Retrier.Attempted()
 	body, err := call.Completion.engineBody()
 	if err != nil {
-		return nil, NewRefusal(CodeBadRequest, call.RequestID, true, err.Error())
+		return nil, NewRefusal(CodeBadRequest, call.RequestID, !call.NeedsClaim(), err.Error())
 	}
 	r, stored, refusal := d.admit(ctx, call, call.Completion.Bound())
 	if stored != nil {
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -161,16 +161,16 @@
 // authenticate finds the client account and fills in what all calls have.
 func (l *Listener) authenticate(ctx *fasthttp.RequestCtx) (dispatcher.Call, *dispatcher.Refusal) {
 	call := dispatcher.Call{Method: string(ctx.Method())}
+	call.IdempotencyKey = string(ctx.Request.Header.Peek("Idempotency-Key"))
 	header := string(ctx.Request.Header.Peek("Authorization"))
 	key, ok := strings.CutPrefix(header, "Bearer ")
 	if ok {
 		call.Account = l.cfg.Index().Authenticate(key)
 	}
 	if call.Account == nil {
-		return call, dispatcher.NewRefusal(dispatcher.CodeUnauthenticated, newID(), true, "Authorization: the bearer key is missing or unknown")
+		return call, dispatcher.NewRefusal(dispatcher.CodeUnauthenticated, newID(), !call.NeedsClaim(), "Authorization: the bearer key is missing or unknown")
 	}
 	call.Authorization = header
-	call.IdempotencyKey = string(ctx.Request.Header.Peek("Idempotency-Key"))
 	call.RequestID = requestID(call.Account.Name, call.IdempotencyKey)
 	if len(call.IdempotencyKey) > maxKeyBytes {
 		return call, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Idempotency-Key: must not be longer than 255 bytes")
@@ -181,14 +181,14 @@
 // setService fills in the service and what depends on it.
 func (l *Listener) setService(ctx *fasthttp.RequestCtx, call *dispatcher.Call, service *messenger.Service, name string) *dispatcher.Refusal {
 	if service == nil {
-		return dispatcher.NewRefusal(dispatcher.CodeUnknownService, call.RequestID, true, "no service serves "+name)
+		return dispatcher.NewRefusal(dispatcher.CodeUnknownService, call.RequestID, !call.NeedsClaim(), "no service serves "+name)
 	}
 	call.Service = service
 	wait := clocker.Millis(service.DefaultDeadlineMs)
 	if header := string(ctx.Request.Header.Peek("X-Request-Deadline-Ms")); header != "" {
 		given, err := strconv.ParseInt(header, 10, 64)
 		if err != nil || given <= 0 || clocker.Millis(given) > maxDeadline {
-			return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "X-Request-Deadline-Ms: must be between 1 and 3600000")
+			return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "X-Request-Deadline-Ms: must be between 1 and 3600000")
 		}
 		wait = clocker.Millis(given)
 	}
@@ -198,7 +198,7 @@
 	case "batch":
 		call.Priority = picker.Batch
 	default:
-		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "X-Priority: must be interactive or batch")
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "X-Priority: must be interactive or batch")
 	}
 	return nil
 }
--- a/listener/serve.go
+++ b/listener/serve.go
@@ -17,7 +17,7 @@
 
 func (l *Listener) serveCompletion(ctx *fasthttp.RequestCtx, call dispatcher.Call) {
 	if !ctx.IsPost() {
-		refuse(ctx, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "method: must be POST"))
+		refuse(ctx, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "method: must be POST"))
 		return
 	}
 	if refusal := l.readCompletion(ctx, &call); refusal != nil {
@@ -45,7 +45,7 @@
 	body := append([]byte(nil), ctx.PostBody()...)
 	completion, err := dispatcher.ParseCompletion(body)
 	if err != nil {
-		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, err.Error())
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), err.Error())
 	}
 	service := l.cfg.Index().LanguageService(completion.Model)
 	if refusal := l.setService(ctx, call, service, "model "+completion.Model); refusal != nil {
@@ -61,10 +61,10 @@
 	}
 	call.After, err = strconv.ParseInt(last, 10, 64)
 	if err != nil || call.After < 0 || call.IdempotencyKey == "" {
-		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Last-Event-ID: must be an event number of a request with an Idempotency-Key")
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "Last-Event-ID: must be an event number of a request with an Idempotency-Key")
 	}
 	if call.After > 0 && !completion.Stream {
-		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Last-Event-ID: needs stream to be true")
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "Last-Event-ID: needs stream to be true")
 	}
 	return nil
 }
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -323,3 +323,26 @@
 	s := newWorld(t, false, b).call(t, raw)
 	assert.Equal(t, s.status, 200, "%q", s.raw)
 }
+
+// Guards against "not run" of a keyed order that an earlier attempt may have
+// run, when the repeat does not come as far as its claim.
+func TestRefusalBeforeTheClaimDoesNotSpeakForTheKey(t *testing.T) {
+	for name, raw := range map[string]string{
+		"bad deadline":    closing("/orders/x", "Idempotency-Key: k\r\nX-Request-Deadline-Ms: soon\r\n", ""),
+		"bad priority":    closing("/orders/x", "Idempotency-Key: k\r\nX-Priority: first\r\n", ""),
+		"unknown service": closing("/gone/x", "Idempotency-Key: k\r\n", ""),
+		"unknown model":   closing("/v1/chat/completions", "Idempotency-Key: k\r\n", strings.Replace(streamedDraft, "draft-1", "gone", 1)),
+		"unknown account": request("/orders/x", "Connection: close\r\nAuthorization: Bearer old\r\nIdempotency-Key: k\r\n", ""),
+	} {
+		s := newWorld(t, false).call(t, raw)
+		assert.Assert(t, s.status >= 400, "%s: %q", name, s.raw)
+		assert.Assert(t, strings.Contains(s.body, `"NotRun":false`), "%s: %s", name, s.body)
+	}
+	for name, raw := range map[string]string{
+		"no key":     closing("/orders/x", "X-Priority: first\r\n", ""),
+		"idempotent": closing("/orders/x", "Idempotency-Key: k\r\nX-Priority: first\r\n", ""),
+	} {
+		s := newWorld(t, name == "idempotent").call(t, raw)
+		assert.Assert(t, strings.Contains(s.body, `"NotRun":true`), "%s: %s", name, s.body)
+	}
+}
