An event whose number came before breaks a stream that was not resumed

The router leaves out an event whose number it has read: a resumed stream may repeat some. It did so in a first stream too, where such an event is another one with a wrong number (several events with one number, or one below 0). Callers got a stream that lacked these events and ended with [DONE]. Only a resumed stream leaves out events now; in a first one the answer breaks off and is not resumed, since its numbers do not tell its events apart. [DONE] needs no number.

Before: TestRepeatedNumbersBreakAStream: wire_test.go:358: id: 1 data: ... e1-1 ... data: [DONE] (events 2 and 3 were missing) After: ok, go test -race ./listener ./dispatcher ./router.

--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -11,6 +11,7 @@
 
 var (
 	errEventMissing    = errors.New("the model engine left out an event")
+	errEventRepeated   = errors.New("the model engine gave two events the same number")
 	errEventUnnumbered = errors.New("the model engine resumed the stream without event numbers")
 	errRunFailed       = errors.New("the model engine says that its run failed or was cancelled")
 )
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -37,7 +37,7 @@
 	hasPending bool
 	// last is the number of the last event that was read.
 	last int64
-	// unnumbered is true if an event came that a resumption could repeat.
+	// unnumbered is true if the events cannot be told apart by their numbers.
 	unnumbered bool
 	// delivered counts events, and contentBytes their size, that went to the caller.
 	delivered    int64
@@ -233,7 +233,7 @@
 func (s *Stream) next(ctx context.Context) (streamer.Event, *Refusal) {
 	for {
 		event, err := s.reader.Next()
-		if err == nil && event.ID != 0 && event.ID <= s.last {
+		if err == nil && s.resumes > 0 && s.came(event) {
 			continue
 		}
 		if err == nil {
@@ -249,11 +249,20 @@
 	}
 }
 
+// came reports whether an event with this number was read before. Only a
+// resumed stream may repeat some.
+func (s *Stream) came(event streamer.Event) bool {
+	return event.ID != 0 && event.ID <= s.last && !event.Done()
+}
+
 // check tells why an event does not go on with the answer.
 func (s *Stream) check(event streamer.Event) error {
 	switch {
 	case event.ID > s.last+1:
 		return errEventMissing
+	case s.came(event):
+		s.unnumbered = true
+		return errEventRepeated
 	case unnumbered(event) && s.resumes > 0 && s.last > 0:
 		return errEventUnnumbered
 	}
--- a/listener/wire_test.go
+++ b/listener/wire_test.go
@@ -346,3 +346,18 @@
 		assert.Assert(t, strings.Contains(s.body, `"NotRun":true`), "%s: %s", name, s.body)
 	}
 }
+
+// Guards against events left out as repeated that the caller never got: an
+// engine that gives several events the same number, or one below 0.
+func TestRepeatedNumbersBreakAStream(t *testing.T) {
+	for _, number := range []string{"1", "-1"} {
+		events := strings.Replace(words("e1", 1, 3), "id: 2\n", "id: "+number+"\n", 1)
+		events = strings.Replace(events, "id: 3\n", "id: "+number+"\n", 1) + doneEvent
+		b := &backend{name: "e1", call: eventsReply(events), resume: eventsReply(events)}
+		s := newWorld(t, true, b).call(t, closing("/v1/chat/completions", "", streamedDraft))
+		assert.Assert(t, strings.Contains(s.body, "e1-3 ") || !s.ended, "%s: %s", number, s.body)
+		assert.Assert(t, strings.Count(s.body, "e1-1 ") <= 1, "%s: %s", number, s.body)
+		s = newWorld(t, true, b).call(t, closing("/v1/chat/completions", "", collectedDraft))
+		assert.Assert(t, strings.Contains(s.body, text("e1")) || s.status != 200, "%s: %s", number, s.body)
+	}
+}
