--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -161,7 +161,7 @@
 
 func (s *Stream) collect(data []byte) error {
 	if len(data) == 0 {
-		return nil // a sign of life
+		return nil // a keep-alive event
 	}
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
