--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -32,7 +32,7 @@
 // makeClaim claims a non-idempotent call with a key. It returns the answer of
 // an earlier run, or a refusal, or neither if the call may be dispatched.
 func (r *run) makeClaim(ctx context.Context) (*Answer, *Refusal) {
-	if !r.call.needsClaim() {
+	if !r.call.NeedsClaim() {
 		return nil, nil
 	}
 	decision := r.d.cfg.Claimer.Claim(ctx, claimer.Request{
@@ -125,7 +125,7 @@
 		r.state = before
 		r.release(picker.Failed)
 		return "not_sent", nil
-	case err == nil && answer.NotRun:
+	case err == nil && answer.Refused():
 		r.state = before
 		r.release(picker.Refused)
 		return "refused_by_server", nil
--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -4,8 +4,8 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
-	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -14,8 +14,9 @@
 	"cowsliphinge/streamer"
 )
 
-// Copy delivers the stream as server-sent events. An answer that breaks off
-// ends with an event of type error that holds the Refusal. The error tells that
+// Copy delivers the stream as server-sent events. It returns nil only once the
+// whole answer is written. An answer that breaks off ends with an event of type
+// error that holds the Refusal, which is returned too; another error tells that
 // the caller left.
 func (s *Stream) Copy(ctx context.Context, w *bufio.Writer) error {
 	for {
@@ -23,7 +24,10 @@
 		if refusal != nil {
 			s.breakOff(ctx)
 			writeError(w, refusal)
-			return trace.Wrap(w.Flush())
+			if err := w.Flush(); err != nil {
+				return trace.Wrap(err)
+			}
+			return refusal
 		}
 		if event.Done() {
 			s.complete(ctx)
@@ -47,7 +51,6 @@
 
 // Collect returns the stream as one whole answer.
 func (s *Stream) Collect(ctx context.Context) (*Answer, *Refusal) {
-	var text strings.Builder
 	for {
 		event, refusal := s.following(ctx)
 		if refusal != nil {
@@ -56,11 +59,14 @@
 		if event.Done() {
 			break
 		}
-		appendContent(&text, event.Data)
+		if err := s.collect(event.Data); err != nil {
+			refusal := NewRefusal(CodeAnswerBroken, s.call.RequestID, false, fmt.Sprintf("an event of the model engine cannot be read: %v", err))
+			return nil, s.abort(ctx, refusal)
+		}
 	}
 	s.complete(ctx)
 	defer s.end(s.usage.Total())
-	body, err := json.Marshal(newCompletion(s.call, text.String(), s.usage))
+	body, err := json.Marshal(s.completion())
 	if err != nil {
 		return nil, NewRefusal(CodeAnswerBroken, s.call.RequestID, false, err.Error())
 	}
@@ -149,17 +155,25 @@
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
 }
 
-func appendContent(text *strings.Builder, data []byte) {
+func (s *Stream) collect(data []byte) error {
+	if len(data) == 0 {
+		return nil // a keep-alive event
+	}
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
-		return
+		return trace.Wrap(err)
 	}
 	for _, choice := range c.Choices {
-		text.WriteString(choice.Delta.Content)
+		s.text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != "" {
+			s.finishReason = choice.FinishReason
+		}
 	}
+	return nil
 }
 
 type completion struct {
@@ -176,16 +190,21 @@
 	FinishReason string  `json:"finish_reason"`
 }
 
-func newCompletion(call Call, text string, usage Usage) completion {
+func (s *Stream) completion() completion {
+	reason := s.finishReason
+	if reason == "" {
+		reason = "stop" // the engine named none
+	}
+	usage := s.usage
 	usage.TotalTokens = usage.Total()
 	return completion{
-		ID:     call.RequestID,
+		ID:     s.call.RequestID,
 		Object: "chat.completion",
-		Model:  call.Completion.Model,
+		Model:  s.call.Completion.Model,
 		Usage:  usage,
 		Choices: []completionChoice{{
-			Message:      Message{Role: "assistant", Content: text},
-			FinishReason: "stop",
+			Message:      Message{Role: "assistant", Content: s.text.String()},
+			FinishReason: reason,
 		}},
 	}
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -35,9 +37,14 @@
 	hasPending bool
 	// last is the number of the last event that was read.
 	last int64
+	// unnumbered is true if the events cannot be told apart by their numbers.
+	unnumbered bool
 	// delivered counts events, and contentBytes their size, that went to the caller.
 	delivered    int64
 	contentBytes int64
+	// text and finishReason are what Collect has of the present run.
+	text         strings.Builder
+	finishReason string
 	usage        Usage
 	hasUsage     bool
 	resumes      int
@@ -49,7 +56,7 @@
 	d.cfg.Retrier.Attempted()
 	body, err := call.Completion.engineBody()
 	if err != nil {
-		return nil, NewRefusal(CodeBadRequest, call.RequestID, true, err.Error())
+		return nil, NewRefusal(CodeBadRequest, call.RequestID, !call.NeedsClaim(), err.Error())
 	}
 	r, stored, refusal := d.admit(ctx, call, call.Completion.Bound())
 	if stored != nil {
@@ -60,7 +67,7 @@
 	}
 	s := &Stream{run: r, body: body, last: call.After}
 	if !s.adopt() {
-		if refusal := s.open(ctx); refusal != nil {
+		if refusal := s.begin(ctx); refusal != nil {
 			return nil, s.abort(ctx, refusal)
 		}
 	}
@@ -115,6 +122,14 @@
 	})
 }
 
+// begin opens the stream of a new run, of which the caller can have no part.
+func (s *Stream) begin(ctx context.Context) *Refusal {
+	if s.call.After > 0 {
+		return NewRefusal(CodeAnswerBroken, s.call.RequestID, false, "the run of which the caller has a part is not found; repeat without Last-Event-ID for another run")
+	}
+	return s.open(ctx)
+}
+
 // open hands the request to a model engine until one answers with a stream.
 func (s *Stream) open(ctx context.Context) *Refusal {
 	for {
@@ -142,7 +157,7 @@
 	if connector.IsErrBroken(err) && s.resume() {
 		return "", nil
 	}
-	if err != nil || answer.NotRun {
+	if err != nil || answer.Refused() {
 		if answer != nil {
 			answer.Close()
 		}
@@ -172,7 +187,9 @@
 func (s *Stream) badRequest(answer *connector.Answer, before State) *Refusal {
 	text, _ := io.ReadAll(io.LimitReader(answer, 1024))
 	answer.Close()
-	s.state = before
+	if answer.NotRun {
+		s.state = before
+	}
 	s.release(picker.Left)
 	return NewRefusal(CodeBadRequest, s.call.RequestID, s.state == NotDispatched, "the model engine refused the request: "+string(text))
 }
@@ -193,7 +210,7 @@
 
 // resume goes on with the stream on a new connection behind the last event.
 func (s *Stream) resume() bool {
-	if s.resumes >= maxAttempts || s.choice.Server == nil {
+	if s.unnumbered || s.resumes >= maxAttempts || s.choice.Server == nil {
 		return false
 	}
 	s.resumes++
@@ -216,10 +233,13 @@
 func (s *Stream) next(ctx context.Context) (streamer.Event, *Refusal) {
 	for {
 		event, err := s.reader.Next()
-		switch {
-		case err == nil && event.ID != 0 && event.ID <= s.last:
+		if err == nil && s.resumes > 0 && s.came(event) {
 			continue
-		case err == nil && (event.ID == 0 || event.ID == s.last+1):
+		}
+		if err == nil {
+			err = s.check(event)
+		}
+		if err == nil {
 			return s.accept(event)
 		}
 		s.closeAnswer()
@@ -229,10 +249,33 @@
 	}
 }
 
+// came reports whether an event with this number was read before. Only a
+// resumed stream may repeat some.
+func (s *Stream) came(event streamer.Event) bool {
+	return event.ID != 0 && event.ID <= s.last && !event.Done()
+}
+
+// check tells why an event does not go on with the answer.
+func (s *Stream) check(event streamer.Event) error {
+	switch {
+	case event.ID > s.last+1:
+		return errEventMissing
+	case s.came(event):
+		s.unnumbered = true
+		return errEventRepeated
+	case unnumbered(event) && s.resumes > 0 && s.last > 0:
+		return errEventUnnumbered
+	}
+	return failureIn(event)
+}
+
 func (s *Stream) accept(event streamer.Event) (streamer.Event, *Refusal) {
 	if event.ID != 0 {
 		s.last = event.ID
 	}
+	if unnumbered(event) {
+		s.unnumbered = true
+	}
 	if bytes.Contains(event.Data, []byte(`"usage"`)) {
 		s.readUsage(event.Data)
 	}
@@ -258,7 +301,7 @@
 	if s.d.cfg.Clock.Now() >= s.call.Deadline {
 		return NewRefusal(CodeDeadlineExceeded, s.call.RequestID, false, "deadline passed before the answer was whole")
 	}
-	if s.resume() {
+	if !errors.Is(cause, errRunFailed) && s.resume() {
 		return nil
 	}
 	if s.delivered > 0 || s.call.After > 0 || !s.call.Service.Idempotent {
@@ -269,9 +312,19 @@
 	if !s.again(ctx, "broken_stream") {
 		return NewRefusal(CodeOutcomeUnknown, s.call.RequestID, false, fmt.Sprintf("the answer broke off: %v", cause))
 	}
+	s.forget()
+	return s.open(ctx)
+}
+
+// forget drops what came of a run, before another run of the same request.
+func (s *Stream) forget() {
 	s.last = 0
+	s.unnumbered = false
 	s.resumes = 0
-	return s.open(ctx)
+	s.text.Reset()
+	s.finishReason = ""
+	s.usage = Usage{}
+	s.hasUsage = false
 }
 
 // abort ends a stream of which the caller got nothing.
--- a/listener/serve.go
+++ b/listener/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,7 +17,7 @@
 
 func (l *Listener) serveCompletion(ctx *fasthttp.RequestCtx, call dispatcher.Call) {
 	if !ctx.IsPost() {
-		refuse(ctx, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "method: must be POST"))
+		refuse(ctx, dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "method: must be POST"))
 		return
 	}
 	if refusal := l.readCompletion(ctx, &call); refusal != nil {
@@ -43,7 +45,7 @@
 	body := append([]byte(nil), ctx.PostBody()...)
 	completion, err := dispatcher.ParseCompletion(body)
 	if err != nil {
-		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, err.Error())
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), err.Error())
 	}
 	service := l.cfg.Index().LanguageService(completion.Model)
 	if refusal := l.setService(ctx, call, service, "model "+completion.Model); refusal != nil {
@@ -59,7 +61,10 @@
 	}
 	call.After, err = strconv.ParseInt(last, 10, 64)
 	if err != nil || call.After < 0 || call.IdempotencyKey == "" {
-		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, true, "Last-Event-ID: must be an event number of a request with an Idempotency-Key")
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "Last-Event-ID: must be an event number of a request with an Idempotency-Key")
+	}
+	if call.After > 0 && !completion.Stream {
+		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), "Last-Event-ID: needs stream to be true")
 	}
 	return nil
 }
@@ -68,9 +73,29 @@
 	ctx.Response.Header.Set(connector.RequestIDHeader, call.RequestID)
 	ctx.Response.Header.Set("Cache-Control", "no-store")
 	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		_ = stream.Copy(l.ctx, w) // the caller left; it is counted and billed there
-	})
+	if !ctx.Request.Header.IsHTTP11() {
+		l.copyWhole(ctx, call, stream)
+		return
+	}
+	ctx.Response.SetBodyStream(newStreamBody(func(w *bufio.Writer) error {
+		return stream.Copy(l.ctx, w)
+	}), -1)
+}
+
+// copyWhole answers a caller that does not know chunks, and could not tell the
+// end of a stream from a break, once the stream is whole.
+func (l *Listener) copyWhole(ctx *fasthttp.RequestCtx, call dispatcher.Call, stream *dispatcher.Stream) {
+	var body bytes.Buffer
+	err := stream.Copy(l.ctx, bufio.NewWriter(&body))
+	var refusal *dispatcher.Refusal
+	if err != nil && !errors.As(err, &refusal) {
+		refusal = dispatcher.NewRefusal(dispatcher.CodeAnswerBroken, call.RequestID, false, err.Error())
+	}
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	ctx.SetBody(body.Bytes())
 }
 
 func (l *Listener) serveApplication(ctx *fasthttp.RequestCtx, call dispatcher.Call, path string) {
