Lives of a host are ordered by its beats, not by the time of day

A host whose time of day stepped back by seconds and that was then killed and started again named its new life with an earlier start. All hosts that knew the old life took the new one for an even older one: its beats were refused for as long as it lived, so it stayed suspect, was asked for no tokens and told no version of the configuration. In `serve`, streams of such a host were taken for streams of a life that is gone and cancelled after 10 s, and those of the life that was gone waited for their deadline.

News of a host is now ordered by the sending time in its beats alone. A host whose beat is refused gets the news of its earlier life in the answer and dates its beats behind those from then on, so it is heard from its next round. The start in an incarnation's name keeps names apart and decides nothing. The wire stays as it is.

TestLaterIncarnationReplaces is replaced: it demanded the order by start "whatever its clock says", which is the fault. TestLaterSentLifeReplaces and TestLifeSendsLaterThanEarlierOnes demand one order whatever the order of arrival, that late beats of an earlier life change nothing, that equal times are ordered by name, and that times sent in error overflow nothing. TestNewsInAnyOrder is unchanged.

Failed before: --- FAIL: TestHostIsHeardAfterItsTimeOfDaySteppedBack lives_test.go:58: seen("a", "b", second) && seen("a", "c", second): the second life is refused --- FAIL: TestStreamIsTakenUpOnlyWhenItsHostIsGone/replaced,_the_time_of_day_stepped_back tracker_test.go:155: taken up at 65500 --- FAIL: TestStreamIsTakenUpOnlyWhenItsHostIsGone/later_life_not_heard,_the_time_of_day_stepped_back tracker_test.go:155: taken up at 11000 After: go test -race ./heartbeater ./tracker ./router passes.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -88,6 +88,7 @@
 		cancel: cancel,
 		members: NewMembers(MembersConfig{
 			Host:             self.Host,
+			Incarnation:      self.Incarnation,
 			AvailabilityZone: self.AvailabilityZone,
 			BeatEvery:        cfg.BeatEvery,
 			Seed:             seed(self.Incarnation),
@@ -125,11 +126,25 @@
 	return *h.peers.Load()
 }
 
+// Replaced reports whether a later life of its host was heard here after this one.
+func (h *Heartbeater) Replaced(incarnation string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.members.Replaced(incarnation)
+}
+
 // SendBeat takes a beat of another host and answers with the own one.
 func (h *Heartbeater) SendBeat(_ context.Context, beat *messenger.Beat) (*messenger.BeatReply, error) {
 	beatsReceived.Inc()
 	h.hear(beat)
-	return &messenger.BeatReply{Beat: h.self()}, nil
+	own := h.self()
+	h.mu.Lock()
+	earlier := h.members.Earlier(beat, h.cfg.Clock.Now())
+	h.mu.Unlock()
+	if earlier != nil {
+		own.Heard = append([]*messenger.Beat{earlier}, own.Heard[:min(len(own.Heard), MaxHeard-1)]...)
+	}
+	return &messenger.BeatReply{Beat: own}, nil
 }
 
 func (h *Heartbeater) beat(ctx context.Context) {
@@ -199,7 +214,7 @@
 	now := h.cfg.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	beat.SentAtMs = int64(now)
+	beat.SentAtMs = int64(h.members.SentAt(now))
 	beat.Heard = h.members.Sample(now)
 	return beat
 }
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -34,13 +34,18 @@
 	suspectFailures = 3
 	// silenceFactor times the expected interval between news makes a peer suspect.
 	silenceFactor = 12
+	// maxSentAt is the latest sending time that a later life goes beyond, in
+	// milliseconds, so that a malformed one can't overflow.
+	maxSentAt = 1 << 62
 	// forgetAfter drops a silent host that is neither declared nor listed, in milliseconds.
 	forgetAfter = 10 * clocker.Minute
 )
 
 // MembersConfig configures Members.
 type MembersConfig struct {
-	Host             string
+	Host string
+	// Incarnation is the own life.
+	Incarnation      string
 	AvailabilityZone string
 	// BeatEvery is the time between rounds of beats, in milliseconds.
 	BeatEvery clocker.Millis
@@ -60,14 +65,20 @@
 	round   int
 	// declared are the hosts taken over last.
 	declared []*messenger.Host
+	// ahead is added to the own clock in beats, in milliseconds, so that they are later
+	// than all of earlier lives of this host.
+	ahead clocker.Millis
 }
 
 type member struct {
 	peer Peer
 	// heard is true once any beat of it arrived.
 	heard bool
-	// sentAt is the sender's time of the latest beat.
+	// sentAt is the sender's time of the latest beat. It orders the beats of all lives of
+	// the host, and is compared with no other clock.
 	sentAt clocker.Millis
+	// replaced is the life before the present one, "" if none was heard.
+	replaced string
 	// joinedAt is when this incarnation was first heard of.
 	joinedAt clocker.Millis
 	// failures counts beats to it without an answer since it was last heard.
@@ -147,6 +158,10 @@
 	if host == "" || beat.Incarnation == "" {
 		return false
 	}
+	if host == m.cfg.Host {
+		m.outrun(beat, now)
+		return false
+	}
 	if m.byHost[host] == nil && beat.ExchangeAddress == "" {
 		return false
 	}
@@ -154,18 +169,16 @@
 	if known == nil {
 		return false
 	}
-	joined := !known.heard || replaces(beat.Incarnation, known.peer.Incarnation)
-	if !joined && beat.Incarnation != known.peer.Incarnation {
-		return false
-	}
-	if !joined && clocker.Millis(beat.SentAtMs) <= known.sentAt {
+	if known.heard && !known.isNews(beat) {
 		return false
 	}
+	joined := !known.heard || beat.Incarnation != known.peer.Incarnation
 	if beat.ExchangeAddress == "" && known.peer.ExchangeAddress == "" {
 		return false
 	}
 	if joined {
 		known.joinedAt = now
+		known.replaced = known.peer.Incarnation
 	}
 	drained := beat.Draining != known.peer.Draining
 	known.sentAt = clocker.Millis(beat.SentAtMs)
@@ -175,6 +188,45 @@
 	return joined || drained
 }
 
+// isNews reports whether a beat was sent after all that was heard of the host. Equal
+// times are ordered by incarnation, so that all hosts choose the same life.
+func (k *member) isNews(beat *messenger.Beat) bool {
+	if at := clocker.Millis(beat.SentAtMs); at != k.sentAt {
+		return at > k.sentAt
+	}
+	return beat.Incarnation > k.peer.Incarnation
+}
+
+// outrun makes later beats of this host later than one of another life of it.
+func (m *Members) outrun(beat *messenger.Beat, now clocker.Millis) {
+	sentAt := clocker.Millis(beat.SentAtMs)
+	if beat.Incarnation == m.cfg.Incarnation || sentAt < m.SentAt(now) || sentAt > maxSentAt {
+		return
+	}
+	m.ahead = sentAt + 1 - now
+}
+
+// SentAt returns the sending time of a beat of this host that is sent at now.
+func (m *Members) SentAt(now clocker.Millis) clocker.Millis {
+	return now + m.ahead
+}
+
+// Earlier returns the news of another life of a beat's host that keeps the beat from
+// being heard here, or nil. Its sender needs it for SentAt.
+func (m *Members) Earlier(beat *messenger.Beat, now clocker.Millis) *messenger.Beat {
+	known := m.byHost[hostOf(beat)]
+	if known == nil || !known.heard || known.peer.Incarnation == beat.Incarnation {
+		return nil
+	}
+	return relay(known, now)
+}
+
+// Replaced reports whether a later life of its host was heard after this one.
+func (m *Members) Replaced(incarnation string) bool {
+	known := m.byHost[HostOf(incarnation)]
+	return known != nil && known.replaced == incarnation
+}
+
 // merge takes over what a beat tells. Relayed beats of hosts that are known for
 // a while leave the addresses out.
 func (m *Members) merge(known *member, beat *messenger.Beat, heard clocker.Millis) {
--- a/router/parts.go
+++ b/router/parts.go
@@ -126,6 +126,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Clock:            clock,
 		Peers:            r.heartbeater.Peers,
+		Replaced:         r.heartbeater.Replaced,
 		Exchange:         r.exchange,
 		Biller:           r.biller,
 		Canceller:        dispatcher.Canceller{Connector: r.connector, Clock: clock},
--- a/tracker/records.go
+++ b/tracker/records.go
@@ -28,21 +28,21 @@
 	silent standing = iota
 	// alive: it was heard of lately.
 	alive
-	// replaced: its host runs a later incarnation, so that it surely is gone.
+	// replaced: its host was heard of as a later incarnation, so that it surely is gone.
 	replaced
 )
 
 // standings returns a look-up of incarnations among the peers.
-func standings(peers []heartbeater.Peer) func(incarnation string) standing {
+func standings(peers []heartbeater.Peer, isReplaced func(incarnation string) bool) func(incarnation string) standing {
 	return func(incarnation string) standing {
 		for _, p := range peers {
-			switch {
-			case p.Incarnation == incarnation && !p.Suspect:
+			if p.Incarnation == incarnation && !p.Suspect {
 				return alive
-			case heartbeater.Replaces(p.Incarnation, incarnation):
-				return replaced
 			}
 		}
+		if isReplaced(incarnation) {
+			return replaced
+		}
 		return silent
 	}
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -63,7 +63,9 @@
 	AvailabilityZone string
 	Clock            *clocker.Clock
 	// Peers returns the other routers as seen now.
-	Peers     func() []heartbeater.Peer
+	Peers func() []heartbeater.Peer
+	// Replaced reports whether an incarnation's host is known to run a later one.
+	Replaced  func(incarnation string) bool
 	Exchange  Exchange
 	Biller    Biller
 	Canceller Canceller
@@ -158,7 +160,7 @@
 func (t *Tracker) Sweep(ctx context.Context) {
 	now := t.cfg.Clock.Now()
 	t.mu.Lock()
-	due := t.held.due(now, standings(t.cfg.Peers()))
+	due := t.held.due(now, standings(t.cfg.Peers(), t.cfg.Replaced))
 	t.mu.Unlock()
 	for _, s := range due {
 		t.takeUp(ctx, s)
