Time-outs of connections no longer follow the time of day

ProgressConn (connections to backend servers and from callers in `serve`), the client of the Object API, the client of engines and the forwarder made deadlines by Millis.Time, a time.Time without a reading of the steady clock. The runtime takes the time left of such a deadline by the time of day when it is set. The project's clock does not follow steps, so after a step forward each read, write and call ended at once for the rest of the process's life; after a step back, silence was found as much later.

They now use clocker.FromNow, which holds a steady reading, or the time left. Millis.Time is gone, so that no other such deadline can be made; dates are written by Millis.Format.

Ruled out: carrier and relayer (`route`) use FromNow; the store's client there and Clock.WithTimeout use durations; net/http takes its time-outs from time.Now; Retry-After is read as seconds, never as a date; `born` of a server's entry is compared for equality alone; leases count on the holder's own clock.

--- a/clocker/clock.go
+++ b/clocker/clock.go
@@ -23,9 +23,11 @@
 	return time.Duration(m) * time.Millisecond
 }
 
-// Time returns m as a point in time of the standard library.
-func (m Millis) Time() time.Time {
-	return time.UnixMilli(int64(m))
+// Format writes m as a date and time of UTC, in a layout of package time. There is no
+// conversion to time.Time: one without a reading of the steady clock would be compared
+// with the time of day.
+func (m Millis) Format(layout string) string {
+	return time.UnixMilli(int64(m)).UTC().Format(layout)
 }
 
 // Clock tells the time. The zero value is not usable: call NewWall or NewManual.
@@ -43,7 +45,8 @@
 	done chan struct{}
 }
 
-// NewWall returns a clock that follows the machine and never runs backwards.
+// NewWall returns a clock that reads the time of day once, now, and from then on follows
+// the machine's steady clock: later steps of the time of day do not reach it.
 func NewWall() *Clock {
 	return &Clock{started: time.Now()}
 }
@@ -141,7 +144,8 @@
 	return done
 }
 
-// FromNow returns the machine's time in d, for deadlines of connections.
+// FromNow returns the machine's time in d, for deadlines of connections. It holds a
+// reading of the steady clock, so that steps of the time of day do not move it.
 func FromNow(d Millis) time.Time {
 	return time.Now().Add(d.Duration())
 }
--- a/cmd/console.go
+++ b/cmd/console.go
@@ -237,7 +237,7 @@
 	if ms == 0 {
 		return ""
 	}
-	return clocker.Millis(ms).Time().UTC().Format("2006-01-02T15:04:05Z")
+	return clocker.Millis(ms).Format("2006-01-02T15:04:05Z")
 }
 
 // findingsIn prints findings under the name of a file and returns errFindings if
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -303,7 +303,7 @@
 			if err != nil {
 				return nil, ErrNotSent{Cause: err}
 			}
-			return NewProgressConn(conn, c.cfg.Clock, timeout), nil
+			return NewProgressConn(conn, timeout), nil
 		},
 	}
 }
--- a/connector/progress.go
+++ b/connector/progress.go
@@ -13,33 +13,32 @@
 // while long answers may go on for as long as they make progress.
 type ProgressConn struct {
 	net.Conn
-	clock    *clocker.Clock
 	timeout  clocker.Millis
-	deadline atomic.Int64 // of the present exchange in milliseconds, 0 for none
+	deadline atomic.Pointer[time.Time] // of the present exchange, nil for none
 }
 
 // NewProgressConn wraps conn; timeout is in milliseconds.
-func NewProgressConn(conn net.Conn, clock *clocker.Clock, timeout clocker.Millis) *ProgressConn {
-	return &ProgressConn{Conn: conn, clock: clock, timeout: timeout}
+func NewProgressConn(conn net.Conn, timeout clocker.Millis) *ProgressConn {
+	return &ProgressConn{Conn: conn, timeout: timeout}
 }
 
 // SetReadDeadline sets the latest end of the present exchange; the zero time means none.
 func (p *ProgressConn) SetReadDeadline(t time.Time) error {
 	if t.IsZero() {
-		p.deadline.Store(0)
+		p.deadline.Store(nil)
 		return nil
 	}
-	p.deadline.Store(t.UnixMilli())
+	p.deadline.Store(&t)
 	return nil
 }
 
 // Read reads at least one byte before the time-out and the deadline.
 func (p *ProgressConn) Read(b []byte) (int, error) {
-	limit := p.clock.Now() + p.timeout
-	if d := clocker.Millis(p.deadline.Load()); d != 0 {
-		limit = min(limit, d)
+	limit := clocker.FromNow(p.timeout)
+	if d := p.deadline.Load(); d != nil && d.Before(limit) {
+		limit = *d
 	}
-	if err := p.Conn.SetReadDeadline(limit.Time()); err != nil {
+	if err := p.Conn.SetReadDeadline(limit); err != nil {
 		return 0, err
 	}
 	return p.Conn.Read(b)
@@ -47,8 +46,7 @@
 
 // Write writes b before the time-out.
 func (p *ProgressConn) Write(b []byte) (int, error) {
-	limit := p.clock.Now() + p.timeout
-	if err := p.Conn.SetWriteDeadline(limit.Time()); err != nil {
+	if err := p.Conn.SetWriteDeadline(clocker.FromNow(p.timeout)); err != nil {
 		return 0, err
 	}
 	return p.Conn.Write(b)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,8 +67,9 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	f.fill(request, address, call)
-	if err := f.http.DoDeadline(request, response, call.Deadline.Time()); err != nil {
+	left := call.Deadline - f.cfg.Clock.Now()
+	f.fill(request, address, call, left)
+	if err := f.http.DoTimeout(request, response, left.Duration()); err != nil {
 		unforwarded.Inc()
 		return nil, trace.Wrap(err)
 	}
@@ -94,7 +95,7 @@
 	return ""
 }
 
-func (f *Forwarder) fill(request *fasthttp.Request, address string, call dispatcher.Call) {
+func (f *Forwarder) fill(request *fasthttp.Request, address string, call dispatcher.Call, left clocker.Millis) {
 	scheme := "http://"
 	if f.cfg.TLS != nil {
 		scheme = "https://"
@@ -108,8 +109,7 @@
 	request.Header.Set("Authorization", call.Authorization)
 	request.Header.Set("Idempotency-Key", call.IdempotencyKey)
 	request.Header.Set(connector.RequestIDHeader, call.RequestID)
-	left := max(1, call.Deadline-f.cfg.Clock.Now())
-	request.Header.Set("X-Request-Deadline-Ms", strconv.FormatInt(int64(left), 10))
+	request.Header.Set("X-Request-Deadline-Ms", strconv.FormatInt(int64(max(1, left)), 10))
 	if call.ContentType != "" {
 		request.Header.SetContentType(call.ContentType)
 	}
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 
-	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
 )
 
@@ -24,11 +23,11 @@
 
 // listen returns a listener on whose connections each read and write has to
 // make progress.
-func (c *connections) listen(inner net.Listener, clock *clocker.Clock) net.Listener {
+func (c *connections) listen(inner net.Listener) net.Listener {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inner = inner
-	return progressListener{Listener: inner, clock: clock, conns: c}
+	return progressListener{Listener: inner, conns: c}
 }
 
 // close closes the listener and breaks each open connection.
@@ -65,7 +64,6 @@
 
 type progressListener struct {
 	net.Listener
-	clock *clocker.Clock
 	conns *connections
 }
 
@@ -76,7 +74,7 @@
 		return nil, err
 	}
 	p.conns.add(conn)
-	return &callerConn{ProgressConn: connector.NewProgressConn(conn, p.clock, callerTimeout), inner: conn, conns: p.conns}, nil
+	return &callerConn{ProgressConn: connector.NewProgressConn(conn, callerTimeout), inner: conn, conns: p.conns}, nil
 }
 
 // callerConn is an open connection of a caller.
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -106,7 +106,7 @@
 
 // Serve answers on l until Shutdown or Close.
 func (l *Listener) Serve(inner net.Listener) error {
-	wrapped := l.conns.listen(inner, l.cfg.Clock)
+	wrapped := l.conns.listen(inner)
 	if l.cfg.TLS != nil {
 		wrapped = tls.NewListener(wrapped, l.cfg.TLS)
 	}
--- a/orderer/client.go
+++ b/orderer/client.go
@@ -23,7 +23,6 @@
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
-	Clock *clocker.Clock
 	// Reachable tells whether an address may be called; nil means all.
 	Reachable func(address string) bool
 }
@@ -116,7 +115,7 @@
 		}
 		req.SetBody(encoded)
 	}
-	if err := c.http.DoDeadline(req, resp, (c.cfg.Clock.Now() + callMs).Time()); err != nil {
+	if err := c.http.DoTimeout(req, resp, callMs.Duration()); err != nil {
 		return trace.Wrap(err)
 	}
 	switch {
--- a/orderer/client_test.go
+++ b/orderer/client_test.go
@@ -30,7 +30,7 @@
 	clock := clocker.NewWall()
 	leaving := listen(t, engine.Config{Clock: clock, Models: []string{"draft"}, ChecksFencing: true})
 	arriving := listen(t, engine.Config{Clock: clock, Models: []string{"none"}, ChecksFencing: true})
-	client := orderer.NewClient(orderer.ClientConfig{Clock: clock})
+	client := orderer.NewClient(orderer.ClientConfig{})
 
 	body := `{"model":"draft","max_tokens":2,"messages":[{"role":"user","content":"a proof of an inscription"}]}`
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
--- a/storer/client.go
+++ b/storer/client.go
@@ -170,9 +170,8 @@
 		count(cl.kind, "cut_off")
 		return nil, 0, ErrOutcomeUnknown{Key: cl.key, Cause: "cut off"}
 	}
-	deadline := c.cfg.Clock.Now() + timeout
 	answered := make(chan result, 1)
-	go func() { answered <- c.do(cl, uri, deadline) }() // ends by the deadline
+	go func() { answered <- c.do(cl, uri, timeout) }() // ends by the time-out
 	select {
 	case <-ctx.Done():
 		count(cl.kind, "given_up")
@@ -188,7 +187,7 @@
 	err     error
 }
 
-func (c *Client) do(cl call, uri string, deadline clocker.Millis) result {
+func (c *Client) do(cl call, uri string, timeout clocker.Millis) result {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -199,7 +198,7 @@
 		req.Header.Set("If-Match", strconv.FormatInt(cl.version, 10))
 	}
 	req.SetBody(cl.value)
-	if err := c.http.DoDeadline(req, resp, deadline.Time()); err != nil {
+	if err := c.http.DoTimeout(req, resp, timeout.Duration()); err != nil {
 		count(cl.kind, "no_answer")
 		return result{err: ErrOutcomeUnknown{Key: cl.key, Cause: err.Error()}}
 	}
