A call that a router does not take is refused, not a panic

A router on the operators' platform takes beats and transfers alone. The three other calls between routers reached a nil interface there: the handler panicked, which net/http turns into a broken connection with a stack trace on standard error for each such call. They are refused as unimplemented now.

Found while writing FuzzServer (what comes from other routers) and FuzzReplies (what they answer), which had no target.

--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -62,11 +62,12 @@
 
 	Beater      Beater
 	Transferrer Transferrer
-	Puller      Puller
-	Copier      Copier
-	Tracker     Tracker
-	Commander   messenger.Commander
-	Querier     messenger.Querier
+	// Puller, Copier and Tracker may be nil: their calls are refused.
+	Puller    Puller
+	Copier    Copier
+	Tracker   Tracker
+	Commander messenger.Commander
+	Querier   messenger.Querier
 	// Ready tells whether the router takes callers.
 	Ready func() bool
 }
@@ -79,6 +80,15 @@
 
 // NewServer returns a server that does not listen yet.
 func NewServer(cfg ServerConfig) *Server {
+	if cfg.Puller == nil {
+		cfg.Puller = absent{}
+	}
+	if cfg.Copier == nil {
+		cfg.Copier = absent{}
+	}
+	if cfg.Tracker == nil {
+		cfg.Tracker = absent{}
+	}
 	s := &Server{cfg: cfg}
 	s.http = &http.Server{
 		Handler:           s.routes(),
