A refill refuses only requests that it knew of from its start

Cause: the refills of a shard overlap, and a request was marked as seen for all of them. The end of one that had started earlier, and had planned without the request, refused it.

Ruled out: a verdict of the request of 701 tokens before it (it holds for as many tokens and more); a stale object (the store was read or written within the same instant of the test's clock).

Change: refills are numbered, a request keeps the number of the first one that started after it came, and is left alone by those before.

--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -32,6 +32,8 @@
 
 // round is the progress of one refill.
 type round struct {
+	// number is that of the refill.
+	number int64
 	// answered is true once the platform's last word was taken in.
 	answered bool
 	// contended is true if the platform was reached, but calls were held back by
@@ -137,9 +139,9 @@
 // of the own availability zone, from the platform, then as a loan from peers.
 // While the platform does not answer, peers are asked first.
 func (r *Reserver) refill(ctx context.Context, s *shard) {
-	s.startRefill(r.isAway())
+	number := s.startRefill(r.isAway())
 	v := r.look()
-	rd := round{exhausted: map[string]bool{}, busy: map[string]bool{}}
+	rd := round{number: number, exhausted: map[string]bool{}, busy: map[string]bool{}}
 	r.askHolders(ctx, s, v, &rd)
 	if r.isAway() {
 		r.askForLoans(ctx, s, v, &rd)
@@ -183,24 +185,30 @@
 	return r.platform.isFailed() || !r.cfg.Reachable()
 }
 
-func (s *shard) startRefill(away bool) {
+// startRefill returns the number of the refill that starts.
+func (s *shard) startRefill(away bool) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.allotter.SetAway(away)
 	s.queued = false
+	s.refills++
 	for _, w := range s.waiters {
-		w.seen = true
+		if w.seenBy == 0 {
+			w.seenBy = s.refills
+		}
 	}
+	return s.refills
 }
 
 // endRefill refuses the requests that the refill could not serve, unless
-// something in flight may still help them.
+// something in flight may still help them. Those that came after it had started are
+// left to a later one.
 func (s *shard) endRefill(rd round, now clocker.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wake(now)
 	s.dismiss(func(w *waiter) (grant, bool) {
-		if !w.seen || rd.contended || rd.busy[w.budget] || s.mayBeFreed(w) {
+		if w.seenBy == 0 || w.seenBy > rd.number || rd.contended || rd.busy[w.budget] || s.mayBeFreed(w) {
 			return grant{}, false
 		}
 		left := allotter.Rest(s.allotter.Object(w.budget)) >= w.tokens // but kept for urgent requests
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -31,6 +31,8 @@
 	closing bool
 	// queued is true while the shard waits for a refill.
 	queued bool
+	// refills counts the refills that started; several may run at a time.
+	refills int64
 	// again is when requests that keep waiting get the next refill.
 	again clocker.Millis
 	pause clocker.Millis
@@ -44,9 +46,9 @@
 	budget string
 	tokens int64
 	rank   int
-	// seen is true once a refill has started that knew of it.
-	seen bool
-	done chan grant
+	// seenBy is the number of the first refill that knew of it; 0 if none has started.
+	seenBy int64
+	done   chan grant
 }
 
 // grant ends a wait: a reservation's ID, or an error.
