An answer to HEAD keeps the length that its server told

Found by the review: the length of the body that was read (0) replaced the server's. Before: TestAnswerToHeadKeepsItsLength fails (0 for 42); after: it passes.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -37,6 +37,14 @@
 	assert.Assert(t, len(req.Header.Get("X-Time")) == 3 && req.Header.Get("X-Time") <= "900", req.Header.Get("X-Time"))
 }
 
+// Guards against an answer to HEAD that tells another length than the server's.
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	head := raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nContent-Length: 42\r\n\r\n")
+	got := newWorld(t, matcher.Route{Kind: matcher.Safe}, newBackend(t, head)).call(t, "HEAD", "/r/", "")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.header.Get("Content-Length"), "42")
+}
+
 func TestRefusalsBeforeSending(t *testing.T) {
 	b := newBackend(t, answer(200, "x"))
 	w := newWorld(t, matcher.Route{}, b)
--- a/relayer/reply.go
+++ b/relayer/reply.go
@@ -32,7 +32,11 @@
 	if r.begun {
 		return
 	}
-	r.begin(answer, int64(len(body)))
+	length := int64(len(body))
+	if answer.Request.Method == http.MethodHead {
+		length = answer.ContentLength
+	}
+	r.begin(answer, length)
 	_, _ = r.w.Write(body) // a caller that has left needs no answer
 	r.complete = true
 }
