Events that end with mixed line ends are whole

Found by the review: a stream whose lines end in LF and whose blank line is CRLF never had a whole event and ended 502. Before: TestCutterEndsBehindWholeEvents fails with such events in its stream; after: it passes.

--- a/relayer/events.go
+++ b/relayer/events.go
@@ -42,8 +42,8 @@
 	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
 		end = i + 2
 	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	if i := bytes.LastIndex(b, []byte("\n\r\n")); i >= 0 {
+		end = max(end, i+3)
 	}
 	return end
 }
@@ -89,8 +89,8 @@
 	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
 		end = min(end, i+2)
 	}
-	if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 {
-		end = min(end, i+4)
+	if i := bytes.Index(b, []byte("\n\r\n")); i >= 0 {
+		end = min(end, i+3)
 	}
 	return end
 }
--- a/relayer/events_test.go
+++ b/relayer/events_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestCutterEndsBehindWholeEvents(t *testing.T) {
-	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n"
+	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\r\nid: 5\r\ndata: e\r\n\n"
 	for size := 1; size <= len(stream); size++ {
 		var cutter eventCutter
 		var got []event
@@ -23,7 +23,7 @@
 			ids = append(ids, e.id)
 		}
 		assert.Equal(t, text, stream)
-		assert.DeepEqual(t, ids, []int64{1, 2, unnumbered, 3})
+		assert.DeepEqual(t, ids, []int64{1, 2, unnumbered, 3, 4, 5})
 	}
 }
 
