Stand-in backend servers fail in more ways

The soak's backend servers knew one fault: the connection ends between two events, at half of the stream. They never answered with a status of their own, never broke off within an event or a chunk, never reset a connection, never refused as not run, and had no fault of resumed streams alone. So no answer other than a stream ever followed one that broke off, and the check of streams that end too early, which was there, had nothing to see.

Faults of a server are values now, several at a time, each for a part of the requests: cut (closed, within a chunk, reset) behind any event, a status with or without body after the run, refused as not run, and for resumed streams an empty end, an event left out, a start from the first event; an event sent twice.

A run tells which fault hit it.

TestServerExcusesACutOfItsOwn plants a cut with a sound and with a faulty run.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 
 	"cowsliphinge/clocker"
@@ -27,8 +28,7 @@
 	body   string
 	// events are the numbers of the events of a stream, in their order.
 	events []int
-	// stopping is true if the router had got SIGTERM and nothing else was harmed
-	// that could have ended the answer.
+	// stopping is true if the router had got SIGTERM.
 	stopping bool
 	// foreign is true if an event or body belongs to another request.
 	foreign bool
@@ -103,7 +103,7 @@
 	for _, q := range r.requests {
 		found = append(found, r.checkRuns(q)...)
 		found = append(found, checkAnswer(q)...)
-		if q.stopping && q.broken && len(r.runs[q.id]) > 0 {
+		if q.stopping && q.broken && len(r.runs[q.id]) > 0 && !r.harmedRun(q) {
 			found = append(found, fmt.Sprintf("request %s to %s was cut by a planned stop", q.id, q.path))
 		}
 		if runs := r.runs[q.id]; len(runs) > 0 && measured(q.path) {
@@ -138,6 +138,11 @@
 	return found
 }
 
+// harmedRun reports whether a backend server did something wrong with a run.
+func (r *recorder) harmedRun(q request) bool {
+	return slices.ContainsFunc(r.runs[q.id], func(one run) bool { return one.Fault != server.None })
+}
+
 // checkAnswer: a whole answer to the own request, events in order.
 func checkAnswer(q request) []string {
 	var found []string
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -94,3 +94,13 @@
 	r.ran("i-1", server.Run{RequestID: "a", At: 13 * clocker.Second})
 	assert.Equal(t, len(r.findings()), 0)
 }
+
+// A planned stop is no excuse for a cut, but a backend server that cut the run is one.
+func TestServerExcusesACutOfItsOwn(t *testing.T) {
+	for fault, want := range map[server.Kind]int{server.None: 1, server.Truncate: 0} {
+		r := newRecorder(nil)
+		r.ran("i-1", server.Run{RequestID: "a", Account: "one", Fault: fault})
+		r.ended(request{id: "a", path: "/order/x", account: "one", broken: true, stopping: true})
+		assert.Equal(t, len(r.findings()), want, fault)
+	}
+}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -17,6 +17,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/relayer"
 	"cowsliphinge/standin/objects"
+	"cowsliphinge/standin/server"
 )
 
 // quiet drops what the stand-ins' listeners say of broken connections.
@@ -251,11 +252,9 @@
 	w.mu.Lock()
 	b := w.servers[rng.IntN(len(w.servers))]
 	w.mu.Unlock()
-	w.breakingNow(1)
-	b.server.BreakEvery(1 + rng.IntN(3))
+	heal := b.server.Begin(server.Fault{Kind: server.Abort, Every: 1 + rng.IntN(3), After: streamEvents / 2})
 	w.pause(rng, 1500)
-	b.server.BreakEvery(0)
-	w.breakingNow(-1)
+	heal()
 	return "break answers of server " + b.id
 }
 
@@ -264,21 +263,6 @@
 	return "new version of the configuration"
 }
 
-// breakingNow counts the backend servers that break their answers.
-func (w *world) breakingNow(n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.broken += n
-	w.brokenAt = w.cfg.Clock.Now()
-}
-
-// breaking reports whether a backend server broke answers since a time.
-func (w *world) breaking(since clocker.Millis) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.broken > 0 || w.brokenAt >= since
-}
-
 // callUntil sends requests over open connections until ctx ends.
 func (w *world) callUntil(ctx context.Context, number int, rng *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: (6 * clocker.Second).Duration()}
@@ -293,13 +277,9 @@
 // call sends one request and returns how it ended.
 func (w *world) call(client *http.Client, q request, r *router) (ended request) {
 	q.router = r.number
-	var stopping bool
-	q.incarnation, stopping = r.life()
+	q.incarnation, q.stopping = r.life()
 	q.sentAt = w.cfg.Clock.Now()
-	defer func() {
-		ended.endedAt = w.cfg.Clock.Now()
-		ended.stopping = stopping && !w.breaking(ended.sentAt)
-	}()
+	defer func() { ended.endedAt = w.cfg.Clock.Now() }()
 	req, err := http.NewRequest(http.MethodPost, "http://"+r.settings.CallerAddress+q.path, strings.NewReader("body"))
 	if err != nil {
 		q.broken = true
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -78,10 +78,6 @@
 	servers []*backend
 	started int
 	version int
-	// broken counts the backend servers that break their answers, brokenAt is when
-	// that last changed.
-	broken   int
-	brokenAt clocker.Millis
 	// routes are those of the newest version.
 	routes []map[string]any
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -1,6 +1,6 @@
 // Package server stands in for a backend server on the operators' platform: it
 // checks who is meant, counts the runs of each request, signs its answers, and
-// streams numbered events.
+// streams numbered events. Faults can be begun and ended while it runs.
 package server
 
 import (
@@ -21,6 +21,8 @@
 	// LastEvent is the event behind which a stream was asked to go on.
 	LastEvent int
 	At        clocker.Millis
+	// Fault is what the server does wrong with the run.
+	Fault Kind
 }
 
 // Config configures a Server.
@@ -40,7 +42,7 @@
 
 	mu       sync.Mutex
 	running  int
-	breaking int
+	faults   []*Fault
 	requests int
 }
 
@@ -49,11 +51,14 @@
 	return &Server{cfg: cfg}
 }
 
-// BreakEvery makes every n-th request end without its answer after it ran; 0 heals.
-func (s *Server) BreakEvery(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.breaking = n
+// Body returns the answer to a request that is no stream.
+func Body(requestID string) string {
+	return "answer to " + requestID
+}
+
+// Event returns an event of a stream.
+func Event(n int, requestID string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, requestID)
 }
 
 // ServeHTTP answers one request.
@@ -63,33 +68,53 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	id := r.Header.Get("X-Request-Id")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means from the start
-	s.cfg.Ran(Run{RequestID: r.Header.Get("X-Request-Id"), Account: r.Header.Get("X-Tenant"), Path: r.URL.Path, LastEvent: last, At: s.cfg.Clock.Now()})
-	running, broken := s.begin()
+	streams := strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/")
+	running, fault := s.begin(streams, last > 0)
 	defer s.end()
 	h := w.Header()
-	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	h.Set("X-Server-Signature", s.cfg.ID+"."+r.Header.Get("X-Request-Id"))
+	h.Set("X-Request-Id", id)
+	if fault.Kind == Shed {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.cfg.Ran(Run{RequestID: id, Account: r.Header.Get("X-Tenant"), Path: r.URL.Path, LastEvent: last, At: s.cfg.Clock.Now(), Fault: fault.Kind})
+	h.Set("X-Server-Signature", s.cfg.ID+"."+id)
 	h.Set("X-Server-Load", fmt.Sprintf("%d,0,64", running))
-	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
-		s.stream(w, r, last, broken)
+	if streams && fault.Kind != Fail {
+		s.stream(w, r, last, fault)
 		return
 	}
-	if s.cfg.Clock.Sleep(r.Context(), s.cfg.Pause) != nil || broken {
+	if s.cfg.Clock.Sleep(r.Context(), s.cfg.Pause) != nil {
 		panic(http.ErrAbortHandler)
 	}
-	body := "answer to " + r.Header.Get("X-Request-Id")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write([]byte(body)) // a router that has left needs no answer
+	body := Body(id)
+	switch fault.Kind {
+	case Fail:
+		fault.fail(w, id)
+	case Abort, Truncate, Reset:
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		fault.cut(w, body[:len(body)/2])
+	default:
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write([]byte(body)) // a router that has left needs no answer
+	}
 }
 
-// begin counts a run and returns how many go on, and whether this one breaks off.
-func (s *Server) begin() (running int, broken bool) {
+// begin counts a request and returns how many go on, and the fault that hits this one.
+func (s *Server) begin(streams, resumed bool) (running int, fault Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
 	s.requests++
-	return s.running, s.breaking > 0 && s.requests%s.breaking == 0
+	for _, f := range s.faults {
+		if f.applies(streams, resumed) && s.requests%f.Every == 0 {
+			return s.running, *f
+		}
+	}
+	return s.running, Fault{}
 }
 
 func (s *Server) end() {
@@ -98,14 +123,40 @@
 	s.running--
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, last int, broken bool) {
+// stream sends the events behind the last one that the caller has.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, last int, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	for i := last + 1; i <= s.cfg.Events; i++ {
-		if s.cfg.Clock.Sleep(r.Context(), s.cfg.Pause) != nil || broken && i > s.cfg.Events/2 {
+	id := r.Header.Get("X-Request-Id")
+	switch fault.Kind {
+	case EndEmpty:
+		return
+	case SkipAhead:
+		last++
+	case StartOver:
+		last = 0
+	}
+	for i := last + 1; ; i++ {
+		event := Event(i, id)
+		if i > s.cfg.Events {
+			event = ""
+		}
+		if event != "" && s.cfg.Clock.Sleep(r.Context(), s.cfg.Pause) != nil {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.Header.Get("X-Request-Id")); err != nil {
+		if i == last+fault.After+1 {
+			switch fault.Kind {
+			case Abort, Truncate, Reset:
+				fault.cut(w, event[:len(event)/2])
+				return
+			case Double:
+				event += event
+			}
+		}
+		if event == "" {
+			return
+		}
+		if _, err := w.Write([]byte(event)); err != nil {
 			return
 		}
 		_ = control.Flush() // the next write tells of a router that has left
