The soak's callers read answers strictly

Cause: the callers used net/http's client, which takes a body that ends with its connection for a whole one and does not tell of bytes behind an answer; of a stream they looked at lines that begin with "id" or "data" only. A failure's body within a stream, half of an event at its end, or an answer without a frame was not seen.

An answer is whole only by a length or by chunks with their end, without anything before, between or behind. The body of a stream has to be events of the own request, from the first to the last, and nothing else; only one that breaks off may end within an event. A 404 that a backend server signed is not the router's word about its routes.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -25,9 +25,12 @@
 	signed bool
 	// broken is true if the answer did not end whole.
 	broken bool
-	body   string
+	// malformed says what is wrong with the framing of the answer.
+	malformed string
 	// events are the numbers of the events of a stream, in their order.
 	events []int
+	// stray is what follows in a stream and is no event.
+	stray string
 	// stopping is true if the router had got SIGTERM.
 	stopping bool
 	// foreign is true if an event or body belongs to another request.
@@ -143,15 +146,22 @@
 	return slices.ContainsFunc(r.runs[q.id], func(one run) bool { return one.Fault != server.None })
 }
 
-// checkAnswer: a whole answer to the own request, events in order.
+// checkAnswer: a whole answer to the own request and nothing else, events in order,
+// all of them if the answer is framed as complete.
 func checkAnswer(q request) []string {
 	var found []string
 	if q.foreign {
 		found = append(found, fmt.Sprintf("request %s got the answer of another", q.id))
 	}
-	if q.status == 200 && !q.signed {
+	if q.status/100 == 2 && !q.signed {
 		found = append(found, fmt.Sprintf("request %s got a success that no backend server signed", q.id))
 	}
+	if q.malformed != "" {
+		found = append(found, fmt.Sprintf("request %s got an answer that is no HTTP: %s", q.id, q.malformed))
+	}
+	if q.stray != "" {
+		found = append(found, fmt.Sprintf("the stream of request %s holds what is no event: %q", q.id, q.stray))
+	}
 	for i, n := range q.events {
 		if n != i+1 {
 			found = append(found, fmt.Sprintf("request %s got event %d in place of %d", q.id, n, i+1))
@@ -175,7 +185,7 @@
 	switch {
 	case q.status == 200:
 		newest[life] = max(newest[life], version)
-	case q.status == 404 && version <= newest[life]:
+	case q.status == 404 && !q.signed && version <= newest[life]:
 		return []string{fmt.Sprintf("router %d refused the route of version %d after it had served version %d", q.router, version, newest[life])}
 	}
 	return nil
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -65,6 +65,19 @@
 			r.ran("i-1", server.Run{RequestID: "a", Account: "one"})
 			r.ended(request{id: "a", path: "/order/x", account: "one", broken: true, stopping: true})
 		},
+		"holds what is no event: \"status 500 for a\"": func(r *recorder) {
+			q := served("a", "/stream/x")
+			q.stray = "status 500 for a"
+			r.ended(q)
+		},
+		"is no HTTP: malformed chunk size": func(r *recorder) {
+			q := served("a", "/order/x")
+			q.malformed = "malformed chunk size \"x\""
+			r.ended(q)
+		},
+		"got a success that no backend server signed": func(r *recorder) {
+			r.ended(request{id: "a", path: "/read/x", account: "one", status: 204})
+		},
 		"got the answer of another": func(r *recorder) {
 			q := served("a", "/order/x")
 			q.foreign = true
@@ -104,3 +117,11 @@
 		assert.Equal(t, len(r.findings()), want, fault)
 	}
 }
+
+// What a backend server refuses or fails is not what the router says of its routes.
+func TestServersOwnNotFoundIsNoOlderVersion(t *testing.T) {
+	r := newRecorder(nil)
+	r.ended(served("a", "/version-4/x"))
+	r.ended(request{id: "b", path: "/version-4/x", status: 404, signed: true})
+	assert.Equal(t, len(r.findings()), 0)
+}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -1,14 +1,12 @@
 package soaker
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 
@@ -262,68 +260,3 @@
 	w.addVersion()
 	return "new version of the configuration"
 }
-
-// callUntil sends requests over open connections until ctx ends.
-func (w *world) callUntil(ctx context.Context, number int, rng *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: (6 * clocker.Second).Duration()}
-	defer client.CloseIdleConnections()
-	for n := 0; w.cfg.Clock.Sleep(ctx, clocker.Millis(rng.IntN(2*callPause))) == nil; n++ {
-		path := []string{"/order/x", "/read/x", "/stream/x", "/once/x", fmt.Sprintf("/version-%d/x", w.newestVersion())}[rng.IntN(5)]
-		q := request{id: fmt.Sprintf("%x-%d-%d", w.cfg.Seed, number, n), path: path, account: []string{"one", "two"}[number%2]}
-		w.record.ended(w.call(client, q, w.anyRouter(rng)))
-	}
-}
-
-// call sends one request and returns how it ended.
-func (w *world) call(client *http.Client, q request, r *router) (ended request) {
-	q.router = r.number
-	q.incarnation, q.stopping = r.life()
-	q.sentAt = w.cfg.Clock.Now()
-	defer func() { ended.endedAt = w.cfg.Clock.Now() }()
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.settings.CallerAddress+q.path, strings.NewReader("body"))
-	if err != nil {
-		q.broken = true
-		return q
-	}
-	req.Host = host
-	req.Header.Set(w.cfg.Dialect.RequestID, q.id)
-	req.Header.Set(w.cfg.Dialect.Deadline, "3000")
-	req.Header.Set("Authorization", "Bearer key-"+q.account)
-	if measured(q.path) {
-		req.Header.Set(w.cfg.Dialect.Tokens, fmt.Sprintf("%d,%d", promptTokens, maxOutput))
-	}
-	req.GetBody = nil // the transport must not send it again by itself
-	resp, err := client.Do(req)
-	if err != nil {
-		q.broken = true
-		return q
-	}
-	defer func() { _ = resp.Body.Close() }()
-	q.status = resp.StatusCode
-	q.signed = resp.Header.Get(w.cfg.Dialect.Signature) != ""
-	if streams(q.path) && q.status == http.StatusOK {
-		q.readEvents(resp.Body)
-		return q
-	}
-	body, err := io.ReadAll(resp.Body)
-	q.broken = err != nil
-	q.foreign = q.status == http.StatusOK && !q.broken && string(body) != "answer to "+q.id
-	return q
-}
-
-func (q *request) readEvents(body io.Reader) {
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		key, value, _ := strings.Cut(lines.Text(), ": ")
-		switch key {
-		case "id":
-			n := 0
-			_, err := fmt.Sscan(value, &n)
-			q.foreign = q.foreign || err != nil
-			q.events = append(q.events, n)
-		case "data":
-			q.foreign = q.foreign || value != q.id
-		}
-	}
-	q.broken = lines.Err() != nil
-}
