--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -49,6 +49,8 @@
 	runs     map[string][]run
 	// drained is when a backend server said that it leaves.
 	drained map[string]clocker.Millis
+	// crashed is when a backend server crashed.
+	crashed map[string]clocker.Millis
 	// harmed are stretches in which bounds on time do not hold.
 	harmed []span
 	// prepaid are the budgets of the client accounts.
@@ -61,7 +63,7 @@
 }
 
 func newRecorder(prepaid map[string]int64) *recorder {
-	return &recorder{runs: map[string][]run{}, drained: map[string]clocker.Millis{}, prepaid: prepaid}
+	return &recorder{runs: map[string][]run{}, drained: map[string]clocker.Millis{}, crashed: map[string]clocker.Millis{}, prepaid: prepaid}
 }
 
 func (r *recorder) ran(id string, got server.Run) {
@@ -82,6 +84,12 @@
 	r.drained[id] = at
 }
 
+func (r *recorder) crash(id string, at clocker.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashed[id] = at
+}
+
 func (r *recorder) harm(from, to clocker.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,9 +149,13 @@
 	return found
 }
 
-// harmedRun reports whether a backend server did something wrong with a run.
+// harmedRun reports whether a backend server did something wrong with a run, or
+// crashed before the answer was there.
 func (r *recorder) harmedRun(q request) bool {
-	return slices.ContainsFunc(r.runs[q.id], func(one run) bool { return one.Fault != server.None })
+	return slices.ContainsFunc(r.runs[q.id], func(one run) bool {
+		at, crashed := r.crashed[one.server]
+		return one.Fault != server.None || crashed && at <= q.endedAt
+	})
 }
 
 // checkAnswer: a whole answer to the own request and nothing else, events in order,
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -60,6 +60,9 @@
 	warmUp = 2 * clocker.Second
 	// faultPause is the mean time between two faults, in milliseconds.
 	faultPause = 500
+	// serverSeries is the stream of random numbers of the backend servers' faults.
+	// Callers have those from 1 on.
+	serverSeries = 1 << 32
 	// callPause is the mean pause of a caller, in milliseconds.
 	callPause = 30
 	// maxOutput is the most tokens that a request may cost beyond its prompt.
@@ -87,8 +90,14 @@
 			return nil
 		})
 	}
+	var serverFaults []string
+	group.Go(func() error {
+		serverFaults = w.harmServersUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, serverSeries)))
+		return nil
+	})
 	faults := w.harmUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, 0)))
 	_ = group.Wait()
+	faults = append(faults, serverFaults...)
 	result := Result{Faults: faults, Findings: w.record.findings(), Folder: w.folder}
 	for _, q := range w.record.requests {
 		result.Requests++
@@ -110,16 +119,22 @@
 // harmUntil starts faults, which may overlap, until ctx ends, and waits for all to
 // be healed.
 func (w *world) harmUntil(ctx context.Context, rng *rand.Rand) []string {
+	return w.series(ctx, rng, faults, faultPause, w.record.harm)
+}
+
+// series starts faults at a mean pause in milliseconds until ctx ends, waits for all
+// to be healed, and returns their names. harmed is told when each began and ended.
+func (w *world) series(ctx context.Context, rng *rand.Rand, faults []fault, pause int, harmed func(from, to clocker.Millis)) []string {
 	var mu sync.Mutex
 	var names []string
 	var group errgroup.Group
-	for w.cfg.Clock.Sleep(ctx, clocker.Millis(rng.IntN(2*faultPause))) == nil {
+	for w.cfg.Clock.Sleep(ctx, clocker.Millis(rng.IntN(2*pause))) == nil {
 		f := faults[rng.IntN(len(faults))]
 		seeded := rand.New(rand.NewPCG(rng.Uint64(), 0))
 		group.Go(func() error {
 			from := w.cfg.Clock.Now()
 			name := f(w, seeded)
-			w.record.harm(from, w.cfg.Clock.Now())
+			harmed(from, w.cfg.Clock.Now())
 			mu.Lock()
 			defer mu.Unlock()
 			names = append(names, name)
