The soak checks refusals of what may be repeated, too

Cause: 408, 421, 429 and 503 of a router say that the request did not run and never will (PROTOCOL, Answers). The check left out routes whose requests may be repeated, and 503 and 429 alone were looked at. A request that ran at a first server, which cut it off, and was refused by the second one can only be seen there.

Rule REFUSED on the users' pages is broken only for what may not be repeated, and there no second attempt follows a run; the promise of the protocol's page has no such exception.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 
@@ -104,6 +105,9 @@
 	steady     = 3 * clocker.Second
 )
 
+// promises are the statuses by which a router says that a request never runs.
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // findings returns the promises that were broken.
 func (r *recorder) findings() []string {
 	r.mu.Lock()
@@ -138,7 +142,7 @@
 	if !repeatable(q.path) && len(runs) > 1 {
 		found = append(found, fmt.Sprintf("request %s to %s ran %d times", q.id, q.path, len(runs)))
 	}
-	if (q.status == 503 || q.status == 429) && !q.signed && !repeatable(q.path) && len(runs) > 0 {
+	if slices.Contains(promises, q.status) && !q.signed && len(runs) > 0 {
 		found = append(found, fmt.Sprintf("request %s to %s was refused with %d and ran", q.id, q.path, q.status))
 	}
 	for _, one := range runs {
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -32,10 +32,18 @@
 			r.ran("i-2", server.Run{RequestID: "a", Account: "one"})
 			r.ended(served("a", "/order/x"))
 		},
-		"was refused with 503 and ran": func(r *recorder) {
+		"request a to /order/x was refused with 503 and ran": func(r *recorder) {
 			r.ran("i-1", server.Run{RequestID: "a", Account: "one"})
 			r.ended(request{id: "a", path: "/order/x", account: "one", status: 503})
 		},
+		"request a to /read/x was refused with 429 and ran": func(r *recorder) {
+			r.ran("i-1", server.Run{RequestID: "a", Account: "one"})
+			r.ended(request{id: "a", path: "/read/x", account: "one", status: 429})
+		},
+		"request a to /stream/x was refused with 503 and ran": func(r *recorder) {
+			r.ran("i-1", server.Run{RequestID: "a", Account: "one", Fault: server.Truncate})
+			r.ended(request{id: "a", path: "/stream/x", account: "one", status: 503})
+		},
 		"got event 5 in place of 3": func(r *recorder) {
 			q := served("a", "/stream/x")
 			q.events[2] = 5
