The soak's callers resume streams that broke off

Cause: a stream can be resumed by its caller as well, with Last-Event-Id at another router; the soak never did so, and no request reached a router with events before it.

A caller whose resumable stream broke off behind events asks the next router for the rest, once. Its answer has to begin behind the last event that the caller has.

Ran: go test -race ./soaker (TestPlantedResumptionsAreFound).

--- a/soaker/answer_test.go
+++ b/soaker/answer_test.go
@@ -41,6 +41,24 @@
 	return q
 }
 
+// A caller's own resumption begins behind the events that it has.
+func TestPlantedResumptionsAreFound(t *testing.T) {
+	for want, body := range map[string]string{
+		"":                                events(6, streamEvents),
+		"got event 7 in place of 6":       events(7, streamEvents),
+		"got event 1 in place of 6":       events(1, streamEvents),
+		"ended whole after 5 of 12":       "",
+		"ended whole after 11 of 12":      events(6, streamEvents-1),
+		"what is no event: \"id: 6\\nd\"": "id: 6\nd",
+	} {
+		q := request{id: "a", path: "/stream/x", account: "one", after: 5}
+		a, err := readAnswer(bufio.NewReader(strings.NewReader(chunked(body) + "0\r\n\r\n"))) // an empty part ends the body, too
+		q.take(a, err, "Signed", "Id")
+		found := strings.Join(checkAnswer(q), "\n")
+		assert.Assert(t, strings.Contains(found, want) && (want != "" || found == ""), "%q is not in %q", want, found)
+	}
+}
+
 // Guards against streams that lack events, hold others, or hold foreign bytes, and
 // look complete (incident order-resumed-stream).
 func TestPlantedAnswersAreFound(t *testing.T) {
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -48,10 +48,23 @@
 	for n := 0; w.cfg.Clock.Sleep(ctx, clocker.Millis(rng.IntN(2*callPause))) == nil; n++ {
 		path := []string{"/order/x", "/read/x", "/stream/x", "/once/x", fmt.Sprintf("/version-%d/x", w.newestVersion())}[rng.IntN(5)]
 		q := request{id: fmt.Sprintf("%x-%d-%d", w.cfg.Seed, number, n), path: path, account: []string{"one", "two"}[number%2]}
-		w.record.ended(c.call(q, w.anyRouter(rng)))
+		q = c.call(q, w.anyRouter(rng))
+		w.record.ended(q)
+		if again, ok := q.resumed(); ok {
+			w.record.ended(c.call(again, w.routers[(q.router+1)%len(w.routers)]))
+		}
 	}
 }
 
+// resumed returns the request by which the caller goes on with a stream that broke
+// off and may be resumed, at another router.
+func (q request) resumed() (request, bool) {
+	if !q.broken || len(q.events) == 0 || !streams(q.path) || !repeatable(q.path) {
+		return request{}, false
+	}
+	return request{id: q.id + "-resumed", path: q.path, account: q.account, after: q.events[len(q.events)-1]}, true
+}
+
 // call sends one request and returns how it ended.
 func (c *caller) call(q request, r *router) (ended request) {
 	q.router = r.number
@@ -117,6 +130,9 @@
 	req.Header.Set(d.RequestID, q.id)
 	req.Header.Set(d.Deadline, strconv.FormatInt(int64(callDeadline), 10))
 	req.Header.Set("Authorization", "Bearer key-"+q.account)
+	if q.after > 0 {
+		req.Header.Set(d.LastEventID, strconv.Itoa(q.after))
+	}
 	if measured(q.path) {
 		req.Header.Set(d.Tokens, fmt.Sprintf("%d,%d", promptTokens, maxOutput))
 	}
@@ -150,7 +166,7 @@
 // readEvents takes the body of a stream apart. Only a body that breaks off may end
 // within an event.
 func (q *request) readEvents(body string) {
-	next := 1
+	next := q.after + 1
 	for body != "" {
 		block, rest, whole := strings.Cut(body, "\n\n")
 		if !whole && q.broken && strings.HasPrefix(server.Event(next, q.id), body) {
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -15,7 +15,9 @@
 	id      string
 	path    string
 	account string
-	router  int
+	// after is the event behind which the caller resumes a stream; 0 from the start.
+	after  int
+	router int
 	// incarnation counts the lives of the router.
 	incarnation int
 	sentAt      clocker.Millis
@@ -179,13 +181,13 @@
 		found = append(found, fmt.Sprintf("the stream of request %s holds what is no event: %q", q.id, q.stray))
 	}
 	for i, n := range q.events {
-		if n != i+1 {
-			found = append(found, fmt.Sprintf("request %s got event %d in place of %d", q.id, n, i+1))
+		if n != q.after+i+1 {
+			found = append(found, fmt.Sprintf("request %s got event %d in place of %d", q.id, n, q.after+i+1))
 			break
 		}
 	}
-	if streams(q.path) && q.status == 200 && !q.broken && len(q.events) != streamEvents {
-		found = append(found, fmt.Sprintf("the stream of request %s ended whole after %d of %d events", q.id, len(q.events), streamEvents))
+	if streams(q.path) && q.status == 200 && !q.broken && q.after+len(q.events) != streamEvents {
+		found = append(found, fmt.Sprintf("the stream of request %s ended whole after %d of %d events", q.id, q.after+len(q.events), streamEvents))
 	}
 	return found
 }
