Each seed of the short soak is a test case

Cause: the first seed with a finding ended the test, so the seeds behind it were not run and a fault that only they find stayed hidden. The checks of each seed are the same.

--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -25,19 +26,21 @@
 	out, err := exec.Command("go", "build", "-o", program, "cowsliphinge").CombinedOutput()
 	assert.NilError(t, err, string(out))
 	for _, seed := range soakSeeds {
-		result, err := soaker.Run(context.Background(), soaker.Config{
-			Clock:   clocker.NewWall(),
-			Dialect: platform.Dialect,
-			Program: program,
-			Seed:    seed,
-			For:     6 * clocker.Second,
-			Routers: 3,
-			Servers: 2,
-			Callers: 4,
-			Prepaid: 4000,
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			result, err := soaker.Run(context.Background(), soaker.Config{
+				Clock:   clocker.NewWall(),
+				Dialect: platform.Dialect,
+				Program: program,
+				Seed:    seed,
+				For:     6 * clocker.Second,
+				Routers: 3,
+				Servers: 2,
+				Callers: 4,
+				Prepaid: 4000,
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
+			assert.Assert(t, result.Served > 0)
 		})
-		assert.NilError(t, err)
-		assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
-		assert.Assert(t, result.Served > 0)
 	}
 }
