--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 
 	"cowsliphinge/clocker"
@@ -13,7 +15,9 @@
 	id      string
 	path    string
 	account string
-	router  int
+	// after is the event behind which the caller resumes a stream; 0 from the start.
+	after  int
+	router int
 	// incarnation counts the lives of the router.
 	incarnation int
 	sentAt      clocker.Millis
@@ -24,11 +28,13 @@
 	signed bool
 	// broken is true if the answer did not end whole.
 	broken bool
-	body   string
+	// malformed says what is wrong with the framing of the answer.
+	malformed string
 	// events are the numbers of the events of a stream, in their order.
 	events []int
-	// stopping is true if the router had got SIGTERM and nothing else was harmed
-	// that could have ended the answer.
+	// stray is what follows in a stream and is no event.
+	stray string
+	// stopping is true if the router had got SIGTERM.
 	stopping bool
 	// foreign is true if an event or body belongs to another request.
 	foreign bool
@@ -46,6 +52,8 @@
 	runs     map[string][]run
 	// drained is when a backend server said that it leaves.
 	drained map[string]clocker.Millis
+	// crashed is when a backend server crashed.
+	crashed map[string]clocker.Millis
 	// harmed are stretches in which bounds on time do not hold.
 	harmed []span
 	// prepaid are the budgets of the client accounts.
@@ -58,7 +66,7 @@
 }
 
 func newRecorder(prepaid map[string]int64) *recorder {
-	return &recorder{runs: map[string][]run{}, drained: map[string]clocker.Millis{}, prepaid: prepaid}
+	return &recorder{runs: map[string][]run{}, drained: map[string]clocker.Millis{}, crashed: map[string]clocker.Millis{}, prepaid: prepaid}
 }
 
 func (r *recorder) ran(id string, got server.Run) {
@@ -79,6 +87,12 @@
 	r.drained[id] = at
 }
 
+func (r *recorder) crash(id string, at clocker.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashed[id] = at
+}
+
 func (r *recorder) harm(from, to clocker.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -93,6 +107,9 @@
 	steady     = 3 * clocker.Second
 )
 
+// promises are the statuses by which a router says that a request never runs.
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // findings returns the promises that were broken.
 func (r *recorder) findings() []string {
 	r.mu.Lock()
@@ -103,7 +120,7 @@
 	for _, q := range r.requests {
 		found = append(found, r.checkRuns(q)...)
 		found = append(found, checkAnswer(q)...)
-		if q.stopping && q.broken && len(r.runs[q.id]) > 0 {
+		if q.stopping && q.broken && len(r.runs[q.id]) > 0 && !r.harmedRun(q) {
 			found = append(found, fmt.Sprintf("request %s to %s was cut by a planned stop", q.id, q.path))
 		}
 		if runs := r.runs[q.id]; len(runs) > 0 && measured(q.path) {
@@ -127,7 +144,7 @@
 	if !repeatable(q.path) && len(runs) > 1 {
 		found = append(found, fmt.Sprintf("request %s to %s ran %d times", q.id, q.path, len(runs)))
 	}
-	if (q.status == 503 || q.status == 429) && !q.signed && !repeatable(q.path) && len(runs) > 0 {
+	if slices.Contains(promises, q.status) && !q.signed && len(runs) > 0 {
 		found = append(found, fmt.Sprintf("request %s to %s was refused with %d and ran", q.id, q.path, q.status))
 	}
 	for _, one := range runs {
@@ -138,23 +155,39 @@
 	return found
 }
 
-// checkAnswer: a whole answer to the own request, events in order.
+// harmedRun reports whether a backend server did something wrong with a run, or
+// crashed before the answer was there.
+func (r *recorder) harmedRun(q request) bool {
+	return slices.ContainsFunc(r.runs[q.id], func(one run) bool {
+		at, crashed := r.crashed[one.server]
+		return one.Fault != server.None || crashed && at <= q.endedAt
+	})
+}
+
+// checkAnswer: a whole answer to the own request and nothing else, events in order,
+// all of them if the answer is framed as complete.
 func checkAnswer(q request) []string {
 	var found []string
 	if q.foreign {
 		found = append(found, fmt.Sprintf("request %s got the answer of another", q.id))
 	}
-	if q.status == 200 && !q.signed {
+	if q.status/100 == 2 && !q.signed {
 		found = append(found, fmt.Sprintf("request %s got a success that no backend server signed", q.id))
 	}
+	if q.malformed != "" {
+		found = append(found, fmt.Sprintf("request %s got an answer that is no HTTP: %s", q.id, q.malformed))
+	}
+	if q.stray != "" {
+		found = append(found, fmt.Sprintf("the stream of request %s holds what is no event: %q", q.id, q.stray))
+	}
 	for i, n := range q.events {
-		if n != i+1 {
-			found = append(found, fmt.Sprintf("request %s got event %d in place of %d", q.id, n, i+1))
+		if n != q.after+i+1 {
+			found = append(found, fmt.Sprintf("request %s got event %d in place of %d", q.id, n, q.after+i+1))
 			break
 		}
 	}
-	if streams(q.path) && q.status == 200 && !q.broken && len(q.events) != streamEvents {
-		found = append(found, fmt.Sprintf("the stream of request %s ended whole after %d of %d events", q.id, len(q.events), streamEvents))
+	if streams(q.path) && q.status == 200 && !q.broken && q.after+len(q.events) != streamEvents {
+		found = append(found, fmt.Sprintf("the stream of request %s ended whole after %d of %d events", q.id, q.after+len(q.events), streamEvents))
 	}
 	return found
 }
@@ -170,7 +203,7 @@
 	switch {
 	case q.status == 200:
 		newest[life] = max(newest[life], version)
-	case q.status == 404 && version <= newest[life]:
+	case q.status == 404 && !q.signed && version <= newest[life]:
 		return []string{fmt.Sprintf("router %d refused the route of version %d after it had served version %d", q.router, version, newest[life])}
 	}
 	return nil
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -1,14 +1,12 @@
 package soaker
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 
@@ -17,6 +15,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/relayer"
 	"cowsliphinge/standin/objects"
+	"cowsliphinge/standin/server"
 )
 
 // quiet drops what the stand-ins' listeners say of broken connections.
@@ -61,6 +60,9 @@
 	warmUp = 2 * clocker.Second
 	// faultPause is the mean time between two faults, in milliseconds.
 	faultPause = 500
+	// serverSeries is the stream of random numbers of the backend servers' faults.
+	// Callers have those from 1 on.
+	serverSeries = 1 << 32
 	// callPause is the mean pause of a caller, in milliseconds.
 	callPause = 30
 	// maxOutput is the most tokens that a request may cost beyond its prompt.
@@ -88,8 +90,14 @@
 			return nil
 		})
 	}
+	var serverFaults []string
+	group.Go(func() error {
+		serverFaults = w.harmServersUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, serverSeries)))
+		return nil
+	})
 	faults := w.harmUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, 0)))
 	_ = group.Wait()
+	faults = append(faults, serverFaults...)
 	result := Result{Faults: faults, Findings: w.record.findings(), Folder: w.folder}
 	for _, q := range w.record.requests {
 		result.Requests++
@@ -111,16 +119,22 @@
 // harmUntil starts faults, which may overlap, until ctx ends, and waits for all to
 // be healed.
 func (w *world) harmUntil(ctx context.Context, rng *rand.Rand) []string {
+	return w.series(ctx, rng, faults, faultPause, w.record.harm)
+}
+
+// series starts faults at a mean pause in milliseconds until ctx ends, waits for all
+// to be healed, and returns their names. harmed is told when each began and ended.
+func (w *world) series(ctx context.Context, rng *rand.Rand, faults []fault, pause int, harmed func(from, to clocker.Millis)) []string {
 	var mu sync.Mutex
 	var names []string
 	var group errgroup.Group
-	for w.cfg.Clock.Sleep(ctx, clocker.Millis(rng.IntN(2*faultPause))) == nil {
+	for w.cfg.Clock.Sleep(ctx, clocker.Millis(rng.IntN(2*pause))) == nil {
 		f := faults[rng.IntN(len(faults))]
 		seeded := rand.New(rand.NewPCG(rng.Uint64(), 0))
 		group.Go(func() error {
 			from := w.cfg.Clock.Now()
 			name := f(w, seeded)
-			w.record.harm(from, w.cfg.Clock.Now())
+			harmed(from, w.cfg.Clock.Now())
 			mu.Lock()
 			defer mu.Unlock()
 			names = append(names, name)
@@ -251,11 +265,9 @@
 	w.mu.Lock()
 	b := w.servers[rng.IntN(len(w.servers))]
 	w.mu.Unlock()
-	w.breakingNow(1)
-	b.server.BreakEvery(1 + rng.IntN(3))
+	heal := b.server.Begin(server.Fault{Kind: server.Abort, Every: 1 + rng.IntN(3), After: streamEvents / 2})
 	w.pause(rng, 1500)
-	b.server.BreakEvery(0)
-	w.breakingNow(-1)
+	heal()
 	return "break answers of server " + b.id
 }
 
@@ -263,87 +275,3 @@
 	w.addVersion()
 	return "new version of the configuration"
 }
-
-// breakingNow counts the backend servers that break their answers.
-func (w *world) breakingNow(n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.broken += n
-	w.brokenAt = w.cfg.Clock.Now()
-}
-
-// breaking reports whether a backend server broke answers since a time.
-func (w *world) breaking(since clocker.Millis) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.broken > 0 || w.brokenAt >= since
-}
-
-// callUntil sends requests over open connections until ctx ends.
-func (w *world) callUntil(ctx context.Context, number int, rng *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: (6 * clocker.Second).Duration()}
-	defer client.CloseIdleConnections()
-	for n := 0; w.cfg.Clock.Sleep(ctx, clocker.Millis(rng.IntN(2*callPause))) == nil; n++ {
-		path := []string{"/order/x", "/read/x", "/stream/x", "/once/x", fmt.Sprintf("/version-%d/x", w.newestVersion())}[rng.IntN(5)]
-		q := request{id: fmt.Sprintf("%x-%d-%d", w.cfg.Seed, number, n), path: path, account: []string{"one", "two"}[number%2]}
-		w.record.ended(w.call(client, q, w.anyRouter(rng)))
-	}
-}
-
-// call sends one request and returns how it ended.
-func (w *world) call(client *http.Client, q request, r *router) (ended request) {
-	q.router = r.number
-	var stopping bool
-	q.incarnation, stopping = r.life()
-	q.sentAt = w.cfg.Clock.Now()
-	defer func() {
-		ended.endedAt = w.cfg.Clock.Now()
-		ended.stopping = stopping && !w.breaking(ended.sentAt)
-	}()
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.settings.CallerAddress+q.path, strings.NewReader("body"))
-	if err != nil {
-		q.broken = true
-		return q
-	}
-	req.Host = host
-	req.Header.Set(w.cfg.Dialect.RequestID, q.id)
-	req.Header.Set(w.cfg.Dialect.Deadline, "3000")
-	req.Header.Set("Authorization", "Bearer key-"+q.account)
-	if measured(q.path) {
-		req.Header.Set(w.cfg.Dialect.Tokens, fmt.Sprintf("%d,%d", promptTokens, maxOutput))
-	}
-	req.GetBody = nil // the transport must not send it again by itself
-	resp, err := client.Do(req)
-	if err != nil {
-		q.broken = true
-		return q
-	}
-	defer func() { _ = resp.Body.Close() }()
-	q.status = resp.StatusCode
-	q.signed = resp.Header.Get(w.cfg.Dialect.Signature) != ""
-	if streams(q.path) && q.status == http.StatusOK {
-		q.readEvents(resp.Body)
-		return q
-	}
-	body, err := io.ReadAll(resp.Body)
-	q.broken = err != nil
-	q.foreign = q.status == http.StatusOK && !q.broken && string(body) != "answer to "+q.id
-	return q
-}
-
-func (q *request) readEvents(body io.Reader) {
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		key, value, _ := strings.Cut(lines.Text(), ": ")
-		switch key {
-		case "id":
-			n := 0
-			_, err := fmt.Sscan(value, &n)
-			q.foreign = q.foreign || err != nil
-			q.events = append(q.events, n)
-		case "data":
-			q.foreign = q.foreign || value != q.id
-		}
-	}
-	q.broken = lines.Err() != nil
-}
