Questions that nothing can answer leave a holder's turn to others

Ruled out: a refusal of 402 for these (tokens that are kept for urgent requests are not used up); a shorter patience of the asking host (what its holder is about to get would be lost with it).

Change: a holder that heard from the platform within the last second, and knows that what is left does not hold what is missing beside what is kept for urgent requests, says so without going there.

--- a/allotter/urgency.go
+++ b/allotter/urgency.go
@@ -72,6 +72,21 @@
 	return need - b.headroom()
 }
 
+// MayExtend reports whether the known content leaves the tokens of a request of a rank
+// to it, beside what waits here and what is kept for urgent requests.
+func (a *Allotter) MayExtend(name string, tokens int64, rank int) bool {
+	b := a.allotment(name)
+	object := a.content(b)
+	if object == nil {
+		return true // not known yet
+	}
+	rest := Rest(object)
+	if last := len(b.ranks) - 1; last > 0 && rank >= b.ranks[last].rank {
+		rest -= b.need + a.restForUrgent(b)
+	}
+	return rest >= tokens
+}
+
 // suppliedRate returns what urgent requests reserve at the hosts that get their tokens
 // here, in tokens per millisecond.
 func (b *allotment) suppliedRate(now clocker.Millis) float64 {
--- a/allotter/urgency_test.go
+++ b/allotter/urgency_test.go
@@ -143,3 +143,20 @@
 	_, ok := a.Reserve("mason", urgentTokens, urgent, clocker.Hour)
 	assert.Assert(t, ok)
 }
+
+// Pattern: as above. A holder knows what it can't get without going to the platform.
+func TestWhatIsKeptIsKnownBeforehand(t *testing.T) {
+	object := &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: "mason", Granted: 110_000, Holders: []*messenger.Holder{
+		{Incarnation: "host-a-1-00000000", Limit: 60_000, UrgentPerSecond: 2000},
+	}}}}
+	a := allotter.New(allotter.Config{Incarnation: "host-a-2-00000000", KeepAhead: 8 * clocker.Second})
+	assert.Assert(t, a.MayExtend("mason", 1<<40, large), "nothing is known")
+	a.Merge(7, object, clocker.Hour)
+	a.AddNeed("mason", urgentTokens, urgent)
+	a.AddNeed("mason", 0, large)
+	most := int64(110_000 - 60_000 - 8*2000 - urgentTokens)
+	assert.Assert(t, a.MayExtend("mason", most, large))
+	assert.Assert(t, !a.MayExtend("mason", most+1, large))
+	assert.Assert(t, a.MayExtend("mason", 50_000, urgent))
+	assert.Assert(t, !a.MayExtend("mason", 50_001, urgent))
+}
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -75,7 +75,7 @@
 	due := (given > 0 || ask.Needed > 0) && s.allotter.Due(c)
 	s.mu.Unlock()
 	tokensGiven.Add(int(given))
-	if missing := ask.Needed - given; missing > 0 && r.extendsForOthers(s, v, ask) {
+	if missing := ask.Needed - given; missing > 0 && r.extendsForOthers(s, v, ask) && !s.isHopeless(ask, missing, v) {
 		if more := r.extendFor(ctx, s, v, to, ask, missing); more != nil {
 			total = more
 		}
@@ -92,6 +92,15 @@
 	return r.cfg.HoldersFirst && !ask.Loan && r.isHolder(s, v) && !r.isAway() && !r.closing.Load()
 }
 
+// isHopeless reports whether the platform said a moment ago that it leaves nothing of
+// what is missing: the turn at the platform is for those that it can help.
+func (s *shard) isHopeless(ask *messenger.TransferAsk, missing int64, v *view) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh := s.known && v.now-s.allotter.ReadAt() < verdictAge
+	return fresh && !s.allotter.MayExtend(ask.Budget, missing, int(ask.Rank))
+}
+
 // extendFor gets the missing tokens from the platform and gives them, or returns nil if
 // they do not come in time.
 func (r *Reserver) extendFor(ctx context.Context, s *shard, v *view, to string, ask *messenger.TransferAsk, missing int64) *messenger.TransferTotal {
