A lease with a very long time to live is not taken from its holder

The time at which a lease may be taken over was computed as the time since which it is unchanged plus its time to live. A time to live near the largest number overflowed into the past, so that the lease was taken at once from a holder that lives. The time that has passed is compared instead.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -154,7 +154,7 @@
 	if l.seen.Holder == l.cfg.Holder {
 		return next
 	}
-	if l.seen.Holder != "" && l.cfg.Clock.Now() < l.unchangedSince+clocker.Millis(l.seen.TimeToLiveMs) {
+	if l.seen.Holder != "" && l.cfg.Clock.Now()-l.unchangedSince < clocker.Millis(l.seen.TimeToLiveMs) {
 		return nil
 	}
 	next.Holder = l.cfg.Holder
