--- /dev/null
+++ b/dispatcher/fuzz_test.go
@@ -0,0 +1,35 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
+	"cowsliphinge/dispatcher"
+)
+
+// engines answer every call alike.
+type engines connector.Answer
+
+func (e engines) Call(string, connector.Request) (*connector.Answer, error) {
+	answer := connector.Answer(e)
+	return &answer, nil
+}
+
+func (engines) Stream(string, connector.Request) (*connector.Answer, error) {
+	return nil, connector.ErrNotSent{}
+}
+
+// FuzzCancel reads what a model engine says of a stream that it stopped.
+func FuzzCancel(f *testing.F) {
+	f.Add(200, []byte(`{"PromptTokens":7,"OutputTokens":-1}`))
+	f.Add(200, []byte(`{"PromptTokens":1e30}`))
+	f.Add(200, []byte(`null`))
+	f.Add(404, []byte(`{}`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		_, _, ok := dispatcher.Canceller{Connector: engines{Status: status, Body: body}, Clock: clocker.NewManual(0)}.Cancel("a", "r")
+		assert.Assert(t, !ok || status == 200)
+	})
+}
