--- /dev/null
+++ b/orderer/fuzz_test.go
@@ -0,0 +1,58 @@
+package orderer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+	"gotest.tools/v3/assert"
+)
+
+// sent is an answer of an engine.
+type sent struct {
+	status int
+	body   []byte
+}
+
+// FuzzAnswers reads what an engine answered to orders, questions and warm-ups.
+func FuzzAnswers(f *testing.F) {
+	for _, body := range []string{
+		`{"Fencing":-1,"Models":[null,{"Name":"m"}]}`, `{"Running":9223372036854775807,"Queued":1}`,
+		`[{"Kind":"Stored","Prefix":18446744073709551615},null]`, `{"Blocks":[null]}`, `null`, ``, `[`,
+	} {
+		f.Add(200, []byte(body))
+		f.Add(409, []byte(body))
+	}
+	var answer atomic.Pointer[sent]
+	l := fasthttputil.NewInmemoryListener()
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		a := answer.Load()
+		ctx.SetStatusCode(a.status)
+		ctx.SetBody(a.body)
+	}}
+	go func() { _ = server.Serve(l) }() // ends with the listener
+	f.Cleanup(func() { _ = l.Close() })
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		if status < 200 || status > 599 {
+			status = 200 // interim answers are the library's to read
+		}
+		answer.Store(&sent{status, body})
+		c := NewClient(ClientConfig{})
+		c.http.Dial = func(string) (net.Conn, error) { return l.Dial() }
+		defer c.http.CloseIdleConnections()
+		ctx := context.Background()
+		order := Order{Fencing: 2, Models: []Model{{Name: "m", Version: "1"}}}
+		err := c.Order(ctx, "a:1", order)
+		assert.Assert(t, (err == nil) == (status == 200) && IsErrOldFencing(err) == (status == 409))
+		if state, err := c.State(ctx, "a:1"); err == nil {
+			Loaded(order, state)
+		}
+		_, err = c.InFlight(ctx, "a:1")
+		assert.Assert(t, err != nil || status == 200)
+		_, err = c.Warm(ctx, "a:1", "b:1")
+		assert.Assert(t, err != nil || status == 200)
+	})
+}
