Requests that a planned stop would cut are sent elsewhere

Cause, from the lines of the host: all hosts of a zone stop in turn (roll_term, busy), so the balancer goes on sending new connections to hosts that are not ready, and a stopping host took every request, however long it may run.

Change: once the balancer can have noticed the stop, a request that may not end before the stop does is refused as not run at once (`stopping`, Retry-After of 25 to 75 ms, the connection closes). A stream may take its whole time; another request three times its target, 400 ms at least.

--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -38,6 +38,7 @@
 	serversPaused     = refusal{http.StatusServiceUnavailable, "servers_paused", 100, 0}
 	notReached        = refusal{http.StatusServiceUnavailable, "server_unreachable", 250, 0}
 	shed              = refusal{http.StatusServiceUnavailable, "server_shed", 250, 0}
+	stopping          = refusal{http.StatusServiceUnavailable, "stopping", 50, 0}
 	tooLate           = refusal{http.StatusServiceUnavailable, "deadline_before_sending", 0, 0}
 	// outcomeUnknown ends a request that may have run.
 	outcomeUnknown = refusal{http.StatusBadGateway, "outcome_unknown", 0, 0}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -59,7 +59,9 @@
 	Carrier *carrier.Carrier
 	// Draining reports whether callers are to open new connections elsewhere.
 	Draining func() bool
-	Log      *slog.Logger
+	// CutAt returns when a planned stop cuts the requests in flight; 0 for never.
+	CutAt func() clocker.Millis
+	Log   *slog.Logger
 }
 
 // Relayer is an http.Handler for callers.
@@ -143,6 +145,9 @@
 	if x.route.Kind == matcher.Stream && x.route.Resumable {
 		x.position = positionBehind(number([]byte(x.req.Header.Get(x.cfg.Dialect.LastEventID))))
 	}
+	if at := x.cfg.CutAt(); at > 0 && x.started+x.need() > at {
+		return stopping, false
+	}
 	if x.table.NeedsKeys() {
 		x.account = x.table.Account(bearerKey(x.req.Header))
 		if x.account == nil && !x.route.Public {
@@ -166,6 +171,15 @@
 	return refusal{}, true
 }
 
+// need returns how long the request may take here before it is better off at another
+// host, in milliseconds. How many events a stream has is not known beforehand.
+func (x *exchange) need() clocker.Millis {
+	if x.route.Kind == matcher.Stream {
+		return x.left()
+	}
+	return min(x.left(), max(headPatience*x.route.TargetLatency, minPatience))
+}
+
 // callersTime returns how long the caller waits, in milliseconds.
 func (x *exchange) callersTime() clocker.Millis {
 	ms, err := strconv.ParseInt(strings.TrimSpace(x.req.Header.Get(x.cfg.Dialect.Deadline)), 10, 64)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -45,6 +45,32 @@
 	assert.Equal(t, got.header.Get("Content-Length"), "42")
 }
 
+// Guards against requests that a planned stop cuts: the balancer still sends new
+// connections if all hosts of a zone stop in turn.
+func TestRequestThatAStopWouldCutIsSentElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		route  matcher.Route
+		left   clocker.Millis
+		status int
+	}{
+		{"stream", matcher.Route{Kind: matcher.Stream}, 2000, 503},
+		{"stream within its time", matcher.Route{Kind: matcher.Stream, Timeout: 1000}, 2000, 200},
+		{"short request", matcher.Route{Kind: matcher.Unsafe, TargetLatency: 150}, 2000, 200},
+		{"short request near the end", matcher.Route{Kind: matcher.Unsafe, TargetLatency: 150}, 200, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBackend(t, events(1, 3, true))
+			w := newWorld(t, c.route, b)
+			w.cutAt = w.shell.clock.Now() + c.left
+			got := w.call(t, "POST", "/r/", "p")
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, b.runs() == 0, c.status == 503)
+			assert.Equal(t, got.header.Get("Retry-After") != "", c.status == 503)
+		})
+	}
+}
+
 func TestRefusalsBeforeSending(t *testing.T) {
 	b := newBackend(t, answer(200, "x"))
 	w := newWorld(t, matcher.Route{}, b)
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -153,6 +153,8 @@
 	shell   *shell
 	budgets *budgets
 	lines   lines
+	// cutAt is when a planned stop cuts requests; 0 while the router is not stopped.
+	cutAt clocker.Millis
 }
 
 // lines gets the log lines of requests, one a value.
@@ -263,7 +265,8 @@
 		Budgets:  w.budgets,
 		Retries:  retries{},
 		Carrier:  carrier.New(carrier.Config{Clock: clock, RequestIDHeader: "X-Id", DialTimeout: clocker.Second, IdleFor: clocker.Minute}),
-		Draining: func() bool { return false },
+		Draining: func() bool { return w.cutAt > 0 },
+		CutAt:    func() clocker.Millis { return w.cutAt },
 		Log:      slog.New(slog.NewJSONHandler(w.lines, nil)),
 	})
 	w.front = httptest.NewServer(w.relayer)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -66,11 +66,14 @@
 	cancel      context.CancelFunc
 	group       errgroup.Group
 	draining    atomic.Bool
-	overloaded  atomic.Bool
-	isolated    atomic.Bool
-	traffic     traffic
-	table       atomic.Pointer[matcher.Table]
-	settings    atomic.Pointer[Settings]
+	// cutAt is when a planned stop cuts the requests in flight, in milliseconds; 0 before
+	// the balancer can have noticed the stop.
+	cutAt      atomic.Int64
+	overloaded atomic.Bool
+	isolated   atomic.Bool
+	traffic    traffic
+	table      atomic.Pointer[matcher.Table]
+	settings   atomic.Pointer[Settings]
 
 	exchange    *exchanger.Client
 	heartbeater *heartbeater.Heartbeater
@@ -185,6 +188,7 @@
 		}),
 		Carrier:  r.carrier,
 		Draining: func() bool { return r.draining.Load() || r.overloaded.Load() || r.isolated.Load() },
+		CutAt:    func() clocker.Millis { return clocker.Millis(r.cutAt.Load()) },
 		Log:      r.cfg.Log,
 	}))
 	r.group.Go(func() error {
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -30,6 +30,7 @@
 	r.cfg.Log.Info("stopping", "in_flight", r.relayer.Load().InFlight())
 	due := clock.Now() + r.settings.Load().StopBoundMs - stopMargin
 	_ = clock.Sleep(ctx, balancerDelay)
+	r.cutAt.Store(int64(due))
 	for r.conns.closeIdle(false) > 0 && clock.Now() < due-returnTime {
 		_ = clock.Sleep(ctx, idlePause)
 	}
