Numbers that callers name are bounded

Found by fuzzing: a caller's time of 2^63-1 ms overflowed, so the deadline lay in the past and the request was refused (503, deadline_before_sending); parts of a prompt could have negative tokens. A time is an hour at most, such parts are left out.

Before: TestNumbersOfCallersAreBounded fails (503 for 200; two parts for one); after: it passes.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -16,6 +16,8 @@
 const (
 	// defaultTime is how long a caller waits that names no time, in milliseconds.
 	defaultTime = clocker.Minute
+	// maxCallersTime bounds the time that a caller names, in milliseconds.
+	maxCallersTime = clocker.Hour
 	// defaultBodyBytes bounds a body where no limit is declared.
 	defaultBodyBytes = 1 << 20
 	// lowestPriority is the least urgent one that model engines know.
--- a/relayer/header.go
+++ b/relayer/header.go
@@ -48,7 +48,7 @@
 	for _, field := range strings.Split(header, ",") {
 		id, size, _ := strings.Cut(strings.TrimSpace(field), ":")
 		tokens, err := strconv.Atoi(size)
-		if err != nil || id == "" {
+		if err != nil || id == "" || tokens < 0 {
 			continue
 		}
 		prompt = append(prompt, chooser.Part{ID: id, Tokens: tokens})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -186,7 +186,7 @@
 	if err != nil || ms <= 0 {
 		return defaultTime
 	}
-	return clocker.Millis(ms)
+	return min(clocker.Millis(ms), maxCallersTime)
 }
 
 // readBody reads the whole body, so that it can be sent again.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -45,6 +45,15 @@
 	assert.Equal(t, got.header.Get("Content-Length"), "42")
 }
 
+// Guards against numbers of callers that no request has: a time beyond all clocks made
+// the deadline lie in the past.
+func TestNumbersOfCallersAreBounded(t *testing.T) {
+	b := newBackend(t, answer(200, "x"))
+	w := newWorld(t, matcher.Route{Kind: matcher.Safe}, b)
+	assert.Equal(t, w.call(t, "GET", "/r/", "", "X-Time", "9223372036854775807").status, 200)
+	assert.DeepEqual(t, parsePrompt("a:-5,b:7"), []chooser.Part{{ID: "b", Tokens: 7}})
+}
+
 // Guards against requests that a planned stop cuts: the balancer still sends new
 // connections if all hosts of a zone stop in turn.
 func TestRequestThatAStopWouldCutIsSentElsewhere(t *testing.T) {
