One malformed entry of a host does not hide the others

Found by fuzzing the decoders: an entry that could not be read made the whole list an error, so a host would have known no other host. It is left out with a log line.

--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"log/slog"
 
+	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
 	"cowsliphinge/allotter"
@@ -92,9 +94,10 @@
 // hostList reads the entries that hosts write of themselves.
 type hostList struct {
 	platform Platform
+	log      *slog.Logger
 }
 
-// Hosts implements heartbeater.HostList.
+// Hosts implements heartbeater.HostList. Entries that can't be read are left out.
 func (l hostList) Hosts(ctx context.Context) ([]storer.ListedHost, error) {
 	objects, _, err := l.platform.Store.List(ctx, hostKind, true)
 	if err != nil {
@@ -102,24 +105,30 @@
 	}
 	hosts := make([]storer.ListedHost, 0, len(objects))
 	for _, o := range objects {
-		value, err := l.platform.Value(o)
+		host, err := l.decode(o)
 		if err != nil {
-			return nil, err
-		}
-		host := &messenger.Host{}
-		if err := proto.Unmarshal(value, host); err != nil {
-			return nil, err
+			l.log.Warn("entry of a host can't be read", "key", o.Key, "cause", err.Error())
+			continue
 		}
 		hosts = append(hosts, storer.ListedHost{Name: host.Name, Address: host.ExchangeAddress})
 	}
 	return hosts, nil
 }
 
+func (l hostList) decode(o storer.Object) (*messenger.Host, error) {
+	value, err := l.platform.Value(o)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	host := &messenger.Host{}
+	return host, trace.Wrap(proto.Unmarshal(value, host))
+}
+
 func (r *Runner) startMembership(ctx context.Context) {
 	r.heartbeater = heartbeater.New(ctx, heartbeater.Config{
 		Self:      r.beat,
 		Clock:     r.cfg.Clock,
-		HostList:  hostList{platform: r.cfg.Platform},
+		HostList:  hostList{platform: r.cfg.Platform, log: r.cfg.Log},
 		Exchange:  r.exchange,
 		BeatEvery: beatEvery,
 		ListEvery: listEvery,
