--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -130,6 +130,7 @@
 	id := r.Header.Get("X-Request-Id")
 	switch fault.Kind {
 	case EndEmpty:
+		_ = control.Flush() // a stream has begun; it ends as chunks do
 		return
 	case SkipAhead:
 		last++
