--- a/relayer/ending_test.go
+++ b/relayer/ending_test.go
@@ -1,7 +1,9 @@
 package relayer
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +17,9 @@
 	"cowsliphinge/matcher"
 )
 
+// patient is a route whose servers are given time on a busy machine, too.
+var patient = matcher.Route{Kind: matcher.Stream, Resumable: true, MaxAttempts: 2, TargetLatency: 2000, TargetGap: 1000}
+
 // breaksThen sends three events and crashes; resumed answers the request that goes on
 // behind them.
 func breaksThen(resumed script) script {
@@ -37,16 +42,16 @@
 // the caller's answer ends as if it were complete.
 func TestStreamThatASecondServerFailsIsNotFramedAsComplete(t *testing.T) {
 	b := breaksThen(answer(500, ""))
-	w := newWorld(t, resumable, newBackend(t, b), newBackend(t, b))
+	w := newWorld(t, patient, newBackend(t, b), newBackend(t, b))
 	got := w.call(t, "POST", "/r/", "p")
 	assert.Equal(t, got.status, 200)
 	assert.Equal(t, got.body, text(1, 3))
 	assert.Assert(t, got.broken)
 }
 
-// Guards against an answer that has begun as a stream and ends by the word of a later
-// server: whatever that one sends, the caller gets the events once each, and an end of
-// the answer only behind the last of them.
+// Guards against an answer that has begun as a stream and ends as a later server's answer
+// does: whatever that server sends, the caller gets each event once, and an end of the
+// answer only after the last of them.
 func TestBegunStreamEndsWholeOnlyBehindItsLastEvent(t *testing.T) {
 	unsigned := raw("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n")
 	for _, c := range []struct {
@@ -79,7 +84,7 @@
 		{"200 of the known events alone", events(1, 3, true), text(1, 3), true},
 		{"200 of fewer events than are known", events(1, 2, true), text(1, 3), false},
 		{"200 without signature", unsigned, text(1, 3), false},
-		{"events behind a gap", events(5, 6, true), text(1, 3), false},
+		{"events after a gap", events(5, 6, true), text(1, 3), false},
 		{"events without IDs", withoutIDs, text(1, 3), false},
 		{"broken again", cut(events(4, 4, false)), text(1, 4), false},
 		{"no answer", cut(nil), text(1, 3), false},
@@ -88,7 +93,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := breaksThen(c.resumed)
-			w := newWorld(t, resumable, newBackend(t, b), newBackend(t, b))
+			w := newWorld(t, patient, newBackend(t, b), newBackend(t, b))
 			got := w.call(t, "POST", "/r/", "p")
 			assert.Equal(t, got.status, 200)
 			assert.Equal(t, got.body, c.body)
@@ -97,8 +102,8 @@
 	}
 }
 
-// Guards against a resumed stream that joins pieces of two runs: behind an event
-// without an ID nobody can say where to go on.
+// Guards against a resumed stream that joins pieces of two runs: after an event without
+// an ID nobody can say where to go on.
 func TestStreamOfUnnumberedEventsIsNotResumed(t *testing.T) {
 	b := func(w io.Writer, req *http.Request) {
 		events(1, 0, false)(w, req)
@@ -106,7 +111,7 @@
 		_ = w.(io.Closer).Close()
 	}
 	one, two := newBackend(t, b), newBackend(t, b)
-	w := newWorld(t, resumable, one, two)
+	w := newWorld(t, patient, one, two)
 	got := w.call(t, "POST", "/r/", "p")
 	assert.Equal(t, got.body, "data: d\n\n")
 	assert.Assert(t, got.broken)
@@ -114,7 +119,7 @@
 }
 
 // Guards against a caller that resumes by itself and gets events that it has, or misses
-// the first ones behind them.
+// those that come next.
 func TestCallersOwnResumptionBeginsBehindItsLastEvent(t *testing.T) {
 	for _, c := range []struct {
 		name, body  string
@@ -143,9 +148,9 @@
 // as not run because a later server refused it or was not there.
 func TestRefusalBehindATryThatMayHaveRunDoesNotSayNotRun(t *testing.T) {
 	for name, later := range map[string]script{
-		"refused":       answer(503, "", "X-Not-Run: 1"),
-		"another life":  answer(421, ""),
-		"not reachable": nil,
+		"refused":                       answer(503, "", "X-Not-Run: 1"),
+		"another server at the address": answer(421, ""),
+		"not reachable":                 nil,
 	} {
 		t.Run(name, func(t *testing.T) {
 			scripts := []script{cut(nil), later}
@@ -185,17 +190,42 @@
 // Guards against a broken stream that looks complete to a caller of HTTP/1.0, whose
 // answers end with the connection.
 func TestBrokenStreamIsVisibleToACallerOfHTTP10(t *testing.T) {
-	w := newWorld(t, matcher.Route{Kind: matcher.Stream}, newBackend(t, cut(events(1, 3, false))))
+	read := make(chan struct{})
+	b := newBackend(t, func(w io.Writer, req *http.Request) {
+		events(1, 3, false)(w, req)
+		<-read
+		cut(nil)(w, req)
+	})
+	w := newWorld(t, matcher.Route{Kind: matcher.Stream}, b)
 	c, err := net.Dial("tcp4", strings.TrimPrefix(w.front.URL, "http://"))
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
 	_, err = io.WriteString(c, "POST /r/ HTTP/1.0\r\nHost: shop.example\r\nX-Id: id-1\r\nAuthorization: Bearer key\r\n\r\n")
 	assert.NilError(t, err)
-	_, err = io.ReadAll(c)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	got := make([]byte, len(text(1, 3)))
+	_, err = io.ReadFull(resp.Body, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), text(1, 3))
+	close(read)
+	_, err = resp.Body.Read(got)
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
 
-// Guards against an order that runs twice: callers repeat it behind 429, 503, 408 and
+// Guards against a stream whose head and signature change with its server.
+func TestResumedStreamKeepsTheSignatureOfItsFirstServer(t *testing.T) {
+	other := func(w io.Writer, req *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: other\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("X-Id"), len(text(4, 6)), text(4, 6))
+	}
+	b := breaksThen(other)
+	got := newWorld(t, patient, newBackend(t, b), newBackend(t, b)).call(t, "POST", "/r/", "p")
+	assert.Equal(t, got.body, text(1, 6))
+	assert.Assert(t, !got.broken)
+	assert.DeepEqual(t, got.header.Values("X-Sign"), []string{"s"})
+}
+
+// Guards against an order that runs twice: callers repeat it after 429, 503, 408 and
 // 421, so a server's answer of that status is passed on only if it says not run.
 func TestServersRefusalWithoutNotRunIsNotPassedOnForOrders(t *testing.T) {
 	for _, status := range []int{408, 429, 503} {
@@ -224,7 +254,7 @@
 
 // Guards against a stream that is given up although a third server may go on with it.
 func TestStreamGoesOnAtAThirdServer(t *testing.T) {
-	three := resumable
+	three := patient
 	three.MaxAttempts = 3
 	s := newSequence([]script{cut(events(1, 3, false)), answer(500, "failed"), events(4, 6, true)})
 	w := newWorld(t, three, newBackend(t, s), newBackend(t, s), newBackend(t, s))
@@ -236,7 +266,7 @@
 // Guards against two values of Last-Event-Id, the caller's and this router's.
 func TestLastEventIDIsSentOnce(t *testing.T) {
 	b := newBackend(t, events(3, 4, true))
-	w := newWorld(t, resumable, b)
+	w := newWorld(t, patient, b)
 	w.call(t, "POST", "/r/", "p", "Last-Event-Id", "2")
 	assert.DeepEqual(t, b.requests[0].Header.Values("Last-Event-Id"), []string{"2"})
 }
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -48,7 +48,7 @@
 	return end
 }
 
-// unnumbered is the ID of an event that has no number, behind which no stream can be
+// unnumbered is the ID of an event that has no number, after which no stream can be
 // resumed.
 const unnumbered = -1
 
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -268,7 +268,7 @@
 // answer that visibly breaks off.
 func (x *exchange) giveUp(f refusal) {
 	if x.mayHaveRun && f.saysNotRun() {
-		f = outcomeUnknown // true of the last server alone
+		f = outcomeUnknown // only the last server refused it
 	}
 	if x.req.Context().Err() != nil {
 		f.reason = "caller_left"
--- a/relayer/position.go
+++ b/relayer/position.go
@@ -20,9 +20,9 @@
 	reached int64
 }
 
-// positionBehind is that of a caller that has the events up to a number; unnumbered is
+// positionAfter is that of a caller that has the events up to a number; unnumbered is
 // the start of a stream.
-func positionBehind(last int64) position {
+func positionAfter(last int64) position {
 	return position{last: last, reached: unnumbered}
 }
 
@@ -33,7 +33,7 @@
 }
 
 // take returns the bytes of the events that come next, without those that the caller
-// has, and errEventOrder behind them if one is missing or can't be placed.
+// has, and errEventOrder if the one after them is missing or can't be placed.
 func (p *position) take(events []event) ([]byte, error) {
 	var out []byte
 	for _, e := range events {
@@ -59,8 +59,8 @@
 	return out, nil
 }
 
-// follows reports whether the place of an event is certain: behind the present
-// server's event before, and with no gap behind what the caller has.
+// follows reports whether the place of an event is certain: next to the
+// present server's event before it, and with no gap after what the caller has.
 func (p *position) follows(e event) bool {
 	switch {
 	case e.id == unnumbered:
--- a/relayer/position_test.go
+++ b/relayer/position_test.go
@@ -39,7 +39,7 @@
 		{"unnumbered among known ones", []int64{1, 2}, []int64{1, u, 2, 3}, "123", false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p := positionBehind(unnumbered)
+			p := positionAfter(unnumbered)
 			got, err := p.take(numbered(c.first...))
 			assert.NilError(t, err)
 			p.restart()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -122,7 +122,7 @@
 		ctx:      req.Context(),
 		id:       req.Header.Get(r.cfg.Dialect.RequestID),
 		started:  now,
-		position: positionBehind(unnumbered),
+		position: positionAfter(unnumbered),
 	}
 }
 
@@ -143,7 +143,7 @@
 		x.deadline = min(x.deadline, x.started+x.route.Timeout)
 	}
 	if x.route.Kind == matcher.Stream && x.route.Resumable {
-		x.position = positionBehind(number([]byte(x.req.Header.Get(x.cfg.Dialect.LastEventID))))
+		x.position = positionAfter(number([]byte(x.req.Header.Get(x.cfg.Dialect.LastEventID))))
 	}
 	if at := x.cfg.CutAt(); at > 0 && x.started+x.need() > at {
 		return stopping, false
--- a/relayer/reply.go
+++ b/relayer/reply.go
@@ -85,7 +85,7 @@
 		return
 	}
 	if l, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = l.SetLinger(0) // the close below tells of a connection that is gone
+		_ = l.SetLinger(0) // fails only if the connection is gone already
 	}
 	_ = conn.Close()
 }
