Log how a configuration version arrives, and when another host first told of it

The logs had the moment at which a version came into force and the moment of a repeated list, but not whether a list or a watch brought it, nor when the host first heard of it, so that hypotheses 1 (news and reaction late) and 2 (list late) looked alike. Added: call=list|watch in 'configuration in force', a line 'another host has a newer configuration' once a version, histogram cowsliphinge_configuration_lag_seconds. No decision changed.

--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -133,15 +133,20 @@
 	return host, trace.Wrap(proto.Unmarshal(value, host))
 }
 
-func (r *Runner) startMembership(ctx context.Context) {
-	r.heartbeater = heartbeater.New(ctx, heartbeater.Config{
+// membershipConfig returns the configuration of the heartbeats of this host.
+func (r *Runner) membershipConfig(exchange heartbeater.Exchange) heartbeater.Config {
+	return heartbeater.Config{
 		OwnBeat:          r.heartbeat,
 		Clock:            r.cfg.Clock,
 		HostList:         hostList{platform: r.cfg.Platform, log: r.cfg.Log},
-		Exchange:         r.exchange,
+		Exchange:         exchange,
 		BeatInterval:     heartbeatInterval,
 		HostListInterval: hostListInterval,
-	})
+	}
+}
+
+func (r *Runner) startMembership(ctx context.Context) {
+	r.heartbeater = heartbeater.New(ctx, r.membershipConfig(r.exchange))
 	r.group.Go(func() error {
 		for r.announce(ctx) != nil {
 			if r.cfg.Clock.Sleep(ctx, announceRetryInterval) != nil {
--- a/runner/configurations.go
+++ b/runner/configurations.go
@@ -20,7 +20,7 @@
 // Replace implements watcher.Sink.
 func (c *configurationSink) Replace(objects []storer.Object, _ clocker.Millis) {
 	for _, o := range objects {
-		c.applyObject(o)
+		c.applyObject(o, "list")
 	}
 }
 
@@ -28,12 +28,14 @@
 func (c *configurationSink) Apply(changes []storer.Change, _ clocker.Millis) {
 	for _, change := range changes {
 		if !change.Deleted {
-			c.applyObject(change.Object)
+			c.applyObject(change.Object, "watch")
 		}
 	}
 }
 
-func (c *configurationSink) applyObject(o storer.Object) {
+// applyObject puts the declaration of the object in force if its version is higher than the
+// one in force. call is the call of the store that returned it, for the log.
+func (c *configurationSink) applyObject(o storer.Object, call string) {
 	if o.Key != c.platform.ConfigurationKey {
 		return
 	}
@@ -49,5 +51,5 @@
 	c.table.Store(matcher.New(d))
 	// Declaration.Version is the version of the configuration, Object.Version the revision
 	// of the store.
-	c.log.Info("configuration in force", "version", d.Version, "revision", o.Version, "routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
+	c.log.Info("configuration in force", "version", d.Version, "revision", o.Version, "call", call, "routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
 }
--- a/runner/version_lag.go
+++ b/runner/version_lag.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
@@ -30,6 +33,10 @@
 	designationShard = 0
 )
 
+// configurationLag is the time between the first report of a configuration version by another
+// host and that version's coming into force here, in seconds.
+var configurationLag = metrics.NewHistogram("cowsliphinge_configuration_lag_seconds")
+
 // lagDetector detects that other hosts have been ahead of this one for some time.
 type lagDetector struct {
 	behind      bool
@@ -99,11 +106,30 @@
 	})
 }
 
+// newerVersionLog logs when another host reports a newer configuration, and measures how long
+// it takes to come into force here.
+type newerVersionLog struct {
+	newest     int64
+	reportedAt clocker.Millis
+}
+
+func (l *newerVersionLog) observe(log *slog.Logger, own, newest int64, now clocker.Millis) {
+	if l.newest > 0 && own >= l.newest {
+		configurationLag.Update(float64(now-l.reportedAt) / float64(clocker.Second))
+		l.newest = 0
+	}
+	if newest > own && newest > l.newest {
+		log.Info("another host has a newer configuration", "version", own, "newest", newest)
+		l.newest, l.reportedAt = newest, now
+	}
+}
+
 // relistWhenBehindPeers relists the configuration or the backend servers when other
 // hosts have had newer ones for some time. A watch may hang after the store compacts its
 // change history.
 func (r *Runner) relistWhenBehindPeers(ctx context.Context, configurationWatcher *watcher.Watcher) {
 	var version, servers lagDetector
+	var reports newerVersionLog
 	for r.cfg.Clock.Sleep(ctx, compareInterval) == nil {
 		now, peers := r.cfg.Clock.Now(), r.livePeers()
 		var own, highest int64
@@ -113,6 +139,7 @@
 		for _, p := range peers {
 			highest = max(highest, p.ConfigurationVersion)
 		}
+		reports.observe(r.cfg.Log, own, highest, now)
 		if version.observe(own, highest, r.cfg.Settings.ConfigurationMs/batchDelayDivisor, now) {
 			configurationWatcher.Relist()
 		}
