--- /dev/null
+++ b/runner/fleet_fixture_test.go
@@ -0,0 +1,361 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/matcher"
+	"cowsliphinge/messenger"
+	"cowsliphinge/platform"
+	"cowsliphinge/storer"
+)
+
+const (
+	// fleetStoreResponseTime is the time that the store takes for a response, in
+	// milliseconds.
+	fleetStoreResponseTime = 4 * clocker.Millis(1)
+	// fleetStoreBytesPerMilli and fleetHostBytesPerMilli are the bandwidths of the links of
+	// the store (1,000 Mbit/s) and of a small host (20 Mbit/s).
+	fleetStoreBytesPerMilli = 125_000
+	fleetHostBytesPerMilli  = 2_500
+	// fleetRouteBytes is the size of a route in a configuration.
+	fleetRouteBytes = 250
+	// fleetPeerRoundTrip is the time of an exchange between two hosts, in milliseconds.
+	fleetPeerRoundTrip = 2 * clocker.Millis(1)
+	// fleetWarmUp is the time in which the hosts find each other, in milliseconds.
+	fleetWarmUp = 10 * clocker.Second
+)
+
+// fleetScale is the size of a simulated fleet.
+type fleetScale struct {
+	zones, hostsPerZone int
+	// bound is the time within which a configuration must be in force, in milliseconds.
+	bound clocker.Millis
+	// readsPerSecond is the limit of the store.
+	readsPerSecond int
+}
+
+var (
+	smallFleet = fleetScale{zones: 4, hostsPerZone: 2, bound: 2 * clocker.Second, readsPerSecond: 2000}
+	grownFleet = fleetScale{zones: 5, hostsPerZone: 18, bound: 3 * clocker.Second, readsPerSecond: 6000}
+	largeFleet = fleetScale{zones: 6, hostsPerZone: 33, bound: 4 * clocker.Second, readsPerSecond: 16000}
+)
+
+// fleet runs the membership and the watchers of many hosts against one store in simulated
+// time. It must be used in a synctest bubble.
+type fleet struct {
+	scale fleetScale
+	clock *clocker.Clock
+	store *fleetStore
+	hosts []*fleetHost
+	// byAddress finds hosts by their exchange address.
+	byAddress map[string]*fleetHost
+}
+
+type fleetHost struct {
+	*Runner
+	fleet *fleet
+	// started is true once the heartbeater runs.
+	started atomic.Bool
+	// cut is true while the host reaches neither the store nor other hosts.
+	cut atomic.Bool
+}
+
+// fleetConfiguration is the content of the configuration object.
+type fleetConfiguration struct {
+	Version int64
+	Routes  int
+}
+
+// newFleet starts a fleet whose hosts know each other and have version 1 in force.
+func newFleet(t *testing.T, scale fleetScale) *fleet {
+	log := slog.Default()
+	slog.SetDefault(slog.New(slog.DiscardHandler)) // heartbeaters log each change of a peer
+	t.Cleanup(func() { slog.SetDefault(log) })
+	f := &fleet{scale: scale, clock: clocker.NewWall(), byAddress: map[string]*fleetHost{}}
+	f.store = newFleetStore(f)
+	f.store.put(fleetConfiguration{Version: 1, Routes: 4})
+	rng := rand.New(rand.NewPCG(1, 0))
+	for z := range scale.zones {
+		for n := range scale.hostsPerZone {
+			f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("%c", 'a'+z), fmt.Sprintf("front-%c-%02d", 'a'+z, n)))
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		cancel()
+		synctest.Wait()
+	})
+	for _, i := range rng.Perm(len(f.hosts)) {
+		h := f.hosts[i]
+		h.heartbeater = heartbeater.New(ctx, h.membershipConfig(h))
+		h.started.Store(true)
+		h.startWatchers(ctx)
+		f.sleep(clocker.Millis(rng.Int64N(8)))
+	}
+	f.sleep(fleetWarmUp)
+	return f
+}
+
+func (f *fleet) newHost(zone, name string) *fleetHost {
+	h := &fleetHost{fleet: f}
+	cfg := Config{
+		Clock: f.clock,
+		Log:   slog.New(slog.DiscardHandler),
+		Settings: Settings{
+			Host: name, AvailabilityZone: zone, ExchangeAddress: name + ":1",
+			ConfigurationMs: f.scale.bound, LeaveMs: f.scale.bound, SteadyMs: f.scale.bound + clocker.Second,
+		},
+		Platform: Platform{
+			Store:             &fleetStoreClient{fleetStore: f.store, host: h},
+			ConfigurationKey:  "config/main",
+			ServerKind:        "servers",
+			DecodeDeclaration: decodeFleetConfiguration,
+			DecodeServer: func(o storer.Object) (chooser.Server, error) {
+				return chooser.Server{ID: strings.TrimPrefix(o.Key, "servers/"), Service: "s", Slots: 1, Draining: string(o.Value) == "draining"}, nil
+			},
+			DecodeValue: func(o storer.Object) ([]byte, error) { return o.Value, nil },
+		},
+	}
+	h.Runner = &Runner{cfg: cfg, incarnation: name + "-1-1"}
+	h.backends = newBackendPool(cfg, nil)
+	f.byAddress[cfg.Settings.ExchangeAddress] = h
+	return h
+}
+
+func decodeFleetConfiguration(o storer.Object) (matcher.Declaration, error) {
+	var c fleetConfiguration
+	if err := json.Unmarshal(o.Value, &c); err != nil {
+		return matcher.Declaration{}, err
+	}
+	d := matcher.Declaration{Version: c.Version, Services: []*matcher.Service{{Name: "s"}}}
+	for i := range c.Routes {
+		d.Routes = append(d.Routes, &matcher.Route{Name: fmt.Sprint(i), Host: "h", PathPrefix: fmt.Sprintf("/%d/", i), Splits: []matcher.Split{{Service: "s", Weight: 1}}})
+	}
+	return d, nil
+}
+
+// SendBeat implements heartbeater.Exchange. A host that is cut off does not answer.
+func (h *fleetHost) SendBeat(ctx context.Context, address string, beat *messenger.Beat) (*messenger.BeatReply, error) {
+	other := h.fleet.byAddress[address]
+	if h.cut.Load() || other.cut.Load() || !other.started.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if err := h.fleet.clock.Sleep(ctx, fleetPeerRoundTrip); err != nil {
+		return nil, err
+	}
+	return other.heartbeater.SendBeat(ctx, proto.CloneOf(beat))
+}
+
+func (f *fleet) sleep(d clocker.Millis) { f.clock.SleepUncancellable(d) }
+
+// awaitVersion returns how long after since the last host that is not cut off has the
+// version in force, at most limit. It fails the test if a host goes back to an older one.
+func (f *fleet) awaitVersion(t *testing.T, version int64, since, limit clocker.Millis) clocker.Millis {
+	t.Helper()
+	newest := map[*fleetHost]int64{}
+	for {
+		behind := 0
+		for _, h := range f.hosts {
+			inForce := int64(0)
+			if table := h.table.Load(); table != nil {
+				inForce = table.Version
+			}
+			assert.Assert(t, inForce >= newest[h], "%s went back from version %d to %d", h.cfg.Settings.Host, newest[h], inForce)
+			newest[h] = inForce
+			if !h.cut.Load() && inForce < version {
+				behind++
+			}
+		}
+		if behind == 0 || f.clock.Now()-since >= limit {
+			return f.clock.Now() - since
+		}
+		f.sleep(10)
+	}
+}
+
+// fleetStore is the store of a simulated fleet: one configuration and no backend servers.
+type fleetStore struct {
+	fleet *fleet
+
+	mu       sync.Mutex
+	revision int64
+	// configuration is the configuration object, and changed is closed by its next change.
+	configuration storer.Object
+	size          int
+	changed       chan struct{}
+	// oldest is the oldest revision that can be watched from, and hung ends the response of
+	// watches that wait when the history is dropped.
+	oldest int64
+	hung   chan struct{}
+	// linkFreeAt is when the store's link has sent all responses so far.
+	linkFreeAt clocker.Millis
+	// reads counts the calls in the second that started at readsSince.
+	reads      int
+	readsSince clocker.Millis
+}
+
+func newFleetStore(f *fleet) *fleetStore {
+	return &fleetStore{fleet: f, revision: 1, changed: make(chan struct{}), hung: make(chan struct{})}
+}
+
+// put replaces the configuration and returns when that was acknowledged.
+func (s *fleetStore) put(c fleetConfiguration) clocker.Millis {
+	value, _ := json.Marshal(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.size = c.Routes * fleetRouteBytes
+	s.configuration = storer.Object{Key: "config/main", Version: s.revision, Value: value}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.fleet.clock.Now()
+}
+
+// dropHistory makes the present watches hang and drops the history. Watches from older
+// revisions fail from now on.
+func (s *fleetStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.hung)
+	s.hung = make(chan struct{})
+	s.revision++
+	s.oldest = s.revision
+}
+
+// call counts a call and reports whether the store serves it.
+func (s *fleetStore) call() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.fleet.clock.Now()
+	if now-s.readsSince >= clocker.Second {
+		s.reads, s.readsSince = 0, now
+	}
+	s.reads++
+	if s.reads > s.fleet.scale.readsPerSecond {
+		return storer.ErrRateLimited{Key: "config"}
+	}
+	return nil
+}
+
+// transfer waits until a response of a size has arrived at a host.
+func (s *fleetStore) transfer(ctx context.Context, size int) error {
+	s.mu.Lock()
+	now := s.fleet.clock.Now()
+	s.linkFreeAt = max(s.linkFreeAt, now) + clocker.Millis(size/fleetStoreBytesPerMilli)
+	wait := s.linkFreeAt - now + clocker.Millis(size/fleetHostBytesPerMilli) + fleetStoreResponseTime
+	s.mu.Unlock()
+	return s.fleet.clock.Sleep(ctx, wait)
+}
+
+// fleetStoreClient is the store as one host reaches it.
+type fleetStoreClient struct {
+	*fleetStore
+	host *fleetHost
+}
+
+var errFleetCutOff = errors.New("the store is not reachable")
+
+// begin starts a call; without a path to the store it fails after the timeout.
+func (s *fleetStoreClient) begin(ctx context.Context, timeout clocker.Millis) error {
+	if s.host.cut.Load() {
+		if err := s.fleet.clock.Sleep(ctx, timeout); err != nil {
+			return err
+		}
+		return errFleetCutOff
+	}
+	return s.call()
+}
+
+// List implements watcher.Source.
+func (s *fleetStoreClient) List(ctx context.Context, kind string, _ bool) ([]storer.Object, int64, error) {
+	if err := s.begin(ctx, 2*clocker.Second); err != nil {
+		return nil, 0, err
+	}
+	if kind == hostKind {
+		return s.listHosts(), 0, nil
+	}
+	s.mu.Lock()
+	o, size, revision := s.configuration, s.size, s.revision
+	s.mu.Unlock()
+	if kind != "config" {
+		return nil, revision, s.transfer(ctx, 0)
+	}
+	return []storer.Object{o}, revision, s.transfer(ctx, size)
+}
+
+func (s *fleetStoreClient) listHosts() []storer.Object {
+	var objects []storer.Object
+	for _, h := range s.fleet.hosts {
+		settings := h.cfg.Settings
+		value, _ := proto.Marshal(&messenger.Host{Name: settings.Host, AvailabilityZone: settings.AvailabilityZone, ExchangeAddress: settings.ExchangeAddress})
+		objects = append(objects, storer.Object{Key: hostKind + "/" + settings.Host, Value: value})
+	}
+	return objects
+}
+
+// Watch implements watcher.Source.
+func (s *fleetStoreClient) Watch(ctx context.Context, kind string, since int64, wait clocker.Millis) ([]storer.Change, int64, error) {
+	if err := s.begin(ctx, wait+platform.WatchMargin); err != nil {
+		return nil, 0, err
+	}
+	waitCtx, cancel := s.fleet.clock.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		o, size, revision, oldest, changed, hung := s.configuration, s.size, s.revision, s.oldest, s.changed, s.hung
+		s.mu.Unlock()
+		switch {
+		case since < oldest:
+			return nil, 0, storer.ErrHistoryGone{Kind: kind}
+		case kind == "config" && o.Version > since:
+			err := s.transfer(ctx, size)
+			return []storer.Change{{Object: o}}, revision, err
+		}
+		select {
+		case <-waitCtx.Done():
+			return nil, max(since, revision), ctx.Err()
+		case <-hung:
+			<-waitCtx.Done()
+			_ = s.fleet.clock.Sleep(ctx, platform.WatchMargin) // the call fails in any case
+			return nil, 0, storer.ErrOutcomeUnknown{Key: kind, Cause: "no answer"}
+		case <-changed:
+		}
+	}
+}
+
+// GetStale, Get, Create and Update complete Store; the hosts of a fleet hold no budgets.
+func (*fleetStoreClient) GetStale(context.Context, string) (storer.Object, error) {
+	return storer.Object{}, storer.ErrNotFound{}
+}
+
+// Get implements Store.
+func (*fleetStoreClient) Get(context.Context, string) (storer.Object, error) {
+	return storer.Object{}, storer.ErrNotFound{}
+}
+
+// Create implements Store.
+func (*fleetStoreClient) Create(context.Context, string, []byte) (storer.Object, error) {
+	return storer.Object{}, storer.ErrNotFound{}
+}
+
+// Update implements Store.
+func (*fleetStoreClient) Update(context.Context, string, int64, []byte) (storer.Object, error) {
+	return storer.Object{}, storer.ErrNotFound{}
+}
