A host lists again sooner after news of a version, and zone watchers tell at once

Cause, second wait: a host compared versions every 500 ms and listed only a fifth of the bound (0.4 to 0.8 s) after the news; a zone watcher's next beat came up to 500 ms after its version was in force.

Change: versions are compared every 100 ms, by one number instead of a copy of all peers; the host's own watch gets a tenth of the bound to deliver what another host has; a zone watcher announces each new version. Ruled out: listing at once.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -44,9 +44,7 @@
 	// missing servers, in milliseconds.
 	sweepInterval = 200 * clocker.Millis(1)
 	// batchDelayDivisor divides a time limit to get the batch delay for changes of the
-	// store. The remaining time is for a slow store and for applying the changes. It also
-	// divides the limit to get the time after which a lag behind other hosts leads to a
-	// relist.
+	// store. The remaining time is for a slow store and for applying the changes.
 	batchDelayDivisor = 5
 	// serverBatchDelayDivisor is the same for entries of backend servers. Their batch
 	// delay can be longer, since servers also announce in their responses that they
--- a/runner/version_lag.go
+++ b/runner/version_lag.go
@@ -14,9 +14,16 @@
 )
 
 const (
-	// compareInterval is the interval of the comparisons with the versions of other
-	// hosts, in milliseconds: that of their heartbeats.
-	compareInterval = heartbeatInterval
+	// versionCompareInterval is the interval of the comparisons with the newest
+	// configuration version that other hosts have heard of, in milliseconds.
+	versionCompareInterval = 100 * clocker.Millis(1)
+	// serversCompareRounds is the number of these intervals between two comparisons of the
+	// backend servers: the interval of the heartbeats.
+	serversCompareRounds = int(heartbeatInterval / versionCompareInterval)
+	// versionLagDivisor divides the time within which a configuration must be in force to
+	// get the time that the own watch has to deliver a version that another host has. The
+	// store's link needs some hundred milliseconds to send a large one to a large fleet.
+	versionLagDivisor = 10
 	// longWatchTimeout is the watch timeout of hosts that are not designated, in
 	// milliseconds. The platform bills each watch call. A change ends it at once.
 	longWatchTimeout = 12 * clocker.Second
@@ -67,12 +74,22 @@
 // change history, is reported by their heartbeats.
 func (r *Runner) watchTimeouts(bound clocker.Millis) func() clocker.Millis {
 	return func() clocker.Millis {
-		zone := []string{r.cfg.Settings.Host}
-		for _, p := range r.zonePeers() {
-			zone = append(zone, p.Host)
-		}
-		return watchTimeout(r.cfg.Settings.Host, zone, bound)
+		return watchTimeout(r.cfg.Settings.Host, r.zoneHosts(), bound)
+	}
+}
+
+// zoneHosts returns the live hosts of the own zone with this one.
+func (r *Runner) zoneHosts() []string {
+	zone := []string{r.cfg.Settings.Host}
+	for _, p := range r.zonePeers() {
+		zone = append(zone, p.Host)
 	}
+	return zone
+}
+
+// isDesignated reports whether this host is a designated host of its zone.
+func (r *Runner) isDesignated() bool {
+	return slices.Contains(allotter.Holders(designationShard, r.zoneHosts()), r.cfg.Settings.Host)
 }
 
 // watchTimeout returns the watch timeout of a host, given the live hosts of its zone.
@@ -134,23 +151,32 @@
 
 // relistWhenBehindPeers relists the configuration or the backend servers when other
 // hosts have had newer ones for some time. A watch may hang after the store compacts its
-// change history.
+// change history. A designated host announces each new version, for hosts whose watches hang.
 func (r *Runner) relistWhenBehindPeers(ctx context.Context, configurationWatcher *watcher.Watcher) {
 	var version, servers lagDetector
 	var reports newerVersionLog
-	for r.cfg.Clock.Sleep(ctx, compareInterval) == nil {
-		now, peers := r.cfg.Clock.Now(), r.livePeers()
-		own, newest := r.configurationVersion(), r.heartbeater.NewestVersion()
+	var announced int64
+	for round := 0; r.cfg.Clock.Sleep(ctx, versionCompareInterval) == nil; round++ {
+		own, newest, now := r.configurationVersion(), r.heartbeater.NewestVersion(), r.cfg.Clock.Now()
 		reports.observe(r.cfg.Log, own, newest, now)
-		if version.observe(own, newest, r.cfg.Settings.ConfigurationMs/batchDelayDivisor, now) {
-			configurationWatcher.Relist()
+		if own > announced && r.isDesignated() {
+			r.heartbeater.Announce()
 		}
-		behind := int64(0)
-		if serversOutdated(r.backends.currentFingerprint(), r.serverWatcher.Load().LastRevision(), peers) {
-			behind = 1
+		announced = own
+		if version.observe(own, newest, r.cfg.Settings.ConfigurationMs/versionLagDivisor, now) {
+			configurationWatcher.Relist()
 		}
-		if servers.observe(0, behind, r.cfg.Settings.LeaveMs/serverBatchDelayDivisor, now) {
+		if round%serversCompareRounds == 0 && servers.observe(0, r.behindOnServers(), r.cfg.Settings.LeaveMs/serverBatchDelayDivisor, now) {
 			r.serverWatcher.Load().Relist()
 		}
 	}
 }
+
+// behindOnServers returns 1 if another host has other backend servers from a later response
+// of the store, else 0.
+func (r *Runner) behindOnServers() int64 {
+	if serversOutdated(r.backends.currentFingerprint(), r.serverWatcher.Load().LastRevision(), r.livePeers()) {
+		return 1
+	}
+	return 0
+}
