Watches that hang together are noticed by the first of them that ends

Cause, third wait: after a change all watches start together, so if they hang, the first of them ends after half of the bound and the margin of 1 s at the soonest (in small zones after the bound and the margin), and only then does any host know the version.

Price, by arithmetic: 12 zone watchers of the large deployment make about 8 calls a second more, 9 hosts of a small one about 4. Ruled out: short waits for all hosts (195 calls a second); random timeouts (the sum of chances left a test that could fail).

--- a/runner/version_lag.go
+++ b/runner/version_lag.go
@@ -30,7 +30,10 @@
 	// designatedHostTimeoutDivisor divides a time limit to get the watch timeout of a
 	// designated host, which watches the store on behalf of its zone. The remaining time
 	// is for heartbeats to spread the update to the others.
-	designatedHostTimeoutDivisor = 2
+	designatedHostTimeoutDivisor = 4
+	// smallZoneTimeoutPercent is the longest watch timeout of the hosts of a zone without
+	// designated hosts, in percent of the time limit.
+	smallZoneTimeoutPercent = 67
 	// minHostsForDesignation is the number of live hosts from which a zone has
 	// designated hosts. With fewer, their shorter timeouts cost more calls than the
 	// longer timeouts of the others save.
@@ -74,7 +77,7 @@
 // change history, is reported by their heartbeats.
 func (r *Runner) watchTimeouts(bound clocker.Millis) func() clocker.Millis {
 	return func() clocker.Millis {
-		return watchTimeout(r.cfg.Settings.Host, r.zoneHosts(), bound)
+		return watchTimeout(r.cfg.Settings.Host, r.zoneHosts(), r.fleetPosition(), bound)
 	}
 }
 
@@ -87,21 +90,36 @@
 	return zone
 }
 
+// fleetPosition returns the share of the live hosts whose names sort before the own one.
+func (r *Runner) fleetPosition() float64 {
+	before, hosts := 0, 1
+	for _, p := range r.livePeers() {
+		hosts++
+		if p.Host < r.cfg.Settings.Host {
+			before++
+		}
+	}
+	return float64(before) / float64(hosts)
+}
+
 // isDesignated reports whether this host is a designated host of its zone.
 func (r *Runner) isDesignated() bool {
 	return slices.Contains(allotter.Holders(designationShard, r.zoneHosts()), r.cfg.Settings.Host)
 }
 
-// watchTimeout returns the watch timeout of a host, given the live hosts of its zone.
-func watchTimeout(host string, zone []string, bound clocker.Millis) clocker.Millis {
-	switch {
-	case len(zone) < minHostsForDesignation:
-		return bound
-	case slices.Contains(allotter.Holders(designationShard, zone), host):
-		return bound / designatedHostTimeoutDivisor
-	default:
-		return max(longWatchTimeout, bound)
+// watchTimeout returns the watch timeout of a host, given the live hosts of its zone and its
+// position in the fleet. The watches of all hosts start together after a change; if they all
+// hang, the first one that ends by its timeout is enough, so the short ones differ by up to
+// a half.
+func watchTimeout(host string, zone []string, position float64, bound clocker.Millis) clocker.Millis {
+	longest := bound * smallZoneTimeoutPercent / 100
+	if len(zone) >= minHostsForDesignation {
+		if !slices.Contains(allotter.Holders(designationShard, zone), host) {
+			return max(longWatchTimeout, bound)
+		}
+		longest = bound / designatedHostTimeoutDivisor
 	}
+	return longest/2 + clocker.Millis(position*float64(longest)/2)
 }
 
 // livePeers returns the other hosts whose heartbeats arrive.
