An invalid configuration is not put in force

Of the four ways to break CONFIG, three were tested on one host: back to an older version (by a list, a watch, a deletion: does not happen), a route added but not found (does not happen), and an invalid configuration taken. That one happened: an object without version, routes or services, with a path prefix that matches nothing, or whose routes name services that it does not declare replaced the one in force, and answered every caller 404 or 503.

--- a/matcher/table_test.go
+++ b/matcher/table_test.go
@@ -45,3 +45,15 @@
 	fmt.Println(table.Account("k2").Name, table.Account("k3") == nil)
 	// Output: masons true
 }
+
+func TestValidateListsAllFindingsWithTheirPlace(t *testing.T) {
+	d := Declaration{Services: []*Service{{Name: "s"}}, Routes: []*Route{
+		{Name: "good", PathPrefix: "/", Splits: []Split{{Service: "s"}}},
+		{Name: "bad", PathPrefix: "/a", Splits: []Split{{Service: "s"}, {Service: "t"}}},
+	}}
+	assert.DeepEqual(t, d.Validate(), []string{
+		"version is 0, not positive",
+		`route 1 (bad): path prefix is "/a", not enclosed in slashes`,
+		`route 1 (bad): service "t" is not declared`,
+	})
+}
--- a/runner/configurations.go
+++ b/runner/configurations.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strings"
 	"sync/atomic"
 
 	"cowsliphinge/clocker"
@@ -44,6 +45,10 @@
 		c.log.Error("configuration can't be read, the one in force stays", "cause", err.Error())
 		return
 	}
+	if findings := d.Validate(); len(findings) > 0 {
+		c.log.Error("configuration is invalid, the one in force stays", "version", d.Version, "revision", o.Version, "findings", strings.Join(findings, "; "))
+		return
+	}
 	old := c.table.Load()
 	if old != nil && d.Version <= old.Version {
 		return
