A leaving backend server is known in time while watches hang

Responses of the server that tell of its leaving are quicker where there are any.

Change: beats carry the servers' fingerprint as of the latest revision that the sender has heard of; zone watchers announce changes of servers too; a tenth of the bound instead of a third. A relist during the batch delay has no effect, since the next watch brings the change: with the shorter time hosts would else list once in each release of a server (list of all entries, then a watch).

TestLeavingServerIsKnownInTimeWhileWatchesHang, TestRelistHasNoEffectDuringBatchDelay; TestServersOutdatedNeedsLaterRevision checks the same cases against the one newest state.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -170,6 +170,14 @@
 	return &messenger.BeatReply{Beat: own}, nil
 }
 
+// NewestServers returns the backend servers as of the latest revision that any received beat
+// reported.
+func (h *Heartbeater) NewestServers() ServersState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.members.NewestServers()
+}
+
 // runBeatRound sends the own beat to the targets of one round. It does not wait for the
 // replies: the next round is not late because a target does not answer.
 func (h *Heartbeater) runBeatRound(ctx context.Context) {
@@ -286,6 +294,8 @@
 	beat.SentAtMs = int64(h.members.BeatTimestamp(now))
 	beat.Heard = h.members.SampleBeats(now)
 	beat.NewestConfigurationVersion = max(beat.ConfigurationVersion, h.members.NewestVersion())
+	servers := newerServers(ServersState{beat.ServersRevision, beat.ServersFingerprint}, h.members.NewestServers())
+	beat.NewestServersRevision, beat.NewestServersFingerprint = servers.Revision, servers.Fingerprint
 	return beat
 }
 
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -76,6 +76,23 @@
 	timestampOffset clocker.Millis
 	// newestVersion is the highest configuration version that a received beat reported.
 	newestVersion int64
+	newestServers ServersState
+}
+
+// ServersState identifies the backend servers that a host knows.
+type ServersState struct {
+	// Revision is the revision of the store as of which they are known.
+	Revision int64
+	// Fingerprint is equal on hosts that know the same servers.
+	Fingerprint uint64
+}
+
+// newerServers returns the state as of the later revision.
+func newerServers(a, b ServersState) ServersState {
+	if b.Revision > a.Revision {
+		return b
+	}
+	return a
 }
 
 // memberState is the state of one member.
@@ -170,9 +187,17 @@
 	return m.newestVersion
 }
 
+// NewestServers returns the backend servers as of the latest revision that any received beat
+// reported.
+func (m *Members) NewestServers() ServersState {
+	return m.newestServers
+}
+
 // receiveOne merges a single beat whose content is age old at now.
 func (m *Members) receiveOne(beat *messenger.Beat, now, age clocker.Millis) bool {
 	m.newestVersion = max(m.newestVersion, beat.ConfigurationVersion, beat.NewestConfigurationVersion)
+	m.newestServers = newerServers(m.newestServers, ServersState{beat.ServersRevision, beat.ServersFingerprint})
+	m.newestServers = newerServers(m.newestServers, ServersState{beat.NewestServersRevision, beat.NewestServersFingerprint})
 	host := beatHost(beat)
 	if host == "" || beat.Incarnation == "" {
 		return false
--- a/runner/configuration_spread_test.go
+++ b/runner/configuration_spread_test.go
@@ -38,3 +38,31 @@
 	t.Logf("in force after %d ms", took)
 	assert.Check(t, took <= scale.bound, "the last host has the version in force after %d ms, the bound is %d ms", took, scale.bound)
 }
+
+// Guards against requests to a leaving backend server: a host's watch hangs as the server
+// reports that it leaves, and no response of the server tells it. All hosts that reach the
+// store must stop using the server within the bound.
+func TestLeavingServerIsKnownInTimeWhileWatchesHang(t *testing.T) {
+	for _, scale := range []fleetScale{smallFleet, grownFleet, largeFleet} {
+		t.Run(fmt.Sprintf("%d hosts", scale.zones*scale.hostsPerZone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { hangWatchesAndLeave(t, scale) })
+		})
+	}
+}
+
+func hangWatchesAndLeave(t *testing.T, scale fleetScale) {
+	f := newFleet(t, scale)
+	for i, h := range f.hosts {
+		h.cut.Store(i%3 == 0)
+	}
+	f.store.dropHistory()
+	left := f.store.putServer("draining")
+	took := f.await(left, 20*clocker.Second, func(h *fleetHost) bool {
+		h.backends.mu.Lock()
+		defer h.backends.mu.Unlock()
+		s, _ := h.backends.chooser.Server(fleetServer)
+		return s.Draining
+	})
+	t.Logf("known after %d ms", took)
+	assert.Check(t, took <= scale.bound, "the last host knows after %d ms, the bound is %d ms", took, scale.bound)
+}
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -37,6 +37,8 @@
 	fleetRouteBytes = 250
 	// fleetPeerRoundTrip is the time of an exchange between two hosts, in milliseconds.
 	fleetPeerRoundTrip = 2 * clocker.Millis(1)
+	// fleetServer is the ID of the only backend server.
+	fleetServer = "i-1"
 	// fleetWarmUp is the time in which the hosts find each other, in milliseconds.
 	fleetWarmUp = 10 * clocker.Second
 )
@@ -90,6 +92,7 @@
 	f := &fleet{scale: scale, clock: clocker.NewWall(), byAddress: map[string]*fleetHost{}}
 	f.store = newFleetStore(f)
 	f.store.put(fleetConfiguration{Version: 1, Routes: 4})
+	f.store.putServer("ready")
 	rng := rand.New(rand.NewPCG(1, 0))
 	for z := range scale.zones {
 		for n := range scale.hostsPerZone {
@@ -170,16 +173,21 @@
 func (f *fleet) awaitVersion(t *testing.T, version int64, since, limit clocker.Millis) clocker.Millis {
 	t.Helper()
 	newest := map[*fleetHost]int64{}
+	return f.await(since, limit, func(h *fleetHost) bool {
+		inForce := h.configurationVersion()
+		assert.Assert(t, inForce >= newest[h], "%s went back from version %d to %d", h.cfg.Settings.Host, newest[h], inForce)
+		newest[h] = inForce
+		return inForce >= version
+	})
+}
+
+// await returns how long after since done is true for all hosts that are not cut off, at most
+// limit.
+func (f *fleet) await(since, limit clocker.Millis, done func(h *fleetHost) bool) clocker.Millis {
 	for {
 		behind := 0
 		for _, h := range f.hosts {
-			inForce := int64(0)
-			if table := h.table.Load(); table != nil {
-				inForce = table.Version
-			}
-			assert.Assert(t, inForce >= newest[h], "%s went back from version %d to %d", h.cfg.Settings.Host, newest[h], inForce)
-			newest[h] = inForce
-			if !h.cut.Load() && inForce < version {
+			if !done(h) && !h.cut.Load() {
 				behind++
 			}
 		}
@@ -190,16 +198,17 @@
 	}
 }
 
-// fleetStore is the store of a simulated fleet: one configuration and no backend servers.
+// fleetStore is the store of a simulated fleet: one configuration and one backend server.
 type fleetStore struct {
 	fleet *fleet
 
 	mu       sync.Mutex
 	revision int64
-	// configuration is the configuration object, and changed is closed by its next change.
-	configuration storer.Object
-	size          int
-	changed       chan struct{}
+	// objects holds the object of each kind, and sizes its size in bytes.
+	objects map[string]storer.Object
+	sizes   map[string]int
+	// changed is closed by the next change.
+	changed chan struct{}
 	// oldest is the oldest revision that can be watched from, and hung ends the response of
 	// watches that wait when the history is dropped.
 	oldest int64
@@ -212,17 +221,29 @@
 }
 
 func newFleetStore(f *fleet) *fleetStore {
-	return &fleetStore{fleet: f, revision: 1, changed: make(chan struct{}), hung: make(chan struct{})}
+	return &fleetStore{
+		fleet: f, revision: 1, objects: map[string]storer.Object{}, sizes: map[string]int{},
+		changed: make(chan struct{}), hung: make(chan struct{}),
+	}
 }
 
 // put replaces the configuration and returns when that was acknowledged.
 func (s *fleetStore) put(c fleetConfiguration) clocker.Millis {
 	value, _ := json.Marshal(c)
+	return s.putObject("config", "config/main", value, c.Routes*fleetRouteBytes)
+}
+
+// putServer replaces the entry of the backend server and returns when that was acknowledged.
+func (s *fleetStore) putServer(state string) clocker.Millis {
+	return s.putObject("servers", "servers/"+fleetServer, []byte(state), 0)
+}
+
+func (s *fleetStore) putObject(kind, key string, value []byte, size int) clocker.Millis {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.size = c.Routes * fleetRouteBytes
-	s.configuration = storer.Object{Key: "config/main", Version: s.revision, Value: value}
+	s.sizes[kind] = size
+	s.objects[kind] = storer.Object{Key: key, Version: s.revision, Value: value}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.fleet.clock.Now()
@@ -292,11 +313,8 @@
 		return s.listHosts(), 0, nil
 	}
 	s.mu.Lock()
-	o, size, revision := s.configuration, s.size, s.revision
+	o, size, revision := s.objects[kind], s.sizes[kind], s.revision
 	s.mu.Unlock()
-	if kind != "config" {
-		return nil, revision, s.transfer(ctx, 0)
-	}
 	return []storer.Object{o}, revision, s.transfer(ctx, size)
 }
 
@@ -319,12 +337,12 @@
 	defer cancel()
 	for {
 		s.mu.Lock()
-		o, size, revision, oldest, changed, hung := s.configuration, s.size, s.revision, s.oldest, s.changed, s.hung
+		o, size, revision, oldest, changed, hung := s.objects[kind], s.sizes[kind], s.revision, s.oldest, s.changed, s.hung
 		s.mu.Unlock()
 		switch {
 		case since < oldest:
 			return nil, 0, storer.ErrHistoryGone{Kind: kind}
-		case kind == "config" && o.Version > since:
+		case o.Version > since:
 			err := s.transfer(ctx, size)
 			return []storer.Change{{Object: o}}, revision, err
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -75,6 +75,10 @@
 	traffic      traffic
 	table        atomic.Pointer[matcher.Table]
 	settings     atomic.Pointer[Settings]
+	// announcedVersion and announcedServers are the configuration version and the fingerprint
+	// of the backend servers at the last comparison with other hosts.
+	announcedVersion int64
+	announcedServers uint64
 
 	exchange      *exchanger.Client
 	heartbeater   *heartbeater.Heartbeater
--- a/runner/version_lag.go
+++ b/runner/version_lag.go
@@ -14,16 +14,13 @@
 )
 
 const (
-	// versionCompareInterval is the interval of the comparisons with the newest
-	// configuration version that other hosts have heard of, in milliseconds.
-	versionCompareInterval = 100 * clocker.Millis(1)
-	// serversCompareRounds is the number of these intervals between two comparisons of the
-	// backend servers: the interval of the heartbeats.
-	serversCompareRounds = int(heartbeatInterval / versionCompareInterval)
-	// versionLagDivisor divides the time within which a configuration must be in force to
-	// get the time that the own watch has to deliver a version that another host has. The
-	// store's link needs some hundred milliseconds to send a large one to a large fleet.
-	versionLagDivisor = 10
+	// compareInterval is the interval of the comparisons with the newest configuration
+	// version and backend servers that other hosts have heard of, in milliseconds.
+	compareInterval = 100 * clocker.Millis(1)
+	// lagDivisor divides the time within which a change must be known to get the time that
+	// the own watch has to deliver what another host has. The store's link needs some hundred
+	// milliseconds to send a large configuration to a large fleet.
+	lagDivisor = 10
 	// longWatchTimeout is the watch timeout of hosts that are not designated, in
 	// milliseconds. The platform bills each watch call. A change ends it at once.
 	longWatchTimeout = 12 * clocker.Second
@@ -133,12 +130,10 @@
 	return live
 }
 
-// serversOutdated reports whether a peer has a different set of backend servers from a
-// later response of the store.
-func serversOutdated(fingerprint uint64, revision int64, peers []heartbeater.Peer) bool {
-	return slices.ContainsFunc(peers, func(p heartbeater.Peer) bool {
-		return p.ServersRevision > revision && p.ServersFingerprint != fingerprint
-	})
+// serversOutdated reports whether another host knows other backend servers than this one, from
+// a later response of the store.
+func serversOutdated(fingerprint uint64, revision int64, newest heartbeater.ServersState) bool {
+	return newest.Revision > revision && newest.Fingerprint != fingerprint
 }
 
 // configurationVersion returns the version in force, 0 before the first.
@@ -169,31 +164,36 @@
 
 // relistWhenBehindPeers relists the configuration or the backend servers when other
 // hosts have had newer ones for some time. A watch may hang after the store compacts its
-// change history. A designated host announces each new version, for hosts whose watches hang.
+// change history.
 func (r *Runner) relistWhenBehindPeers(ctx context.Context, configurationWatcher *watcher.Watcher) {
 	var version, servers lagDetector
 	var reports newerVersionLog
-	var announced int64
-	for round := 0; r.cfg.Clock.Sleep(ctx, versionCompareInterval) == nil; round++ {
+	for r.cfg.Clock.Sleep(ctx, compareInterval) == nil {
 		own, newest, now := r.configurationVersion(), r.heartbeater.NewestVersion(), r.cfg.Clock.Now()
 		reports.observe(r.cfg.Log, own, newest, now)
-		if own > announced && r.isDesignated() {
-			r.heartbeater.Announce()
-		}
-		announced = own
-		if version.observe(own, newest, r.cfg.Settings.ConfigurationMs/versionLagDivisor, now) {
+		r.announceChanges(own, r.backends.currentFingerprint())
+		if version.observe(own, newest, r.cfg.Settings.ConfigurationMs/lagDivisor, now) {
 			configurationWatcher.Relist()
 		}
-		if round%serversCompareRounds == 0 && servers.observe(0, r.behindOnServers(), r.cfg.Settings.LeaveMs/serverBatchDelayDivisor, now) {
+		if servers.observe(0, r.behindOnServers(), r.cfg.Settings.LeaveMs/lagDivisor, now) {
 			r.serverWatcher.Load().Relist()
 		}
 	}
 }
 
-// behindOnServers returns 1 if another host has other backend servers from a later response
-// of the store, else 0.
+// announceChanges makes a designated host tell others of a new version or of other backend
+// servers at once, for hosts whose watches hang. It is called by one goroutine.
+func (r *Runner) announceChanges(version int64, servers uint64) {
+	changed := version != r.announcedVersion || servers != r.announcedServers
+	r.announcedVersion, r.announcedServers = version, servers
+	if changed && r.isDesignated() {
+		r.heartbeater.Announce()
+	}
+}
+
+// behindOnServers returns 1 if other hosts know other backend servers, else 0.
 func (r *Runner) behindOnServers() int64 {
-	if serversOutdated(r.backends.currentFingerprint(), r.serverWatcher.Load().LastRevision(), r.livePeers()) {
+	if serversOutdated(r.backends.currentFingerprint(), r.serverWatcher.Load().LastRevision(), r.heartbeater.NewestServers()) {
 		return 1
 	}
 	return 0
--- a/runner/version_lag_test.go
+++ b/runner/version_lag_test.go
@@ -66,13 +66,14 @@
 	assert.Assert(t, watchTimeout("host-0", zone[:2], 0, bound) < watchTimeout("host-1", zone[:2], 0.5, bound))
 }
 
-// The watch of backend servers hangs. A peer with a later revision and other servers
+// The watch of backend servers hangs. Another host with other servers from a later revision
 // reveals it; one with an earlier revision, or with the same servers, does not.
 func TestServersOutdatedNeedsLaterRevision(t *testing.T) {
-	peer := func(revision int64, fingerprint uint64) heartbeater.Peer {
-		return heartbeater.Peer{ServersRevision: revision, ServersFingerprint: fingerprint}
+	newest := func(revision int64, fingerprint uint64) heartbeater.ServersState {
+		return heartbeater.ServersState{Revision: revision, Fingerprint: fingerprint}
 	}
-	assert.Assert(t, !serversOutdated(7, 100, nil))
-	assert.Assert(t, !serversOutdated(7, 100, []heartbeater.Peer{peer(90, 8), peer(120, 7), peer(0, 0)}))
-	assert.Assert(t, serversOutdated(7, 100, []heartbeater.Peer{peer(90, 8), peer(101, 9)}))
+	assert.Assert(t, !serversOutdated(7, 100, newest(0, 0)))
+	assert.Assert(t, !serversOutdated(7, 100, newest(90, 8)))
+	assert.Assert(t, !serversOutdated(7, 100, newest(120, 7)))
+	assert.Assert(t, serversOutdated(7, 100, newest(101, 9)))
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -104,6 +104,8 @@
 	// watch call in progress.
 	relistRequested bool
 	cancelWatch     context.CancelFunc
+	// batching is true during the batch delay after a change.
+	batching bool
 
 	revision int64
 	// lastRevision is the revision of the store's last response.
@@ -141,10 +143,14 @@
 }
 
 // Relist ends the watch call in progress and lists. It is called when other hosts have
-// seen changes that this one has not.
+// seen changes that this one has not. It has no effect during a batch delay: the next watch
+// call returns these changes at once.
 func (w *Watcher) Relist() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.batching {
+		return
+	}
 	w.relistRequested = true
 	if w.cancelWatch != nil {
 		w.cancelWatch()
@@ -228,11 +234,19 @@
 		if w.cfg.RelistAfterBurst && len(changes) > 1 {
 			w.revision = 0
 		}
+		w.setBatching(true)
 		_ = w.cfg.Clock.Sleep(ctx, w.cfg.BatchDelay) // the loop ends with ctx
+		w.setBatching(false)
 	}
 	return nil
 }
 
+func (w *Watcher) setBatching(batching bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.batching = batching
+}
+
 // watchTimeout returns the timeout of the next watch call.
 func (w *Watcher) watchTimeout() clocker.Millis {
 	if w.cfg.WatchTimeoutFunc != nil {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -207,3 +207,29 @@
 	pollOnce(w)
 	assert.DeepEqual(t, store.gracePeriods, []clocker.Millis{0, testRecoveryTime - deliveryAllowance - maxBackoff, deletionGrace, 0})
 }
+
+// Guards against needless lists: other hosts are ahead during the batch delay, and the next
+// watch call brings their changes. After the delay Relist lists.
+func TestRelistHasNoEffectDuringBatchDelay(t *testing.T) {
+	w, store := newTestWatcher()
+	w.cfg.BatchDelay = 400
+	pollOnce(w)
+	store.changes = []storer.Change{{Object: storer.Object{Key: "k/b"}}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.poll(t.Context())
+	}()
+	for store.clock.WaiterCount() == 0 {
+		runtime.Gosched() // until the batch delay starts
+	}
+	w.Relist()
+	store.clock.Advance(400)
+	<-done
+	store.changes = nil
+	pollOnce(w)
+	assert.Equal(t, store.listCalls, 1)
+	w.Relist()
+	pollOnce(w)
+	assert.Equal(t, store.listCalls, 2)
+}
