Read the limit that a backend server names, and log each change of it

No log line told of a limit, so the three hypotheses could not be told apart by the logs of one host. The adapter alone decodes Server-Limit (a value that is no limit tells nothing); the chooser keeps it for a server until a response to a later request names none, since responses on different connections arrive out of order; 'backend server changed its limit' logs it. What a server gets does not depend on it yet.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -154,6 +154,15 @@
 	return m.Server, true
 }
 
+// Limit returns the requests a second that a server takes from all hosts together, and
+// whether it named a limit.
+func (c *Chooser) Limit(id string) (perSecond float64, limited bool) {
+	if m := c.servers[id]; m != nil {
+		return m.limit, m.limited
+	}
+	return 0, false
+}
+
 // Ejected reports whether a server is excluded after failures.
 func (c *Chooser) Ejected(id string, now clocker.Millis) bool {
 	m := c.servers[id]
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -51,6 +51,16 @@
 	Slots   int
 }
 
+// RequestLimit is what a response says of the requests that its server takes.
+type RequestLimit struct {
+	// Named is true if the response names a limit.
+	Named bool
+	// PerSecond is the number of requests a second from all hosts together.
+	PerSecond float64
+	// SentAt is when the request of the response was sent.
+	SentAt clocker.Millis
+}
+
 // StatusReport is the status that a backend server reported in a response.
 type StatusReport struct {
 	// Load is nil if the response carried no load.
@@ -61,6 +71,8 @@
 	// BackOff is how long this host must not send requests to the server, in
 	// milliseconds; 0 if the server did not request a back-off.
 	BackOff clocker.Millis
+	// Limit is nil if the report tells nothing of a limit.
+	Limit *RequestLimit
 }
 
 // Choice is the result of choosing a server for a Request.
@@ -120,6 +132,11 @@
 	reportedLeaving bool
 	// backOffUntil is when the back-off requested by the server ends.
 	backOffUntil clocker.Millis
+	// limit is the limit that the server named, if limited.
+	limited bool
+	limit   float64
+	// limitNamedAt is when it last named a limit.
+	limitNamedAt clocker.Millis
 	// removedAt is when the entry was removed.
 	removedAt clocker.Millis
 	cache     promptCache
@@ -148,6 +165,9 @@
 	if report.BackOff > 0 {
 		m.backOffUntil = max(m.backOffUntil, now+report.BackOff)
 	}
+	if report.Limit != nil {
+		m.applyLimit(*report.Limit, now)
+	}
 	if report.Load != nil {
 		m.load = *report.Load
 		m.loadReportedAt = now
@@ -155,6 +175,17 @@
 	}
 }
 
+// applyLimit applies the limit of a response. A limit ends with a response that names none,
+// if its request was sent after a limit was last named: responses may arrive out of order.
+func (m *serverState) applyLimit(l RequestLimit, now clocker.Millis) {
+	switch {
+	case l.Named:
+		m.limited, m.limit, m.limitNamedAt = true, l.PerSecond, now
+	case l.SentAt > m.limitNamedAt:
+		m.limited, m.limit = false, 0
+	}
+}
+
 const (
 	// maxLoadAge is how long a reported load is used. Reports are already some hundred
 	// milliseconds old when they arrive.
--- a/relayer/header_fuzz_test.go
+++ b/relayer/header_fuzz_test.go
@@ -26,7 +26,7 @@
 		if l := parseLoad(load); l != nil {
 			assert.Assert(t, l.Running >= 0 && l.Queued >= 0 && l.Slots >= 0)
 		}
-		report := HeaderNames{Leaving: "X-Leaving", Load: "X-Load"}.statusReport(status, http.Header{"X-Load": {load}, "Retry-After": {retryAfter}})
+		report := HeaderNames{Leaving: "X-Leaving", Load: "X-Load"}.statusReport(status, http.Header{"X-Load": {load}, "Retry-After": {retryAfter}}, 0)
 		assert.Assert(t, report.BackOff >= 0 && report.BackOff <= maxBackOff+backOffMargin)
 
 		c := chooser.New(chooser.Config{AvailabilityZone: "a", CacheTokens: func(string) int { return 1000 }})
--- a/relayer/header_names.go
+++ b/relayer/header_names.go
@@ -50,17 +50,26 @@
 	Tokens string
 	// PromptParts lists the parts of the prompt as ID:TOKENS.
 	PromptParts string
+	// RequestLimit returns the limit of requests that a response names. It returns false for
+	// a limit that can't be read. A nil function names no limit.
+	RequestLimit func(http.Header) (chooser.RequestLimit, bool)
 	// Stripped are headers that are removed from callers' requests.
 	Stripped []string
 }
 
-// statusReport returns the load, planned stop and requested back-off that a backend
-// server reports in the headers of a response.
-func (d HeaderNames) statusReport(status int, h http.Header) chooser.StatusReport {
+// statusReport returns the load, planned stop, limit and requested back-off that a backend
+// server reports in the headers of the response to a request that was sent at sentAt.
+func (d HeaderNames) statusReport(status int, h http.Header, sentAt clocker.Millis) chooser.StatusReport {
 	report := chooser.StatusReport{Load: parseLoad(h.Get(d.Load)), Leaving: h.Get(d.Leaving) != ""}
 	if status == http.StatusServiceUnavailable {
 		report.BackOff = parseRetryAfter(h.Get("Retry-After"))
 	}
+	if d.RequestLimit != nil {
+		if limit, ok := d.RequestLimit(h); ok {
+			limit.SentAt = sentAt
+			report.Limit = &limit
+		}
+	}
 	return report
 }
 
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -145,7 +145,8 @@
 	}
 	server := chosen.Server
 	x.triedServers = append(x.triedServers, server.ID)
-	x.log.startAttempt(server, x.cfg.Clock.Now()-x.started)
+	sentAt := x.cfg.Clock.Now()
+	x.log.startAttempt(server, sentAt-x.started)
 	response, err := x.cfg.Carrier.Send(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, x.requestFor(server))
 	if err != nil {
 		return x.handleSendError(server, err), true
@@ -153,7 +154,7 @@
 	defer response.Close()
 	x.log.setAttemptStatus(response.StatusCode)
 	if response.StatusCode != http.StatusMisdirectedRequest { // another server has taken over the address
-		x.cfg.Servers.RecordActivity(server.ID, x.cfg.HeaderNames.statusReport(response.StatusCode, response.Header))
+		x.cfg.Servers.RecordActivity(server.ID, x.cfg.HeaderNames.statusReport(response.StatusCode, response.Header, sentAt))
 	}
 	if f, refused := x.checkServerRefusal(server, response); refused {
 		return f, true
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -176,9 +176,13 @@
 func (b *backendPool) RecordActivity(id string, report chooser.StatusReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	oldLimit, wasLimited := b.chooser.Limit(id)
 	if b.chooser.RecordActivity(id, report, b.clock.Now()) {
 		b.log.Info("backend server asks for no more requests", "server", id, "leaving", report.Leaving, "pause_ms", report.BackOff)
 	}
+	if limit, limited := b.chooser.Limit(id); limit != oldLimit || limited != wasLimited {
+		b.log.Info("backend server changed its limit", "server", id, "limited", limited, "per_second", limit, "old_limited", wasLimited, "old_per_second", oldLimit)
+	}
 }
 
 // LastActivity implements relayer.Servers.
