All hosts together keep the limit that a backend server names

What callers saw: nothing at once; a server in need got three times what it had named, as its load and zone drew requests. Class: a bound on the sum over hosts that no host enforces.

Change: each host gets an even part of three quarters of the limit as permits, by the number of hosts that it knows, silent ones included; permits come at moments that differ from host to host and lapse after 0.5 s, so that idle hosts save up no burst. A request without a permit goes to another server; if no server has one left it is refused at once with the time of the next permit. Second tries, probes after failures and servers left out take permits too, since all go through one choice. A host that has not read the host list yet gets none.

Ways weighed: - shares by hosts known: taken; no message, holds in a cut and through deaths and joins, at the price of the parts of hosts that are dead or idle. - shares by demand, told in heartbeats: less is left unused, but a host that is cut off or learns late keeps a part that others have taken over; the sum is exceeded just when links fail. - through the store: two writes a permit or a lease at 195 hosts a server, billed, and nothing while the store is down. - with peers (one host grants for a server): exact while all agree who that is; a round trip more a request, and two granters after a cut.

New tests: hosts join and die, a host that knows no fleet, a limit that changes and ends, refusal with the time of the next permit, second tries and probes, and end to end in relayer.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -55,6 +55,9 @@
 	// CacheTokens returns the prompt cache size of one model engine of a service, in
 	// tokens; 0 for application services.
 	CacheTokens func(service string) int
+	// Hosts returns the number of hosts that share the limit of a server, with this one; 0 if
+	// it is not known yet, which permits no request to a limited server.
+	Hosts func() int
 	// Seed seeds the random choice among servers of similar cost.
 	Seed uint64
 }
@@ -158,11 +161,19 @@
 // whether it named a limit.
 func (c *Chooser) Limit(id string) (perSecond float64, limited bool) {
 	if m := c.servers[id]; m != nil {
-		return m.limit, m.limited
+		return m.limit.perSecond, m.limit.limited
 	}
 	return 0, false
 }
 
+// hosts returns the number of hosts that share the limit of a server.
+func (c *Chooser) hosts() int {
+	if c.cfg.Hosts == nil {
+		return 1
+	}
+	return c.cfg.Hosts()
+}
+
 // Ejected reports whether a server is excluded after failures.
 func (c *Chooser) Ejected(id string, now clocker.Millis) bool {
 	m := c.servers[id]
@@ -187,16 +198,17 @@
 	return Choice{Server: best.Server, Found: true}
 }
 
-// earliestRetry returns when the first back-off of a server of the service ends; 0 if no
-// server is backing off.
+// earliestRetry returns when the first server of the service may get a request again that
+// backs off or whose limit is used up; 0 if there is none.
 func (c *Chooser) earliestRetry(r Request, now clocker.Millis) clocker.Millis {
 	var earliest clocker.Millis
+	hosts := c.hosts()
 	for _, m := range c.servers {
-		if m.Service != r.Service || m.leaving(now) || m.backOffUntil <= now {
+		if m.Service != r.Service || m.leaving(now) {
 			continue
 		}
-		if earliest == 0 || m.backOffUntil < earliest {
-			earliest = m.backOffUntil
+		if at := m.retryAt(hosts, now); at > 0 && (earliest == 0 || at < earliest) {
+			earliest = at
 		}
 	}
 	return earliest
@@ -209,9 +221,10 @@
 func (c *Chooser) candidates(r Request, now clocker.Millis) []*serverState {
 	var healthy, fallback []*serverState
 	unreachable := c.unreachableZones(now)
+	hosts := c.hosts()
 	for _, id := range c.IDs() {
 		m := c.servers[id]
-		if m.Service != r.Service || m.unavailable(now) || slices.Contains(r.Avoid, id) {
+		if m.Service != r.Service || m.unavailable(hosts, now) || slices.Contains(r.Avoid, id) {
 			continue
 		}
 		if m.ejected(now) || unreachable[m.AvailabilityZone] && m.consecutiveFailures == 0 {
@@ -318,6 +331,7 @@
 		return
 	}
 	m.inFlight++
+	m.limit.use()
 	m.startedSinceLoad++
 	for _, p := range r.Prompt[:max(0, len(r.Prompt)-1)] {
 		m.cache.add(p)
@@ -349,6 +363,9 @@
 		mean := c.meanLoad[m.Service]
 		c.meanLoad[m.Service] = mean + meanLoadWeight*(float64(report.Load.Running+report.Load.Queued)-mean)
 	}
+	if report.Limit != nil {
+		m.limit.apply(*report.Limit, c.random.Float64, now)
+	}
 	isNew := report.Leaving && !m.reportedLeaving || report.BackOff > 0 && now >= m.backOffUntil
 	m.applyReport(report, now)
 	return isNew
--- a/chooser/limit_test.go
+++ b/chooser/limit_test.go
@@ -66,7 +66,8 @@
 }
 
 func (f *limitedFleet) addHost(servers int, perSecond float64) *limitedHost {
-	h := &limitedHost{perSecond: perSecond, Chooser: New(Config{AvailabilityZone: "a", Seed: f.rng.Uint64()})}
+	h := &limitedHost{perSecond: perSecond}
+	h.Chooser = New(Config{AvailabilityZone: "a", Seed: f.rng.Uint64(), Hosts: func() int { return f.size }})
 	for i := range servers {
 		h.Set(newServer(fmt.Sprintf("s%03d", i), 1))
 	}
@@ -147,21 +148,128 @@
 }
 
 // Guards against hosts that each send what a server takes from all of them together: a server
-// in need names a limit, and every host has more demand for it than its part.
+// in need names a limit, alone or beside others, and every host has more demand for it than its
+// part.
 func TestAllHostsTogetherKeepTheLimitOfAServer(t *testing.T) {
 	for _, size := range []struct {
 		hosts, servers int
 		perSecond      float64
-	}{{1, 4, 60}, {8, 12, 136}, {90, 60, 680}, {195, 124, 890}} {
+	}{{1, 4, 60}, {8, 12, 136}, {8, 1, 136}, {90, 60, 680}, {90, 1, 680}, {195, 124, 890}, {195, 1, 890}} {
 		for _, limit := range []float64{0, 0.3, 1.8, 6, 25} {
-			t.Run(fmt.Sprintf("%d hosts, limit %v", size.hosts, limit), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d hosts, %d servers, limit %v", size.hosts, size.servers, limit), func(t *testing.T) {
 				f := newLimitedFleet(1, size.hosts, size.servers, size.perSecond)
 				f.run(0, 2000)
 				f.name(limit, 2000)
 				f.run(2000, 32_000)
 				most := f.most(2000 + limitGrace)
+				t.Logf("%d requests within 4 s, %d allowed; %d in 30 s", most, allowed(limit), f.toLimited)
 				assert.Assert(t, most <= allowed(limit), "%d requests within 4 s, %d are allowed", most, allowed(limit))
 			})
 		}
 	}
 }
+
+// Guards against a limit that is exceeded while the fleet changes: hosts join and die, and the
+// others learn of it seconds later.
+func TestLimitIsKeptWhileHostsJoinAndDie(t *testing.T) {
+	const limit = 2
+	for _, hosts := range []int{8, 90} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			f := newLimitedFleet(2, hosts, 1, 17*float64(hosts))
+			f.name(limit, 0)
+			f.run(0, 10_000)
+			for range hosts / 2 {
+				f.addHost(1, 17) // knows the present size at once
+			}
+			f.run(10_000, 13_000)
+			f.size = len(f.hosts)
+			f.run(13_000, 23_000)
+			for _, h := range f.hosts[:hosts] {
+				h.stopped = true // the others go on with the old size
+			}
+			f.run(23_000, 40_000)
+			most := f.most(limitGrace)
+			assert.Assert(t, most <= allowed(limit), "%d requests within 4 s, %d are allowed", most, allowed(limit))
+			assert.Assert(t, f.toLimited >= 40, "the server got %d requests in 40 s", f.toLimited)
+		})
+	}
+}
+
+// Guards against a burst of a host that does not know yet how many hosts share a limit.
+func TestHostThatKnowsNoFleetSendsNothingToALimitedServer(t *testing.T) {
+	f := newLimitedFleet(3, 1, 1, 50)
+	f.size = 0
+	f.run(0, 1000)
+	f.name(5, 1000)
+	f.run(1000, 3000)
+	before := f.toLimited
+	f.run(3000, 6000)
+	assert.Equal(t, f.toLimited, before)
+	f.size = 1
+	f.run(6000, 9000)
+	assert.Assert(t, f.toLimited > before)
+}
+
+// A limit that rises holds at once, one that ends frees the server, and a response to a request
+// from before the limit does not end it.
+func TestLimitChangesAndEnds(t *testing.T) {
+	f := newLimitedFleet(4, 8, 12, 136)
+	f.name(1, 0)
+	f.run(0, 20_000)
+	low := f.toLimited
+	f.name(20, 20_000)
+	f.run(20_000, 40_000)
+	high := f.toLimited - low
+	assert.Assert(t, high > 5*low && high <= 400, "%d requests in 20 s at 1 a second, %d at 20", low, high)
+	f.name(-1, 40_000)
+	f.run(40_000, 50_000)
+	assert.Assert(t, f.toLimited-low-high > 600, "%d requests in 10 s after the limit", f.toLimited-low-high)
+
+	c := newChooser("one")
+	c.RecordActivity("one", StatusReport{Limit: &RequestLimit{Named: true, PerSecond: 1, SentAt: 100}}, 200)
+	c.RecordActivity("one", StatusReport{Limit: &RequestLimit{SentAt: 150}}, 300)
+	_, limited := c.Limit("one")
+	assert.Assert(t, limited)
+	c.RecordActivity("one", StatusReport{Limit: &RequestLimit{SentAt: 250}}, 400)
+	_, limited = c.Limit("one")
+	assert.Assert(t, !limited)
+}
+
+// All servers of a service are limited. A request beyond the limits is refused at once, and one
+// that comes back at the time given is served.
+func TestRequestBeyondAllLimitsIsRefusedUntilTheNextPermit(t *testing.T) {
+	c := newChooser("one", "two", "three")
+	c.RecordActivity("three", StatusReport{BackOff: clocker.Minute}, 0)
+	for _, id := range []string{"one", "two", "three"} {
+		c.RecordActivity(id, StatusReport{Limit: &RequestLimit{Named: true, PerSecond: 0.5}}, 0)
+	}
+	now, served := clocker.Millis(0), 0
+	for range 20 {
+		choice := c.Choose(request, now)
+		if choice.Found {
+			c.Start(choice.Server.ID, request)
+			served++
+			continue
+		}
+		assert.Assert(t, choice.RetryAt > now && choice.RetryAt <= now+3000, "%d at %d", choice.RetryAt, now)
+		now = choice.RetryAt
+		assert.Assert(t, c.Choose(request, now).Found, "refused at the time given, %d", now)
+	}
+	assert.Assert(t, served >= 9 && now >= 4*clocker.Second, "%d served by %d ms", served, now)
+}
+
+// Second tries, and probes of a server after failures, count like other requests.
+func TestRetriesAndProbesCountTowardsALimit(t *testing.T) {
+	c := newChooser("one", "two")
+	c.RecordActivity("one", StatusReport{Limit: &RequestLimit{Named: true, PerSecond: 1}}, 0)
+	retry := Request{Service: "desk", Avoid: []string{"two"}}
+	sent := 0
+	for now := clocker.Millis(0); now < 20*clocker.Second; now += 10 {
+		if c.Choose(retry, now).Found {
+			c.Start("one", retry)
+			c.Finish("one", Unreachable, now) // ejected: the only candidate is a fallback
+			sent++
+		}
+	}
+	assert.Assert(t, sent >= 10 && sent <= 20, "%d requests in 20 s at 1 a second", sent)
+}
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -80,8 +80,8 @@
 	// Server is the server to send the request to. It is only set if Found is true.
 	Server Server
 	Found  bool
-	// RetryAt is when the first back-off of a server ends. It is 0 if a server was
-	// found or none is backing off.
+	// RetryAt is when the first server may get a request that backs off or whose limit is
+	// used up. It is 0 if a server was found, or if no server is held back so.
 	RetryAt clocker.Millis
 }
 
@@ -132,11 +132,7 @@
 	reportedLeaving bool
 	// backOffUntil is when the back-off requested by the server ends.
 	backOffUntil clocker.Millis
-	// limit is the limit that the server named, if limited.
-	limited bool
-	limit   float64
-	// limitNamedAt is when it last named a limit.
-	limitNamedAt clocker.Millis
+	limit        requestLimit
 	// removedAt is when the entry was removed.
 	removedAt clocker.Millis
 	cache     promptCache
@@ -153,9 +149,27 @@
 	return m.Draining || m.reportedLeaving || m.missingDeadline > 0 && now >= m.missingDeadline
 }
 
-// unavailable reports whether the server gets no new requests at the moment.
-func (m *serverState) unavailable(now clocker.Millis) bool {
-	return m.leaving(now) || now < m.backOffUntil
+// unavailable reports whether the server gets no new requests of this host at the moment, given
+// the number of hosts that share its limit.
+func (m *serverState) unavailable(hosts int, now clocker.Millis) bool {
+	return m.leaving(now) || now < m.backOffUntil || !m.limit.allows(hosts, now)
+}
+
+// retryAt returns when the back-off of the server is over and its limit allows a request of
+// this host; 0 if neither holds requests back now, or if that is not known.
+func (m *serverState) retryAt(hosts int, now clocker.Millis) clocker.Millis {
+	at := clocker.Millis(0)
+	if m.backOffUntil > now {
+		at = m.backOffUntil
+	}
+	if m.limit.allows(hosts, now) {
+		return at
+	}
+	permitAt := m.limit.nextPermitAt(hosts, now)
+	if permitAt == 0 {
+		return 0
+	}
+	return max(at, permitAt)
 }
 
 // applyReport applies a status report of the server.
@@ -165,9 +179,6 @@
 	if report.BackOff > 0 {
 		m.backOffUntil = max(m.backOffUntil, now+report.BackOff)
 	}
-	if report.Limit != nil {
-		m.applyLimit(*report.Limit, now)
-	}
 	if report.Load != nil {
 		m.load = *report.Load
 		m.loadReportedAt = now
@@ -175,17 +186,6 @@
 	}
 }
 
-// applyLimit applies the limit of a response. A limit ends with a response that names none,
-// if its request was sent after a limit was last named: responses may arrive out of order.
-func (m *serverState) applyLimit(l RequestLimit, now clocker.Millis) {
-	switch {
-	case l.Named:
-		m.limited, m.limit, m.limitNamedAt = true, l.PerSecond, now
-	case l.SentAt > m.limitNamedAt:
-		m.limited, m.limit = false, 0
-	}
-}
-
 const (
 	// maxLoadAge is how long a reported load is used. Reports are already some hundred
 	// milliseconds old when they arrive.
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -79,6 +79,8 @@
 	tasks  errgroup.Group
 
 	peers atomic.Pointer[[]Peer]
+	// hostListRead is true once the host list was read.
+	hostListRead atomic.Bool
 	// announced has an element for each round to bring forward.
 	announced chan struct{}
 	// pending holds an element for each exchange in progress.
@@ -270,6 +272,12 @@
 	h.members.SetListed(hosts)
 	h.mu.Unlock()
 	h.updatePeers()
+	h.hostListRead.Store(true)
+}
+
+// HostListRead reports whether Peers includes the hosts of the host list.
+func (h *Heartbeater) HostListRead() bool {
+	return h.hostListRead.Load()
 }
 
 // updatePeers reads the declared hosts, publishes the peers and logs what changed.
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -26,6 +27,10 @@
 	RequestID: "X-Id", Timeout: "X-Time", ServerMark: "X-Sign", Account: "X-Account", ExpectedServerID: "X-Expect",
 	NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load", Priority: "X-Priority", LastEventID: "Last-Event-Id",
 	Tokens: "X-Tokens", PromptParts: "X-Parts", Stripped: []string{"X-Hold"},
+	RequestLimit: func(h http.Header) (chooser.RequestLimit, bool) {
+		perSecond, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
+		return chooser.RequestLimit{Named: err == nil, PerSecond: perSecond}, true
+	},
 }
 
 // handler responds to one request on a connection of a backend server.
--- a/relayer/status_report_test.go
+++ b/relayer/status_report_test.go
@@ -49,6 +49,22 @@
 	assert.Assert(t, seconds > 0.5 && seconds < 2, "%v", seconds)
 }
 
+// A server names a limit in a success. Further requests must be refused at once, before they
+// reach it, with the time of the next permit.
+func TestRequestsBeyondTheLimitOfTheOnlyServerAreRefused(t *testing.T) {
+	b := newBackend(t, respond(200, "x", "X-Limit: 0.02"))
+	f := newFixture(t, matcher.Route{Kind: matcher.Unsafe}, b)
+	assert.Equal(t, f.call(t, "POST", "/r/", "order", "X-Time", "60000").status, 200)
+	for range 5 {
+		got := f.call(t, "POST", "/r/", "order", "X-Time", "60000")
+		assert.Equal(t, got.status, 503)
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds > 0 && seconds <= 20, "%v", seconds)
+	}
+	assert.Equal(t, b.requestCount(), 1)
+}
+
 func TestParseRetryAfter(t *testing.T) {
 	for header, want := range map[string]int64{"": 0, "0": 0, "-1": 0, "soon": 0, "NaN": 0, "+Inf": int64(maxBackOff), "1e99": int64(maxBackOff), "0.25": 250, "2": 2000} {
 		got := int64(parseRetryAfter(header))
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -29,14 +29,15 @@
 	fingerprint uint64
 }
 
-// newBackendPool returns a pool without servers.
-func newBackendPool(cfg Config, cacheTokens func(service string) int) *backendPool {
+// newBackendPool returns a pool without servers. hosts returns the number of hosts that share
+// the limit of a server.
+func newBackendPool(cfg Config, cacheTokens func(service string) int, hosts func() int) *backendPool {
 	return &backendPool{
 		clock:   cfg.Clock,
 		log:     cfg.Log,
 		kind:    cfg.Platform.ServerKind,
 		decode:  cfg.Platform.DecodeServer,
-		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Seed: rand.Uint64()}),
+		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Seed: rand.Uint64()}),
 	}
 }
 
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -136,7 +136,7 @@
 		},
 	}
 	h.Runner = &Runner{cfg: cfg, incarnation: name + "-1-1"}
-	h.backends = newBackendPool(cfg, nil)
+	h.backends = newBackendPool(cfg, nil, nil)
 	f.byAddress[cfg.Settings.ExchangeAddress] = h
 	return h
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -114,7 +114,7 @@
 	r := &Runner{cfg: cfg, cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
-	r.backends = newBackendPool(cfg, r.cacheTokens)
+	r.backends = newBackendPool(cfg, r.cacheTokens, r.fleetSize)
 	r.startMembership(ctx)
 	r.startWatchers(ctx)
 	r.startBudgets(ctx)
@@ -132,6 +132,15 @@
 	return 0
 }
 
+// fleetSize returns the number of known hosts with this one, 0 before the host list was read.
+// Hosts that are silent count: they may be cut off from this one alone.
+func (r *Runner) fleetSize() int {
+	if !r.heartbeater.HostListRead() {
+		return 0
+	}
+	return len(r.heartbeater.Peers()) + 1
+}
+
 func (r *Runner) startWatchers(ctx context.Context) {
 	r.storeHealth = watcher.NewStoreHealth(r.cfg.Clock)
 	kind, _, _ := strings.Cut(r.cfg.Platform.ConfigurationKey, "/")
