--- a/chooser/limit.go
+++ b/chooser/limit.go
@@ -53,7 +53,7 @@
 }
 
 // ApplyLimitReports applies the reports of another host, unless this one knows of later ones or
-// of another incarnation of the server. It returns the servers whose limits changed.
+// of another incarnation of the server. It returns the servers whose limits began or ended.
 func (c *Chooser) ApplyLimitReports(reports []LimitReport, now clocker.Millis) []string {
 	var changed []string
 	for _, r := range reports {
@@ -61,13 +61,13 @@
 		if m == nil || m.StartedAt != r.StartedAt {
 			continue
 		}
-		old := m.limit
+		wasLimited := m.limit.limited
 		if r.Limited {
 			m.limit.name(r.PerSecond, r.At, c.random.Float64, now)
 		} else {
 			m.limit.end(r.At)
 		}
-		if old.limited != m.limit.limited || old.perSecond != m.limit.perSecond {
+		if m.limit.limited != wasLimited {
 			changed = append(changed, r.Server)
 		}
 	}
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -177,11 +177,11 @@
 func (b *backendPool) RecordActivity(id string, report chooser.StatusReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	oldLimit, wasLimited := b.chooser.Limit(id)
+	_, wasLimited := b.chooser.Limit(id)
 	if b.chooser.RecordActivity(id, report, b.clock.Now()) {
 		b.log.Info("backend server asks for no more requests", "server", id, "leaving", report.Leaving, "pause_ms", report.BackOff)
 	}
-	if limit, limited := b.chooser.Limit(id); limit != oldLimit || limited != wasLimited {
+	if _, limited := b.chooser.Limit(id); limited != wasLimited {
 		b.logLimit(id, "server", id)
 	}
 }
--- a/runner/server_limits.go
+++ b/runner/server_limits.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
@@ -50,8 +52,10 @@
 	}
 }
 
-// logLimit logs the limit of a backend server after a change, and what told of it.
+// logLimit logs that the limit of a backend server began or ended, and who told of it: the
+// server or another host.
 func (b *backendPool) logLimit(id, source, name string) {
 	perSecond, limited := b.chooser.Limit(id)
-	b.log.Info("limit of a backend server changed", "server", id, "limited", limited, "per_second", perSecond, "told_by", source, "teller", name)
+	metrics.GetOrCreateCounter(`cowsliphinge_server_limit_changes_total{told_by="` + source + `"}`).Inc()
+	b.log.Info("limit of a backend server began or ended", "server", id, "limited", limited, "per_second", perSecond, "told_by", source, "teller", name)
 }
