--- a/carrier/endless_response_test.go
+++ b/carrier/endless_response_test.go
@@ -106,12 +106,13 @@
 	const exchanges = 64
 	target, closed := newEndlessServer(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: ", "a")
 	var n receivedBytes
-	c := New(Config{Clock: clocker.NewWall(), RequestIDHeader: "X-Id", DialTimeout: clocker.Second, IdleTimeout: clocker.Minute, Traffic: &n})
+	c := New(Config{Clock: clocker.NewWall(), RequestIDHeader: "X-Id", DialTimeout: clocker.Minute, IdleTimeout: clocker.Minute, Traffic: &n})
 	var wait sync.WaitGroup
 	for range exchanges {
 		wait.Go(func() {
 			_, err := sendAs(t, c, target, clocker.Minute, "1")
 			assert.Check(t, err != nil)
+			assert.Check(t, !connector.IsErrNotSent(err), "the server received the request")
 		})
 	}
 	wait.Wait()
