Only a success without a limit ends the limit of a server

A server in need that turns a request away may leave out what it names in its answers; the hosts would then send without a limit until it is named again. A success without it ends it now, a failure tells nothing; a value that is no limit is counted. TestOnlyASuccessWithoutALimitEndsIt fails before (503 and 500 without a limit end it).

--- a/relayer/header_names.go
+++ b/relayer/header_names.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 )
@@ -17,6 +19,8 @@
 	backOffMargin = 20 * clocker.Millis(1)
 )
 
+var invalidLimits = metrics.NewCounter("cowsliphinge_invalid_server_limits_total")
+
 // HeaderNames holds the names of the headers that a Relayer reads and sets. They are
 // specific to the protocol of the deployment. A header with an empty name is never
 // sent.
@@ -64,15 +68,31 @@
 	if status == http.StatusServiceUnavailable {
 		report.BackOff = parseRetryAfter(h.Get("Retry-After"))
 	}
-	if d.RequestLimit != nil {
-		if limit, ok := d.RequestLimit(h); ok {
-			limit.SentAt = sentAt
-			report.Limit = &limit
-		}
+	report.Limit = d.requestLimit(status, h)
+	if report.Limit != nil {
+		report.Limit.SentAt = sentAt
 	}
 	return report
 }
 
+// requestLimit returns what a response says of the limit of its server, or nil. Only a success
+// without a limit shows that none is in force: a server that is overloaded may leave out the
+// header in its failures.
+func (d HeaderNames) requestLimit(status int, h http.Header) *chooser.RequestLimit {
+	if d.RequestLimit == nil {
+		return nil
+	}
+	limit, ok := d.RequestLimit(h)
+	if !ok {
+		invalidLimits.Inc()
+		return nil
+	}
+	if !limit.Named && status/100 != 2 {
+		return nil
+	}
+	return &limit
+}
+
 // parseRetryAfter parses a number of seconds, which may have a fraction. It returns the
 // back-off with its margin, or 0 if the header is invalid or not positive.
 func parseRetryAfter(header string) clocker.Millis {
--- a/relayer/status_report_test.go
+++ b/relayer/status_report_test.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"net/http"
 	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/chooser"
 	"cowsliphinge/matcher"
 )
 
@@ -65,6 +67,30 @@
 	assert.Equal(t, b.requestCount(), 1)
 }
 
+// A server in need refuses a request without naming its limit. The limit must hold on; a success
+// without it ends it, and a value that is no limit changes nothing.
+func TestOnlyASuccessWithoutALimitEndsIt(t *testing.T) {
+	for _, step := range []struct {
+		status int
+		limit  string
+		want   *chooser.RequestLimit
+	}{
+		{200, "2.5", &chooser.RequestLimit{Named: true, PerSecond: 2.5, SentAt: 7}},
+		{503, "2.5", &chooser.RequestLimit{Named: true, PerSecond: 2.5, SentAt: 7}},
+		{503, "", nil},
+		{500, "", nil},
+		{200, "", &chooser.RequestLimit{SentAt: 7}},
+		{200, "many", nil},
+	} {
+		names := HeaderNames{RequestLimit: func(h http.Header) (chooser.RequestLimit, bool) {
+			perSecond, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
+			return chooser.RequestLimit{Named: err == nil, PerSecond: perSecond}, err == nil || h.Get("X-Limit") == ""
+		}}
+		got := names.statusReport(step.status, http.Header{"X-Limit": {step.limit}}, 7)
+		assert.DeepEqual(t, got.Limit, step.want)
+	}
+}
+
 func TestParseRetryAfter(t *testing.T) {
 	for header, want := range map[string]int64{"": 0, "0": 0, "-1": 0, "soon": 0, "NaN": 0, "+Inf": int64(maxBackOff), "1e99": int64(maxBackOff), "0.25": 250, "2": 2000} {
 		got := int64(parseRetryAfter(header))
