--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -21,6 +21,7 @@
 	servers int
 	callers int
 	prepaid int64
+	limits  bool
 	keep    bool
 }
 
@@ -50,6 +51,7 @@
 	f.IntVar(&c.servers, "servers", 3, "how `many` backend servers")
 	f.IntVar(&c.callers, "callers", 8, "how `many` callers")
 	f.Int64Var(&c.prepaid, "prepaid", 40000, "`tokens` of the larger account")
+	f.BoolVar(&c.limits, "limits", false, "let backend servers name limits of requests")
 	f.BoolVar(&c.keep, "keep", false, "keep settings and logs of the routers")
 }
 
@@ -72,6 +74,7 @@
 			Servers: c.servers,
 			Callers: c.callers,
 			Prepaid: c.prepaid,
+			Limits:  c.limits,
 			Keep:    c.keep,
 		})
 		if err != nil {
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -24,6 +24,29 @@
 	306, // a second server's failure was the end of a stream that had begun, framed as complete
 }
 
+// A soak in which servers name limits lasts longer: a limit is judged from three seconds on, over
+// four.
+func TestShortSoakWithLimits(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "cowsliphinge")
+	out, err := exec.Command("go", "build", "-o", program, "cowsliphinge").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	result, err := soaker.Run(context.Background(), soaker.Config{
+		Clock:   clocker.NewWall(),
+		Dialect: platform.Dialect,
+		Program: program,
+		Seed:    1,
+		For:     12 * clocker.Second,
+		Routers: 3,
+		Servers: 3,
+		Callers: 6,
+		Prepaid: 8000,
+		Limits:  true,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
+	assert.Assert(t, result.Served > 0)
+}
+
 func TestShortSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "cowsliphinge")
 	out, err := exec.Command("go", "build", "-o", program, "cowsliphinge").CombinedOutput()
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -85,6 +85,9 @@
 	}
 	a, err := readAnswer(conn.reader)
 	q.take(a, err, c.cfg.Dialect.ServerMark, c.cfg.Dialect.RequestID)
+	if named, ok := c.cfg.Dialect.RequestLimit(a.header); ok && named.Named {
+		q.limitedBy, _, _ = strings.Cut(a.header.Get(c.cfg.Dialect.ServerMark), ".")
+	}
 	if err != nil || strings.EqualFold(a.header.Get("Connection"), "close") {
 		c.drop(address)
 	}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -38,6 +38,8 @@
 	stopping bool
 	// foreign is true if an event or body belongs to another request.
 	foreign bool
+	// limitedBy is the server that answered and named a limit.
+	limitedBy string
 }
 
 // span is a stretch of time.
@@ -56,6 +58,7 @@
 	crashed map[string]clocker.Millis
 	// harmed are stretches in which bounds on time do not hold.
 	harmed []span
+	limits []limit
 	// prepaid are the budgets of the client accounts.
 	prepaid map[string]int64
 }
@@ -133,7 +136,8 @@
 			found = append(found, fmt.Sprintf("account %s used %d tokens of %d", account, tokens, r.prepaid[account]))
 		}
 	}
-	return append(found, r.checkDrains()...)
+	found = append(found, r.checkDrains()...)
+	return append(found, r.checkLimits()...)
 }
 
 // checkRuns: what may not be repeated runs at most once, and what was refused as
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -54,6 +55,9 @@
 			q.events = q.events[:3]
 			r.ended(q)
 		},
+		"named a limit of 0.5 a second and got 9 requests in 4 s, 8 are allowed": func(r *recorder) {
+			limitedRuns(r, 9, true)
+		},
 		"used 44 tokens of 40": func(r *recorder) {
 			for _, id := range []string{"a", "b"} {
 				r.ran("i-1", server.Run{RequestID: id, Account: "one"})
@@ -146,3 +150,29 @@
 	r.ended(request{id: "b", path: "/version-4/x", status: 404, signed: true})
 	assert.Equal(t, len(r.findings()), 0)
 }
+
+// limitedRuns notes a router that runs n requests within 4 s at a server that names a limit, and
+// whether the router was told.
+func limitedRuns(r *recorder, n int, told bool) {
+	r.limit(limit{server: "i-1", perSecond: 0.5, named: span{from: 1000, to: 9000}})
+	for i := range n {
+		id := fmt.Sprint("limited-", i)
+		r.ran("i-1", server.Run{RequestID: id, Account: "one", Path: "/read/x", At: 8000 + clocker.Millis(i)})
+		r.ended(served(id, "/read/x"))
+	}
+	if told {
+		q := served("first", "/read/x")
+		q.limitedBy, q.endedAt = "i-1", 7000
+		r.ran("i-1", server.Run{RequestID: "first", Account: "one", At: 6990})
+		r.ended(q)
+	}
+}
+
+// As many requests as a limit allows, and those of routers that were not told, are no finding.
+func TestRequestsWithinALimitAreNoFinding(t *testing.T) {
+	for told, n := range map[bool]int{true: 8, false: 50} {
+		r := newRecorder(map[string]int64{"one": 4000})
+		limitedRuns(r, n, told)
+		assert.Equal(t, len(r.findings()), 0, "%v", r.findings())
+	}
+}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -37,6 +37,8 @@
 	Routers, Servers, Callers int
 	// Prepaid tokens of each of two client accounts.
 	Prepaid int64
+	// Limits lets backend servers name limits of requests.
+	Limits bool
 	// Keep leaves the folder with settings and logs in place.
 	Keep bool
 }
@@ -63,6 +65,8 @@
 	// serverSeries is the stream of random numbers of the backend servers' faults.
 	// Callers have those from 1 on.
 	serverSeries = 1 << 32
+	// limitSeries is that of the servers' limits.
+	limitSeries = serverSeries + 1
 	// callPause is the mean pause of a caller, in milliseconds.
 	callPause = 30
 	// maxOutput is the most tokens that a request may cost beyond its prompt.
@@ -95,9 +99,16 @@
 		serverFaults = w.harmServersUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, serverSeries)))
 		return nil
 	})
+	var limits []string
+	if cfg.Limits {
+		group.Go(func() error {
+			limits = w.limitServersUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, limitSeries)))
+			return nil
+		})
+	}
 	faults := w.harmUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, 0)))
 	_ = group.Wait()
-	faults = append(faults, serverFaults...)
+	faults = append(append(faults, serverFaults...), limits...)
 	result := Result{Faults: faults, Findings: w.record.findings(), Folder: w.folder}
 	for _, q := range w.record.requests {
 		result.Requests++
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -44,6 +44,8 @@
 	running  int
 	faults   []*Fault
 	requests int
+	// limit is what the server names as its limit; "" without one.
+	limit string
 }
 
 // New returns a server.
@@ -75,6 +77,9 @@
 	defer s.end()
 	h := w.Header()
 	h.Set("X-Request-Id", id)
+	if limit := s.namedLimit(); limit != "" {
+		h.Set("Server-Limit", limit)
+	}
 	if fault.Kind == Shed {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -103,6 +108,31 @@
 	}
 }
 
+// BeginLimit makes the server name a limit in its answers until EndLimit. It returns false if
+// it names one already.
+func (s *Server) BeginLimit(perSecond float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit != "" {
+		return false
+	}
+	s.limit = strconv.FormatFloat(perSecond, 'f', -1, 64)
+	return true
+}
+
+// EndLimit ends the limit.
+func (s *Server) EndLimit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = ""
+}
+
+func (s *Server) namedLimit() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit
+}
+
 // begin counts a request and returns how many go on, and the fault that hits this one.
 func (s *Server) begin(streams, resumed bool) (running int, fault Fault) {
 	s.mu.Lock()
