--- a/runner/configuration_spread_test.go
+++ b/runner/configuration_spread_test.go
@@ -14,17 +14,22 @@
 // in milliseconds: a large configuration has arrived everywhere.
 const watchRestart = 600 * clocker.Millis(1)
 
-// Guards against a late configuration: a change makes all watches start together, the store
-// drops its history as the next configuration is accepted, the watches hang, and a third of the
-// hosts are cut off. The others must have it in force within the bound.
-func TestConfigurationIsInForceInTimeWhileWatchesHang(t *testing.T) {
+// playFleets plays a test with fleets of each size in simulated time.
+func playFleets(t *testing.T, play func(*testing.T, fleetScale)) {
 	for _, scale := range []fleetScale{smallFleet, grownFleet, largeFleet} {
 		t.Run(fmt.Sprintf("%d hosts", scale.zones*scale.hostsPerZone), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { hangWatchesAndChange(t, scale) })
+			synctest.Test(t, func(t *testing.T) { play(t, scale) })
 		})
 	}
 }
 
+// Guards against a late configuration: a change makes all watches start together, the store
+// drops its history as the next configuration is accepted, the watches hang, and a third of the
+// hosts are cut off. The others must have it in force within the bound.
+func TestConfigurationIsInForceInTimeWhileWatchesHang(t *testing.T) {
+	playFleets(t, hangWatchesAndChange)
+}
+
 func hangWatchesAndChange(t *testing.T, scale fleetScale) {
 	f := newFleet(t, scale)
 	for i, h := range f.hosts {
@@ -43,11 +48,7 @@
 // reports that it leaves, and no response of the server tells it. All hosts that reach the
 // store must stop using the server within the bound.
 func TestLeavingServerIsKnownInTimeWhileWatchesHang(t *testing.T) {
-	for _, scale := range []fleetScale{smallFleet, grownFleet, largeFleet} {
-		t.Run(fmt.Sprintf("%d hosts", scale.zones*scale.hostsPerZone), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { hangWatchesAndLeave(t, scale) })
-		})
-	}
+	playFleets(t, hangWatchesAndLeave)
 }
 
 func hangWatchesAndLeave(t *testing.T, scale fleetScale) {
