--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -262,8 +262,9 @@
 	if changed {
 		h.updatePeers()
 	}
+	// A host that is behind missed the version itself, and so may others have.
 	if newest > previous && newest > h.cfg.OwnBeat().ConfigurationVersion {
-		h.Announce() // a host that is behind shows that the store's watches fail, perhaps those of others too
+		h.Announce()
 	}
 }
 
