--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -21,7 +21,6 @@
 	"cowsliphinge/heartbeater"
 	"cowsliphinge/matcher"
 	"cowsliphinge/messenger"
-	"cowsliphinge/platform"
 	"cowsliphinge/storer"
 )
 
@@ -37,6 +36,9 @@
 	fleetRouteBytes = 250
 	// fleetPeerRoundTrip is the time of an exchange between two hosts, in milliseconds.
 	fleetPeerRoundTrip = 2 * clocker.Millis(1)
+	// fleetWatchMargin is how long after its wait a watch without an answer is given up, in
+	// milliseconds, as by the client of the operators' platform.
+	fleetWatchMargin = 500 * clocker.Millis(1)
 	// fleetServer is the ID of the only backend server.
 	fleetServer = "i-1"
 	// fleetWarmUp is the time in which the hosts find each other, in milliseconds.
@@ -330,7 +332,7 @@
 
 // Watch implements watcher.Source.
 func (s *fleetStoreClient) Watch(ctx context.Context, kind string, since int64, wait clocker.Millis) ([]storer.Change, int64, error) {
-	if err := s.begin(ctx, wait+platform.WatchMargin); err != nil {
+	if err := s.begin(ctx, wait+fleetWatchMargin); err != nil {
 		return nil, 0, err
 	}
 	waitCtx, cancel := s.fleet.clock.WithTimeout(ctx, wait)
@@ -351,7 +353,7 @@
 			return nil, max(since, revision), ctx.Err()
 		case <-hung:
 			<-waitCtx.Done()
-			_ = s.fleet.clock.Sleep(ctx, platform.WatchMargin) // the call fails in any case
+			_ = s.fleet.clock.Sleep(ctx, fleetWatchMargin) // the call fails in any case
 			return nil, 0, storer.ErrOutcomeUnknown{Key: kind, Cause: "no answer"}
 		case <-changed:
 		}
