Log the parts of a request's prompt

Change: the request's line names the first eight parts, each bounded to 32 bytes. No logic is changed.

--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -11,6 +11,13 @@
 
 var latencies = metrics.NewHistogram("cowsliphinge_relay_seconds")
 
+const (
+	// maxLoggedParts limits the prompt parts in a log line.
+	maxLoggedParts = 8
+	// maxLoggedIDBytes limits the logged ID of a part, which callers choose.
+	maxLoggedIDBytes = 32
+)
+
 // ending is how the response to the caller ended.
 type ending string
 
@@ -125,6 +132,9 @@
 	if x.route != nil {
 		attributes = append(attributes, "route", x.route.Name, "time_ms", x.deadline-x.started)
 	}
+	if parts := x.loggedParts(); len(parts) > 0 {
+		attributes = append(attributes, "parts", parts)
+	}
 	if x.account != nil {
 		attributes = append(attributes, "account", x.account.Name, "reserved", x.reservation.Tokens, "used", used)
 	}
@@ -136,3 +146,13 @@
 	}
 	x.cfg.Log.Info("request", attributes...)
 }
+
+// loggedParts returns the IDs of the first maxLoggedParts parts of the prompt.
+func (x *relayedRequest) loggedParts() []string {
+	parts := x.prompt[:min(len(x.prompt), maxLoggedParts)]
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, p.ID[:min(len(p.ID), maxLoggedIDBytes)])
+	}
+	return ids
+}
--- a/relayer/request_log_test.go
+++ b/relayer/request_log_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -75,3 +76,16 @@
 	assert.Equal(t, got.Attempts[1].Status, 500)
 	assert.Equal(t, got.Attempts[1].Events, int64(0))
 }
+
+// Without the parts of prompts in the log, requests that crash their servers can't be told
+// from the others on the same servers. IDs are chosen by callers and bounded in the log.
+func TestRequestLineNamesThePromptParts(t *testing.T) {
+	f := newFixture(t, matcher.Route{}, newBackend(t, respond(200, "a")))
+	long := strings.Repeat("f", 2*maxLoggedIDBytes)
+	f.call(t, "POST", "/r/", "p", "X-Parts", "a1:800,b2:10,"+long+":5")
+	var line struct {
+		Parts []string `json:"parts"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(<-f.logLines), &line))
+	assert.DeepEqual(t, line.Parts, []string{"a1", "b2", long[:maxLoggedIDBytes]})
+}
