--- /dev/null
+++ b/cmd/deadly_prompt_test.go
@@ -0,0 +1,73 @@
+package cmd
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+)
+
+// promptLoad sends requests to random hosts for a while.
+type promptLoad struct {
+	fleet *promptFleet
+	// every is the time between two sound requests, and everyDeadly that between two with
+	// deadlyPart, in milliseconds.
+	every, everyDeadly clocker.Millis
+	// deadlyPrompt returns the parts of a request with deadlyPart.
+	deadlyPrompt func(rng *rand.Rand) []string
+
+	group sync.WaitGroup
+	mu    sync.Mutex
+	// sent and served count the sound requests of the client account of the deadly ones.
+	sent, served int
+}
+
+// run sends requests for a duration and waits for their responses.
+func (l *promptLoad) run(duration clocker.Millis) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	started := l.fleet.clock.Now()
+	nextDeadly := started
+	for now := started; now < started+duration; now = l.fleet.clock.Now() {
+		host := l.fleet.hosts[rng.IntN(len(l.fleet.hosts))]
+		if now >= nextDeadly {
+			nextDeadly += l.everyDeadly
+			prompt := l.deadlyPrompt(rng)
+			l.group.Go(func() { l.fleet.send(host, "one", prompt...) })
+		}
+		host = l.fleet.hosts[rng.IntN(len(l.fleet.hosts))]
+		account := []string{"one", "two"}[rng.IntN(2)]
+		subject := fmt.Sprint("subject", rng.IntN(30))
+		l.group.Go(func() {
+			status := l.fleet.send(host, account, "common", subject)
+			if account == "one" {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				l.sent++
+				if status == http.StatusOK {
+					l.served++
+				}
+			}
+		})
+		l.fleet.clock.SleepUncancellable(l.every)
+	}
+	l.group.Wait()
+}
+
+// Requests with one part in their prompts crashed backend servers one after the other, and took
+// the sound requests on them along: no host compared what the crashed servers had run.
+func TestPromptPartThatCrashesServersIsRefused(t *testing.T) {
+	f := newPromptFleet(t, 4, 6)
+	load := promptLoad{fleet: f, every: 10, everyDeadly: 100, deadlyPrompt: func(*rand.Rand) []string {
+		return []string{"common", "subject0", deadlyPart}
+	}}
+	load.run(2 * clocker.Second)
+	load.sent, load.served = 0, 0
+	load.run(4 * clocker.Second)
+	assert.Assert(t, f.deadlyAfterBound() <= 3, "%d requests with the part after the fifth crash, %d crashes", f.deadlyAfterBound(), f.crashCount())
+	assert.Assert(t, load.served*2 >= load.sent, "%d of %d sound requests of the account served", load.served, load.sent)
+}
--- /dev/null
+++ b/cmd/prompt_fleet_test.go
@@ -0,0 +1,283 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/runner"
+	"cowsliphinge/standin/objects"
+	"cowsliphinge/standin/refuser"
+)
+
+const (
+	// promptSteady is the time after a disruption from which the bounds hold, in
+	// milliseconds.
+	promptSteady = 1500 * clocker.Millis(1)
+	// promptPrefill is the time before the first event, in milliseconds, and promptEvents
+	// the length of a stream whose events are promptPause apart.
+	promptPrefill = 30 * clocker.Millis(1)
+	promptEvents  = 5
+	promptPause   = 5 * clocker.Millis(1)
+	// promptRestart is the time after which a crashed server is back, in milliseconds.
+	promptRestart = 600 * clocker.Millis(1)
+	// deadlyPart crashes each server that begins an answer on it.
+	deadlyPart = "deadbeef"
+)
+
+// promptFleet runs routers and model servers on loopback. The servers crash on deadlyPart.
+type promptFleet struct {
+	t       *testing.T
+	clock   *clocker.Clock
+	store   *objects.Store
+	address string
+	hosts   []*promptHost
+
+	mu      sync.Mutex
+	started int
+	// servers are the IDs of those that are up.
+	servers map[string]*promptServer
+	// crashes are the times of the crashes, and deadly those at which a server read a request
+	// with deadlyPart.
+	crashes, deadly []clocker.Millis
+	restarts        sync.WaitGroup
+}
+
+type promptHost struct {
+	*runner.Runner
+	settings runner.Settings
+}
+
+type promptServer struct {
+	id       string
+	listener *refuser.Listener
+	http     *http.Server
+}
+
+// newPromptFleet starts hosts and servers, and waits until each host serves requests.
+func newPromptFleet(t *testing.T, hosts, servers int) *promptFleet {
+	f := &promptFleet{t: t, clock: clocker.NewWall(), servers: map[string]*promptServer{}}
+	f.store = objects.New(f.clock)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f.address = l.Addr().String()
+	platform := &http.Server{Handler: f.store, ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = platform.Serve(l) }() // ends by Close
+	t.Cleanup(f.close)
+	t.Cleanup(func() { _ = platform.Close() })
+	f.configure()
+	for range servers {
+		f.startServer()
+	}
+	for i := range hosts {
+		f.startHost(fmt.Sprint("h", i))
+	}
+	for _, h := range f.hosts {
+		for n := 0; f.send(h, "one", fmt.Sprint("warm", n)) != http.StatusOK; n++ {
+			assert.Assert(t, n < 100, "%s serves nothing", h.settings.Host)
+			f.clock.SleepUncancellable(100)
+		}
+	}
+	return f
+}
+
+func (f *promptFleet) configure() {
+	accounts := []map[string]any{}
+	for _, name := range []string{"one", "two"} {
+		accounts = append(accounts, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "prepaid": 100_000_000})
+	}
+	assert.NilError(f.t, f.store.Put("config", "main", map[string]any{
+		"version": 1, "tenants": accounts,
+		"routes": []map[string]any{{
+			"name": "draft", "host": "h.example", "path_prefix": "/draft/", "kind": "streaming", "timeout_ms": 4000,
+			"target_latency_ms": 500, "target_gap_ms": 300, "max_attempts": 2, "resumable": true, "service": "s",
+		}},
+		"services": []map[string]any{{"name": "s", "engine": map[string]any{"stride": 1, "kv_cache_tokens": 100_000}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}))
+}
+
+func (f *promptFleet) startHost(name string) *promptHost {
+	address := func() string {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(f.t, err)
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
+	}
+	s := runner.Settings{
+		Host: name, AvailabilityZone: "a", CallerAddress: address(), ReadyAddress: address(), ExchangeAddress: address(),
+		StoreAddress: f.address, RouterKey: "test", MemoryMb: 256, LinkMbps: 10_000, StopBoundMs: 6000, ConfigurationMs: 2000,
+		LeaveMs: 2000, SteadyMs: promptSteady, RetryRatio: 0.2, RetryExtra: 40, RetryWindowMs: 10_000,
+	}
+	r, err := runner.New(context.Background(), runner.Config{Settings: s, Platform: adapter(s), Clock: f.clock, Log: slog.New(slog.DiscardHandler)})
+	assert.NilError(f.t, err)
+	h := &promptHost{Runner: r, settings: s}
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+func (f *promptFleet) startServer() {
+	l, err := refuser.Listen()
+	assert.NilError(f.t, err)
+	f.mu.Lock()
+	f.started++
+	s := &promptServer{id: fmt.Sprint("i-", f.started), listener: l}
+	f.servers[s.id] = s
+	f.mu.Unlock()
+	s.http = &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.answer(s, w, r) })}
+	go func() { _ = s.http.Serve(l) }() // ends by Close
+	assert.NilError(f.t, f.store.Put("servers", s.id, map[string]any{
+		"service": "s", "address": l.Addr().String(), "zone": "a", "slots": 64, "state": "ready", "born": int64(f.clock.Now()),
+	}))
+}
+
+// answer streams events, or crashes the server once it has begun an answer on deadlyPart.
+func (f *promptFleet) answer(s *promptServer, w http.ResponseWriter, r *http.Request) {
+	deadly := slices.Contains(promptIDs(r.Header.Get("X-Prompt-Prefix")), deadlyPart)
+	if deadly {
+		f.mu.Lock()
+		f.deadly = append(f.deadly, f.clock.Now())
+		f.mu.Unlock()
+	}
+	h := w.Header()
+	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	h.Set("X-Server-Signature", "s")
+	h.Set("Content-Type", "text/event-stream")
+	if f.clock.Sleep(r.Context(), promptPrefill) != nil {
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // the caller may have left
+	if deadly {
+		f.crash(s)
+		return
+	}
+	for n := 1; n <= promptEvents; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: d\n\n", n)
+		_ = http.NewResponseController(w).Flush()
+		if f.clock.Sleep(r.Context(), promptPause) != nil {
+			return
+		}
+	}
+}
+
+// promptIDs returns the IDs of the parts of a prompt.
+func promptIDs(header string) []string {
+	var ids []string
+	for _, field := range strings.Split(header, ",") {
+		id, _, _ := strings.Cut(field, ":")
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// crash ends a server at once. Another one starts after promptRestart.
+func (f *promptFleet) crash(s *promptServer) {
+	f.mu.Lock()
+	_, up := f.servers[s.id]
+	delete(f.servers, s.id)
+	if up {
+		f.crashes = append(f.crashes, f.clock.Now())
+		f.restarts.Add(1)
+	}
+	f.mu.Unlock()
+	_ = s.http.Close()
+	if !up {
+		return
+	}
+	go func() {
+		defer f.restarts.Done()
+		f.clock.SleepUncancellable(promptRestart)
+		f.store.Delete("servers", s.id)
+		f.startServer()
+		_ = s.listener.Release()
+	}()
+}
+
+// send sends a request whose prompt has the parts and one of its own, and returns the status, or
+// 0 if the response is incomplete.
+func (f *promptFleet) send(h *promptHost, account string, parts ...string) int {
+	ctx, cancel := f.clock.WithTimeout(context.Background(), 4*clocker.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.CallerAddress+"/draft/x", strings.NewReader("p"))
+	if err != nil {
+		return 0
+	}
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	var prompt strings.Builder
+	for _, p := range parts {
+		_, _ = fmt.Fprintf(&prompt, "%s:100,", p)
+	}
+	req.Host = "h.example"
+	for name, value := range map[string]string{
+		"X-Request-Id": id, "X-Deadline-Ms": "4000", "Authorization": "Bearer key-" + account, "X-Model": "m",
+		"X-Token-Usage": "300,10", "X-Prompt-Prefix": prompt.String() + id + ":100",
+	} {
+		req.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode == http.StatusOK && strings.Count(string(body), "id: ") != promptEvents {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// crashCount returns how many servers have crashed.
+func (f *promptFleet) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashes)
+}
+
+// deadlyAfterBound returns how many requests with deadlyPart reached servers later than
+// promptSteady after the fifth crash.
+func (f *promptFleet) deadlyAfterBound() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < 5 {
+		return 0
+	}
+	n := 0
+	for _, at := range f.deadly {
+		if at > f.crashes[4]+promptSteady {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *promptFleet) close() {
+	var stops sync.WaitGroup
+	for _, h := range f.hosts {
+		stops.Go(func() { h.Stop(context.Background()) })
+	}
+	stops.Wait()
+	f.restarts.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		_ = s.http.Close()
+		if err := s.listener.Release(); err != nil && !errors.Is(err, net.ErrClosed) {
+			f.t.Errorf("release: %v", err)
+		}
+	}
+}
