Refuse prompts whose parts crash backend servers

Cause: nobody compared what crashed servers had run; a host took each crash for bad luck of a server and sent the next request with the same part, or the same request, to the next one. Class: a fault that follows the request, handled as a fault of the server.

Change: package quarantiner holds the requests that crashed servers had not begun to answer, as all hosts saw them (heartbeats carry the evidence, new evidence brings them forward). A part of a request that was answered is sound. The fewest parts that explain three crashes at different moments are refused, 503 with the true Retry-After; the status is not a 4xx, since it is evidence of the fleet and no error of the caller, and since the request has not run. Of parts that only crashed together the prompts with all of them are refused; one account's crashes refuse its own requests alone. A crash is a lost connection before the answer, a refused dial after it, and a server that was not leaving. Retries and resumed streams are checked before each attempt. Evidence is bounded and expires; a hold lasts ten minutes after the last crash, after which one crash renews it. Each hold and its end are logged.

--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -46,6 +48,19 @@
 	return cn, nil
 }
 
+// Refuses reports whether nothing accepts connections at the server's address, as after its
+// crash. It is false if that is not certain, as on a path that loses or resets connections.
+func (c *Carrier) Refuses(ctx context.Context, t Target, timeout clocker.Millis) bool {
+	connections.Inc()
+	cn, err := dial(ctx, t.Address, timeout, c.cfg.Traffic)
+	if err == nil {
+		_ = cn.Close()
+		return false
+	}
+	failedConnections.Inc()
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // popIdle removes and returns the most recently used connection that has not been idle
 // for too long and has not carried a request with the same ID: a second response to that
 // request could not be distinguished from the response to this one.
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -87,16 +87,16 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if !r.framed() && r.waitWrite() != nil {
+	if !r.Framed() && r.waitWrite() != nil {
 		return n, io.ErrUnexpectedEOF // a TCP reset fails either the write or the read, not both
 	}
 	r.complete = true
 	return n, err
 }
 
-// framed reports whether the body is delimited by Content-Length or chunked encoding
+// Framed reports whether the body is delimited by Content-Length or chunked encoding
 // rather than by the end of the connection.
-func (r *Response) framed() bool {
+func (r *Response) Framed() bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
@@ -124,7 +124,7 @@
 // after the response.
 func (r *Response) Close() {
 	open := r.cancelClose()
-	if !open || !r.complete || r.Response.Close || !r.framed() || !r.writeSucceeded() || r.conn.reader.Buffered() > 0 {
+	if !open || !r.complete || r.Response.Close || !r.Framed() || !r.writeSucceeded() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -166,6 +166,12 @@
 	return 0, false
 }
 
+// Leaving reports whether a server is leaving, or is not known any more.
+func (c *Chooser) Leaving(id string, now clocker.Millis) bool {
+	m := c.servers[id]
+	return m == nil || m.leaving(now)
+}
+
 // hosts returns the number of hosts that share the limit of a server.
 func (c *Chooser) hosts() int {
 	if c.cfg.Hosts == nil {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -71,6 +71,11 @@
 	return fmt.Sprintf("answer broke off: %v", err.Cause)
 }
 
+// Unwrap returns the cause.
+func (err ErrAborted) Unwrap() error {
+	return err.Cause
+}
+
 // IsErrAborted reports whether err is an ErrAborted.
 func IsErrAborted(err error) bool {
 	var target ErrAborted
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -23,30 +23,33 @@
 	meanRetryAfter clocker.Millis
 	// minRetryAfter is the delay before which no retry can succeed, in milliseconds.
 	minRetryAfter clocker.Millis
+	// exactRetryAfter sends the delay even if the caller does not wait for so long.
+	exactRetryAfter bool
 }
 
 // Failures. Status 503 guarantees to callers that the request did not run.
 var (
-	noConfiguration       = failure{http.StatusServiceUnavailable, "no_configuration", 300, 0}
-	noRoute               = failure{http.StatusNotFound, "no_route", 0, 0}
-	unknownKey            = failure{http.StatusUnauthorized, "unknown_key", 0, 0}
-	bodyTooLarge          = failure{http.StatusRequestEntityTooLarge, "body_too_large", 0, 0}
-	bodyReadFailed        = failure{http.StatusBadRequest, "body_broken", 0, 0}
-	budgetExhausted       = failure{http.StatusPaymentRequired, "budget_exhausted", 0, 0}
-	budgetUnreachable     = failure{http.StatusServiceUnavailable, "budget_unreachable", 700, 0}
-	noServer              = failure{http.StatusServiceUnavailable, "no_server", 500, 0}
-	serversPaused         = failure{http.StatusServiceUnavailable, "servers_paused", 100, 0}
-	serverUnreachable     = failure{http.StatusServiceUnavailable, "server_unreachable", 250, 0}
-	serverShed            = failure{http.StatusServiceUnavailable, "server_shed", 250, 0}
-	stopping              = failure{http.StatusServiceUnavailable, "stopping", 50, 0}
-	deadlineBeforeSending = failure{http.StatusServiceUnavailable, "deadline_before_sending", 0, 0}
+	noConfiguration       = failure{status: http.StatusServiceUnavailable, reason: "no_configuration", meanRetryAfter: 300}
+	noRoute               = failure{status: http.StatusNotFound, reason: "no_route"}
+	unknownKey            = failure{status: http.StatusUnauthorized, reason: "unknown_key"}
+	bodyTooLarge          = failure{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	bodyReadFailed        = failure{status: http.StatusBadRequest, reason: "body_broken"}
+	budgetExhausted       = failure{status: http.StatusPaymentRequired, reason: "budget_exhausted"}
+	budgetUnreachable     = failure{status: http.StatusServiceUnavailable, reason: "budget_unreachable", meanRetryAfter: 700}
+	noServer              = failure{status: http.StatusServiceUnavailable, reason: "no_server", meanRetryAfter: 500}
+	serversPaused         = failure{status: http.StatusServiceUnavailable, reason: "servers_paused", meanRetryAfter: 100}
+	serverUnreachable     = failure{status: http.StatusServiceUnavailable, reason: "server_unreachable", meanRetryAfter: 250}
+	serverShed            = failure{status: http.StatusServiceUnavailable, reason: "server_shed", meanRetryAfter: 250}
+	promptQuarantined     = failure{status: http.StatusServiceUnavailable, reason: "prompt_quarantined", meanRetryAfter: 100, exactRetryAfter: true}
+	stopping              = failure{status: http.StatusServiceUnavailable, reason: "stopping", meanRetryAfter: 50}
+	deadlineBeforeSending = failure{status: http.StatusServiceUnavailable, reason: "deadline_before_sending"}
 	// outcomeUnknown means that the request may have run and is not retried.
-	outcomeUnknown = failure{http.StatusBadGateway, "outcome_unknown", 0, 0}
+	outcomeUnknown = failure{status: http.StatusBadGateway, reason: "outcome_unknown"}
 	// serverFailed marks an error response of a server, which is itself forwarded.
-	serverFailed = failure{http.StatusBadGateway, "server_failed", 0, 0}
+	serverFailed = failure{status: http.StatusBadGateway, reason: "server_failed"}
 	// streamNotContinued ends a stream that a later server does not continue.
-	streamNotContinued = failure{http.StatusBadGateway, "stream_not_continued", 0, 0}
-	timedOut           = failure{http.StatusGatewayTimeout, "timed_out", 0, 0}
+	streamNotContinued = failure{status: http.StatusBadGateway, reason: "stream_not_continued"}
+	timedOut           = failure{status: http.StatusGatewayTimeout, reason: "timed_out"}
 )
 
 // impliesNotRun reports whether callers take the status as proof that the request did not
@@ -63,14 +66,16 @@
 }
 
 // write sends the failure as a response. remaining is the time that the caller still waits; at most a
-// third of it is sent as Retry-After.
+// third of it is sent as Retry-After, unless the delay is exact.
 func (f failure) write(w http.ResponseWriter, remaining clocker.Millis) {
 	metrics.GetOrCreateCounter(`cowsliphinge_relay_refusals_total{reason="` + f.reason + `"}`).Inc()
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	if f.meanRetryAfter > 0 {
 		delay := float64(f.minRetryAfter) + float64(f.meanRetryAfter)*(0.5+rand.Float64()) // spreads the retries of many callers
-		delay = min(delay, float64(max(remaining, 0))/3)
+		if !f.exactRetryAfter {
+			delay = min(delay, float64(max(remaining, 0))/3)
+		}
 		h.Set("Retry-After", strconv.FormatFloat(delay/float64(clocker.Second), 'f', 3, 64))
 	}
 	body, err := json.Marshal(struct{ Reason string }{f.reason})
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -202,6 +202,12 @@
 	s.chooser.RecordActivity(id, report, s.clock.Now())
 }
 
+func (s *lockedChooser) Leaving(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.Leaving(id, s.clock.Now())
+}
+
 func (s *lockedChooser) LastActivity(id string) clocker.Millis {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/relayer/quarantine.go
@@ -0,0 +1,92 @@
+package relayer
+
+import (
+	"errors"
+	"io"
+	"syscall"
+
+	"cowsliphinge/carrier"
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/quarantiner"
+)
+
+const (
+	// crashProbeTimeout limits the dial that tells a crash from a broken path, in
+	// milliseconds. A crashed server refuses it within one round trip.
+	crashProbeTimeout = 100 * clocker.Millis(1)
+	// answerBeginning is how long after the first event a server counts as only beginning its
+	// answer, in milliseconds: the events of one write may arrive before its crash.
+	answerBeginning = 50 * clocker.Millis(1)
+)
+
+// noQuarantine replaces a nil Quarantine.
+type noQuarantine struct{}
+
+func (noQuarantine) Refused(quarantiner.Request) clocker.Millis         { return 0 }
+func (noQuarantine) Answered(chooser.Server, quarantiner.Request, bool) {}
+func (noQuarantine) Crashed(s chooser.Server, r quarantiner.Request)    {}
+
+// requestOfPrompt returns what the quarantine compares of the request.
+func (x *relayedRequest) requestOfPrompt() quarantiner.Request {
+	if len(x.prompt) == 0 {
+		return quarantiner.Request{}
+	}
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	ids := make([]string, 0, len(x.prompt))
+	for _, p := range x.prompt {
+		ids = append(ids, p.ID)
+	}
+	return quarantiner.NewRequest(account, ids)
+}
+
+// quarantined returns the failure of a request whose prompt crashes servers. It is not the fault
+// of the caller if several parts are suspect, so the status is not that of a bad request.
+func (x *relayedRequest) quarantined() (failure, bool) {
+	if len(x.promptRequest.Parts) == 0 {
+		return failure{}, false
+	}
+	until := x.cfg.Quarantine.Refused(x.promptRequest)
+	if until == 0 {
+		return failure{}, false
+	}
+	return promptQuarantined.withMinRetryAfter(until - x.cfg.Clock.Now()), true
+}
+
+// reportAnswer reports that a server answered the request successfully.
+func (x *relayedRequest) reportAnswer(server chooser.Server, response *carrier.Response, hasBody bool) {
+	if len(x.promptRequest.Parts) > 0 && response.StatusCode/100 == 2 && hasBody {
+		x.cfg.Quarantine.Answered(server, x.promptRequest, response.Framed())
+	}
+}
+
+// reportCrash reports a crash of the server if the connection was lost for that reason before the
+// server had begun its answer. A server that leaves stops as planned.
+func (x *relayedRequest) reportCrash(server chooser.Server, cause error) {
+	if len(x.promptRequest.Parts) == 0 || x.ctx.Err() != nil || !connectionLost(cause) {
+		return
+	}
+	if x.answerBegan > 0 && x.cfg.Clock.Now()-x.answerBegan > answerBeginning {
+		return
+	}
+	if x.cfg.Servers.Leaving(server.ID) {
+		return
+	}
+	if x.cfg.Carrier.Refuses(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, crashProbeTimeout) {
+		x.log.setServerCrashed()
+		x.cfg.Quarantine.Crashed(server, x.promptRequest)
+	}
+}
+
+// connectionLost reports whether the connection ended, and not only the patience of this host.
+func connectionLost(err error) bool {
+	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, lost) {
+			return true
+		}
+	}
+	return false
+}
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -10,6 +10,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
 	"cowsliphinge/matcher"
+	"cowsliphinge/quarantiner"
 	"cowsliphinge/reserver"
 )
 
@@ -57,6 +58,8 @@
 	account  *matcher.Account
 	service  *matcher.Service
 	prompt   []chooser.PromptPart
+	// promptRequest identifies the prompt for the quarantine.
+	promptRequest quarantiner.Request
 	// hasTokenCounts is true if the request states its prompt and output tokens.
 	hasTokenCounts  bool
 	promptTokens    int64
@@ -76,6 +79,8 @@
 	mayHaveRun bool
 	// position is the caller's position in its stream.
 	position streamPosition
+	// answerBegan is when the current server sent its first event, 0 before.
+	answerBegan clocker.Millis
 	// lastFailure is the last error response of a server to a retryable request.
 	lastFailure *failedResponse
 
@@ -137,6 +142,10 @@
 // attempt sends the request to one server. It returns the cause and true if that
 // failed, or false once the caller has its response.
 func (x *relayedRequest) attempt() (failure, bool) {
+	if f, refused := x.quarantined(); refused {
+		x.fail(f)
+		return failure{}, false
+	}
 	request := chooser.Request{Service: x.service.Name, Prompt: x.prompt, Avoid: x.triedServers}
 	chosen := x.cfg.Servers.Choose(request)
 	if !chosen.Found {
@@ -224,6 +233,7 @@
 	}
 	x.sentAttempts++
 	x.mayHaveRun = true
+	x.reportCrash(server, err)
 	if x.ctx.Err() != nil && x.req.Context().Err() != nil {
 		return x.finishAttempt(server, chooser.NoFailure, outcomeUnknown) // the caller disconnected
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -22,6 +22,7 @@
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/matcher"
+	"cowsliphinge/quarantiner"
 	"cowsliphinge/reserver"
 )
 
@@ -37,6 +38,8 @@
 	RecordActivity(id string, report chooser.StatusReport)
 	// LastActivity returns when the last byte arrived from a server.
 	LastActivity(id string) clocker.Millis
+	// Leaving reports whether a server is about to stop, or is not known any more.
+	Leaving(id string) bool
 }
 
 // Budgets reserves and settles tokens of client accounts. Reservations of a lower rank take
@@ -52,6 +55,17 @@
 	Allow(service, reason string) bool
 }
 
+// Quarantine tells which requests must not be sent because their prompts crash servers.
+type Quarantine interface {
+	// Refused returns until when the request must not be sent, 0 if it may be.
+	Refused(r quarantiner.Request) clocker.Millis
+	// Answered records a complete answer. An answer that is not framed ended with its
+	// connection.
+	Answered(s chooser.Server, r quarantiner.Request, framed bool)
+	// Crashed records that a server crashed before it had begun to answer the request.
+	Crashed(s chooser.Server, r quarantiner.Request)
+}
+
 // Config configures a Relayer.
 type Config struct {
 	Clock       *clocker.Clock
@@ -61,7 +75,9 @@
 	Servers Servers
 	Budgets Budgets
 	Retries Retries
-	Carrier *carrier.Carrier
+	// Quarantine may be nil.
+	Quarantine Quarantine
+	Carrier    *carrier.Carrier
 	// MoveCallers reports whether callers should reconnect to another host.
 	MoveCallers func() bool
 	// StopDeadline returns when a planned stop aborts the requests in flight; 0 for
@@ -78,6 +94,9 @@
 
 // New returns a Relayer with the given configuration.
 func New(cfg Config) *Relayer {
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = noQuarantine{}
+	}
 	return &Relayer{cfg: cfg}
 }
 
@@ -163,6 +182,10 @@
 	}
 	x.service = x.table.Service(x.route.Service(rand.Uint64()))
 	x.prompt = parsePromptParts(x.req.Header.Get(x.cfg.HeaderNames.PromptParts))
+	x.promptRequest = x.requestOfPrompt()
+	if f, refused := x.quarantined(); refused {
+		return f, false
+	}
 	x.promptTokens, x.maxOutputTokens, x.hasTokenCounts = parseTokens(x.req.Header.Get(x.cfg.HeaderNames.Tokens))
 	if f, ok := x.readBody(); !ok {
 		return f, false
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -53,6 +53,8 @@
 	// Events counts the events of this attempt that were forwarded to the caller.
 	Events int64  `json:",omitempty"`
 	Cause  string `json:",omitempty"`
+	// Crashed is true if the server crashed before it had begun to answer.
+	Crashed bool `json:",omitempty"`
 }
 
 func (r *requestLog) startAttempt(s chooser.Server, at clocker.Millis) {
@@ -86,6 +88,13 @@
 	}
 }
 
+// setServerCrashed records that the server of the last attempt crashed.
+func (r *requestLog) setServerCrashed() {
+	if len(r.attempts) > 0 {
+		r.attempts[len(r.attempts)-1].Crashed = true
+	}
+}
+
 func (r *requestLog) setOutcome(reason string) {
 	if reason == "" {
 		reason = "answered"
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -47,9 +47,11 @@
 		if x.req.Context().Err() != nil {
 			return x.finishAttempt(server, chooser.NoFailure, outcomeUnknown), true
 		}
+		x.reportCrash(server, err)
 		return x.finishAttempt(server, chooser.Aborted, outcomeUnknown), true
 	}
 	if outcome == chooser.NoFailure {
+		x.reportAnswer(server, response, len(body) > 0)
 		x.finishAttempt(server, outcome, failure{})
 		x.sendBuffered(response, body)
 		return failure{}, false
@@ -109,6 +111,7 @@
 // stream ended early.
 func (x *relayedRequest) relayStream(server chooser.Server, response *carrier.Response) (failure, bool) {
 	x.position.switchServer()
+	x.answerBegan = 0
 	var events eventBuffer
 	buffer := make([]byte, streamReadBytes)
 	response.SetReadTimeout(x.eventTimeout())
@@ -118,6 +121,9 @@
 			x.cfg.Servers.RecordActivity(server.ID, chooser.StatusReport{})
 		}
 		if complete := events.add(buffer[:n]); len(complete) > 0 {
+			if x.answerBegan == 0 {
+				x.answerBegan = x.cfg.Clock.Now()
+			}
 			if relayErr := x.relayEvents(response, complete); relayErr != nil {
 				x.log.setCause(relayErr)
 				return x.finishAttempt(server, x.relayErrorOutcome(relayErr), outcomeUnknown), true
@@ -128,10 +134,12 @@
 		case errors.Is(err, io.EOF) && !events.hasPartial() && x.position.complete():
 			x.startStream(response) // not started yet if the caller already had all events
 			x.reply.complete = true
+			x.reportAnswer(server, response, true)
 			x.finishAttempt(server, chooser.NoFailure, failure{})
 			return failure{}, false
 		case err != nil || events.tooLong():
 			x.log.setCause(err)
+			x.reportCrash(server, err)
 			return x.finishAttempt(server, x.relayErrorOutcome(err), outcomeUnknown), true
 		}
 	}
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -186,6 +186,13 @@
 	}
 }
 
+// Leaving implements relayer.Servers.
+func (b *backendPool) Leaving(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.chooser.Leaving(id, b.clock.Now())
+}
+
 // LastActivity implements relayer.Servers.
 func (b *backendPool) LastActivity(id string) clocker.Millis {
 	b.mu.Lock()
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -137,7 +137,7 @@
 func (r *Runner) membershipConfig(exchange heartbeater.Exchange) heartbeater.Config {
 	return heartbeater.Config{
 		OwnBeat:          r.heartbeat,
-		BeatReceived:     r.backends.applyLimitsOfBeat,
+		BeatReceived:     r.applyBeat,
 		Clock:            r.cfg.Clock,
 		HostList:         hostList{platform: r.cfg.Platform, log: r.cfg.Log},
 		Exchange:         exchange,
@@ -146,8 +146,15 @@
 	}
 }
 
+// applyBeat applies what a heartbeat of another host tells of backend servers.
+func (r *Runner) applyBeat(beat *messenger.Beat) {
+	r.backends.applyLimitsOfBeat(beat)
+	r.quarantine.applyBeat(beat)
+}
+
 func (r *Runner) startMembership(ctx context.Context) {
 	r.heartbeater = heartbeater.New(ctx, r.membershipConfig(r.exchange))
+	r.quarantine.setAnnounce(r.heartbeater.Announce)
 	r.group.Go(func() error {
 		for r.announce(ctx) != nil {
 			if r.cfg.Clock.Sleep(ctx, announceRetryInterval) != nil {
--- /dev/null
+++ b/runner/quarantine.go
@@ -0,0 +1,171 @@
+package runner
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/quarantiner"
+)
+
+var (
+	serverCrashes    = metrics.NewCounter("cowsliphinge_server_crashes_total")
+	heldQuarantines  = metrics.NewCounter(`cowsliphinge_prompt_quarantine_changes_total{change="held"}`)
+	endedQuarantines = metrics.NewCounter(`cowsliphinge_prompt_quarantine_changes_total{change="ended"}`)
+)
+
+// promptQuarantine is a concurrency-safe wrapper around a Quarantiner. It exchanges the evidence
+// with other hosts in heartbeats.
+type promptQuarantine struct {
+	clock *clocker.Clock
+	log   *slog.Logger
+
+	mu sync.Mutex
+	// announce makes the next heartbeats come early; nil until the heartbeater runs.
+	announce    func()
+	quarantiner *quarantiner.Quarantiner
+	// logged are the quarantines in force when they were last logged.
+	logged []quarantiner.Quarantine
+}
+
+func newPromptQuarantine(cfg Config) *promptQuarantine {
+	return &promptQuarantine{clock: cfg.Clock, log: cfg.Log, quarantiner: quarantiner.New()}
+}
+
+func (p *promptQuarantine) setAnnounce(announce func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announce = announce
+}
+
+// Refused implements relayer.Quarantine.
+func (p *promptQuarantine) Refused(r quarantiner.Request) clocker.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held, refused := p.quarantiner.Refused(r, p.clock.Now())
+	if !refused {
+		return 0
+	}
+	return held.Until
+}
+
+// Answered implements relayer.Quarantine.
+func (p *promptQuarantine) Answered(s chooser.Server, r quarantiner.Request, framed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if framed {
+		p.quarantiner.Answered(r, now)
+	} else {
+		p.quarantiner.AnsweredUnframed(quarantiner.ServerHash(s.ID, s.StartedAt), r, now)
+	}
+	p.logChanges(now)
+}
+
+// Crashed implements relayer.Quarantine.
+func (p *promptQuarantine) Crashed(s chooser.Server, r quarantiner.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if !p.quarantiner.Crashed(quarantiner.ServerHash(s.ID, s.StartedAt), r, now) {
+		return
+	}
+	serverCrashes.Inc()
+	p.log.Info("backend server crashed before it answered a prompt", "server", s.ID, "suspect_parts", hexOf(r.Parts), "crashes_under_them", p.quarantiner.Crashes(r))
+	p.logChanges(now)
+	p.announceNews()
+}
+
+// announceNews makes the next heartbeats come early. The caller holds mu.
+func (p *promptQuarantine) announceNews() {
+	if p.announce != nil {
+		p.announce()
+	}
+}
+
+// addToBeat adds the evidence to a heartbeat of this host.
+func (p *promptQuarantine) addToBeat(beat *messenger.Beat) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	crashes, cleared := p.quarantiner.Report(now)
+	for _, c := range crashes {
+		message := &messenger.ServerCrash{Server: c.Server, AgeMs: int64(now - c.At)}
+		for _, r := range c.Requests {
+			message.Requests = append(message.Requests, &messenger.SuspectRequest{Account: r.Account, Request: r.ID, Parts: slices.Clone(r.Parts)})
+		}
+		beat.Crashes = append(beat.Crashes, message)
+	}
+	for _, c := range cleared {
+		beat.ClearedParts = append(beat.ClearedParts, &messenger.ClearedPart{Part: c.Part, AgeMs: int64(now - c.At)})
+	}
+	p.logChanges(now)
+}
+
+// applyBeat applies the evidence in a heartbeat of another host.
+func (p *promptQuarantine) applyBeat(beat *messenger.Beat) {
+	if len(beat.Crashes) == 0 && len(beat.ClearedParts) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var crashes []quarantiner.Crash
+	for _, message := range beat.Crashes {
+		c := quarantiner.Crash{Server: message.Server, At: now - clocker.Millis(max(0, message.AgeMs))}
+		for _, r := range message.Requests {
+			c.Requests = append(c.Requests, quarantiner.Request{Account: r.Account, ID: r.Request, Parts: slices.Clone(r.Parts)})
+		}
+		crashes = append(crashes, c)
+	}
+	var cleared []quarantiner.ClearedPart
+	for _, c := range beat.ClearedParts {
+		cleared = append(cleared, quarantiner.ClearedPart{Part: c.Part, At: now - clocker.Millis(max(0, c.AgeMs))})
+	}
+	if p.quarantiner.Merge(crashes, cleared, now) {
+		p.announceNews()
+	}
+	p.logChanges(now)
+}
+
+// logChanges logs the quarantines that began or ended since the last call. The caller holds mu.
+func (p *promptQuarantine) logChanges(now clocker.Millis) {
+	current := p.quarantiner.Quarantines(now)
+	if slices.EqualFunc(current, p.logged, sameQuarantine) {
+		return
+	}
+	for _, held := range current {
+		if !slices.ContainsFunc(p.logged, func(other quarantiner.Quarantine) bool { return sameQuarantine(held, other) }) {
+			heldQuarantines.Inc()
+			p.log.Warn("requests with these prompt parts are refused", "parts", hexOf(held.Parts), "accounts", hexOf(held.Accounts),
+				"all_accounts", len(held.Accounts) == 0, "crashes", held.Crashes, "for_ms", held.Until-now)
+		}
+	}
+	for _, old := range p.logged {
+		if !slices.ContainsFunc(current, func(other quarantiner.Quarantine) bool { return sameQuarantine(old, other) }) {
+			endedQuarantines.Inc()
+			p.log.Info("requests with these prompt parts are no longer refused", "parts", hexOf(old.Parts), "accounts", hexOf(old.Accounts), "expired", now >= old.Until)
+		}
+	}
+	p.logged = slices.Clone(current)
+}
+
+// sameQuarantine reports whether two quarantines refuse the same requests.
+func sameQuarantine(a, b quarantiner.Quarantine) bool {
+	return slices.Equal(a.Parts, b.Parts) && slices.Equal(a.Accounts, b.Accounts)
+}
+
+// hexOf formats hashes for the log.
+func hexOf(hashes []uint64) []string {
+	var out []string
+	for _, h := range hashes {
+		out = append(out, fmt.Sprintf("%016x", h))
+	}
+	return out
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -84,6 +84,7 @@
 	heartbeater   *heartbeater.Heartbeater
 	reserver      atomic.Pointer[reserver.Reserver]
 	backends      *backendPool
+	quarantine    *promptQuarantine
 	carrier       *carrier.Carrier
 	relayer       atomic.Pointer[relayer.Relayer]
 	storeHealth   *watcher.StoreHealth
@@ -115,6 +116,7 @@
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
 	r.backends = newBackendPool(cfg, r.cacheTokens, r.fleetSize)
+	r.quarantine = newPromptQuarantine(cfg)
 	r.startMembership(ctx)
 	r.startWatchers(ctx)
 	r.startBudgets(ctx)
@@ -201,6 +203,7 @@
 			Extra: func() float64 { return r.settings.Load().RetryExtra },
 			Hosts: func() int { return len(r.heartbeater.Peers()) + 1 },
 		}),
+		Quarantine:   r.quarantine,
 		Carrier:      r.carrier,
 		MoveCallers:  func() bool { return r.draining.Load() || r.overloaded.Load() || r.isolated.Load() },
 		StopDeadline: func() clocker.Millis { return clocker.Millis(r.stopDeadline.Load()) },
@@ -288,6 +291,7 @@
 	}
 	beat.ServersFingerprint = r.backends.currentFingerprint()
 	beat.Limits = r.backends.serverLimits()
+	r.quarantine.addToBeat(beat)
 	if w := r.serverWatcher.Load(); w != nil {
 		beat.ServersRevision = w.LastRevision()
 	}
