--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -25,7 +25,7 @@
 
 func (noQuarantine) Refused(quarantiner.Request) clocker.Millis         { return 0 }
 func (noQuarantine) Answered(chooser.Server, quarantiner.Request, bool) {}
-func (noQuarantine) Crashed(s chooser.Server, r quarantiner.Request)    {}
+func (noQuarantine) Crashed(chooser.Server, quarantiner.Request)        {}
 
 // requestOfPrompt returns what the quarantine compares of the request.
 func (x *relayedRequest) requestOfPrompt() quarantiner.Request {
