Keep quarantined prompt parts in the store for hosts that start

Class: what must last lay in the hosts alone. Change: the first of the live hosts writes the crashes under quarantined parts to one object when they change; a host reads it once at its start, and holds prompts back until then, two seconds at most. Ruled out: waiting for a heartbeat at the start (nobody has one to tell after the death of all), and a write by each host that knows (195 writes at once).

--- a/cmd/deadly_prompt_test.go
+++ b/cmd/deadly_prompt_test.go
@@ -71,3 +71,20 @@
 	assert.Assert(t, f.deadlyAfterBound() <= 3, "%d requests with the part after the fifth crash, %d crashes", f.deadlyAfterBound(), f.crashCount())
 	assert.Assert(t, load.served*2 >= load.sent, "%d of %d sound requests of the account served", load.served, load.sent)
 }
+
+// Hosts that started after the death of all others knew nothing of the part, and servers crashed
+// until they had found it again.
+func TestPromptPartStaysRefusedAfterTheDeathOfAllHosts(t *testing.T) {
+	f := newPromptFleet(t, 3, 6)
+	load := promptLoad{fleet: f, every: 20, everyDeadly: 100, deadlyPrompt: func(*rand.Rand) []string {
+		return []string{"common", "subject0", deadlyPart}
+	}}
+	load.run(3 * clocker.Second)
+	before := f.crashCount()
+	f.stopHosts()
+	for i := range 3 {
+		f.startHost(fmt.Sprint("new", i))
+	}
+	load.run(3 * clocker.Second)
+	assert.Equal(t, f.crashCount(), before, "servers crashed under the new hosts")
+}
--- a/cmd/prompt_fleet_test.go
+++ b/cmd/prompt_fleet_test.go
@@ -265,12 +265,18 @@
 	return n
 }
 
-func (f *promptFleet) close() {
+// stopHosts stops all hosts.
+func (f *promptFleet) stopHosts() {
 	var stops sync.WaitGroup
 	for _, h := range f.hosts {
 		stops.Go(func() { h.Stop(context.Background()) })
 	}
 	stops.Wait()
+	f.hosts = nil
+}
+
+func (f *promptFleet) close() {
+	f.stopHosts()
 	f.restarts.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/quarantiner/report.go
+++ b/quarantiner/report.go
@@ -42,6 +42,18 @@
 	return crashes, slices.Clone(q.cleared)
 }
 
+// Held returns the crashes under the parts that are in quarantine.
+func (q *Quarantiner) Held(now clocker.Millis) []Crash {
+	blamed := blamedParts(q.Quarantines(now))
+	var crashes []Crash
+	for _, c := range q.crashes {
+		if c.hasAny(blamed) {
+			crashes = append(crashes, c)
+		}
+	}
+	return crashes
+}
+
 // Merge adds what another host told. It reports whether that included a recent crash, of which
 // others may not know.
 func (q *Quarantiner) Merge(crashes []Crash, cleared []ClearedPart, now clocker.Millis) bool {
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -109,6 +109,7 @@
 	for _, i := range rng.Perm(len(f.hosts)) {
 		h := f.hosts[i]
 		h.heartbeater = heartbeater.New(ctx, h.membershipConfig(h))
+		h.quarantine.setAnnounce(h.heartbeater.Announce)
 		h.started.Store(true)
 		h.startWatchers(ctx)
 		f.sleep(clocker.Millis(rng.Int64N(8)))
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -32,10 +32,16 @@
 	quarantiner *quarantiner.Quarantiner
 	// logged are the quarantines in force when they were last logged.
 	logged []quarantiner.Quarantine
+	// changes counts the changes of the quarantines, and savedChanges those that this host read
+	// from the store or wrote to it.
+	changes, savedChanges int
+	// loaded is true once the store was read, or loadDeadline has passed.
+	loaded       bool
+	loadDeadline clocker.Millis
 }
 
 func newPromptQuarantine(cfg Config) *promptQuarantine {
-	return &promptQuarantine{clock: cfg.Clock, log: cfg.Log, quarantiner: quarantiner.New()}
+	return &promptQuarantine{clock: cfg.Clock, log: cfg.Log, quarantiner: quarantiner.New(), loadDeadline: cfg.Clock.Now() + quarantineLoadTimeout}
 }
 
 func (p *promptQuarantine) setAnnounce(announce func()) {
@@ -48,7 +54,12 @@
 func (p *promptQuarantine) Refused(r quarantiner.Request) clocker.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	held, refused := p.quarantiner.Refused(r, p.clock.Now())
+	now := p.clock.Now()
+	p.loaded = p.loaded || now >= p.loadDeadline
+	if !p.loaded {
+		return now + quarantineRetryInterval
+	}
+	held, refused := p.quarantiner.Refused(r, now)
 	if !refused {
 		return 0
 	}
@@ -95,13 +106,7 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	crashes, cleared := p.quarantiner.Report(now)
-	for _, c := range crashes {
-		message := &messenger.ServerCrash{Server: c.Server, AgeMs: int64(now - c.At)}
-		for _, r := range c.Requests {
-			message.Requests = append(message.Requests, &messenger.SuspectRequest{Account: r.Account, Request: r.ID, Parts: slices.Clone(r.Parts)})
-		}
-		beat.Crashes = append(beat.Crashes, message)
-	}
+	beat.Crashes = encodeCrashes(crashes, now)
 	for _, c := range cleared {
 		beat.ClearedParts = append(beat.ClearedParts, &messenger.ClearedPart{Part: c.Part, AgeMs: int64(now - c.At)})
 	}
@@ -116,24 +121,40 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	var crashes []quarantiner.Crash
-	for _, message := range beat.Crashes {
-		c := quarantiner.Crash{Server: message.Server, At: now - clocker.Millis(max(0, message.AgeMs))}
-		for _, r := range message.Requests {
-			c.Requests = append(c.Requests, quarantiner.Request{Account: r.Account, ID: r.Request, Parts: slices.Clone(r.Parts)})
-		}
-		crashes = append(crashes, c)
-	}
 	var cleared []quarantiner.ClearedPart
 	for _, c := range beat.ClearedParts {
 		cleared = append(cleared, quarantiner.ClearedPart{Part: c.Part, At: now - clocker.Millis(max(0, c.AgeMs))})
 	}
-	if p.quarantiner.Merge(crashes, cleared, now) {
+	if p.quarantiner.Merge(decodeCrashes(beat.Crashes, now), cleared, now) {
 		p.announceNews()
 	}
 	p.logChanges(now)
 }
 
+func encodeCrashes(crashes []quarantiner.Crash, now clocker.Millis) []*messenger.ServerCrash {
+	var messages []*messenger.ServerCrash
+	for _, c := range crashes {
+		message := &messenger.ServerCrash{Server: c.Server, AgeMs: int64(now - c.At)}
+		for _, r := range c.Requests {
+			message.Requests = append(message.Requests, &messenger.SuspectRequest{Account: r.Account, Request: r.ID, Parts: slices.Clone(r.Parts)})
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+func decodeCrashes(messages []*messenger.ServerCrash, now clocker.Millis) []quarantiner.Crash {
+	var crashes []quarantiner.Crash
+	for _, message := range messages {
+		c := quarantiner.Crash{Server: message.Server, At: now - clocker.Millis(max(0, message.AgeMs))}
+		for _, r := range message.Requests {
+			c.Requests = append(c.Requests, quarantiner.Request{Account: r.Account, ID: r.Request, Parts: slices.Clone(r.Parts)})
+		}
+		crashes = append(crashes, c)
+	}
+	return crashes
+}
+
 // logChanges logs the quarantines that began or ended since the last call. The caller holds mu.
 func (p *promptQuarantine) logChanges(now clocker.Millis) {
 	current := p.quarantiner.Quarantines(now)
@@ -154,6 +175,7 @@
 		}
 	}
 	p.logged = slices.Clone(current)
+	p.changes++
 }
 
 // sameQuarantine reports whether two quarantines refuse the same requests.
--- /dev/null
+++ b/runner/quarantine_spread_test.go
@@ -0,0 +1,57 @@
+package runner
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/quarantiner"
+)
+
+// crashUnder makes hosts see one crash each under the same prompt part, a quarter of a second
+// apart, and returns when the last one was seen.
+func (f *fleet) crashUnder(hosts []*fleetHost, part string) clocker.Millis {
+	for i, h := range hosts {
+		f.sleep(250)
+		s := chooser.Server{ID: fmt.Sprint("i-", part, i), StartedAt: 1}
+		h.quarantine.Crashed(s, quarantiner.NewRequest("one", []string{part, fmt.Sprint("own", i)}))
+	}
+	return f.clock.Now()
+}
+
+func refusesPart(part string) func(*fleetHost) bool {
+	r := quarantiner.NewRequest("one", []string{part, "x"})
+	return func(h *fleetHost) bool { return h.quarantine.Refused(r) > 0 }
+}
+
+// A host that does not know of crashes elsewhere sends the next request with the same part. All
+// hosts must refuse it within the time after which the bounds hold, also those that were cut off.
+func TestAllHostsRefuseAPromptPartSoonAfterItsCrashes(t *testing.T) {
+	for _, scale := range []fleetScale{smallFleet, grownFleet, largeFleet} {
+		t.Run(fmt.Sprint(scale.zones*scale.hostsPerZone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, scale)
+				cut := f.hosts[len(f.hosts)-1]
+				cut.cut.Store(true)
+				third := f.crashUnder(f.hosts[:3], "deadly")
+				took := f.await(third, scale.bound, refusesPart("deadly"))
+				t.Logf("%d hosts refuse the part %d ms after the third crash", len(f.hosts), took)
+				assert.Assert(t, took < scale.bound/2)
+				back := f.clock.Now()
+				cut.cut.Store(false)
+				took = f.await(back, scale.bound, refusesPart("deadly"))
+				t.Logf("a host that was cut off refuses it %d ms after its return", took)
+				assert.Assert(t, took < scale.bound)
+				f.hosts[4].quarantine.Answered(chooser.Server{ID: "i"}, quarantiner.NewRequest("one", []string{"deadly", "y"}), true)
+				ended := f.clock.Now()
+				took = f.await(ended, scale.bound, func(h *fleetHost) bool { return !refusesPart("deadly")(h) })
+				t.Logf("all hosts allow it again %d ms after an answer", took)
+				assert.Assert(t, took < scale.bound)
+			})
+		})
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -118,6 +118,10 @@
 	r.backends = newBackendPool(cfg, r.cacheTokens, r.fleetSize)
 	r.quarantine = newPromptQuarantine(cfg)
 	r.startMembership(ctx)
+	r.group.Go(func() error {
+		r.keepQuarantine(ctx)
+		return nil
+	})
 	r.startWatchers(ctx)
 	r.startBudgets(ctx)
 	r.startRelayer(ctx)
