--- a/cmd/prompt_fleet_test.go
+++ b/cmd/prompt_fleet_test.go
@@ -45,6 +45,10 @@
 	store   *objects.Store
 	address string
 	hosts   []*promptHost
+	// version is that of the configuration.
+	version, churned int
+	// prepaid are the tokens of each client account.
+	prepaid int64
 
 	mu      sync.Mutex
 	started int
@@ -65,11 +69,12 @@
 	id       string
 	listener *refuser.Listener
 	http     *http.Server
+	born     clocker.Millis
 }
 
 // newPromptFleet starts hosts and servers, and waits until each host serves requests.
 func newPromptFleet(t *testing.T, hosts, servers int) *promptFleet {
-	f := &promptFleet{t: t, clock: clocker.NewWall(), servers: map[string]*promptServer{}}
+	f := &promptFleet{t: t, clock: clocker.NewWall(), servers: map[string]*promptServer{}, version: 1, prepaid: 100_000_000}
 	f.store = objects.New(f.clock)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -97,19 +102,26 @@
 func (f *promptFleet) configure() {
 	accounts := []map[string]any{}
 	for _, name := range []string{"one", "two"} {
-		accounts = append(accounts, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "prepaid": 100_000_000})
+		accounts = append(accounts, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "prepaid": f.prepaid})
+	}
+	routes := []map[string]any{promptRoute("/draft/")}
+	for version := 2; version <= f.version; version++ {
+		routes = append(routes, promptRoute(fmt.Sprintf("/version-%d/", version)))
 	}
 	assert.NilError(f.t, f.store.Put("config", "main", map[string]any{
-		"version": 1, "tenants": accounts,
-		"routes": []map[string]any{{
-			"name": "draft", "host": "h.example", "path_prefix": "/draft/", "kind": "streaming", "timeout_ms": 4000,
-			"target_latency_ms": 500, "target_gap_ms": 300, "max_attempts": 2, "resumable": true, "service": "s",
-		}},
+		"version": f.version, "tenants": accounts, "routes": routes,
 		"services": []map[string]any{{"name": "s", "engine": map[string]any{"stride": 1, "kv_cache_tokens": 100_000}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}))
 }
 
+func promptRoute(prefix string) map[string]any {
+	return map[string]any{
+		"name": strings.Trim(prefix, "/"), "host": "h.example", "path_prefix": prefix, "kind": "streaming", "timeout_ms": 4000,
+		"target_latency_ms": 500, "target_gap_ms": 300, "max_attempts": 2, "resumable": true, "service": "s",
+	}
+}
+
 func (f *promptFleet) startHost(name string) *promptHost {
 	address := func() string {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -139,8 +151,14 @@
 	f.mu.Unlock()
 	s.http = &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.answer(s, w, r) })}
 	go func() { _ = s.http.Serve(l) }() // ends by Close
+	s.born = f.clock.Now()
+	f.register(s)
+}
+
+// register writes the entry of a server.
+func (f *promptFleet) register(s *promptServer) {
 	assert.NilError(f.t, f.store.Put("servers", s.id, map[string]any{
-		"service": "s", "address": l.Addr().String(), "zone": "a", "slots": 64, "state": "ready", "born": int64(f.clock.Now()),
+		"service": "s", "address": s.listener.Addr().String(), "zone": "a", "slots": 64, "state": "ready", "born": int64(s.born),
 	}))
 }
 
@@ -210,9 +228,14 @@
 // send sends a request whose prompt has the parts and one of its own, and returns the status, or
 // 0 if the response is incomplete.
 func (f *promptFleet) send(h *promptHost, account string, parts ...string) int {
+	return f.sendTo(h, "/draft/x", account, parts...)
+}
+
+// sendTo sends such a request to a path.
+func (f *promptFleet) sendTo(h *promptHost, path, account string, parts ...string) int {
 	ctx, cancel := f.clock.WithTimeout(context.Background(), 4*clocker.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.CallerAddress+"/draft/x", strings.NewReader("p"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.CallerAddress+path, strings.NewReader("p"))
 	if err != nil {
 		return 0
 	}
--- a/cmd/route.go
+++ b/cmd/route.go
@@ -87,7 +87,7 @@
 // adapter returns the operators' platform.
 func adapter(settings runner.Settings) runner.Platform {
 	return runner.Platform{
-		Store:             platform.NewClient(platform.Config{Address: settings.StoreAddress, Timeout: storeTimeout}),
+		Store:             platform.NewClient(platform.Config{Address: settings.StoreAddress, Timeout: storeTimeout, Log: slog.Default()}),
 		Dialect:           platform.Dialect,
 		ReadyPath:         platform.ReadyPath,
 		ConfigurationKey:  platform.ConfigurationKey,
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -51,6 +52,51 @@
 	changed chan struct{}
 	faults  Faults
 	writes  int
+	// era rises with each restore.
+	era int64
+	// calls counts the calls so far.
+	calls int
+}
+
+// Copy is the content of a store at one moment.
+type Copy struct {
+	revision int64
+	kinds    map[string]map[string]Object
+}
+
+// Copy returns a copy of the present content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, kinds: cloneKinds(s.kinds)}
+}
+
+// Restore replaces the content by a copy and starts a new era. What was written since the copy is
+// gone, and revisions after it are given out again. What the operator and the backend servers wrote
+// has to be written again by the caller.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision = c.revision
+	s.kinds = cloneKinds(c.kinds)
+	s.history = slices.DeleteFunc(s.history, func(e event) bool { return e.Object.Metadata.Revision > c.revision })
+	s.wake()
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func cloneKinds(kinds map[string]map[string]Object) map[string]map[string]Object {
+	clone := map[string]map[string]Object{}
+	for kind, objects := range kinds {
+		clone[kind] = maps.Clone(objects)
+	}
+	return clone
 }
 
 // Faults is what goes wrong from now on.
@@ -65,7 +111,7 @@
 
 // New returns an empty store.
 func New(clock *clocker.Clock) *Store {
-	return &Store{clock: clock, revision: 1, kinds: map[string]map[string]Object{}, changed: make(chan struct{})}
+	return &Store{clock: clock, revision: 1, era: 1, kinds: map[string]map[string]Object{}, changed: make(chan struct{})}
 }
 
 // Break sets what goes wrong from now on; the zero value heals.
@@ -156,6 +202,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	s.mu.Lock()
+	s.calls++
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	s.mu.Unlock()
 	if s.broken(w, r) {
 		return
 	}
@@ -230,7 +280,7 @@
 	defer cancel()
 	for {
 		s.mu.Lock()
-		events, revision, gone, changed := s.events(kind, since), s.revision, since < s.since, s.changed
+		events, revision, gone, changed := s.events(kind, since), s.revision, since < s.since || since > s.revision, s.changed
 		s.mu.Unlock()
 		switch {
 		case gone:
