Versions hold the era of the store

In a test a configuration written after the restore is not in force, and its route not served, until the next change. Cause (hypothesis 1): revisions of two eras are compared as one sequence, so all that was known before the restore counts as newer than what the store says. Class: a counter that starts again, trusted to grow. It was in four places: the news of backend servers in heartbeats, watches that go on from a revision given out again, the budgets' object, and writes conditional on a revision.

Change: the client of the store puts the era in front of the revision, so versions grow over restores and all four compare rightly. A watch from an earlier era starts with a list; a list whose pages are of two eras fails; a write conditional on an earlier era is not sent, and each new connection for such writes asks for the era first, since the store ends its connections when it goes away. An era that is missing, can't be read or falls is logged and not newer. Log lines name era and revision. Ruled out: resetting what is known at a fall of the revision, which a store above it again does not show; era in each object alone, which a conditional write can't check.

--- a/cmd/route.go
+++ b/cmd/route.go
@@ -86,8 +86,10 @@
 
 // adapter returns the operators' platform.
 func adapter(settings runner.Settings) runner.Platform {
+	store := platform.NewClient(platform.Config{Address: settings.StoreAddress, Timeout: storeTimeout, Log: slog.Default()})
 	return runner.Platform{
-		Store:             platform.NewClient(platform.Config{Address: settings.StoreAddress, Timeout: storeTimeout, Log: slog.Default()}),
+		Store:             store,
+		StoreEra:          store.Era,
 		Dialect:           platform.Dialect,
 		ReadyPath:         platform.ReadyPath,
 		ConfigurationKey:  platform.ConfigurationKey,
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -95,8 +95,8 @@
 		return updateOutcome{}
 	}
 	defer s.releasePlatformSlot()
-	r.refreshBeforeWrite(ctx, s)
 	s.forgetIfRestored(r.conditions(s, v), r.cfg.StoreEra())
+	r.refreshBeforeWrite(ctx, s)
 	for attempt := range maxWriteAttempts {
 		w, due := s.planWithoutRead(r.conditions(s, v))
 		if !due {
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -12,6 +12,7 @@
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/storer"
+	"cowsliphinge/versioner"
 )
 
 // backendPool is a concurrency-safe wrapper around a Chooser. It applies entries of
@@ -106,7 +107,7 @@
 	}
 	if old, known := b.chooser.Server(s.ID); !known || old.Draining != s.Draining || old.StartedAt != s.StartedAt {
 		// Object.Version is the revision of the store.
-		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "draining", s.Draining, "revision", o.Version)
+		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "draining", s.Draining, versioner.Attr(o.Version))
 	}
 	b.chooser.Set(s)
 }
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -198,6 +198,7 @@
 		Clock:                r.cfg.Clock,
 		Store:                r.cfg.Platform.Store,
 		GetStale:             r.cfg.Platform.Store.GetStale,
+		StoreEra:             r.cfg.Platform.StoreEra,
 		Exchange:             r.exchange,
 		Peers:                r.heartbeater.Peers,
 		Policy:               r.policy,
--- a/runner/configurations.go
+++ b/runner/configurations.go
@@ -8,6 +8,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/matcher"
 	"cowsliphinge/storer"
+	"cowsliphinge/versioner"
 )
 
 // configurationSink puts the declaration of the configuration object in force. It
@@ -46,7 +47,7 @@
 		return
 	}
 	if findings := d.Validate(); len(findings) > 0 {
-		c.log.Error("configuration is invalid, the one in force stays", "version", d.Version, "revision", o.Version, "findings", strings.Join(findings, "; "))
+		c.log.Error("configuration is invalid, the one in force stays", "version", d.Version, versioner.Attr(o.Version), "findings", strings.Join(findings, "; "))
 		return
 	}
 	old := c.table.Load()
@@ -56,5 +57,5 @@
 	c.table.Store(matcher.New(d))
 	// Declaration.Version is the version of the configuration, Object.Version the revision
 	// of the store.
-	c.log.Info("configuration in force", "version", d.Version, "revision", o.Version, "call", call, "routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
+	c.log.Info("configuration in force", "version", d.Version, versioner.Attr(o.Version), "call", call, "routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
 }
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -23,6 +23,8 @@
 type Platform struct {
 	Store   Store
 	Dialect relayer.HeaderNames
+	// StoreEra returns the latest era that the store named; nil for a store without eras.
+	StoreEra func() int64
 	// ReadyPath is the path of the balancer's readiness probes.
 	ReadyPath string
 	// ConfigurationKey is the key of the configuration object, which holds the
--- a/runner/quarantine_store.go
+++ b/runner/quarantine_store.go
@@ -8,6 +8,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 	"cowsliphinge/storer"
+	"cowsliphinge/versioner"
 )
 
 const (
@@ -49,7 +50,7 @@
 	}
 	record := &messenger.QuarantineRecord{}
 	if err := proto.Unmarshal(o.Value, record); err != nil {
-		r.cfg.Log.Error("record of quarantined prompt parts is not usable", "revision", o.Version, "cause", err.Error())
+		r.cfg.Log.Error("record of quarantined prompt parts is not usable", versioner.Attr(o.Version), "cause", err.Error())
 	}
 	r.quarantine.load(record)
 	return true
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -14,6 +14,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/storer"
+	"cowsliphinge/versioner"
 )
 
 const (
@@ -160,7 +161,7 @@
 // poll makes one call and processes its response.
 func (w *Watcher) poll(ctx context.Context) {
 	if w.revision != 0 && w.needsRelist() {
-		w.cfg.Log.Info("other hosts know more, listing again", "kind", w.cfg.Kind, "revision", w.revision)
+		w.cfg.Log.Info("other hosts know more, listing again", "kind", w.cfg.Kind, versioner.Attr(w.revision))
 		w.revision = 0
 	}
 	var err error
@@ -272,7 +273,7 @@
 			w.recoveredAt = now
 			w.firstAfterOutage = true
 		}
-		w.cfg.Log.Info("store answers again", "kind", w.cfg.Kind, "silent_ms", now-w.lastResponseAt, "revision", revision)
+		w.cfg.Log.Info("store answers again", "kind", w.cfg.Kind, "silent_ms", now-w.lastResponseAt, versioner.Attr(revision))
 	}
 	w.lastResponseAt = now
 }
@@ -306,7 +307,7 @@
 func (w *Watcher) handleFailure(ctx context.Context, startedAt clocker.Millis, err error) {
 	metrics.GetOrCreateCounter(`cowsliphinge_watch_failures_total{kind="` + w.cfg.Kind + `"}`).Inc()
 	if storer.IsErrHistoryGone(err) {
-		w.cfg.Log.Info("history of the store is gone, listing again", "kind", w.cfg.Kind, "revision", w.revision)
+		w.cfg.Log.Info("history of the store is gone, listing again", "kind", w.cfg.Kind, versioner.Attr(w.revision))
 		w.revision = 0
 		return
 	}
@@ -315,7 +316,7 @@
 	}
 	if !w.unreachable {
 		w.unreachable = true
-		w.cfg.Log.Warn("store does not answer", "kind", w.cfg.Kind, "revision", w.revision, "cause", err.Error())
+		w.cfg.Log.Warn("store does not answer", "kind", w.cfg.Kind, versioner.Attr(w.revision), "cause", err.Error())
 	}
 	w.lastFailedCallAt = startedAt
 	// A list returns at once and holds the current state only. The changes since the
