Hosts write their own objects again after a restore of the store

What callers would see: a host that starts after the restore does not find the hosts whose entries the copy lacks, and holds and lends no tokens with them; one that starts after the death of all does not know the prompt parts that crash servers. Cause: both objects were written once, since the store never lost them. Change: a host writes its entry in each era, and the first host the record of quarantined parts. Evidence: TestHostsWriteTheirEntriesAgainAfterARestore and TestQuarantineIsWrittenAgainAfterARestore; the first failed before (no entry of a), the second was written with the change. Ruled out: writing both at intervals, which the platform bills.

--- a/cmd/restored_store_test.go
+++ b/cmd/restored_store_test.go
@@ -89,3 +89,35 @@
 	calls := f.store.Calls() - before
 	assert.Assert(t, calls < 60, "%d calls of three hosts in three seconds", calls)
 }
+
+// What hosts had written of themselves was gone with the restore, and a host that started later did
+// not find those of before.
+func TestHostsWriteTheirEntriesAgainAfterARestore(t *testing.T) {
+	f := newPromptFleet(t, 0, 1)
+	copied := f.store.Copy()
+	f.startHost("a")
+	f.startHost("b")
+	f.awaitRoute(1, clocker.Second)
+	f.restore(copied)
+	assert.Assert(t, f.store.Read("hosts", "a") == nil)
+	f.clock.SleepUncancellable(2 * clocker.Second)
+	for _, name := range []string{"a", "b"} {
+		assert.Assert(t, f.store.Read("hosts", name) != nil, "no entry of %s", name)
+	}
+}
+
+// The record of quarantined prompt parts was gone with the restore, and hosts that started after the
+// death of all others would not have known them.
+func TestQuarantineIsWrittenAgainAfterARestore(t *testing.T) {
+	f := newPromptFleet(t, 2, 5)
+	copied := f.store.Copy()
+	for n := 0; f.store.Read("quarantine", "record") == nil; n++ {
+		assert.Assert(t, n < 20, "%d servers crashed", f.crashCount())
+		f.send(f.hosts[n%2], "one", "common", deadlyPart)
+		f.clock.SleepUncancellable(300)
+	}
+	f.restore(copied)
+	assert.Assert(t, f.store.Read("quarantine", "record") == nil)
+	f.clock.SleepUncancellable(2 * clocker.Second)
+	assert.Assert(t, f.store.Read("quarantine", "record") != nil)
+}
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -23,7 +23,7 @@
 	heartbeatInterval = 500 * clocker.Millis(1)
 	hostListInterval  = 3 * clocker.Second
 	// announceRetryInterval is the delay between two attempts to write this host's
-	// entry, in milliseconds.
+	// entry, and between two looks at the era of the store, in milliseconds.
 	announceRetryInterval = 300 * clocker.Millis(1)
 	// budgetWaitTimeout is the longest wait of a request for tokens, in milliseconds.
 	budgetWaitTimeout = 150 * clocker.Millis(1)
@@ -156,15 +156,38 @@
 	r.heartbeater = heartbeater.New(ctx, r.membershipConfig(r.exchange))
 	r.quarantine.setAnnounce(r.heartbeater.Announce)
 	r.group.Go(func() error {
-		for r.announce(ctx) != nil {
-			if r.cfg.Clock.Sleep(ctx, announceRetryInterval) != nil {
-				return nil
-			}
-		}
+		r.announceInEachEra(ctx)
 		return nil
 	})
 }
 
+// announceInEachEra writes this host's entry of the host list at the start, and again when the store
+// has come back from a copy, which may lack it.
+func (r *Runner) announceInEachEra(ctx context.Context) {
+	written, era := false, int64(0)
+	for {
+		current := r.storeEra()
+		if !written || current != era {
+			written = r.announce(ctx) == nil
+			if current == 0 { // the first answer of the store names its era
+				current = r.storeEra()
+			}
+			era = current
+		}
+		if r.cfg.Clock.Sleep(ctx, announceRetryInterval) != nil {
+			return
+		}
+	}
+}
+
+// storeEra returns the latest era that the store named, 0 for a store without eras.
+func (r *Runner) storeEra() int64 {
+	if r.cfg.Platform.StoreEra == nil {
+		return 0
+	}
+	return r.cfg.Platform.StoreEra()
+}
+
 // announce writes this host's entry of the host list unless it is already up to date.
 func (r *Runner) announce(ctx context.Context) error {
 	s := r.cfg.Settings
--- a/runner/quarantine_store.go
+++ b/runner/quarantine_store.go
@@ -30,7 +30,12 @@
 			return
 		}
 	}
+	era := r.storeEra()
 	for r.cfg.Clock.Sleep(ctx, quarantineSaveInterval) == nil {
+		if current := r.storeEra(); current != era {
+			era = current
+			r.quarantine.markUnsaved()
+		}
 		if r.quarantine.unsaved() && r.isFirstHost() {
 			r.saveQuarantine(ctx)
 		}
@@ -111,6 +116,13 @@
 	return value, p.changes, err
 }
 
+// markUnsaved makes the first host write the record again: the store came back from a copy.
+func (p *promptQuarantine) markUnsaved() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changes++
+}
+
 func (p *promptQuarantine) markSaved(changes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
