Test: versions are in force in time over restores in series, up to 198 hosts

The fixture of fleets in simulated time gets eras and restores, as the client of the store reports them.

--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	"cowsliphinge/matcher"
 	"cowsliphinge/messenger"
 	"cowsliphinge/storer"
+	"cowsliphinge/versioner"
 )
 
 const (
@@ -219,14 +221,39 @@
 	hung   chan struct{}
 	// linkFreeAt is when the store's link has sent all responses so far.
 	linkFreeAt clocker.Millis
-	// reads counts the calls in the second that started at readsSince.
-	reads      int
-	readsSince clocker.Millis
+	// reads counts the calls in the second that started at readsSince, and mostReads is the
+	// highest such count so far.
+	reads, mostReads int
+	readsSince       clocker.Millis
+	// era rises with each restore.
+	era int64
+}
+
+// fleetCopy is a copy of the store.
+type fleetCopy struct {
+	revision int64
+	objects  map[string]storer.Object
+}
+
+func (s *fleetStore) copy() fleetCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fleetCopy{revision: s.revision, objects: maps.Clone(s.objects)}
+}
+
+// restore brings the content of a copy back. Waiting watches end.
+func (s *fleetStore) restore(c fleetCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects = c.revision, maps.Clone(c.objects)
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func newFleetStore(f *fleet) *fleetStore {
 	return &fleetStore{
-		fleet: f, revision: 1, objects: map[string]storer.Object{}, sizes: map[string]int{},
+		fleet: f, revision: 1, era: 1, objects: map[string]storer.Object{}, sizes: map[string]int{},
 		changed: make(chan struct{}), hung: make(chan struct{}),
 	}
 }
@@ -273,6 +300,7 @@
 		s.reads, s.readsSince = 0, now
 	}
 	s.reads++
+	s.mostReads = max(s.mostReads, s.reads)
 	if s.reads > s.fleet.scale.readsPerSecond {
 		return storer.ErrRateLimited{Key: "config"}
 	}
@@ -317,7 +345,8 @@
 		return s.listHosts(), 0, nil
 	}
 	s.mu.Lock()
-	o, size, revision := s.objects[kind], s.sizes[kind], s.revision
+	o, size, revision := s.objects[kind], s.sizes[kind], versioner.New(s.era, s.revision)
+	o.Version = versioner.New(s.era, o.Version)
 	s.mu.Unlock()
 	return []storer.Object{o}, revision, s.transfer(ctx, size)
 }
@@ -341,10 +370,11 @@
 	defer cancel()
 	for {
 		s.mu.Lock()
-		o, size, revision, oldest, changed, hung := s.objects[kind], s.sizes[kind], s.revision, s.oldest, s.changed, s.hung
+		o, size, revision, oldest, changed, hung := s.objects[kind], s.sizes[kind], versioner.New(s.era, s.revision), versioner.New(s.era, s.oldest), s.changed, s.hung
+		o.Version = versioner.New(s.era, o.Version)
 		s.mu.Unlock()
 		switch {
-		case since < oldest:
+		case since < oldest || versioner.Era(since) != versioner.Era(revision):
 			return nil, 0, storer.ErrHistoryGone{Kind: kind}
 		case o.Version > since:
 			err := s.transfer(ctx, size)
