--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -14,15 +14,16 @@
 )
 
 type soakCommand struct {
-	seed    uint64
-	seeds   uint64
-	seconds int64
-	routers int
-	servers int
-	callers int
-	prepaid int64
-	limits  bool
-	keep    bool
+	seed     uint64
+	seeds    uint64
+	seconds  int64
+	routers  int
+	servers  int
+	callers  int
+	prepaid  int64
+	limits   bool
+	restores bool
+	keep     bool
 }
 
 // Name implements subcommands.Command.
@@ -52,6 +53,7 @@
 	f.IntVar(&c.callers, "callers", 8, "how `many` callers")
 	f.Int64Var(&c.prepaid, "prepaid", 40000, "`tokens` of the larger account")
 	f.BoolVar(&c.limits, "limits", false, "let backend servers name limits of requests")
+	f.BoolVar(&c.restores, "restores", false, "bring the store back from copies")
 	f.BoolVar(&c.keep, "keep", false, "keep settings and logs of the routers")
 }
 
@@ -75,7 +77,9 @@
 			Callers: c.callers,
 			Prepaid: c.prepaid,
 			Limits:  c.limits,
-			Keep:    c.keep,
+
+			Restores: c.restores,
+			Keep:     c.keep,
 		})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "the run failed:", err)
--- a/soaker/servers.go
+++ b/soaker/servers.go
@@ -102,7 +102,7 @@
 	w.record.crash(b.id, w.cfg.Clock.Now())
 	_ = b.http.Close()
 	w.pause(rng, maxServerFault)
-	w.store.Delete("servers", b.id)
+	w.unlist(b.id)
 	if err := w.addServer(); err != nil {
 		return "no new server: " + err.Error()
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -7,6 +7,7 @@
 	"log"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -39,6 +40,8 @@
 	Prepaid int64
 	// Limits lets backend servers name limits of requests.
 	Limits bool
+	// Restores brings the store back from copies.
+	Restores bool
 	// Keep leaves the folder with settings and logs in place.
 	Keep bool
 }
@@ -67,6 +70,8 @@
 	serverSeries = 1 << 32
 	// limitSeries is that of the servers' limits.
 	limitSeries = serverSeries + 1
+	// restoreSeries is that of the store's restores.
+	restoreSeries = serverSeries + 2
 	// callPause is the mean pause of a caller, in milliseconds.
 	callPause = 30
 	// maxOutput is the most tokens that a request may cost beyond its prompt.
@@ -106,9 +111,16 @@
 			return nil
 		})
 	}
+	var restores []string
+	if cfg.Restores {
+		group.Go(func() error {
+			restores = w.series(ctx, rand.New(rand.NewPCG(cfg.Seed, restoreSeries)), []fault{restoreStore}, restorePause, w.record.harm)
+			return nil
+		})
+	}
 	faults := w.harmUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, 0)))
 	_ = group.Wait()
-	faults = append(append(faults, serverFaults...), limits...)
+	faults = slices.Concat(faults, serverFaults, limits, restores)
 	result := Result{Faults: faults, Findings: w.record.findings(), Folder: w.folder}
 	for _, q := range w.record.requests {
 		result.Requests++
@@ -262,12 +274,12 @@
 	w.servers = w.servers[1:]
 	w.mu.Unlock()
 	old.listed["state"] = "draining"
-	if err := w.store.Put("servers", old.id, old.listed); err != nil {
+	if err := w.list(old.id, old.listed); err != nil {
 		return err.Error()
 	}
 	w.record.drain(old.id, w.cfg.Clock.Now())
 	w.cfg.Clock.SleepUncancellable(2 * drainBound)
-	w.store.Delete("servers", old.id)
+	w.unlist(old.id)
 	_ = old.http.Close()
 	return "replace server " + old.id
 }
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -76,6 +77,8 @@
 
 	mu      sync.Mutex
 	servers []*backend
+	// entries are what backend servers wrote of themselves, by ID.
+	entries map[string]map[string]any
 	started int
 	version int
 	// routes are those of the newest version.
@@ -104,7 +107,7 @@
 }
 
 func newWorld(cfg Config) (*world, error) {
-	w := &world{cfg: cfg, store: objects.New(cfg.Clock), record: newRecorder(cfg.prepaid()), routes: routes}
+	w := &world{cfg: cfg, store: objects.New(cfg.Clock), record: newRecorder(cfg.prepaid()), routes: routes, entries: map[string]map[string]any{}}
 	folder, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, err
@@ -144,6 +147,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
+	w.writeConfiguration()
+}
+
+// writeConfiguration writes the newest version. The caller holds mu.
+func (w *world) writeConfiguration() {
 	accounts := []map[string]any{}
 	for name, tokens := range w.cfg.prepaid() {
 		accounts = append(accounts, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "prepaid": tokens})
@@ -188,7 +196,23 @@
 	w.mu.Lock()
 	w.servers = append(w.servers, b)
 	w.mu.Unlock()
-	return w.store.Put("servers", id, b.listed)
+	return w.list(id, b.listed)
+}
+
+// list writes the entry of a backend server.
+func (w *world) list(id string, entry map[string]any) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries[id] = maps.Clone(entry)
+	return w.store.Put("servers", id, entry)
+}
+
+// unlist removes the entry of a backend server.
+func (w *world) unlist(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.entries, id)
+	w.store.Delete("servers", id)
 }
 
 func (w *world) addRouter(number int, store string) error {
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -156,6 +156,13 @@
 	return s.kinds[kind][name].Spec
 }
 
+// Names returns the names of the objects of a kind.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.kinds[kind]))
+}
+
 func (s *Store) put(kind string, o Object) Object {
 	old, known := s.kinds[kind][o.Metadata.Name]
 	if known && string(old.Spec) == string(o.Spec) {
