Evidence of crashes takes at most 7 KB of a heartbeat

Cause: a heartbeat could hold 32 crashes with 8 requests each, 19 KB by arithmetic, several times a second to and from each host; the target for control is 29 KB a second. Measured in runner/quarantine_test.go: 270 bytes for one part in quarantine, 6,876 after a hundred crashes at once, for 15 s. Malformed evidence of another host refuses nothing, by a test.

--- a/quarantiner/report.go
+++ b/quarantiner/report.go
@@ -11,7 +11,7 @@
 	// quarantined, and of a part that was cleared, in milliseconds: many rounds of heartbeats.
 	reportPeriod = 15 * clocker.Second
 	// maxReports bounds the crashes, and the cleared parts, in one message.
-	maxReports = 32
+	maxReports = 12
 	// compactAfter is the age from which a crash under a quarantined part keeps only what the
 	// quarantine needs, in milliseconds. Until then another part may turn out to be the cause.
 	compactAfter = 10 * clocker.Second
--- /dev/null
+++ b/runner/quarantine_test.go
@@ -0,0 +1,62 @@
+package runner
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+	"cowsliphinge/quarantiner"
+)
+
+// evidenceBytes returns the size of the evidence in a heartbeat.
+func evidenceBytes(p *promptQuarantine) int {
+	beat := &messenger.Beat{}
+	p.addToBeat(beat)
+	return proto.Size(beat)
+}
+
+// Evidence of many crashes could fill the links of small hosts: each heartbeat repeats it.
+func TestEvidenceInHeartbeatsIsBounded(t *testing.T) {
+	clock := clocker.NewManual(clocker.Hour)
+	p := newPromptQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	assert.Equal(t, evidenceBytes(p), 0)
+	for i := range 6 {
+		clock.Advance(clocker.Second)
+		p.Crashed(chooser.Server{ID: fmt.Sprint("i-", i)}, quarantiner.NewRequest("one", []string{"a", "deadly", fmt.Sprint(i)}))
+	}
+	clock.Advance(clocker.Minute)
+	settled := evidenceBytes(p)
+	t.Logf("one part in quarantine: %d bytes", settled)
+	assert.Assert(t, settled <= 1<<10)
+	for i := range 100 {
+		for j := range 50 {
+			parts := []string{"b", "c", "d", "e", "f", fmt.Sprint("p", i, j), fmt.Sprint("own", i, j)}
+			p.Crashed(chooser.Server{ID: fmt.Sprint("other-", i)}, quarantiner.NewRequest("one", parts))
+		}
+	}
+	worst := evidenceBytes(p)
+	t.Logf("a hundred crashes at once: %d bytes", worst)
+	assert.Assert(t, worst <= 8<<10)
+}
+
+// Evidence of another host that is malformed or of the future must not end a process or refuse
+// anything.
+func TestMalformedEvidenceIsHarmless(t *testing.T) {
+	clock := clocker.NewManual(clocker.Hour)
+	p := newPromptQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	p.load(&messenger.QuarantineRecord{})
+	var crashes []*messenger.ServerCrash
+	for i := range 10 {
+		crashes = append(crashes, &messenger.ServerCrash{}, &messenger.ServerCrash{Server: uint64(i), AgeMs: -1 << 62, Requests: []*messenger.SuspectRequest{{}}},
+			&messenger.ServerCrash{Server: uint64(i), AgeMs: 1 << 62, Requests: []*messenger.SuspectRequest{{Parts: []uint64{1}}}})
+	}
+	p.applyBeat(&messenger.Beat{Crashes: crashes, ClearedParts: []*messenger.ClearedPart{{}, {AgeMs: -5}, {AgeMs: 1 << 62}}})
+	assert.Equal(t, p.Refused(quarantiner.Request{Parts: []uint64{1}}), clocker.Millis(0))
+	assert.Equal(t, p.Refused(quarantiner.Request{}), clocker.Millis(0))
+}
