--- a/cmd/prompt_fleet_test.go
+++ b/cmd/prompt_fleet_test.go
@@ -48,7 +48,8 @@
 	// version is that of the configuration.
 	version, churned int
 	// prepaid are the tokens of each client account.
-	prepaid int64
+	prepaid  int64
+	accounts [2]string
 
 	mu      sync.Mutex
 	started int
@@ -74,7 +75,7 @@
 
 // newPromptFleet starts hosts and servers, and waits until each host serves requests.
 func newPromptFleet(t *testing.T, hosts, servers int) *promptFleet {
-	f := &promptFleet{t: t, clock: clocker.NewWall(), servers: map[string]*promptServer{}, version: 1, prepaid: 100_000_000}
+	f := &promptFleet{t: t, clock: clocker.NewWall(), servers: map[string]*promptServer{}, version: 1, prepaid: 100_000_000, accounts: [2]string{"one", "two"}}
 	f.store = objects.New(f.clock)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -101,7 +102,7 @@
 
 func (f *promptFleet) configure() {
 	accounts := []map[string]any{}
-	for _, name := range []string{"one", "two"} {
+	for _, name := range f.accounts {
 		accounts = append(accounts, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "prepaid": f.prepaid})
 	}
 	routes := []map[string]any{promptRoute("/draft/")}
--- a/cmd/restored_store_test.go
+++ b/cmd/restored_store_test.go
@@ -41,9 +41,14 @@
 // awaitRoute waits until all hosts serve the route of a version, at most limit, and returns how
 // long that took.
 func (f *promptFleet) awaitRoute(version int, limit clocker.Millis) clocker.Millis {
+	return f.awaitRouteOf("one", version, limit)
+}
+
+// awaitRouteOf does so with requests of an account.
+func (f *promptFleet) awaitRouteOf(account string, version int, limit clocker.Millis) clocker.Millis {
 	started := f.clock.Now()
 	for _, h := range f.hosts {
-		for f.sendTo(h, fmt.Sprintf("/version-%d/x", version), "one", "common") != http.StatusOK && f.clock.Now()-started < limit {
+		for f.sendTo(h, fmt.Sprintf("/version-%d/x", version), account, "common") != http.StatusOK && f.clock.Now()-started < limit {
 			f.clock.SleepUncancellable(20)
 		}
 	}
