--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -9,9 +9,10 @@
 	// revisionBits is the size of a revision in a version: a million changes a second for half
 	// a year.
 	revisionBits = 44
-	// MaxRevision and MaxEra bound what a version can hold.
+	// MaxRevision is the highest revision that a version can hold.
 	MaxRevision = 1<<revisionBits - 1
-	MaxEra      = 1<<(63-revisionBits) - 1
+	// MaxEra is the highest era that a version can hold.
+	MaxEra = 1<<(63-revisionBits) - 1
 )
 
 // New returns the version of a revision in an era. Both are cut to their bounds.
