--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -65,6 +65,9 @@
 	lowerAfterWrite    bool
 	unknownIsSuccess   bool
 	settleTwice        bool
+
+	adoptsRestoredLimits bool
+	drawsUnsettled       bool
 	// tamper modifies the object before it is written.
 	tamper func(*messenger.BudgetShard)
 }
--- a/allotter/export_test.go
+++ b/allotter/export_test.go
@@ -11,6 +11,11 @@
 	LowerAfterWrite    Fault = "lower after the write"
 	UnknownIsSuccess   Fault = "unknown outcome as success"
 	SettleTwice        Fault = "settle twice"
+	// AdoptsRestoredLimits takes over the limit of a restored entry, and DrawsUnsettled raises
+	// limits before others have written their entries again.
+	AdoptsRestoredLimits Fault = "adopts restored limits"
+	DrawsUnsettled       Fault = "draws unsettled"
+	NoFault              Fault = ""
 )
 
 // InjectFault enables one fault and disables the others.
@@ -19,6 +24,8 @@
 	a.faults.lowerAfterWrite = f == LowerAfterWrite
 	a.faults.unknownIsSuccess = f == UnknownIsSuccess
 	a.faults.settleTwice = f == SettleTwice
+	a.faults.adoptsRestoredLimits = f == AdoptsRestoredLimits
+	a.faults.drawsUnsettled = f == DrawsUnsettled
 }
 
 // TamperWrites sets a function that modifies each object before it is written.
--- a/allotter/restore.go
+++ b/allotter/restore.go
@@ -65,7 +65,7 @@
 	a.restore.unsettledSince = 0
 	for _, b := range a.ordered {
 		if b.limit > 0 || b.entryExists || b.inDoubt || b.closePlanned {
-			b.rewrite = true
+			b.rewrite = !a.faults.adoptsRestoredLimits
 			b.inDoubt = false
 			b.foldedLimit = 0 // the copy may be older than the folding
 		}
@@ -151,7 +151,7 @@
 // maySettle reports whether all live incarnations that may hold tokens have written their entries
 // again, or had the time to.
 func (a *Allotter) maySettle(c Conditions) bool {
-	if c.Now-a.restore.unsettledSince >= settleTimeout {
+	if c.Now-a.restore.unsettledSince >= settleTimeout || a.faults.drawsUnsettled {
 		return true
 	}
 	awaited := slices.Clone(c.MustSpeak)
