--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -205,7 +205,6 @@
 		s.mu.Lock()
 		s.allotter.SetPlatformUnreachable(r.platformUnreachable())
 		due := s.allotter.CallDue(c) || s.allotter.Version() > 0 && r.cfg.StoreEra() > s.allotter.Era()
-		s.logSettlement(c.Now)
 		held += s.allotter.Held()
 		stranded += s.allotter.Stranded(v.isLive)
 		s.mu.Unlock()
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -179,6 +179,7 @@
 	defer s.mu.Unlock()
 	now := r.cfg.Clock.Now()
 	s.allotter.Merge(o.Version, object, now)
+	s.logRestore(false, now)
 	s.contentKnown = true
 	s.reserveForWaiters(now)
 	return nil
@@ -204,7 +205,9 @@
 	case err == nil:
 		writes.Inc()
 		clear(s.refusals)
+		unsettled := s.allotter.Unsettled()
 		s.allotter.Confirm(w, o.Version, r.cfg.Clock.Now())
+		s.logRestore(unsettled, r.cfg.Clock.Now())
 		s.reserveForWaiters(r.cfg.Clock.Now())
 	case storer.IsErrOutcomeUnknown(err):
 		unknownOutcomes.Inc()
--- a/reserver/restore.go
+++ b/reserver/restore.go
@@ -42,10 +42,17 @@
 	return s.restoredAt > 0 && now-s.restoredAt < d
 }
 
-// logSettlement logs when budgets may be drawn from again after a restore. The caller holds mu.
-func (s *shard) logSettlement(now clocker.Millis) {
-	if s.settling && !s.allotter.Unsettled() {
-		s.settling = false
+// logRestore logs, after a call, that this host has written its entries again, and that the budgets may
+// be drawn from. The caller holds mu.
+func (s *shard) logRestore(wrote bool, now clocker.Millis) {
+	if !s.settling {
+		return
+	}
+	settled := !s.allotter.Unsettled()
+	s.settling = !settled
+	if wrote {
+		slog.Info("budget entries are written again after a restore", "key", s.key, "took_ms", now-s.restoredAt, "settled", settled)
+	} else if settled {
 		slog.Info("budgets are settled after a restore", "key", s.key, "took_ms", now-s.restoredAt)
 	}
 }
