A crash under a resumed stream counts

Found in reading; TestCrashUnderAResumedStreamIsReported failed before (0 of 1 crashes reported) and passes now. Change: each attempt starts anew.

--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -43,8 +43,9 @@
 	return quarantiner.NewRequest(account, ids)
 }
 
-// quarantined returns the failure of a request whose prompt crashes servers. It is not the fault
-// of the caller if several parts are suspect, so the status is not that of a bad request.
+// quarantined returns the failure of a request whose prompt crashes servers. Its status is not that of
+// a bad request: the fleet's evidence may be wrong, and the caller may come back once it is held no
+// longer.
 func (x *relayedRequest) quarantined() (failure, bool) {
 	if len(x.promptRequest.Parts) == 0 {
 		return failure{}, false
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -211,3 +211,23 @@
 	q.recordedQuarantine.Crashed(s, r)
 	q.then()
 }
+
+// A server that crashed under a resumed stream was not reported: the answer of the server before it
+// had begun long ago.
+func TestCrashUnderAResumedStreamIsReported(t *testing.T) {
+	var backends [2]*backend
+	for i := range backends {
+		backends[i] = newBackend(t, func(w io.Writer, req *http.Request) {
+			if req.Header.Get("Last-Event-Id") != "" {
+				crashAfter(&backends[i], nil)(w, req)
+				return
+			}
+			streamEvents(1, 2, false)(w, req)
+			clocker.NewWall().SleepUncancellable(2 * answerBeginning)
+			_ = w.(net.Conn).Close()
+		})
+	}
+	f, q := newQuarantineFixture(t, resumableRoute, backends[0], backends[1])
+	f.call(t, "POST", "/r/", "p", "X-Parts", "a:800,b:10")
+	assert.Equal(t, len(q.crashed), 1)
+}
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -154,6 +154,7 @@
 	}
 	server := chosen.Server
 	x.triedServers = append(x.triedServers, server.ID)
+	x.answerBegan = 0
 	sentAt := x.cfg.Clock.Now()
 	x.log.startAttempt(server, sentAt-x.started)
 	response, err := x.cfg.Carrier.Send(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, x.requestFor(server))
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -111,7 +111,6 @@
 // stream ended early.
 func (x *relayedRequest) relayStream(server chooser.Server, response *carrier.Response) (failure, bool) {
 	x.position.switchServer()
-	x.answerBegan = 0
 	var events eventBuffer
 	buffer := make([]byte, streamReadBytes)
 	response.SetReadTimeout(x.eventTimeout())
