--- a/allotter/restore_test.go
+++ b/allotter/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -308,3 +309,37 @@
 		})
 	})
 }
+
+// What a restore strands beyond the headroom of dead hosts is bounded by the charge for raises that
+// nobody saw.
+func TestTokensStrandedByARestore(t *testing.T) {
+	for _, hosts := range []int{2, 8, 24} {
+		for _, dead := range []int{0, hosts / 2, hosts - 1} {
+			for _, writesAgo := range []int{0, hosts, 4 * hosts} {
+				f := newRestoredFleet(hosts)
+				for range 5 {
+					for _, h := range f.hosts {
+						f.extend(h)
+						f.reserve(h, restoredGrant/int64(10*hosts))
+					}
+				}
+				f.dead, f.hosts = f.hosts[:dead], f.hosts[dead:]
+				held := int64(0)
+				for _, h := range f.dead {
+					held += h.allotter.Headroom("b")
+				}
+				f.restore(writesAgo)
+				f.settle()
+				f.now += 2 * clocker.Second
+				f.settle()
+				left := f.promised()
+				assert.Assert(t, left <= restoredGrant)
+				stranded := restoredGrant - left
+				t.Logf("%d hosts, %d dead, copy of %d writes ago: %.1f%% stranded, %.1f%% held by the dead",
+					hosts, dead, writesAgo, 100*float64(stranded)/restoredGrant, 100*float64(held)/restoredGrant)
+				unseen := float64(restoredGrant) * (1 - math.Pow(0.9, float64(dead)))
+				assert.Assert(t, float64(stranded) <= float64(held)+unseen+float64(dead), "%d stranded, %d held by the dead", stranded, held)
+			}
+		}
+	}
+}
