Request lines name the fingerprint of account, method, path and body

The logs could not tell a request that comes again from others with the same prompt parts, and told nothing of requests without a prompt. No decision is changed.

--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -5,6 +5,8 @@
 	"io"
 	"syscall"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
@@ -43,6 +45,22 @@
 	return quarantiner.NewRequest(account, ids)
 }
 
+// fingerprint returns the hash of what stays the same when a caller sends a request again: client
+// account, method, path and body.
+func (x *relayedRequest) fingerprint() uint64 {
+	h := xxhash.New()
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	for _, field := range []string{account, x.req.Method, requestTarget(x.req)} {
+		_, _ = h.WriteString(field) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(x.body)
+	return h.Sum64()
+}
+
 // quarantined returns the failure of a request whose prompt crashes servers. Its status is not that of
 // a bad request: the fleet's evidence may be wrong, and the caller may come back once it is held no
 // longer.
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -141,6 +141,9 @@
 	if x.route != nil {
 		attributes = append(attributes, "route", x.route.Name, "time_ms", x.deadline-x.started)
 	}
+	if x.outbound.ID != "" {
+		attributes = append(attributes, "fingerprint", fmt.Sprintf("%016x", x.fingerprint()))
+	}
 	if parts := x.loggedParts(); len(parts) > 0 {
 		attributes = append(attributes, "parts", parts)
 	}
