--- a/cmd/prompt_fleet_test.go
+++ b/cmd/prompt_fleet_test.go
@@ -34,8 +34,12 @@
 	promptPause   = 5 * clocker.Millis(1)
 	// promptRestart is the time after which a crashed server is back, in milliseconds.
 	promptRestart = 600 * clocker.Millis(1)
-	// deadlyPart crashes each server that begins an answer on it.
+	// deadlyPart crashes each server that begins an answer on it, and deadlyBody does as the
+	// body of a request.
 	deadlyPart = "deadbeef"
+	deadlyBody = "deadly body"
+	// promptCallTime is how long a plain call runs, in milliseconds.
+	promptCallTime = 20 * clocker.Millis(1)
 )
 
 // promptFleet runs routers and model servers on loopback. The servers crash on deadlyPart.
@@ -56,7 +60,7 @@
 	// servers are the IDs of those that are up.
 	servers map[string]*promptServer
 	// crashes are the times of the crashes, and deadly those at which a server read a request
-	// with deadlyPart.
+	// with deadlyPart or deadlyBody.
 	crashes, deadly []clocker.Millis
 	restarts        sync.WaitGroup
 }
@@ -105,7 +109,9 @@
 	for _, name := range f.accounts {
 		accounts = append(accounts, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "prepaid": f.prepaid})
 	}
-	routes := []map[string]any{promptRoute("/draft/")}
+	order := promptRoute("/order/")
+	order["kind"], order["resumable"] = "safe", false
+	routes := []map[string]any{promptRoute("/draft/"), order}
 	for version := 2; version <= f.version; version++ {
 		routes = append(routes, promptRoute(fmt.Sprintf("/version-%d/", version)))
 	}
@@ -165,7 +171,11 @@
 
 // answer streams events, or crashes the server once it has begun an answer on deadlyPart.
 func (f *promptFleet) answer(s *promptServer, w http.ResponseWriter, r *http.Request) {
-	deadly := slices.Contains(promptIDs(r.Header.Get("X-Prompt-Prefix")), deadlyPart)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the host is gone
+	}
+	deadly := string(body) == deadlyBody || slices.Contains(promptIDs(r.Header.Get("X-Prompt-Prefix")), deadlyPart)
 	if deadly {
 		f.mu.Lock()
 		f.deadly = append(f.deadly, f.clock.Now())
@@ -174,6 +184,10 @@
 	h := w.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Server-Signature", "s")
+	if strings.HasPrefix(r.URL.Path, "/order/") {
+		f.answerCall(s, w, r, deadly)
+		return
+	}
 	h.Set("Content-Type", "text/event-stream")
 	if f.clock.Sleep(r.Context(), promptPrefill) != nil {
 		return
@@ -193,6 +207,18 @@
 	}
 }
 
+// answerCall answers a plain call, or crashes the server while it runs.
+func (f *promptFleet) answerCall(s *promptServer, w http.ResponseWriter, r *http.Request, deadly bool) {
+	if f.clock.Sleep(r.Context(), promptCallTime) != nil {
+		return
+	}
+	if deadly {
+		f.crash(s)
+		return
+	}
+	_, _ = io.WriteString(w, "ok") // the caller may have left
+}
+
 // promptIDs returns the IDs of the parts of a prompt.
 func promptIDs(header string) []string {
 	var ids []string
@@ -234,24 +260,39 @@
 
 // sendTo sends such a request to a path.
 func (f *promptFleet) sendTo(h *promptHost, path, account string, parts ...string) int {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	return f.sendRequest(h, promptRequest{path: path, account: account, body: "body of " + id, parts: append(slices.Clone(parts), id)})
+}
+
+// promptRequest is a request; parts are all parts of its prompt, none for a plain call.
+type promptRequest struct {
+	path, account, body string
+	parts               []string
+}
+
+// sendRequest sends a request and returns the status as send does.
+func (f *promptFleet) sendRequest(h *promptHost, r promptRequest) int {
 	ctx, cancel := f.clock.WithTimeout(context.Background(), 4*clocker.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.CallerAddress+path, strings.NewReader("p"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.CallerAddress+r.path, strings.NewReader(r.body))
 	if err != nil {
 		return 0
 	}
-	id := fmt.Sprintf("%016x", rand.Uint64())
-	var prompt strings.Builder
-	for _, p := range parts {
-		_, _ = fmt.Fprintf(&prompt, "%s:100,", p)
+	var prompt []string
+	for _, p := range r.parts {
+		prompt = append(prompt, p+":100")
 	}
 	req.Host = "h.example"
 	for name, value := range map[string]string{
-		"X-Request-Id": id, "X-Deadline-Ms": "4000", "Authorization": "Bearer key-" + account, "X-Model": "m",
-		"X-Token-Usage": "300,10", "X-Prompt-Prefix": prompt.String() + id + ":100",
+		"X-Request-Id": fmt.Sprintf("%016x", rand.Uint64()), "X-Deadline-Ms": "4000", "Authorization": "Bearer key-" + r.account,
 	} {
 		req.Header.Set(name, value)
 	}
+	if len(prompt) > 0 {
+		req.Header.Set("X-Model", "m")
+		req.Header.Set("X-Token-Usage", "300,10")
+		req.Header.Set("X-Prompt-Prefix", strings.Join(prompt, ","))
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	resp, err := (&http.Client{Transport: transport}).Do(req)
 	if err != nil {
@@ -259,7 +300,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode == http.StatusOK && strings.Count(string(body), "id: ") != promptEvents {
+	complete := string(body) == "ok" || strings.Count(string(body), "id: ") == promptEvents
+	if err != nil || resp.StatusCode == http.StatusOK && !complete {
 		return 0
 	}
 	return resp.StatusCode
@@ -272,17 +314,17 @@
 	return len(f.crashes)
 }
 
-// deadlyAfterBound returns how many requests with deadlyPart reached servers later than
-// promptSteady after the fifth crash.
-func (f *promptFleet) deadlyAfterBound() int {
+// deadlyAfterBound returns how many deadly requests reached servers later than promptSteady after
+// so many crashes.
+func (f *promptFleet) deadlyAfterBound(crashes int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < 5 {
+	if len(f.crashes) < crashes {
 		return 0
 	}
 	n := 0
 	for _, at := range f.deadly {
-		if at > f.crashes[4]+promptSteady {
+		if at > f.crashes[crashes-1]+promptSteady {
 			n++
 		}
 	}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,8 +1,8 @@
-// Package quarantiner finds the prompt part that crashes backend servers, and tells which
-// requests must not be sent for it. It compares the requests that crashed servers had not begun
-// to answer, as seen by all hosts. A part of a request that was answered is sound: parts that
-// many prompts share, and other requests on a crashed server, are not to blame. Package
-// quarantiner is pure logic: it does no I/O, starts no goroutines and does not read the clock.
+// Package quarantiner finds the request or the prompt part that crashes backend servers, and
+// tells which requests must not be sent for it. It compares the requests that crashed servers had
+// not begun to answer, as seen by all hosts. What was answered is sound: parts that many prompts
+// share, and other requests on a crashed server, are not to blame. Package quarantiner is pure
+// logic: it does no I/O, starts no goroutines and does not read the clock.
 package quarantiner
 
 import (
@@ -14,10 +14,13 @@
 )
 
 const (
-	// minCrashes is the number of crashes from which a part is blamed, and
-	// minCrashesOfOneRequest the same if a single request was on all crashed servers.
+	// minCrashes is the number of crashes from which a request or a part is blamed, and
+	// minCrashesOfOneRequest that of a part if a single request was on all crashed servers.
 	minCrashes             = 3
 	minCrashesOfOneRequest = 4
+	// minCrashesTogether is the number of crashes from which a request is blamed that crashed
+	// all its servers together, as one that comes in bursts.
+	minCrashesTogether = 5
 	// minCrashSpacing is the time between crashes that count one by one, in milliseconds.
 	// Servers that end together have another cause than the requests on them.
 	minCrashSpacing = 50 * clocker.Millis(1)
@@ -29,40 +32,60 @@
 	// soundFor is how long a part counts as sound after a request with it was answered, in
 	// milliseconds.
 	soundFor = clocker.Minute
+	// soundRequestFor is the same of the request itself. It is shorter since nothing but an
+	// answer to the same request tells that it is sound; answers after a crash clear it as well.
+	soundRequestFor = 2 * clocker.Second
 	// unframedDelay is how long a server must live on after an answer that ended with its
 	// connection, in milliseconds: such an answer may have been cut off by a crash, of which
 	// other hosts may know.
 	unframedDelay = 2 * clocker.Second
-	// maxCrashes, maxRequestsPerCrash and maxPartsPerRequest bound the evidence.
+	// maxCrashes, maxRequestsPerCrash and maxPartsPerRequest bound the evidence. Only
+	// maxPromptsPerCrash requests of a crash are kept with their parts.
 	maxCrashes          = 64
-	maxRequestsPerCrash = 8
+	maxRequestsPerCrash = 24
+	maxPromptsPerCrash  = 8
 	maxPartsPerRequest  = 6
-	// maxSoundParts bounds the parts that are known to be sound, in each of two generations.
-	maxSoundParts = 4096
+	// maxSoundParts bounds the parts that are known to be sound, and maxSoundRequests the
+	// requests, in each of two generations.
+	maxSoundParts    = 8192
+	maxSoundRequests = 4096
 	// maxUnframed bounds the answers whose servers have to live on.
 	maxUnframed = 256
 )
 
-// Request is a request with a prompt. All fields are hashes: callers choose the IDs of parts and
-// their length.
+// Request is what the evidence holds of a request. All fields are hashes: callers choose the IDs of
+// parts and their length.
 type Request struct {
+	// Account is the client account; 0 if there are no Parts.
 	Account uint64
-	// ID is the hash of the last part of the prompt, which no other request has.
+	// ID is the hash of what stays the same when the request comes again, its client account
+	// included.
 	ID uint64
-	// Parts are the hashes of the other parts.
+	// Parts are the parts of the prompt.
 	Parts []uint64
+	// Begun is true if the server had sent the header of its answer.
+	Begun bool
+}
+
+// Content is what stays the same when a client account sends a request again.
+type Content struct {
+	Method string
+	// Target is path and query.
+	Target string
+	Body   []byte
 }
 
 // NewRequest returns the request of a client account whose prompt has the parts with these IDs.
-func NewRequest(account string, partIDs []string) Request {
-	r := Request{Account: xxhash.Sum64String(account)}
-	for i, id := range partIDs {
-		hash := xxhash.Sum64String(id)
-		if i == len(partIDs)-1 {
-			r.ID = hash
-			break
-		}
-		r.Parts = append(r.Parts, hash)
+func NewRequest(account string, content Content, partIDs []string) Request {
+	h := xxhash.New()
+	for _, field := range []string{account, content.Method, content.Target} {
+		_, _ = h.WriteString(field) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(content.Body)
+	r := Request{Account: xxhash.Sum64String(account), ID: h.Sum64()}
+	for _, id := range partIDs {
+		r.Parts = append(r.Parts, xxhash.Sum64String(id))
 	}
 	return r
 }
@@ -72,17 +95,20 @@
 	// Server identifies the incarnation.
 	Server uint64
 	At     clocker.Millis
-	// Requests are those that the server had not begun to answer, without their sound parts.
+	// Requests are those that the server had not begun to answer, without their sound parts and
+	// without those known to be sound.
 	Requests []Request
 }
 
 // Quarantine describes requests that must not be sent.
 type Quarantine struct {
+	// Request is the ID of the request that is refused; 0 if it is for Parts.
+	Request uint64
 	// Parts are refused together: crashed servers don't tell them apart yet, and a request
 	// with only some of them does.
 	Parts []uint64
-	// Accounts are the client accounts whose requests are refused, at most maxAccounts. It is
-	// empty for all accounts: two or more had servers crash under these parts.
+	// Accounts are the client accounts whose requests with the parts are refused, at most
+	// maxAccounts. It is empty for all accounts: two or more had servers crash under these parts.
 	Accounts []uint64
 	Crashes  int
 	Until    clocker.Millis
@@ -110,12 +136,13 @@
 // Quarantiner holds the evidence of this host and of others. It is not safe for concurrent use.
 type Quarantiner struct {
 	// crashes are sorted by time, the earliest first.
-	crashes  []Crash
-	sound    soundParts
-	unframed []unframedAnswer
-	// cleared are parts that turned out to be sound while a crash was held against them, for
-	// other hosts.
-	cleared []ClearedPart
+	crashes       []Crash
+	soundParts    soundSet
+	soundRequests soundSet
+	unframed      []unframedAnswer
+	// cleared is what turned out to be sound while a crash was held against it, for other
+	// hosts.
+	cleared []Cleared
 	// quarantines follow from the evidence. They are computed again if stale is true.
 	quarantines []Quarantine
 	stale       bool
@@ -123,19 +150,25 @@
 
 // New returns a Quarantiner without evidence.
 func New() *Quarantiner {
-	return &Quarantiner{}
+	return &Quarantiner{
+		soundParts:    soundSet{limit: maxSoundParts, lifetime: soundFor},
+		soundRequests: soundSet{limit: maxSoundRequests, lifetime: soundRequestFor},
+	}
 }
 
 // Answered records that a server answered a request completely and lived on.
 func (q *Quarantiner) Answered(r Request, now clocker.Millis) {
+	q.soundRequests.add(r.ID, now)
+	q.clearHeld(r.ID, now, now)
 	for _, p := range r.Parts {
-		q.clearPart(p, now, now)
+		q.soundParts.add(p, now)
+		q.clearHeld(p, now, now)
 	}
 }
 
 // AnsweredUnframed records an answer that ended with its connection.
 func (q *Quarantiner) AnsweredUnframed(server uint64, r Request, now clocker.Millis) {
-	if len(q.unframed) < maxUnframed && len(r.Parts) > 0 {
+	if len(q.unframed) < maxUnframed {
 		q.unframed = append(q.unframed, unframedAnswer{server: server, request: r, at: now})
 	}
 }
@@ -146,14 +179,14 @@
 	return q.addCrash(Crash{Server: server, At: now, Requests: []Request{r}}, now)
 }
 
-// Crashes returns the number of crashes of servers that had not begun to answer a request with
-// the most suspect part of this one.
+// Crashes returns the number of crashes of servers that had not begun to answer this request, or
+// one with the most suspect part of it.
 func (q *Quarantiner) Crashes(r Request) int {
 	most := 0
-	for _, p := range r.Parts {
+	for _, suspect := range append([]uint64{r.ID}, r.Parts...) {
 		n := 0
 		for _, c := range q.crashes {
-			if slices.ContainsFunc(c.Requests, func(suspect Request) bool { return slices.Contains(suspect.Parts, p) }) {
+			if slices.ContainsFunc(c.Requests, func(other Request) bool { return other.has(suspect) }) {
 				n++
 			}
 		}
@@ -162,6 +195,11 @@
 	return most
 }
 
+// has reports whether the request is, or has the part, with the hash.
+func (r Request) has(hash uint64) bool {
+	return r.ID == hash || slices.Contains(r.Parts, hash)
+}
+
 // Refused returns the quarantine under which a request must not be sent, if there is one.
 func (q *Quarantiner) Refused(r Request, now clocker.Millis) (Quarantine, bool) {
 	for _, held := range q.Quarantines(now) {
@@ -173,6 +211,9 @@
 }
 
 func (held Quarantine) refuses(r Request) bool {
+	if held.Request != 0 {
+		return r.ID == held.Request
+	}
 	if len(held.Accounts) > 0 && !slices.Contains(held.Accounts, r.Account) {
 		return false
 	}
@@ -203,55 +244,95 @@
 	}
 	i := slices.IndexFunc(q.crashes, func(known Crash) bool { return known.Server == c.Server })
 	if i < 0 {
-		q.crashes = append(q.crashes, c)
+		added := Crash{Server: c.Server, At: c.At}
+		q.addRequests(&added, c.Requests)
+		q.crashes = append(q.crashes, added)
 		slices.SortStableFunc(q.crashes, func(a, b Crash) int { return int(a.At - b.At) })
 		q.limitCrashes()
 		q.stale = true
 		return true
 	}
-	known := &q.crashes[i]
-	added := false
-	for _, r := range c.Requests {
-		if len(known.Requests) < maxRequestsPerCrash && !slices.ContainsFunc(known.Requests, r.same) {
+	changed := q.addRequests(&q.crashes[i], c.Requests)
+	q.stale = q.stale || changed
+	return changed
+}
+
+// addRequests adds requests to a known crash. It reports whether the evidence has changed. Requests
+// that were on other crashed servers too, or that the server had begun to answer, displace others.
+func (q *Quarantiner) addRequests(known *Crash, requests []Request) bool {
+	changed := false
+	for _, r := range requests {
+		i := slices.IndexFunc(known.Requests, func(other Request) bool { return other.ID == r.ID })
+		switch {
+		case i >= 0 && r.Begun && !known.Requests[i].Begun:
+			known.Requests[i].Begun = true
+			changed = true
+		case i >= 0:
+		case r.Begun || q.hasCrashed(r.ID):
+			known.Requests = slices.Insert(known.Requests, 0, r)
+			changed = true
+		case len(known.Requests) < maxRequestsPerCrash:
 			known.Requests = append(known.Requests, r)
-			added = true
+			changed = true
 		}
 	}
-	q.stale = q.stale || added
-	return added
+	known.Requests = known.Requests[:min(len(known.Requests), maxRequestsPerCrash)]
+	for i := maxPromptsPerCrash; i < len(known.Requests); i++ {
+		known.Requests[i].Account, known.Requests[i].Parts = 0, nil
+	}
+	return changed
+}
+
+// hasCrashed reports whether a crash is held against the request.
+func (q *Quarantiner) hasCrashed(id uint64) bool {
+	return slices.ContainsFunc(q.crashes, func(c Crash) bool {
+		return slices.ContainsFunc(c.Requests, func(r Request) bool { return r.ID == id })
+	})
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
 
-// suspects returns the requests of a crash that have parts which are not known to be sound.
+// suspects returns the requests of a crash that are not known to be sound, without sound parts.
 func (q *Quarantiner) suspects(c Crash) []Request {
 	var requests []Request
 	for _, r := range c.Requests {
-		parts := slices.DeleteFunc(slices.Clone(r.Parts), func(p uint64) bool { return q.sound.has(p, c.At) })
-		if len(parts) > 0 && len(requests) < maxRequestsPerCrash {
-			r.Parts = parts[:min(len(parts), maxPartsPerRequest)]
-			requests = append(requests, r)
+		if q.soundRequests.has(r.ID, c.At) {
+			continue
 		}
+		parts := slices.DeleteFunc(slices.Clone(r.Parts), func(p uint64) bool { return q.soundParts.has(p, c.At) })
+		r.Parts = parts[:min(len(parts), maxPartsPerRequest)]
+		if len(r.Parts) == 0 {
+			r.Account = 0
+		}
+		requests = append(requests, r)
 	}
 	return requests
 }
 
-// same reports whether both are the same request of the same client account.
-func (r Request) same(other Request) bool {
-	return r.Account == other.Account && r.ID == other.ID
-}
-
 // limitCrashes drops crashes beyond maxCrashes, those first under which no part is quarantined.
 func (q *Quarantiner) limitCrashes() {
 	if len(q.crashes) <= maxCrashes {
 		return
 	}
-	blamed := blamedParts(findQuarantines(q.crashes))
+	blamed := blamedHashes(findQuarantines(q.crashes))
 	i := slices.IndexFunc(q.crashes, func(c Crash) bool { return !c.hasAny(blamed) })
 	q.crashes = slices.Delete(q.crashes, max(0, i), max(0, i)+1)
 }
 
-func blamedParts(quarantines []Quarantine) map[uint64]bool {
+func blamedHashes(quarantines []Quarantine) map[uint64]bool {
 	blamed := map[uint64]bool{}
 	for _, held := range quarantines {
+		if held.Request != 0 {
+			blamed[held.Request] = true
+		}
 		for _, p := range held.Parts {
 			blamed[p] = true
 		}
@@ -259,33 +340,41 @@
 	return blamed
 }
 
-func (c Crash) hasAny(parts map[uint64]bool) bool {
+// hasAny reports whether the crash is held against any of the requests and parts.
+func (c Crash) hasAny(hashes map[uint64]bool) bool {
 	return slices.ContainsFunc(c.Requests, func(r Request) bool {
-		return slices.ContainsFunc(r.Parts, func(p uint64) bool { return parts[p] })
+		return hashes[r.ID] || slices.ContainsFunc(r.Parts, func(p uint64) bool { return hashes[p] })
 	})
 }
 
-// clearPart records that a part was sound at a time, and drops what is held against it.
-func (q *Quarantiner) clearPart(part uint64, at, now clocker.Millis) {
-	q.sound.add(part, at)
+// clearHeld drops what is held against a request or part that was sound at a time: crashes before it
+// or shortly after.
+func (q *Quarantiner) clearHeld(hash uint64, at, now clocker.Millis) {
 	held := false
 	for i := range q.crashes {
 		c := &q.crashes[i]
+		if c.At-at <= soundRequestFor {
+			before := len(c.Requests)
+			c.Requests = slices.DeleteFunc(c.Requests, func(r Request) bool { return r.ID == hash })
+			held = held || len(c.Requests) < before
+		}
+		if c.At-at > soundFor {
+			continue
+		}
 		for j := range c.Requests {
 			r := &c.Requests[j]
-			if slices.Contains(r.Parts, part) {
-				r.Parts = slices.DeleteFunc(slices.Clone(r.Parts), func(p uint64) bool { return p == part })
+			if slices.Contains(r.Parts, hash) {
+				r.Parts = slices.DeleteFunc(slices.Clone(r.Parts), func(p uint64) bool { return p == hash })
 				held = true
 			}
 		}
-		c.Requests = slices.DeleteFunc(c.Requests, func(r Request) bool { return len(r.Parts) == 0 })
 	}
 	if !held {
 		return
 	}
 	q.crashes = slices.DeleteFunc(q.crashes, func(c Crash) bool { return len(c.Requests) == 0 })
 	q.stale = true
-	q.reportCleared(part, at, now)
+	q.reportCleared(hash, at, now)
 }
 
 // expire drops old evidence, and clears the parts of unframed answers whose servers lived on.
@@ -303,24 +392,28 @@
 	}
 }
 
-// soundParts holds when parts were last known to be sound, in two generations: the older one is
-// dropped when the newer one is full.
-type soundParts struct {
+// soundSet holds when requests or parts were last known to be sound, in two generations: the older
+// one is dropped when the newer one is full.
+type soundSet struct {
 	newer, older map[uint64]clocker.Millis
+	// limit is the size of a generation.
+	limit int
+	// lifetime is how long they count as sound, in milliseconds.
+	lifetime clocker.Millis
 }
 
-func (s *soundParts) add(part uint64, at clocker.Millis) {
-	if s.newer == nil || len(s.newer) >= maxSoundParts {
+func (s *soundSet) add(hash uint64, at clocker.Millis) {
+	if s.newer == nil || len(s.newer) >= s.limit {
 		s.older, s.newer = s.newer, map[uint64]clocker.Millis{}
 	}
-	s.newer[part] = max(at, s.newer[part])
+	s.newer[hash] = max(at, s.newer[hash])
 }
 
-// has reports whether the part was known to be sound shortly before at, or later.
-func (s *soundParts) has(part uint64, at clocker.Millis) bool {
-	last, known := s.newer[part]
+// has reports whether it was known to be sound shortly before at, or later.
+func (s *soundSet) has(hash uint64, at clocker.Millis) bool {
+	last, known := s.newer[hash]
 	if !known {
-		last, known = s.older[part]
+		last, known = s.older[hash]
 	}
-	return known && at-last <= soundFor
+	return known && at-last <= s.lifetime
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,9 +11,14 @@
 	"cowsliphinge/clocker"
 )
 
+// requestOf returns a request of an account whose prompt has the parts; its body is the last one.
+func requestOf(account string, parts ...string) Request {
+	return NewRequest(account, Content{Method: "POST", Target: "/x", Body: []byte(parts[len(parts)-1])}, parts)
+}
+
 // request returns a request of account "one" with shared parts and one of its own.
 func request(own string, parts ...string) Request {
-	return NewRequest("one", append(parts, own))
+	return requestOf("one", append(slices.Clone(parts), own)...)
 }
 
 // crashes records crashes of n servers, a second apart from start on, each on another request.
@@ -33,13 +39,13 @@
 	q := New()
 	for i := range 3 {
 		server := ServerHash(fmt.Sprint("server", i), 0)
-		r := NewRequest("masons", []string{"common", "deadly", fmt.Sprint("question", i)})
+		r := requestOf("masons", "common", "deadly", fmt.Sprint("question", i))
 		q.Crashed(server, r, clocker.Millis(i)*clocker.Second)
 	}
-	q.Answered(NewRequest("homes", []string{"common", "hello"}), 3*clocker.Second)
-	_, held := q.Refused(NewRequest("masons", []string{"common", "deadly", "another question"}), 3*clocker.Second)
+	q.Answered(requestOf("homes", "common", "hello"), 3*clocker.Second)
+	_, held := q.Refused(requestOf("masons", "common", "deadly", "another question"), 3*clocker.Second)
 	fmt.Println(held)
-	_, held = q.Refused(NewRequest("masons", []string{"common", "hello again"}), 3*clocker.Second)
+	_, held = q.Refused(requestOf("masons", "common", "hello again"), 3*clocker.Second)
 	fmt.Println(held)
 	// Output:
 	// true
@@ -116,8 +122,8 @@
 		now = crashes(q, now, 1, "of-another", fmt.Sprint("deadly", i))
 	}
 	assert.Assert(t, refused(q, request("x", "of-another"), now))
-	assert.Assert(t, !refused(q, NewRequest("two", []string{"of-another", "x"}), now))
-	q.Answered(NewRequest("two", []string{"of-another", "x"}), now)
+	assert.Assert(t, !refused(q, requestOf("two", "of-another", "x"), now))
+	q.Answered(requestOf("two", "of-another", "x"), now)
 	assert.Assert(t, !refused(q, request("x", "of-another"), now))
 }
 
@@ -125,19 +131,142 @@
 func TestPartThatCrashesServersOfTwoAccountsIsRefusedForAll(t *testing.T) {
 	q := New()
 	now := crashes(q, clocker.Second, 2, "deadly")
-	q.Crashed(ServerHash("i-3", 1), NewRequest("two", []string{"deadly", "z"}), now)
-	assert.Assert(t, refused(q, NewRequest("three", []string{"deadly", "x"}), now))
+	q.Crashed(ServerHash("i-3", 1), requestOf("two", "deadly", "z"), now)
+	assert.Assert(t, refused(q, requestOf("three", "deadly", "x"), now))
 }
 
-// One request that is sent again and again is refused as well, after one more crash.
+// One request that came again and again crashed servers until its prompt parts were blamed, and went
+// on once one of them was answered with another request: the request itself was no suspect.
 func TestRepeatsOfOneRequestAreRefused(t *testing.T) {
 	q := New()
 	for i := range 3 {
-		q.Crashed(ServerHash("i", clocker.Millis(i)), request("same", "deadly"), clocker.Millis(i)*clocker.Second)
+		assert.Assert(t, !refused(q, request("same", "rare"), clocker.Millis(i)*clocker.Second))
+		q.Crashed(ServerHash("i", clocker.Millis(i)), request("same", "rare"), clocker.Millis(i)*clocker.Second)
+	}
+	now := 3 * clocker.Second
+	assert.Assert(t, refused(q, request("same", "rare"), now))
+	assert.Assert(t, !refused(q, request("other", "rare"), now))
+	q.Answered(request("other", "rare"), now)
+	assert.Assert(t, refused(q, request("same", "rare"), now))
+	assert.Assert(t, refused(q, request("same", "rare"), now+HoldTime-2*clocker.Second))
+}
+
+// A request without a prompt, as plain services get, was never held to be the cause of crashes.
+func TestRepeatsOfARequestWithoutPromptAreRefused(t *testing.T) {
+	order := func(account, target, body string) Request {
+		return NewRequest(account, Content{Method: "PUT", Target: target, Body: []byte(body)}, nil)
+	}
+	q := New()
+	for i := range 3 {
+		server := ServerHash("i", clocker.Millis(i))
+		q.Crashed(server, order("one", "/a", "deadly"), clocker.Millis(i)*clocker.Second)
+		q.Crashed(server, order("one", "/a", fmt.Sprint("beside", i)), clocker.Millis(i)*clocker.Second)
+	}
+	now := 3 * clocker.Second
+	assert.Assert(t, refused(q, order("one", "/a", "deadly"), now))
+	for _, other := range []Request{order("two", "/a", "deadly"), order("one", "/b", "deadly"), order("one", "/a", "sound"), order("one", "/a", "beside2"), order("on", "e/a", "deadly")} {
+		assert.Assert(t, !refused(q, other, now))
+	}
+}
+
+// A request that was answered shortly before and after a crash, as a common one without a body, is
+// sound on all hosts.
+func TestAnsweredRequestIsNotBlamed(t *testing.T) {
+	q, other := New(), New()
+	for i := range 5 {
+		at := clocker.Millis(i) * 10 * clocker.Second
+		q.Crashed(ServerHash("i", clocker.Millis(i)), request("common"), at)
+		reports, _ := q.Report(at)
+		other.Merge(reports, nil, at)
+		q.Answered(request("common"), at+clocker.Second)
+		q.Crashed(ServerHash("j", clocker.Millis(i)), request("common"), at+clocker.Second+soundRequestFor)
+		q.Answered(request("common"), at+5*clocker.Second)
+		reports, cleared := q.Report(at + 5*clocker.Second)
+		other.Merge(reports, cleared, at+5*clocker.Second)
+	}
+	assert.Assert(t, !refused(q, request("common"), clocker.Minute))
+	assert.Assert(t, !refused(other, request("common"), clocker.Minute))
+}
+
+// What another host heard of an answer long ago, and repeats, does not clear a request that has
+// crashed servers since.
+func TestOldAnswerDoesNotClearLaterCrashes(t *testing.T) {
+	q := New()
+	cleared := []Cleared{{Hash: request("same").ID, At: 0}}
+	for i := range 3 {
+		at := clocker.Minute + clocker.Millis(i)*clocker.Second
+		q.Crashed(ServerHash("i", clocker.Millis(i)), request("same"), at)
+		q.Merge(nil, cleared, at)
+	}
+	assert.Assert(t, refused(q, request("same"), 2*clocker.Minute))
+}
+
+// One request that comes in bursts crashes servers at the same moments.
+func TestRequestThatCrashesServersInBurstsIsRefused(t *testing.T) {
+	q := New()
+	crash := func(server string, at clocker.Millis) { q.Crashed(ServerHash(server, 1), request("same"), at) }
+	for _, server := range []string{"a", "b", "c", "d"} {
+		crash(server, clocker.Second)
+	}
+	assert.Assert(t, !refused(q, request("same"), 2*clocker.Second))
+	crash("e", 2*clocker.Second)
+	assert.Assert(t, refused(q, request("same"), 2*clocker.Second))
+}
+
+// Two requests that crash servers at the same time are both refused, and those beside them are not.
+func TestTwoDeadlyRequestsAreRefused(t *testing.T) {
+	q := New()
+	now := clocker.Second
+	for i := range 3 {
+		for _, own := range []string{"deadly1", "deadly2"} {
+			server := ServerHash(own, clocker.Millis(i))
+			q.Crashed(server, request(own, "subject"), now)
+			q.Crashed(server, request(fmt.Sprint("beside", i, own), "common"), now)
+			now += clocker.Second
+		}
+		q.Answered(request(fmt.Sprint("sound", i), "common", "subject"), now)
+	}
+	assert.Assert(t, refused(q, request("deadly1", "subject"), now))
+	assert.Assert(t, refused(q, request("deadly2", "subject"), now))
+	assert.Assert(t, !refused(q, request("sound3", "subject"), now))
+}
+
+// A caller that repeats its request beside the deadly one, to the same servers, is on all crashed
+// servers too. The server has begun the one that crashes it.
+func TestRequestThatTheServerHadBegunIsBlamed(t *testing.T) {
+	for _, own := range []string{"deadly", "d2", "d3", "d4"} { // ties were broken by hashes
+		q := New()
+		for i := range 3 {
+			server, at := ServerHash("i", clocker.Millis(i)), clocker.Millis(i)*clocker.Second
+			deadly := request(own)
+			deadly.Begun = true
+			q.Crashed(server, request("victim"+own), at)
+			q.Crashed(server, deadly, at)
+		}
+		assert.Assert(t, refused(q, request(own), 3*clocker.Second))
+		assert.Assert(t, !refused(q, request("victim"+own), 3*clocker.Second))
+	}
+}
+
+// Many requests waited at each crashed server, and the deadly one was lost among them.
+func TestDeadlyRequestIsKeptAmongMany(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		q := New()
+		for i := range 3 {
+			server, at := ServerHash("i", clocker.Millis(i)), clocker.Millis(i)*clocker.Second
+			for j := range 100 {
+				if j == 80 || !begun && i == 0 && j == 5 { // without the mark it is among the first ones once
+					deadly := request("deadly", "subject")
+					deadly.Begun = begun
+					q.Crashed(server, deadly, at)
+				}
+				q.Crashed(server, request(fmt.Sprint("waits", i, j), "other"), at)
+			}
+			q.Answered(request("x", "other"), at)
+		}
+		assert.Assert(t, refused(q, request("deadly", "subject"), 3*clocker.Second))
+		assert.Assert(t, !refused(q, request("waits00", "other"), 3*clocker.Second))
 	}
-	assert.Assert(t, !refused(q, request("same", "deadly"), 3*clocker.Second))
-	q.Crashed(ServerHash("i", 9), request("same", "deadly"), 3*clocker.Second)
-	assert.Assert(t, refused(q, request("same", "deadly"), 3*clocker.Second))
 }
 
 // Servers of one rack that lose power together have not crashed under the requests on them.
@@ -239,21 +368,21 @@
 	for i := range 3 * maxSoundParts {
 		q.Answered(request("x", fmt.Sprint("sound", i)), now)
 	}
-	assert.Assert(t, len(q.sound.newer)+len(q.sound.older) <= 2*maxSoundParts)
+	assert.Assert(t, len(q.soundParts.newer)+len(q.soundParts.older) <= 2*maxSoundParts)
 }
 
 // A long quarantine keeps little of its crashes, and still holds for all accounts.
 func TestCompactedEvidenceStillHolds(t *testing.T) {
 	q := New()
 	now := crashes(q, clocker.Second, 10, "rare", "deadly")
-	q.Crashed(ServerHash("z", 1), NewRequest("two", []string{"deadly", "z"}), now)
+	q.Crashed(ServerHash("z", 1), requestOf("two", "deadly", "z"), now)
 	now += 2 * compactAfter
 	reports, _ := q.Report(now)
 	assert.Equal(t, len(reports), compactCrashes)
 	late := New()
 	late.Merge(reports, nil, now)
 	for _, host := range []*Quarantiner{q, late} {
-		assert.Assert(t, refused(host, NewRequest("three", []string{"deadly", "x"}), now))
-		assert.Assert(t, !refused(host, NewRequest("three", []string{"rare", "x"}), now))
+		assert.Assert(t, refused(host, requestOf("three", "deadly", "x"), now))
+		assert.Assert(t, !refused(host, requestOf("three", "rare", "x"), now))
 	}
 }
--- a/quarantiner/report.go
+++ b/quarantiner/report.go
@@ -7,44 +7,44 @@
 )
 
 const (
-	// reportPeriod is how long other hosts are told of a crash under which no part is
-	// quarantined, and of a part that was cleared, in milliseconds: many rounds of heartbeats.
+	// reportPeriod is how long other hosts are told of a crash that led to no quarantine, and
+	// of a request or part that was cleared, in milliseconds: many rounds of heartbeats.
 	reportPeriod = 15 * clocker.Second
-	// maxReports bounds the crashes, and the cleared parts, in one message.
-	maxReports = 12
-	// compactAfter is the age from which a crash under a quarantined part keeps only what the
-	// quarantine needs, in milliseconds. Until then another part may turn out to be the cause.
+	// maxReports bounds the crashes, and what was cleared, in one message.
+	maxReports = 10
+	// compactAfter is the age from which a crash that led to a quarantine keeps only what the
+	// quarantine needs, in milliseconds. Until then another cause may turn out.
 	compactAfter = 10 * clocker.Second
 	// compactCrashes and compactRequests are what is kept of it.
 	compactCrashes  = 5
 	compactRequests = 2
 )
 
-// ClearedPart is a part that a crash was held against, and that turned out to be sound.
-type ClearedPart struct {
-	Part uint64
-	// At is when a request with the part was last answered.
+// Cleared is a request or part that a crash was held against, and that turned out to be sound.
+type Cleared struct {
+	Hash uint64
+	// At is when the request, or one with the part, was last answered.
 	At clocker.Millis
 }
 
-// Report returns what other hosts are told: the crashes under quarantined parts and the recent
-// ones, the latest first, and the parts that were cleared lately.
-func (q *Quarantiner) Report(now clocker.Millis) ([]Crash, []ClearedPart) {
+// Report returns what other hosts are told: the crashes that led to quarantines and the recent
+// ones, the latest first, and what was cleared lately.
+func (q *Quarantiner) Report(now clocker.Millis) ([]Crash, []Cleared) {
 	q.compact(now)
-	blamed := blamedParts(q.Quarantines(now))
+	blamed := blamedHashes(q.Quarantines(now))
 	var crashes []Crash
 	for _, c := range slices.Backward(q.crashes) {
 		if len(crashes) < maxReports && (now-c.At <= reportPeriod || c.hasAny(blamed)) {
 			crashes = append(crashes, c)
 		}
 	}
-	q.cleared = slices.DeleteFunc(q.cleared, func(c ClearedPart) bool { return now-c.At > reportPeriod })
+	q.cleared = slices.DeleteFunc(q.cleared, func(c Cleared) bool { return now-c.At > reportPeriod })
 	return crashes, slices.Clone(q.cleared)
 }
 
-// Held returns the crashes under the parts that are in quarantine.
+// Held returns the crashes that led to the quarantines in force.
 func (q *Quarantiner) Held(now clocker.Millis) []Crash {
-	blamed := blamedParts(q.Quarantines(now))
+	blamed := blamedHashes(q.Quarantines(now))
 	var crashes []Crash
 	for _, c := range q.crashes {
 		if c.hasAny(blamed) {
@@ -56,11 +56,11 @@
 
 // Merge adds what another host told. It reports whether that included a recent crash, of which
 // others may not know.
-func (q *Quarantiner) Merge(crashes []Crash, cleared []ClearedPart, now clocker.Millis) bool {
+func (q *Quarantiner) Merge(crashes []Crash, cleared []Cleared, now clocker.Millis) bool {
 	for _, c := range cleared {
-		if !q.sound.has(c.Part, c.At) {
-			q.clearPart(c.Part, c.At, now)
-		}
+		q.soundRequests.add(c.Hash, c.At)
+		q.soundParts.add(c.Hash, c.At)
+		q.clearHeld(c.Hash, c.At, now)
 	}
 	added := false
 	for _, c := range crashes {
@@ -71,10 +71,10 @@
 	return added
 }
 
-func (q *Quarantiner) reportCleared(part uint64, at, now clocker.Millis) {
-	q.cleared = slices.DeleteFunc(q.cleared, func(c ClearedPart) bool { return c.Part == part || now-c.At > reportPeriod })
+func (q *Quarantiner) reportCleared(hash uint64, at, now clocker.Millis) {
+	q.cleared = slices.DeleteFunc(q.cleared, func(c Cleared) bool { return c.Hash == hash || now-c.At > reportPeriod })
 	if len(q.cleared) < maxReports {
-		q.cleared = append(q.cleared, ClearedPart{Part: part, At: at})
+		q.cleared = append(q.cleared, Cleared{Hash: hash, At: at})
 	}
 }
 
@@ -87,7 +87,7 @@
 			if now-c.At < compactAfter || !slices.ContainsFunc(c.Requests, held.covers) {
 				continue
 			}
-			if kept == compactCrashes || earliestKept-c.At < minCrashSpacing {
+			if kept == compactCrashes || held.Request == 0 && earliestKept-c.At < minCrashSpacing {
 				q.crashes = slices.Delete(q.crashes, i, i+1)
 				continue
 			}
@@ -98,12 +98,12 @@
 	}
 }
 
-// covers reports whether a suspect request has all parts of the quarantine.
+// covers reports whether a suspect request is that of the quarantine, or has all its parts.
 func (held Quarantine) covers(r Request) bool {
-	return Quarantine{Parts: held.Parts}.refuses(r)
+	return Quarantine{Request: held.Request, Parts: held.Parts}.refuses(r)
 }
 
-// compact returns requests with the parts of the quarantine alone. Of several client accounts it
+// compact returns the requests of the quarantine, with its parts alone. Of several client accounts it
 // keeps two.
 func (held Quarantine) compact(requests []Request) []Request {
 	var kept []Request
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -40,7 +40,7 @@
 	serversPaused         = failure{status: http.StatusServiceUnavailable, reason: "servers_paused", meanRetryAfter: 100}
 	serverUnreachable     = failure{status: http.StatusServiceUnavailable, reason: "server_unreachable", meanRetryAfter: 250}
 	serverShed            = failure{status: http.StatusServiceUnavailable, reason: "server_shed", meanRetryAfter: 250}
-	promptQuarantined     = failure{status: http.StatusServiceUnavailable, reason: "prompt_quarantined", meanRetryAfter: 100, exactRetryAfter: true}
+	crashesServers        = failure{status: http.StatusServiceUnavailable, reason: "quarantined", meanRetryAfter: 100, exactRetryAfter: true}
 	stopping              = failure{status: http.StatusServiceUnavailable, reason: "stopping", meanRetryAfter: 50}
 	deadlineBeforeSending = failure{status: http.StatusServiceUnavailable, reason: "deadline_before_sending"}
 	// outcomeUnknown means that the request may have run and is not retried.
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -5,8 +5,6 @@
 	"io"
 	"syscall"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
@@ -29,11 +27,8 @@
 func (noQuarantine) Answered(chooser.Server, quarantiner.Request, bool) {}
 func (noQuarantine) Crashed(chooser.Server, quarantiner.Request)        {}
 
-// requestOfPrompt returns what the quarantine compares of the request.
-func (x *relayedRequest) requestOfPrompt() quarantiner.Request {
-	if len(x.prompt) == 0 {
-		return quarantiner.Request{}
-	}
+// quarantineRequest returns what the quarantine compares of the request.
+func (x *relayedRequest) quarantineRequest() quarantiner.Request {
 	account := ""
 	if x.account != nil {
 		account = x.account.Name
@@ -42,50 +37,33 @@
 	for _, p := range x.prompt {
 		ids = append(ids, p.ID)
 	}
-	return quarantiner.NewRequest(account, ids)
+	content := quarantiner.Content{Method: x.req.Method, Target: requestTarget(x.req), Body: x.body}
+	return quarantiner.NewRequest(account, content, ids)
 }
 
-// fingerprint returns the hash of what stays the same when a caller sends a request again: client
-// account, method, path and body.
-func (x *relayedRequest) fingerprint() uint64 {
-	h := xxhash.New()
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	for _, field := range []string{account, x.req.Method, requestTarget(x.req)} {
-		_, _ = h.WriteString(field) // never fails
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(x.body)
-	return h.Sum64()
-}
-
-// quarantined returns the failure of a request whose prompt crashes servers. Its status is not that of
+// quarantined returns the failure of a request that crashes servers. Its status is not that of
 // a bad request: the fleet's evidence may be wrong, and the caller may come back once it is held no
 // longer.
 func (x *relayedRequest) quarantined() (failure, bool) {
-	if len(x.promptRequest.Parts) == 0 {
-		return failure{}, false
-	}
-	until := x.cfg.Quarantine.Refused(x.promptRequest)
+	until := x.cfg.Quarantine.Refused(x.suspect)
 	if until == 0 {
 		return failure{}, false
 	}
-	return promptQuarantined.withMinRetryAfter(until - x.cfg.Clock.Now()), true
+	return crashesServers.withMinRetryAfter(until - x.cfg.Clock.Now()), true
 }
 
-// reportAnswer reports that a server answered the request successfully.
+// reportAnswer reports that a server answered the request without failing. An answer that has neither
+// frame nor body may be that of a server that crashed.
 func (x *relayedRequest) reportAnswer(server chooser.Server, response *carrier.Response, hasBody bool) {
-	if len(x.promptRequest.Parts) > 0 && response.StatusCode/100 == 2 && hasBody {
-		x.cfg.Quarantine.Answered(server, x.promptRequest, response.Framed())
+	if hasBody || response.Framed() {
+		x.cfg.Quarantine.Answered(server, x.suspect, response.Framed())
 	}
 }
 
 // reportCrash reports a crash of the server if the connection was lost for that reason before the
 // server had begun its answer. A server that leaves stops as planned.
 func (x *relayedRequest) reportCrash(server chooser.Server, cause error) {
-	if len(x.promptRequest.Parts) == 0 || x.ctx.Err() != nil || !connectionLost(cause) {
+	if x.ctx.Err() != nil || !connectionLost(cause) {
 		return
 	}
 	if x.answerBegan > 0 && x.cfg.Clock.Now()-x.answerBegan > answerBeginning {
@@ -96,7 +74,9 @@
 	}
 	if x.cfg.Carrier.Refuses(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, crashProbeTimeout) {
 		x.log.setServerCrashed()
-		x.cfg.Quarantine.Crashed(server, x.promptRequest)
+		suspect := x.suspect
+		suspect.Begun = x.headerReceived
+		x.cfg.Quarantine.Crashed(server, suspect)
 	}
 }
 
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -26,6 +27,7 @@
 	refuseAfter int
 	crashed     []string
 	answered    []string
+	suspects    []quarantiner.Request
 }
 
 func (q *recordedQuarantine) Refused(quarantiner.Request) clocker.Millis {
@@ -50,10 +52,18 @@
 	return slices.Clone(q.crashed), slices.Clone(q.answered)
 }
 
-func (q *recordedQuarantine) Crashed(s chooser.Server, _ quarantiner.Request) {
+func (q *recordedQuarantine) Crashed(s chooser.Server, r quarantiner.Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.crashed = append(q.crashed, s.ID)
+	q.suspects = append(q.suspects, r)
+}
+
+// lastSuspect returns the request of the last crash.
+func (q *recordedQuarantine) lastSuspect() quarantiner.Request {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.suspects[len(q.suspects)-1]
 }
 
 const streamHeader = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nContent-Type: text/event-stream\r\n"
@@ -131,12 +141,53 @@
 	return chooser.Choice{Server: server, Found: true}
 }
 
-// A prompt without shared parts, or one of a caller that left, says nothing.
-func TestCrashUnderAPromptWithoutSharedPartsIsNotReported(t *testing.T) {
+// A request without shared parts, or without a prompt as plain services get, was never reported. It
+// is told by account, method, path and body.
+func TestCrashUnderARequestWithoutSharedPartsIsReported(t *testing.T) {
+	ids := map[string]uint64{}
+	for _, c := range []struct{ name, method, target, body, parts string }{
+		{"own part", "POST", "/r/", "p", "own:800"},
+		{"own part again", "POST", "/r/", "p", "own:800"},
+		{"no prompt", "POST", "/r/", "p", ""},
+		{"other method", "PUT", "/r/", "p", ""},
+		{"other path", "POST", "/r/x", "p", ""},
+		{"other query", "POST", "/r/?x", "p", ""},
+		{"other body", "POST", "/r/", "q", ""},
+		{"no body", "GET", "/r/", "", ""},
+	} {
+		var b *backend
+		b = newBackend(t, crashAfter(&b, nil))
+		f, q := newQuarantineFixture(t, matcher.Route{}, b)
+		var header []string
+		if c.parts != "" {
+			header = []string{"X-Parts", c.parts}
+		}
+		f.call(t, c.method, c.target, c.body, header...)
+		f.nextRequestLine(t)
+		crashed, _ := q.reports()
+		assert.Equal(t, len(crashed), 1, c.name)
+		ids[c.name] = q.lastSuspect().ID
+	}
+	assert.Equal(t, ids["own part again"], ids["own part"])
+	assert.Equal(t, ids["no prompt"], ids["own part"])
+	distinct := map[uint64]bool{}
+	for _, id := range ids {
+		distinct[id] = true
+	}
+	assert.Equal(t, len(distinct), len(ids)-2)
+}
+
+// A caller that left says nothing of its request.
+func TestCrashAfterTheCallerLeftIsNotReported(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
 	var b *backend
-	b = newBackend(t, crashAfter(&b, nil))
+	b = newBackend(t, func(w io.Writer, req *http.Request) {
+		leave()
+		_, _ = w.(net.Conn).Read(make([]byte, 1)) // until the host gives up the request
+		crashAfter(&b, nil)(w, req)
+	})
 	f, q := newQuarantineFixture(t, matcher.Route{}, b)
-	f.call(t, "POST", "/r/", "p", "X-Parts", "own:800")
+	f.callWith(ctx, t, "POST", "/r/", "p")
 	f.nextRequestLine(t)
 	crashed, _ := q.reports()
 	assert.Equal(t, len(crashed), 0)
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -58,8 +58,8 @@
 	account  *matcher.Account
 	service  *matcher.Service
 	prompt   []chooser.PromptPart
-	// promptRequest identifies the prompt for the quarantine.
-	promptRequest quarantiner.Request
+	// suspect identifies the request for the quarantine.
+	suspect quarantiner.Request
 	// hasTokenCounts is true if the request states its prompt and output tokens.
 	hasTokenCounts  bool
 	promptTokens    int64
@@ -79,8 +79,10 @@
 	mayHaveRun bool
 	// position is the caller's position in its stream.
 	position streamPosition
-	// answerBegan is when the current server sent its first event, 0 before.
-	answerBegan clocker.Millis
+	// headerReceived is true once the current server has sent the header of its answer, and
+	// answerBegan is when it sent its first event, 0 before.
+	headerReceived bool
+	answerBegan    clocker.Millis
 	// lastFailure is the last error response of a server to a retryable request.
 	lastFailure *failedResponse
 
@@ -154,7 +156,7 @@
 	}
 	server := chosen.Server
 	x.triedServers = append(x.triedServers, server.ID)
-	x.answerBegan = 0
+	x.headerReceived, x.answerBegan = false, 0
 	sentAt := x.cfg.Clock.Now()
 	x.log.startAttempt(server, sentAt-x.started)
 	response, err := x.cfg.Carrier.Send(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, x.requestFor(server))
@@ -162,6 +164,7 @@
 		return x.handleSendError(server, err), true
 	}
 	defer response.Close()
+	x.headerReceived = true
 	x.log.setAttemptStatus(response.StatusCode)
 	if response.StatusCode != http.StatusMisdirectedRequest { // another server has taken over the address
 		x.cfg.Servers.RecordActivity(server.ID, x.cfg.HeaderNames.statusReport(response.StatusCode, response.Header, sentAt))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -55,7 +55,7 @@
 	Allow(service, reason string) bool
 }
 
-// Quarantine tells which requests must not be sent because their prompts crash servers.
+// Quarantine tells which requests must not be sent because they crash servers.
 type Quarantine interface {
 	// Refused returns until when the request must not be sent, 0 if it may be.
 	Refused(r quarantiner.Request) clocker.Millis
@@ -182,14 +182,14 @@
 	}
 	x.service = x.table.Service(x.route.Service(rand.Uint64()))
 	x.prompt = parsePromptParts(x.req.Header.Get(x.cfg.HeaderNames.PromptParts))
-	x.promptRequest = x.requestOfPrompt()
-	if f, refused := x.quarantined(); refused {
-		return f, false
-	}
 	x.promptTokens, x.maxOutputTokens, x.hasTokenCounts = parseTokens(x.req.Header.Get(x.cfg.HeaderNames.Tokens))
 	if f, ok := x.readBody(); !ok {
 		return f, false
 	}
+	x.suspect = x.quarantineRequest()
+	if f, refused := x.quarantined(); refused {
+		return f, false
+	}
 	x.outbound = carrier.Request{
 		ID:     x.id,
 		Method: x.req.Method,
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -141,8 +141,8 @@
 	if x.route != nil {
 		attributes = append(attributes, "route", x.route.Name, "time_ms", x.deadline-x.started)
 	}
-	if x.outbound.ID != "" {
-		attributes = append(attributes, "fingerprint", fmt.Sprintf("%016x", x.fingerprint()))
+	if x.suspect.ID != 0 {
+		attributes = append(attributes, "fingerprint", fmt.Sprintf("%016x", x.suspect.ID))
 	}
 	if parts := x.loggedParts(); len(parts) > 0 {
 		attributes = append(attributes, "parts", parts)
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -86,6 +86,7 @@
 	_, err := io.Copy(x.reply.w, io.MultiReader(bytes.NewReader(prefix), rest))
 	if err == nil && response.Complete() {
 		x.reply.complete = true
+		x.reportAnswer(server, response, true)
 		x.finishAttempt(server, chooser.NoFailure, failure{})
 		return
 	}
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -16,8 +16,8 @@
 
 var (
 	serverCrashes    = metrics.NewCounter("cowsliphinge_server_crashes_total")
-	heldQuarantines  = metrics.NewCounter(`cowsliphinge_prompt_quarantine_changes_total{change="held"}`)
-	endedQuarantines = metrics.NewCounter(`cowsliphinge_prompt_quarantine_changes_total{change="ended"}`)
+	heldQuarantines  = metrics.NewCounter(`cowsliphinge_quarantine_changes_total{change="held"}`)
+	endedQuarantines = metrics.NewCounter(`cowsliphinge_quarantine_changes_total{change="ended"}`)
 )
 
 // promptQuarantine is a concurrency-safe wrapper around a Quarantiner. It exchanges the evidence
@@ -88,7 +88,7 @@
 		return
 	}
 	serverCrashes.Inc()
-	p.log.Info("backend server crashed before it answered a prompt", "server", s.ID, "suspect_parts", hexOf(r.Parts), "crashes_under_them", p.quarantiner.Crashes(r))
+	p.log.Info("backend server crashed before it answered a request", "server", s.ID, "fingerprint", hexOf([]uint64{r.ID}), "suspect_parts", hexOf(r.Parts), "begun", r.Begun, "crashes_under_them", p.quarantiner.Crashes(r))
 	p.logChanges(now)
 	p.announceNews()
 }
@@ -108,22 +108,22 @@
 	crashes, cleared := p.quarantiner.Report(now)
 	beat.Crashes = encodeCrashes(crashes, now)
 	for _, c := range cleared {
-		beat.ClearedParts = append(beat.ClearedParts, &messenger.ClearedPart{Part: c.Part, AgeMs: int64(now - c.At)})
+		beat.Cleared = append(beat.Cleared, &messenger.ClearedSuspect{Hash: c.Hash, AgeMs: int64(now - c.At)})
 	}
 	p.logChanges(now)
 }
 
 // applyBeat applies the evidence in a heartbeat of another host.
 func (p *promptQuarantine) applyBeat(beat *messenger.Beat) {
-	if len(beat.Crashes) == 0 && len(beat.ClearedParts) == 0 {
+	if len(beat.Crashes) == 0 && len(beat.Cleared) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	var cleared []quarantiner.ClearedPart
-	for _, c := range beat.ClearedParts {
-		cleared = append(cleared, quarantiner.ClearedPart{Part: c.Part, At: now - clocker.Millis(max(0, c.AgeMs))})
+	var cleared []quarantiner.Cleared
+	for _, c := range beat.Cleared {
+		cleared = append(cleared, quarantiner.Cleared{Hash: c.Hash, At: now - clocker.Millis(max(0, c.AgeMs))})
 	}
 	if p.quarantiner.Merge(decodeCrashes(beat.Crashes, now), cleared, now) {
 		p.announceNews()
@@ -136,7 +136,7 @@
 	for _, c := range crashes {
 		message := &messenger.ServerCrash{Server: c.Server, AgeMs: int64(now - c.At)}
 		for _, r := range c.Requests {
-			message.Requests = append(message.Requests, &messenger.SuspectRequest{Account: r.Account, Request: r.ID, Parts: slices.Clone(r.Parts)})
+			message.Requests = append(message.Requests, &messenger.SuspectRequest{Account: r.Account, Request: r.ID, Parts: slices.Clone(r.Parts), Begun: r.Begun})
 		}
 		messages = append(messages, message)
 	}
@@ -148,7 +148,7 @@
 	for _, message := range messages {
 		c := quarantiner.Crash{Server: message.Server, At: now - clocker.Millis(max(0, message.AgeMs))}
 		for _, r := range message.Requests {
-			c.Requests = append(c.Requests, quarantiner.Request{Account: r.Account, ID: r.Request, Parts: slices.Clone(r.Parts)})
+			c.Requests = append(c.Requests, quarantiner.Request{Account: r.Account, ID: r.Request, Parts: slices.Clone(r.Parts), Begun: r.Begun})
 		}
 		crashes = append(crashes, c)
 	}
@@ -164,14 +164,14 @@
 	for _, held := range current {
 		if !slices.ContainsFunc(p.logged, func(other quarantiner.Quarantine) bool { return sameQuarantine(held, other) }) {
 			heldQuarantines.Inc()
-			p.log.Warn("requests with these prompt parts are refused", "parts", hexOf(held.Parts), "accounts", hexOf(held.Accounts),
-				"all_accounts", len(held.Accounts) == 0, "crashes", held.Crashes, "for_ms", held.Until-now)
+			p.log.Warn("requests that crash backend servers are refused", "fingerprint", hexOf([]uint64{held.Request}), "parts", hexOf(held.Parts), "accounts", hexOf(held.Accounts),
+				"all_accounts", held.Request == 0 && len(held.Accounts) == 0, "crashes", held.Crashes, "for_ms", held.Until-now)
 		}
 	}
 	for _, old := range p.logged {
 		if !slices.ContainsFunc(current, func(other quarantiner.Quarantine) bool { return sameQuarantine(old, other) }) {
 			endedQuarantines.Inc()
-			p.log.Info("requests with these prompt parts are no longer refused", "parts", hexOf(old.Parts), "accounts", hexOf(old.Accounts), "expired", now >= old.Until)
+			p.log.Info("requests that crashed backend servers are no longer refused", "fingerprint", hexOf([]uint64{old.Request}), "parts", hexOf(old.Parts), "accounts", hexOf(old.Accounts), "expired", now >= old.Until)
 		}
 	}
 	p.logged = slices.Clone(current)
@@ -180,7 +180,7 @@
 
 // sameQuarantine reports whether two quarantines refuse the same requests.
 func sameQuarantine(a, b quarantiner.Quarantine) bool {
-	return slices.Equal(a.Parts, b.Parts) && slices.Equal(a.Accounts, b.Accounts)
+	return a.Request == b.Request && slices.Equal(a.Parts, b.Parts) && slices.Equal(a.Accounts, b.Accounts)
 }
 
 // hexOf formats hashes for the log.
--- a/runner/quarantine_spread_test.go
+++ b/runner/quarantine_spread_test.go
@@ -9,7 +9,6 @@
 
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
-	"cowsliphinge/quarantiner"
 )
 
 // crashUnder makes hosts see one crash each under the same prompt part, a quarter of a second
@@ -18,13 +17,13 @@
 	for i, h := range hosts {
 		f.sleep(250)
 		s := chooser.Server{ID: fmt.Sprint("i-", part, i), StartedAt: 1}
-		h.quarantine.Crashed(s, quarantiner.NewRequest("one", []string{part, fmt.Sprint("own", i)}))
+		h.quarantine.Crashed(s, promptOf("one", part, fmt.Sprint("own", i)))
 	}
 	return f.clock.Now()
 }
 
 func refusesPart(part string) func(*fleetHost) bool {
-	r := quarantiner.NewRequest("one", []string{part, "x"})
+	r := promptOf("one", part, "x")
 	return func(h *fleetHost) bool { return h.quarantine.Refused(r) > 0 }
 }
 
@@ -46,7 +45,7 @@
 				took = f.await(back, scale.bound, refusesPart("deadly"))
 				t.Logf("a host that was cut off refuses it %d ms after its return", took)
 				assert.Assert(t, took < scale.bound)
-				f.hosts[4].quarantine.Answered(chooser.Server{ID: "i"}, quarantiner.NewRequest("one", []string{"deadly", "y"}), true)
+				f.hosts[4].quarantine.Answered(chooser.Server{ID: "i"}, promptOf("one", "deadly", "y"), true)
 				ended := f.clock.Now()
 				took = f.await(ended, scale.bound, func(h *fleetHost) bool { return !refusesPart("deadly")(h) })
 				t.Logf("all hosts allow it again %d ms after an answer", took)
--- a/runner/quarantine_test.go
+++ b/runner/quarantine_test.go
@@ -14,6 +14,11 @@
 	"cowsliphinge/quarantiner"
 )
 
+// promptOf returns a request of an account whose prompt has the parts; its body is the last one.
+func promptOf(account string, parts ...string) quarantiner.Request {
+	return quarantiner.NewRequest(account, quarantiner.Content{Method: "POST", Target: "/x", Body: []byte(parts[len(parts)-1])}, parts)
+}
+
 // evidenceBytes returns the size of the evidence in a heartbeat.
 func evidenceBytes(p *promptQuarantine) int {
 	beat := &messenger.Beat{}
@@ -28,7 +33,7 @@
 	assert.Equal(t, evidenceBytes(p), 0)
 	for i := range 6 {
 		clock.Advance(clocker.Second)
-		p.Crashed(chooser.Server{ID: fmt.Sprint("i-", i)}, quarantiner.NewRequest("one", []string{"a", "deadly", fmt.Sprint(i)}))
+		p.Crashed(chooser.Server{ID: fmt.Sprint("i-", i)}, promptOf("one", "a", "deadly", fmt.Sprint(i)))
 	}
 	clock.Advance(clocker.Minute)
 	settled := evidenceBytes(p)
@@ -37,7 +42,7 @@
 	for i := range 100 {
 		for j := range 50 {
 			parts := []string{"b", "c", "d", "e", "f", fmt.Sprint("p", i, j), fmt.Sprint("own", i, j)}
-			p.Crashed(chooser.Server{ID: fmt.Sprint("other-", i)}, quarantiner.NewRequest("one", parts))
+			p.Crashed(chooser.Server{ID: fmt.Sprint("other-", i)}, promptOf("one", parts...))
 		}
 	}
 	worst := evidenceBytes(p)
@@ -56,7 +61,7 @@
 		crashes = append(crashes, &messenger.ServerCrash{}, &messenger.ServerCrash{Server: uint64(i), AgeMs: -1 << 62, Requests: []*messenger.SuspectRequest{{}}},
 			&messenger.ServerCrash{Server: uint64(i), AgeMs: 1 << 62, Requests: []*messenger.SuspectRequest{{Parts: []uint64{1}}}})
 	}
-	p.applyBeat(&messenger.Beat{Crashes: crashes, ClearedParts: []*messenger.ClearedPart{{}, {AgeMs: -5}, {AgeMs: 1 << 62}}})
+	p.applyBeat(&messenger.Beat{Crashes: crashes, Cleared: []*messenger.ClearedSuspect{{}, {AgeMs: -5}, {AgeMs: 1 << 62}}})
 	assert.Equal(t, p.Refused(quarantiner.Request{Parts: []uint64{1}}), clocker.Millis(0))
 	assert.Equal(t, p.Refused(quarantiner.Request{}), clocker.Millis(0))
 }
