BUDGET: a host that knows a suspect to be sound tells the hosts that hold it

Cause: a host that had just had the part answered dropped it from the evidence that it was sent, and told nothing, since it held nothing against it. Ruled out: lost heartbeats, the other evidence of the same beats arrived.

Change: what is dropped as sound is reported as cleared for 15 s, counted from the report and not from the answer, which may be a minute old.

TestHostThatHadARequestAnsweredTellsTheOthers failed before, for a request and for a part.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -142,7 +142,7 @@
 	unframed      []unframedAnswer
 	// cleared is what turned out to be sound while a crash was held against it, for other
 	// hosts.
-	cleared []Cleared
+	cleared []clearedReport
 	// quarantines follow from the evidence. They are computed again if stale is true.
 	quarantines []Quarantine
 	stale       bool
@@ -411,9 +411,15 @@
 
 // has reports whether it was known to be sound shortly before at, or later.
 func (s *soundSet) has(hash uint64, at clocker.Millis) bool {
+	last, known := s.last(hash)
+	return known && at-last <= s.lifetime
+}
+
+// last returns when it was last known to be sound, and false if it is not known.
+func (s *soundSet) last(hash uint64) (clocker.Millis, bool) {
 	last, known := s.newer[hash]
 	if !known {
 		last, known = s.older[hash]
 	}
-	return known && at-last <= s.lifetime
+	return last, known
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -188,6 +188,34 @@
 	assert.Assert(t, !refused(other, request("common"), clocker.Minute))
 }
 
+// A host refused a request that others had just had answered, for ten minutes: they dropped its evidence
+// as that of a sound request and told it nothing.
+func TestHostThatHadARequestAnsweredTellsTheOthers(t *testing.T) {
+	for name, sound := range map[string]Request{"the request": request("same", "rare"), "a part": request("other", "rare")} {
+		t.Run(name, func(t *testing.T) {
+			q, other := New(), New()
+			other.Answered(sound, 0)
+			now := clocker.Millis(1)
+			for i := range 3 {
+				for j := range 2 {
+					own := fmt.Sprint("own", j)
+					if name == "the request" {
+						own = "same"
+					}
+					q.Crashed(ServerHash("i", clocker.Millis(2*i+j)), request(own, "rare"), now)
+					now += 100
+				}
+			}
+			assert.Assert(t, refused(q, request("same", "rare"), now))
+			reports, _ := q.Report(now)
+			other.Merge(reports, nil, now)
+			_, cleared := other.Report(now)
+			q.Merge(nil, cleared, now)
+			assert.Assert(t, !refused(q, request("same", "rare"), now))
+		})
+	}
+}
+
 // What another host heard of an answer long ago, and repeats, does not clear a request that has
 // crashed servers since.
 func TestOldAnswerDoesNotClearLaterCrashes(t *testing.T) {
--- a/quarantiner/report.go
+++ b/quarantiner/report.go
@@ -38,8 +38,12 @@
 			crashes = append(crashes, c)
 		}
 	}
-	q.cleared = slices.DeleteFunc(q.cleared, func(c Cleared) bool { return now-c.At > reportPeriod })
-	return crashes, slices.Clone(q.cleared)
+	q.expireCleared(now)
+	cleared := make([]Cleared, 0, len(q.cleared))
+	for _, c := range q.cleared {
+		cleared = append(cleared, c.Cleared)
+	}
+	return crashes, cleared
 }
 
 // Held returns the crashes that led to the quarantines in force.
@@ -64,6 +68,7 @@
 	}
 	added := false
 	for _, c := range crashes {
+		q.reportSound(c, now)
 		if q.addCrash(c, now) && now-c.At < compactAfter {
 			added = true
 		}
@@ -71,13 +76,46 @@
 	return added
 }
 
+// clearedReport is a Cleared and since when other hosts are told of it.
+type clearedReport struct {
+	Cleared
+	since clocker.Millis
+}
+
+// reportSound tells other hosts of what is known here to be sound in a crash that one of them reports.
+func (q *Quarantiner) reportSound(c Crash, now clocker.Millis) {
+	for _, r := range c.Requests {
+		if q.soundRequests.has(r.ID, c.At) {
+			at, _ := q.soundRequests.last(r.ID)
+			q.reportCleared(r.ID, at, now)
+		}
+		for _, p := range r.Parts {
+			if q.soundParts.has(p, c.At) {
+				at, _ := q.soundParts.last(p)
+				q.reportCleared(p, at, now)
+			}
+		}
+	}
+}
+
+// reportCleared tells other hosts of a request or part for reportPeriod, unless they are being told of
+// the same answer or a later one.
 func (q *Quarantiner) reportCleared(hash uint64, at, now clocker.Millis) {
-	q.cleared = slices.DeleteFunc(q.cleared, func(c Cleared) bool { return c.Hash == hash || now-c.At > reportPeriod })
-	if len(q.cleared) < maxReports {
-		q.cleared = append(q.cleared, Cleared{Hash: hash, At: at})
+	q.expireCleared(now)
+	i := slices.IndexFunc(q.cleared, func(c clearedReport) bool { return c.Hash == hash })
+	switch {
+	case i >= 0 && q.cleared[i].At >= at:
+	case i >= 0:
+		q.cleared[i] = clearedReport{Cleared: Cleared{Hash: hash, At: at}, since: now}
+	case len(q.cleared) < maxReports:
+		q.cleared = append(q.cleared, clearedReport{Cleared: Cleared{Hash: hash, At: at}, since: now})
 	}
 }
 
+func (q *Quarantiner) expireCleared(now clocker.Millis) {
+	q.cleared = slices.DeleteFunc(q.cleared, func(c clearedReport) bool { return now-c.since > reportPeriod })
+}
+
 // compact drops evidence that quarantines don't need any more.
 func (q *Quarantiner) compact(now clocker.Millis) {
 	for _, held := range q.Quarantines(now) {
