BUDGET: evidence below a quarantine outlives the hosts, and the sides of a cut share it

What could be seen: after the death of all hosts a request that had crashed two servers begins anew, and each further death repeats that; hosts on two sides of a cut count apart, and the first host of one side writes over what the other wrote.

Cause: the store held only what had led to a quarantine, and a write replaced the record.

Change: what was on two crashed servers or more is kept, added to what is there; a host that has not heard of a peer for less than two minutes reads the record each second. A single crash is not written. Calls: none while servers don't crash under the same request and no host is silent.

--- a/quarantiner/report.go
+++ b/quarantiner/report.go
@@ -46,12 +46,22 @@
 	return crashes, cleared
 }
 
-// Held returns the crashes that led to the quarantines in force.
+// Held returns the crashes that led to the quarantines in force, and those under requests and parts
+// that were on another crashed server too: hosts that start after the death of all others would
+// count them anew.
 func (q *Quarantiner) Held(now clocker.Millis) []Crash {
-	blamed := blamedHashes(q.Quarantines(now))
+	recurring := blamedHashes(q.Quarantines(now))
+	for _, s := range collectSuspects(q.crashes) {
+		if len(s.crashes) > 1 {
+			recurring[s.hash] = true
+		}
+	}
 	var crashes []Crash
 	for _, c := range q.crashes {
-		if c.hasAny(blamed) {
+		if c.hasAny(recurring) {
+			c.Requests = slices.DeleteFunc(slices.Clone(c.Requests), func(r Request) bool {
+				return !Crash{Requests: []Request{r}}.hasAny(recurring)
+			})
 			crashes = append(crashes, c)
 		}
 	}
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -142,7 +142,7 @@
 	}
 	h.Runner = &Runner{cfg: cfg, incarnation: name + "-1-1"}
 	h.backends = newBackendPool(cfg, nil, nil)
-	h.quarantine = newPromptQuarantine(cfg)
+	h.quarantine = newQuarantine(cfg)
 	f.byAddress[cfg.Settings.ExchangeAddress] = h
 	return h
 }
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -20,9 +20,9 @@
 	endedQuarantines = metrics.NewCounter(`cowsliphinge_quarantine_changes_total{change="ended"}`)
 )
 
-// promptQuarantine is a concurrency-safe wrapper around a Quarantiner. It exchanges the evidence
+// quarantine is a concurrency-safe wrapper around a Quarantiner. It exchanges the evidence
 // with other hosts in heartbeats.
-type promptQuarantine struct {
+type quarantine struct {
 	clock *clocker.Clock
 	log   *slog.Logger
 
@@ -32,26 +32,25 @@
 	quarantiner *quarantiner.Quarantiner
 	// logged are the quarantines in force when they were last logged.
 	logged []quarantiner.Quarantine
-	// changes counts the changes of the quarantines, and savedChanges those that this host read
-	// from the store or wrote to it.
-	changes, savedChanges int
+	// saved is the hash of the evidence that this host read from the store or wrote to it.
+	saved uint64
 	// loaded is true once the store was read, or loadDeadline has passed.
 	loaded       bool
 	loadDeadline clocker.Millis
 }
 
-func newPromptQuarantine(cfg Config) *promptQuarantine {
-	return &promptQuarantine{clock: cfg.Clock, log: cfg.Log, quarantiner: quarantiner.New(), loadDeadline: cfg.Clock.Now() + quarantineLoadTimeout}
+func newQuarantine(cfg Config) *quarantine {
+	return &quarantine{clock: cfg.Clock, log: cfg.Log, quarantiner: quarantiner.New(), loadDeadline: cfg.Clock.Now() + quarantineLoadTimeout}
 }
 
-func (p *promptQuarantine) setAnnounce(announce func()) {
+func (p *quarantine) setAnnounce(announce func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announce = announce
 }
 
 // Refused implements relayer.Quarantine.
-func (p *promptQuarantine) Refused(r quarantiner.Request) clocker.Millis {
+func (p *quarantine) Refused(r quarantiner.Request) clocker.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -67,7 +66,7 @@
 }
 
 // Answered implements relayer.Quarantine.
-func (p *promptQuarantine) Answered(s chooser.Server, r quarantiner.Request, framed bool) {
+func (p *quarantine) Answered(s chooser.Server, r quarantiner.Request, framed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -80,7 +79,7 @@
 }
 
 // Crashed implements relayer.Quarantine.
-func (p *promptQuarantine) Crashed(s chooser.Server, r quarantiner.Request) {
+func (p *quarantine) Crashed(s chooser.Server, r quarantiner.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -94,14 +93,14 @@
 }
 
 // announceNews makes the next heartbeats come early. The caller holds mu.
-func (p *promptQuarantine) announceNews() {
+func (p *quarantine) announceNews() {
 	if p.announce != nil {
 		p.announce()
 	}
 }
 
 // addToBeat adds the evidence to a heartbeat of this host.
-func (p *promptQuarantine) addToBeat(beat *messenger.Beat) {
+func (p *quarantine) addToBeat(beat *messenger.Beat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -114,7 +113,7 @@
 }
 
 // applyBeat applies the evidence in a heartbeat of another host.
-func (p *promptQuarantine) applyBeat(beat *messenger.Beat) {
+func (p *quarantine) applyBeat(beat *messenger.Beat) {
 	if len(beat.Crashes) == 0 && len(beat.Cleared) == 0 {
 		return
 	}
@@ -156,7 +155,7 @@
 }
 
 // logChanges logs the quarantines that began or ended since the last call. The caller holds mu.
-func (p *promptQuarantine) logChanges(now clocker.Millis) {
+func (p *quarantine) logChanges(now clocker.Millis) {
 	current := p.quarantiner.Quarantines(now)
 	if slices.EqualFunc(current, p.logged, sameQuarantine) {
 		return
@@ -175,7 +174,6 @@
 		}
 	}
 	p.logged = slices.Clone(current)
-	p.changes++
 }
 
 // sameQuarantine reports whether two quarantines refuse the same requests.
--- a/runner/quarantine_store.go
+++ b/runner/quarantine_store.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
 	"cowsliphinge/messenger"
+	"cowsliphinge/quarantiner"
 	"cowsliphinge/storer"
 	"cowsliphinge/versioner"
 )
@@ -20,17 +25,24 @@
 	quarantineLoadTimeout   = 2 * clocker.Second
 	// quarantineSaveInterval is the interval of the checks whether to write it, in milliseconds.
 	quarantineSaveInterval = 300 * clocker.Millis(1)
+	// quarantineReadInterval is the interval at which a host reads it that does not hear of others
+	// which may serve on the other side of a cut, in milliseconds.
+	quarantineReadInterval = clocker.Second
+	// silentPeerPeriod is how long a silent host counts as one that may be cut off, in
+	// milliseconds.
+	silentPeerPeriod = 2 * clocker.Minute
 )
 
-// keepQuarantine reads the quarantines from the store, for a host that starts after the death of
-// all others, and writes them when they change. The first of the live hosts writes for all.
+// keepQuarantine reads the evidence from the store, for a host that starts after the death of all
+// others, and writes it when it changes. The first of the live hosts writes for all, so the sides of a
+// cut learn from each other through the store.
 func (r *Runner) keepQuarantine(ctx context.Context) {
 	for !r.loadQuarantine(ctx) {
 		if r.cfg.Clock.Sleep(ctx, quarantineRetryInterval) != nil {
 			return
 		}
 	}
-	era := r.storeEra()
+	era, readAt := r.storeEra(), r.cfg.Clock.Now()
 	for r.cfg.Clock.Sleep(ctx, quarantineSaveInterval) == nil {
 		if current := r.storeEra(); current != era {
 			era = current
@@ -39,6 +51,10 @@
 		if r.quarantine.unsaved() && r.isFirstHost() {
 			r.saveQuarantine(ctx)
 		}
+		if now := r.cfg.Clock.Now(); now-readAt >= quarantineReadInterval && r.hasSilentPeers() {
+			readAt = now
+			r.loadQuarantine(ctx)
+		}
 	}
 }
 
@@ -47,84 +63,128 @@
 	return r.fleetPosition() == 0
 }
 
-func (r *Runner) loadQuarantine(ctx context.Context) bool {
+// hasSilentPeers reports whether a host fell silent lately that may still serve: hosts that are dead
+// for longer no longer count.
+func (r *Runner) hasSilentPeers() bool {
+	now := r.cfg.Clock.Now()
+	return slices.ContainsFunc(r.heartbeater.Peers(), func(p heartbeater.Peer) bool {
+		return p.Suspect && now-p.LastHeard < silentPeerPeriod
+	})
+}
+
+// readQuarantine returns the version and the content of the record in the store; both are zero if there
+// is none, or if it can't be decoded.
+func (r *Runner) readQuarantine(ctx context.Context) (int64, *messenger.QuarantineRecord, error) {
+	record := &messenger.QuarantineRecord{}
 	o, err := r.cfg.Platform.Store.Get(ctx, quarantineKey)
-	if err != nil && !storer.IsErrNotFound(err) {
-		r.cfg.Log.Warn("quarantined prompt parts can't be read from the store", "cause", err.Error())
-		return false
+	if storer.IsErrNotFound(err) {
+		return 0, record, nil
+	}
+	if err != nil {
+		r.cfg.Log.Warn("evidence of crashes can't be read from the store", "cause", err.Error())
+		return 0, nil, err
 	}
-	record := &messenger.QuarantineRecord{}
 	if err := proto.Unmarshal(o.Value, record); err != nil {
-		r.cfg.Log.Error("record of quarantined prompt parts is not usable", versioner.Attr(o.Version), "cause", err.Error())
+		r.cfg.Log.Error("record of crashes is not usable", versioner.Attr(o.Version), "cause", err.Error())
+	}
+	return o.Version, record, nil
+}
+
+func (r *Runner) loadQuarantine(ctx context.Context) bool {
+	_, record, err := r.readQuarantine(ctx)
+	if err != nil {
+		return false
 	}
 	r.quarantine.load(record)
 	return true
 }
 
-// saveQuarantine writes the crashes under the parts in quarantine. A failed write is repeated after
-// the next check.
+// saveQuarantine adds the evidence of this host to the record in the store. A failed write is repeated
+// after the next check.
 func (r *Runner) saveQuarantine(ctx context.Context) {
-	existing, err := r.cfg.Platform.Store.Get(ctx, quarantineKey)
-	if err != nil && !storer.IsErrNotFound(err) {
-		r.cfg.Log.Warn("quarantined prompt parts can't be read from the store", "cause", err.Error())
+	version, existing, err := r.readQuarantine(ctx)
+	if err != nil {
 		return
 	}
-	value, changes, err := r.quarantine.record()
+	r.quarantine.load(existing)
+	value, evidence, err := r.quarantine.record()
 	if err != nil {
-		r.cfg.Log.Error("quarantined prompt parts can't be encoded", "cause", err.Error())
+		r.cfg.Log.Error("evidence of crashes can't be encoded", "cause", err.Error())
 		return
 	}
-	if existing.Version == 0 {
+	if version == 0 {
 		_, err = r.cfg.Platform.Store.Create(ctx, quarantineKey, value)
 	} else {
-		_, err = r.cfg.Platform.Store.Update(ctx, quarantineKey, existing.Version, value)
+		_, err = r.cfg.Platform.Store.Update(ctx, quarantineKey, version, value)
 	}
 	if err != nil {
-		r.cfg.Log.Warn("quarantined prompt parts can't be written to the store", "cause", err.Error())
+		r.cfg.Log.Warn("evidence of crashes can't be written to the store", "cause", err.Error())
 		return
 	}
-	r.quarantine.markSaved(changes)
-	r.cfg.Log.Info("quarantined prompt parts written to the store", "bytes", len(value))
+	r.quarantine.markSaved(evidence)
+	r.cfg.Log.Info("evidence of crashes written to the store", "bytes", len(value))
 }
 
 // load applies the store's record.
-func (p *promptQuarantine) load(record *messenger.QuarantineRecord) {
+func (p *quarantine) load(record *messenger.QuarantineRecord) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	p.quarantiner.Merge(decodeCrashes(record.Crashes, now), nil, now)
+	first := !p.loaded
 	p.loaded = true
+	if p.quarantiner.Merge(decodeCrashes(record.Crashes, now), nil, now) {
+		p.announceNews()
+	}
 	p.logChanges(now)
-	p.savedChanges = p.changes
+	if first {
+		p.saved = evidenceHash(p.quarantiner.Held(now))
+	}
 }
 
-// unsaved reports whether the quarantines have changed since this host read or wrote them. The
-// host that wrote a change for all may be dead when this one becomes the first.
-func (p *promptQuarantine) unsaved() bool {
+// unsaved reports whether the evidence to keep has changed since this host read or wrote it. The host
+// that wrote a change for all may be dead when this one becomes the first.
+func (p *quarantine) unsaved() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.logChanges(p.clock.Now())
-	return p.changes != p.savedChanges
+	now := p.clock.Now()
+	p.logChanges(now)
+	return evidenceHash(p.quarantiner.Held(now)) != p.saved
 }
 
-// record returns the encoded QuarantineRecord and the number of changes that it includes.
-func (p *promptQuarantine) record() ([]byte, int, error) {
+// record returns the encoded QuarantineRecord and the hash of its evidence.
+func (p *quarantine) record() ([]byte, uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	value, err := proto.Marshal(&messenger.QuarantineRecord{Crashes: encodeCrashes(p.quarantiner.Held(now), now)})
-	return value, p.changes, err
+	held := p.quarantiner.Held(now)
+	value, err := proto.Marshal(&messenger.QuarantineRecord{Crashes: encodeCrashes(held, now)})
+	return value, evidenceHash(held), err
+}
+
+// evidenceHash returns a number that is equal for equal evidence and 0 for none.
+func evidenceHash(crashes []quarantiner.Crash) uint64 {
+	sum := uint64(0)
+	for _, c := range crashes {
+		for _, r := range c.Requests {
+			h := xxhash.New()
+			for _, field := range append([]uint64{c.Server, r.ID}, r.Parts...) {
+				_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, field)) // never fails
+			}
+			sum += h.Sum64() // the order of requests differs between hosts
+		}
+	}
+	return sum
 }
 
 // markUnsaved makes the first host write the record again: the store came back from a copy.
-func (p *promptQuarantine) markUnsaved() {
+func (p *quarantine) markUnsaved() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.changes++
+	p.saved = 0
 }
 
-func (p *promptQuarantine) markSaved(changes int) {
+func (p *quarantine) markSaved(evidence uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.savedChanges = changes
+	p.saved = evidence
 }
--- a/runner/quarantine_test.go
+++ b/runner/quarantine_test.go
@@ -20,7 +20,7 @@
 }
 
 // evidenceBytes returns the size of the evidence in a heartbeat.
-func evidenceBytes(p *promptQuarantine) int {
+func evidenceBytes(p *quarantine) int {
 	beat := &messenger.Beat{}
 	p.addToBeat(beat)
 	return proto.Size(beat)
@@ -29,7 +29,7 @@
 // Evidence of many crashes could fill the links of small hosts: each heartbeat repeats it.
 func TestEvidenceInHeartbeatsIsBounded(t *testing.T) {
 	clock := clocker.NewManual(clocker.Hour)
-	p := newPromptQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	p := newQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
 	assert.Equal(t, evidenceBytes(p), 0)
 	for i := range 6 {
 		clock.Advance(clocker.Second)
@@ -54,7 +54,7 @@
 // anything.
 func TestMalformedEvidenceIsHarmless(t *testing.T) {
 	clock := clocker.NewManual(clocker.Hour)
-	p := newPromptQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	p := newQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
 	p.load(&messenger.QuarantineRecord{})
 	var crashes []*messenger.ServerCrash
 	for i := range 10 {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -87,7 +87,7 @@
 	heartbeater   *heartbeater.Heartbeater
 	reserver      atomic.Pointer[reserver.Reserver]
 	backends      *backendPool
-	quarantine    *promptQuarantine
+	quarantine    *quarantine
 	carrier       *carrier.Carrier
 	relayer       atomic.Pointer[relayer.Relayer]
 	storeHealth   *watcher.StoreHealth
@@ -119,7 +119,7 @@
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
 	r.backends = newBackendPool(cfg, r.cacheTokens, r.fleetSize)
-	r.quarantine = newPromptQuarantine(cfg)
+	r.quarantine = newQuarantine(cfg)
 	r.startMembership(ctx)
 	r.group.Go(func() error {
 		r.keepQuarantine(ctx)
