withholder: the quarantine of a host in a package of its own

The runner alone could use it; serve needs it for the same matter. Moved from package runner with its tests; the store, the peers and the early heartbeats come by the configuration. quarantiner.Server is the incarnation of a backend server, so that both request paths can name one. No decision is changed; the tests of quarantiner, withholder, runner and relayer pass.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -114,13 +114,19 @@
 	Until    clocker.Millis
 }
 
-// ServerHash returns the identity of one incarnation of a backend server.
-func ServerHash(id string, startedAt clocker.Millis) uint64 {
+// Server is one incarnation of a backend server.
+type Server struct {
+	ID        string
+	StartedAt clocker.Millis
+}
+
+// Hash returns the identity of the incarnation.
+func (s Server) Hash() uint64 {
 	h := xxhash.New()
-	_, _ = h.WriteString(id) // never fails
+	_, _ = h.WriteString(s.ID) // never fails
 	b := [8]byte{}
 	for i := range b {
-		b[i] = byte(startedAt >> (8 * i))
+		b[i] = byte(s.StartedAt >> (8 * i))
 	}
 	_, _ = h.Write(b[:])
 	return h.Sum64()
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -24,12 +24,16 @@
 // crashes records crashes of n servers, a second apart from start on, each on another request.
 func crashes(q *Quarantiner, start clocker.Millis, n int, parts ...string) clocker.Millis {
 	for i := range n {
-		q.Crashed(ServerHash(fmt.Sprint("i-", start, "-", i), 1), request(fmt.Sprint("own", start, i), parts...), start)
+		q.Crashed(serverHash(fmt.Sprint("i-", start, "-", i), 1), request(fmt.Sprint("own", start, i), parts...), start)
 		start += clocker.Second
 	}
 	return start
 }
 
+func serverHash(id string, startedAt clocker.Millis) uint64 {
+	return Server{ID: id, StartedAt: startedAt}.Hash()
+}
+
 func refused(q *Quarantiner, r Request, now clocker.Millis) bool {
 	_, held := q.Refused(r, now)
 	return held
@@ -38,7 +42,7 @@
 func ExampleQuarantiner() {
 	q := New()
 	for i := range 3 {
-		server := ServerHash(fmt.Sprint("server", i), 0)
+		server := serverHash(fmt.Sprint("server", i), 0)
 		r := requestOf("masons", "common", "deadly", fmt.Sprint("question", i))
 		q.Crashed(server, r, clocker.Millis(i)*clocker.Second)
 	}
@@ -67,7 +71,7 @@
 	q := New()
 	now := clocker.Second
 	for i := range 4 {
-		server := ServerHash(fmt.Sprint("i-", i), 1)
+		server := serverHash(fmt.Sprint("i-", i), 1)
 		q.Crashed(server, request(fmt.Sprint("d", i), "deadly"), now)
 		if i > 0 {
 			q.Crashed(server, request(fmt.Sprint("v", i), "victim"), now)
@@ -92,7 +96,7 @@
 	answered.Answered(request("y", "rare"), now)
 	assert.Assert(t, refused(answered, request("x", "deadly", "other"), now))
 
-	q.Crashed(ServerHash("next", 1), request("z", "deadly", "other"), now)
+	q.Crashed(serverHash("next", 1), request("z", "deadly", "other"), now)
 	assert.Assert(t, refused(q, request("x", "deadly"), now))
 	assert.Assert(t, !refused(q, request("x", "rare"), now))
 	assert.Assert(t, !refused(q, request("x", "other"), now))
@@ -104,7 +108,7 @@
 	q := New()
 	now := clocker.Second
 	for i := range 3 {
-		server := ServerHash(fmt.Sprint("i-", i), 1)
+		server := serverHash(fmt.Sprint("i-", i), 1)
 		q.Crashed(server, request(fmt.Sprint("d", i), "deadly"), now)
 		q.Crashed(server, request(fmt.Sprint("v", i), "victim"), now)
 		now += clocker.Second
@@ -131,7 +135,7 @@
 func TestPartThatCrashesServersOfTwoAccountsIsRefusedForAll(t *testing.T) {
 	q := New()
 	now := crashes(q, clocker.Second, 2, "deadly")
-	q.Crashed(ServerHash("i-3", 1), requestOf("two", "deadly", "z"), now)
+	q.Crashed(serverHash("i-3", 1), requestOf("two", "deadly", "z"), now)
 	assert.Assert(t, refused(q, requestOf("three", "deadly", "x"), now))
 }
 
@@ -141,7 +145,7 @@
 	q := New()
 	for i := range 3 {
 		assert.Assert(t, !refused(q, request("same", "rare"), clocker.Millis(i)*clocker.Second))
-		q.Crashed(ServerHash("i", clocker.Millis(i)), request("same", "rare"), clocker.Millis(i)*clocker.Second)
+		q.Crashed(serverHash("i", clocker.Millis(i)), request("same", "rare"), clocker.Millis(i)*clocker.Second)
 	}
 	now := 3 * clocker.Second
 	assert.Assert(t, refused(q, request("same", "rare"), now))
@@ -158,7 +162,7 @@
 	}
 	q := New()
 	for i := range 3 {
-		server := ServerHash("i", clocker.Millis(i))
+		server := serverHash("i", clocker.Millis(i))
 		q.Crashed(server, order("one", "/a", "deadly"), clocker.Millis(i)*clocker.Second)
 		q.Crashed(server, order("one", "/a", fmt.Sprint("beside", i)), clocker.Millis(i)*clocker.Second)
 	}
@@ -175,11 +179,11 @@
 	q, other := New(), New()
 	for i := range 5 {
 		at := clocker.Millis(i) * 10 * clocker.Second
-		q.Crashed(ServerHash("i", clocker.Millis(i)), request("common"), at)
+		q.Crashed(serverHash("i", clocker.Millis(i)), request("common"), at)
 		reports, _ := q.Report(at)
 		other.Merge(reports, nil, at)
 		q.Answered(request("common"), at+clocker.Second)
-		q.Crashed(ServerHash("j", clocker.Millis(i)), request("common"), at+clocker.Second+soundRequestFor)
+		q.Crashed(serverHash("j", clocker.Millis(i)), request("common"), at+clocker.Second+soundRequestFor)
 		q.Answered(request("common"), at+5*clocker.Second)
 		reports, cleared := q.Report(at + 5*clocker.Second)
 		other.Merge(reports, cleared, at+5*clocker.Second)
@@ -202,7 +206,7 @@
 					if name == "the request" {
 						own = "same"
 					}
-					q.Crashed(ServerHash("i", clocker.Millis(2*i+j)), request(own, "rare"), now)
+					q.Crashed(serverHash("i", clocker.Millis(2*i+j)), request(own, "rare"), now)
 					now += 100
 				}
 			}
@@ -223,7 +227,7 @@
 	cleared := []Cleared{{Hash: request("same").ID, At: 0}}
 	for i := range 3 {
 		at := clocker.Minute + clocker.Millis(i)*clocker.Second
-		q.Crashed(ServerHash("i", clocker.Millis(i)), request("same"), at)
+		q.Crashed(serverHash("i", clocker.Millis(i)), request("same"), at)
 		q.Merge(nil, cleared, at)
 	}
 	assert.Assert(t, refused(q, request("same"), 2*clocker.Minute))
@@ -232,7 +236,7 @@
 // One request that comes in bursts crashes servers at the same moments.
 func TestRequestThatCrashesServersInBurstsIsRefused(t *testing.T) {
 	q := New()
-	crash := func(server string, at clocker.Millis) { q.Crashed(ServerHash(server, 1), request("same"), at) }
+	crash := func(server string, at clocker.Millis) { q.Crashed(serverHash(server, 1), request("same"), at) }
 	for _, server := range []string{"a", "b", "c", "d"} {
 		crash(server, clocker.Second)
 	}
@@ -247,7 +251,7 @@
 	now := clocker.Second
 	for i := range 3 {
 		for _, own := range []string{"deadly1", "deadly2"} {
-			server := ServerHash(own, clocker.Millis(i))
+			server := serverHash(own, clocker.Millis(i))
 			q.Crashed(server, request(own, "subject"), now)
 			q.Crashed(server, request(fmt.Sprint("beside", i, own), "common"), now)
 			now += clocker.Second
@@ -265,7 +269,7 @@
 	for _, own := range []string{"deadly", "d2", "d3", "d4"} { // ties were broken by hashes
 		q := New()
 		for i := range 3 {
-			server, at := ServerHash("i", clocker.Millis(i)), clocker.Millis(i)*clocker.Second
+			server, at := serverHash("i", clocker.Millis(i)), clocker.Millis(i)*clocker.Second
 			deadly := request(own)
 			deadly.Begun = true
 			q.Crashed(server, request("victim"+own), at)
@@ -281,7 +285,7 @@
 	for _, begun := range []bool{true, false} {
 		q := New()
 		for i := range 3 {
-			server, at := ServerHash("i", clocker.Millis(i)), clocker.Millis(i)*clocker.Second
+			server, at := serverHash("i", clocker.Millis(i)), clocker.Millis(i)*clocker.Second
 			for j := range 100 {
 				if j == 80 || !begun && i == 0 && j == 5 { // without the mark it is among the first ones once
 					deadly := request("deadly", "subject")
@@ -301,7 +305,7 @@
 func TestServersThatEndTogetherBlameNobody(t *testing.T) {
 	q := New()
 	for i := range 30 {
-		q.Crashed(ServerHash(fmt.Sprint("i-", i), 1), request(fmt.Sprint("own", i), "common"), clocker.Millis(i))
+		q.Crashed(serverHash(fmt.Sprint("i-", i), 1), request(fmt.Sprint("own", i), "common"), clocker.Millis(i))
 	}
 	assert.Assert(t, !refused(q, request("x", "common"), 40))
 }
@@ -312,7 +316,7 @@
 	now := crashes(q, clocker.Second, 3, "deadly") - clocker.Second + HoldTime
 	assert.Assert(t, refused(q, request("x", "deadly"), now-1))
 	assert.Assert(t, !refused(q, request("x", "deadly"), now))
-	q.Crashed(ServerHash("again", 1), request("y", "deadly"), now)
+	q.Crashed(serverHash("again", 1), request("y", "deadly"), now)
 	assert.Assert(t, refused(q, request("x", "deadly"), now+1))
 	assert.Assert(t, !refused(q, request("x", "deadly"), now+evidenceLifetime))
 	q.Report(now + 2*evidenceLifetime)
@@ -324,11 +328,11 @@
 func TestUnframedAnswerClearsPartsOfServersThatLiveOn(t *testing.T) {
 	q := New()
 	now := crashes(q, clocker.Second, 3, "deadly")
-	server := ServerHash("i-4", 1)
+	server := serverHash("i-4", 1)
 	q.AnsweredUnframed(server, request("x", "deadly"), now)
 	q.Crashed(server, request("beside", "other"), now+10)
 	assert.Assert(t, refused(q, request("y", "deadly"), now+2*unframedDelay))
-	q.AnsweredUnframed(ServerHash("i-5", 1), request("z", "deadly"), now+2*unframedDelay)
+	q.AnsweredUnframed(serverHash("i-5", 1), request("z", "deadly"), now+2*unframedDelay)
 	assert.Assert(t, refused(q, request("y", "deadly"), now+3*unframedDelay-1))
 	assert.Assert(t, !refused(q, request("y", "deadly"), now+3*unframedDelay))
 }
@@ -340,7 +344,7 @@
 		hosts := []*Quarantiner{New(), New(), New(), New()}
 		now := clocker.Minute
 		for i := range 4 {
-			server := ServerHash(fmt.Sprint("i-", i), 1)
+			server := serverHash(fmt.Sprint("i-", i), 1)
 			at := now + clocker.Millis(i)*clocker.Second
 			hosts[i%3].Crashed(server, request(fmt.Sprint("own", i), "rare", "deadly"), at)
 			hosts[(i+1)%3].Crashed(server, request(fmt.Sprint("victim", i), "victim", fmt.Sprint("subject", i)), at)
@@ -378,7 +382,7 @@
 	now := crashes(q, clocker.Second, 10, "deadly")
 	now += compactAfter
 	for i := range 500 {
-		server := ServerHash(fmt.Sprint("other", i), 1)
+		server := serverHash(fmt.Sprint("other", i), 1)
 		for j := range 50 {
 			q.Crashed(server, request(fmt.Sprint("o", i, j), fmt.Sprint("p", i, j), "b", "c", "d", "e", "f", "g", "h"), now+clocker.Millis(i))
 		}
@@ -403,7 +407,7 @@
 func TestCompactedEvidenceStillHolds(t *testing.T) {
 	q := New()
 	now := crashes(q, clocker.Second, 10, "rare", "deadly")
-	q.Crashed(ServerHash("z", 1), requestOf("two", "deadly", "z"), now)
+	q.Crashed(serverHash("z", 1), requestOf("two", "deadly", "z"), now)
 	now += 2 * compactAfter
 	reports, _ := q.Report(now)
 	assert.Equal(t, len(reports), compactCrashes)
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -23,9 +23,9 @@
 // noQuarantine replaces a nil Quarantine.
 type noQuarantine struct{}
 
-func (noQuarantine) Refused(quarantiner.Request) clocker.Millis         { return 0 }
-func (noQuarantine) Answered(chooser.Server, quarantiner.Request, bool) {}
-func (noQuarantine) Crashed(chooser.Server, quarantiner.Request)        {}
+func (noQuarantine) Refused(quarantiner.Request) clocker.Millis             { return 0 }
+func (noQuarantine) Answered(quarantiner.Server, quarantiner.Request, bool) {}
+func (noQuarantine) Crashed(quarantiner.Server, quarantiner.Request)        {}
 
 // quarantineRequest returns what the quarantine compares of the request.
 func (x *relayedRequest) quarantineRequest() quarantiner.Request {
@@ -56,7 +56,7 @@
 // frame nor body may be that of a server that crashed.
 func (x *relayedRequest) reportAnswer(server chooser.Server, response *carrier.Response, hasBody bool) {
 	if hasBody || response.Framed() {
-		x.cfg.Quarantine.Answered(server, x.suspect, response.Framed())
+		x.cfg.Quarantine.Answered(incarnationOf(server), x.suspect, response.Framed())
 	}
 }
 
@@ -76,10 +76,14 @@
 		x.log.setServerCrashed()
 		suspect := x.suspect
 		suspect.Begun = x.headerReceived
-		x.cfg.Quarantine.Crashed(server, suspect)
+		x.cfg.Quarantine.Crashed(incarnationOf(server), suspect)
 	}
 }
 
+func incarnationOf(s chooser.Server) quarantiner.Server {
+	return quarantiner.Server{ID: s.ID, StartedAt: s.StartedAt}
+}
+
 // connectionLost reports whether the connection ended, and not only the patience of this host.
 func connectionLost(err error) bool {
 	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -39,7 +39,7 @@
 	return 0
 }
 
-func (q *recordedQuarantine) Answered(s chooser.Server, _ quarantiner.Request, framed bool) {
+func (q *recordedQuarantine) Answered(s quarantiner.Server, _ quarantiner.Request, framed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.answered = append(q.answered, fmt.Sprint(s.ID, " ", framed))
@@ -52,7 +52,7 @@
 	return slices.Clone(q.crashed), slices.Clone(q.answered)
 }
 
-func (q *recordedQuarantine) Crashed(s chooser.Server, r quarantiner.Request) {
+func (q *recordedQuarantine) Crashed(s quarantiner.Server, r quarantiner.Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.crashed = append(q.crashed, s.ID)
@@ -272,7 +272,7 @@
 	then func()
 }
 
-func (q quarantineAfterCrash) Crashed(s chooser.Server, r quarantiner.Request) {
+func (q quarantineAfterCrash) Crashed(s quarantiner.Server, r quarantiner.Request) {
 	q.recordedQuarantine.Crashed(s, r)
 	q.then()
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -61,9 +61,9 @@
 	Refused(r quarantiner.Request) clocker.Millis
 	// Answered records a complete answer. An answer that is not framed ended with its
 	// connection.
-	Answered(s chooser.Server, r quarantiner.Request, framed bool)
+	Answered(s quarantiner.Server, r quarantiner.Request, framed bool)
 	// Crashed records that a server crashed before it had begun to answer the request.
-	Crashed(s chooser.Server, r quarantiner.Request)
+	Crashed(s quarantiner.Server, r quarantiner.Request)
 }
 
 // Config configures a Relayer.
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -149,12 +149,11 @@
 // applyBeat applies what a heartbeat of another host tells of backend servers.
 func (r *Runner) applyBeat(beat *messenger.Beat) {
 	r.backends.applyLimitsOfBeat(beat)
-	r.quarantine.applyBeat(beat)
+	r.withholder.ApplyBeat(beat)
 }
 
 func (r *Runner) startMembership(ctx context.Context) {
 	r.heartbeater = heartbeater.New(ctx, r.membershipConfig(r.exchange))
-	r.quarantine.setAnnounce(r.heartbeater.Announce)
 	r.group.Go(func() error {
 		r.announceInEachEra(ctx)
 		return nil
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -111,7 +111,6 @@
 	for _, i := range rng.Perm(len(f.hosts)) {
 		h := f.hosts[i]
 		h.heartbeater = heartbeater.New(ctx, h.membershipConfig(h))
-		h.quarantine.setAnnounce(h.heartbeater.Announce)
 		h.started.Store(true)
 		h.startWatchers(ctx)
 		f.sleep(clocker.Millis(rng.Int64N(8)))
@@ -142,7 +141,7 @@
 	}
 	h.Runner = &Runner{cfg: cfg, incarnation: name + "-1-1"}
 	h.backends = newBackendPool(cfg, nil, nil)
-	h.quarantine = newQuarantine(cfg)
+	h.withholder = h.newWithholder()
 	f.byAddress[cfg.Settings.ExchangeAddress] = h
 	return h
 }
--- a/runner/quarantine_spread_test.go
+++ b/runner/quarantine_spread_test.go
@@ -7,24 +7,29 @@
 
 	"gotest.tools/v3/assert"
 
-	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
+	"cowsliphinge/quarantiner"
 )
 
+// promptOf returns a request of an account whose prompt has the parts; its body is the last one.
+func promptOf(account string, parts ...string) quarantiner.Request {
+	return quarantiner.NewRequest(account, quarantiner.Content{Method: "POST", Target: "/x", Body: []byte(parts[len(parts)-1])}, parts)
+}
+
 // crashUnder makes hosts see one crash each under the same prompt part, a quarter of a second
 // apart, and returns when the last one was seen.
 func (f *fleet) crashUnder(hosts []*fleetHost, part string) clocker.Millis {
 	for i, h := range hosts {
 		f.sleep(250)
-		s := chooser.Server{ID: fmt.Sprint("i-", part, i), StartedAt: 1}
-		h.quarantine.Crashed(s, promptOf("one", part, fmt.Sprint("own", i)))
+		s := quarantiner.Server{ID: fmt.Sprint("i-", part, i), StartedAt: 1}
+		h.withholder.Crashed(s, promptOf("one", part, fmt.Sprint("own", i)))
 	}
 	return f.clock.Now()
 }
 
 func refusesPart(part string) func(*fleetHost) bool {
 	r := promptOf("one", part, "x")
-	return func(h *fleetHost) bool { return h.quarantine.Refused(r) > 0 }
+	return func(h *fleetHost) bool { return h.withholder.Refused(r) > 0 }
 }
 
 // A host that does not know of crashes elsewhere sends the next request with the same part. All
@@ -45,7 +50,7 @@
 				took = f.await(back, scale.bound, refusesPart("deadly"))
 				t.Logf("a host that was cut off refuses it %d ms after its return", took)
 				assert.Assert(t, took < scale.bound)
-				f.hosts[4].quarantine.Answered(chooser.Server{ID: "i"}, promptOf("one", "deadly", "y"), true)
+				f.hosts[4].withholder.Answered(quarantiner.Server{ID: "i"}, promptOf("one", "deadly", "y"), true)
 				ended := f.clock.Now()
 				took = f.await(ended, scale.bound, func(h *fleetHost) bool { return !refusesPart("deadly")(h) })
 				t.Logf("all hosts allow it again %d ms after an answer", took)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,6 +24,7 @@
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
 	"cowsliphinge/watcher"
+	"cowsliphinge/withholder"
 )
 
 const (
@@ -87,7 +88,7 @@
 	heartbeater   *heartbeater.Heartbeater
 	reserver      atomic.Pointer[reserver.Reserver]
 	backends      *backendPool
-	quarantine    *quarantine
+	withholder    *withholder.Withholder
 	carrier       *carrier.Carrier
 	relayer       atomic.Pointer[relayer.Relayer]
 	storeHealth   *watcher.StoreHealth
@@ -119,10 +120,10 @@
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
 	r.backends = newBackendPool(cfg, r.cacheTokens, r.fleetSize)
-	r.quarantine = newQuarantine(cfg)
+	r.withholder = r.newWithholder()
 	r.startMembership(ctx)
 	r.group.Go(func() error {
-		r.keepQuarantine(ctx)
+		r.withholder.Keep(ctx)
 		return nil
 	})
 	r.startWatchers(ctx)
@@ -133,6 +134,19 @@
 	return r, nil
 }
 
+// newWithholder returns the Withholder of this host. The heartbeater need not run yet.
+func (r *Runner) newWithholder() *withholder.Withholder {
+	return withholder.New(withholder.Config{
+		Clock:    r.cfg.Clock,
+		Log:      r.cfg.Log,
+		Host:     r.cfg.Settings.Host,
+		Store:    r.cfg.Platform.Store,
+		StoreEra: r.cfg.Platform.StoreEra,
+		Peers:    func() []heartbeater.Peer { return r.heartbeater.Peers() },
+		Announce: func() { r.heartbeater.Announce() },
+	})
+}
+
 // cacheTokens returns how many tokens a server of a service caches, 0 if unknown.
 func (r *Runner) cacheTokens(service string) int {
 	if t := r.table.Load(); t != nil {
@@ -210,7 +224,7 @@
 			Extra: func() float64 { return r.settings.Load().RetryExtra },
 			Hosts: func() int { return len(r.heartbeater.Peers()) + 1 },
 		}),
-		Quarantine:   r.quarantine,
+		Quarantine:   r.withholder,
 		Carrier:      r.carrier,
 		MoveCallers:  func() bool { return r.draining.Load() || r.overloaded.Load() || r.isolated.Load() },
 		StopDeadline: func() clocker.Millis { return clocker.Millis(r.stopDeadline.Load()) },
@@ -298,7 +312,7 @@
 	}
 	beat.ServersFingerprint = r.backends.currentFingerprint()
 	beat.Limits = r.backends.serverLimits()
-	r.quarantine.addToBeat(beat)
+	r.withholder.AddToBeat(beat)
 	if w := r.serverWatcher.Load(); w != nil {
 		beat.ServersRevision = w.LastRevision()
 	}
--- a/runner/quarantine_store_test.go
+++ b/withholder/record_test.go
@@ -1,4 +1,4 @@
-package runner
+package withholder
 
 import (
 	"context"
@@ -8,16 +8,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 	"cowsliphinge/quarantiner"
 	"cowsliphinge/storer"
 )
 
-// oneObjectStore holds one object; its other methods are not called.
+// oneObjectStore holds one object.
 type oneObjectStore struct {
-	Store
 	object storer.Object
 }
 
@@ -42,21 +40,20 @@
 }
 
 // quarantineHosts returns hosts that share a store and hear nothing of each other.
-func quarantineHosts(n int) (*clocker.Clock, []*Runner) {
+func quarantineHosts(n int) (*clocker.Clock, []*Withholder) {
 	clock := clocker.NewManual(clocker.Hour)
-	cfg := Config{Clock: clock, Log: slog.New(slog.DiscardHandler), Platform: Platform{Store: &oneObjectStore{}}}
-	var hosts []*Runner
+	cfg := Config{Clock: clock, Log: slog.New(slog.DiscardHandler), Store: &oneObjectStore{}}
+	var hosts []*Withholder
 	for range n {
-		r := &Runner{cfg: cfg}
-		r.quarantine = newQuarantine(cfg)
-		r.quarantine.load(&messenger.QuarantineRecord{})
-		hosts = append(hosts, r)
+		w := New(cfg)
+		w.load(&messenger.QuarantineRecord{})
+		hosts = append(hosts, w)
 	}
 	return clock, hosts
 }
 
-func (r *Runner) crash(server string, suspect quarantiner.Request) {
-	r.quarantine.Crashed(chooser.Server{ID: server}, suspect)
+func (w *Withholder) crash(server string, suspect quarantiner.Request) {
+	w.Crashed(quarantiner.Server{ID: server}, suspect)
 }
 
 // All hosts died after the second crash under a request, again and again: only quarantines were kept,
@@ -69,15 +66,15 @@
 		hosts[i].crash(fmt.Sprint("i-", i), deadly)
 		hosts[0].crash(fmt.Sprint("i-", i), deadly)
 	}
-	assert.Assert(t, hosts[0].quarantine.unsaved())
-	hosts[0].saveQuarantine(t.Context())
-	assert.Assert(t, !hosts[0].quarantine.unsaved())
+	assert.Assert(t, hosts[0].unsaved())
+	hosts[0].save(t.Context())
+	assert.Assert(t, !hosts[0].unsaved())
 	later := hosts[2]
-	assert.Assert(t, later.loadQuarantine(t.Context()))
-	assert.Equal(t, later.quarantine.Refused(deadly), clocker.Millis(0))
+	assert.Assert(t, later.readOnce(t.Context()))
+	assert.Equal(t, later.Refused(deadly), clocker.Millis(0))
 	clock.Advance(clocker.Second)
 	later.crash("i-2", deadly)
-	assert.Assert(t, later.quarantine.Refused(deadly) > 0)
+	assert.Assert(t, later.Refused(deadly) > 0)
 }
 
 // A crash that led to nothing is not written: servers crash for other reasons too.
@@ -87,7 +84,7 @@
 		clock.Advance(clocker.Second)
 		hosts[0].crash(fmt.Sprint("i-", i), promptOf("one", fmt.Sprint("own", i)))
 	}
-	assert.Assert(t, !hosts[0].quarantine.unsaved())
+	assert.Assert(t, !hosts[0].unsaved())
 }
 
 // The hosts on one side of a cut wrote over what those on the other side had written.
@@ -98,11 +95,11 @@
 			clock.Advance(clocker.Second)
 			h.crash(fmt.Sprint("i-", i, "-", j), promptOf("one", "deadly"))
 		}
-		h.saveQuarantine(t.Context())
+		h.save(t.Context())
 	}
-	assert.Assert(t, hosts[1].quarantine.Refused(promptOf("one", "deadly")) > 0)
-	for _, h := range []*Runner{hosts[0], hosts[2]} {
-		assert.Assert(t, h.loadQuarantine(t.Context()))
-		assert.Assert(t, h.quarantine.Refused(promptOf("one", "deadly")) > 0)
+	assert.Assert(t, hosts[1].Refused(promptOf("one", "deadly")) > 0)
+	for _, h := range []*Withholder{hosts[0], hosts[2]} {
+		assert.Assert(t, h.readOnce(t.Context()))
+		assert.Assert(t, h.Refused(promptOf("one", "deadly")) > 0)
 	}
 }
--- a/runner/quarantine_test.go
+++ b/withholder/withholder_test.go
@@ -1,4 +1,4 @@
-package runner
+package withholder
 
 import (
 	"fmt"
@@ -8,7 +8,6 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
-	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 	"cowsliphinge/quarantiner"
@@ -20,20 +19,20 @@
 }
 
 // evidenceBytes returns the size of the evidence in a heartbeat.
-func evidenceBytes(p *quarantine) int {
+func evidenceBytes(p *Withholder) int {
 	beat := &messenger.Beat{}
-	p.addToBeat(beat)
+	p.AddToBeat(beat)
 	return proto.Size(beat)
 }
 
 // Evidence of many crashes could fill the links of small hosts: each heartbeat repeats it.
 func TestEvidenceInHeartbeatsIsBounded(t *testing.T) {
 	clock := clocker.NewManual(clocker.Hour)
-	p := newQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	p := New(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
 	assert.Equal(t, evidenceBytes(p), 0)
 	for i := range 6 {
 		clock.Advance(clocker.Second)
-		p.Crashed(chooser.Server{ID: fmt.Sprint("i-", i)}, promptOf("one", "a", "deadly", fmt.Sprint(i)))
+		p.Crashed(quarantiner.Server{ID: fmt.Sprint("i-", i)}, promptOf("one", "a", "deadly", fmt.Sprint(i)))
 	}
 	clock.Advance(clocker.Minute)
 	settled := evidenceBytes(p)
@@ -42,7 +41,7 @@
 	for i := range 100 {
 		for j := range 50 {
 			parts := []string{"b", "c", "d", "e", "f", fmt.Sprint("p", i, j), fmt.Sprint("own", i, j)}
-			p.Crashed(chooser.Server{ID: fmt.Sprint("other-", i)}, promptOf("one", parts...))
+			p.Crashed(quarantiner.Server{ID: fmt.Sprint("other-", i)}, promptOf("one", parts...))
 		}
 	}
 	worst := evidenceBytes(p)
@@ -54,14 +53,14 @@
 // anything.
 func TestMalformedEvidenceIsHarmless(t *testing.T) {
 	clock := clocker.NewManual(clocker.Hour)
-	p := newQuarantine(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	p := New(Config{Clock: clock, Log: slog.New(slog.DiscardHandler)})
 	p.load(&messenger.QuarantineRecord{})
 	var crashes []*messenger.ServerCrash
 	for i := range 10 {
 		crashes = append(crashes, &messenger.ServerCrash{}, &messenger.ServerCrash{Server: uint64(i), AgeMs: -1 << 62, Requests: []*messenger.SuspectRequest{{}}},
 			&messenger.ServerCrash{Server: uint64(i), AgeMs: 1 << 62, Requests: []*messenger.SuspectRequest{{Parts: []uint64{1}}}})
 	}
-	p.applyBeat(&messenger.Beat{Crashes: crashes, Cleared: []*messenger.ClearedSuspect{{}, {AgeMs: -5}, {AgeMs: 1 << 62}}})
+	p.ApplyBeat(&messenger.Beat{Crashes: crashes, Cleared: []*messenger.ClearedSuspect{{}, {AgeMs: -5}, {AgeMs: 1 << 62}}})
 	assert.Equal(t, p.Refused(quarantiner.Request{Parts: []uint64{1}}), clocker.Millis(0))
 	assert.Equal(t, p.Refused(quarantiner.Request{}), clocker.Millis(0))
 }
