BUDGET: serve refuses calls that crash backend servers, its retries too

Callers of serve could crash server after server with one call: an idempotent one took four with each attempt, another one a server each time that it came.

Cause: the same as of route; serve had no evidence at all. Engines that stream are covered where no event was read before the crash.

Change: the dispatcher asks a Withholder before each attempt and reports answers and crashes; hosts share the evidence in the heartbeats that both request paths have. New code Quarantined (503), not run unless an attempt was sent. connector.IsConnectionLost is moved from the relayer.

Tests of the prompt fleet listen below the ports of outgoing connections: one failed to bind on the code before (address already in use), in TestTwoRepeatedRequestsThatCrashServersAreRefused.

--- a/cmd/deadly_prompt_test.go
+++ b/cmd/deadly_prompt_test.go
@@ -111,6 +111,7 @@
 // One request that came again and again crashed backend servers one after the other: only the parts
 // that its prompt shares with others were suspects, and those are sound.
 func TestRepeatedRequestThatCrashesServersIsRefused(t *testing.T) {
+	t.Parallel()
 	for name, r := range deadlyRequests {
 		t.Run(name, func(t *testing.T) {
 			f := newPromptFleet(t, 4, 6)
@@ -127,6 +128,7 @@
 
 // Two such requests, one seldom beside the other.
 func TestTwoRepeatedRequestsThatCrashServersAreRefused(t *testing.T) {
+	t.Parallel()
 	f := newPromptFleet(t, 4, 6)
 	load := promptLoad{fleet: f, every: 10, everyDeadly: 200, repeated: deadlyRequests["prompt"], again: deadlyRequests["plain call"]}
 	load.run(6 * clocker.Second)
@@ -135,6 +137,7 @@
 
 // Hosts that started after the death of all others knew nothing of the request.
 func TestRepeatedRequestStaysRefusedAfterTheDeathOfAllHosts(t *testing.T) {
+	t.Parallel()
 	r := deadlyRequests["plain call"]
 	f := newPromptFleet(t, 3, 6)
 	load := promptLoad{fleet: f, every: 20, everyDeadly: 200, repeated: r, again: r}
--- a/cmd/prompt_fleet_test.go
+++ b/cmd/prompt_fleet_test.go
@@ -129,15 +129,22 @@
 	}
 }
 
-func (f *promptFleet) startHost(name string) *promptHost {
-	address := func() string {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		assert.NilError(f.t, err)
-		defer func() { _ = l.Close() }()
+// freeAddress returns a loopback address on which nothing listens, below the ports that outgoing
+// connections take.
+func freeAddress() string {
+	for {
+		l, err := net.Listen("tcp4", fmt.Sprint("127.0.0.1:", 12_000+rand.IntN(18_000)))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
 		return l.Addr().String()
 	}
+}
+
+func (f *promptFleet) startHost(name string) *promptHost {
 	s := runner.Settings{
-		Host: name, AvailabilityZone: "a", CallerAddress: address(), ReadyAddress: address(), ExchangeAddress: address(),
+		Host: name, AvailabilityZone: "a", CallerAddress: freeAddress(), ReadyAddress: freeAddress(), ExchangeAddress: freeAddress(),
 		StoreAddress: f.address, RouterKey: "test", MemoryMb: 256, LinkMbps: 10_000, StopBoundMs: 6000, ConfigurationMs: 2000,
 		LeaveMs: 2000, SteadyMs: promptSteady, RetryRatio: 0.2, RetryExtra: 40, RetryWindowMs: 10_000,
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -35,6 +36,8 @@
 	// idleTimeout is the time after which an idle connection is closed, in
 	// milliseconds.
 	idleTimeout = 5 * clocker.Second
+	// crashProbeTimeout limits the dial that tells a crash from a broken path, in milliseconds.
+	crashProbeTimeout = 100 * clocker.Millis(1)
 	// chunkedLength is the content length that fasthttp reports for a chunked body.
 	chunkedLength = -1
 )
@@ -82,6 +85,17 @@
 	return errors.As(err, &target)
 }
 
+// IsConnectionLost reports whether the other side ended the connection, and not only the patience of
+// this host.
+func IsConnectionLost(err error) bool {
+	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, fasthttp.ErrConnectionClosed} {
+		if errors.Is(err, lost) {
+			return true
+		}
+	}
+	return false
+}
+
 // ErrRequestIDMismatch reports that the answer carries the ID of another request.
 type ErrRequestIDMismatch struct {
 	Want string
@@ -225,6 +239,19 @@
 	return answer, nil
 }
 
+// Refuses reports whether nothing listens at the address any more: a crashed server refuses a
+// connection within one round trip.
+func (c *Connector) Refuses(address string) bool {
+	if c.cfg.MayCall != nil && !c.cfg.MayCall(address) {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp4", address, crashProbeTimeout.Duration())
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // CloseIdle closes idle connections.
 func (c *Connector) CloseIdle() {
 	c.mu.Lock()
--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -103,6 +103,9 @@
 		reason, refusal := r.classifyAttempt(answer, err, previousProgress)
 		if refusal == nil && reason == "" {
 			r.progress = Answered
+			if answer.Status < 500 {
+				r.reportAnswer()
+			}
 			r.releaseSlot(picker.Succeeded)
 			return answer, nil
 		}
@@ -139,6 +142,7 @@
 	case err == nil:
 		return "", nil
 	}
+	r.reportCrash(err)
 	r.releaseSlot(picker.Failed)
 	if r.call.Service.Idempotent {
 		return retryReason(err), nil
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -117,6 +117,11 @@
 	Balancer    Balancer
 	Retrier     Retrier
 	Connector   Connector
-	Forwarder   Forwarder
-	Tracker     Tracker
+	// Refuses reports whether nothing listens at an address any more; with nil no crash is
+	// detected.
+	Refuses func(address string) bool
+	// Quarantine may be nil.
+	Quarantine Quarantine
+	Forwarder  Forwarder
+	Tracker    Tracker
 }
--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -88,6 +88,7 @@
 	s.progress = Answered
 	_, _ = s.reader.Next() // reads the end of the stream, so that the connection can be reused
 	s.closeAnswer()
+	s.reportAnswer()
 	s.releaseSlot(picker.Succeeded)
 	partial := !s.hasUsage
 	if partial {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	"cowsliphinge/connector"
 	"cowsliphinge/messenger"
 	"cowsliphinge/picker"
+	"cowsliphinge/quarantiner"
 	"cowsliphinge/reserver"
 )
 
@@ -59,6 +60,9 @@
 
 // New returns a Dispatcher that accepts requests.
 func New(cfg Config) *Dispatcher {
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = noQuarantine{}
+	}
 	return &Dispatcher{
 		cfg:       cfg,
 		canceller: Canceller{Connector: cfg.Connector, Clock: cfg.Clock},
@@ -113,6 +117,7 @@
 type activeRequest struct {
 	d           *Dispatcher
 	call        Call
+	suspect     quarantiner.Request
 	progress    Progress
 	reservation reserver.Reservation
 	claim       *messenger.Claim
@@ -136,7 +141,7 @@
 	if !d.startRequest() {
 		return nil, nil, NewRefusal(CodeDraining, call.RequestID, !call.NeedsClaim(), "this host takes no new requests")
 	}
-	r := &activeRequest{d: d, call: call}
+	r := &activeRequest{d: d, call: call, suspect: suspectOf(call)}
 	if !d.cfg.Biller.HasCapacity() {
 		d.finishRequest()
 		return nil, nil, NewRefusal(CodeOverloaded, call.RequestID, !call.NeedsClaim(), "too many bills wait for the platform")
@@ -186,6 +191,9 @@
 // acquireSlot takes a slot of a backend server, preferably one that has neither failed
 // nor refused this request.
 func (r *activeRequest) acquireSlot(ctx context.Context, prefix uint64) *Refusal {
+	if refusal := r.quarantined(); refusal != nil {
+		return refusal
+	}
 	choice, err := r.d.cfg.Balancer.Acquire(ctx, picker.Request{
 		Service:       r.call.Service.Name,
 		Model:         r.call.model(),
--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -28,6 +28,7 @@
 	CodeClaimUnreachable  Code = "ClaimUnreachable"
 	CodeOutcomeUnknown    Code = "OutcomeUnknown"
 	CodeAnswerBroken      Code = "AnswerBroken"
+	CodeQuarantined       Code = "Quarantined"
 )
 
 // Refusal is the router's answer to a request for which it returns no answer of a
@@ -72,6 +73,7 @@
 	CodeClaimUnreachable:  503,
 	CodeNoServer:          503,
 	CodeDraining:          503,
+	CodeQuarantined:       503,
 	CodeDeadlineExceeded:  504,
 }
 
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -319,6 +319,9 @@
 	if !errors.Is(cause, errRunFailed) && s.resume() {
 		return nil
 	}
+	if s.lastEventID == 0 {
+		s.reportCrash(cause)
+	}
 	if s.deliveredEvents > 0 || s.call.LastEventID > 0 || !s.call.Service.Idempotent {
 		s.releaseSlot(picker.Failed)
 		return NewRefusal(CodeAnswerBroken, s.call.RequestID, false, fmt.Sprintf("the answer broke off: %v", cause))
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -1,13 +1,10 @@
 package relayer
 
 import (
-	"errors"
-	"io"
-	"syscall"
-
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
 	"cowsliphinge/quarantiner"
 )
 
@@ -63,7 +60,7 @@
 // reportCrash reports a crash of the server if the connection was lost for that reason before the
 // server had begun its answer. A server that leaves stops as planned.
 func (x *relayedRequest) reportCrash(server chooser.Server, cause error) {
-	if x.ctx.Err() != nil || !connectionLost(cause) {
+	if x.ctx.Err() != nil || !connector.IsConnectionLost(cause) {
 		return
 	}
 	if x.answerBegan > 0 && x.cfg.Clock.Now()-x.answerBegan > answerBeginning {
@@ -83,13 +80,3 @@
 func incarnationOf(s chooser.Server) quarantiner.Server {
 	return quarantiner.Server{ID: s.ID, StartedAt: s.StartedAt}
 }
-
-// connectionLost reports whether the connection ended, and not only the patience of this host.
-func connectionLost(err error) bool {
-	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, lost) {
-			return true
-		}
-	}
-	return false
-}
--- a/router/components.go
+++ b/router/components.go
@@ -72,6 +72,7 @@
 		ConfigurationVersion: r.index().Version(),
 		SentAtMs:             int64(r.cfg.Clock.Now()),
 	}
+	r.withholder.AddToBeat(beat)
 	if !r.componentsStarted.Load() {
 		return beat
 	}
@@ -145,9 +146,11 @@
 			Percent: func() int64 { return r.policy().RetryPercent },
 			Seed:    uint64(clock.Now()),
 		}),
-		Connector: r.connector,
-		Forwarder: forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, TLS: r.callerTLS, MayCall: r.reaches}),
-		Tracker:   r.tracker,
+		Connector:  r.connector,
+		Refuses:    r.connector.Refuses,
+		Quarantine: r.withholder,
+		Forwarder:  forwarder.New(forwarder.Config{Clock: clock, Peers: r.heartbeater.Peers, TLS: r.callerTLS, MayCall: r.reaches}),
+		Tracker:    r.tracker,
 	})
 	r.componentsStarted.Store(true)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -28,6 +28,7 @@
 	"cowsliphinge/spreader"
 	"cowsliphinge/storer"
 	"cowsliphinge/tracker"
+	"cowsliphinge/withholder"
 )
 
 // Config configures a Router.
@@ -64,6 +65,7 @@
 	store       *storer.Client
 	exchange    *exchanger.Client
 	heartbeater *heartbeater.Heartbeater
+	withholder  *withholder.Withholder
 	spreader    atomic.Pointer[spreader.Spreader]
 	reserver    *reserver.Reserver
 	claimer     *claimer.Claimer
@@ -241,14 +243,27 @@
 
 func (r *Router) startMembership(ctx context.Context) {
 	s := r.cfg.Settings
+	r.withholder = withholder.New(withholder.Config{
+		Clock:    r.cfg.Clock,
+		Log:      r.cfg.Log,
+		Host:     s.Host,
+		Store:    r.store,
+		Peers:    func() []heartbeater.Peer { return r.heartbeater.Peers() },
+		Announce: func() { r.heartbeater.Announce() },
+	})
 	r.heartbeater = heartbeater.New(ctx, heartbeater.Config{
 		OwnBeat:       r.ownBeat,
+		BeatReceived:  r.withholder.ApplyBeat,
 		Clock:         r.cfg.Clock,
 		DeclaredHosts: r.declaredHosts,
 		SeedAddresses: s.Peers,
 		HostList:      r.store,
 		Exchange:      r.exchange,
 	})
+	r.group.Go(func() error {
+		r.withholder.Keep(ctx)
+		return nil
+	})
 	r.spreader.Store(spreader.New(ctx, spreader.Config{
 		Host:             s.Host,
 		AvailabilityZone: s.AvailabilityZone,
