Logs name the software version of servers and the stream that a request takes up

Each attempt and each entry of a server has `software`, each request that takes a stream up `takes_up`.

--- a/chooser/server.go
+++ b/chooser/server.go
@@ -26,6 +26,8 @@
 	ColdRemaining clocker.Millis
 	// StartedAt is when this incarnation started; 0 if unknown.
 	StartedAt clocker.Millis
+	// Software is the version of the server's software; "" if unknown.
+	Software string
 }
 
 // PromptPart is a section of a prompt, with an ID chosen by the caller.
--- a/relayer/header_names.go
+++ b/relayer/header_names.go
@@ -50,6 +50,9 @@
 	Priority string
 	// LastEventID holds the number of the last event that the caller has received.
 	LastEventID string
+	// TakenUp holds the ID of the caller's request that brought the first event of the stream
+	// that it takes up.
+	TakenUp string
 	// Tokens holds the prompt tokens and the maximum of output tokens.
 	Tokens string
 	// PromptParts lists the parts of the prompt as ID:TOKENS.
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -46,6 +46,8 @@
 type attempt struct {
 	Server  string
 	Zone    string
+	// Software is the version of the server's software.
+	Software string `json:",omitempty"`
 	AtMs    clocker.Millis
 	Outcome string
 	// Status is the status of the server's response; 0 without a response.
@@ -58,7 +60,7 @@
 }
 
 func (r *requestLog) startAttempt(s chooser.Server, at clocker.Millis) {
-	r.attempts = append(r.attempts, attempt{Server: s.ID, Zone: s.AvailabilityZone, AtMs: at})
+	r.attempts = append(r.attempts, attempt{Server: s.ID, Zone: s.AvailabilityZone, Software: s.Software, AtMs: at})
 }
 
 // setAttemptStatus sets the status of the server's response to the last attempt.
@@ -147,6 +149,9 @@
 	if parts := x.loggedParts(); len(parts) > 0 {
 		attributes = append(attributes, "parts", parts)
 	}
+	if takenUp := x.req.Header.Get(x.cfg.HeaderNames.TakenUp); takenUp != "" {
+		attributes = append(attributes, "takes_up", takenUp[:min(len(takenUp), maxLoggedIDBytes)])
+	}
 	if x.account != nil {
 		attributes = append(attributes, "account", x.account.Name, "reserved", x.reservation.Tokens, "used", used)
 	}
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -105,9 +105,9 @@
 		b.chooser.Remove(b.serverID(o), b.clock.Now())
 		return
 	}
-	if old, known := b.chooser.Server(s.ID); !known || old.Draining != s.Draining || old.StartedAt != s.StartedAt {
+	if old, known := b.chooser.Server(s.ID); !known || old.Draining != s.Draining || old.StartedAt != s.StartedAt || old.Software != s.Software {
 		// Object.Version is the revision of the store.
-		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "draining", s.Draining, versioner.Attr(o.Version))
+		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "software", s.Software, "draining", s.Draining, versioner.Attr(o.Version))
 	}
 	b.chooser.Set(s)
 }
