ORDER: a stream goes on only at the software version that began it

Cause: nothing read a server's version, nor what a caller takes up. The next attempt went to any server, and so did a take-up at another host, which can't know where the stream began. Class: state of a stream that its host alone has.

With one version in use nothing need be known; the store has the versions in use before the first request to a new one.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -58,6 +58,9 @@
 	// Hosts returns the number of hosts that share the limit of a server, with this one; 0 if
 	// it is not known yet, which permits no request to a limited server.
 	Hosts func() int
+	// Admits reports whether requests may be sent to servers of a version of a service; nil
+	// admits all.
+	Admits func(service, software string) bool
 	// Seed seeds the random choice among servers of similar cost.
 	Seed uint64
 }
@@ -204,13 +207,21 @@
 	return Choice{Server: best.Server, Found: true}
 }
 
+// serves reports whether a server is of the service and the version that a request needs, and may be used.
+func (c *Chooser) serves(m *serverState, r Request) bool {
+	if m.Service != r.Service || r.Pinned && m.Software != r.Software {
+		return false
+	}
+	return c.cfg.Admits == nil || c.cfg.Admits(m.Service, m.Software)
+}
+
 // earliestRetry returns when the first server of the service may get a request again that
 // backs off or whose limit is used up; 0 if there is none.
 func (c *Chooser) earliestRetry(r Request, now clocker.Millis) clocker.Millis {
 	var earliest clocker.Millis
 	hosts := c.hosts()
 	for _, m := range c.servers {
-		if m.Service != r.Service || m.leaving(now) {
+		if !c.serves(m, r) || m.leaving(now) {
 			continue
 		}
 		if at := m.retryAt(hosts, now); at > 0 && (earliest == 0 || at < earliest) {
@@ -230,7 +241,7 @@
 	hosts := c.hosts()
 	for _, id := range c.IDs() {
 		m := c.servers[id]
-		if m.Service != r.Service || m.unavailable(hosts, now) || slices.Contains(r.Avoid, id) {
+		if !c.serves(m, r) || m.unavailable(hosts, now) || slices.Contains(r.Avoid, id) {
 			continue
 		}
 		if m.ejected(now) || unreachable[m.AvailabilityZone] && m.consecutiveFailures == 0 {
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -42,6 +42,9 @@
 	// Prompt lists the parts in order; the last one is not shared with other
 	// requests or sessions.
 	Prompt []PromptPart
+	// Pinned is true if only servers of the version Software may get the request.
+	Pinned   bool
+	Software string
 	// Avoid lists the IDs of servers that earlier attempts of this request were sent to.
 	Avoid []string
 }
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -81,6 +81,11 @@
 	return call(ctx, c, address, q, messenger.Exchange.TrackStreams)
 }
 
+// ShareOrigins tells the router at address of streams and asks it for others.
+func (c *Client) ShareOrigins(ctx context.Context, address string, q *messenger.OriginRequest) (*messenger.OriginReply, error) {
+	return call(ctx, c, address, q, messenger.Exchange.ShareOrigins)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- a/exchanger/fuzz_test.go
+++ b/exchanger/fuzz_test.go
@@ -17,7 +17,7 @@
 const stubRouterKey = "the-key-of-routers"
 
 // methods are the RPC methods of messenger.Exchange.
-var methods = []string{"SendBeat", "Transfer", "PullConfiguration", "CopyBills", "TrackStreams"}
+var methods = []string{"SendBeat", "Transfer", "PullConfiguration", "CopyBills", "TrackStreams", "ShareOrigins"}
 
 // stubRouter handles heartbeats and transfers.
 type stubRouter struct{}
@@ -119,5 +119,7 @@
 		assert.Assert(t, (copied == nil) == (err != nil))
 		tracked, err := c.TrackStreams(ctx, "a:1", &messenger.TrackRequest{})
 		assert.Assert(t, (tracked == nil) == (err != nil))
+		origins, err := c.ShareOrigins(ctx, "a:1", &messenger.OriginRequest{})
+		assert.Assert(t, (origins == nil) == (err != nil))
 	})
 }
--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -54,6 +54,11 @@
 	TrackStreams(ctx context.Context, q *messenger.TrackRequest) (*messenger.TrackReply, error)
 }
 
+// OriginKeeper keeps the origins of streams that other routers began.
+type OriginKeeper interface {
+	ShareOrigins(ctx context.Context, q *messenger.OriginRequest) (*messenger.OriginReply, error)
+}
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	OperatorKey string
@@ -63,11 +68,12 @@
 
 	HeartbeatHandler HeartbeatHandler
 	TransferHandler  TransferHandler
-	// ConfigurationProvider, BillCopyHandler and StreamTracker may be nil; their
+	// ConfigurationProvider, BillCopyHandler, StreamTracker and OriginKeeper may be nil; their
 	// calls are then rejected as unimplemented.
 	ConfigurationProvider ConfigurationProvider
 	BillCopyHandler       BillCopyHandler
 	StreamTracker         StreamTracker
+	OriginKeeper          OriginKeeper
 	// Commander and Querier may be nil if OperatorKey is empty, since an empty key
 	// rejects every call to them.
 	Commander messenger.Commander
@@ -93,6 +99,9 @@
 	if cfg.StreamTracker == nil {
 		cfg.StreamTracker = unimplemented{}
 	}
+	if cfg.OriginKeeper == nil {
+		cfg.OriginKeeper = unimplemented{}
+	}
 	s := &Server{cfg: cfg}
 	s.http = &http.Server{
 		Handler:           s.routes(),
@@ -132,6 +141,7 @@
 		ConfigurationProvider: s.cfg.ConfigurationProvider,
 		BillCopyHandler:       s.cfg.BillCopyHandler,
 		StreamTracker:         s.cfg.StreamTracker,
+		OriginKeeper:          s.cfg.OriginKeeper,
 	})
 	commands := messenger.NewCommanderServer(s.cfg.Commander)
 	queries := messenger.NewQuerierServer(s.cfg.Querier)
@@ -178,4 +188,5 @@
 	ConfigurationProvider
 	BillCopyHandler
 	StreamTracker
+	OriginKeeper
 }
--- a/exchanger/unimplemented.go
+++ b/exchanger/unimplemented.go
@@ -23,6 +23,11 @@
 	return nil, errUnimplemented
 }
 
+// ShareOrigins implements OriginKeeper.
+func (unimplemented) ShareOrigins(context.Context, *messenger.OriginRequest) (*messenger.OriginReply, error) {
+	return nil, errUnimplemented
+}
+
 // TrackStreams implements StreamTracker.
 func (unimplemented) TrackStreams(context.Context, *messenger.TrackRequest) (*messenger.TrackReply, error) {
 	return nil, errUnimplemented
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -130,6 +130,10 @@
 	byHost   map[string][]*Route
 	byKey    map[string]*Account
 	services map[string]*Service
+	// resumable are the services of streams that callers may take up again, and longestStream is
+	// the longest timeout of these.
+	resumable     map[string]bool
+	longestStream clocker.Millis
 }
 
 // New returns the look-up table of a declaration, which must not be changed
@@ -140,8 +144,10 @@
 		byHost:      map[string][]*Route{},
 		byKey:       map[string]*Account{},
 		services:    map[string]*Service{},
+		resumable:   map[string]bool{},
 	}
 	for _, r := range d.Routes {
+		t.addStream(r)
 		host := canonicalHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
@@ -159,6 +165,26 @@
 	return t
 }
 
+func (t *Table) addStream(r *Route) {
+	if r.Kind != Stream || !r.Resumable {
+		return
+	}
+	t.longestStream = max(t.longestStream, r.Timeout)
+	for _, split := range r.Splits {
+		t.resumable[split.Service] = true
+	}
+}
+
+// Resumable reports whether callers may take streams of the service up again.
+func (t *Table) Resumable(service string) bool {
+	return t.resumable[service]
+}
+
+// LongestStream returns the longest timeout of such streams, in milliseconds.
+func (t *Table) LongestStream() clocker.Millis {
+	return t.longestStream
+}
+
 // Route returns the route with the longest prefix of the path, or nil.
 func (t *Table) Route(host, path string) *Route {
 	for _, r := range t.byHost[canonicalHost(host)] {
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -41,6 +41,7 @@
 	serverUnreachable     = failure{status: http.StatusServiceUnavailable, reason: "server_unreachable", meanRetryAfter: 250}
 	serverShed            = failure{status: http.StatusServiceUnavailable, reason: "server_shed", meanRetryAfter: 250}
 	crashesServers        = failure{status: http.StatusServiceUnavailable, reason: "quarantined", meanRetryAfter: 100, exactRetryAfter: true}
+	originUnknown         = failure{status: http.StatusServiceUnavailable, reason: "origin_unknown", meanRetryAfter: 250}
 	stopping              = failure{status: http.StatusServiceUnavailable, reason: "stopping", meanRetryAfter: 50}
 	deadlineBeforeSending = failure{status: http.StatusServiceUnavailable, reason: "deadline_before_sending"}
 	// outcomeUnknown means that the request may have run and is not retried.
--- /dev/null
+++ b/relayer/origin.go
@@ -0,0 +1,46 @@
+package relayer
+
+import (
+	"context"
+
+	"cowsliphinge/chooser"
+)
+
+// sameOrigin replaces nil Origins.
+type sameOrigin struct{}
+
+func (sameOrigin) Began(string, chooser.Server)                          {}
+func (sameOrigin) Origin(context.Context, string, string) (string, bool) { return "", true }
+
+// streamOrigin is the software version that began the stream of a request.
+type streamOrigin struct {
+	known    bool
+	software string
+}
+
+// findOrigin finds the version that began the stream that the caller takes up, if it does. It returns a
+// failure and false if that is not known: what two versions write does not fit together.
+func (x *relayedRequest) findOrigin() (failure, bool) {
+	if x.position.callerLast == unnumbered {
+		return failure{}, true
+	}
+	x.origin.software, x.origin.known = x.cfg.Origins.Origin(x.ctx, x.req.Header.Get(x.cfg.HeaderNames.TakenUp), x.service.Name)
+	if !x.origin.known {
+		return originUnknown, false
+	}
+	return failure{}, true
+}
+
+// setOrigin records which server sends the first event of the stream.
+func (x *relayedRequest) setOrigin(server chooser.Server) {
+	if x.origin.known {
+		return
+	}
+	x.origin = streamOrigin{known: true, software: server.Software}
+	x.cfg.Origins.Began(x.id, server)
+}
+
+// chooserRequest returns what the choice of the next server depends on.
+func (x *relayedRequest) chooserRequest() chooser.Request {
+	return chooser.Request{Service: x.service.Name, Prompt: x.prompt, Pinned: x.origin.known, Software: x.origin.software, Avoid: x.triedServers}
+}
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -77,6 +77,8 @@
 	// mayHaveRun is true once a server may have received the request and did not
 	// refuse it.
 	mayHaveRun bool
+	// origin is the software version that began the stream.
+	origin streamOrigin
 	// position is the caller's position in its stream.
 	position streamPosition
 	// headerReceived is true once the current server has sent the header of its answer, and
@@ -148,8 +150,7 @@
 		x.fail(f)
 		return failure{}, false
 	}
-	request := chooser.Request{Service: x.service.Name, Prompt: x.prompt, Avoid: x.triedServers}
-	chosen := x.cfg.Servers.Choose(request)
+	chosen := x.cfg.Servers.Choose(x.chooserRequest())
 	if !chosen.Found {
 		x.fail(x.noServerFailure(chosen.RetryAt))
 		return failure{}, false
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -66,6 +66,15 @@
 	Crashed(s quarantiner.Server, r quarantiner.Request)
 }
 
+// Origins knows which software version began each stream: a stream may go on at that one only.
+type Origins interface {
+	// Began records that a server sends the first event of the stream of a request.
+	Began(id string, s chooser.Server)
+	// Origin returns the version that began the stream of a request, and false if that is not
+	// known.
+	Origin(ctx context.Context, id, service string) (string, bool)
+}
+
 // Config configures a Relayer.
 type Config struct {
 	Clock       *clocker.Clock
@@ -75,6 +84,8 @@
 	Servers Servers
 	Budgets Budgets
 	Retries Retries
+	// Origins may be nil if all servers have the same software.
+	Origins Origins
 	// Quarantine may be nil.
 	Quarantine Quarantine
 	Carrier    *carrier.Carrier
@@ -97,6 +108,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = noQuarantine{}
 	}
+	if cfg.Origins == nil {
+		cfg.Origins = sameOrigin{}
+	}
 	return &Relayer{cfg: cfg}
 }
 
@@ -129,6 +143,10 @@
 	ctx, cancel := x.cfg.Clock.WithTimeout(x.req.Context(), x.remaining())
 	defer cancel()
 	x.ctx = ctx
+	if f, ok := x.findOrigin(); !ok {
+		x.refuse(f)
+		return
+	}
 	if f, ok := x.reserve(); !ok {
 		x.refuse(f)
 		return
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -44,12 +44,12 @@
 // attempt is one server chosen for the request. The field names are keys of the log
 // line.
 type attempt struct {
-	Server  string
-	Zone    string
+	Server string
+	Zone   string
 	// Software is the version of the server's software.
 	Software string `json:",omitempty"`
-	AtMs    clocker.Millis
-	Outcome string
+	AtMs     clocker.Millis
+	Outcome  string
 	// Status is the status of the server's response; 0 without a response.
 	Status int `json:",omitempty"`
 	// Events counts the events of this attempt that were forwarded to the caller.
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -124,7 +124,7 @@
 			if x.answerBegan == 0 {
 				x.answerBegan = x.cfg.Clock.Now()
 			}
-			if relayErr := x.relayEvents(response, complete); relayErr != nil {
+			if relayErr := x.relayEvents(server, response, complete); relayErr != nil {
 				x.log.setCause(relayErr)
 				return x.finishAttempt(server, x.relayErrorOutcome(relayErr), outcomeUnknown), true
 			}
@@ -169,13 +169,14 @@
 var errCallerDisconnected = errors.New("the caller left")
 
 // relayEvents writes complete events to the caller, without those that it already has.
-func (x *relayedRequest) relayEvents(response *carrier.Response, complete []byte) error {
+func (x *relayedRequest) relayEvents(server chooser.Server, response *carrier.Response, complete []byte) error {
 	before := x.position.forwarded
 	out, orderErr := x.position.accept(splitEvents(complete))
 	x.log.addEvents(x.position.forwarded - before)
 	if len(out) == 0 {
 		return orderErr
 	}
+	x.setOrigin(server)
 	x.startStream(response)
 	if err := x.reply.sendEvents(out); err != nil {
 		return err
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -18,10 +18,12 @@
 // backendPool is a concurrency-safe wrapper around a Chooser. It applies entries of
 // backend servers and chooses servers for the relayer.
 type backendPool struct {
-	clock  *clocker.Clock
-	log    *slog.Logger
-	kind   string
-	decode func(storer.Object) (chooser.Server, error)
+	clock *clocker.Clock
+	log   *slog.Logger
+	// origins learns which software versions are known.
+	origins *streamOrigins
+	kind    string
+	decode  func(storer.Object) (chooser.Server, error)
 
 	mu      sync.Mutex
 	chooser *chooser.Chooser
@@ -32,13 +34,14 @@
 
 // newBackendPool returns a pool without servers. hosts returns the number of hosts that share
 // the limit of a server.
-func newBackendPool(cfg Config, cacheTokens func(service string) int, hosts func() int) *backendPool {
+func newBackendPool(cfg Config, origins *streamOrigins, cacheTokens func(service string) int, hosts func() int) *backendPool {
 	return &backendPool{
 		clock:   cfg.Clock,
 		log:     cfg.Log,
+		origins: origins,
 		kind:    cfg.Platform.ServerKind,
 		decode:  cfg.Platform.DecodeServer,
-		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Seed: rand.Uint64()}),
+		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Admits: origins.admits, Seed: rand.Uint64()}),
 	}
 }
 
@@ -110,6 +113,7 @@
 		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "software", s.Software, "draining", s.Draining, versioner.Attr(o.Version))
 	}
 	b.chooser.Set(s)
+	b.origins.seen(s)
 }
 
 // remove removes a server. With a grace period, used right after an outage, the server
@@ -126,11 +130,17 @@
 	b.chooser.Remove(id, b.clock.Now())
 }
 
-// expire removes servers whose entries did not come back after an outage.
+// expire removes servers whose entries did not come back after an outage, and records that the
+// versions of the others are in use.
 func (b *backendPool) expire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	expired := b.chooser.Expire(b.clock.Now())
+	for _, id := range b.chooser.IDs() {
+		if s, ok := b.chooser.Server(id); ok {
+			b.origins.seen(s)
+		}
+	}
 	for _, id := range expired {
 		b.log.Info("backend server did not come back after the outage", "server", id)
 	}
--- a/runner/backends_test.go
+++ b/runner/backends_test.go
@@ -18,6 +18,8 @@
 		clock: clock,
 		log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
 		kind:  "servers",
+
+		origins: newStreamOrigins(&Runner{cfg: Config{Clock: clock}}),
 		decode: func(o storer.Object) (chooser.Server, error) {
 			if string(o.Value) == "bad" {
 				return chooser.Server{}, errors.New("bad")
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -88,6 +88,7 @@
 	heartbeater   *heartbeater.Heartbeater
 	reserver      atomic.Pointer[reserver.Reserver]
 	backends      *backendPool
+	origins       *streamOrigins
 	withholder    *withholder.Withholder
 	carrier       *carrier.Carrier
 	relayer       atomic.Pointer[relayer.Relayer]
@@ -119,13 +120,15 @@
 	r := &Runner{cfg: cfg, startedAt: cfg.Clock.Now(), cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
-	r.backends = newBackendPool(cfg, r.cacheTokens, r.fleetSize)
+	r.origins = newStreamOrigins(r)
+	r.backends = newBackendPool(cfg, r.origins, r.cacheTokens, r.fleetSize)
 	r.withholder = r.newWithholder()
 	r.startMembership(ctx)
 	r.group.Go(func() error {
 		r.withholder.Keep(ctx)
 		return nil
 	})
+	r.group.Go(func() error { return r.keepOrigins(ctx) })
 	r.startWatchers(ctx)
 	r.startBudgets(ctx)
 	r.startRelayer(ctx)
@@ -225,6 +228,7 @@
 			Hosts: func() int { return len(r.heartbeater.Peers()) + 1 },
 		}),
 		Quarantine:   r.withholder,
+		Origins:      r.origins,
 		Carrier:      r.carrier,
 		MoveCallers:  func() bool { return r.draining.Load() || r.overloaded.Load() || r.isolated.Load() },
 		StopDeadline: func() clocker.Millis { return clocker.Millis(r.stopDeadline.Load()) },
@@ -270,6 +274,7 @@
 		RouterKey:        r.cfg.Settings.RouterKey,
 		HeartbeatHandler: r.heartbeater,
 		TransferHandler:  r.reserver.Load(),
+		OriginKeeper:     r.origins,
 		Ready:            r.Ready,
 	})
 	r.group.Go(func() error { return serveErr(r.server.Serve(meteredListener{Listener: callers, traffic: &r.traffic})) })
