ORDER: a server that went down has no known version until its entry is new

What could be seen: a server comes back under its ID with other software; for the seconds until its entry tells so, streams are joined there, and those that it begins count as of the version of before.

Cause: the entry of an ID was taken for the process behind it.

Change: from a refused connection on, for five seconds or until the entry names another incarnation, no stream goes on at the server, and a stream that it begins is told to nobody; it breaks off if that server fails it. Connections that are reset alone mean nothing, the server lives on.

TestServerThatWentDownHasNoKnownVersion, TestStreamOfARestartedServerIsNotContinued and TestServerThatRefusesConnectionsIsDown use what the change brings; before it there was no such state.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -204,12 +204,12 @@
 			best, bestCost = m, cost
 		}
 	}
-	return Choice{Server: best.Server, Found: true}
+	return Choice{Server: best.Server, Found: true, Restarted: best.restarted(now)}
 }
 
 // serves reports whether a server is of the service and the version that a request needs, and may be used.
-func (c *Chooser) serves(m *serverState, r Request) bool {
-	if m.Service != r.Service || r.Pinned && m.Software != r.Software {
+func (c *Chooser) serves(m *serverState, r Request, now clocker.Millis) bool {
+	if m.Service != r.Service || r.Pinned && (m.Software != r.Software || m.restarted(now)) {
 		return false
 	}
 	return c.cfg.Admits == nil || c.cfg.Admits(m.Service, m.Software)
@@ -221,7 +221,7 @@
 	var earliest clocker.Millis
 	hosts := c.hosts()
 	for _, m := range c.servers {
-		if !c.serves(m, r) || m.leaving(now) {
+		if !c.serves(m, r, now) || m.leaving(now) {
 			continue
 		}
 		if at := m.retryAt(hosts, now); at > 0 && (earliest == 0 || at < earliest) {
@@ -241,7 +241,7 @@
 	hosts := c.hosts()
 	for _, id := range c.IDs() {
 		m := c.servers[id]
-		if !c.serves(m, r) || m.unavailable(hosts, now) || slices.Contains(r.Avoid, id) {
+		if !c.serves(m, r, now) || m.unavailable(hosts, now) || slices.Contains(r.Avoid, id) {
 			continue
 		}
 		if m.ejected(now) || unreachable[m.AvailabilityZone] && m.consecutiveFailures == 0 {
@@ -365,6 +365,13 @@
 	return m.recordOutcome(o, now)
 }
 
+// MarkDown records that nothing listens at the address of a server.
+func (c *Chooser) MarkDown(id string, now clocker.Millis) {
+	if m := c.servers[id]; m != nil {
+		m.downAt = now
+	}
+}
+
 // RecordActivity records that bytes were received from a server, and the status that it
 // reported with them. The result is true if the server newly reports that it is leaving
 // or requests a back-off while none is in force.
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -85,6 +85,9 @@
 	// Server is the server to send the request to. It is only set if Found is true.
 	Server Server
 	Found  bool
+	// Restarted is true if the server went down lately and its entry is that of before: it may
+	// be another incarnation, with other software.
+	Restarted bool
 	// RetryAt is when the first server may get a request that backs off or whose limit is
 	// used up. It is 0 if a server was found, or if no server is held back so.
 	RetryAt clocker.Millis
@@ -129,6 +132,8 @@
 	// last ended without a failure to get a response. The latter includes attempts that
 	// ended because the caller disconnected, with or without a byte from the server.
 	lastByteAt clocker.Millis
+	// downAt is when nothing listened at the server's address; 0 for never.
+	downAt clocker.Millis
 	// missingDeadline is when the server stops getting requests because its entry was
 	// missing right after a store outage; 0 if the entry is present.
 	missingDeadline clocker.Millis
@@ -154,6 +159,11 @@
 	return m.Draining || m.reportedLeaving || m.missingDeadline > 0 && now >= m.missingDeadline
 }
 
+// restarted reports whether the server may be another incarnation than its entry tells of.
+func (m *serverState) restarted(now clocker.Millis) bool {
+	return m.downAt > 0 && now-m.downAt < entryDelay
+}
+
 // unavailable reports whether the server gets no new requests of this host at the moment, given
 // the number of hosts that share its limit.
 func (m *serverState) unavailable(hosts int, now clocker.Millis) bool {
@@ -192,6 +202,9 @@
 }
 
 const (
+	// entryDelay is the time within which the entry of a server that has started again is known,
+	// in milliseconds.
+	entryDelay = 5 * clocker.Second
 	// maxLoadAge is how long a reported load is used. Reports are already some hundred
 	// milliseconds old when they arrive.
 	maxLoadAge = clocker.Second
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -57,6 +57,11 @@
 	return fmt.Sprintf("request was not sent: %v", err.Cause)
 }
 
+// Unwrap returns the cause.
+func (err ErrNotSent) Unwrap() error {
+	return err.Cause
+}
+
 // IsErrNotSent reports whether err is an ErrNotSent.
 func IsErrNotSent(err error) bool {
 	var target ErrNotSent
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -196,6 +196,12 @@
 	s.chooser.Finish(id, o, s.clock.Now())
 }
 
+func (s *lockedChooser) MarkDown(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.MarkDown(id, s.clock.Now())
+}
+
 func (s *lockedChooser) RecordActivity(id string, report chooser.StatusReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -31,15 +31,22 @@
 	return failure{}, true
 }
 
-// setOrigin records which server sends the first event of the stream.
+// setOrigin records which server sends the first event of the stream, unless it may be another
+// incarnation than its entry tells of.
 func (x *relayedRequest) setOrigin(server chooser.Server) {
-	if x.origin.known {
+	if x.origin.known || x.mayHaveRestarted {
 		return
 	}
 	x.origin = streamOrigin{known: true, software: server.Software}
 	x.cfg.Origins.Began(x.id, server)
 }
 
+// originLost reports whether the caller has events of a stream whose origin is not known, so that no server
+// may continue it.
+func (x *relayedRequest) originLost() bool {
+	return x.position.forwarded > 0 && !x.origin.known
+}
+
 // chooserRequest returns what the choice of the next server depends on.
 func (x *relayedRequest) chooserRequest() chooser.Request {
 	return chooser.Request{Service: x.service.Name, Prompt: x.prompt, Pinned: x.origin.known, Software: x.origin.software, Avoid: x.triedServers}
--- a/relayer/origin_test.go
+++ b/relayer/origin_test.go
@@ -161,3 +161,60 @@
 	assert.Assert(t, began)
 	assert.Equal(t, software, "v2")
 }
+
+// A server came back under its ID with other software before its entry told so: streams were joined
+// there, and those that it began counted as of the version of before.
+func TestServerThatWentDownHasNoKnownVersion(t *testing.T) {
+	for _, events := range []int{0, 2} {
+		t.Run(fmt.Sprint(events), func(t *testing.T) {
+			var first *backend
+			reborn := newBackend(t, breakAfter(2), resume(4))
+			first = newBackend(t, crashAfter(&first, nil))
+			f, o := newVersionsFixture(t, []string{"v1", "v1"}, first, newBackend(t, breakAfter(events)))
+			f.call(t, "POST", "/r/", "p") // finds the first server down
+			f.nextRequestLine(t)
+			f.servers.chooser.Set(chooser.Server{ID: "s0", Service: "s", Address: first.listener.Addr().String(), AvailabilityZone: "a", Slots: 4, Software: "v1"})
+			request := chooser.Request{Service: "s", Avoid: []string{"s1"}}
+			assert.Assert(t, f.servers.Choose(request).Restarted)
+			request.Pinned, request.Software = true, "v1"
+			assert.Assert(t, !f.servers.Choose(request).Found)
+			f.servers.chooser.Set(chooser.Server{ID: "s0", Service: "s", Address: reborn.listener.Addr().String(), AvailabilityZone: "a", Slots: 4, Software: "v2"})
+			request.Software = "v2"
+			assert.Assert(t, f.servers.Choose(request).Found, "a new entry tells of the new incarnation")
+			_, began := o.beganAt("id-1")
+			assert.Equal(t, began, events > 0)
+		})
+	}
+}
+
+// restartedServers says of each chosen server that it may have restarted.
+type restartedServers struct{ *lockedChooser }
+
+func (s restartedServers) Choose(r chooser.Request) chooser.Choice {
+	c := s.lockedChooser.Choose(r)
+	c.Restarted = true
+	return c
+}
+
+// Whoever may continue such a stream is not known: it breaks off.
+func TestStreamOfARestartedServerIsNotContinued(t *testing.T) {
+	first, second := newBackend(t, breakAfter(2)), newBackend(t, resume(4))
+	f, o := newVersionsFixture(t, []string{"v1", "v1"}, first, second)
+	f.relayer.cfg.Servers = restartedServers{f.servers}
+	got := f.call(t, "POST", "/r/", "p")
+	assert.Assert(t, got.truncated)
+	assert.Equal(t, second.requestCount(), 0)
+	_, began := o.beganAt("id-1")
+	assert.Assert(t, !began)
+}
+
+// A server that refuses connections is down; one that can't be reached may be up.
+func TestServerThatRefusesConnectionsIsDown(t *testing.T) {
+	first, second := newBackend(t, resume(4)), newBackend(t, resume(4))
+	f, _ := newVersionsFixture(t, []string{"v1", "v1"}, first, second)
+	_ = first.listener.Close()
+	f.call(t, "POST", "/r/", "p")
+	f.nextRequestLine(t)
+	assert.Assert(t, f.servers.Choose(chooser.Request{Service: "s", Avoid: []string{"s1"}}).Restarted)
+	assert.Assert(t, !f.servers.Choose(chooser.Request{Service: "s", Avoid: []string{"s0"}}).Restarted)
+}
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -71,6 +71,7 @@
 	}
 	if x.cfg.Carrier.Refuses(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, crashProbeTimeout) {
 		x.log.setServerCrashed()
+		x.cfg.Servers.MarkDown(server.ID)
 		suspect := x.suspect
 		suspect.Begun = x.headerReceived
 		x.cfg.Quarantine.Crashed(incarnationOf(server), suspect)
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
@@ -79,6 +81,9 @@
 	mayHaveRun bool
 	// origin is the software version that began the stream.
 	origin streamOrigin
+	// mayHaveRestarted is true if the current server may be another incarnation than its entry
+	// tells of.
+	mayHaveRestarted bool
 	// position is the caller's position in its stream.
 	position streamPosition
 	// headerReceived is true once the current server has sent the header of its answer, and
@@ -150,12 +155,17 @@
 		x.fail(f)
 		return failure{}, false
 	}
+	if x.originLost() {
+		x.fail(streamNotContinued)
+		return failure{}, false
+	}
 	chosen := x.cfg.Servers.Choose(x.chooserRequest())
 	if !chosen.Found {
 		x.fail(x.noServerFailure(chosen.RetryAt))
 		return failure{}, false
 	}
 	server := chosen.Server
+	x.mayHaveRestarted = chosen.Restarted
 	x.triedServers = append(x.triedServers, server.ID)
 	x.headerReceived, x.answerBegan = false, 0
 	sentAt := x.cfg.Clock.Now()
@@ -234,6 +244,9 @@
 			x.cfg.Servers.Finish(server.ID, chooser.NoFailure)
 			return serverUnreachable
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.cfg.Servers.MarkDown(server.ID)
+		}
 		return x.finishAttempt(server, chooser.Unreachable, serverUnreachable)
 	}
 	x.sentAttempts++
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -33,6 +33,8 @@
 	Choose(r chooser.Request) chooser.Choice
 	// Finish records the outcome of an attempt.
 	Finish(id string, o chooser.Outcome)
+	// MarkDown records that nothing listens at the address of a server.
+	MarkDown(id string)
 	// RecordActivity records that bytes arrived from a server, and the status report in
 	// its response.
 	RecordActivity(id string, report chooser.StatusReport)
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -184,6 +184,13 @@
 	}
 }
 
+// MarkDown implements relayer.Servers.
+func (b *backendPool) MarkDown(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.chooser.MarkDown(id, b.clock.Now())
+}
+
 // RecordActivity implements relayer.Servers.
 func (b *backendPool) RecordActivity(id string, report chooser.StatusReport) {
 	b.mu.Lock()
