--- a/relayer/events.go
+++ b/relayer/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 )
 
@@ -58,6 +59,8 @@
 	number int64
 	// hasData is false for comments and other blocks without a data field.
 	hasData bool
+	// malformed is true if a line can't be one of an event, such as the header of a response.
+	malformed bool
 }
 
 // ignored reports whether callers ignore the block, as they do with a comment.
@@ -76,6 +79,7 @@
 				e.number = parseEventNumber(value)
 			}
 			e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data"))
+			e.malformed = e.malformed || !isEventLine(bytes.TrimSuffix(line, []byte("\r")))
 		}
 		events = append(events, e)
 		complete = complete[end:]
@@ -83,6 +87,20 @@
 	return events
 }
 
+// isEventLine reports whether a line may stand in an event: it is empty, a comment or a field with a name
+// in lower case. The standard lets readers ignore any other line, but servers that fail write
+// responses and texts there.
+func isEventLine(line []byte) bool {
+	name, _, isField := bytes.Cut(line, []byte(":"))
+	if len(name) == 0 {
+		return true
+	}
+	if !isField {
+		return slices.Contains([]string{"data", "event", "id", "retry"}, string(name))
+	}
+	return !bytes.ContainsFunc(name, func(r rune) bool { return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_' })
+}
+
 func firstEventEnd(b []byte) int {
 	end := len(b)
 	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
--- a/relayer/events_test.go
+++ b/relayer/events_test.go
@@ -54,3 +54,25 @@
 	// 0 0 false
 	// {3 0 8} true
 }
+
+// Lines of events, and lines of a response or a text that a failing server wrote in their place.
+func TestLinesThatAreNoEventAreMalformed(t *testing.T) {
+	for block, malformed := range map[string]bool{
+		"id: 1\ndata: d\n\n":       false,
+		"data\n\n":                 false,
+		"data: HTTP/1.1 500 X\n\n": false,
+		": ping\n\n":               false,
+		"event: x\r\nretry: 3\r\ndata: d\r\n\r\n": false,
+		"x-weight-versions: 2\nid: 4\ndata:d\n\n": false,
+		"\n\n":                     false,
+		"HTTP/1.1 500 X\r\n\r\n":   true,
+		"HTTP/1.1 500 a:b\r\n\r\n": true,
+		"id: 5\ndaHTTP/1.1 500 X\r\nX-Id: a\r\n\r\n":  true,
+		"id: 5\ndata: dHTTP/1.1 X\r\nX-Id: a\r\n\r\n": true,
+		"failed\n\n":        true,
+		"{\"error\":1}\n\n": true,
+		"<html>\n\n":        true,
+	} {
+		assert.Equal(t, splitEvents([]byte(block))[0].malformed, malformed, "%q", block)
+	}
+}
--- a/relayer/position.go
+++ b/relayer/position.go
@@ -2,7 +2,10 @@
 
 import "errors"
 
-var errEventOrder = errors.New("events of a stream are out of order")
+var (
+	errEventOrder     = errors.New("events of a stream are out of order")
+	errMalformedEvent = errors.New("a stream holds bytes that are no event")
+)
 
 // streamPosition tracks the events of a stream that the caller has received, while
 // several servers may provide the stream one after the other.
@@ -36,10 +39,13 @@
 
 // accept returns the bytes of the events to forward, without those that the caller
 // already has. It returns errEventOrder at the first event that is out of order or
-// whose place in the stream is unknown.
+// whose place in the stream is unknown, and errMalformedEvent at bytes that are no event.
 func (p *streamPosition) accept(events []event) ([]byte, error) {
 	var out []byte
 	for _, e := range events {
+		if e.malformed {
+			return out, errMalformedEvent
+		}
 		if e.ignored() {
 			if p.caughtUp() {
 				out = append(out, e.bytes...)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -303,3 +303,37 @@
 	assert.Assert(t, len(got.body) <= maxResponseBytes)
 	<-b.closed
 }
+
+// A server wrote an earlier refusal once more on a kept connection, and the next caller was told that its
+// request had not run.
+func TestRepeatedRefusalOfAnEarlierRequestIsSkipped(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nX-Id: id-1\r\nX-Sign: s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	const withoutID = "HTTP/1.1 503 X\r\nX-Sign: s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name   string
+		second handler
+		status int
+	}{
+		{"before the answer", func(w io.Writer, req *http.Request) {
+			_, _ = io.WriteString(w, refusal)
+			respond(200, "ran")(w, req)
+		}, http.StatusOK},
+		{"twice before the answer", func(w io.Writer, req *http.Request) {
+			_, _ = io.WriteString(w, refusal+refusal)
+			respond(200, "ran")(w, req)
+		}, http.StatusOK},
+		{"in place of the answer", thenClose(func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, refusal) }), http.StatusBadGateway},
+		{"without its ID", thenClose(func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, withoutID) }), http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, first := range []handler{respond(503, "", "X-Not-Run: 1"), respond(200, "kept")} {
+				b := newBackend(t, first, respond(200, "kept"), c.second)
+				f := newFixture(t, matcher.Route{Kind: matcher.Unsafe, MaxAttempts: 3}, b)
+				f.call(t, "POST", "/r/", "1")
+				assert.Equal(t, f.call(t, "POST", "/r/", "2", "X-Id", "id-2").body, "kept")
+				assert.Equal(t, f.call(t, "POST", "/r/", "3", "X-Id", "id-3").status, c.status)
+				assert.Equal(t, b.requestCount(), 3)
+			}
+		})
+	}
+}
--- a/relayer/stream_end_test.go
+++ b/relayer/stream_end_test.go
@@ -102,6 +102,35 @@
 	}
 }
 
+// Guards against the head of a server's error in the middle of a stream, or a stream that ends with it as
+// if it were complete: the body has no length, so the server's next response looks like its rest.
+func TestErrorBehindTheEventsOfAnUnframedStreamIsNotForwarded(t *testing.T) {
+	unframed := func(first, last int, rest string) handler {
+		return thenClose(func(w io.Writer, req *http.Request) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nContent-Type: text/event-stream\r\n\r\n%s%s", req.Header.Get("X-Id"), eventText(first, last), rest)
+		})
+	}
+	for _, rest := range []string{
+		"HTTP/1.1 500 Internal Server Error\r\nX-Id: id-1\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 8\r\n\r\nfailed\n\n",
+		"internal error\n\n",
+		"{\"error\":\"busy\"}\n\n",
+	} {
+		for _, continuation := range []bool{false, true} {
+			t.Run(fmt.Sprint(continuation, rest), func(t *testing.T) {
+				b := unframed(1, 6, rest)
+				if continuation {
+					b = failAfterThreeEvents(unframed(4, 6, rest))
+				}
+				f := newFixture(t, tolerantRoute, newBackend(t, b), newBackend(t, b))
+				got := f.call(t, "POST", "/r/", "p")
+				assert.Equal(t, got.body, eventText(1, 6))
+				assert.Assert(t, got.truncated)
+			})
+		}
+	}
+}
+
 // Guards against a resumed stream that joins parts of two runs: after an event without
 // an ID, no server can know where to continue.
 func TestStreamOfUnnumberedEventsIsNotResumed(t *testing.T) {
