serve: a further attempt of a request has a connection of its own

Cause: answers are matched by the ID, which attempts, resumptions and cancellations share. In route no connection carries an ID twice.

Change: these, and requests with a caller's key, use a connection of their own, closed afterwards.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -137,6 +137,9 @@
 	// not be lost set it: they leave no idle connection that may go silent and lose
 	// a later request.
 	CloseConnection bool
+	// OwnConnection sends the request on a connection of its own. Requests whose ID another one
+	// had set it: a server may repeat the answer to that one, which could not be told apart.
+	OwnConnection bool
 }
 
 // Answer is the answer of a backend server.
@@ -285,7 +288,11 @@
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	c.fillRequest(request, address, r, remaining)
-	err := c.hostClient(address, r.ProgressTimeout).Do(request, response)
+	client := c.hostClient(address, r.ProgressTimeout)
+	if r.OwnConnection {
+		client = c.newHostClient(address, r.ProgressTimeout)
+	}
+	err := client.Do(request, response)
 	switch {
 	case IsErrNotSent(err):
 		return err
@@ -322,7 +329,7 @@
 	}
 	request.SetBodyRaw(r.Body)
 	request.SetTimeout(remaining.Duration())
-	if r.CloseConnection {
+	if r.CloseConnection || r.OwnConnection {
 		request.SetConnectionClose()
 	}
 }
--- a/dispatcher/canceller.go
+++ b/dispatcher/canceller.go
@@ -35,7 +35,7 @@
 		RequestID:       requestID,
 		Deadline:        c.Clock.Now() + timeout,
 		ProgressTimeout: timeout,
-		CloseConnection: true,
+		OwnConnection:   true,
 	})
 	if err != nil || answer.Status != http.StatusOK {
 		return 0, 0, false
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -324,6 +324,7 @@
 		Deadline:        r.call.Deadline,
 		ProgressTimeout: clocker.Millis(r.call.Service.ProgressTimeoutMs),
 		CloseConnection: !r.call.Service.Idempotent,
+		OwnConnection:   r.attempts > 1 || r.call.IdempotencyKey != "",
 	}
 }
 
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -224,7 +224,7 @@
 	}
 	s.resumeCount++
 	request := s.backendRequest(http.MethodGet, fmt.Sprintf("/v1/streams/%s?after=%d", s.call.RequestID, s.lastEventID), "", nil)
-	request.CloseConnection = true
+	request.OwnConnection = true
 	answer, err := s.d.cfg.Connector.Stream(s.choice.Server.Address, request)
 	if err != nil {
 		return false
