--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -46,7 +46,7 @@
 	if until == 0 {
 		return nil
 	}
-	refusal := NewRefusal(CodeQuarantined, r.call.RequestID, r.progress == NotDispatched, "backend servers crashed under this request")
+	refusal := NewRefusal(CodeQuarantined, r.call.RequestID, r.progress == NotDispatched, "backend servers crashed under this request, or a host that has just started does not know yet")
 	refusal.RetryAfterMs = until - r.d.cfg.Clock.Now()
 	return refusal
 }
