--- a/chooser/report_test.go
+++ b/chooser/report_test.go
@@ -110,3 +110,41 @@
 	c.Expire(11 + removedRetention)
 	assert.Equal(t, len(c.removed), 0)
 }
+
+// A request that is pinned to a version of the software goes to no other one, and servers of a version that
+// is not admitted get no request.
+func TestVersionsOfTheSoftwareAreRespected(t *testing.T) {
+	admitted := map[string]bool{"v1": true, "v2": true}
+	c := New(Config{AvailabilityZone: "a", Admits: func(_, software string) bool { return admitted[software] }})
+	for _, software := range []string{"v1", "v2", "v3"} {
+		c.Set(Server{ID: software, Service: "s", Slots: 1, AvailabilityZone: "a", Software: software})
+	}
+	for _, pinned := range []string{"v1", "v2"} {
+		for range 20 {
+			choice := c.Choose(Request{Service: "s", Pinned: true, Software: pinned}, 1)
+			assert.Assert(t, choice.Found && choice.Server.ID == pinned)
+		}
+	}
+	assert.Assert(t, !c.Choose(Request{Service: "s", Pinned: true, Software: "v3"}, 1).Found)
+	assert.Assert(t, !c.Choose(Request{Service: "s", Pinned: true}, 1).Found)
+	assert.Assert(t, !c.Choose(Request{Service: "s", Avoid: []string{"v1", "v2"}}, 1).Found)
+	admitted["v3"] = true
+	assert.Assert(t, c.Choose(Request{Service: "s", Avoid: []string{"v1", "v2"}}, 1).Found)
+}
+
+// A server that went down counts as perhaps restarted until its entry could have told so.
+func TestServerThatWentDownMayHaveRestarted(t *testing.T) {
+	c := New(Config{AvailabilityZone: "a"})
+	s := Server{ID: "i", Service: "s", Slots: 1, AvailabilityZone: "a", Software: "v1", StartedAt: 1}
+	c.Set(s)
+	pinned := Request{Service: "s", Pinned: true, Software: "v1"}
+	assert.Assert(t, c.Choose(pinned, 1).Found)
+	c.MarkDown("i", 10)
+	c.Set(s)
+	assert.Assert(t, !c.Choose(pinned, 11).Found && c.Choose(Request{Service: "s"}, 11).Restarted)
+	assert.Assert(t, c.Choose(pinned, 10+entryDelay).Found && !c.Choose(pinned, 10+entryDelay).Restarted)
+	c.MarkDown("i", 20)
+	s.StartedAt = 2
+	c.Set(s)
+	assert.Assert(t, c.Choose(pinned, 21).Found)
+}
--- a/runner/quarantine_spread_test.go
+++ b/runner/quarantine_spread_test.go
@@ -59,3 +59,24 @@
 		})
 	}
 }
+
+// The same for one request that comes again, at the third crash: a host that does not know of the first
+// two sends it to one server more.
+func TestAllHostsRefuseARequestSoonAfterItsThirdCrash(t *testing.T) {
+	for _, scale := range []fleetScale{smallFleet, grownFleet, largeFleet} {
+		t.Run(fmt.Sprint(scale.zones*scale.hostsPerZone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, scale)
+				deadly := quarantiner.NewRequest("one", quarantiner.Content{Method: "PUT", Target: "/order", Body: []byte("deadly")}, nil)
+				for i, h := range f.hosts[:3] {
+					f.sleep(250)
+					h.withholder.Crashed(quarantiner.Server{ID: fmt.Sprint("i-", i), StartedAt: 1}, deadly)
+				}
+				third := f.clock.Now()
+				took := f.await(third, scale.bound, func(h *fleetHost) bool { return h.withholder.Refused(deadly) > 0 })
+				t.Logf("%d hosts refuse the request %d ms after the third crash", len(f.hosts), took)
+				assert.Assert(t, took < scale.bound/2)
+			})
+		})
+	}
+}
