BUDGET: evidence without an ID of a request refuses nothing

What could be seen: a host that sends malformed evidence, or a damaged record in the store, makes all hosts refuse every request for ten minutes. Not seen; found by reading.

Cause: a request is named by its hash, 0 stands for none in a quarantine, and a quarantine without parts covered everything. The test of malformed evidence sent "cleared" for the same hash and hid it.

Change: a suspect without an ID is dropped, and a quarantine for neither a request nor parts refuses nothing.

TestEvidenceWithoutAnIDRefusesNothing failed before; TestMalformedEvidenceIsHarmless asks before it clears.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -217,8 +217,8 @@
 }
 
 func (held Quarantine) refuses(r Request) bool {
-	if held.Request != 0 {
-		return r.ID == held.Request
+	if held.Request != 0 || len(held.Parts) == 0 {
+		return held.Request != 0 && r.ID == held.Request
 	}
 	if len(held.Accounts) > 0 && !slices.Contains(held.Accounts, r.Account) {
 		return false
@@ -310,7 +310,7 @@
 func (q *Quarantiner) suspects(c Crash) []Request {
 	var requests []Request
 	for _, r := range c.Requests {
-		if q.soundRequests.has(r.ID, c.At) {
+		if r.ID == 0 || q.soundRequests.has(r.ID, c.At) { // an ID of 0 is malformed
 			continue
 		}
 		parts := slices.DeleteFunc(slices.Clone(r.Parts), func(p uint64) bool { return q.soundParts.has(p, c.At) })
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -418,3 +418,15 @@
 		assert.Assert(t, !refused(host, requestOf("three", "rare", "x"), now))
 	}
 }
+
+// Evidence without an ID, as of a host that sends something else in its place, refused every request.
+func TestEvidenceWithoutAnIDRefusesNothing(t *testing.T) {
+	q := New()
+	for i := range 10 {
+		at := clocker.Minute + clocker.Millis(i)*clocker.Second
+		q.Merge([]Crash{{Server: uint64(i + 1), At: at, Requests: []Request{{}}}}, nil, at)
+		q.Merge([]Crash{{Server: uint64(i + 1), At: at, Requests: []Request{{Parts: []uint64{0}}}}}, nil, at)
+	}
+	assert.Assert(t, !refused(q, request("x", "y"), 2*clocker.Minute))
+	assert.Assert(t, !refused(q, Request{}, 2*clocker.Minute))
+}
--- a/withholder/withholder_test.go
+++ b/withholder/withholder_test.go
@@ -60,6 +60,8 @@
 		crashes = append(crashes, &messenger.ServerCrash{}, &messenger.ServerCrash{Server: uint64(i), AgeMs: -1 << 62, Requests: []*messenger.SuspectRequest{{}}},
 			&messenger.ServerCrash{Server: uint64(i), AgeMs: 1 << 62, Requests: []*messenger.SuspectRequest{{Parts: []uint64{1}}}})
 	}
+	w.ApplyBeat(&messenger.Beat{Crashes: crashes})
+	assert.Equal(t, w.Refused(quarantiner.Request{ID: 7}), clocker.Millis(0))
 	w.ApplyBeat(&messenger.Beat{Crashes: crashes, Cleared: []*messenger.ClearedSuspect{{}, {AgeMs: -5}, {AgeMs: 1 << 62}}})
 	assert.Equal(t, w.Refused(quarantiner.Request{Parts: []uint64{1}}), clocker.Millis(0))
 	assert.Equal(t, w.Refused(quarantiner.Request{}), clocker.Millis(0))
