ORDER: streams are told apart by account, and those without an ID are not remembered

What could be seen: two client accounts number their requests alike, or send no ID; a stream that one takes up goes on at the version at which the other's began. Not seen; found by reading.

Cause: the hash of a stream was that of the ID alone, which callers choose.

Change: the client account is a part of it; a stream without an ID is told to nobody and found nowhere, so it goes on only where one version is in use.

TestStreamsOfOtherRequestsAreNotConfused uses the account in the IDs, as the change brings it; it was not run on the code before.

--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -24,7 +24,7 @@
 	if x.position.callerLast == unnumbered {
 		return failure{}, true
 	}
-	x.origin.software, x.origin.known = x.cfg.Origins.Origin(x.ctx, x.req.Header.Get(x.cfg.HeaderNames.TakenUp), x.service.Name)
+	x.origin.software, x.origin.known = x.cfg.Origins.Origin(x.ctx, x.streamID(x.req.Header.Get(x.cfg.HeaderNames.TakenUp)), x.service.Name)
 	if !x.origin.known {
 		return originUnknown, false
 	}
@@ -38,7 +38,18 @@
 		return
 	}
 	x.origin = streamOrigin{known: true, software: server.Software}
-	x.cfg.Origins.Began(x.id, server)
+	if id := x.streamID(x.id); id != "" {
+		x.cfg.Origins.Began(id, server)
+	}
+}
+
+// streamID returns the ID of a stream that a request of the caller began, or "" without the ID of a
+// request. Callers choose these IDs, so those of two client accounts may be equal.
+func (x *relayedRequest) streamID(requestID string) string {
+	if requestID == "" || x.account == nil {
+		return requestID
+	}
+	return x.account.Name + "\x00" + requestID
 }
 
 // originLost reports whether the caller has events of a stream whose origin is not known, so that no server
--- a/relayer/origin_test.go
+++ b/relayer/origin_test.go
@@ -34,6 +34,9 @@
 	return software, known
 }
 
+// ofMasons returns the ID of a stream of the account of the fixture.
+func ofMasons(requestID string) string { return "masons\x00" + requestID }
+
 // beganAt returns the version that began a stream, and whether one did.
 func (o *fakeOrigins) beganAt(id string) (string, bool) {
 	o.mu.Lock()
@@ -94,7 +97,7 @@
 			f, o := newVersionsFixture(t, c.versions, first, second, third)
 			for i := range 30 { // the choice among servers of similar cost is random
 				got := f.call(t, "POST", "/r/", "p")
-				if _, began := o.beganAt("id-1"); !began || got.status != http.StatusOK {
+				if _, began := o.beganAt(ofMasons("id-1")); !began || got.status != http.StatusOK {
 					t.Fatalf("call %d: status %d", i, got.status)
 				}
 				if i == 0 {
@@ -131,7 +134,7 @@
 			first, second := newBackend(t, resume(4)), newBackend(t, resume(4))
 			f, o := newVersionsFixture(t, []string{"v1", "v2"}, first, second)
 			if c.known {
-				o.known["before"] = c.began
+				o.known[ofMasons("before")] = c.began
 			}
 			for range 20 {
 				got := f.call(t, "POST", "/r/", "p", "Last-Event-Id", "2", "X-Takes-Up", "before")
@@ -143,7 +146,7 @@
 			if !c.known {
 				assert.Equal(t, f.budgets.reserved, int64(0))
 			}
-			_, began := o.beganAt("id-1")
+			_, began := o.beganAt(ofMasons("id-1"))
 			assert.Assert(t, !began, "a stream that was taken up began elsewhere")
 		})
 	}
@@ -157,7 +160,7 @@
 		f.call(t, "POST", "/r/", "p")
 		f.nextRequestLine(t)
 	}
-	software, began := o.beganAt("id-1")
+	software, began := o.beganAt(ofMasons("id-1"))
 	assert.Assert(t, began)
 	assert.Equal(t, software, "v2")
 }
@@ -181,7 +184,7 @@
 			f.servers.chooser.Set(chooser.Server{ID: "s0", Service: "s", Address: reborn.listener.Addr().String(), AvailabilityZone: "a", Slots: 4, Software: "v2"})
 			request.Software = "v2"
 			assert.Assert(t, f.servers.Choose(request).Found, "a new entry tells of the new incarnation")
-			_, began := o.beganAt("id-1")
+			_, began := o.beganAt(ofMasons("id-1"))
 			assert.Equal(t, began, events > 0)
 		})
 	}
@@ -204,7 +207,7 @@
 	got := f.call(t, "POST", "/r/", "p")
 	assert.Assert(t, got.truncated)
 	assert.Equal(t, second.requestCount(), 0)
-	_, began := o.beganAt("id-1")
+	_, began := o.beganAt(ofMasons("id-1"))
 	assert.Assert(t, !began)
 }
 
@@ -218,3 +221,16 @@
 	assert.Assert(t, f.servers.Choose(chooser.Request{Service: "s", Avoid: []string{"s1"}}).Restarted)
 	assert.Assert(t, !f.servers.Choose(chooser.Request{Service: "s", Avoid: []string{"s0"}}).Restarted)
 }
+
+// Streams whose requests had no ID, or IDs that two client accounts chose alike, were taken for one.
+func TestStreamsOfOtherRequestsAreNotConfused(t *testing.T) {
+	b := newBackend(t, resume(4))
+	f, o := newVersionsFixture(t, []string{"v1"}, b)
+	assert.Equal(t, f.call(t, "POST", "/r/", "p", "X-Id", "").status, http.StatusOK)
+	_, began := o.beganAt("")
+	assert.Assert(t, !began)
+	o.known["before"], o.known[ofMasons("")] = "v1", "v1" // of another account, and of none
+	for _, header := range [][]string{{"Last-Event-Id", "2", "X-Takes-Up", "before"}, {"Last-Event-Id", "2"}} {
+		assert.Equal(t, f.call(t, "POST", "/r/", "p", header...).status, http.StatusServiceUnavailable)
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -70,10 +70,10 @@
 
 // Origins knows which software version began each stream: a stream may go on at that one only.
 type Origins interface {
-	// Began records that a server sends the first event of the stream of a request.
+	// Began records that a server sends the first event of a stream.
 	Began(id string, s chooser.Server)
-	// Origin returns the version that began the stream of a request, and false if that is not
-	// known.
+	// Origin returns the version that began a stream, and false if that is not known. The ID is
+	// "" if the caller names no stream.
 	Origin(ctx context.Context, id, service string) (string, bool)
 }
 
--- a/runner/stream_origins.go
+++ b/runner/stream_origins.go
@@ -114,6 +114,9 @@
 
 // Origin implements relayer.Origins.
 func (o *streamOrigins) Origin(ctx context.Context, id, service string) (string, bool) {
+	if id == "" {
+		return o.only(service)
+	}
 	stream := recorder.StreamHash(id)
 	if software, known := o.find(stream, service); known {
 		return software, true
@@ -131,6 +134,14 @@
 	return "", false
 }
 
+// only returns the only version that can have begun a stream of the service, and false if there are
+// several.
+func (o *streamOrigins) only(service string) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Only(service, o.lifetime(), o.clock.Now())
+}
+
 // find returns the origin of a stream as far as this host knows it.
 func (o *streamOrigins) find(stream uint64, service string) (string, bool) {
 	o.mu.Lock()
--- a/runner/stream_origins_test.go
+++ b/runner/stream_origins_test.go
@@ -192,8 +192,10 @@
 					assert.Assert(t, known, "stream %d at %s", i, asking.name)
 					assert.Equal(t, software, "v1")
 				}
+				_, known := f.hosts[1].origins.Origin(t.Context(), "", "s")
+				assert.Assert(t, !known, "a caller that names no stream")
 				began := f.clock.Now()
-				_, known := f.hosts[1].origins.Origin(t.Context(), "never seen", "s")
+				_, known = f.hosts[1].origins.Origin(t.Context(), "never seen", "s")
 				assert.Assert(t, !known)
 				assert.Assert(t, f.clock.Now()-began < clocker.Second)
 			})
