ORDER: a stream of a restarted server goes on where one version alone is in use

What callers could see: for five seconds after a server refused a connection, a stream that it begins and breaks off is not continued, although all servers have one version.

Cause: its origin was left unknown without asking for the only version. Change: that is asked for, without asking other hosts.

--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -53,8 +53,11 @@
 }
 
 // originLost reports whether the caller has events of a stream whose origin is not known, so that no server
-// may continue it.
+// may continue it. With one version in use that is the origin.
 func (x *relayedRequest) originLost() bool {
+	if x.position.forwarded > 0 && !x.origin.known {
+		x.origin.software, x.origin.known = x.cfg.Origins.Origin(x.ctx, "", x.service.Name)
+	}
 	return x.position.forwarded > 0 && !x.origin.known
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -86,7 +86,7 @@
 	Servers Servers
 	Budgets Budgets
 	Retries Retries
-	// Origins may be nil if all servers have the same software.
+	// Origins may be nil if servers name no version of their software.
 	Origins Origins
 	// Quarantine may be nil.
 	Quarantine Quarantine
