BUDGET: an answer that tells to come back clears no suspect

What could be seen: a server that is too busy answers 429 without saying that it has not run the request; the request that crashed others counts as sound for two seconds, and what is held against it is dropped.

Change: 408, 421, 429 and 503 clear nothing. TestCompleteAnswersAreReported has the case, which failed, and one of 404, which passed.

--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -49,10 +49,10 @@
 	return crashesServers.withMinRetryAfter(until - x.cfg.Clock.Now()), true
 }
 
-// reportAnswer reports that a server answered the request without failing. An answer that has neither
-// frame nor body may be that of a server that crashed.
+// reportAnswer reports that a server ran the request without failing. An answer that has neither frame nor
+// body may be that of a server that crashed, and one that tells to come back says nothing of a run.
 func (x *relayedRequest) reportAnswer(server chooser.Server, response *carrier.Response, hasBody bool) {
-	if hasBody || response.Framed() {
+	if (hasBody || response.Framed()) && !statusImpliesNotRun(response.StatusCode) {
 		x.cfg.Quarantine.Answered(incarnationOf(server), x.suspect, response.Framed())
 	}
 }
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -209,6 +209,8 @@
 		{"stream, neither length nor chunks", matcher.Route{Kind: matcher.Stream}, thenClose(respondRaw(streamHeader + "\r\nid: 1\ndata: d\n\n")), []string{"s0 false"}},
 		{"ends inside an event", matcher.Route{Kind: matcher.Stream}, thenClose(respondRaw(streamHeader + "\r\nid: 1\ndata: d\n\nid: 2\nda")), nil},
 		{"server's failure", matcher.Route{}, respond(500, "ab"), nil},
+		{"missing object", matcher.Route{}, respond(404, "ab"), []string{"s0 true"}},
+		{"too busy to run it", matcher.Route{Kind: matcher.Safe}, respond(429, "ab"), nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f, q := newQuarantineFixture(t, c.route, newBackend(t, c.handler))
