--- a/runner/configuration_spread_test.go
+++ b/runner/configuration_spread_test.go
@@ -67,3 +67,23 @@
 	t.Logf("known after %d ms", took)
 	assert.Check(t, took <= scale.bound, "the last host knows after %d ms, the bound is %d ms", took, scale.bound)
 }
+
+// Guards against a late configuration at hosts that count on the heartbeats of others: a third of
+// the hosts reaches the store but no other host, and their watches hang.
+func TestConfigurationIsInForceInTimeWithoutHeartbeats(t *testing.T) {
+	playFleets(t, hangWatchesOfUnheardHosts)
+}
+
+func hangWatchesOfUnheardHosts(t *testing.T, scale fleetScale) {
+	f := newFleet(t, scale)
+	for i, h := range f.hosts {
+		h.alone.Store(i%3 == 0)
+	}
+	f.store.put(fleetConfiguration{Version: 2, Routes: 1400})
+	f.sleep(scale.bound/batchDelayDivisor + watchRestart)
+	f.store.dropHistory()
+	accepted := f.store.put(fleetConfiguration{Version: 3, Routes: 1400})
+	took := f.awaitVersion(t, 3, accepted, 20*clocker.Second)
+	t.Logf("in force after %d ms", took)
+	assert.Check(t, took <= scale.bound, "the last host has the version in force after %d ms, the bound is %d ms", took, scale.bound)
+}
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -80,6 +80,18 @@
 	started atomic.Bool
 	// cut is true while the host reaches neither the store nor other hosts.
 	cut atomic.Bool
+	// alone is true while the host reaches the store but no other host.
+	alone atomic.Bool
+}
+
+// reaches reports whether heartbeats pass between two hosts.
+func (h *fleetHost) reaches(other *fleetHost) bool {
+	for _, end := range []*fleetHost{h, other} {
+		if end.cut.Load() || end.alone.Load() || !end.started.Load() {
+			return false
+		}
+	}
+	return true
 }
 
 // fleetConfiguration is the content of the configuration object.
@@ -162,7 +174,7 @@
 // SendBeat implements heartbeater.Exchange. A host that is cut off does not answer.
 func (h *fleetHost) SendBeat(ctx context.Context, address string, beat *messenger.Beat) (*messenger.BeatReply, error) {
 	other := h.fleet.byAddress[address]
-	if h.cut.Load() || other.cut.Load() || !other.started.Load() {
+	if !h.reaches(other) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
