Refusals for want of a route or key tell how current the configuration is

The request line now has the path, the age of the version in force and the newest version heard of, and `configuration in force` has the time for decoding and building the table. No decision changes. TestRefusalByVersionTellsHowCurrentItIs covers the lines.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -77,12 +77,23 @@
 	Origin(ctx context.Context, id, service string) (string, bool)
 }
 
+// ConfigurationNews tells how current the configuration in force is.
+type ConfigurationNews struct {
+	// InForceSince is when it came into force, in milliseconds.
+	InForceSince clocker.Millis
+	// NewestVersion is the highest version that other hosts have reported.
+	NewestVersion int64
+}
+
 // Config configures a Relayer.
 type Config struct {
 	Clock       *clocker.Clock
 	HeaderNames HeaderNames
 	// Table returns the routing table in force, or nil before one is loaded.
-	Table   func() *matcher.Table
+	Table func() *matcher.Table
+	// ConfigurationNews tells, for the log, how current that table is; it may be nil.
+	ConfigurationNews func() ConfigurationNews
+
 	Servers Servers
 	Budgets Budgets
 	Retries Retries
@@ -110,6 +121,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = noQuarantine{}
 	}
+	if cfg.ConfigurationNews == nil {
+		cfg.ConfigurationNews = func() ConfigurationNews { return ConfigurationNews{} }
+	}
 	if cfg.Origins == nil {
 		cfg.Origins = sameOrigin{}
 	}
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -16,6 +16,8 @@
 	maxLoggedParts = 8
 	// maxLoggedIDBytes limits the logged ID of a part, which callers choose.
 	maxLoggedIDBytes = 32
+	// maxLoggedPathBytes limits the logged path, which callers choose.
+	maxLoggedPathBytes = 96
 )
 
 // ending is how the response to the caller ended.
@@ -140,6 +142,10 @@
 	if x.table != nil {
 		attributes = append(attributes, "version", x.table.Version)
 	}
+	if x.dependsOnVersion() {
+		news := x.cfg.ConfigurationNews()
+		attributes = append(attributes, "path", x.loggedPath(), "in_force_ms", x.cfg.Clock.Now()-news.InForceSince, "newest_version", news.NewestVersion)
+	}
 	if x.route != nil {
 		attributes = append(attributes, "route", x.route.Name, "time_ms", x.deadline-x.started)
 	}
@@ -164,6 +170,18 @@
 	x.cfg.Log.Info("request", attributes...)
 }
 
+// dependsOnVersion reports whether the request was refused because the configuration in force has
+// no such route or key. Another version may have it.
+func (x *relayedRequest) dependsOnVersion() bool {
+	return x.log.reason == noRoute.reason || x.log.reason == unknownKey.reason
+}
+
+// loggedPath returns the host and the start of the path of the request.
+func (x *relayedRequest) loggedPath() string {
+	target := x.req.Host + requestTarget(x.req)
+	return target[:min(len(target), maxLoggedPathBytes)]
+}
+
 // loggedParts returns the IDs of the first maxLoggedParts parts of the prompt.
 func (x *relayedRequest) loggedParts() []string {
 	parts := x.prompt[:min(len(x.prompt), maxLoggedParts)]
--- a/relayer/request_log_test.go
+++ b/relayer/request_log_test.go
@@ -89,3 +89,24 @@
 	assert.NilError(t, json.Unmarshal([]byte(<-f.logLines), &line))
 	assert.DeepEqual(t, line.Parts, []string{"a1", "b2", long[:maxLoggedIDBytes]})
 }
+
+// The log line of a refusal for want of a route or key tells how current the configuration is that
+// lacks it, and names the request's path.
+func TestRefusalByVersionTellsHowCurrentItIs(t *testing.T) {
+	f := newFixture(t, matcher.Route{}, newBackend(t, respond(200, "")))
+	f.relayer.cfg.ConfigurationNews = func() ConfigurationNews { return ConfigurationNews{InForceSince: 1, NewestVersion: 8} }
+	for path, key := range map[string]string{"/added/": "key", "/r/": "new key"} {
+		f.call(t, "GET", path, "", "Authorization", "Bearer "+key)
+		var line struct {
+			Path          string `json:"path"`
+			InForceMs     int64  `json:"in_force_ms"`
+			Version       int64  `json:"version"`
+			NewestVersion int64  `json:"newest_version"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(<-f.logLines), &line))
+		assert.Equal(t, line.Path, "shop.example"+path)
+		assert.Equal(t, line.Version, int64(1))
+		assert.Equal(t, line.NewestVersion, int64(8))
+		assert.Assert(t, line.InForceMs > 0)
+	}
+}
--- a/runner/configurations.go
+++ b/runner/configurations.go
@@ -15,8 +15,11 @@
 // ignores versions that are not higher than the one in force.
 type configurationSink struct {
 	platform Platform
+	clock    *clocker.Clock
 	log      *slog.Logger
 	table    *atomic.Pointer[matcher.Table]
+	// inForceSince is set to the time at which the table changed, in milliseconds.
+	inForceSince *atomic.Int64
 }
 
 // Replace implements watcher.Sink.
@@ -41,6 +44,7 @@
 	if o.Key != c.platform.ConfigurationKey {
 		return
 	}
+	startedAt := c.clock.Now()
 	d, err := c.platform.DecodeDeclaration(o)
 	if err != nil {
 		c.log.Error("configuration can't be read, the one in force stays", "cause", err.Error())
@@ -55,7 +59,9 @@
 		return
 	}
 	c.table.Store(matcher.New(d))
+	now := c.clock.Now()
+	c.inForceSince.Store(int64(now))
 	// Declaration.Version is the version of the configuration, Object.Version the revision
 	// of the store.
-	c.log.Info("configuration in force", "version", d.Version, versioner.Attr(o.Version), "call", call, "routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
+	c.log.Info("configuration in force", "version", d.Version, versioner.Attr(o.Version), "call", call, "routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts), "took_ms", now-startedAt)
 }
--- a/runner/configurations_test.go
+++ b/runner/configurations_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/clocker"
 	"cowsliphinge/matcher"
 	"cowsliphinge/storer"
 )
@@ -41,8 +42,10 @@
 			}
 			return d, nil
 		}},
-		log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
-		table: &atomic.Pointer[matcher.Table]{},
+		clock:        clocker.NewManual(1000),
+		log:          slog.New(slog.NewTextHandler(io.Discard, nil)),
+		table:        &atomic.Pointer[matcher.Table]{},
+		inForceSince: &atomic.Int64{},
 	}
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -76,6 +76,8 @@
 	traffic      traffic
 	table        atomic.Pointer[matcher.Table]
 	startedAt    clocker.Millis
+	// inForceSince is when the table came into force, in milliseconds.
+	inForceSince atomic.Int64
 	// caughtUp is true once this host serves by the configuration in force.
 	caughtUp atomic.Bool
 	settings atomic.Pointer[Settings]
@@ -175,7 +177,7 @@
 	// leaving servers are also detected by requests.
 	configurationWatcher := r.newWatcher(ctx, watcher.Config{
 		Kind:             kind,
-		Sink:             &configurationSink{platform: r.cfg.Platform, log: r.cfg.Log, table: &r.table},
+		Sink:             &configurationSink{platform: r.cfg.Platform, clock: r.cfg.Clock, log: r.cfg.Log, table: &r.table, inForceSince: &r.inForceSince},
 		WatchTimeoutFunc: r.watchTimeouts(r.cfg.Settings.ConfigurationMs),
 		BatchDelay:       r.cfg.Settings.ConfigurationMs / batchDelayDivisor,
 		ProbesStore:      true,
@@ -218,8 +220,11 @@
 		Clock:       r.cfg.Clock,
 		HeaderNames: r.cfg.Platform.Dialect,
 		Table:       r.servingTable,
-		Servers:     r.backends,
-		Budgets:     r.reserver.Load(),
+		ConfigurationNews: func() relayer.ConfigurationNews {
+			return relayer.ConfigurationNews{InForceSince: clocker.Millis(r.inForceSince.Load()), NewestVersion: r.heartbeater.NewestVersion()}
+		},
+		Servers: r.backends,
+		Budgets: r.reserver.Load(),
 		Retries: retrier.NewRetryWindow(retrier.RetryWindowConfig{
 			Clock: r.cfg.Clock,
 			Span:  s.RetryWindowMs,
