CONFIG: a host without recent news from others relies on its own watch

Callers at a host that reached the store but no other host (or none that watches closely) could be served by an old configuration for 12.5 s: its watch waits 12 s, since heartbeats tell of what a hung one misses, and nothing compared the age of what they tell with the bound. Others count as suspect only after 4 s, and a watch in progress kept the timeout that it had started with. Class: a dependency that is trusted to deliver, without a bound on its silence.

Heartbeats now carry how long ago the store told the sender, or a host that it has heard of, of all changes. Where that is older than half of the bound, a host uses timeouts as in a small zone and ends a longer watch in progress; the next one goes on from the same revision. The backend servers' watch, the same cause elsewhere, has it too, there by LeaveMs: it also waited for SteadyMs in small zones.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -55,8 +55,12 @@
 
 // Config configures a Heartbeater.
 type Config struct {
-	// OwnBeat returns the current beat of this host; the Heartbeater sets Heard and SentAtMs.
+	// OwnBeat returns the current beat of this host; the Heartbeater sets Heard, SentAtMs and
+	// what the sender has heard of.
 	OwnBeat func() *messenger.Beat
+	// OwnConfirmations returns until when the store has told this host of all changes; nil if
+	// it does not follow the store.
+	OwnConfirmations func() Confirmations
 	// BeatReceived, unless nil, is called with each beat and reply that arrives.
 	BeatReceived func(*messenger.Beat)
 	Clock        *clocker.Clock
@@ -182,6 +186,13 @@
 	return h.members.NewestServers()
 }
 
+// Confirmations returns the latest confirmations by the store that other hosts reported.
+func (h *Heartbeater) Confirmations() Confirmations {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.members.Confirmations()
+}
+
 // runBeatRound sends the own beat to the targets of one round. It does not wait for the
 // replies: the next round is not late because a target does not answer.
 func (h *Heartbeater) runBeatRound(ctx context.Context) {
@@ -312,6 +323,13 @@
 	beat.NewestConfigurationVersion = max(beat.ConfigurationVersion, h.members.NewestVersion())
 	servers := newerServers(ServersState{beat.ServersRevision, beat.ServersFingerprint}, h.members.NewestServers())
 	beat.NewestServersRevision, beat.NewestServersFingerprint = servers.Revision, servers.Fingerprint
+	confirmed := h.members.Confirmations()
+	if h.cfg.OwnConfirmations != nil {
+		own := h.cfg.OwnConfirmations()
+		confirmed.Configuration = max(confirmed.Configuration, own.Configuration)
+		confirmed.Servers = max(confirmed.Servers, own.Servers)
+	}
+	confirmed.send(beat, now)
 	return beat
 }
 
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -77,6 +77,34 @@
 	// newestVersion is the highest configuration version that a received beat reported.
 	newestVersion int64
 	newestServers ServersState
+	confirmations Confirmations
+}
+
+// Confirmations are the times until which the store has told some host of all changes, in
+// milliseconds; 0 for never.
+type Confirmations struct {
+	Configuration clocker.Millis
+	Servers       clocker.Millis
+}
+
+// receive merges the ages of a beat that arrived at now.
+func (c *Confirmations) receive(beat *messenger.Beat, now clocker.Millis) {
+	if age := beat.ConfigurationConfirmedAgeMs; age > 0 {
+		c.Configuration = max(c.Configuration, now-clocker.Millis(age-1))
+	}
+	if age := beat.ServersConfirmedAgeMs; age > 0 {
+		c.Servers = max(c.Servers, now-clocker.Millis(age-1))
+	}
+}
+
+// send sets the ages in a beat that is sent at now.
+func (c Confirmations) send(beat *messenger.Beat, now clocker.Millis) {
+	if c.Configuration > 0 {
+		beat.ConfigurationConfirmedAgeMs = int64(max(0, now-c.Configuration)) + 1
+	}
+	if c.Servers > 0 {
+		beat.ServersConfirmedAgeMs = int64(max(0, now-c.Servers)) + 1
+	}
 }
 
 // ServersState identifies the backend servers that a host knows.
@@ -172,6 +200,7 @@
 // Receive merges a beat that arrived at now, and the beats that it forwards. It reports
 // whether a host joined, restarted, or started or stopped draining.
 func (m *Members) Receive(beat *messenger.Beat, now clocker.Millis) bool {
+	m.confirmations.receive(beat, now)
 	changed := m.receiveOne(beat, now, 0)
 	for _, forwarded := range beat.Heard[:min(len(beat.Heard), MaxForwardedBeats)] {
 		if m.receiveOne(forwarded, now, clocker.Millis(max(0, forwarded.AgeMs))) {
@@ -193,6 +222,11 @@
 	return m.newestServers
 }
 
+// Confirmations returns the latest confirmations that any received beat reported.
+func (m *Members) Confirmations() Confirmations {
+	return m.confirmations
+}
+
 // receiveOne merges a single beat whose content is age old at now.
 func (m *Members) receiveOne(beat *messenger.Beat, now, age clocker.Millis) bool {
 	m.newestVersion = max(m.newestVersion, beat.ConfigurationVersion, beat.NewestConfigurationVersion)
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -137,6 +137,7 @@
 func (r *Runner) membershipConfig(exchange heartbeater.Exchange) heartbeater.Config {
 	return heartbeater.Config{
 		OwnBeat:          r.heartbeat,
+		OwnConfirmations: r.confirmations,
 		BeatReceived:     r.applyBeat,
 		Clock:            r.cfg.Clock,
 		HostList:         hostList{platform: r.cfg.Platform, log: r.cfg.Log},
--- a/runner/configuration_spread_test.go
+++ b/runner/configuration_spread_test.go
@@ -56,6 +56,25 @@
 	for i, h := range f.hosts {
 		h.cut.Store(i%3 == 0)
 	}
+	awaitLeaving(t, f)
+}
+
+// Guards against requests to a leaving backend server at hosts that count on the heartbeats of
+// others: a third of the hosts reaches the store but no other host, and their watches hang.
+func TestLeavingServerIsKnownInTimeWithoutHeartbeats(t *testing.T) {
+	playFleets(t, func(t *testing.T, scale fleetScale) {
+		f := newFleet(t, scale)
+		for i, h := range f.hosts {
+			h.alone.Store(i%3 == 0)
+		}
+		awaitLeaving(t, f)
+	})
+}
+
+// awaitLeaving makes the watches hang as a server reports that it leaves, and checks that the hosts
+// which reach the store know in time.
+func awaitLeaving(t *testing.T, f *fleet) {
+	scale := f.scale
 	f.store.dropHistory()
 	left := f.store.putServer("draining")
 	took := f.await(left, 20*clocker.Second, func(h *fleetHost) bool {
@@ -87,3 +106,33 @@
 	t.Logf("in force after %d ms", took)
 	assert.Check(t, took <= scale.bound, "the last host has the version in force after %d ms, the bound is %d ms", took, scale.bound)
 }
+
+// Guards against calls that nothing needs: while heartbeats arrive, hosts that are not designated
+// keep their long watches. News may be late at a host now and then.
+func TestLongWatchesAreKeptWhileNewsArrives(t *testing.T) {
+	const (
+		periods = 2
+		// maxEarlyPercent is the share of the watches that may end early.
+		maxEarlyPercent = 2
+	)
+	playFleets(t, func(t *testing.T, scale fleetScale) {
+		if scale.hostsPerZone < minHostsForDesignation {
+			return // all hosts have short watches
+		}
+		f := newFleet(t, scale)
+		watches := func() (made, needed int64) {
+			for _, h := range f.hosts {
+				if !h.isDesignated() {
+					made += h.watches.Load()
+					needed += 2 * periods // of the configuration and of the backend servers
+				}
+			}
+			return made, needed
+		}
+		before, needed := watches()
+		f.sleep(periods * longWatchTimeout)
+		after, _ := watches()
+		t.Logf("%d watch calls, %d needed", after-before, needed)
+		assert.Check(t, after-before <= needed+needed*maxEarlyPercent/100)
+	})
+}
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -82,6 +82,8 @@
 	cut atomic.Bool
 	// alone is true while the host reaches the store but no other host.
 	alone atomic.Bool
+	// watches counts the watch calls of the host.
+	watches atomic.Int64
 }
 
 // reaches reports whether heartbeats pass between two hosts.
@@ -384,6 +386,7 @@
 
 // Watch implements watcher.Source.
 func (s *fleetStoreClient) Watch(ctx context.Context, kind string, since int64, wait clocker.Millis) ([]storer.Change, int64, error) {
+	s.host.watches.Add(1)
 	if err := s.begin(ctx, wait+fleetWatchMargin); err != nil {
 		return nil, 0, err
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -85,6 +85,8 @@
 	// of the backend servers at the last comparison with other hosts.
 	announcedVersion int64
 	announcedServers uint64
+	// newsStale is true while what other hosts tell of the store is too old to rely on.
+	newsStale bool
 
 	exchange      *exchanger.Client
 	heartbeater   *heartbeater.Heartbeater
@@ -97,6 +99,8 @@
 	storeHealth   *watcher.StoreHealth
 	serverWatcher atomic.Pointer[watcher.Watcher]
 
+	configurationWatcher atomic.Pointer[watcher.Watcher]
+
 	server      *http.Server
 	callerConns *connTracker
 	readyServer *http.Server
@@ -175,25 +179,25 @@
 	// A watch may hang after the store compacts its change history. The configuration
 	// watch gets the shorter timeout, since a configuration must be in force soon afterwards, while
 	// leaving servers are also detected by requests.
-	configurationWatcher := r.newWatcher(ctx, watcher.Config{
+	r.configurationWatcher.Store(r.newWatcher(ctx, watcher.Config{
 		Kind:             kind,
 		Sink:             &configurationSink{platform: r.cfg.Platform, clock: r.cfg.Clock, log: r.cfg.Log, table: &r.table, inForceSince: &r.inForceSince},
-		WatchTimeoutFunc: r.watchTimeouts(r.cfg.Settings.ConfigurationMs),
+		WatchTimeoutFunc: r.configurationTimeout,
 		BatchDelay:       r.cfg.Settings.ConfigurationMs / batchDelayDivisor,
 		ProbesStore:      true,
 
 		RelistAfterBurst: true,
-	})
+	}))
 	r.serverWatcher.Store(r.newWatcher(ctx, watcher.Config{
 		Kind:             r.cfg.Platform.ServerKind,
 		Sink:             r.backends,
-		WatchTimeoutFunc: r.watchTimeouts(r.cfg.Settings.SteadyMs),
+		WatchTimeoutFunc: r.serversTimeout,
 		BatchDelay:       r.cfg.Settings.LeaveMs / serverBatchDelayDivisor,
 		RemovalDeadline:  r.cfg.Settings.LeaveMs,
 		RecoveryTime:     r.cfg.Settings.SteadyMs,
 	}))
 	r.group.Go(func() error {
-		r.relistWhenBehindPeers(ctx, configurationWatcher)
+		r.relistWhenBehindPeers(ctx)
 		return nil
 	})
 }
--- a/runner/version_lag.go
+++ b/runner/version_lag.go
@@ -10,7 +10,6 @@
 	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
-	"cowsliphinge/watcher"
 )
 
 const (
@@ -35,6 +34,10 @@
 	// designated hosts. With fewer, their shorter timeouts cost more calls than the
 	// longer timeouts of the others save.
 	minHostsForDesignation = 6
+	// newsTimeoutDivisor divides a time limit to get the age from which the news of others is too
+	// old to rely on. The remaining time is for a call of the store, which may return a large
+	// configuration to the whole fleet.
+	newsTimeoutDivisor = 2
 	// designationShard is the budget shard whose holders are the designated hosts; they
 	// call the store anyway.
 	designationShard = 0
@@ -68,14 +71,36 @@
 	return true
 }
 
-// watchTimeouts returns a function for the timeout of watches whose changes must be
-// known within bound. In a zone of many hosts two designated hosts use short timeouts. A
-// change that the hanging watch of another host misses, because the store compacted its
-// change history, is reported by their heartbeats.
-func (r *Runner) watchTimeouts(bound clocker.Millis) func() clocker.Millis {
-	return func() clocker.Millis {
-		return watchTimeout(r.cfg.Settings.Host, r.zoneHosts(), r.fleetPosition(), bound)
+// configurationTimeout returns the timeout of the next watch of the configuration. In a zone of
+// many hosts two designated hosts use short timeouts. A change that the hanging watch of another
+// host misses, because the store compacted its change history, is reported by their heartbeats.
+// Without recent ones a host relies on its own watch.
+func (r *Runner) configurationTimeout() clocker.Millis {
+	s := r.cfg.Settings
+	stale := isStale(r.cfg.Clock.Now()-r.heartbeater.Confirmations().Configuration, s.ConfigurationMs)
+	return watchTimeout(s.Host, r.zoneHosts(), r.fleetPosition(), s.ConfigurationMs, stale)
+}
+
+// serversTimeout is the same for the backend servers. While heartbeats arrive it is longer than
+// LeaveMs alone would allow, since requests detect leaving servers as well.
+func (r *Runner) serversTimeout() clocker.Millis {
+	s := r.cfg.Settings
+	if isStale(r.cfg.Clock.Now()-r.heartbeater.Confirmations().Servers, s.LeaveMs) {
+		return watchTimeout(s.Host, r.zoneHosts(), r.fleetPosition(), s.LeaveMs, true)
 	}
+	return watchTimeout(s.Host, r.zoneHosts(), r.fleetPosition(), s.SteadyMs, false)
+}
+
+// confirmations returns until when the store has told this host of all changes.
+func (r *Runner) confirmations() heartbeater.Confirmations {
+	var c heartbeater.Confirmations
+	if w := r.configurationWatcher.Load(); w != nil {
+		c.Configuration = w.ConfirmedAt()
+	}
+	if w := r.serverWatcher.Load(); w != nil {
+		c.Servers = w.ConfirmedAt()
+	}
+	return c
 }
 
 // zoneHosts returns the live hosts of the own zone with this one.
@@ -107,18 +132,26 @@
 // watchTimeout returns the watch timeout of a host, given the live hosts of its zone and its
 // position in the fleet. The watches of all hosts start together after a change; if they all
 // hang, the first one that ends by its timeout is enough, so the short ones differ by up to
-// a half.
-func watchTimeout(host string, zone []string, position float64, bound clocker.Millis) clocker.Millis {
+// a half. staleNews is true if other hosts send nothing recent about the store.
+func watchTimeout(host string, zone []string, position float64, bound clocker.Millis, staleNews bool) clocker.Millis {
 	longest := bound * smallZoneTimeoutPercent / 100
 	if len(zone) >= minHostsForDesignation {
-		if !slices.Contains(allotter.Holders(designationShard, zone), host) {
+		switch {
+		case slices.Contains(allotter.Holders(designationShard, zone), host):
+			longest = bound / designatedHostTimeoutDivisor
+		case !staleNews:
 			return max(longWatchTimeout, bound)
 		}
-		longest = bound / designatedHostTimeoutDivisor
 	}
 	return longest/2 + clocker.Millis(position*float64(longest)/2)
 }
 
+// isStale reports whether news of an age is too old to rely on for changes that must be known
+// within bound.
+func isStale(newsAge, bound clocker.Millis) bool {
+	return newsAge >= bound/newsTimeoutDivisor
+}
+
 // livePeers returns the other hosts whose heartbeats arrive.
 func (r *Runner) livePeers() []heartbeater.Peer {
 	var live []heartbeater.Peer
@@ -163,9 +196,9 @@
 }
 
 // relistWhenBehindPeers relists the configuration or the backend servers when other
-// hosts have had newer ones for some time. A watch may hang after the store compacts its
-// change history.
-func (r *Runner) relistWhenBehindPeers(ctx context.Context, configurationWatcher *watcher.Watcher) {
+// hosts have had newer ones for some time, and renews long watches once other hosts send no
+// news. A watch may hang after the store compacts its change history.
+func (r *Runner) relistWhenBehindPeers(ctx context.Context) {
 	var version, servers lagDetector
 	var reports newerVersionLog
 	for r.cfg.Clock.Sleep(ctx, compareInterval) == nil {
@@ -173,11 +206,29 @@
 		reports.observe(r.cfg.Log, own, newest, now)
 		r.announceChanges(own, r.backends.currentFingerprint())
 		if version.observe(own, newest, r.cfg.Settings.ConfigurationMs/lagDivisor, now) {
-			configurationWatcher.Relist()
+			r.configurationWatcher.Load().Relist()
 		}
 		if servers.observe(0, r.behindOnServers(), r.cfg.Settings.LeaveMs/lagDivisor, now) {
 			r.serverWatcher.Load().Relist()
 		}
+		r.renewStaleWatches(now)
+	}
+}
+
+// renewStaleWatches ends long watches in progress while the news of other hosts is too old to rely
+// on, and logs when that begins and ends. It is called by one goroutine.
+func (r *Runner) renewStaleWatches(now clocker.Millis) {
+	news := r.heartbeater.Confirmations()
+	stale := isStale(now-news.Configuration, r.cfg.Settings.ConfigurationMs)
+	if stale != r.newsStale {
+		r.newsStale = stale
+		r.cfg.Log.Info("news of the store from other hosts changed", "stale", stale, "age_ms", now-news.Configuration, "version", r.configurationVersion())
+	}
+	if stale {
+		r.configurationWatcher.Load().EndOverdueWatch()
+	}
+	if isStale(now-news.Servers, r.cfg.Settings.LeaveMs) {
+		r.serverWatcher.Load().EndOverdueWatch()
 	}
 }
 
--- a/runner/version_lag_test.go
+++ b/runner/version_lag_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -44,7 +45,7 @@
 		zone = append(zone, fmt.Sprint("host-", i))
 		short, others := 0, 0
 		for position, host := range zone {
-			timeout := watchTimeout(host, zone, float64(position)/float64(len(zone)), bound)
+			timeout := watchTimeout(host, zone, float64(position)/float64(len(zone)), bound, false)
 			switch {
 			case timeout == longWatchTimeout:
 				others++
@@ -63,7 +64,26 @@
 		assert.Equal(t, short, allotter.HoldersPerZone)
 		assert.Equal(t, others, len(zone)-short)
 	}
-	assert.Assert(t, watchTimeout("host-0", zone[:2], 0, bound) < watchTimeout("host-1", zone[:2], 0.5, bound))
+	assert.Assert(t, watchTimeout("host-0", zone[:2], 0, bound, false) < watchTimeout("host-1", zone[:2], 0.5, bound, false))
+}
+
+// Hosts of a large zone hear nothing recent from others: all use timeouts as in a small zone.
+func TestHostWithoutNewsWatchesForItself(t *testing.T) {
+	const bound = 4000
+	var zone []string
+	for i := range 33 {
+		zone = append(zone, fmt.Sprint("host-", i))
+	}
+	for _, host := range zone {
+		fresh := watchTimeout(host, zone, 0.5, bound, false)
+		stale := watchTimeout(host, zone, 0.5, bound, true)
+		if slices.Contains(allotter.Holders(designationShard, zone), host) {
+			assert.Equal(t, stale, fresh)
+			continue
+		}
+		assert.Equal(t, fresh, longWatchTimeout)
+		assert.Assert(t, stale <= bound*smallZoneTimeoutPercent/100, "%d", stale)
+	}
 }
 
 // The watch of backend servers hangs. Another host with other servers from a later revision
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -94,6 +94,8 @@
 	Log         *slog.Logger
 }
 
+var overdueWatches = metrics.NewCounter("cowsliphinge_overdue_watches_total")
+
 // Watcher follows the objects of one kind until Close.
 type Watcher struct {
 	cfg    Config
@@ -105,12 +107,19 @@
 	// watch call in progress.
 	relistRequested bool
 	cancelWatch     context.CancelFunc
+	// watchStartedAt and currentTimeout are the start and the timeout of the watch call in
+	// progress, and renewed is true once EndOverdueWatch has ended it.
+	watchStartedAt clocker.Millis
+	currentTimeout clocker.Millis
+	renewed        bool
 	// batching is true during the batch delay after a change.
 	batching bool
 
 	revision int64
-	// lastRevision is the revision of the store's last response.
+	// lastRevision is the revision of the store's last response, and confirmedAt the time
+	// until which the responses tell of all changes, in milliseconds.
 	lastRevision atomic.Int64
+	confirmedAt  atomic.Int64
 	backoff      clocker.Millis
 	// lastResponseAt is the time of the store's last response.
 	lastResponseAt clocker.Millis
@@ -158,6 +167,27 @@
 	}
 }
 
+// EndOverdueWatch ends the watch call in progress if it has lasted longer than the timeout that a
+// new one would get, and is shorter than its own. The next watch goes on from the same revision.
+// It is called when the reason for a long timeout may have gone.
+func (w *Watcher) EndOverdueWatch() {
+	timeout := w.watchTimeout()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cancelWatch == nil || timeout >= w.currentTimeout || w.cfg.Clock.Now()-w.watchStartedAt < timeout {
+		return
+	}
+	overdueWatches.Inc()
+	w.renewed = true
+	w.cancelWatch()
+}
+
+// ConfirmedAt returns the time until which the store has told of all changes, in milliseconds; 0
+// before its first response.
+func (w *Watcher) ConfirmedAt() clocker.Millis {
+	return clocker.Millis(w.confirmedAt.Load())
+}
+
 // poll makes one call and processes its response.
 func (w *Watcher) poll(ctx context.Context) {
 	if w.revision != 0 && w.needsRelist() {
@@ -179,6 +209,7 @@
 }
 
 func (w *Watcher) list(ctx context.Context) error {
+	startedAt := w.cfg.Clock.Now()
 	objects, revision, err := w.cfg.Source.List(ctx, w.cfg.Kind, false)
 	if err != nil {
 		return err
@@ -189,6 +220,7 @@
 	w.cfg.Sink.Replace(objects, w.gracePeriod(previousResponseAt))
 	w.revision = revision
 	w.lastRevision.Store(revision)
+	w.confirmedAt.Store(int64(startedAt))
 	w.mu.Lock()
 	w.relistRequested = false
 	w.mu.Unlock()
@@ -201,30 +233,42 @@
 	return w.relistRequested
 }
 
-// setCancelWatch sets the function that ends the watch call that is about to start, or
-// nil after the call. It returns false if Relist was called, in which case the next call
-// is a list.
-func (w *Watcher) setCancelWatch(cancel context.CancelFunc) bool {
+// beginWatch records that a watch call with the timeout is about to start; cancel ends it. It
+// returns false if Relist was called, in which case the next call is a list.
+func (w *Watcher) beginWatch(cancel context.CancelFunc, timeout clocker.Millis) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancelWatch = cancel
+	w.watchStartedAt, w.currentTimeout, w.renewed = w.cfg.Clock.Now(), timeout, false
 	return !w.relistRequested
 }
 
+// endWatch records that the watch call has ended. It reports whether Relist or EndOverdueWatch
+// ended it.
+func (w *Watcher) endWatch() (relist, renewed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancelWatch = nil
+	return w.relistRequested, w.renewed
+}
+
 func (w *Watcher) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !w.setCancelWatch(cancel) {
+	timeout := w.watchTimeout()
+	if !w.beginWatch(cancel, timeout) {
 		return nil
 	}
-	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, w.watchTimeout())
-	if !w.setCancelWatch(nil) {
-		return nil // the requested list includes the changes
+	changes, revision, err := w.cfg.Source.Watch(ctx, w.cfg.Kind, w.revision, timeout)
+	relist, renewed := w.endWatch()
+	if relist || renewed && err != nil {
+		return nil // the next call tells of the changes
 	}
 	if err != nil {
 		return err
 	}
 	w.recordResponse(revision)
+	w.confirmedAt.Store(int64(w.cfg.Clock.Now()))
 	defer func() { w.firstAfterOutage = false }()
 	w.revision = max(w.revision, revision)
 	if len(changes) > 0 {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"runtime"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -233,3 +234,31 @@
 	pollOnce(w)
 	assert.Equal(t, store.listCalls, 2)
 }
+
+// Guards against a watch that keeps a long timeout after the reason for it has gone: it is ended
+// once it has lasted longer than a new one would, and goes on from its revision without a list.
+func TestOverdueWatchIsRenewed(t *testing.T) {
+	clock := clocker.NewManual(1000)
+	source := &hangingStore{fakeStore: fakeStore{clock: clock}, watchStarted: make(chan struct{})}
+	var timeout atomic.Int64
+	timeout.Store(12_000)
+	w := New(context.Background(), Config{
+		Kind: "k", Source: source, Sink: source, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		WatchTimeoutFunc: func() clocker.Millis { return clocker.Millis(timeout.Load()) },
+	})
+	<-source.watchStarted
+	clock.Advance(3000)
+	w.EndOverdueWatch() // its timeout has not changed
+	timeout.Store(4000)
+	w.EndOverdueWatch() // it has not lasted longer than a new one would
+	select {
+	case <-source.watchStarted:
+		t.Fatal("the watch ended early")
+	default:
+	}
+	clock.Advance(1000)
+	w.EndOverdueWatch()
+	<-source.watchStarted
+	assert.Equal(t, source.listCalls, 1)
+	assert.NilError(t, w.Close(context.Background()))
+}
