--- a/runner/backends.go
+++ b/runner/backends.go
@@ -11,6 +11,7 @@
 
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
+	"cowsliphinge/logger"
 	"cowsliphinge/storer"
 	"cowsliphinge/versioner"
 )
@@ -24,6 +25,8 @@
 	origins *streamOrigins
 	kind    string
 	decode  func(storer.Object) (chooser.Server, error)
+	// unusable limits the log lines about entries that can't be decoded.
+	unusable logger.RevisionFilter
 
 	mu      sync.Mutex
 	chooser *chooser.Chooser
@@ -104,7 +107,9 @@
 func (b *backendPool) set(o storer.Object) {
 	s, err := b.decode(o)
 	if err != nil {
-		b.log.Warn("entry of a backend server is not usable", "server", b.serverID(o), "cause", err.Error())
+		if b.unusable.First(o.Key, o.Version) {
+			b.log.Warn("entry of a backend server is not usable", "server", b.serverID(o), "cause", err.Error(), versioner.Attr(o.Version))
+		}
 		b.chooser.Remove(b.serverID(o), b.clock.Now())
 		return
 	}
--- a/runner/backends_test.go
+++ b/runner/backends_test.go
@@ -1,9 +1,11 @@
 package runner
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,6 +48,19 @@
 	assert.Assert(t, !b.known("two"))
 }
 
+// Guards against a log full of one odd entry, which each list returns again.
+func TestUnusableEntryIsLoggedOncePerRevision(t *testing.T) {
+	var lines bytes.Buffer
+	b := newTestBackendPool(clocker.NewManual(1000))
+	b.log = slog.New(slog.NewTextHandler(&lines, nil))
+	odd := serverEntry("odd", "bad")
+	for _, revision := range []int64{4, 4, 5, 5} {
+		odd.Version = revision
+		b.Replace([]storer.Object{odd}, 0)
+	}
+	assert.Equal(t, strings.Count(lines.String(), "not usable"), 2)
+}
+
 // A server removed during an outage of the store is dropped after the grace period; one
 // whose entry comes back is kept.
 func TestMissingEntriesExpireAfterGracePeriod(t *testing.T) {
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -10,6 +10,7 @@
 	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
+	"cowsliphinge/logger"
 	"cowsliphinge/messenger"
 	"cowsliphinge/reserver"
 	"cowsliphinge/storer"
@@ -104,10 +105,12 @@
 type hostList struct {
 	platform Platform
 	log      *slog.Logger
+	// unreadable limits the log lines about entries that can't be decoded.
+	unreadable logger.RevisionFilter
 }
 
 // Hosts implements heartbeater.HostList. Malformed entries are skipped.
-func (l hostList) Hosts(ctx context.Context) ([]storer.ListedHost, error) {
+func (l *hostList) Hosts(ctx context.Context) ([]storer.ListedHost, error) {
 	objects, _, err := l.platform.Store.List(ctx, hostKind, true)
 	if err != nil {
 		return nil, err
@@ -116,7 +119,9 @@
 	for _, o := range objects {
 		host, err := l.decode(o)
 		if err != nil {
-			l.log.Warn("entry of a host can't be read", "key", o.Key, "cause", err.Error())
+			if l.unreadable.First(o.Key, o.Version) {
+				l.log.Warn("entry of a host can't be read", "key", o.Key, "cause", err.Error())
+			}
 			continue
 		}
 		hosts = append(hosts, storer.ListedHost{Name: host.Name, Address: host.ExchangeAddress})
@@ -124,7 +129,7 @@
 	return hosts, nil
 }
 
-func (l hostList) decode(o storer.Object) (*messenger.Host, error) {
+func (l *hostList) decode(o storer.Object) (*messenger.Host, error) {
 	value, err := l.platform.DecodeValue(o)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -140,7 +145,7 @@
 		OwnConfirmations: r.confirmations,
 		BeatReceived:     r.applyBeat,
 		Clock:            r.cfg.Clock,
-		HostList:         hostList{platform: r.cfg.Platform, log: r.cfg.Log},
+		HostList:         &hostList{platform: r.cfg.Platform, log: r.cfg.Log},
 		Exchange:         exchange,
 		BeatInterval:     heartbeatInterval,
 		HostListInterval: hostListInterval,
