RECOVER: a host that is cut off from the backend servers reaches them through others

Cause: a failed connection counted as a failure of its server, for every server; nothing compared what other hosts reach. Class: a fault of the observer taken for one of what it observes.

After a failed connection a host verifies its path; if other hosts reach servers that it does not, its connections go through them, as tunnels of bytes (CONNECT on the exchange listener, with the routers' key, to known servers only). All decisions about requests stay at the host that has the caller, so one hop changes no promise: whether the server accepted the connection is known before the first byte, a reset stays a reset, a close is passed on at once. A crash is told from a cut the same way, so that a cut is no evidence against requests. Two good probes in a row end the detour.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -11,6 +11,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 
@@ -23,6 +24,30 @@
 // has read all of it.
 const maxSyncWriteBytes = 4 << 10
 
+// Dialer opens connections to backend servers.
+type Dialer interface {
+	// Dial opens a connection within a timeout in milliseconds. via is the host that it passes
+	// through, "" for a direct one. If the server does not accept it, the error wraps
+	// syscall.ECONNREFUSED.
+	Dial(ctx context.Context, address string, timeout clocker.Millis) (c net.Conn, via string, err error)
+	// Usable reports whether connections through a host, "" for direct ones, may get another
+	// request.
+	Usable(via string) bool
+	// Lost records that an exchange on a connection got no response.
+	Lost(via string)
+}
+
+// directDialer replaces a nil Dialer.
+type directDialer struct{}
+
+func (directDialer) Dial(ctx context.Context, address string, timeout clocker.Millis) (net.Conn, string, error) {
+	c, err := DialDirect(ctx, address, timeout)
+	return c, "", err
+}
+
+func (directDialer) Usable(string) bool { return true }
+func (directDialer) Lost(string)        {}
+
 // Config configures a Carrier.
 type Config struct {
 	Clock *clocker.Clock
@@ -36,6 +61,8 @@
 	IdleTimeout clocker.Millis
 	// Traffic counts the bytes on all connections; nil counts nothing.
 	Traffic Traffic
+	// Dialer may be nil; all connections are then direct.
+	Dialer Dialer
 }
 
 // Traffic counts bytes. It is called once for each read and write of a connection.
@@ -87,6 +114,9 @@
 	if cfg.Traffic == nil {
 		cfg.Traffic = noopTraffic{}
 	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = directDialer{}
+	}
 	return &Carrier{cfg: cfg, idle: map[string][]*conn{}}
 }
 
@@ -108,6 +138,9 @@
 		if !cn.isFirstExchange() && ctx.Err() == nil {
 			c.closeIdle(t) // the cause may have broken all idle connections
 		}
+		if ctx.Err() == nil {
+			c.cfg.Dialer.Lost(cn.via)
+		}
 		return nil, err
 	}
 	response.target = t
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -34,6 +34,8 @@
 	net.Conn
 	reader  *bufio.Reader
 	traffic Traffic
+	// via is the host that the connection passes through, "" for a direct one.
+	via string
 	// idleSince is when the last exchange of a request and its response ended.
 	idleSince clocker.Millis
 	// serverIdleTimeout is how long the server keeps the idle connection open; 0 if
@@ -45,13 +47,24 @@
 	readLimit int
 }
 
-func dial(ctx context.Context, address string, timeout clocker.Millis, traffic Traffic) (*conn, error) {
+// DialDirect connects to a server without passing through another host. timeout is in
+// milliseconds.
+func DialDirect(ctx context.Context, address string, timeout clocker.Millis) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout.Duration(), Control: setSocketOptions}
-	c, err := dialer.DialContext(ctx, "tcp4", address)
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+// dial opens a connection by the Dialer.
+func (c *Carrier) dial(ctx context.Context, address string, timeout clocker.Millis) (*conn, error) {
+	connections.Inc()
+	opened, via, err := c.cfg.Dialer.Dial(ctx, address, timeout)
 	if err != nil {
+		failedConnections.Inc()
 		return nil, err
 	}
-	return newConn(c, traffic), nil
+	cn := newConn(opened, c.cfg.Traffic)
+	cn.via = via
+	return cn, nil
 }
 
 func newConn(c net.Conn, traffic Traffic) *conn {
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -39,25 +39,17 @@
 		}
 		_ = cn.Close()
 	}
-	connections.Inc()
-	cn, err := dial(ctx, t.Address, c.cfg.DialTimeout, c.cfg.Traffic)
-	if err != nil {
-		failedConnections.Inc()
-		return nil, err
-	}
-	return cn, nil
+	return c.dial(ctx, t.Address, c.cfg.DialTimeout)
 }
 
 // Refuses reports whether nothing accepts connections at the server's address, as after its
 // crash. It is false if that is not certain, as on a path that loses or resets connections.
 func (c *Carrier) Refuses(ctx context.Context, t Target, timeout clocker.Millis) bool {
-	connections.Inc()
-	cn, err := dial(ctx, t.Address, timeout, c.cfg.Traffic)
+	cn, err := c.dial(ctx, t.Address, timeout)
 	if err == nil {
 		_ = cn.Close()
 		return false
 	}
-	failedConnections.Inc()
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
@@ -72,7 +64,7 @@
 	for i := len(conns) - 1; i >= 0; i-- {
 		cn := conns[i]
 		idleTime := now - cn.idleSince
-		expired := idleTime > c.idleTimeout(cn)
+		expired := idleTime > c.idleTimeout(cn) || !c.cfg.Dialer.Usable(cn.via)
 		if !expired && idleTime > r.MaxIdleTime {
 			return nil
 		}
@@ -120,7 +112,7 @@
 }
 
 // PruneIdle closes the idle connections to servers for which isKnown returns false, and
-// those that have been idle for too long.
+// those that have been idle for too long or whose path is no longer used.
 func (c *Carrier) PruneIdle(isKnown func(id string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,7 +120,7 @@
 	for id, conns := range c.idle {
 		var kept []*conn
 		for _, cn := range conns {
-			if isKnown(id) && now-cn.idleSince <= c.idleTimeout(cn) {
+			if isKnown(id) && now-cn.idleSince <= c.idleTimeout(cn) && c.cfg.Dialer.Usable(cn.via) {
 				kept = append(kept, cn)
 				continue
 			}
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -365,6 +365,14 @@
 	return m.recordOutcome(o, now)
 }
 
+// ForgetFailures ends all ejections. It is called when this host's path to the servers has turned
+// out to be the cause of the failures.
+func (c *Chooser) ForgetFailures() {
+	for _, m := range c.servers {
+		m.consecutiveFailures, m.ejectedUntil, m.errorRate = 0, 0, 0
+	}
+}
+
 // MarkDown records that nothing listens at the address of a server.
 func (c *Chooser) MarkDown(id string, now clocker.Millis) {
 	if m := c.servers[id]; m != nil {
--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -74,6 +74,8 @@
 	BillCopyHandler       BillCopyHandler
 	StreamTracker         StreamTracker
 	OriginKeeper          OriginKeeper
+	// Tunnels handles CONNECT requests of other routers; with nil they are rejected.
+	Tunnels http.Handler
 	// Commander and Querier may be nil if OperatorKey is empty, since an empty key
 	// rejects every call to them.
 	Commander messenger.Commander
@@ -104,7 +106,7 @@
 	}
 	s := &Server{cfg: cfg}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           s.withTunnels(s.routes()),
 		TLSConfig:         cfg.TLS,
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -158,6 +160,21 @@
 	return mux
 }
 
+// withTunnels passes CONNECT requests, whose target is no path, to the tunnels.
+func (s *Server) withTunnels(calls http.Handler) http.Handler {
+	if s.cfg.Tunnels == nil {
+		return calls
+	}
+	tunnels := s.authenticated(s.cfg.RouterKey, s.cfg.Tunnels)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			tunnels.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) authenticated(key string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		presented, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -325,6 +325,7 @@
 	p.LastHeard = heardAt
 	p.Draining = beat.Draining
 	p.PlatformReachable = beat.PlatformReachable
+	p.BackendsCut = beat.BackendsCut
 	p.InFlight = beat.InFlight
 	p.HeldTokens = beat.HeldTokens
 	p.LeavingInFlight = beat.LeavingInFlight
--- a/heartbeater/peer.go
+++ b/heartbeater/peer.go
@@ -28,8 +28,10 @@
 	// unanswered, or it has been silent for too long.
 	Suspect           bool
 	PlatformReachable bool
-	InFlight          int64
-	HeldTokens        int64
+	// BackendsCut is true while it can't connect to backend servers that other hosts reach.
+	BackendsCut bool
+	InFlight    int64
+	HeldTokens  int64
 	// LeavingInFlight is the number of its requests on leaving backend servers.
 	LeavingInFlight int64
 	// RequestsCut is the number of requests that it aborted in its graceful stop.
--- a/heartbeater/sample.go
+++ b/heartbeater/sample.go
@@ -64,6 +64,7 @@
 		ServersRevision:      member.peer.ServersRevision,
 		Draining:             member.peer.Draining,
 		PlatformReachable:    member.peer.PlatformReachable,
+		BackendsCut:          member.peer.BackendsCut,
 		SentAtMs:             int64(member.lastSentAt),
 		InFlight:             member.peer.InFlight,
 		HeldTokens:           member.peer.HeldTokens,
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
+	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/logger"
@@ -161,6 +163,36 @@
 	return b.chooser.Knows(id)
 }
 
+// targets returns the servers that are not leaving.
+func (b *backendPool) targets() []carrier.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var targets []carrier.Target
+	for _, id := range b.chooser.IDs() {
+		if s, ok := b.chooser.Server(id); ok && !b.chooser.Leaving(id, b.clock.Now()) {
+			targets = append(targets, carrier.Target{ID: id, Address: s.Address})
+		}
+	}
+	return targets
+}
+
+// isServerAddress reports whether a known server has the address.
+func (b *backendPool) isServerAddress(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.chooser.IDs(), func(id string) bool {
+		s, _ := b.chooser.Server(id)
+		return s.Address == address
+	})
+}
+
+// forgetFailures ends all ejections.
+func (b *backendPool) forgetFailures() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.chooser.ForgetFailures()
+}
+
 // listedOnce reports whether the servers have been listed at least once.
 func (b *backendPool) listedOnce() bool {
 	b.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,7 @@
 	"cowsliphinge/relayer"
 	"cowsliphinge/reserver"
 	"cowsliphinge/retrier"
+	"cowsliphinge/tunneler"
 	"cowsliphinge/watcher"
 	"cowsliphinge/withholder"
 )
@@ -73,9 +74,11 @@
 	stopDeadline atomic.Int64
 	overloaded   atomic.Bool
 	isolated     atomic.Bool
-	traffic      traffic
-	table        atomic.Pointer[matcher.Table]
-	startedAt    clocker.Millis
+	// backendsCut is true while other hosts reach backend servers that this one does not.
+	backendsCut atomic.Bool
+	traffic     traffic
+	table       atomic.Pointer[matcher.Table]
+	startedAt   clocker.Millis
 	// inForceSince is when the table came into force, in milliseconds.
 	inForceSince atomic.Int64
 	// caughtUp is true once this host serves by the configuration in force.
@@ -95,6 +98,8 @@
 	origins       *streamOrigins
 	withholder    *withholder.Withholder
 	carrier       *carrier.Carrier
+	detour        *detour
+	tunnels       *tunneler.Server
 	relayer       atomic.Pointer[relayer.Relayer]
 	storeHealth   *watcher.StoreHealth
 	serverWatcher atomic.Pointer[watcher.Watcher]
@@ -137,6 +142,7 @@
 	r.group.Go(func() error { return r.keepOrigins(ctx) })
 	r.startWatchers(ctx)
 	r.startBudgets(ctx)
+	r.startDetour(ctx)
 	r.startRelayer(ctx)
 	r.serve(callers, probes, peers)
 	cfg.Log.Info("started", "host", cfg.Settings.Host, "zone", cfg.Settings.AvailabilityZone, "incarnation", r.incarnation)
@@ -211,6 +217,34 @@
 	return watcher.New(ctx, cfg)
 }
 
+// startDetour prepares connections through other hosts, and those of other hosts through this one.
+func (r *Runner) startDetour(ctx context.Context) {
+	r.detour = newDetour(ctx, detourConfig{
+		Clock:            r.cfg.Clock,
+		Log:              r.cfg.Log,
+		AvailabilityZone: r.cfg.Settings.AvailabilityZone,
+		RouterKey:        r.cfg.Settings.RouterKey,
+		Peers:            r.heartbeater.Peers,
+		Servers:          r.backends.targets,
+		Changed: func(cut bool) {
+			r.backendsCut.Store(cut)
+			r.heartbeater.Announce()
+			if cut {
+				r.backends.forgetFailures()
+			}
+		},
+		DialTimeout: dialTimeout,
+		DialServer:  carrier.DialDirect,
+		DialHost:    carrier.DialDirect,
+	})
+	r.tunnels = tunneler.NewServer(tunneler.ServerConfig{
+		Dial:      r.detour.dialForOthers,
+		IsServer:  r.backends.isServerAddress,
+		Accepts:   func() bool { return !r.draining.Load() && !r.backendsCut.Load() },
+		Forwarded: r.traffic.Sent,
+	})
+}
+
 func (r *Runner) startRelayer(ctx context.Context) {
 	s := r.cfg.Settings
 	r.carrier = carrier.New(carrier.Config{
@@ -219,6 +253,7 @@
 		DialTimeout:     dialTimeout,
 		IdleTimeout:     backendIdleTimeout,
 		Traffic:         &r.traffic,
+		Dialer:          r.detour,
 	})
 	r.relayer.Store(relayer.New(relayer.Config{
 		Clock:       r.cfg.Clock,
@@ -256,6 +291,7 @@
 				r.cfg.Log.Info("readiness changed", "ready", ready, "draining", r.draining.Load(), "overloaded", r.overloaded.Load(), "servers_listed", r.backends.listedOnce())
 			}
 			r.backends.expire()
+			r.detour.probe()
 			r.carrier.PruneIdle(r.backends.known)
 		}
 		return nil
@@ -284,6 +320,7 @@
 		HeartbeatHandler: r.heartbeater,
 		TransferHandler:  r.reserver.Load(),
 		OriginKeeper:     r.origins,
+		Tunnels:          r.tunnels,
 		Ready:            r.Ready,
 	})
 	r.group.Go(func() error { return serveErr(r.server.Serve(meteredListener{Listener: callers, traffic: &r.traffic})) })
@@ -319,6 +356,7 @@
 		ExchangeAddress:  s.ExchangeAddress,
 		CallerAddress:    s.CallerAddress,
 		Draining:         r.draining.Load(),
+		BackendsCut:      r.backendsCut.Load(),
 		SentAtMs:         int64(r.cfg.Clock.Now()),
 	}
 	if t := r.table.Load(); t != nil {
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -39,7 +39,7 @@
 	if err := r.reserver.Load().Close(returnCtx); err != nil {
 		r.cfg.Log.Warn("budgets were not returned", "cause", err.Error(), "held", r.reserver.Load().HeldTokens())
 	}
-	for r.callerConns.closeIdle(true) > 0 && clock.Now() < deadline {
+	for (r.callerConns.closeIdle(true) > 0 || r.tunnels.Open() > 0) && clock.Now() < deadline {
 		_ = clock.Sleep(ctx, drainPollInterval)
 	}
 	cut = min(cut, r.relayer.Load().InFlight())
@@ -47,6 +47,7 @@
 	_ = r.server.Close()
 	_ = r.readyServer.Close()
 	_ = r.peerServer.Close()
+	r.tunnels.Close()
 	r.cfg.Log.Info("stopped", "requests_cut", cut)
 	return cut
 }
