A planned stop answers the requests that it would cut, and takes no order that may outlast it

In a planned stop an order that came late in the grace period was taken if it usually ends in time (three times its target latency), and cut without an answer if its server took all the time that it had: nobody knows then whether it ran. The same with requests of any kind that were taken before the end of the stop was known. Class: an estimate used where a bound is needed.

An order is now refused as not run, before it is sent, if its time limit ends behind the stop; 200 ms before the end all requests still in flight are ended: without a response they get 504.

TestRequestThatOutlastsAPlannedStopIsRefused took an order with 5 s of time 2 s before the end for short: that case is now one of a safe request, beside two of orders, one refused and one taken. TestRequestsInFlightAreAnsweredAtTheEndOfAPlannedStop uses what the change brings.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -114,6 +114,9 @@
 type Relayer struct {
 	cfg      Config
 	inFlight atomic.Int64
+	// ended is canceled by EndAll.
+	ended  context.Context
+	endAll context.CancelFunc
 }
 
 // New returns a Relayer with the given configuration.
@@ -127,7 +130,15 @@
 	if cfg.Origins == nil {
 		cfg.Origins = sameOrigin{}
 	}
-	return &Relayer{cfg: cfg}
+	r := &Relayer{cfg: cfg}
+	r.ended, r.endAll = context.WithCancel(context.Background())
+	return r
+}
+
+// EndAll ends the time of all requests in progress and of further ones: those whose response has not
+// started are answered, the others are aborted.
+func (r *Relayer) EndAll() {
+	r.endAll()
 }
 
 // InFlight returns the number of requests in progress.
@@ -158,6 +169,7 @@
 	}
 	ctx, cancel := x.cfg.Clock.WithTimeout(x.req.Context(), x.remaining())
 	defer cancel()
+	defer context.AfterFunc(x.ended, cancel)()
 	x.ctx = ctx
 	if f, ok := x.findOrigin(); !ok {
 		x.refuse(f)
@@ -237,10 +249,10 @@
 
 // expectedDuration returns how long the request may take on this host, in
 // milliseconds. A stream may take all its remaining time, since the number of its
-// events is not known in advance. A request that would outlast a planned stop is
-// refused, so that the caller sends it to another host.
+// events is not known in advance, and so may a request that must not be repeated. A request
+// that would outlast a planned stop is refused, so that the caller sends it to another host.
 func (x *relayedRequest) expectedDuration() clocker.Millis {
-	if x.route.Kind == matcher.Stream {
+	if x.route.Kind != matcher.Safe {
 		return x.remaining()
 	}
 	return min(x.remaining(), max(headerTimeoutFactor*x.route.TargetLatency, minHeaderTimeout))
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -65,8 +65,10 @@
 	}{
 		{"stream", matcher.Route{Kind: matcher.Stream}, 2000, 503},
 		{"stream within its time", matcher.Route{Kind: matcher.Stream, Timeout: 1000}, 2000, 200},
-		{"short request", matcher.Route{Kind: matcher.Unsafe, TargetLatency: 150}, 2000, 200},
-		{"short request near the end", matcher.Route{Kind: matcher.Unsafe, TargetLatency: 150}, 200, 503},
+		{"short request", matcher.Route{Kind: matcher.Safe, TargetLatency: 150}, 2000, 200},
+		{"short request near the end", matcher.Route{Kind: matcher.Safe, TargetLatency: 150}, 200, 503},
+		{"order", matcher.Route{Kind: matcher.Unsafe, TargetLatency: 150, Timeout: 1000}, 2000, 200},
+		{"order that may take longer", matcher.Route{Kind: matcher.Unsafe, TargetLatency: 150}, 2000, 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBackend(t, streamEvents(1, 3, true))
@@ -80,6 +82,58 @@
 	}
 }
 
+// Guards against an order that is cut without an answer: it comes late in the grace period of a planned
+// stop and its server takes all the time that it has. At each moment it is refused before it is sent, or its
+// time ends before the grace period.
+func TestOrderLateInAPlannedStopIsRefusedOrEndsInTime(t *testing.T) {
+	const timeout = 600
+	for untilStop := clocker.Millis(50); untilStop < 2*timeout; untilStop += 100 {
+		b := newBackend(t, noResponse)
+		f := newFixture(t, matcher.Route{Kind: matcher.Unsafe, TargetLatency: 30, Timeout: timeout}, b)
+		f.stopDeadline = f.servers.clock.Now() + untilStop
+		got := f.call(t, "POST", "/r/", "p")
+		assert.Equal(t, got.status == http.StatusServiceUnavailable, untilStop <= timeout, "%d ms before the end: %d", untilStop, got.status)
+		assert.Equal(t, b.requestCount() == 0, untilStop <= timeout, "%d ms before the end", untilStop)
+	}
+}
+
+// Guards against requests that a planned stop cuts without an answer: those that were taken before its
+// end was known get one when it is reached. An order may have run.
+func TestRequestsInFlightAreAnsweredAtTheEndOfAPlannedStop(t *testing.T) {
+	for _, kind := range []matcher.Kind{matcher.Safe, matcher.Unsafe} {
+		received := make(chan struct{}, 10)
+		b := newBackend(t, func(io.Writer, *http.Request) { received <- struct{}{} })
+		f := newFixture(t, matcher.Route{Kind: kind, Timeout: clocker.Minute}, b)
+		go func() {
+			<-received
+			f.relayer.EndAll()
+		}()
+		got := f.call(t, "POST", "/r/", "p")
+		assert.Equal(t, got.status, http.StatusGatewayTimeout)
+		assert.Assert(t, !got.truncated)
+	}
+}
+
+// Guards against an answer that looks whole though its server stopped in the middle of the head and
+// closed: cut at each byte, with a length, in chunks, and without either.
+func TestHeadCutShortIsNoAnswer(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 0\r\n", "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Sign: s\r\n" + framing + "\r\n"
+		for _, route := range []matcher.Route{{Kind: matcher.Safe}, {Kind: matcher.Unsafe}, {Kind: matcher.Stream}} {
+			var handlers []handler
+			for end := range len(head) {
+				handlers = append(handlers, thenClose(respondRaw(strings.ReplaceAll(head[:end], "%", "%%"))))
+			}
+			f := newFixture(t, route, newBackend(t, handlers...))
+			for end := range len(head) {
+				got := f.call(t, "POST", "/r/", "p")
+				assert.Assert(t, got.status/100 != 2, "%q cut at byte %d", head, end)
+				<-f.logLines
+			}
+		}
+	}
+}
+
 func TestRefusalsBeforeSending(t *testing.T) {
 	b := newBackend(t, respond(200, "x"))
 	f := newFixture(t, matcher.Route{}, b)
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -15,6 +15,9 @@
 	stopMargin = 700 * clocker.Millis(1)
 	// budgetReturnTimeout is the time allowed for the return of budgets, in milliseconds.
 	budgetReturnTimeout = 600 * clocker.Millis(1)
+	// answerTime is how long before the end of the stop the requests in flight are ended, in
+	// milliseconds: their callers get an answer within it.
+	answerTime = 200 * clocker.Millis(1)
 	// drainPollInterval is the time between two checks for requests in flight, in
 	// milliseconds.
 	drainPollInterval = 20 * clocker.Millis(1)
@@ -40,6 +43,9 @@
 		r.cfg.Log.Warn("budgets were not returned", "cause", err.Error(), "held", r.reserver.Load().HeldTokens())
 	}
 	for (r.callerConns.closeIdle(true) > 0 || r.tunnels.Open() > 0) && clock.Now() < deadline {
+		if clock.Now() >= deadline-answerTime {
+			r.relayer.Load().EndAll()
+		}
 		_ = clock.Sleep(ctx, drainPollInterval)
 	}
 	cut = min(cut, r.relayer.Load().InFlight())
