LIMIT: brittle servers get only the requests that they have room for

A service may say that its servers fall over when they reject more than N requests a second for want of room. Nothing read it, so that hosts sent such servers what they rejected. All hosts together now send a brittle server what it has room for: its slots are dealt out to the hosts, rejections pause a host and cut its share, and what finds no room is refused at once. The state belongs to the service, outlives its servers and travels in heartbeats.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -58,6 +58,9 @@
 	// Hosts returns the number of hosts that share the limit of a server, with this one; 0 if
 	// it is not known yet, which permits no request to a limited server.
 	Hosts func() int
+	// Position returns the position of this host among the Hosts, in an order that all hosts share
+	// and that differs between servers; nil means 0.
+	Position func(server string) int
 	// Admits reports whether requests may be sent to servers of a version of a service; nil
 	// admits all.
 	Admits func(service, software string) bool
@@ -75,7 +78,9 @@
 	removed map[string]*serverState
 	// meanLoad is the moving average of the reported load, by service.
 	meanLoad map[string]float64
-	random   *rand.Rand
+	// brittle holds the services whose servers are or were brittle.
+	brittle map[string]*brittleService
+	random  *rand.Rand
 }
 
 // New returns a Chooser without servers.
@@ -85,6 +90,7 @@
 		servers:  map[string]*serverState{},
 		removed:  map[string]*serverState{},
 		meanLoad: map[string]float64{},
+		brittle:  map[string]*brittleService{},
 		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
@@ -224,7 +230,11 @@
 		if !c.serves(m, r, now) || m.leaving(now) {
 			continue
 		}
-		if at := m.retryAt(hosts, now); at > 0 && (earliest == 0 || at < earliest) {
+		at := m.retryAt(hosts, now)
+		if !c.hasRoom(m, now) {
+			at = max(at, now+brittleRetryDelay)
+		}
+		if at > 0 && (earliest == 0 || at < earliest) {
 			earliest = at
 		}
 	}
@@ -241,7 +251,7 @@
 	hosts := c.hosts()
 	for _, id := range c.IDs() {
 		m := c.servers[id]
-		if !c.serves(m, r, now) || m.unavailable(hosts, now) || slices.Contains(r.Avoid, id) {
+		if !c.serves(m, r, now) || m.unavailable(hosts, now) || !c.hasRoom(m, now) || slices.Contains(r.Avoid, id) {
 			continue
 		}
 		if m.ejected(now) || unreachable[m.AvailabilityZone] && m.consecutiveFailures == 0 {
@@ -362,6 +372,9 @@
 		return false
 	}
 	m.inFlight = max(0, m.inFlight-1)
+	if o == Refused {
+		c.rejected(m, now)
+	}
 	return m.recordOutcome(o, now)
 }
 
@@ -393,8 +406,12 @@
 	}
 	if report.Load != nil {
 		mean := c.meanLoad[m.Service]
+		m.share.observe(*report.Load, false, now)
 		c.meanLoad[m.Service] = mean + meanLoadWeight*(float64(report.Load.Running+report.Load.Queued)-mean)
 	}
+	if report.Brittleness != nil {
+		c.applyBrittleness(m.Service, *report.Brittleness, now)
+	}
 	if report.Limit != nil {
 		m.limit.apply(*report.Limit, c.random.Float64, now)
 	}
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -78,6 +78,8 @@
 	BackOff clocker.Millis
 	// Limit is nil if the report tells nothing of a limit.
 	Limit *RequestLimit
+	// Brittleness is nil if the report tells nothing of it.
+	Brittleness *Brittleness
 }
 
 // Choice is the result of choosing a server for a Request.
@@ -143,6 +145,7 @@
 	// backOffUntil is when the back-off requested by the server ends.
 	backOffUntil clocker.Millis
 	limit        requestLimit
+	share        serverShare
 	// removedAt is when the entry was removed.
 	removedAt clocker.Millis
 	cache     promptCache
--- a/relayer/header_names.go
+++ b/relayer/header_names.go
@@ -60,6 +60,9 @@
 	// RequestLimit returns the limit of requests that a response names. It returns false for
 	// a limit that can't be read. A nil function names no limit.
 	RequestLimit func(http.Header) (chooser.RequestLimit, bool)
+	// Brittleness returns whether a response says that the servers of its service fall over when they
+	// reject many requests. It returns false for a value that can't be read. A nil function finds none.
+	Brittleness func(http.Header) (chooser.Brittleness, bool)
 	// Stripped are headers that are removed from callers' requests.
 	Stripped []string
 }
@@ -75,9 +78,30 @@
 	if report.Limit != nil {
 		report.Limit.SentAt = sentAt
 	}
+	report.Brittleness = d.brittleness(status, h)
+	if report.Brittleness != nil {
+		report.Brittleness.SentAt = sentAt
+	}
 	return report
 }
 
+// brittleness returns what a response says of its service, or nil. Only a success that does not call
+// it brittle shows that it is not.
+func (d HeaderNames) brittleness(status int, h http.Header) *chooser.Brittleness {
+	if d.Brittleness == nil {
+		return nil
+	}
+	b, ok := d.Brittleness(h)
+	if !ok {
+		invalidLimits.Inc()
+		return nil
+	}
+	if !b.Brittle && status/100 != 2 {
+		return nil
+	}
+	return &b
+}
+
 // requestLimit returns what a response says of the limit of its server, or nil. Only a success
 // without a limit shows that none is in force: a server that is overloaded may leave out the
 // header in its failures.
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -38,15 +38,15 @@
 }
 
 // newBackendPool returns a pool without servers. hosts returns the number of hosts that share
-// the limit of a server.
-func newBackendPool(cfg Config, origins *streamOrigins, cacheTokens func(service string) int, hosts func() int) *backendPool {
+// the limit of a server, and position the position of this one among them.
+func newBackendPool(cfg Config, origins *streamOrigins, cacheTokens func(service string) int, hosts func() int, position func(server string) int) *backendPool {
 	return &backendPool{
 		clock:   cfg.Clock,
 		log:     cfg.Log,
 		origins: origins,
 		kind:    cfg.Platform.ServerKind,
 		decode:  cfg.Platform.DecodeServer,
-		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Admits: origins.admits, Seed: rand.Uint64()}),
+		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Position: position, Admits: origins.admits, Seed: rand.Uint64()}),
 	}
 }
 
@@ -232,6 +232,8 @@
 func (b *backendPool) RecordActivity(id string, report chooser.StatusReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	server, _ := b.chooser.Server(id)
+	_, wasBrittle := b.chooser.Brittle(server.Service)
 	_, wasLimited := b.chooser.Limit(id)
 	if b.chooser.RecordActivity(id, report, b.clock.Now()) {
 		b.log.Info("backend server asks for no more requests", "server", id, "leaving", report.Leaving, "pause_ms", report.BackOff)
@@ -239,6 +241,9 @@
 	if _, limited := b.chooser.Limit(id); limited != wasLimited {
 		b.logLimit(id, "server", id)
 	}
+	if _, brittle := b.chooser.Brittle(server.Service); brittle != wasBrittle {
+		b.logBrittleness(server.Service, "server", id)
+	}
 }
 
 // Leaving implements relayer.Servers.
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -155,6 +155,7 @@
 // applyBeat applies what a heartbeat of another host tells of backend servers.
 func (r *Runner) applyBeat(beat *messenger.Beat) {
 	r.backends.applyLimitsOfBeat(beat)
+	r.backends.applyBrittlenessOfBeat(beat)
 	r.withholder.ApplyBeat(beat)
 }
 
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -155,7 +155,7 @@
 	}
 	h.Runner = &Runner{cfg: cfg, incarnation: name + "-1-1"}
 	h.origins = newStreamOrigins(h.Runner)
-	h.backends = newBackendPool(cfg, h.origins, nil, nil)
+	h.backends = newBackendPool(cfg, h.origins, nil, nil, nil)
 	h.withholder = h.newWithholder()
 	f.byAddress[cfg.Settings.ExchangeAddress] = h
 	return h
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -97,6 +97,7 @@
 	backends      *backendPool
 	origins       *streamOrigins
 	withholder    *withholder.Withholder
+	positions     sharePositions
 	carrier       *carrier.Carrier
 	detour        *detour
 	tunnels       *tunneler.Server
@@ -132,7 +133,7 @@
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
 	r.origins = newStreamOrigins(r)
-	r.backends = newBackendPool(cfg, r.origins, r.cacheTokens, r.fleetSize)
+	r.backends = newBackendPool(cfg, r.origins, r.cacheTokens, r.fleetSize, r.sharePosition)
 	r.withholder = r.newWithholder()
 	r.startMembership(ctx)
 	r.group.Go(func() error {
@@ -364,6 +365,7 @@
 	}
 	beat.ServersFingerprint = r.backends.currentFingerprint()
 	beat.Limits = r.backends.serverLimits()
+	beat.Brittleness = r.backends.brittleness()
 	r.withholder.AddToBeat(beat)
 	if w := r.serverWatcher.Load(); w != nil {
 		beat.ServersRevision = w.LastRevision()
--- a/runner/server_limits.go
+++ b/runner/server_limits.go
@@ -8,6 +8,9 @@
 	"cowsliphinge/messenger"
 )
 
+// maxBrittleServices bounds the services that one heartbeat may tell of.
+const maxBrittleServices = 64
+
 // requestsPerKilosecond converts requests a second for messages between hosts.
 const requestsPerKilosecond = 1000
 
@@ -59,3 +62,49 @@
 	metrics.GetOrCreateCounter(`cowsliphinge_server_limit_changes_total{told_by="` + source + `"}`).Inc()
 	b.log.Info("limit of a backend server began or ended", "server", id, "limited", limited, "per_second", perSecond, "told_by", source, "teller", name)
 }
+
+// brittleness returns the brittle services, and those that were lately, for a heartbeat.
+func (b *backendPool) brittleness() []*messenger.ServiceBrittleness {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var services []*messenger.ServiceBrittleness
+	for _, r := range b.chooser.BrittlenessReports(now) {
+		services = append(services, &messenger.ServiceBrittleness{
+			Service:                 r.Service,
+			Brittle:                 r.Brittle,
+			RejectionsPerKilosecond: int64(r.RejectionsPerSecond * requestsPerKilosecond),
+			AgeMs:                   int64(now - r.At),
+		})
+	}
+	return services
+}
+
+// applyBrittlenessOfBeat applies what a heartbeat of another host tells of brittle services.
+func (b *backendPool) applyBrittlenessOfBeat(beat *messenger.Beat) {
+	if len(beat.Brittleness) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	reports := make([]chooser.BrittlenessReport, 0, len(beat.Brittleness))
+	for _, s := range beat.Brittleness[:min(len(beat.Brittleness), maxBrittleServices)] {
+		reports = append(reports, chooser.BrittlenessReport{
+			Service:             s.Service,
+			Brittle:             s.Brittle,
+			RejectionsPerSecond: float64(s.RejectionsPerKilosecond) / requestsPerKilosecond,
+			At:                  now - clocker.Millis(max(0, s.AgeMs)),
+		})
+	}
+	for _, service := range b.chooser.ApplyBrittlenessReports(reports) {
+		b.logBrittleness(service, "host", beat.Host)
+	}
+}
+
+// logBrittleness logs that a service became brittle or is no longer, and who told of it.
+func (b *backendPool) logBrittleness(service, source, name string) {
+	perSecond, brittle := b.chooser.Brittle(service)
+	metrics.GetOrCreateCounter(`cowsliphinge_brittle_service_changes_total{told_by="` + source + `"}`).Inc()
+	b.log.Info("servers of a service became brittle or are no longer", "service", service, "brittle", brittle, "rejections_per_second", perSecond, "told_by", source, "teller", name)
+}
