Test: checks of the same moment are over before a new version is known; fleets in parallel

Traced to the test: the sleep of a second ends at the same simulated moment as the hosts' checks every 50 ms, so some of these ran after the test had made the version known and wrote the record before it counted. It waits for them now; what it checks is the same.

--- a/chooser/brittle_test.go
+++ b/chooser/brittle_test.go
@@ -195,8 +195,10 @@
 // demand is half as much again as the service can do, its servers let nothing wait, and hosts know nothing of what
 // others send. At 8, 90 and 195 hosts. The bound is that of the operators: 2 and a tenth of the servers.
 func TestBrittleServersDoNotFallOver(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ hosts, servers, slots int }{{8, 12, 64}, {8, 4, 6}, {90, 94, 12}, {195, 124, 12}, {195, 6, 6}} {
 		t.Run(fmt.Sprintf("%d hosts, %d servers of %d slots", size.hosts, size.servers, size.slots), func(t *testing.T) {
+			t.Parallel()
 			unaware := newBrittleFleet(size.hosts, size.servers, size.slots)
 			unaware.reported = false
 			unaware.play(1.5)
@@ -213,6 +215,7 @@
 // Servers run fewer requests than they have slots, since long prompts fill their memory: a host learns it
 // from rejections alone.
 func TestBrittleServersWithLessRoomThanSlotsDoNotFallOver(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ hosts, servers, slots, room int }{{8, 12, 64, 40}, {8, 12, 64, 10}, {90, 94, 12, 8}} {
 		f := newBrittleFleet(size.hosts, size.servers, size.slots)
 		f.room = size.room
@@ -225,6 +228,7 @@
 // The same where many hosts share servers that run less than half of their slots: each host learns it from
 // its own responses alone.
 func TestBrittleServersOfManyHostsWithLittleRoomDoNotFallOver(t *testing.T) {
+	t.Parallel()
 	f := newBrittleFleet(195, 40, 12)
 	f.room = 5
 	f.play(1.5)
@@ -233,6 +237,7 @@
 
 // A tenth of the hosts hears nothing of others, and learns that the service is brittle from its servers alone.
 func TestBrittleServersDoNotFallOverWhileHostsAreCutOff(t *testing.T) {
+	t.Parallel()
 	f := newBrittleFleet(90, 94, 12)
 	for i := range 9 {
 		f.cut[i*10] = true
--- a/reserver/lender_load_test.go
+++ b/reserver/lender_load_test.go
@@ -27,6 +27,7 @@
 // requests of others for tokens that nobody has: all hosts of a fleet lack tokens of several budgets while
 // the store is out of reach, and each asks those that hold the most. At 8, 90 and 198 hosts.
 func TestRequestsForTokensDoNotOverloadTheirLenders(t *testing.T) {
+	t.Parallel()
 	const (
 		budgets = 10
 		seconds = 8
@@ -36,6 +37,7 @@
 	)
 	for _, size := range []struct{ zones, perZone int }{{4, 2}, {5, 18}, {6, 33}} {
 		t.Run(fmt.Sprintf("%d hosts", size.zones*size.perZone), func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(&messenger.Policy{HeadroomMs: 1000, MaxShareOfRestMilli: 20, PatienceMs: 150}, size.zones, size.perZone)
 			for b := range budgets {
 				f.topUp(t, f.nodes[0], fmt.Sprint("op", b), fmt.Sprint("account-", b), 1000)
--- a/runner/configuration_spread_test.go
+++ b/runner/configuration_spread_test.go
@@ -16,8 +16,10 @@
 
 // playFleets plays a test with fleets of each size in simulated time.
 func playFleets(t *testing.T, play func(*testing.T, fleetScale)) {
+	t.Parallel()
 	for _, scale := range []fleetScale{smallFleet, grownFleet, largeFleet} {
 		t.Run(fmt.Sprintf("%d hosts", scale.zones*scale.hostsPerZone), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { play(t, scale) })
 		})
 	}
--- a/runner/detour_test.go
+++ b/runner/detour_test.go
@@ -165,6 +165,7 @@
 // through other hosts, from the first failure on, where half of the hosts, most of a zone, a whole zone or
 // two zones are cut off and nobody has told so yet. At 8, 90 and 195 hosts.
 func TestHostsCutOffFromServersReachThemThroughOthers(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ zones, perZone int }{{4, 2}, {5, 18}, {5, 39}} {
 		for name, isCut := range map[string]func(zone string, n int) bool{
 			"one host":       func(zone string, n int) bool { return zone == "a" && n == 0 },
--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -102,11 +102,14 @@
 	Routes  int
 }
 
+// TestMain discards the default log: heartbeaters log each change of a peer.
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	m.Run()
+}
+
 // newFleet starts a fleet whose hosts know each other and have version 1 in force.
 func newFleet(t *testing.T, scale fleetScale) *fleet {
-	log := slog.Default()
-	slog.SetDefault(slog.New(slog.DiscardHandler)) // heartbeaters log each change of a peer
-	t.Cleanup(func() { slog.SetDefault(log) })
 	f := &fleet{scale: scale, clock: clocker.NewWall(), byAddress: map[string]*fleetHost{}}
 	f.store = newFleetStore(f)
 	f.store.put(fleetConfiguration{Version: 1, Routes: 4})
--- a/runner/stream_origins_test.go
+++ b/runner/stream_origins_test.go
@@ -276,6 +276,7 @@
 				defer f.stop()
 				f.know("v1")
 				f.sleep(clocker.Second)
+				synctest.Wait() // the checks of this moment are over
 				f.store.takeWrites()
 				f.know("v1", "v2")
 				admitted := func() int {
