--- a/review/harness/budget.go
+++ b/review/harness/budget.go
@@ -68,8 +68,8 @@
 		rec.note("all processes run again and are ready")
 		time.Sleep(inTouchAgain)
 	}
-	for used+mostPerCall <= prepaid*owedShare/100 && sent < 2*prepaid/mostPerCall {
-		call()
+	for range (prepaid*owedShare/100 - callsBefore*mostPerCall) / mostPerCall {
+		call() // together they fit
 	}
 	rec.note("%d requests, %d of %d tokens used, %d answered 402 though they fit", sent, used, prepaid, denied)
 	if denied > deniedAllowed+sent/500 {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -22,8 +22,7 @@
 	fd      int
 	events  int
 	pause   time.Duration
-	// tokensPerEvent is how many tokens one event holds.
-	record *recorder
+	record  *recorder
 
 	mu      sync.Mutex
 	blocked bool
