--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -50,8 +50,9 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec := newRecorder(os.Args[3])
 	cases := map[string]func(program string, rec *recorder, trouble bool) int{
-		"tunnel": playTunnel,
-		"budget": playBudget,
+		"tunnel":  playTunnel,
+		"budget":  playBudget,
+		"silence": playSilence,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -27,6 +27,10 @@
 	mu      sync.Mutex
 	blocked bool
 	filler  net.Conn
+	// full servers reject requests, and say that they have not run them.
+	full bool
+	// silence is how long the server is silent after silentAfter events of a stream.
+	silence time.Duration
 }
 
 func newServer(id string, events int, pause time.Duration, rec *recorder) *server {
@@ -117,12 +121,40 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 X\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, s.id)
 			continue
 		}
+		if s.isFull() {
+			s.record.note("%s is full and rejects %s", s.id, id)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+			continue
+		}
 		if !s.run(c, req, id) {
 			return
 		}
 	}
 }
 
+func (s *server) isFull() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.full
+}
+
+func (s *server) setFull() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full = true
+}
+
+// silentAfter is the event after which a server that falls silent does so.
+const silentAfter = 10
+
+// pauseBefore returns the pause before an event.
+func (s *server) pauseBefore(n int) time.Duration {
+	if n == silentAfter+1 && s.silence > 0 {
+		return s.silence
+	}
+	return s.pause
+}
+
 // run answers one request. It reports whether the connection goes on.
 func (s *server) run(c net.Conn, req *http.Request, id string) bool {
 	s.record.ran(id, s.id, req)
@@ -138,7 +170,7 @@
 		return false
 	}
 	for n := last + 1; n <= s.events; n++ {
-		time.Sleep(s.pause)
+		time.Sleep(s.pauseBefore(n))
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
 		if framed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -39,15 +39,15 @@
 
 // configure writes the desired state.
 func (w *world) configure(prepaid int) {
-	route := func(name, kind string, resumable bool) map[string]any {
+	route := func(name string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": "review.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 12000, "target_latency_ms": 400,
-			"target_gap_ms": 300, "max_attempts": 1, "resumable": resumable, "sticky": true, "priority": 0, "service": "models",
+			"name": name, "host": "review.example", "path_prefix": "/" + name + "/", "kind": "streaming", "timeout_ms": 12000, "target_latency_ms": 400,
+			"target_gap_ms": 300, "max_attempts": attempts, "resumable": resumable, "sticky": true, "priority": 0, "service": "models",
 		}
 	}
 	w.store.put("config", "main", map[string]any{
 		"version":  2,
-		"routes":   []any{route("hint", "streaming", false)},
+		"routes":   []any{route("hint", 1, false), route("review", 2, true)},
 		"services": []any{map[string]any{"name": "models", "max_connections": 370, "health_path": "/healthz", "engine": map[string]any{"stride": 1, "kv_cache_tokens": 400000}}},
 		"tenants":  []any{map[string]any{"name": "one", "api_keys": []string{"key-one"}, "prepaid": prepaid}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
