--- a/review/harness/tunnel.go
+++ b/review/harness/tunnel.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
+// cuts are how long the opening packets of new connections to the servers get lost, in the rounds in which
+// the case is tried until the first host goes through the second one. The path of the first host is then
+// cut for its dial (250 ms) and for its verification of the path right after that, and the second host,
+// which connects to a server only 30 ms later, reaches the server.
+var cuts = []time.Duration{266 * time.Millisecond, 262 * time.Millisecond, 270 * time.Millisecond, 258 * time.Millisecond, 274 * time.Millisecond, 266 * time.Millisecond}
+
 const (
-	// cutFor is how long the opening packets of new connections to the servers get lost. The path of
-	// the first host is then cut for its dial and its verification of the path, and the second host,
-	// which opens a connection to a server only after that, reaches the server.
-	cutFor = 266 * time.Millisecond
-	// rounds is how often the case is tried until the first host goes through the second one.
-	rounds = 6
 	// tunnelEvents and tunnelPause make a stream of 4 s.
 	tunnelEvents = 40
 	tunnelPause  = 100 * time.Millisecond
@@ -25,7 +25,7 @@
 	w.addRouters(program, []string{"z-a", "z-b"})
 	near, far := w.routers[0], w.routers[1]
 	time.Sleep(5 * time.Second) // both know each other and are in touch
-	for round := 1; round <= rounds; round++ {
+	for round, cut := range cuts {
 		q := request{id: fmt.Sprintf("hint-%d", round), path: "/hint/x", key: "key-one", prompt: 100, most: tunnelEvents, deadline: 12 * time.Second}
 		result := make(chan answer, 1)
 		if trouble {
@@ -36,7 +36,7 @@
 		}
 		go func() { result <- send(near.callers(), q, rec) }()
 		if trouble {
-			time.Sleep(cutFor)
+			time.Sleep(cut)
 			for _, s := range w.servers {
 				s.unblock()
 			}
