--- a/review/harness/budget.go
+++ b/review/harness/budget.go
@@ -24,7 +24,7 @@
 	w := newWorld(rec, []string{"z-a", "z-a", "z-b", "z-b"}, budgetEvents, 5*time.Millisecond)
 	w.configure(prepaid)
 	w.addRouters(program, []string{"z-a", "z-a", "z-b", "z-b"})
-	time.Sleep(inTouchAgain)
+	sleep(inTouchAgain)
 	used, denied, sent := 0, 0, 0
 	call := func() {
 		q := request{id: fmt.Sprintf("hint-%d", sent), path: "/hint/framed", key: "key-one", prompt: promptTokens, most: budgetEvents, deadline: 4 * time.Second}
@@ -40,16 +40,16 @@
 			if a.status != 503 {
 				break
 			}
-			time.Sleep(300 * time.Millisecond)
+			sleep(300 * time.Millisecond)
 			q.id += "-again"
 		}
 		sent++
-		time.Sleep(20 * time.Millisecond)
+		sleep(20 * time.Millisecond)
 	}
 	for range callsBefore {
 		call()
 	}
-	time.Sleep(settle)
+	sleep(settle)
 	if trouble {
 		rec.note("all processes are killed")
 		for _, r := range w.routers {
@@ -58,7 +58,7 @@
 		for _, r := range w.routers {
 			r.kill()
 		}
-		time.Sleep(restartDelay)
+		sleep(restartDelay)
 		for _, r := range w.routers {
 			r.start()
 		}
@@ -66,7 +66,7 @@
 			r.awaitReady()
 		}
 		rec.note("all processes run again and are ready")
-		time.Sleep(inTouchAgain)
+		sleep(inTouchAgain)
 	}
 	for range (prepaid*owedShare/100 - callsBefore*mostPerCall) / mostPerCall {
 		call() // together they fit
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"cowsliphinge/clocker"
 )
 
 // request is one attempt of a client.
@@ -46,7 +48,7 @@
 		return answer{reason: err.Error()}
 	}
 	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(q.deadline + time.Second))
+	_ = c.SetDeadline(clocker.FromNow(millis(q.deadline + time.Second)))
 	body := "the prompt of " + q.id
 	message := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Usage: %d,%d\r\nX-Prompt-Prefix: %x:%d\r\n"+
 		"X-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -5,12 +5,13 @@
 	"net/http"
 	"os"
 	"sync"
-	"time"
+
+	"cowsliphinge/clocker"
 )
 
 // recorder writes what was sent, answered and run, and keeps what the checks need.
 type recorder struct {
-	started time.Time
+	started clocker.Millis
 
 	mu   sync.Mutex
 	file *os.File
@@ -24,7 +25,7 @@
 	if err != nil {
 		fatal("%v", err)
 	}
-	return &recorder{started: time.Now(), file: file, runs: map[string]int{}, made: map[string]int{}}
+	return &recorder{started: clock.Now(), file: file, runs: map[string]int{}, made: map[string]int{}}
 }
 
 // note writes a line with the time since the start.
@@ -36,7 +37,7 @@
 
 // write writes a line. The caller holds mu.
 func (r *recorder) write(format string, args ...any) {
-	_, _ = fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.file, "%8.3f s  %s\n", float64(clock.Now()-r.started)/float64(clocker.Second), fmt.Sprintf(format, args...))
 }
 
 func (r *recorder) ran(id, server string, req *http.Request) {
--- a/review/harness/router.go
+++ b/review/harness/router.go
@@ -79,7 +79,7 @@
 				return
 			}
 		}
-		time.Sleep(50 * time.Millisecond)
+		sleep(50 * time.Millisecond)
 	}
 	fatal("%s is not ready within 10 s", r.host)
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -66,7 +66,7 @@
 		}
 		s.mu.Unlock()
 		if err != nil {
-			time.Sleep(time.Millisecond / 2)
+			sleep(time.Millisecond)
 			continue
 		}
 		file := os.NewFile(uintptr(fd), "conn")
@@ -170,7 +170,7 @@
 		return false
 	}
 	for n := last + 1; n <= s.events; n++ {
-		time.Sleep(s.pauseBefore(n))
+		sleep(s.pauseBefore(n))
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
 		if framed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/review/harness/silence.go
+++ b/review/harness/silence.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"syscall"
 	"time"
+
+	"cowsliphinge/clocker"
 )
 
 const (
@@ -26,13 +29,13 @@
 	w.configure(10_000_000)
 	w.addRouters(program, []string{"z-a", "z-b"})
 	stopped := w.routers[0]
-	time.Sleep(5 * time.Second) // in touch
+	sleep(5 * time.Second) // in touch
 	q := request{id: "review-1", path: "/review/framed", key: "key-one", prompt: 100, most: silenceEvents, deadline: 4 * time.Second}
 	result := make(chan answer, 1)
 	go func() { result <- send(stopped.callers(), q, rec) }()
 	for rec.eventsMade(q.id) < 3 {
-		time.Sleep(5 * time.Millisecond)
-		if time.Since(rec.started) > 30*time.Second {
+		sleep(5 * time.Millisecond)
+		if clock.Now()-rec.started > 30*clocker.Second {
 			fatal("no server runs the stream")
 		}
 	}
@@ -42,11 +45,17 @@
 	if trouble {
 		rec.note("SIGTERM for %s", stopped.host)
 		_ = stopped.process.Process.Signal(syscall.SIGTERM)
-		kill := time.AfterFunc(graceTime, func() { _ = stopped.process.Process.Kill() })
-		defer kill.Stop()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		process := stopped.process.Process
+		go func() {
+			if clock.Sleep(ctx, millis(graceTime)) == nil {
+				_ = process.Kill() // it may have ended
+			}
+		}()
 	}
 	a := <-result
-	time.Sleep(2 * serverSilence) // the server goes on
+	sleep(2 * serverSilence) // the server goes on
 	rec.note("the server made %d of %d events", rec.eventsMade(q.id), silenceEvents)
 	if trouble {
 		_ = stopped.process.Wait()
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -8,7 +8,8 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
+
+	"cowsliphinge/clocker"
 )
 
 // pageItems bounds one page of a list.
@@ -145,8 +146,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	for over := false; ; {
+	ctx, cancel := clock.WithTimeout(r.Context(), clocker.Millis(wait))
+	defer cancel()
+	for {
 		s.mu.Lock()
 		events := []storeEvent{}
 		for _, e := range s.history {
@@ -156,16 +158,13 @@
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if len(events) > 0 || over {
+		if len(events) > 0 || ctx.Err() != nil {
 			reply(w, http.StatusOK, map[string]any{"events": events, "as_of": revision})
 			return
 		}
 		select {
 		case <-changed:
-		case <-timeout:
-			over = true
-		case <-r.Context().Done():
-			return
+		case <-ctx.Done():
 		}
 	}
 }
--- a/review/harness/tunnel.go
+++ b/review/harness/tunnel.go
@@ -24,7 +24,7 @@
 	w.configure(10_000_000)
 	w.addRouters(program, []string{"z-a", "z-b"})
 	near, far := w.routers[0], w.routers[1]
-	time.Sleep(5 * time.Second) // both know each other and are in touch
+	sleep(5 * time.Second) // both know each other and are in touch
 	for round, cut := range cuts {
 		q := request{id: fmt.Sprintf("hint-%d", round), path: "/hint/x", key: "key-one", prompt: 100, most: tunnelEvents, deadline: 12 * time.Second}
 		result := make(chan answer, 1)
@@ -36,7 +36,7 @@
 		}
 		go func() { result <- send(near.callers(), q, rec) }()
 		if trouble {
-			time.Sleep(cut)
+			sleep(cut)
 			for _, s := range w.servers {
 				s.unblock()
 			}
@@ -46,14 +46,14 @@
 			if rec.eventsMade(q.id) >= 10 {
 				break
 			}
-			time.Sleep(10 * time.Millisecond)
+			sleep(10 * time.Millisecond)
 		}
 		if trouble && rec.hasRun(q.id) {
 			rec.note("%s is killed", far.host)
 			far.kill()
 		}
 		a := <-result
-		time.Sleep(200 * time.Millisecond)
+		sleep(200 * time.Millisecond)
 		if a.status == 200 && a.complete && a.events < tunnelEvents {
 			rec.note("BROKEN: the client got %d of %d events in an answer that looks complete", a.events, tunnelEvents)
 			return exitBroken
@@ -74,7 +74,7 @@
 			far.start()
 			far.awaitReady()
 		}
-		time.Sleep(5 * time.Second)
+		sleep(5 * time.Second)
 	}
 	return exitNotRun
 }
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -24,13 +24,13 @@
 		s := newServer(fmt.Sprintf("i-%d", i+1), events, pause, rec)
 		w.servers = append(w.servers, s)
 		go func() { // ends with the program
-			born := time.Now().UnixMilli()
+			born := int64(clock.Now())
 			for sequence := 1; ; sequence++ {
 				w.store.put("servers", s.id, map[string]any{
 					"service": "models", "address": s.address, "zone": zone, "version": "v1", "slots": 64, "state": "ready",
 					"cold_remaining_ms": 0, "sequence": sequence, "born": born,
 				})
-				time.Sleep(heartbeat)
+				sleep(heartbeat)
 			}
 		}()
 	}
