--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -2,14 +2,13 @@
 
 import (
 	"bufio"
+	"cowsliphinge/clocker"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
-
-	"cowsliphinge/clocker"
 )
 
 // request is one attempt of a client.
--- a/review/harness/clock.go
+++ b/review/harness/clock.go
@@ -1,9 +1,8 @@
 package main
 
 import (
-	"time"
-
 	"cowsliphinge/clocker"
+	"time"
 )
 
 // clock is the clock of the project, which follows the real one.
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -1,12 +1,11 @@
 package main
 
 import (
+	"cowsliphinge/clocker"
 	"fmt"
 	"net/http"
 	"os"
 	"sync"
-
-	"cowsliphinge/clocker"
 )
 
 // recorder writes what was sent, answered and run, and keeps what the checks need.
--- a/review/harness/silence.go
+++ b/review/harness/silence.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"cowsliphinge/clocker"
 	"fmt"
 	"syscall"
 	"time"
-
-	"cowsliphinge/clocker"
 )
 
 const (
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowsliphinge/clocker"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -8,8 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-
-	"cowsliphinge/clocker"
 )
 
 // pageItems bounds one page of a list.
