Tunnel: the server's clean end is marked, so that a lost host does not look like the end of an answer

Cause: the far host's kernel closes its connections by a FIN when the process dies, as the far host did after a clean end and at the end of a planned stop. The near host could not tell these apart.

Ruled out: carrier and relayer, which report any other end of the connection as a cut; the same answer over a direct connection holds.

Change: bytes of the server go in blocks, a block of length 0 marks its clean end, and an end without it is io.ErrUnexpectedEOF. Blocks are negotiated in the CONNECT request. A far host of an older build gives no proof of an end, so that an answer without a length behind it counts as cut; a near host of an older build gets plain bytes on a connection that resets on close until the server has ended.

--- a/tunneler/dial.go
+++ b/tunneler/dial.go
@@ -33,7 +33,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(clocker.FromNow(timeout + handshakeAllowance))
-	err = d.connect(c, hostAddress, address, timeout)
+	marked, err := d.connect(c, hostAddress, address, timeout)
 	if !stop() && err == nil {
 		err = ErrHostUnavailable{Address: hostAddress, Cause: context.Cause(ctx).Error()}
 	}
@@ -42,13 +42,17 @@
 		return nil, err
 	}
 	_ = c.SetDeadline(time.Time{})
-	return c, nil
+	return &nearConn{Conn: c, marked: marked}, nil
 }
 
-// connect asks the far host to connect to the server and reads its reply.
-func (d Dialer) connect(c net.Conn, hostAddress, address string, timeout clocker.Millis) error {
-	unavailable := func(cause string) error { return ErrHostUnavailable{Address: hostAddress, Cause: cause} }
-	_, err := fmt.Fprintf(c, "CONNECT %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\n\r\n", address, address, d.RouterKey, timeoutHeader, timeout)
+// connect asks the far host to connect to the server and reads its reply. It reports whether the far
+// host marks the server's clean end.
+func (d Dialer) connect(c net.Conn, hostAddress, address string, timeout clocker.Millis) (bool, error) {
+	unavailable := func(cause string) (bool, error) {
+		return false, ErrHostUnavailable{Address: hostAddress, Cause: cause}
+	}
+	_, err := fmt.Fprintf(c, "CONNECT %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\n%s: %s\r\n\r\n",
+		address, address, d.RouterKey, timeoutHeader, timeout, endMarkHeader, endMarkValue)
 	if err != nil {
 		return unavailable(err.Error())
 	}
@@ -59,11 +63,11 @@
 	}
 	switch {
 	case resp.StatusCode == http.StatusBadGateway:
-		return ErrServerUnreachable{Address: address, Refused: resp.Header.Get(dialFailureHeader) == refusedFailure}
+		return false, ErrServerUnreachable{Address: address, Refused: resp.Header.Get(dialFailureHeader) == refusedFailure}
 	case resp.StatusCode != http.StatusOK:
 		return unavailable(resp.Status)
 	case r.Buffered() > 0:
 		return unavailable("bytes before the first request")
 	}
-	return nil
+	return resp.Header.Get(endMarkHeader) == endMarkValue, nil
 }
--- a/tunneler/forward.go
+++ b/tunneler/forward.go
@@ -1,6 +1,7 @@
 package tunneler
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -24,13 +25,14 @@
 	probeCount    = 3
 )
 
-var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
+var buffers = sync.Pool{New: func() any { return new([blockHeaderBytes + bufferBytes]byte) }}
 
 // forward passes bytes between the near host and the server until either end closes. The end
 // of the server's bytes is passed on as it came: a reset stays a reset, so that an answer without a
-// length is not taken for whole. Once the near host has closed, the server's connection is
-// closed at once.
-func forward(host, server net.Conn, forwarded func(int)) {
+// length is not taken for whole. If marked, the server's bytes go in blocks, and its clean end is
+// marked; otherwise the connection to the near host resets on close until then. Once the near host has
+// closed, the server's connection is closed at once.
+func forward(host, server net.Conn, marked bool, forwarded func(int)) {
 	watchPeer(host)
 	done := make(chan struct{})
 	go func() {
@@ -38,27 +40,46 @@
 		_ = copyBytes(server, host, forwarded) // the near host knows no half-closed connections
 		_ = server.Close()
 	}()
-	if err := copyBytes(host, server, forwarded); err != nil {
-		reset(host)
-	}
+	err := copyFromServer(host, server, marked, forwarded)
+	setResetOnClose(host, err != nil)
 	_ = host.Close()
 	<-done
 	_ = server.Close()
 }
 
-// copyBytes copies until the source ends and returns nil, or an error. It uses no splice of the
-// kernel, whose bytes can't be counted.
+// copyFromServer copies until the server ends and returns nil, or an error.
+func copyFromServer(host, server net.Conn, marked bool, forwarded func(int)) error {
+	if !marked {
+		return copyBytes(host, server, forwarded)
+	}
+	if err := copyBlocks(host, server, blockHeaderBytes, forwarded); err != nil {
+		return err
+	}
+	_, err := host.Write(make([]byte, blockHeaderBytes))
+	return err
+}
+
+// copyBytes copies until the source ends and returns nil, or an error.
 func copyBytes(to, from net.Conn, forwarded func(int)) error {
-	buffer := buffers.Get().(*[bufferBytes]byte)
+	return copyBlocks(to, from, 0, forwarded)
+}
+
+// copyBlocks copies until the source ends and returns nil, or an error. Each block that was read is
+// written after its length in headerBytes bytes, which may be 0. It uses no splice of the kernel, whose
+// bytes can't be counted.
+func copyBlocks(to, from net.Conn, headerBytes int, forwarded func(int)) error {
+	buffer := buffers.Get().(*[blockHeaderBytes + bufferBytes]byte)
 	defer buffers.Put(buffer)
 	for {
-		n, err := from.Read(buffer[:])
+		n, err := from.Read(buffer[blockHeaderBytes:])
 		forwarded(n)
 		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
+			binary.BigEndian.PutUint16(buffer[:], uint16(n))
+			block := buffer[blockHeaderBytes-headerBytes : blockHeaderBytes+n]
+			if _, err := to.Write(block); err != nil {
 				return err
 			}
-			forwarded(n)
+			forwarded(len(block))
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -69,11 +90,18 @@
 	}
 }
 
-// reset makes the close of a connection a reset.
-func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+// setResetOnClose sets whether the connection ends by a reset. That holds also if the kernel closes
+// it because the process has died.
+func setResetOnClose(c net.Conn, on bool) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := -1 // sends what is left in the background, as by default
+	if on {
+		linger = 0
 	}
+	_ = tcp.SetLinger(linger) // fails only if the connection is already closed
 }
 
 // watchPeer makes the kernel close a connection whose other end is silent.
--- a/tunneler/server.go
+++ b/tunneler/server.go
@@ -65,7 +65,7 @@
 	return len(s.open)
 }
 
-// Close closes all tunnels.
+// Close closes all tunnels. The answers in them are cut and end without the mark of a clean end.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,6 +103,10 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	marked := r.Header.Get(endMarkHeader) == endMarkValue
+	if !marked {
+		setResetOnClose(host, true)
+	}
 	if !s.add(host) {
 		_ = host.Close()
 		_ = server.Close()
@@ -110,12 +114,20 @@
 	}
 	defer s.remove(host)
 	openedTunnels.Inc()
-	if _, err := host.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil {
+	if _, err := host.Write([]byte(reply(marked))); err != nil {
 		_ = host.Close()
 		_ = server.Close()
 		return
 	}
-	forward(host, server, s.cfg.Forwarded)
+	forward(host, server, marked, s.cfg.Forwarded)
+}
+
+// reply returns the reply to the CONNECT request of a tunnel that is open.
+func reply(marked bool) string {
+	if !marked {
+		return "HTTP/1.1 200 OK\r\n\r\n"
+	}
+	return "HTTP/1.1 200 OK\r\n" + endMarkHeader + ": " + endMarkValue + "\r\n\r\n"
 }
 
 func (s *Server) add(c net.Conn) bool {
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -34,7 +34,7 @@
 	accepts bool
 }
 
-func newFarHost(t *testing.T) *farHost {
+func newFarHost(t testing.TB) *farHost {
 	backend, err := refuser.Listen()
 	assert.NilError(t, err)
 	h := &farHost{backend: backend, accepts: true}
@@ -53,7 +53,7 @@
 }
 
 // open opens a tunnel and returns both of its ends.
-func (h *farHost) open(t *testing.T) (near, server net.Conn) {
+func (h *farHost) open(t testing.TB) (near, server net.Conn) {
 	near, err := h.dial(h.backend.Addr().String())
 	assert.NilError(t, err)
 	server, err = h.backend.Accept()
