Relayer: a silent server is kept until another one takes its request

A stream whose sound server is silent for 1.25 s during a planned stop is cut after 10 of 20 events, since the next server is full (LOST). The same without a stop, before the first event, and for answers that are no stream, which ended in a 502.

Cause: a time limit without bytes closed the connection before it was known whether another server takes the request.

Ruled out: the planned stop itself; the tests show the fault without one.

Change: such a time limit calls Request.OnSilence within the read, so that the framing of the body stays intact.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -104,6 +104,13 @@
 	Body   []byte
 	// ResponseHeaderTimeout limits the wait for the response header, in milliseconds.
 	ResponseHeaderTimeout clocker.Millis
+	// OnSent, if not nil, is called once the request is written or its write has begun, before the wait for
+	// the response.
+	OnSent func()
+	// OnSilence, if not nil, is called in a read of the response when nothing has arrived within its
+	// time limit. It returns how much longer to wait, in milliseconds; with 0 the read fails.
+	// hasBytes reports whether bytes have arrived meanwhile.
+	OnSilence func(hasBytes func() bool) clocker.Millis
 	// MaxIdleTime is how long a connection may have been idle to be reused for this
 	// request, in milliseconds.
 	MaxIdleTime clocker.Millis
@@ -151,6 +158,7 @@
 
 func (c *Carrier) roundTrip(cn *conn, r Request) (*Response, error) {
 	cn.addRequestID(r.ID)
+	cn.onSilence = r.OnSilence
 	if r.ResponseHeaderTimeout > 0 {
 		_ = cn.SetReadDeadline(clocker.FromNow(r.ResponseHeaderTimeout))
 	}
@@ -164,6 +172,9 @@
 	} else {
 		go write.run(cn, message) // ends at the latest when the connection is closed
 	}
+	if r.OnSent != nil {
+		r.OnSent()
+	}
 	resp, err := c.readResponse(cn, r)
 	if err != nil {
 		return nil, err
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"syscall"
 
@@ -45,6 +46,8 @@
 	requestIDHashes []uint64
 	// readLimit is the number of bytes that may still be read, or noReadLimit.
 	readLimit int
+	// onSilence is Request.OnSilence of the current request.
+	onSilence func(hasBytes func() bool) clocker.Millis
 }
 
 // DialDirect connects to a server without passing through another host. timeout is in
@@ -102,7 +105,7 @@
 	if c.readLimit > 0 {
 		b = b[:min(len(b), c.readLimit)]
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.readUnlessSilent(b)
 	if c.readLimit > 0 {
 		c.readLimit -= n
 	}
@@ -110,6 +113,22 @@
 	return n, err
 }
 
+// readUnlessSilent reads. A time limit that passes without bytes ends the read only if onSilence says so:
+// a body can't be read on after a read that failed.
+func (c *conn) readUnlessSilent(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		wait := c.onSilence(c.hasBytes)
+		if wait <= 0 {
+			return n, err
+		}
+		_ = c.SetReadDeadline(clocker.FromNow(wait))
+	}
+}
+
 // Write implements net.Conn and counts the bytes.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
@@ -136,20 +155,32 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	_, err := c.peek()
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// hasBytes reports whether bytes have arrived that were not read yet.
+func (c *conn) hasBytes() bool {
+	n, err := c.peek()
+	return n > 0 && err == nil
+}
+
+// peek returns the number of bytes that can be read now, at most 1. The error is syscall.EAGAIN if none
+// have arrived on an open connection.
+func (c *conn) peek() (int, error) {
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EINVAL
 	}
-	rawConn, err := raw.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	reusable := false
-	err = rawConn.Read(func(fd uintptr) bool {
+	var n int
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		reusable = errors.Is(err, syscall.EAGAIN)
-		return true
+		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && reusable
+	return n, errors.Join(err, peekErr)
 }
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -129,6 +129,7 @@
 		return
 	}
 	_ = r.conn.SetReadDeadline(time.Time{})
+	r.conn.onSilence = nil
 	r.conn.serverIdleTimeout = keepAliveTimeout(r.Header.Get("Keep-Alive"))
 	r.carrier.putIdle(r.target, r.conn)
 }
--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -33,13 +33,13 @@
 
 // setOrigin records which server sends the first event of the stream, unless it may be another
 // incarnation than its entry tells of.
-func (x *relayedRequest) setOrigin(server chooser.Server) {
-	if x.origin.known || x.mayHaveRestarted {
+func (x *relayedRequest) setOrigin(a *attempt) {
+	if x.origin.known || a.mayHaveRestarted {
 		return
 	}
-	x.origin = streamOrigin{known: true, software: server.Software}
+	x.origin = streamOrigin{known: true, software: a.server.Software}
 	if id := x.streamID(x.id); id != "" {
-		x.cfg.Origins.Began(id, server)
+		x.cfg.Origins.Began(id, a.server)
 	}
 }
 
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -51,30 +51,30 @@
 
 // reportAnswer reports that a server ran the request without failing. An answer that has neither frame nor
 // body may be that of a server that crashed, and one that tells to come back says nothing of a run.
-func (x *relayedRequest) reportAnswer(server chooser.Server, response *carrier.Response, hasBody bool) {
+func (x *relayedRequest) reportAnswer(a *attempt, response *carrier.Response, hasBody bool) {
 	if (hasBody || response.Framed()) && !statusImpliesNotRun(response.StatusCode) {
-		x.cfg.Quarantine.Answered(incarnationOf(server), x.suspect, response.Framed())
+		x.cfg.Quarantine.Answered(incarnationOf(a.server), x.suspect, response.Framed())
 	}
 }
 
 // reportCrash reports a crash of the server if the connection was lost for that reason before the
 // server had begun its answer. A server that leaves stops as planned.
-func (x *relayedRequest) reportCrash(server chooser.Server, cause error) {
+func (x *relayedRequest) reportCrash(a *attempt, cause error) {
 	if x.ctx.Err() != nil || !connector.IsConnectionLost(cause) {
 		return
 	}
-	if x.answerBegan > 0 && x.cfg.Clock.Now()-x.answerBegan > answerBeginning {
+	if a.answerBegan > 0 && x.cfg.Clock.Now()-a.answerBegan > answerBeginning {
 		return
 	}
-	if x.cfg.Servers.Leaving(server.ID) {
+	if x.cfg.Servers.Leaving(a.server.ID) {
 		return
 	}
-	if x.cfg.Carrier.Refuses(x.ctx, carrier.Target{ID: server.ID, Address: server.Address}, crashProbeTimeout) {
-		x.log.setServerCrashed()
-		x.cfg.Servers.MarkDown(server.ID)
+	if x.cfg.Carrier.Refuses(x.ctx, a.target(), crashProbeTimeout) {
+		a.log.Crashed = true
+		x.cfg.Servers.MarkDown(a.server.ID)
 		suspect := x.suspect
-		suspect.Begun = x.headerReceived
-		x.cfg.Quarantine.Crashed(incarnationOf(server), suspect)
+		suspect.Begun = a.headerReceived
+		x.cfg.Quarantine.Crashed(incarnationOf(a.server), suspect)
 	}
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -114,6 +114,8 @@
 type Relayer struct {
 	cfg      Config
 	inFlight atomic.Int64
+	// overlap is maxOverlap; tests set others.
+	overlap clocker.Millis
 	// ended is canceled by EndAll.
 	ended  context.Context
 	endAll context.CancelFunc
@@ -130,7 +132,7 @@
 	if cfg.Origins == nil {
 		cfg.Origins = sameOrigin{}
 	}
-	r := &Relayer{cfg: cfg}
+	r := &Relayer{cfg: cfg, overlap: maxOverlap}
 	r.ended, r.endAll = context.WithCancel(context.Background())
 	return r
 }
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -40,12 +40,12 @@
 	refused         bool
 	reason          string
 	firstEventAfter clocker.Millis
-	attempts        []attempt
+	attempts        []*attemptLog
 }
 
-// attempt is one server chosen for the request. The field names are keys of the log
+// attemptLog is one server chosen for the request. The field names are keys of the log
 // line.
-type attempt struct {
+type attemptLog struct {
 	Server string
 	Zone   string
 	// Software is the version of the server's software.
@@ -61,22 +61,10 @@
 	Crashed bool `json:",omitempty"`
 }
 
-func (r *requestLog) startAttempt(s chooser.Server, at clocker.Millis) {
-	r.attempts = append(r.attempts, attempt{Server: s.ID, Zone: s.AvailabilityZone, Software: s.Software, AtMs: at})
-}
-
-// setAttemptStatus sets the status of the server's response to the last attempt.
-func (r *requestLog) setAttemptStatus(status int) {
-	if len(r.attempts) > 0 {
-		r.attempts[len(r.attempts)-1].Status = status
-	}
-}
-
-// addEvents counts events of the last attempt that were forwarded to the caller.
-func (r *requestLog) addEvents(events int64) {
-	if len(r.attempts) > 0 {
-		r.attempts[len(r.attempts)-1].Events += events
-	}
+func (r *requestLog) startAttempt(s chooser.Server, at clocker.Millis) *attemptLog {
+	l := &attemptLog{Server: s.ID, Zone: s.AvailabilityZone, Software: s.Software, AtMs: at}
+	r.attempts = append(r.attempts, l)
+	return l
 }
 
 // setStatus sets the status sent to the caller, unless one was sent before.
@@ -86,26 +74,17 @@
 	}
 }
 
-func (r *requestLog) setCause(err error) {
-	if len(r.attempts) > 0 && err != nil {
-		r.attempts[len(r.attempts)-1].Cause = err.Error()
+func (l *attemptLog) setCause(err error) {
+	if err != nil {
+		l.Cause = err.Error()
 	}
 }
 
-// setServerCrashed records that the server of the last attempt crashed.
-func (r *requestLog) setServerCrashed() {
-	if len(r.attempts) > 0 {
-		r.attempts[len(r.attempts)-1].Crashed = true
-	}
-}
-
-func (r *requestLog) setOutcome(reason string) {
+func (l *attemptLog) setOutcome(reason string) {
 	if reason == "" {
 		reason = "answered"
 	}
-	if len(r.attempts) > 0 {
-		r.attempts[len(r.attempts)-1].Outcome = reason
-	}
+	l.Outcome = reason
 }
 
 // resumed reports whether another attempt followed one whose events were forwarded to
--- a/relayer/request_log_test.go
+++ b/relayer/request_log_test.go
@@ -17,7 +17,7 @@
 	Status   int       `json:"status"`
 	Reason   string    `json:"reason"`
 	Ended    string    `json:"ended"`
-	Attempts []attempt `json:"tries"`
+	Attempts []attemptLog `json:"tries"`
 }
 
 func (f *fixture) nextRequestLine(t *testing.T) requestLine {
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -25,38 +25,38 @@
 
 // relayBuffered reads a response to its end and forwards it. It returns the cause and
 // true if the response is incomplete or if another server may be tried.
-func (x *relayedRequest) relayBuffered(server chooser.Server, response *carrier.Response) (failure, bool) {
+func (x *relayedRequest) relayBuffered(a *attempt, response *carrier.Response) (failure, bool) {
 	outcome := chooser.NoFailure
 	if response.StatusCode >= http.StatusInternalServerError {
 		outcome = chooser.ServerError
 	}
 	if x.reply.started { // the caller has events of an earlier server; only a stream can continue them
-		return x.finishAttempt(server, outcome, streamNotContinued), true
+		return x.finishAttempt(a, outcome, streamNotContinued), true
 	}
 	if statusImpliesNotRun(response.StatusCode) && !x.route.Repeatable() {
-		return x.finishAttempt(server, outcome, outcomeUnknown), true
+		return x.finishAttempt(a, outcome, outcomeUnknown), true
 	}
 	response.SetReadTimeout(max(1, x.remaining()))
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
 	if err == nil && len(body) == maxBufferedBytes {
-		x.relayLong(server, response, body)
+		x.relayLong(a, response, body)
 		return failure{}, false
 	}
 	if err != nil {
-		x.log.setCause(err)
+		a.log.setCause(err)
 		if x.req.Context().Err() != nil {
-			return x.finishAttempt(server, chooser.NoFailure, outcomeUnknown), true
+			return x.finishAttempt(a, chooser.NoFailure, outcomeUnknown), true
 		}
-		x.reportCrash(server, err)
-		return x.finishAttempt(server, chooser.Aborted, outcomeUnknown), true
+		x.reportCrash(a, err)
+		return x.finishAttempt(a, chooser.Aborted, outcomeUnknown), true
 	}
 	if outcome == chooser.NoFailure {
-		x.reportAnswer(server, response, len(body) > 0)
-		x.finishAttempt(server, outcome, failure{})
+		x.reportAnswer(a, response, len(body) > 0)
+		x.finishAttempt(a, outcome, failure{})
 		x.sendBuffered(response, body)
 		return failure{}, false
 	}
-	f := x.finishAttempt(server, outcome, serverFailed)
+	f := x.finishAttempt(a, outcome, serverFailed)
 	if x.retryable() {
 		x.lastFailure = &failedResponse{response: response, body: body}
 		return f, true
@@ -79,19 +79,19 @@
 // relayLong forwards a response that is too long to be buffered. prefix is the part
 // read so far. If the server's response is truncated, the caller's is aborted at the
 // same point.
-func (x *relayedRequest) relayLong(server chooser.Server, response *carrier.Response, prefix []byte) {
+func (x *relayedRequest) relayLong(a *attempt, response *carrier.Response, prefix []byte) {
 	x.log.setStatus(response.StatusCode)
 	x.reply.sendHeader(response, response.ContentLength)
 	rest := io.LimitReader(response, maxResponseBytes-maxBufferedBytes)
 	_, err := io.Copy(x.reply.w, io.MultiReader(bytes.NewReader(prefix), rest))
 	if err == nil && response.Complete() {
 		x.reply.complete = true
-		x.reportAnswer(server, response, true)
-		x.finishAttempt(server, chooser.NoFailure, failure{})
+		x.reportAnswer(a, response, true)
+		x.finishAttempt(a, chooser.NoFailure, failure{})
 		return
 	}
-	x.log.setCause(err)
-	x.finishAttempt(server, x.relayErrorOutcome(err), outcomeUnknown)
+	a.log.setCause(err)
+	x.finishAttempt(a, x.relayErrorOutcome(err), outcomeUnknown)
 	x.fail(outcomeUnknown)
 }
 
@@ -110,7 +110,7 @@
 
 // relayStream forwards events as they arrive. It returns the cause and true if the
 // stream ended early.
-func (x *relayedRequest) relayStream(server chooser.Server, response *carrier.Response) (failure, bool) {
+func (x *relayedRequest) relayStream(a *attempt, response *carrier.Response) (failure, bool) {
 	x.position.switchServer()
 	var events eventBuffer
 	buffer := make([]byte, streamReadBytes)
@@ -118,15 +118,15 @@
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
-			x.cfg.Servers.RecordActivity(server.ID, chooser.StatusReport{})
+			x.cfg.Servers.RecordActivity(a.server.ID, chooser.StatusReport{})
 		}
 		if complete := events.add(buffer[:n]); len(complete) > 0 {
-			if x.answerBegan == 0 {
-				x.answerBegan = x.cfg.Clock.Now()
+			if a.answerBegan == 0 {
+				a.answerBegan = x.cfg.Clock.Now()
 			}
-			if relayErr := x.relayEvents(server, response, complete); relayErr != nil {
-				x.log.setCause(relayErr)
-				return x.finishAttempt(server, x.relayErrorOutcome(relayErr), outcomeUnknown), true
+			if relayErr := x.relayEvents(a, response, complete); relayErr != nil {
+				a.log.setCause(relayErr)
+				return x.finishAttempt(a, x.relayErrorOutcome(relayErr), outcomeUnknown), true
 			}
 			response.SetReadTimeout(x.eventTimeout()) // bytes of an incomplete event do not extend the timeout
 		}
@@ -134,13 +134,13 @@
 		case errors.Is(err, io.EOF) && !events.hasPartial() && x.position.complete():
 			x.startStream(response) // not started yet if the caller already had all events
 			x.reply.complete = true
-			x.reportAnswer(server, response, true)
-			x.finishAttempt(server, chooser.NoFailure, failure{})
+			x.reportAnswer(a, response, true)
+			x.finishAttempt(a, chooser.NoFailure, failure{})
 			return failure{}, false
 		case err != nil || events.tooLong():
-			x.log.setCause(err)
-			x.reportCrash(server, err)
-			return x.finishAttempt(server, x.relayErrorOutcome(err), outcomeUnknown), true
+			a.log.setCause(err)
+			x.reportCrash(a, err)
+			return x.finishAttempt(a, x.relayErrorOutcome(err), outcomeUnknown), true
 		}
 	}
 }
@@ -169,14 +169,14 @@
 var errCallerDisconnected = errors.New("the caller left")
 
 // relayEvents writes complete events to the caller, without those that it already has.
-func (x *relayedRequest) relayEvents(server chooser.Server, response *carrier.Response, complete []byte) error {
+func (x *relayedRequest) relayEvents(a *attempt, response *carrier.Response, complete []byte) error {
 	before := x.position.forwarded
 	out, orderErr := x.position.accept(splitEvents(complete))
-	x.log.addEvents(x.position.forwarded - before)
+	a.log.Events += x.position.forwarded - before
 	if len(out) == 0 {
 		return orderErr
 	}
-	x.setOrigin(server)
+	x.setOrigin(a)
 	x.startStream(response)
 	if err := x.reply.sendEvents(out); err != nil {
 		return err
