Carrier: the lines of a server's header are bounded, not only its bytes

What callers would see (report of other operators): a faulty server sends a header without end, the host that called it keeps it and runs out of memory, and all its requests end.

Cause: 128 KB may be read before the body.

Ruled out by reading and by the tests of endless responses: one long field, interim and late responses, chunk framing, trailers, events, bodies.

Change: the connection counts the lines of a header up to its blank line and fails at the 257th.

Conclusion: fixed for the answers of servers; answers of the store and of other hosts are not changed.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -28,7 +28,10 @@
 	noReadLimit = -1
 )
 
-var errPreBodyTooLong = errors.New("the server sent too much before the body of its answer")
+var (
+	errPreBodyTooLong = errors.New("the server sent too much before the body of its answer")
+	errHeaderTooLong  = errors.New("the header of the server's answer has too many lines")
+)
 
 // conn is a connection to a backend server.
 type conn struct {
@@ -46,6 +49,8 @@
 	requestIDHashes []uint64
 	// readLimit is the number of bytes that may still be read, or noReadLimit.
 	readLimit int
+	// header counts the lines of the header that is being read.
+	header headerLines
 	// onSilence is Request.OnSilence of the current request.
 	onSilence func(hasBytes func() bool) clocker.Millis
 }
@@ -110,9 +115,48 @@
 		c.readLimit -= n
 	}
 	c.traffic.Received(n)
+	if !c.header.add(b[:n]) {
+		return 0, errHeaderTooLong
+	}
 	return n, err
 }
 
+// headerLines counts the lines of a header up to its blank line. Each field takes far more memory once it
+// is parsed than its bytes.
+type headerLines struct {
+	// left is the number of lines that may follow; 0 counts none.
+	left int
+	// lineBytes is the length of the current line so far.
+	lineBytes int
+}
+
+// begin starts to count the lines of a header of at most n lines.
+func (h *headerLines) begin(n int) {
+	*h = headerLines{left: n + 1}
+}
+
+// add counts the lines in b. It returns false if the header has too many.
+func (h *headerLines) add(b []byte) bool {
+	for _, c := range b {
+		switch {
+		case h.left == 0:
+			return true
+		case c == '\r':
+		case c != '\n':
+			h.lineBytes++
+		case h.lineBytes == 0: // the blank line
+			h.left = 0
+		default:
+			h.lineBytes = 0
+			h.left--
+			if h.left == 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // readUnlessSilent reads. A time limit that passes without bytes ends the read only if onSilence says so:
 // a body can't be read on after a read that failed.
 func (c *conn) readUnlessSilent(b []byte) (int, error) {
--- a/carrier/endless_response_test.go
+++ b/carrier/endless_response_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -247,3 +248,65 @@
 		assert.Assert(t, body.Len() <= len(sent))
 	})
 }
+
+// Guards against a host that runs out of memory for headers without end: one of tiny different fields stays
+// within the bytes that may be read, and takes fifteen times as much memory while the caller waits for
+// its next byte.
+func TestHeaderOfTinyFieldsIsGivenUpEarly(t *testing.T) {
+	var fields strings.Builder
+	for i := range 30_000 {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	const callers = 64
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	ended := make(chan struct{}, callers)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"+fields.String()[:maxPreBodyBytes-1000])
+				_, _ = io.Copy(io.Discard, c) // until the router closes the connection
+				_ = c.Close()
+				ended <- struct{}{}
+			}()
+		}
+	}()
+	var n receivedBytes
+	c := New(Config{Clock: clocker.NewWall(), RequestIDHeader: "X-Id", DialTimeout: clocker.Minute, IdleTimeout: clocker.Minute, Traffic: &n})
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			_, err := sendAs(t, c, Target{ID: "one", Address: l.Addr().String()}, clocker.Minute, "1")
+			assert.Check(t, !connector.IsErrNotSent(err), "the server received the request")
+			assert.Check(t, errors.Is(err, errHeaderTooLong), "%v", err)
+		})
+	}
+	wait.Wait()
+	for range callers {
+		<-ended
+	}
+	assert.Assert(t, n.Load() < callers*2*readBufferBytes, "%d bytes", n.Load())
+}
+
+// A header of usual length, also behind an interim one, is read whole, in parts of any size, and lines of the
+// body are not counted.
+func TestHeaderLinesAreCountedUpToTheBlankLine(t *testing.T) {
+	header := "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 100) + "\r\n"
+	for _, part := range []int{1, 7, 4096} {
+		var h headerLines
+		h.begin(101)
+		text := header + strings.Repeat("\n", 1000)
+		for len(text) > 0 {
+			n := min(part, len(text))
+			assert.Assert(t, h.add([]byte(text[:n])))
+			text = text[n:]
+		}
+		h.begin(100)
+		assert.Assert(t, !h.add([]byte(header)))
+	}
+}
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -22,6 +22,9 @@
 	// response: late responses to earlier requests, interim responses and the
 	// header. Headers of common servers are shorter than 16 KB.
 	maxPreBodyBytes = 128 << 10
+	// maxHeaderLines limits the lines of a header. A parsed field takes over a hundred bytes
+	// besides its own, so that the bytes alone would bound the memory to fifteen times as much.
+	maxHeaderLines = 256
 	// writeGracePeriod is how long the write of a request may continue after its
 	// response has ended with the connection, in milliseconds. The acknowledgement
 	// of bytes that the server reads takes one round trip.
@@ -60,7 +63,9 @@
 
 func readResponseHeader(cn *conn, method string) (*http.Response, error) {
 	for {
+		cn.header.begin(maxHeaderLines)
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+		cn.header = headerLines{} // the rest of the bytes are no header
 		if err != nil {
 			return nil, err
 		}
