Stream origins: a single known version counts only if the store or another host confirms it

What callers saw (report of other operators): a stream that had begun at a server of a new software version is taken up at a host that was cut off or stood still while that version joined, and goes on at another version (ORDER).

Cause: a host that knows one version in use took it for the origin of any stream, however old its knowledge. It reads the store's record of versions at its start and when it sees a new version itself.

Ruled out: hosts that know two versions; they ask the hosts that keep the stream.

Change: a take-up of a stream that the host does not know reads the record first. Without the store the hosts that keep the stream are asked, and the single version counts if one of them answers. With neither the take-up is refused before it is sent.

Evidence: TestHostOutOfStepDoesNotTakeTheOldVersionForTheOrigin fails on ("v1" for a stream of "v2") in all four cases. TestStreamsGoOnWhereOneVersionIsConfirmed guards against refusing all.

Conclusion: fixed where the store or another host is reached; an isolated host refuses.

--- a/runner/stream_origins.go
+++ b/runner/stream_origins.go
@@ -57,9 +57,18 @@
 	longestStream func() clocker.Millis
 	resumable     func(service string) bool
 
+	// readRecord reads the record of the versions from the store and reports whether it could.
+	readRecord func(ctx context.Context) bool
+
 	mu       sync.Mutex
 	recorder *recorder.Recorder
 	versions *recorder.Versions
+
+	// readMu is held during a read of the record for a take-up. lastRead is when the last one began,
+	// and lastReadOK whether it succeeded.
+	readMu     sync.Mutex
+	lastRead   clocker.Millis
+	lastReadOK bool
 }
 
 func newStreamOrigins(r *Runner) *streamOrigins {
@@ -78,8 +87,9 @@
 			t := r.table.Load()
 			return t != nil && t.Resumable(service)
 		},
-		recorder: recorder.New(r.cfg.Clock.Now()),
-		versions: recorder.NewVersions(),
+		readRecord: r.readSoftwareRecord,
+		recorder:   recorder.New(r.cfg.Clock.Now()),
+		versions:   recorder.NewVersions(),
 	}
 }
 
@@ -112,48 +122,78 @@
 	o.recorder.Began(recorder.Origin{Stream: recorder.StreamHash(id), Software: s.Software}, o.lifetime(), o.clock.Now())
 }
 
-// Origin implements relayer.Origins.
+// Origin implements relayer.Origins. A single version in use is the origin of any stream, but this host
+// may not have heard of a new one: it was cut off, or stood still. So it counts only if the record in
+// the store confirms it now, or, without the store, if a host that keeps the stream does not know it: such hosts
+// are told of each stream once two versions are in use.
 func (o *streamOrigins) Origin(ctx context.Context, id, service string) (string, bool) {
 	if id == "" {
+		if !o.confirmVersions(ctx) {
+			return "", false
+		}
 		return o.only(service)
 	}
 	stream := recorder.StreamHash(id)
-	if software, known := o.find(stream, service); known {
+	if software, known := o.find(stream); known {
+		return software, true
+	}
+	confirmed := o.confirmVersions(ctx)
+	if software, known := o.only(service); known && confirmed {
 		return software, true
 	}
+	anyAnswer := false
 	for range 2 {
-		if software, known := o.ask(ctx, stream); known {
+		software, known, answered := o.ask(ctx, stream)
+		if known {
 			originsFound.Inc()
 			return software, true
 		}
+		anyAnswer = anyAnswer || answered
 		if o.clock.Sleep(ctx, originRetryDelay) != nil {
 			break
 		}
 	}
+	if software, known := o.only(service); known && anyAnswer {
+		return software, true
+	}
 	originsUnknown.Inc()
 	return "", false
 }
 
+// confirmVersions reads the record of the versions, unless that was begun since the call, and reports
+// whether it could be read.
+func (o *streamOrigins) confirmVersions(ctx context.Context) bool {
+	calledAt := o.clock.Now()
+	o.readMu.Lock()
+	defer o.readMu.Unlock()
+	if o.lastRead >= calledAt {
+		return o.lastReadOK
+	}
+	ctx, cancel := o.clock.WithTimeout(ctx, originCallTimeout)
+	defer cancel()
+	o.lastRead = o.clock.Now()
+	o.lastReadOK = o.readRecord(ctx)
+	return o.lastReadOK
+}
+
 // only returns the only version that can have begun a stream of the service, and false if there are
-// several.
+// several, as far as this host knows.
 func (o *streamOrigins) only(service string) (string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.versions.Only(service, o.lifetime(), o.clock.Now())
 }
 
-// find returns the origin of a stream as far as this host knows it.
-func (o *streamOrigins) find(stream uint64, service string) (string, bool) {
+// find returns the origin of a stream that this host began or was told of.
+func (o *streamOrigins) find(stream uint64) (string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if software, known := o.recorder.Find(stream); known {
-		return software, true
-	}
-	return o.versions.Only(service, o.lifetime(), o.clock.Now())
+	return o.recorder.Find(stream)
 }
 
-// ask asks the hosts that keep a stream for its origin; the first one that knows it decides.
-func (o *streamOrigins) ask(ctx context.Context, stream uint64) (string, bool) {
+// ask asks the hosts that keep a stream for its origin; the first one that knows it decides. answered is true
+// if any of them answered.
+func (o *streamOrigins) ask(ctx context.Context, stream uint64) (software string, known, answered bool) {
 	ctx, cancel := o.clock.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
 	addresses := o.keepers(stream, askedKeepers)
@@ -162,21 +202,20 @@
 		go func() { // ends at the latest with ctx
 			reply, err := o.exchange.ShareOrigins(ctx, address, &messenger.OriginRequest{Wanted: []uint64{stream}})
 			if err != nil {
-				reply = &messenger.OriginReply{}
+				reply = nil // it may be cut off or dead, and the others know the stream as well
 			}
 			answers <- reply
 		}()
 	}
 	for range addresses {
-		o.add((<-answers).Known)
-		o.mu.Lock()
-		software, known := o.recorder.Find(stream)
-		o.mu.Unlock()
-		if known {
-			return software, true
+		reply := <-answers
+		answered = answered || reply != nil
+		o.add(reply.GetKnown())
+		if software, known = o.find(stream); known {
+			return software, true, true
 		}
 	}
-	return "", false
+	return "", false, answered
 }
 
 // keepers returns the exchange addresses of the n live hosts that keep a stream.
--- a/runner/stream_origins_test.go
+++ b/runner/stream_origins_test.go
@@ -315,6 +315,78 @@
 	_, err := h.origins.ShareOrigins(t.Context(), &messenger.OriginRequest{Began: []*messenger.OriginBatch{{}, {Streams: []uint64{0, 0}}}, Wanted: []uint64{0, 7}})
 	assert.NilError(t, err)
 	h.origins.applyRecord(map[string][]string{"": {"", ""}})
-	_, known := h.origins.find(recorder.StreamHash("x"), "s")
+	_, known := h.origins.find(recorder.StreamHash("x"))
 	assert.Assert(t, !known)
 }
+
+// cutOff makes a host hear neither from the store nor from other hosts, or from one of them alone.
+func (h *originHost) cutOff(store, peers bool) {
+	if store {
+		h.origins.readRecord = func(context.Context) bool { return false }
+	}
+	if peers {
+		h.origins.peers = func() []heartbeater.Peer { return nil }
+	}
+}
+
+// Guards against a stream that goes on at a server of another version: a host that was cut off, or stood
+// still, while servers of a new version joined knows the old version alone and took it for the origin of a stream
+// that had begun at the new one through another host.
+func TestHostOutOfStepDoesNotTakeTheOldVersionForTheOrigin(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		store, peers bool
+		known        bool
+	}{
+		{"without the news of servers", false, false, true},
+		{"without the store", true, false, true},
+		{"without other hosts", false, true, false},
+		{"without both", true, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newOriginFleet(3)
+				defer f.stop()
+				f.know("v1")
+				f.sleep(clocker.Second)
+				f.hosts[2].cutOff(c.store, c.peers)
+				f.hosts[2].dead.Store(true) // stands still
+				for _, h := range f.hosts[:2] {
+					h.origins.seen(chooser.Server{Service: "s", Software: "v2"})
+				}
+				f.sleep(clocker.Second)
+				assert.Assert(t, f.hosts[0].origins.admits("s", "v2"))
+				f.hosts[0].origins.Began("a", chooser.Server{Service: "s", Software: "v2"})
+				f.sleep(originCallTimeout + originShareInterval)
+				f.hosts[2].dead.Store(false)
+				software, known := f.hosts[2].origins.Origin(t.Context(), "a", "s")
+				assert.Equal(t, known, c.known)
+				if known {
+					assert.Equal(t, software, "v2")
+				}
+				_, known = f.hosts[2].origins.Origin(t.Context(), "", "s")
+				assert.Assert(t, !known, "a caller that names no stream")
+			})
+		})
+	}
+}
+
+// Guards against streams that are all refused as a cure: with one version in use they go on, while the store or
+// another host answers.
+func TestStreamsGoOnWhereOneVersionIsConfirmed(t *testing.T) {
+	for _, c := range []struct{ store, peers, known bool }{{false, false, true}, {true, false, true}, {false, true, true}, {true, true, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newOriginFleet(3)
+			defer f.stop()
+			f.know("v1")
+			f.sleep(clocker.Second)
+			f.hosts[0].origins.Began("a", chooser.Server{Service: "s", Software: "v1"})
+			f.hosts[2].cutOff(c.store, c.peers)
+			software, known := f.hosts[2].origins.Origin(t.Context(), "a", "s")
+			assert.Equal(t, known, c.known)
+			if known {
+				assert.Equal(t, software, "v1")
+			}
+		})
+	}
+}
