Budgets: tokens that a killed host can't have spent come back with its next start

Cause: the holders of a budget hold 30 in 100 of what remains. The store knows limits, not their use, so that a dead holder's limit is charged in full for good.

Ruled out: another answer in place of 402, which gives no tokens back; ways that were tried stand in docs/incidents/tokens-of-killed-hosts.md.

Change: an entry names a part of its limit as guarded. It isn't spent before a lease has run out that each write renews. The next incarnation at the same address, which can listen there only once the earlier one has ended, closes its entries without the guarded part if the lease still ran by two clocks and in this era of the store. Entries without a lease (old builds) stay charged in full; old builds keep the new fields.

TestDeathOfAllHostsLosesFewTokens, TestDeathWithoutGuardLosesWhatHoldersHold (what was lost before). TestGuardedTokensAreNeverSpentTwice finds two planted faults and nothing else.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -29,6 +29,8 @@
 	// requests is reserved for them while the platform is unreachable or few tokens
 	// are unassigned, in milliseconds; 0 disables the reserve.
 	UrgentReserveHorizon clocker.Millis
+	// Guard bounds the tokens that are lost if this incarnation dies; nil means no bound.
+	Guard *GuardConfig
 }
 
 // Allotter holds the state of one incarnation for the budgets of one shard. It
@@ -54,6 +56,7 @@
 	knownBudgets map[string]*messenger.Budget
 
 	restore restoreState
+	guard   guardState
 
 	// faults are injected by tests to prove that the checks detect them.
 	faults injectedFaults
@@ -68,6 +71,11 @@
 
 	adoptsRestoredLimits bool
 	drawsUnsettled       bool
+
+	// ignoresLease spends guarded tokens while the lease runs, and trustsOldLeases returns those
+	// of a lease that had run out.
+	ignoresLease    bool
+	trustsOldLeases bool
 	// tamper modifies the object before it is written.
 	tamper func(*messenger.BudgetShard)
 }
@@ -92,6 +100,13 @@
 	closePlanned bool
 	closed       bool
 
+	// confirmedDraw is the limit without guarded tokens in the known content, and pendingDraw
+	// that of writes whose outcome is not known; -1 without one. While guarded is true,
+	// drawLimit bounds what may be spent.
+	confirmedDraw, pendingDraw int64
+	guarded                    bool
+	drawLimit                  int64
+
 	spent    int64
 	reserved int64
 	received totals
@@ -134,6 +149,7 @@
 // reservation. It returns false if the headroom, without the reserve for requests
 // of a lower (more urgent) rank, does not cover the tokens.
 func (a *Allotter) Reserve(name string, tokens int64, rank int, now clocker.Millis) (int64, bool) {
+	a.observeTime(now)
 	b := a.getOrAddBudget(name)
 	if a.closing || tokens < 0 || b.headroom()-a.urgentReserve(b, rank, tokens, now) < tokens {
 		return 0, false
@@ -219,7 +235,7 @@
 	var sum int64
 	for _, b := range a.ordered {
 		if !b.closed {
-			sum += max(0, b.headroom()) + b.reserved
+			sum += max(0, b.heldHeadroom()) + b.reserved
 		}
 	}
 	return sum
@@ -249,7 +265,17 @@
 	return b
 }
 
+// headroom returns the tokens that can be reserved or sent now.
 func (b *budgetState) headroom() int64 {
+	held := b.heldHeadroom()
+	if !b.guarded || b.drawLimit >= b.limit {
+		return held
+	}
+	return held - (b.limit - b.drawLimit)
+}
+
+// heldHeadroom returns the same with the guarded tokens.
+func (b *budgetState) heldHeadroom() int64 {
 	if b.closePlanned || b.closed {
 		return 0
 	}
--- a/allotter/export_test.go
+++ b/allotter/export_test.go
@@ -15,7 +15,11 @@
 	// limits before others have written their entries again.
 	AdoptsRestoredLimits Fault = "adopts restored limits"
 	DrawsUnsettled       Fault = "draws unsettled"
-	NoFault              Fault = ""
+	// IgnoresLease spends guarded tokens while the lease runs, and TrustsOldLeases returns those of
+	// a lease that had run out.
+	IgnoresLease    Fault = "ignores the lease"
+	TrustsOldLeases Fault = "trusts old leases"
+	NoFault         Fault = ""
 )
 
 // InjectFault enables one fault and disables the others.
@@ -26,6 +30,8 @@
 	a.faults.settleTwice = f == SettleTwice
 	a.faults.adoptsRestoredLimits = f == AdoptsRestoredLimits
 	a.faults.drawsUnsettled = f == DrawsUnsettled
+	a.faults.ignoresLease = f == IgnoresLease
+	a.faults.trustsOldLeases = f == TrustsOldLeases
 }
 
 // TamperWrites sets a function that modifies each object before it is written.
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -39,7 +39,7 @@
 func (b *budgetState) targetHeadroom(c Conditions, stored *messenger.Budget, unassigned int64) int64 {
 	reserve := float64(c.Policy.OfflineReserveMs) * (1 - replacedShare(c, stored))
 	horizon := clocker.Millis(c.Policy.HeadroomMs + int64(reserve))
-	remaining := float64(unassigned + max(0, b.headroom()))
+	remaining := float64(unassigned + max(0, b.heldHeadroom()))
 	demand := b.expectedDemand(horizon, c.Now)
 	normalTarget := min(max(demand, b.floorTokens(c)), int64(maxShare(c)*remaining))
 	return max(normalTarget, min(demand, int64(busyShare(c)*remaining)))
@@ -108,7 +108,7 @@
 	if c.PrefetchShare <= 0 || b.declaredGrant == 0 || stored == nil || ask.Loan {
 		return ask
 	}
-	remaining := Unassigned(stored) + max(0, b.headroom())
+	remaining := Unassigned(stored) + max(0, b.heldHeadroom())
 	excess := int64(c.PrefetchShare * float64(max(0, b.declaredGrant-remaining)) / float64(max(1, c.HostCount)))
 	capped := proto.CloneOf(ask)
 	capped.Tokens = max(ask.Needed, ask.Tokens-excess)
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -54,6 +54,7 @@
 // for requests that already wait and may use the whole headroom; the others may use
 // half of the remaining headroom.
 func (a *Allotter) TransferTo(to string, ask *messenger.TransferAsk, now clocker.Millis) *messenger.TransferTotal {
+	a.observeTime(now)
 	b := a.getOrAddBudget(ask.Budget)
 	if a.cfg.UrgentReserveHorizon > 0 {
 		b.observePeerDemand(to, ask, now)
--- a/allotter/urgency.go
+++ b/allotter/urgency.go
@@ -64,15 +64,15 @@
 	return sum
 }
 
-// shortfallTokens returns the tokens that waiting requests lack beyond the headroom; it
-// is negative if headroom remains. If the unassigned tokens are reserved for
+// shortfallTokens returns the tokens that waiting requests lack beyond the headroom with the guarded tokens;
+// it is negative if headroom remains. If the unassigned tokens are reserved for
 // urgent requests, requests of the least urgent rank are not counted.
 func (a *Allotter) shortfallTokens(b *budgetState, unassigned int64) int64 {
 	waiting := b.waiting
 	if last := len(b.byRank) - 1; last > 0 && unassigned < waiting+a.fleetUrgentReserve(b) {
 		waiting -= b.byRank[last].waiting
 	}
-	return waiting - b.headroom()
+	return waiting - b.heldHeadroom()
 }
 
 // UnassignedCovers reports whether the unassigned tokens, according to the known
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -43,6 +43,8 @@
 	// LongDead reports whether an incarnation was dead for so long that it can't have raised a
 	// limit since a copy of the store was made; nil means never.
 	LongDead func(incarnation string) bool
+	// DrawShare is the share of a budget that all holders together may leave unguarded for their demand.
+	DrawShare float64
 }
 
 func (c Conditions) raiseThreshold() float64 {
@@ -64,6 +66,9 @@
 	// Version is the version that the object must have; 0 creates it.
 	Version int64
 	Value   *messenger.BudgetShard
+	// Returned are the tokens that earlier incarnations at the own address left and that the
+	// write returns to their budgets.
+	Returned int64
 
 	entries []plannedEntry
 }
@@ -86,6 +91,7 @@
 	if version >= a.version {
 		a.contentAt = now
 	}
+	a.ObserveContact(now)
 	if version > a.version {
 		a.replaceContent(version, object)
 	}
@@ -110,6 +116,7 @@
 	for _, b := range a.object.GetBudgets() {
 		a.knownBudgets[b.Name] = b
 	}
+	a.adoptLease()
 	for _, b := range a.ordered {
 		b.inDoubt = false
 		a.adoptEntry(b)
@@ -121,6 +128,7 @@
 func (a *Allotter) adoptEntry(b *budgetState) {
 	b.fleetUrgentPerSecond = sumUrgent(a.knownBudgets[b.name])
 	h := findEntry(a.knownBudgets[b.name], a.cfg.Incarnation)
+	defer a.adoptGuard(b, h)
 	switch {
 	case b.rewrite:
 		a.adoptRewritten(b, h)
@@ -191,7 +199,7 @@
 			entries = append(entries, e)
 		}
 	}
-	if len(entries) == 0 {
+	if len(entries) == 0 && !a.guardDue(c) && !a.reclaimDue() {
 		return Write{}, false // no tokens remain for the waiting requests
 	}
 	a.plannedAt = c.Now
@@ -203,6 +211,10 @@
 	if a.Unsettled() {
 		return a.settlementDue(c) || a.SettlementReadDue(c)
 	}
+	a.guard.conditions = c
+	if a.reclaimDue() || a.guardDue(c) {
+		return true
+	}
 	if c.BatchRaiseThreshold > 0 && c.Now-a.plannedAt < c.changeInterval() && !a.closing {
 		return a.anyShortfall()
 	}
@@ -262,10 +274,12 @@
 		a.stageEntry(e, stored, c.Now)
 		foldEntries(stored, c.IsLive)
 	}
+	returned := a.stageReclaims(value)
+	a.stageGuards(value, c)
 	if a.faults.tamper != nil {
 		a.faults.tamper(value)
 	}
-	return Write{Version: a.version, Value: value, entries: entries}
+	return Write{Version: a.version, Value: value, Returned: returned, entries: entries}
 }
 
 // stageEntry puts an entry into the object to be written. A lowered limit takes
@@ -313,6 +327,7 @@
 // delayed by the change interval.
 func (a *Allotter) Rejected(w Write) {
 	a.plannedAt = 0
+	a.withdrawLease()
 	for _, e := range w.entries {
 		e.budget.raisedAt = 0
 	}
@@ -322,6 +337,7 @@
 // Until the object is read at a higher version, limits that the write lowers stay
 // lowered, and limits that it raises are not raised.
 func (a *Allotter) OutcomeUnknown(w Write) {
+	a.guard.inDoubt = true
 	if !a.faults.unknownIsSuccess {
 		return // nothing to do: the state stays as planned
 	}
--- a/relayer/request_log_test.go
+++ b/relayer/request_log_test.go
@@ -14,9 +14,9 @@
 
 // requestLine holds the keys of a request's log line that describe the response.
 type requestLine struct {
-	Status   int       `json:"status"`
-	Reason   string    `json:"reason"`
-	Ended    string    `json:"ended"`
+	Status   int          `json:"status"`
+	Reason   string       `json:"reason"`
+	Ended    string       `json:"ended"`
 	Attempts []attemptLog `json:"tries"`
 }
 
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -128,10 +128,11 @@
 		BatchRaiseThreshold: r.cfg.BatchRaiseThreshold,
 		HostCount:           len(v.liveHosts),
 		PrefetchShare:       r.cfg.PrefetchShare,
+		DrawShare:           r.cfg.DrawShare,
 	}
 }
 
-// inspectLoop checks waiting requests at every tick, all budgets in use every
+// inspectLoop checks waiting requests and the guards at every tick, all budgets in use every
 // inspectInterval and the declared budgets every declaredInterval. It retries
 // transfers of unknown outcome every transferRetryInterval.
 func (r *Reserver) inspectLoop(ctx context.Context) {
@@ -161,7 +162,7 @@
 func (r *Reserver) inspectWaiting(now clocker.Millis) {
 	for _, s := range r.activeShards() {
 		s.mu.Lock()
-		due := len(s.waiters) > 0 && now >= s.nextRefillAt || s.allotter.Unsettled()
+		due := len(s.waiters) > 0 && now >= s.nextRefillAt || s.allotter.Unsettled() || s.allotter.GuardDue(now)
 		s.mu.Unlock()
 		due = due || s.behindStore(r.cfg.StoreEra())
 		if due {
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -37,6 +37,7 @@
 	writes          = metrics.NewCounter("cowsliphinge_budget_writes_total")
 	writeConflicts  = metrics.NewCounter("cowsliphinge_budget_write_conflicts_total")
 	unknownOutcomes = metrics.NewCounter("cowsliphinge_budget_unknown_outcomes_total")
+	returnedTokens  = metrics.NewCounter("cowsliphinge_budget_returned_tokens_total")
 	callsSkipped    = metrics.NewCounter("cowsliphinge_budget_platform_skipped_total")
 )
 
@@ -146,6 +147,7 @@
 	if !due {
 		return
 	}
+	calledAt := r.cfg.Clock.Now()
 	o, err := r.cfg.GetStale(ctx, s.key)
 	if err != nil {
 		r.platform.record(err)
@@ -158,6 +160,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.allotter.ObserveContact(calledAt)
 	if o.Version > s.allotter.Version() {
 		s.allotter.Merge(o.Version, object, r.cfg.Clock.Now())
 		s.reserveForWaiters(r.cfg.Clock.Now())
@@ -204,6 +207,10 @@
 	switch {
 	case err == nil:
 		writes.Inc()
+		if w.Returned > 0 {
+			returnedTokens.AddInt64(w.Returned)
+			slog.Info("tokens of an earlier incarnation are returned", "key", s.key, "tokens", w.Returned)
+		}
 		clear(s.refusals)
 		unsettled := s.allotter.Unsettled()
 		s.allotter.Confirm(w, o.Version, r.cfg.Clock.Now())
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -108,6 +108,10 @@
 	DeclaredGrant func(budget string) int64
 	// StoreEra returns the latest era that the store named; nil means a store without eras.
 	StoreEra func() int64
+	// Guard bounds the tokens that are lost if this incarnation dies; nil means no bound. DrawShare
+	// is the share of a budget that all holders together may leave unguarded for their demand.
+	Guard     *allotter.GuardConfig
+	DrawShare float64
 }
 
 // Reserver reserves and settles tokens for one incarnation. It is safe for
@@ -232,7 +236,7 @@
 	if s := r.shards[i].Load(); s != nil {
 		return s
 	}
-	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation, DemandTimeConstant: r.cfg.DemandTimeConstant, UrgentReserveHorizon: r.cfg.UrgentReserveHorizon})
+	s := newShard(int(i), allotter.Config{Incarnation: r.cfg.Incarnation, DemandTimeConstant: r.cfg.DemandTimeConstant, UrgentReserveHorizon: r.cfg.UrgentReserveHorizon, Guard: r.cfg.Guard})
 	r.shards[i].Store(s)
 	r.active = append(r.active, s)
 	return s
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -51,7 +51,7 @@
 const (
 	// heldShare is the fraction of a budget's remaining tokens (those unassigned plus
 	// the holders' headroom) that all holders together hold. It must last through an
-	// outage of the store, and it is lost if all hosts die at once.
+	// outage of the store. Most of it is guarded, see guardLeaseTime.
 	heldShare = 0.3
 	// busyHeadroom is the headroom of a holder whose demand exceeds its even share of
 	// heldShare, in milliseconds of its demand: the time between two writes. It is
@@ -79,6 +79,33 @@
 	urgentReserveHorizon = 12 * clocker.Second
 )
 
+const (
+	// guardLeaseTime is how long a holder does not spend its guarded tokens after a write, in
+	// milliseconds. An incarnation that starts within it returns those of the one before, so it
+	// covers guardRenewInterval and a restart of two seconds.
+	guardLeaseTime     = 3200 * clocker.Millis(1)
+	guardRenewInterval = 1200 * clocker.Millis(1)
+	// drawHorizon is the time whose demand a holder does not guard, in milliseconds: it serves for
+	// so long without the store until its lease has run out. drawShare bounds this part, as a fraction of a
+	// budget for all holders together: it is lost if all hosts die at once.
+	drawHorizon = guardLeaseTime
+	drawShare   = 0.04
+)
+
+// guard returns what bounds the tokens that are lost if this host dies. The listener at the exchange
+// address, which is open already, proves that no earlier incarnation runs.
+func (r *Runner) guard() *allotter.GuardConfig {
+	return &allotter.GuardConfig{
+		LeaseTime:     guardLeaseTime,
+		RenewInterval: guardRenewInterval,
+		DrawHorizon:   drawHorizon,
+		Address:       r.exchangeAddress,
+		SameHost:      func(incarnation string) bool { return heartbeater.HostOf(incarnation) == r.cfg.Settings.Host },
+		StartedAt:     r.startedAt,
+		BootAt:        r.startedSinceBoot,
+	}
+}
+
 // policy returns the policy of all budgets. Each holder holds its part of heldShare,
 // whatever its demand; peers transfer tokens to each other.
 func (r *Runner) policy() *messenger.Policy {
@@ -246,6 +273,8 @@
 		PrefetchShare:        prefetchShare,
 		DeclaredBudgets:      r.declaredBudgets,
 		DeclaredGrant:        r.declaredGrant,
+		Guard:                r.guard(),
+		DrawShare:            drawShare,
 	}))
 	r.group.Go(func() error {
 		r.logBudgets(ctx)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -79,6 +79,10 @@
 	traffic     traffic
 	table       atomic.Pointer[matcher.Table]
 	startedAt   clocker.Millis
+	// startedSinceBoot is startedAt as time since the boot of the machine, in milliseconds.
+	startedSinceBoot clocker.Millis
+	// exchangeAddress is where this host listens for other hosts.
+	exchangeAddress string
 	// inForceSince is when the table came into force, in milliseconds.
 	inForceSince atomic.Int64
 	// caughtUp is true once this host serves by the configuration in force.
@@ -129,7 +133,8 @@
 		return nil, errors.Join(err, callers.Close(), probes.Close())
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	r := &Runner{cfg: cfg, startedAt: cfg.Clock.Now(), cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	r := &Runner{cfg: cfg, startedAt: cfg.Clock.Now(), startedSinceBoot: clocker.SinceBoot(), cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	r.exchangeAddress = peers.Addr().String()
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
 	r.origins = newStreamOrigins(r)
