--- a/runner/runner.go
+++ b/runner/runner.go
@@ -133,7 +133,7 @@
 		return nil, errors.Join(err, callers.Close(), probes.Close())
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	r := &Runner{cfg: cfg, startedAt: cfg.Clock.Now(), startedSinceBoot: clocker.SinceBoot(), cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
+	r := &Runner{cfg: cfg, startedAt: cfg.Clock.Now(), startedSinceBoot: sinceBoot(), cancel: cancel, incarnation: heartbeater.NewIncarnation(cfg.Settings.Host, cfg.Clock.Now())}
 	r.exchangeAddress = peers.Addr().String()
 	r.settings.Store(&cfg.Settings)
 	r.exchange = exchanger.NewClient(exchanger.ClientConfig{RouterKey: cfg.Settings.RouterKey})
