Test: fleets in parallel never get an address twice

Fleets that run in parallel could get the same port in between.

Ruled out by reading: ports of outgoing connections, which begin at 32768 here.

Change: the addresses that were returned are kept, and none is returned twice within the test binary. No check changes. Not shown by a run: the collision comes once in many runs.

Conclusion: the likely cause is removed; another process on the machine could still take a port in between.

--- a/cmd/prompt_fleet_test.go
+++ b/cmd/prompt_fleet_test.go
@@ -129,8 +129,12 @@
 	}
 }
 
+// givenAddresses are the addresses that freeAddress has returned. Fleets of tests that run in parallel
+// listen there later, and again after the deaths of their hosts.
+var givenAddresses sync.Map
+
 // freeAddress returns a loopback address on which nothing listens, below the ports that outgoing
-// connections take.
+// connections take. It returns none twice.
 func freeAddress() string {
 	for {
 		l, err := net.Listen("tcp4", fmt.Sprint("127.0.0.1:", 12_000+rand.IntN(18_000)))
@@ -138,7 +142,9 @@
 			continue
 		}
 		_ = l.Close()
-		return l.Addr().String()
+		if _, given := givenAddresses.LoadOrStore(l.Addr().String(), true); !given {
+			return l.Addr().String()
+		}
 	}
 }
 
