Log: which incarnation answers an attempt, and how its answer ends

The log could not tell a server that restarted under its ID from one that did not, nor an answer that ended with its connection from one with a length. Now each fresh connection to a model engine begins with a request for the server's report, whose field born names the incarnation. The line of a request has StartedAt (by the entry), Incarnation (by the server's own word on the connection) and Unframed for each attempt; a line 'backend server is another incarnation than its entry tells of' and the counter cowsliphinge_backend_identities_total tell of each restart that an entry hides. No decision depends on it yet, but for one: a server that fails to answer the call gets no request, which is then known not to have run.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -63,6 +63,11 @@
 	Traffic Traffic
 	// Dialer may be nil; all connections are then direct.
 	Dialer Dialer
+	// Identity asks servers for their incarnation; nil asks none.
+	Identity *Identity
+	// Restarted is called when a server tells another incarnation than the Target names, with the
+	// start of that; it may be nil.
+	Restarted func(t Target, startedAt clocker.Millis)
 }
 
 // Traffic counts bytes. It is called once for each read and write of a connection.
@@ -91,6 +96,10 @@
 	// ID identifies the server; servers with different IDs never share a connection.
 	ID      string
 	Address string
+	// StartedAt is when the incarnation started that its entry tells of, 0 if unknown.
+	StartedAt clocker.Millis
+	// Identifies is true if the server is of a kind that answers Config.Identity.
+	Identifies bool
 }
 
 // Request is a request to a backend server.
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -45,6 +45,8 @@
 	// serverIdleTimeout is how long the server keeps the idle connection open; 0 if
 	// unknown.
 	serverIdleTimeout clocker.Millis
+	// incarnation is that of the server.
+	incarnation incarnation
 	// requestIDHashes are the hashes of the IDs of all requests on the connection.
 	requestIDHashes []uint64
 	// readLimit is the number of bytes that may still be read, or noReadLimit.
--- /dev/null
+++ b/carrier/identity.go
@@ -0,0 +1,145 @@
+package carrier
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowsliphinge/clocker"
+)
+
+const (
+	// maxIdentityBytes limits the answer to an identity call.
+	maxIdentityBytes = 256 << 10
+	// identityAttempts is the number of connections on which a server is asked that closes each one
+	// behind its answer.
+	identityAttempts = 2
+)
+
+var (
+	identitiesTold    = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="told"}`)
+	identitiesOther   = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="other_incarnation"}`)
+	identitiesUntold  = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="not_told"}`)
+	identitiesRefused = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="failed"}`)
+)
+
+// Identity is the call by which a server tells which of its incarnations it is. A server may start again
+// under its ID and address, and a connection belongs to one incarnation until it ends.
+type Identity struct {
+	// Path is the request target of the call.
+	Path string
+	// StartedAt returns when the incarnation started, from the body of a successful answer, in
+	// milliseconds since the Unix epoch; 0 if the body doesn't tell, an error if it is malformed.
+	StartedAt func(body []byte) (clocker.Millis, error)
+}
+
+// incarnation is what a server told of itself on a connection.
+type incarnation struct {
+	// asked is true if the server has answered an identity call on the connection.
+	asked bool
+	// startedAt is when the incarnation started, 0 if the server didn't tell.
+	startedAt clocker.Millis
+}
+
+// errIdentityStatus is the status with which a server failed to tell its incarnation.
+type errIdentityStatus int
+
+func (e errIdentityStatus) Error() string {
+	return fmt.Sprintf("the server answered %d when asked for its incarnation", int(e))
+}
+
+// dialServer opens a connection to a server and asks which incarnation it is, if servers like it tell.
+func (c *Carrier) dialServer(ctx context.Context, t Target) (*conn, error) {
+	if c.cfg.Identity == nil || !t.Identifies {
+		return c.dial(ctx, t.Address, c.cfg.DialTimeout)
+	}
+	for range identityAttempts {
+		cn, err := c.dial(ctx, t.Address, c.cfg.DialTimeout)
+		if err != nil {
+			return nil, err
+		}
+		reusable, err := c.identify(ctx, cn, t)
+		if err == nil && reusable {
+			return cn, nil
+		}
+		_ = cn.Close()
+		if err != nil {
+			identitiesRefused.Inc()
+			if ctx.Err() == nil {
+				c.cfg.Dialer.Lost(cn.via)
+			}
+			return nil, err
+		}
+	}
+	return c.dial(ctx, t.Address, c.cfg.DialTimeout)
+}
+
+// identify asks a server on a new connection which incarnation it is. It reports whether the connection
+// can be used for a request afterwards.
+func (c *Carrier) identify(ctx context.Context, cn *conn, t Target) (reusable bool, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	defer func() {
+		if !stop() && err == nil {
+			err = ctx.Err()
+		}
+	}()
+	_ = cn.SetDeadline(clocker.FromNow(c.cfg.DialTimeout))
+	defer func() { _ = cn.SetDeadline(time.Time{}) }()
+	cn.setReadLimit(maxIdentityBytes)
+	defer cn.setReadLimit(noReadLimit)
+	if _, err := fmt.Fprintf(cn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.cfg.Identity.Path, t.Address); err != nil {
+		return false, err
+	}
+	resp, err := readResponseHeader(cn, http.MethodGet)
+	if err != nil {
+		return false, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return false, err
+	}
+	if err := c.recordIncarnation(cn, t, resp.StatusCode, body); err != nil {
+		return false, err
+	}
+	return !resp.Close && cn.reader.Buffered() == 0, nil
+}
+
+// recordIncarnation records what the answer to an identity call tells. A server without that call
+// doesn't tell; any other failure leaves the incarnation open, and the connection must not be used.
+func (c *Carrier) recordIncarnation(cn *conn, t Target, status int, body []byte) error {
+	switch status {
+	case http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+	default:
+		return errIdentityStatus(status)
+	}
+	startedAt := clocker.Millis(0)
+	if status == http.StatusOK {
+		var err error
+		if startedAt, err = c.cfg.Identity.StartedAt(body); err != nil {
+			return err
+		}
+	}
+	cn.incarnation = incarnation{asked: true, startedAt: startedAt}
+	if startedAt == 0 {
+		identitiesUntold.Inc()
+		return nil
+	}
+	identitiesTold.Inc()
+	if t.StartedAt > 0 && startedAt != t.StartedAt {
+		identitiesOther.Inc()
+		if c.cfg.Restarted != nil {
+			c.cfg.Restarted(t, startedAt)
+		}
+	}
+	return nil
+}
+
+// StartedAt returns when the server's incarnation started that sends the response, in milliseconds since
+// the Unix epoch; 0 if it did not tell.
+func (r *Response) StartedAt() clocker.Millis {
+	return r.conn.incarnation.startedAt
+}
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -39,7 +39,7 @@
 		}
 		_ = cn.Close()
 	}
-	return c.dial(ctx, t.Address, c.cfg.DialTimeout)
+	return c.dialServer(ctx, t)
 }
 
 // Refuses reports whether nothing accepts connections at the server's address, as after its
--- a/cmd/route.go
+++ b/cmd/route.go
@@ -97,6 +97,7 @@
 		DecodeDeclaration: platform.Declaration,
 		DecodeServer:      platform.Server,
 		DecodeValue:       platform.Value,
+		Identity:          &platform.Identity,
 	}
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -35,8 +35,9 @@
 	beside *besideAttempt
 }
 
-func (a *attempt) target() carrier.Target {
-	return carrier.Target{ID: a.server.ID, Address: a.server.Address}
+// targetOf returns the server of an attempt.
+func (x *relayedRequest) targetOf(a *attempt) carrier.Target {
+	return carrier.Target{ID: a.server.ID, Address: a.server.Address, StartedAt: a.server.StartedAt, Identifies: x.service.Engine}
 }
 
 // close ends the exchange with the server.
@@ -60,7 +61,7 @@
 			x.fail(f)
 			return failure{}, false
 		}
-		a.response, a.err = x.cfg.Carrier.Send(x.ctx, a.target(), x.requestOf(a))
+		a.response, a.err = x.cfg.Carrier.Send(x.ctx, x.targetOf(a), x.requestOf(a))
 	}
 	defer a.close()
 	if f, failed := x.checkHeader(a); failed {
@@ -112,6 +113,8 @@
 	response := a.response
 	a.headerReceived = true
 	a.log.Status = response.StatusCode
+	a.log.Incarnation = response.StartedAt()
+	a.log.Unframed = !response.Framed()
 	if response.StatusCode != http.StatusMisdirectedRequest { // another server has taken over the address
 		x.cfg.Servers.RecordActivity(a.server.ID, x.cfg.HeaderNames.statusReport(response.StatusCode, response.Header, a.sentAt))
 	}
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -69,7 +69,7 @@
 	if x.cfg.Servers.Leaving(a.server.ID) {
 		return
 	}
-	if x.cfg.Carrier.Refuses(x.ctx, a.target(), crashProbeTimeout) {
+	if x.cfg.Carrier.Refuses(x.ctx, x.targetOf(a), crashProbeTimeout) {
 		a.log.Crashed = true
 		x.cfg.Servers.MarkDown(a.server.ID)
 		suspect := x.suspect
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -48,8 +48,13 @@
 type attemptLog struct {
 	Server string
 	Zone   string
-	// Software is the version of the server's software.
-	Software string `json:",omitempty"`
+	// Software is the version of the server's software, and StartedAt when it started, by its entry.
+	Software  string         `json:",omitempty"`
+	StartedAt clocker.Millis `json:",omitempty"`
+	// Incarnation is when the server started by its own word on the connection; 0 if it did not tell.
+	Incarnation clocker.Millis `json:",omitempty"`
+	// Unframed is true if the end of the response was the end of the connection.
+	Unframed bool `json:",omitempty"`
 	AtMs     clocker.Millis
 	Outcome  string
 	// Status is the status of the server's response; 0 without a response.
@@ -62,7 +67,7 @@
 }
 
 func (r *requestLog) startAttempt(s chooser.Server, at clocker.Millis) *attemptLog {
-	l := &attemptLog{Server: s.ID, Zone: s.AvailabilityZone, Software: s.Software, AtMs: at}
+	l := &attemptLog{Server: s.ID, Zone: s.AvailabilityZone, Software: s.Software, StartedAt: s.StartedAt, AtMs: at}
 	r.attempts = append(r.attempts, l)
 	return l
 }
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -86,7 +86,7 @@
 	request.OnSent = func() { close(b.sent) }
 	go func() {
 		defer close(b.done)
-		a.response, a.err = x.cfg.Carrier.Send(ctx, a.target(), request)
+		a.response, a.err = x.cfg.Carrier.Send(ctx, x.targetOf(a), request)
 	}()
 	select {
 	case <-b.sent:
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -228,6 +228,17 @@
 	b.chooser.MarkDown(id, b.clock.Now())
 }
 
+// restarted records that a server is another incarnation than its entry tells of.
+func (b *backendPool) restarted(t carrier.Target, startedAt clocker.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, known := b.chooser.Server(t.ID)
+	if !known || s.StartedAt == startedAt {
+		return
+	}
+	b.log.Info("backend server is another incarnation than its entry tells of", "server", t.ID, "entry_started_at", s.StartedAt, "started_at", startedAt, "software", s.Software)
+}
+
 // RecordActivity implements relayer.Servers.
 func (b *backendPool) RecordActivity(id string, report chooser.StatusReport) {
 	b.mu.Lock()
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/matcher"
 	"cowsliphinge/relayer"
@@ -36,6 +37,8 @@
 	// backend server.
 	DecodeDeclaration func(storer.Object) (matcher.Declaration, error)
 	DecodeServer      func(storer.Object) (chooser.Server, error)
+	// Identity asks model engines for their incarnation; nil asks none.
+	Identity *carrier.Identity
 	// DecodeValue returns the value of an object that List returned, as the router wrote
 	// it.
 	DecodeValue func(storer.Object) ([]byte, error)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -260,6 +260,8 @@
 		IdleTimeout:     backendIdleTimeout,
 		Traffic:         &r.traffic,
 		Dialer:          r.detour,
+		Identity:        r.cfg.Platform.Identity,
+		Restarted:       r.backends.restarted,
 	})
 	r.relayer.Store(relayer.New(relayer.Config{
 		Clock:       r.cfg.Clock,
