ORDER: a stream goes on only at the incarnation that its server's entry tells of

Callers saw streams whose events came from two software versions: a server restarted under its ID and address with other software, and hosts went on by its old entry. A stream of the old version went on there, or began there and went on elsewhere, and the fleet's memory of origins held the wrong version as well.

Cause: an entry is a statement about one incarnation at one time, and it was taken for a statement about whoever listens at the address now. X-Expect-Instance does not help, the ID is the same.

Change: what ties a connection to an incarnation is the server's own word on it. Requests that another server may continue are sent only on connections on which the server told the start that its entry names. Otherwise they are not sent (so that 'not run' is true), the host discards what it knew of the incarnation before (load, limits, back-off, cached prompts, a report of leaving), and the server gets no such request until its new entry is read. After two seconds without one, as while the store is away, it is used again, as a version of its own that no other server has. This keeps the rule that the store's record has each version before its first stream. Other requests are sent as before. No clocks are compared. Servers that don't tell (a status of 404, no field born) are judged by their entry as before.

Ruled out as a measure: doubt after a reset or an end. It is no proof of a restart, and a fresh connection gives no sign at all; a release or a crash of many servers would stop take-ups.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -120,6 +120,9 @@
 	// time limit. It returns how much longer to wait, in milliseconds; with 0 the read fails.
 	// hasBytes reports whether bytes have arrived meanwhile.
 	OnSilence func(hasBytes func() bool) clocker.Millis
+	// SameIncarnation is true if only the incarnation that the Target names may get the request, as far
+	// as servers tell theirs.
+	SameIncarnation bool
 	// MaxIdleTime is how long a connection may have been idle to be reused for this
 	// request, in milliseconds.
 	MaxIdleTime clocker.Millis
@@ -138,7 +141,8 @@
 
 // Send sends a request and returns as soon as the response header has been read. The
 // caller must read and close the response. The error is connector.ErrNotSent if the
-// request can't have reached the server, else connector.ErrAborted, or
+// request can't have reached the server, with an ErrOtherIncarnation as its cause if another incarnation than
+// the required one listens there. Else it is connector.ErrAborted, or
 // connector.ErrRequestIDMismatch if the response to this request was not found among the
 // responses on the connection.
 func (c *Carrier) Send(ctx context.Context, t Target, r Request) (*Response, error) {
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -45,6 +46,33 @@
 	startedAt clocker.Millis
 }
 
+// ErrOtherIncarnation reports that a server has restarted, or does not tell whether it has.
+type ErrOtherIncarnation struct {
+	ID string
+	// StartedAt is when the incarnation that listens now started, in milliseconds since the Unix epoch;
+	// 0 if it is not known.
+	StartedAt clocker.Millis
+}
+
+func (e ErrOtherIncarnation) Error() string {
+	return fmt.Sprintf("server %s is another incarnation, started at %d ms", e.ID, e.StartedAt)
+}
+
+// IsErrOtherIncarnation reports whether err wraps an ErrOtherIncarnation.
+func IsErrOtherIncarnation(err error) bool {
+	var other ErrOtherIncarnation
+	return errors.As(err, &other)
+}
+
+// suits reports whether a request may be sent on a connection to the server: a connection belongs to one
+// incarnation until it ends. Servers that do not tell theirs are taken for the one that the target names.
+func (c *Carrier) suits(cn *conn, t Target, r Request) bool {
+	if !r.SameIncarnation || c.cfg.Identity == nil || !t.Identifies || t.StartedAt == 0 {
+		return true
+	}
+	return cn.incarnation.asked && (cn.incarnation.startedAt == 0 || cn.incarnation.startedAt == t.StartedAt)
+}
+
 // errIdentityStatus is the status with which a server failed to tell its incarnation.
 type errIdentityStatus int
 
@@ -138,6 +166,12 @@
 	return nil
 }
 
+// Identified reports whether the server told, on the connection of the response, that it is the incarnation
+// which the target names.
+func (r *Response) Identified() bool {
+	return r.StartedAt() > 0 && r.StartedAt() == r.target.StartedAt
+}
+
 // StartedAt returns when the server's incarnation started that sends the response, in milliseconds since
 // the Unix epoch; 0 if it did not tell.
 func (r *Response) StartedAt() clocker.Millis {
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -27,7 +27,7 @@
 	failedConnections = metrics.NewCounter("cowsliphinge_backend_connections_failed_total")
 )
 
-// getConn returns an idle connection or a new one.
+// getConn returns an idle connection or a new one, to the incarnation that the request requires.
 func (c *Carrier) getConn(ctx context.Context, t Target, r Request) (*conn, error) {
 	for {
 		cn := c.popIdle(t, r)
@@ -39,7 +39,12 @@
 		}
 		_ = cn.Close()
 	}
-	return c.dialServer(ctx, t)
+	cn, err := c.dialServer(ctx, t)
+	if err == nil && !c.suits(cn, t, r) {
+		c.putIdle(t, cn) // for requests that any incarnation may get
+		return nil, ErrOtherIncarnation{ID: t.ID, StartedAt: cn.incarnation.startedAt}
+	}
+	return cn, err
 }
 
 // Refuses reports whether nothing accepts connections at the server's address, as after its
@@ -53,7 +58,7 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// popIdle removes and returns the most recently used connection that has not been idle
+// popIdle removes and returns the most recently used connection that suits the request, has not been idle
 // for too long and has not carried a request with the same ID: a second response to that
 // request could not be distinguished from the response to this one.
 func (c *Carrier) popIdle(t Target, r Request) *conn {
@@ -68,7 +73,7 @@
 		if !expired && idleTime > r.MaxIdleTime {
 			return nil
 		}
-		if !expired && cn.hasRequestID(r.ID) {
+		if !expired && (cn.hasRequestID(r.ID) || !c.suits(cn, t, r)) {
 			continue
 		}
 		conns = slices.Delete(conns, i, i+1)
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -102,17 +102,42 @@
 		m = c.removed[s.ID]
 		delete(c.removed, s.ID)
 	}
-	if m == nil || !m.sameIncarnation(s) {
-		m = &serverState{}
-		if c.cfg.CacheTokens != nil {
-			m.cache.capacity = c.cfg.CacheTokens(s.Service)
-		}
+	switch {
+	case m == nil || !m.sameIncarnation(s) && !m.isUnlisted(s):
+		m = c.newState(s.Service)
+	case m.isUnlisted(s):
+		m.unlistedStart = 0
 	}
 	c.servers[s.ID] = m
 	m.Server = s
 	m.missingDeadline = 0
 }
 
+// newState returns the state of an incarnation of which nothing is known yet.
+func (c *Chooser) newState(service string) *serverState {
+	m := &serverState{}
+	if c.cfg.CacheTokens != nil {
+		m.cache.capacity = c.cfg.CacheTokens(service)
+	}
+	return m
+}
+
+// MarkRestarted records that a server has told that it runs as an incarnation started at startedAt. If that is not
+// the one of its entry, all that is known of the earlier one is discarded, and the software is not known
+// until the new entry is set. It reports whether the incarnation is news.
+func (c *Chooser) MarkRestarted(id string, startedAt, now clocker.Millis) bool {
+	m := c.servers[id]
+	if m == nil || m.StartedAt == startedAt || m.unlistedStart == startedAt {
+		return false
+	}
+	fresh := c.newState(m.Service)
+	fresh.Server = m.Server
+	fresh.missingDeadline = m.missingDeadline
+	fresh.unlistedStart, fresh.unlistedSince = startedAt, now
+	c.servers[id] = fresh
+	return true
+}
+
 // Remove removes a server whose entry was deleted. Its state is kept for removedRetention.
 func (c *Chooser) Remove(id string, now clocker.Millis) {
 	m := c.servers[id]
@@ -210,14 +235,17 @@
 			best, bestCost = m, cost
 		}
 	}
-	return Choice{Server: best.Server, Found: true, Restarted: best.restarted(now)}
+	return Choice{Server: best.running(), Found: true, Restarted: best.restarted(now)}
 }
 
 // serves reports whether a server is of the service and the version that a request needs, and may be used.
 func (c *Chooser) serves(m *serverState, r Request, now clocker.Millis) bool {
-	if m.Service != r.Service || r.Pinned && (m.Software != r.Software || m.restarted(now)) {
+	if m.Service != r.Service || r.Pinned && (m.running().Software != r.Software || m.restarted(now)) {
 		return false
 	}
+	if r.Resumable && m.unlistedStart > 0 {
+		return now-m.unlistedSince >= unlistedDelay
+	}
 	return c.cfg.Admits == nil || c.cfg.Admits(m.Service, m.Software)
 }
 
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -8,7 +8,11 @@
 // balancer, limiter, connector and retrier.RetryBudget, for declared servers.
 package chooser
 
-import "cowsliphinge/clocker"
+import (
+	"fmt"
+
+	"cowsliphinge/clocker"
+)
 
 // Server is the published entry of a backend server.
 type Server struct {
@@ -42,6 +46,9 @@
 	// Prompt lists the parts in order; the last one is not shared with other
 	// requests or sessions.
 	Prompt []PromptPart
+	// Resumable is true if another server may continue the response later, so that the software of the
+	// server has to be known.
+	Resumable bool
 	// Pinned is true if only servers of the version Software may get the request.
 	Pinned   bool
 	Software string
@@ -136,6 +143,9 @@
 	lastByteAt clocker.Millis
 	// downAt is when nothing listened at the server's address; 0 for never.
 	downAt clocker.Millis
+	// unlistedStart is when the incarnation started that runs although the entry is still that of an
+	// earlier one, 0 if none does. unlistedSince is when this host learned of it.
+	unlistedStart, unlistedSince clocker.Millis
 	// missingDeadline is when the server stops getting requests because its entry was
 	// missing right after a store outage; 0 if the entry is present.
 	missingDeadline clocker.Millis
@@ -151,11 +161,27 @@
 	cache     promptCache
 }
 
-// sameIncarnation reports whether an entry belongs to the same incarnation of the server.
+// sameIncarnation reports whether an entry belongs to the same incarnation of the server as the present one.
 func (m *serverState) sameIncarnation(s Server) bool {
 	return m.StartedAt == s.StartedAt && m.Address == s.Address
 }
 
+// isUnlisted reports whether an entry is the first one of an incarnation that already runs.
+func (m *serverState) isUnlisted(s Server) bool {
+	return m.unlistedStart > 0 && m.unlistedStart == s.StartedAt && m.Address == s.Address
+}
+
+// running returns the server as it runs. If its entry is that of an earlier incarnation, its software counts
+// as a version of its own, which no other server has.
+func (m *serverState) running() Server {
+	s := m.Server
+	if m.unlistedStart > 0 {
+		s.StartedAt = m.unlistedStart
+		s.Software = fmt.Sprintf("%s@%d", s.ID, m.unlistedStart)
+	}
+	return s
+}
+
 // leaving reports whether the server is draining, has reported in this incarnation that it
 // is leaving, or has a missing entry whose deadline has passed.
 func (m *serverState) leaving(now clocker.Millis) bool {
@@ -208,6 +234,10 @@
 	// entryDelay is the time within which the entry of a server that has started again is known,
 	// in milliseconds.
 	entryDelay = 5 * clocker.Second
+	// unlistedDelay is the time after which a server gets resumable requests whose entry is still that
+	// of an earlier incarnation, in milliseconds. Its new entry is usually read sooner; without the store a
+	// fleet without servers is worse.
+	unlistedDelay = 2 * clocker.Second
 	// maxLoadAge is how long a reported load is used. Reports are already some hundred
 	// milliseconds old when they arrive.
 	maxLoadAge = clocker.Second
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -160,6 +160,9 @@
 			x.cfg.Servers.Finish(a.server.ID, chooser.NoFailure)
 			return serverUnreachable
 		}
+		if carrier.IsErrOtherIncarnation(err) {
+			return x.finishAttempt(a, chooser.NoFailure, serverUnreachable)
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			x.cfg.Servers.MarkDown(a.server.ID)
 		}
--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -34,7 +34,7 @@
 // setOrigin records which server sends the first event of the stream, unless it may be another
 // incarnation than its entry tells of.
 func (x *relayedRequest) setOrigin(a *attempt) {
-	if x.origin.known || a.mayHaveRestarted {
+	if x.origin.known || a.mayHaveRestarted && !a.response.Identified() {
 		return
 	}
 	x.origin = streamOrigin{known: true, software: a.server.Software}
@@ -63,5 +63,5 @@
 
 // chooserRequest returns what the choice of the next server depends on.
 func (x *relayedRequest) chooserRequest() chooser.Request {
-	return chooser.Request{Service: x.service.Name, Prompt: x.prompt, Pinned: x.origin.known, Software: x.origin.software, Avoid: x.triedServers}
+	return chooser.Request{Service: x.service.Name, Prompt: x.prompt, Resumable: x.resumable(), Pinned: x.origin.known, Software: x.origin.software, Avoid: x.triedServers}
 }
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -135,6 +135,11 @@
 	return x.route.Repeatable() && !x.position.unresumable
 }
 
+// resumable reports whether another server may continue the response, and callers may take it up again.
+func (x *relayedRequest) resumable() bool {
+	return x.route.Kind == matcher.Stream && x.route.Resumable
+}
+
 // timeoutFailure returns the failure of a request whose time is over.
 func (x *relayedRequest) timeoutFailure() failure {
 	if x.mayHaveRun() {
@@ -171,6 +176,7 @@
 	if x.position.callerLast != unnumbered {
 		out.Header.Set(d.LastEventID, strconv.FormatInt(x.position.callerLast, 10))
 	}
+	out.SameIncarnation = x.resumable()
 	out.MaxIdleTime = defaultTimeout
 	out.ResponseHeaderTimeout = max(1, x.remaining())
 	canRetry := x.retryable() && x.sentAttempts+1 < x.route.MaxAttempts
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -216,7 +216,7 @@
 	if x.route.Timeout > 0 {
 		x.deadline = min(x.deadline, x.started+x.route.Timeout)
 	}
-	if x.route.Kind == matcher.Stream && x.route.Resumable {
+	if x.resumable() {
 		x.position = positionAfter(parseEventNumber([]byte(x.req.Header.Get(x.cfg.HeaderNames.LastEventID))))
 	}
 	if stopAt := x.cfg.StopDeadline(); stopAt > 0 && x.started+x.expectedDuration() > stopAt {
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -232,8 +232,8 @@
 func (b *backendPool) restarted(t carrier.Target, startedAt clocker.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, known := b.chooser.Server(t.ID)
-	if !known || s.StartedAt == startedAt {
+	s, _ := b.chooser.Server(t.ID)
+	if !b.chooser.MarkRestarted(t.ID, startedAt, b.clock.Now()) {
 		return
 	}
 	b.log.Info("backend server is another incarnation than its entry tells of", "server", t.ID, "entry_started_at", s.StartedAt, "started_at", startedAt, "software", s.Software)
--- a/runner/stream_origins.go
+++ b/runner/stream_origins.go
@@ -119,6 +119,7 @@
 func (o *streamOrigins) Began(id string, s chooser.Server) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.versions.Seen(s.Service, s.Software, o.clock.Now()) // no entry names that of an unlisted incarnation
 	o.recorder.Began(recorder.Origin{Stream: recorder.StreamHash(id), Software: s.Software}, o.lifetime(), o.clock.Now())
 }
 
--- a/runner/stream_origins_test.go
+++ b/runner/stream_origins_test.go
@@ -390,3 +390,24 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at the only version that entries name, although it began at a server
+// whose entry is that of an earlier incarnation.
+func TestStreamOfAnUnlistedIncarnationIsNotOfTheOnlyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newOriginFleet(3)
+		defer f.stop()
+		f.know("v1")
+		f.sleep(clocker.Second)
+		f.store.takeWrites()
+		f.hosts[0].origins.Began("a", chooser.Server{Service: "s", Software: "i-1@2"})
+		f.sleep(softwareWritePatience + 2*softwareCheckInterval)
+		for _, h := range f.hosts {
+			software, known := h.origins.Origin(t.Context(), "a", "s")
+			assert.Assert(t, known && software == "i-1@2", "%s: %q, known %t", h.name, software, known)
+			_, known = h.origins.Origin(t.Context(), "", "s")
+			assert.Assert(t, !known, "%s: a caller that names no stream", h.name)
+		}
+		assert.Assert(t, f.store.takeWrites() <= 2)
+	})
+}
