--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -165,6 +165,7 @@
 	}
 	response.target = t
 	response.carrier = c
+	response.ctx = ctx
 	response.cancelClose = cancelClose
 	return response, nil
 }
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -78,9 +79,11 @@
 // Response is the response to a request with an unread body.
 type Response struct {
 	*http.Response
-	conn        *conn
-	target      Target
-	carrier     *Carrier
+	conn    *conn
+	target  Target
+	carrier *Carrier
+	// ctx is that of the request.
+	ctx         context.Context
 	cancelClose func() bool
 	write       *requestWrite
 	complete    bool
@@ -92,8 +95,13 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if !r.Framed() && r.waitWrite() != nil {
-		return n, io.ErrUnexpectedEOF // a TCP reset fails either the write or the read, not both
+	if !r.Framed() {
+		if r.waitWrite() != nil {
+			return n, io.ErrUnexpectedEOF // a TCP reset fails either the write or the read, not both
+		}
+		if !r.complete && !r.confirmEnd() {
+			return n, errServerGone
+		}
 	}
 	r.complete = true
 	return n, err
