Carrier: a server that can't tell its incarnation is used as before

A server that answers each identity call with bytes that are no report, or closes the connection behind its answer, got no request at all. The call is now made once more, on another connection; after that a malformed answer counts as not told, and what a server told that closes connections holds for the one opened next.

--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -22,10 +22,11 @@
 )
 
 var (
-	identitiesTold    = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="told"}`)
-	identitiesOther   = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="other_incarnation"}`)
-	identitiesUntold  = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="not_told"}`)
-	identitiesRefused = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="failed"}`)
+	identitiesTold      = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="told"}`)
+	identitiesOther     = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="other_incarnation"}`)
+	identitiesUntold    = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="not_told"}`)
+	identitiesMalformed = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="malformed"}`)
+	identitiesRefused   = metrics.NewCounter(`cowsliphinge_backend_identities_total{result="failed"}`)
 )
 
 // Identity is the call by which a server tells which of its incarnations it is. A server may start again
@@ -80,11 +81,13 @@
 	return fmt.Sprintf("the server answered %d when asked for its incarnation", int(e))
 }
 
-// dialServer opens a connection to a server and asks which incarnation it is, if servers like it tell.
+// dialServer opens a connection to a server and asks which incarnation it is, if servers like it tell. For one
+// that closes each connection behind its answer, the answer on the connection just before counts.
 func (c *Carrier) dialServer(ctx context.Context, t Target) (*conn, error) {
 	if c.cfg.Identity == nil || !t.Identifies {
 		return c.dial(ctx, t.Address, c.cfg.DialTimeout)
 	}
+	var told incarnation
 	for range identityAttempts {
 		cn, err := c.dial(ctx, t.Address, c.cfg.DialTimeout)
 		if err != nil {
@@ -102,8 +105,13 @@
 			}
 			return nil, err
 		}
+		told = incarnation{asked: true, startedAt: cn.incarnation.startedAt}
 	}
-	return c.dial(ctx, t.Address, c.cfg.DialTimeout)
+	cn, err := c.dial(ctx, t.Address, c.cfg.DialTimeout)
+	if err == nil {
+		cn.incarnation = told
+	}
+	return cn, err
 }
 
 // identify asks a server on a new connection which incarnation it is. It reports whether the connection
@@ -133,11 +141,12 @@
 	if err := c.recordIncarnation(cn, t, resp.StatusCode, body); err != nil {
 		return false, err
 	}
-	return !resp.Close && cn.reader.Buffered() == 0, nil
+	return !resp.Close && cn.reader.Buffered() == 0 && cn.incarnation.asked, nil
 }
 
 // recordIncarnation records what the answer to an identity call tells. A server without that call
-// doesn't tell; any other failure leaves the incarnation open, and the connection must not be used.
+// doesn't tell. An answer that can't be decoded may be a fault of that one; it leaves the connection unusable. Any
+// other failure is an error.
 func (c *Carrier) recordIncarnation(cn *conn, t Target, status int, body []byte) error {
 	switch status {
 	case http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
@@ -148,7 +157,8 @@
 	if status == http.StatusOK {
 		var err error
 		if startedAt, err = c.cfg.Identity.StartedAt(body); err != nil {
-			return err
+			identitiesMalformed.Inc()
+			return nil
 		}
 	}
 	cn.incarnation = incarnation{asked: true, startedAt: startedAt}
