Soak: backend servers restart under their IDs with another software version, and die behind answers without a length

The soak's servers had one software version, always a new ID after their end, and answered with a length or in chunks, so that it saw neither streams joined from two software versions nor answers that end with the process of their server and look whole.

Servers name version and start in their entries and in GET /v1/report; each event names the version that wrote it. -versions restarts one or two servers at once under ID and address with the other version, -deaths lets a part of the answers have no length and ends servers by FIN or reset. Callers take broken streams up at random other routers and name what they take up. A stream of two versions, an answer that is short and framed as complete, and take-ups that go on less than half as often as new streams begin at routers in touch are findings. -program soaks another binary.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -23,6 +23,10 @@
 	prepaid  int64
 	limits   bool
 	restores bool
+	versions bool
+	deaths   bool
+	program  string
+	pause    int64
 	keep     bool
 }
 
@@ -54,15 +58,23 @@
 	f.Int64Var(&c.prepaid, "prepaid", 40000, "`tokens` of the larger account")
 	f.BoolVar(&c.limits, "limits", false, "let backend servers name limits of requests")
 	f.BoolVar(&c.restores, "restores", false, "bring the store back from copies")
+	f.BoolVar(&c.versions, "versions", false, "restart backend servers under their IDs with another software version")
+	f.BoolVar(&c.deaths, "deaths", false, "let backend servers answer without a length and die")
+	f.Int64Var(&c.pause, "pause", 500, "mean `milliseconds` between two faults of routers and store")
+	f.StringVar(&c.program, "program", "", "`path` of the binary whose routers run; the own one if empty")
 	f.BoolVar(&c.keep, "keep", false, "keep settings and logs of the routers")
 }
 
 // Execute implements subcommands.Command.
 func (c *soakCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	program, err := os.Executable()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "cannot find the own program:", err)
-		return subcommands.ExitFailure
+	program := c.program
+	if program == "" {
+		own, err := os.Executable()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "cannot find the own program:", err)
+			return subcommands.ExitFailure
+		}
+		program = own
 	}
 	status := subcommands.ExitSuccess
 	for seed := c.seed; seed < c.seed+c.seeds && ctx.Err() == nil; seed++ {
@@ -78,14 +90,22 @@
 			Prepaid: c.prepaid,
 			Limits:  c.limits,
 
-			Restores: c.restores,
-			Keep:     c.keep,
+			Restores:   c.restores,
+			FaultPause: clocker.Millis(c.pause),
+			Versions:   c.versions,
+			Deaths:     c.deaths,
+			Keep:       c.keep,
 		})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "the run failed:", err)
 			return subcommands.ExitFailure
 		}
 		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d findings\n", seed, result.Requests, result.Served, len(result.Faults), len(result.Findings))
+		s := result.Streams
+		fmt.Printf("  %d streams joined, %d answers short but complete, %d whole, %d broken\n  %v\n  at routers in touch %v\n", s.Joined, s.Short, s.Whole, s.Broken, s, result.Judged)
+		for _, number := range result.Unready {
+			fmt.Printf("  router %d was not ready within 10 s at the start\n", number)
+		}
 		if len(result.Findings) == 0 {
 			continue
 		}
--- a/soaker/answer_test.go
+++ b/soaker/answer_test.go
@@ -28,7 +28,7 @@
 func events(first, last int) string {
 	b := ""
 	for i := first; i <= last; i++ {
-		b += server.Event(i, "a")
+		b += server.Event(i, "a", "v1")
 	}
 	return b
 }
@@ -83,7 +83,11 @@
 		"event that comes twice":       {"/stream/x", chunked(events(1, 5), events(5, streamEvents)) + end, "got event 5 in place of 6"},
 		"event that is missing":        {"/stream/x", chunked(events(1, 5), events(7, streamEvents)) + end, "got event 7 in place of 6"},
 		"event too many":               {"/stream/x", chunked(all, events(13, 13)) + end, "ended whole after 13 of 12 events"},
-		"event of another":             {"/stream/x", chunked(events(1, 11), server.Event(12, "b")) + end, "got the answer of another"},
+		"event of another":             {"/stream/x", chunked(events(1, 11), server.Event(12, "b", "v1")) + end, "got the answer of another"},
+		"event of another version":     {"/stream/x", chunked(events(1, 11), server.Event(12, "a", "v2")) + end, "holds events of software versions v1, v2"},
+		"event of no version":          {"/stream/x", chunked(events(1, 11), server.Event(12, "a", "x")) + end, "no event: \"id: 12\\ndata: a x"},
+		"within a version":             {"/stream/x", chunked(events(1, 3) + "id: 4\ndata: a v2"), ""},
+		"answer without its end":       {"/order/x", withLength("answer t"), "the answer to request a ended whole and lacks its end"},
 		"answer of another":            {"/order/x", withLength("answer to b"), "got the answer of another"},
 		"signature for another":        {"/order/x", strings.Replace(withLength("answer to a"), "i-1.a", "i-1.b", 1), "got the answer of another"},
 		"failure of another":           {"/order/x", strings.Replace(withLength("status 500 for b"), "200 OK", "500 Failed", 1), "got the answer of another"},
@@ -96,7 +100,9 @@
 		"no status line":               {"/order/x", "answer to a\r\n", "is no HTTP: malformed status line"},
 		"no header":                    {"/order/x", strings.Replace(withLength("answer to a"), "Id:", "Id", 1), "is no HTTP: malformed header line"},
 	} {
-		found := strings.Join(checkAnswer(taken(c.path, c.answer)), "\n")
+		q := taken(c.path, c.answer)
+		r := recorder{requests: []request{q}}
+		found := strings.Join(append(checkAnswer(q), r.checkVersions()...), "\n")
 		if c.want == "" {
 			assert.Equal(t, found, "", name)
 			continue
--- /dev/null
+++ b/soaker/backend.go
@@ -0,0 +1,99 @@
+package soaker
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/standin/server"
+)
+
+// softwareVersions are those that backend servers run, one of them without Config.Versions.
+var softwareVersions = []string{"v1", "v2"}
+
+// unframedShare is the part of the answers that have no length with Config.Deaths.
+const unframedShare = 0.35
+
+// backend is one incarnation of a backend server.
+type backend struct {
+	id      string
+	zone    string
+	address string
+	version string
+	born    clocker.Millis
+	server  *server.Server
+	http    *http.Server
+	listed  map[string]any
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// addServer starts a backend server that never ran before and lists it.
+func (w *world) addServer() error {
+	w.mu.Lock()
+	w.started++
+	b := &backend{id: fmt.Sprintf("i-%d", w.started), zone: fmt.Sprint("z", w.started%2), address: "127.0.0.1:0", version: softwareVersions[0]}
+	if w.cfg.Versions {
+		b.version = softwareVersions[w.started/2%len(softwareVersions)]
+	}
+	w.mu.Unlock()
+	if err := w.serveBackend(b); err != nil {
+		return err
+	}
+	return w.list(b.id, b.listed)
+}
+
+// serveBackend starts the process of a backend server. Its entry is not written yet.
+func (w *world) serveBackend(b *backend) error {
+	l, err := net.Listen("tcp4", b.address)
+	if err != nil {
+		return err
+	}
+	b.address, b.born, b.conns = l.Addr().String(), w.cfg.Clock.Now(), map[net.Conn]bool{}
+	cfg := server.Config{
+		ID: b.id, Clock: w.cfg.Clock, Version: b.version, Born: int64(b.born), Events: streamEvents, Pause: eventPause,
+		Ran: func(r server.Run) { w.record.ran(b.id, r) }, Seed: w.cfg.Seed,
+	}
+	if w.cfg.Deaths {
+		cfg.UnframedShare = unframedShare
+	}
+	b.server = server.New(cfg)
+	b.http = &http.Server{Handler: b.server, ErrorLog: quiet, ConnState: b.connState}
+	b.listed = map[string]any{
+		"service": "s", "address": b.address, "zone": b.zone, "slots": slots, "state": "ready",
+		"version": b.version, "born": int64(b.born),
+	}
+	w.record.began(b.id, b.version, b.born)
+	go func() { _ = b.http.Serve(l) }() // ends by Close
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers = append(w.servers, b)
+	return nil
+}
+
+func (b *backend) connState(c net.Conn, s http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		b.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(b.conns, c)
+	}
+}
+
+// die ends the server as the kernel ends a process: the listener closes, then all connections by a
+// FIN, or by a reset.
+func (b *backend) die(reset bool) {
+	if reset {
+		b.mu.Lock()
+		for c := range b.conns {
+			_ = c.(*net.TCPConn).SetLinger(0) // the connection may have ended
+		}
+		b.mu.Unlock()
+	}
+	_ = b.http.Close()
+}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -30,6 +31,8 @@
 type caller struct {
 	*world
 	conns map[string]*callerConn
+	// rng chooses the routers at which streams are taken up.
+	rng *rand.Rand
 }
 
 type callerConn struct {
@@ -39,7 +42,7 @@
 
 // callUntil sends requests over open connections until ctx ends.
 func (w *world) callUntil(ctx context.Context, number int, rng *rand.Rand) {
-	c := caller{world: w, conns: map[string]*callerConn{}}
+	c := caller{world: w, conns: map[string]*callerConn{}, rng: rand.New(rand.NewPCG(w.cfg.Seed, takeUpSeries+uint64(number)))}
 	defer func() {
 		for address := range c.conns {
 			c.drop(address)
@@ -50,19 +53,8 @@
 		q := request{id: fmt.Sprintf("%x-%d-%d", w.cfg.Seed, number, n), path: path, account: []string{"one", "two"}[number%2]}
 		q = c.call(q, w.anyRouter(rng))
 		w.record.ended(q)
-		if again, ok := q.resumed(); ok {
-			w.record.ended(c.call(again, w.routers[(q.router+1)%len(w.routers)]))
-		}
-	}
-}
-
-// resumed returns the request by which the caller goes on with a stream that broke
-// off and may be resumed, at another router.
-func (q request) resumed() (request, bool) {
-	if !q.broken || len(q.events) == 0 || !streams(q.path) || !repeatable(q.path) {
-		return request{}, false
+		c.takeUp(ctx, q)
 	}
-	return request{id: q.id + "-resumed", path: q.path, account: q.account, after: q.events[len(q.events)-1]}, true
 }
 
 // call sends one request and returns how it ended.
@@ -135,6 +127,7 @@
 	req.Header.Set("Authorization", "Bearer key-"+q.account)
 	if q.after > 0 {
 		req.Header.Set(d.LastEventID, strconv.Itoa(q.after))
+		req.Header.Set(d.TakenUp, q.origin)
 	}
 	if measured(q.path) {
 		req.Header.Set(d.Tokens, fmt.Sprintf("%d,%d", promptTokens, maxOutput))
@@ -158,13 +151,23 @@
 		q.readEvents(body)
 	case q.broken:
 	case q.status == http.StatusOK:
-		q.foreign = q.foreign || body != server.Body(q.id)
+		q.short = len(body) < len(server.Body(q.id)) && strings.HasPrefix(server.Body(q.id), body)
+		q.foreign = q.foreign || !q.short && body != server.Body(q.id)
 	case q.signed:
 		q.foreign = q.foreign || body != "" && body != server.FailureBody(q.status, q.id)
+	default:
+		q.reason = refusalReason(a.body)
 	}
 }
 
-var eventForm = regexp.MustCompile(`^id: ([0-9]+)\ndata: (.*)$`)
+var eventForm = regexp.MustCompile(`^id: ([0-9]+)\ndata: (.*) (v[0-9]+)$`)
+
+// beginsEvent reports whether a text is the start of an event as one of the software versions writes it.
+func beginsEvent(text string, n int, requestID string) bool {
+	return slices.ContainsFunc(softwareVersions, func(version string) bool {
+		return strings.HasPrefix(server.Event(n, requestID, version), text)
+	})
+}
 
 // readEvents takes the body of a stream apart. Only a body that breaks off may end
 // within an event.
@@ -172,7 +175,7 @@
 	next := q.after + 1
 	for body != "" {
 		block, rest, whole := strings.Cut(body, "\n\n")
-		if !whole && q.broken && strings.HasPrefix(server.Event(next, q.id), body) {
+		if !whole && q.broken && beginsEvent(body, next, q.id) {
 			return
 		}
 		form := eventForm.FindStringSubmatch(block)
@@ -183,6 +186,9 @@
 		n, err := strconv.Atoi(form[1])
 		q.foreign = q.foreign || err != nil || form[2] != q.id
 		q.events = append(q.events, n)
+		if !slices.Contains(q.versions, form[3]) {
+			q.versions = append(q.versions, form[3])
+		}
 		next = n + 1
 		body = rest
 	}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -32,6 +32,14 @@
 	malformed string
 	// events are the numbers of the events of a stream, in their order.
 	events []int
+	// versions are the software versions of the servers that wrote the events.
+	versions []string
+	// origin is the request that brought the first event of a stream that is taken up.
+	origin string
+	// short is true if an answer that is no stream ended whole and lacks its end.
+	short bool
+	// reason is why a router refused the request.
+	reason string
 	// stray is what follows in a stream and is no event.
 	stray string
 	// stopping is true if the router had got SIGTERM.
@@ -54,11 +62,13 @@
 	runs     map[string][]run
 	// drained is when a backend server said that it leaves.
 	drained map[string]clocker.Millis
-	// crashed is when a backend server crashed.
-	crashed map[string]clocker.Millis
+	// lives are the incarnations of backend servers.
+	lives []life
 	// harmed are stretches in which bounds on time do not hold.
 	harmed []span
 	limits []limit
+	// disturbed are stretches in which a router or its way to the store was disrupted.
+	disturbed map[int][]span
 	// prepaid are the budgets of the client accounts.
 	prepaid map[string]int64
 }
@@ -69,7 +79,7 @@
 }
 
 func newRecorder(prepaid map[string]int64) *recorder {
-	return &recorder{runs: map[string][]run{}, drained: map[string]clocker.Millis{}, crashed: map[string]clocker.Millis{}, prepaid: prepaid}
+	return &recorder{runs: map[string][]run{}, drained: map[string]clocker.Millis{}, disturbed: map[int][]span{}, prepaid: prepaid}
 }
 
 func (r *recorder) ran(id string, got server.Run) {
@@ -88,18 +98,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.drained[id] = at
+	r.endLife(id, at, false)
 }
 
-func (r *recorder) crash(id string, at clocker.Millis) {
+func (r *recorder) harm(from, to clocker.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashed[id] = at
+	r.harmed = append(r.harmed, span{from, to})
 }
 
-func (r *recorder) harm(from, to clocker.Millis) {
+func (r *recorder) disturb(router int, s span) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.harmed = append(r.harmed, span{from, to})
+	r.disturbed[router] = append(r.disturbed[router], s)
 }
 
 const (
@@ -136,6 +147,8 @@
 			found = append(found, fmt.Sprintf("account %s used %d tokens of %d", account, tokens, r.prepaid[account]))
 		}
 	}
+	found = append(found, r.checkVersions()...)
+	found = append(found, r.checkTakeUps()...)
 	found = append(found, r.checkDrains()...)
 	return append(found, r.checkLimits()...)
 }
@@ -163,8 +176,7 @@
 // crashed before the answer was there.
 func (r *recorder) harmedRun(q request) bool {
 	return slices.ContainsFunc(r.runs[q.id], func(one run) bool {
-		at, crashed := r.crashed[one.server]
-		return one.Fault != server.None || crashed && at <= q.endedAt
+		return one.Fault != server.None || r.crashedBetween(one.server, one.At, q.endedAt)
 	})
 }
 
@@ -184,13 +196,16 @@
 	if q.stray != "" {
 		found = append(found, fmt.Sprintf("the stream of request %s holds what is no event: %q", q.id, q.stray))
 	}
+	if q.short {
+		found = append(found, fmt.Sprintf("the answer to request %s ended whole and lacks its end", q.id))
+	}
 	for i, n := range q.events {
 		if n != q.after+i+1 {
 			found = append(found, fmt.Sprintf("request %s got event %d in place of %d", q.id, n, q.after+i+1))
 			break
 		}
 	}
-	if streams(q.path) && q.status == 200 && !q.broken && q.after+len(q.events) != streamEvents {
+	if q.miscounted() {
 		found = append(found, fmt.Sprintf("the stream of request %s ended whole after %d of %d events", q.id, q.after+len(q.events), streamEvents))
 	}
 	return found
@@ -229,10 +244,9 @@
 }
 
 func (r *recorder) wasHarmed(from, to clocker.Millis) bool {
-	for _, s := range r.harmed {
-		if s.from < to && s.to > from {
-			return true
-		}
-	}
-	return false
+	return overlaps(r.harmed, from, to)
+}
+
+func overlaps(spans []span, from, to clocker.Millis) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.from < to && s.to > from })
 }
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -73,6 +73,19 @@
 			r.ran("i-1", server.Run{RequestID: "a", Account: "one", At: 13 * clocker.Second})
 			r.ended(served("a", "/order/x"))
 		},
+		"stream of request a holds events of software versions v1, v2": func(r *recorder) {
+			q := served("a", "/stream/x")
+			q.versions = []string{"v1", "v2"}
+			r.ended(q)
+		},
+		"stream of request b holds events of software versions v2, v1": func(r *recorder) {
+			q := served("b", "/stream/x")
+			q.events, q.versions, q.broken = q.events[:3], []string{"v2"}, true
+			r.ended(q)
+			again := served("b-resumed-1", "/stream/x")
+			again.after, again.events, again.versions, again.origin = 3, again.events[3:], []string{"v1"}, "b"
+			r.ended(again)
+		},
 		"was cut by a planned stop": func(r *recorder) {
 			r.ran("i-1", server.Run{RequestID: "a", Account: "one"})
 			r.ended(request{id: "a", path: "/order/x", account: "one", broken: true, stopping: true})
@@ -122,7 +135,7 @@
 
 // A planned stop is no excuse for a cut, but a backend server that cut the run is one.
 func TestServerExcusesACutOfItsOwn(t *testing.T) {
-	cut := request{id: "a", path: "/order/x", account: "one", broken: true, stopping: true, sentAt: 10, endedAt: 20}
+	cut := request{id: "a", path: "/order/x", account: "one", broken: true, stopping: true, sentAt: 1000, endedAt: 2000}
 	for name, c := range map[string]struct {
 		fault     server.Kind
 		crashedAt clocker.Millis
@@ -130,11 +143,13 @@
 	}{
 		"sound":                 {want: 1},
 		"faulty":                {fault: server.Truncate},
-		"crashed":               {crashedAt: 15},
-		"crashed after the cut": {crashedAt: 25, want: 1},
+		"crashed":               {crashedAt: 1500},
+		"crashed after the cut": {crashedAt: 2500, want: 1},
+		"restarted before it":   {crashedAt: 1000, want: 1},
 	} {
 		r := newRecorder(nil)
-		r.ran("i-1", server.Run{RequestID: "a", Account: "one", Fault: c.fault})
+		r.began("i-1", "v1", 0)
+		r.ran("i-1", server.Run{RequestID: "a", Account: "one", Fault: c.fault, At: 1200})
 		if c.crashedAt > 0 {
 			r.crash("i-1", c.crashedAt)
 		}
--- /dev/null
+++ b/soaker/restarts.go
@@ -0,0 +1,128 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"cowsliphinge/clocker"
+)
+
+const (
+	// restartPause is the mean time between two restarts or deaths of backend servers, in milliseconds.
+	restartPause = 700
+	// minRefusing and maxRefusing are how long an address refuses connections where a restart takes
+	// time, and heartbeat the longest time until the new incarnation writes its entry, in milliseconds.
+	minRefusing = 200
+	maxRefusing = 800
+	heartbeat   = 1200
+	// minServers are left alone by restarts.
+	minServers = 2
+)
+
+// restartServers ends one or two backend servers at once and starts each under its ID and address with
+// another software version, mostly within milliseconds.
+func restartServers(w *world, rng *rand.Rand) string {
+	reset := rng.IntN(3) == 0
+	down := clocker.Millis(0)
+	if rng.IntN(4) == 0 {
+		down = clocker.Millis(minRefusing + rng.IntN(maxRefusing-minRefusing))
+	}
+	until := clocker.Millis(0)
+	if rng.IntN(3) > 0 {
+		until = clocker.Millis(rng.IntN(heartbeat))
+	}
+	var restarted []*backend
+	var names []string
+	for _, b := range w.takeServers(rng, 1+rng.IntN(2)) {
+		w.endServer(b, reset)
+		names = append(names, b.id)
+		restarted = append(restarted, &backend{id: b.id, zone: b.zone, address: b.address, version: otherVersion(b.version)})
+	}
+	if down > 0 {
+		w.cfg.Clock.SleepUncancellable(down)
+	}
+	failed := ""
+	for _, b := range restarted {
+		if err := w.serveBackend(b); err != nil {
+			failed += ", " + err.Error()
+			w.unlist(b.id)
+		}
+	}
+	w.cfg.Clock.SleepUncancellable(until)
+	for _, b := range restarted {
+		w.relist(b)
+	}
+	return fmt.Sprintf("restart %s with another version, reset %v, after %d ms, entry after %d ms%s", strings.Join(names, ", "), reset, down, until, failed)
+}
+
+// relist writes the entry of a restarted server unless it has left or restarted meanwhile.
+func (w *world) relist(b *backend) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, up := range w.servers {
+		if up == b {
+			w.entries[b.id] = b.listed
+			_ = w.store.Put("servers", b.id, b.listed) // made here and always encodes
+		}
+	}
+}
+
+// killServers ends one or two backend servers at once. Their entries stay for a while; others
+// start after that.
+func killServers(w *world, rng *rand.Rand) string {
+	reset := rng.IntN(4) == 0
+	var names []string
+	killed := w.takeServers(rng, 1+rng.IntN(2))
+	for _, b := range killed {
+		w.endServer(b, reset)
+		names = append(names, b.id)
+	}
+	w.pause(rng, maxRefusing)
+	for _, b := range killed {
+		w.unlist(b.id)
+		if err := w.addServer(); err != nil {
+			names = append(names, err.Error())
+		}
+	}
+	return fmt.Sprintf("processes of %s die, reset %v", strings.Join(names, ", "), reset)
+}
+
+// takeServers takes up to n servers out of those that other faults may choose.
+func (w *world) takeServers(rng *rand.Rand, n int) []*backend {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var taken []*backend
+	for len(taken) < n && len(w.servers) > minServers {
+		at := rng.IntN(len(w.servers))
+		taken = append(taken, w.servers[at])
+		w.servers = append(w.servers[:at:at], w.servers[at+1:]...)
+	}
+	return taken
+}
+
+// endServer ends the process of a backend server.
+func (w *world) endServer(b *backend, reset bool) {
+	w.record.crash(b.id, w.cfg.Clock.Now())
+	b.die(reset)
+}
+
+func otherVersion(version string) string {
+	if version == softwareVersions[0] {
+		return softwareVersions[1]
+	}
+	return softwareVersions[0]
+}
+
+// restartServersUntil restarts and ends backend servers until ctx ends.
+func (w *world) restartServersUntil(ctx context.Context, rng *rand.Rand) []string {
+	var faults []fault
+	if w.cfg.Versions {
+		faults = append(faults, restartServers)
+	}
+	if w.cfg.Deaths {
+		faults = append(faults, killServers)
+	}
+	return w.series(ctx, rng, faults, restartPause, func(_, _ clocker.Millis) {})
+}
--- a/soaker/restores.go
+++ b/soaker/restores.go
@@ -30,6 +30,7 @@
 	copied := w.store.Copy()
 	age := clocker.Millis(rng.IntN(maxCopyAge))
 	w.cfg.Clock.SleepUncancellable(age)
+	defer w.disturb(w.routers...)()
 	w.store.Break(objects.Faults{Status: http.StatusServiceUnavailable})
 	for _, r := range w.routers {
 		r.store.reset()
--- a/soaker/router.go
+++ b/soaker/router.go
@@ -1,11 +1,23 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/platform"
+)
+
+const (
+	// readyBound is how long routers get at the start until they are ready, and readyPause the time
+	// between two questions, in milliseconds.
+	readyBound = 10 * clocker.Second
+	readyPause = 50 * clocker.Millis(1)
 )
 
 // start starts the process, its log appended to a file of the run's folder.
@@ -48,6 +60,33 @@
 	_ = process.Wait() // a killed process has a bad status
 }
 
+// unready waits for all routers to say that they are ready, and returns those that did not within
+// readyBound.
+func (w *world) unready(ctx context.Context) []int {
+	ctx, cancel := w.cfg.Clock.WithTimeout(ctx, readyBound)
+	defer cancel()
+	var numbers []int
+	for _, r := range w.routers {
+		for !r.ready() {
+			if w.cfg.Clock.Sleep(ctx, readyPause) != nil {
+				numbers = append(numbers, r.number)
+				break
+			}
+		}
+	}
+	return numbers
+}
+
+func (r *router) ready() bool {
+	client := http.Client{Timeout: clocker.Second.Duration()}
+	resp, err := client.Get("http://" + r.settings.ReadyAddress + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 func (r *router) life() (incarnation int, stopping bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -40,8 +40,15 @@
 	Prepaid int64
 	// Limits lets backend servers name limits of requests.
 	Limits bool
+	// FaultPause is the mean time between two faults of routers, the store and the configuration, in
+	// milliseconds; 0 means defaultFaultPause.
+	FaultPause clocker.Millis
 	// Restores brings the store back from copies.
 	Restores bool
+	// Versions restarts backend servers under their ID and address with another software version.
+	Versions bool
+	// Deaths ends the processes of backend servers, a part of whose answers have no length.
+	Deaths bool
 	// Keep leaves the folder with settings and logs in place.
 	Keep bool
 }
@@ -53,6 +60,10 @@
 // Result is what a run found.
 type Result struct {
 	Requests, Served int
+	// Streams are the figures of all streams, and Judged of those at routers in touch.
+	Streams, Judged Streams
+	// Unready are the routers that did not say they are ready within readyBound at the start.
+	Unready []int
 	// Faults are the faults in their order.
 	Faults   []string
 	Findings []string
@@ -63,8 +74,8 @@
 const (
 	// warmUp is how long routers get to start, in milliseconds.
 	warmUp = 2 * clocker.Second
-	// faultPause is the mean time between two faults, in milliseconds.
-	faultPause = 500
+	// defaultFaultPause is the mean time between two faults, in milliseconds.
+	defaultFaultPause = 500
 	// serverSeries is the stream of random numbers of the backend servers' faults.
 	// Callers have those from 1 on.
 	serverSeries = 1 << 32
@@ -72,6 +83,10 @@
 	limitSeries = serverSeries + 1
 	// restoreSeries is that of the store's restores.
 	restoreSeries = serverSeries + 2
+	// restartSeries is that of the servers' restarts and deaths, and takeUpSeries the first of those
+	// by which callers choose where they go on.
+	restartSeries = serverSeries + 3
+	takeUpSeries  = 2 * serverSeries
 	// callPause is the mean pause of a caller, in milliseconds.
 	callPause = 30
 	// maxOutput is the most tokens that a request may cost beyond its prompt.
@@ -86,6 +101,7 @@
 		return Result{}, err
 	}
 	defer w.close()
+	unready := w.unready(ctx)
 	if err := cfg.Clock.Sleep(ctx, warmUp); err != nil {
 		return Result{}, err
 	}
@@ -104,6 +120,13 @@
 		serverFaults = w.harmServersUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, serverSeries)))
 		return nil
 	})
+	var restarts []string
+	if cfg.Versions || cfg.Deaths {
+		group.Go(func() error {
+			restarts = w.restartServersUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, restartSeries)))
+			return nil
+		})
+	}
 	var limits []string
 	if cfg.Limits {
 		group.Go(func() error {
@@ -120,8 +143,9 @@
 	}
 	faults := w.harmUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, 0)))
 	_ = group.Wait()
-	faults = slices.Concat(faults, serverFaults, limits, restores)
-	result := Result{Faults: faults, Findings: w.record.findings(), Folder: w.folder}
+	faults = slices.Concat(faults, serverFaults, restarts, limits, restores)
+	result := Result{Faults: faults, Findings: w.record.findings(), Unready: unready, Folder: w.folder}
+	result.Streams, result.Judged = w.record.figures()
 	for _, q := range w.record.requests {
 		result.Requests++
 		if q.status == http.StatusOK && !q.broken {
@@ -142,7 +166,11 @@
 // harmUntil starts faults, which may overlap, until ctx ends, and waits for all to
 // be healed.
 func (w *world) harmUntil(ctx context.Context, rng *rand.Rand) []string {
-	return w.series(ctx, rng, faults, faultPause, w.record.harm)
+	pause := defaultFaultPause
+	if w.cfg.FaultPause > 0 {
+		pause = int(w.cfg.FaultPause)
+	}
+	return w.series(ctx, rng, faults, pause, w.record.harm)
 }
 
 // series starts faults at a mean pause in milliseconds until ctx ends, waits for all
@@ -176,6 +204,16 @@
 	w.cfg.Clock.SleepUncancellable(clocker.Millis(200 + rng.IntN(most)))
 }
 
+// disturb notes that routers or their way to the store are disrupted until the returned function is called.
+func (w *world) disturb(routers ...*router) (end func()) {
+	from := w.cfg.Clock.Now()
+	return func() {
+		for _, r := range routers {
+			w.record.disturb(r.number, span{from, w.cfg.Clock.Now()})
+		}
+	}
+}
+
 func (w *world) restart(r *router) {
 	if err := r.start(w.cfg.Program, w.folder); err != nil {
 		w.record.ended(request{id: "restart of a router", foreign: true, path: err.Error()})
@@ -189,6 +227,7 @@
 	exclusive.Lock()
 	defer exclusive.Unlock()
 	r := w.anyRouter(rng)
+	defer w.disturb(r)()
 	r.kill()
 	w.pause(rng, 800)
 	w.restart(r)
@@ -199,6 +238,7 @@
 	exclusive.Lock()
 	defer exclusive.Unlock()
 	r := w.anyRouter(rng)
+	defer w.disturb(r)()
 	r.signal(syscall.SIGTERM)
 	r.wait()
 	w.restart(r)
@@ -207,6 +247,7 @@
 
 func pauseRouter(w *world, rng *rand.Rand) string {
 	r := w.anyRouter(rng)
+	defer w.disturb(r)()
 	r.signal(syscall.SIGSTOP)
 	w.pause(rng, 1500)
 	r.signal(syscall.SIGCONT)
@@ -221,6 +262,7 @@
 
 func cutRouter(w *world, rng *rand.Rand) string {
 	r := w.anyRouter(rng)
+	defer w.disturb(r)()
 	state := proxyState{dropUp: rng.IntN(2) == 0}
 	state.dropDown = !state.dropUp || rng.IntN(2) == 0
 	r.store.set(state)
@@ -232,12 +274,14 @@
 
 func resetRouter(w *world, rng *rand.Rand) string {
 	r := w.anyRouter(rng)
+	defer w.disturb(r)()
 	r.store.reset()
 	return fmt.Sprintf("reset router %d's connections to the store", r.number)
 }
 
 func slowRouter(w *world, rng *rand.Rand) string {
 	r := w.anyRouter(rng)
+	defer w.disturb(r)()
 	r.store.set(proxyState{delay: clocker.Millis(20 + rng.IntN(300))})
 	w.pause(rng, 1500)
 	r.store.set(proxyState{})
@@ -246,6 +290,7 @@
 
 func breakStore(w *world, rng *rand.Rand) string {
 	f := []objects.Faults{{Silent: true}, {Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}}[rng.IntN(3)]
+	defer w.disturb(w.routers...)()
 	w.store.Break(f)
 	w.pause(rng, 2500)
 	w.store.Break(objects.Faults{})
@@ -253,6 +298,7 @@
 }
 
 func loseWrites(w *world, rng *rand.Rand) string {
+	defer w.disturb(w.routers...)()
 	w.store.Break(objects.Faults{LoseEvery: 1 + rng.IntN(4)})
 	w.pause(rng, 2500)
 	w.store.Break(objects.Faults{})
@@ -260,6 +306,7 @@
 }
 
 func compactStore(w *world, _ *rand.Rand) string {
+	defer w.disturb(w.routers...)()
 	w.store.Compact()
 	return "history of the store dropped"
 }
@@ -280,7 +327,7 @@
 	w.record.drain(old.id, w.cfg.Clock.Now())
 	w.cfg.Clock.SleepUncancellable(2 * drainBound)
 	w.unlist(old.id)
-	_ = old.http.Close()
+	old.die(false)
 	return "replace server " + old.id
 }
 
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -18,7 +18,6 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/runner"
 	"cowsliphinge/standin/objects"
-	"cowsliphinge/standin/server"
 )
 
 const (
@@ -85,14 +84,6 @@
 	routes []map[string]any
 }
 
-// backend is a backend server that is up.
-type backend struct {
-	id     string
-	server *server.Server
-	http   *http.Server
-	listed map[string]any
-}
-
 // router is one router process and the proxy between it and the store.
 type router struct {
 	number      int
@@ -180,25 +171,6 @@
 	return w.version
 }
 
-func (w *world) addServer() error {
-	w.mu.Lock()
-	w.started++
-	id := fmt.Sprintf("i-%d", w.started)
-	w.mu.Unlock()
-	s := server.New(server.Config{ID: id, Clock: w.cfg.Clock, Events: streamEvents, Pause: eventPause, Ran: func(r server.Run) { w.record.ran(id, r) }})
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	b := &backend{id: id, server: s, http: &http.Server{Handler: s, ErrorLog: quiet}}
-	go func() { _ = b.http.Serve(l) }() // ends by Close
-	b.listed = map[string]any{"service": "s", "address": l.Addr().String(), "zone": fmt.Sprint("z", w.started%2), "slots": slots, "state": "ready"}
-	w.mu.Lock()
-	w.servers = append(w.servers, b)
-	w.mu.Unlock()
-	return w.list(id, b.listed)
-}
-
 // list writes the entry of a backend server.
 func (w *world) list(id string, entry map[string]any) error {
 	w.mu.Lock()
@@ -263,7 +235,7 @@
 	}
 	w.mu.Lock()
 	for _, b := range w.servers {
-		_ = b.http.Close()
+		b.die(false)
 	}
 	w.mu.Unlock()
 	for _, stop := range w.stops {
--- a/standin/server/fault.go
+++ b/standin/server/fault.go
@@ -36,6 +36,9 @@
 	Double
 )
 
+// cuts are the kinds that cut an answer off.
+var cuts = []Kind{Abort, Truncate, Reset}
+
 // Fault is what a server does wrong with a part of its requests.
 type Fault struct {
 	Kind Kind
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -5,7 +5,10 @@
 
 import (
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +32,12 @@
 type Config struct {
 	ID    string
 	Clock *clocker.Clock
+	// Version is that of the server's software, and Born when it started, in Unix milliseconds.
+	Version string
+	Born    int64
+	// Seed decides which answers have no length, and UnframedShare how many of them.
+	Seed          uint64
+	UnframedShare float64
 	// Events of a whole stream, and the pause between two, in milliseconds.
 	Events int
 	Pause  clocker.Millis
@@ -44,13 +53,14 @@
 	running  int
 	faults   []*Fault
 	requests int
+	rng      *rand.Rand
 	// limit is what the server names as its limit; "" without one.
 	limit string
 }
 
 // New returns a server.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg}
+	return &Server{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Born)))}
 }
 
 // Body returns the answer to a request that is no stream.
@@ -58,18 +68,23 @@
 	return "answer to " + requestID
 }
 
-// Event returns an event of a stream.
-func Event(n int, requestID string) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, requestID)
+// Event returns an event of a stream as a server of a software version writes it.
+func Event(n int, requestID, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, requestID, version)
 }
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == ReportPath {
+		s.writeReport(w)
+		return
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.cfg.ID {
 		w.Header().Set("X-Instance-Id", s.cfg.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body) // unread bytes would turn the end of the process into a reset
 	id := r.Header.Get("X-Request-Id")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means from the start
 	streams := strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/")
@@ -88,6 +103,10 @@
 	s.cfg.Ran(Run{RequestID: id, Account: r.Header.Get("X-Tenant"), Path: r.URL.Path, LastEvent: last, At: s.cfg.Clock.Now(), Fault: fault.Kind})
 	h.Set("X-Server-Signature", s.cfg.ID+"."+id)
 	h.Set("X-Server-Load", fmt.Sprintf("%d,0,64", running))
+	unframed := fault.Kind == None && s.answersUnframed()
+	if unframed {
+		h.Set("Transfer-Encoding", "identity") // net/http sends no length and closes the connection
+	}
 	if streams && fault.Kind != Fail {
 		s.stream(w, r, last, fault)
 		return
@@ -96,10 +115,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	body := Body(id)
-	switch fault.Kind {
-	case Fail:
+	switch {
+	case unframed:
+		s.writeInTwo(w, body)
+	case fault.Kind == Fail:
 		fault.fail(w, id)
-	case Abort, Truncate, Reset:
+	case slices.Contains(cuts, fault.Kind):
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 		fault.cut(w, body[:len(body)/2])
 	default:
@@ -168,7 +189,7 @@
 		last = 0
 	}
 	for i := last + 1; ; i++ {
-		event := Event(i, id)
+		event := Event(i, id, s.cfg.Version)
 		if i > s.cfg.Events {
 			event = ""
 		}
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -17,7 +17,7 @@
 
 // ask sends a request and returns all bytes that come, and how the connection ended.
 func ask(t *testing.T, f Fault, path string, last int) (string, error) {
-	s := New(Config{ID: "i-1", Clock: clocker.NewWall(), Events: 4, Ran: func(r Run) { assert.Equal(t, r.Fault, f.Kind) }})
+	s := New(Config{ID: "i-1", Version: "v1", Clock: clocker.NewWall(), Events: 4, Ran: func(r Run) { assert.Equal(t, r.Fault, f.Kind) }})
 	end := s.Begin(f)
 	defer end()
 	h := httptest.NewServer(s)
@@ -34,7 +34,7 @@
 func stream(ids ...int) string {
 	b := ""
 	for _, id := range ids {
-		b += fmt.Sprintf("%x\r\n%s\r\n", len(Event(id, "a")), Event(id, "a"))
+		b += fmt.Sprintf("%x\r\n%s\r\n", len(Event(id, "a", "v1")), Event(id, "a", "v1"))
 	}
 	return b
 }
@@ -53,7 +53,7 @@
 		{Fault{}, "/stream/x", 4, "Content-Length: 0\r\nConnection: close\r\n\r\n", false},
 		{Fault{Kind: Abort, After: 2}, "/stream/x", 0, stream(1, 2), false},
 		{Fault{Kind: Abort, After: 2}, "/stream/x", 1, stream(2, 3), false},
-		{Fault{Kind: Truncate, After: 2}, "/stream/x", 0, stream(1, 2) + "8\r\nid: 3\nd", false},
+		{Fault{Kind: Truncate, After: 2}, "/stream/x", 0, stream(1, 2) + "a\r\nid: 3\ndat", false},
 		{Fault{Kind: Truncate, After: 4}, "/stream/x", 0, stream(1, 2, 3, 4) + "1\r\n", false},
 		{Fault{Kind: Reset, After: 2}, "/stream/x", 0, "", true},
 		{Fault{Kind: Truncate}, "/read/x", 0, "\r\n\r\nanswe", false},
@@ -98,3 +98,33 @@
 	_, f := s.begin(true, true)
 	assert.DeepEqual(t, append(hit, f.Kind), []Kind{None, None, None, None, None, Fail, None})
 }
+
+// An answer without a length has no chunks and ends with its connection, whole if the server lives.
+func TestAnswersWithoutALengthEndWithTheirConnection(t *testing.T) {
+	s := New(Config{ID: "i-1", Version: "v2", Clock: clocker.NewWall(), Events: 2, UnframedShare: 1, Ran: func(Run) {}})
+	h := httptest.NewServer(s)
+	defer h.Close()
+	for path, want := range map[string]string{"/stream/x": Event(1, "a", "v2") + Event(2, "a", "v2"), "/read/x": Body("a")} {
+		conn, err := net.Dial("tcp4", h.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nContent-Length: 4\r\n\r\nbody", path)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		_ = conn.Close()
+		head, body, _ := strings.Cut(string(got), "\r\n\r\n")
+		assert.Equal(t, body, want)
+		assert.Assert(t, strings.Contains(head, "Connection: close"), head)
+		assert.Assert(t, !strings.Contains(head, "Content-Length") && !strings.Contains(head, "Transfer-Encoding"), head)
+	}
+}
+
+// A report is no run, and names the start of its server.
+func TestReportNamesTheStartOfItsServer(t *testing.T) {
+	s := New(Config{Born: 1700, Clock: clocker.NewWall(), Ran: func(Run) { t.Error("ran") }})
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest("GET", ReportPath, nil))
+	const want = `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"running":0,"kv_used":0,"kv_total":1000,"handles":0,"born":1700}`
+	assert.Equal(t, w.Body.String(), want)
+	assert.Equal(t, w.Header().Get("Content-Length"), fmt.Sprint(len(want)))
+}
