Runner: an earlier entry of a backend server does not replace a later one

A host that applies the entry of the incarnation before takes its software version and address for those of the server (ORDER, DRAIN), and forgets what the new one said of itself, such as that it leaves.

Cause: a list of several pages is watched on from the revision of its oldest page, so that changes between the pages are seen again. The pool applied these changes in any case, also those before the entry that the list held: it went back to the entry before, or removed a server whose earlier entry was deleted, until the event of the later one, and the state of the new incarnation was lost even if all came in one answer.

Now the pool keeps the version of each entry and skips a change before it. A list counts whatever it holds, and versions hold the era of the store, so that a store which comes back from a copy is believed as before. The field born decides nothing here: a server whose clock was set back may start again with an earlier one.

Evidence: TestEarlierEntryDoesNotReplaceALaterOne and TestUnusableEntryRemovesAnEarlierServerOnly fail before and pass after it; all tests of runner, watcher and platform pass (57 s). Nothing changes between hosts or in the store.

--- a/runner/backends.go
+++ b/runner/backends.go
@@ -33,6 +33,8 @@
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	listed  bool
+	// versions are those of the entries that were read last, by the ID of the server.
+	versions map[string]int64
 	// fingerprint identifies the set of servers and their states, 0 before the first list.
 	fingerprint uint64
 }
@@ -41,12 +43,13 @@
 // the limit of a server, and position the position of this one among them.
 func newBackendPool(cfg Config, origins *streamOrigins, cacheTokens func(service string) int, hosts func() int, position func(server string) int) *backendPool {
 	return &backendPool{
-		clock:   cfg.Clock,
-		log:     cfg.Log,
-		origins: origins,
-		kind:    cfg.Platform.ServerKind,
-		decode:  cfg.Platform.DecodeServer,
-		chooser: chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Position: position, Admits: origins.admits, Seed: rand.Uint64()}),
+		clock:    cfg.Clock,
+		log:      cfg.Log,
+		origins:  origins,
+		kind:     cfg.Platform.ServerKind,
+		decode:   cfg.Platform.DecodeServer,
+		versions: map[string]int64{},
+		chooser:  chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Position: position, Admits: origins.admits, Seed: rand.Uint64()}),
 	}
 }
 
@@ -55,8 +58,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	present := map[string]bool{}
+	b.versions = map[string]int64{}
 	for _, o := range objects {
 		present[b.serverID(o)] = true
+		b.versions[b.serverID(o)] = o.Version
 		b.set(o)
 	}
 	for _, id := range b.chooser.IDs() {
@@ -91,15 +96,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range changes {
-		if c.Deleted {
-			b.remove(b.serverID(c.Object), grace)
-			continue
-		}
-		b.set(c.Object)
+		b.apply(c, grace)
 	}
 	b.updateFingerprint()
 }
 
+// apply applies a change, unless a list or an earlier change told of a later entry of the server: a list of
+// several pages may be newer than the revision from which the watch goes on. A list counts whatever it
+// holds, since a store that came back from a copy may give out revisions again.
+func (b *backendPool) apply(c storer.Change, grace clocker.Millis) {
+	id := b.serverID(c.Object)
+	if versioner.Revision(c.Object.Version) > 0 && c.Object.Version < b.versions[id] {
+		return
+	}
+	if c.Deleted {
+		delete(b.versions, id)
+		b.remove(id, grace)
+		return
+	}
+	b.versions[id] = c.Object.Version
+	b.set(c.Object)
+}
+
 func (b *backendPool) serverID(o storer.Object) string {
 	return strings.TrimPrefix(o.Key, b.kind+"/")
 }
