Relayer: the end of a replaced incarnation is no crash

Requests that were cut by planned stops counted as crashes of their servers; after three of them a sound request is refused for ten minutes (quarantine).

Cause: whether the server leaves was looked up by its ID. A server may start again under its ID at another address while the process before still ends its last requests. By then the entry is that of the new incarnation, which does not leave; nothing listens at the old address, so that the cut looked like a crash, and the new incarnation counted as down.

Now a server whose entry is that of another incarnation is reported neither as crashed nor as down: how the one before ended is not known any more. A crash is noticed with the lost connection, before a new entry can be read, so that the evidence of real crashes stays.

Nothing changes between hosts or in the store.

--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -58,7 +58,8 @@
 }
 
 // reportCrash reports a crash of the server if the connection was lost for that reason before the
-// server had begun its answer. A server that leaves stops as planned.
+// server had begun its answer. A server that leaves stops as planned, and so may one that another incarnation
+// has replaced.
 func (x *relayedRequest) reportCrash(a *attempt, cause error) {
 	if x.ctx.Err() != nil || !connector.IsConnectionLost(cause) {
 		return
@@ -66,7 +67,7 @@
 	if a.answerBegan > 0 && x.cfg.Clock.Now()-a.answerBegan > answerBeginning {
 		return
 	}
-	if x.cfg.Servers.Leaving(a.server.ID) {
+	if x.cfg.Servers.Leaving(a.server.ID) || x.cfg.Servers.Replaced(a.server) {
 		return
 	}
 	if x.cfg.Carrier.Refuses(x.ctx, x.targetOf(a), crashProbeTimeout) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,6 +42,8 @@
 	LastActivity(id string) clocker.Millis
 	// Leaving reports whether a server is about to stop, or is not known any more.
 	Leaving(id string) bool
+	// Replaced reports whether the entry of a server is that of another incarnation by now.
+	Replaced(s chooser.Server) bool
 }
 
 // Budgets reserves and settles tokens of client accounts. Reservations of a lower rank take
--- /dev/null
+++ b/relayer/replaced_server_test.go
@@ -0,0 +1,48 @@
+package relayer
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/chooser"
+	"cowsliphinge/matcher"
+)
+
+// Replaced implements Servers.
+func (s *lockedChooser) Replaced(server chooser.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, known := s.chooser.Server(server.ID)
+	return known && current.Address != server.Address
+}
+
+// Guards against sound requests that are refused for crashes that were none: a server was stopped as planned,
+// and the entry was that of its next incarnation, which does not leave, once the last requests were cut. That
+// one also counted as down.
+func TestPlannedStopOfAReplacedIncarnationIsNoCrash(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	var old *backend
+	old = newBackend(t, func(w io.Writer, req *http.Request) {
+		close(begun)
+		<-release
+		crashAfter(&old, nil)(w, req)
+	})
+	started := newBackend(t, respond(200, "new"))
+	f, q := newQuarantineFixture(t, matcher.Route{}, old)
+	result := make(chan callerResult, 1)
+	go func() { result <- f.call(t, "POST", "/r/", "p", "X-Parts", "a:800,b:10") }()
+	<-begun
+	f.servers.RecordActivity("s0", chooser.StatusReport{Leaving: true})
+	f.servers.mu.Lock()
+	f.servers.chooser.Set(chooser.Server{ID: "s0", Service: "s", Address: started.listener.Addr().String(), AvailabilityZone: "a", Slots: 4, StartedAt: 2})
+	f.servers.mu.Unlock()
+	close(release)
+	<-result
+	f.nextRequestLine(t)
+	crashed, _ := q.reports()
+	assert.Equal(t, len(crashed), 0)
+	assert.Assert(t, !f.servers.Choose(chooser.Request{Service: "s"}).Restarted)
+}
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -282,6 +282,14 @@
 	return b.chooser.Leaving(id, b.clock.Now())
 }
 
+// Replaced implements relayer.Servers.
+func (b *backendPool) Replaced(s chooser.Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current, known := b.chooser.Server(s.ID)
+	return known && (current.StartedAt != s.StartedAt || current.Address != s.Address)
+}
+
 // LastActivity implements relayer.Servers.
 func (b *backendPool) LastActivity(id string) clocker.Millis {
 	b.mu.Lock()
--- a/runner/entry_order_test.go
+++ b/runner/entry_order_test.go
@@ -88,3 +88,18 @@
 	b.Apply([]storer.Change{{Object: secondIncarnation.at(t, 17)}, odd(0)}, 0)
 	assert.Assert(t, !b.known("one"), "an entry without a revision")
 }
+
+// A server is replaced once its ID belongs to another incarnation, not by a new entry of its own.
+func TestReplacedServersAreThoseOfAnotherIncarnation(t *testing.T) {
+	b := newIncarnationPool()
+	b.Replace([]storer.Object{firstIncarnation.at(t, 12)}, 0)
+	first, _ := b.chooser.Server("one")
+	leaving := firstIncarnation
+	leaving.Draining = true
+	b.Apply([]storer.Change{{Object: leaving.at(t, 13)}}, 0)
+	assert.Assert(t, !b.Replaced(first))
+	b.Apply([]storer.Change{{Object: secondIncarnation.at(t, 15)}}, 0)
+	assert.Assert(t, b.Replaced(first))
+	second, _ := b.chooser.Server("one")
+	assert.Assert(t, !b.Replaced(second))
+}
