Quarantine: an answer that a crash has cut clears nothing

A request that crashes servers is sent again, by all hosts, although three crashes had put it into quarantine: each further server ends with the streams of other callers.

Cause: an answer without a length that ends by FIN counts as an answer. It clears its request two seconds later, unless some host has seen the crash of the server, and hosts tell each other of what is cleared. A crash is seen because the address refuses connections; where the next incarnation listens at once, it is not seen at all, and the answer that the death of the process has cut clears the request of the crashes before.

Now such an answer is forgotten once the entry of the server is that of another incarnation, and it is not reported at all if that is known before it ends. Answers with a length or in chunks clear as before, and so do those without from servers that live on.

Evidence: TestAnswerOfAnEndedIncarnationDoesNotLiftAQuarantine, TestUnframedAnswerOfAnIncarnationThatEndedClearsNothing and TestUnframedAnswerOfAReplacedIncarnationIsNotReported; the first and the last were seen to fail without the change. All tests of quarantiner, withholder and relayer pass. Nothing changes between hosts or in the store. An entry that is read more than two seconds after the answer comes too late, and a crash that no address shows is still no evidence.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -37,7 +37,7 @@
 	soundRequestFor = 2 * clocker.Second
 	// unframedDelay is how long a server must live on after an answer that ended with its
 	// connection, in milliseconds: such an answer may have been cut off by a crash, of which
-	// other hosts may know.
+	// other hosts, or the entry of the next incarnation, may tell.
 	unframedDelay = 2 * clocker.Second
 	// maxCrashes, maxRequestsPerCrash and maxPartsPerRequest bound the evidence. Only
 	// maxPromptsPerCrash requests of a crash are kept with their parts.
@@ -179,6 +179,12 @@
 	}
 }
 
+// Ended records that another incarnation has replaced that of a server. Its answers that ended with their
+// connections may have been cut off.
+func (q *Quarantiner) Ended(server uint64) {
+	q.unframed = slices.DeleteFunc(q.unframed, func(a unframedAnswer) bool { return a.server == server })
+}
+
 // Crashed records that a server crashed before it had begun to answer a request. It reports
 // whether this is new evidence.
 func (q *Quarantiner) Crashed(server uint64, r Request, now clocker.Millis) bool {
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -50,8 +50,12 @@
 }
 
 // reportAnswer reports that a server ran the request without failing. An answer that has neither frame nor
-// body may be that of a server that crashed, and one that tells to come back says nothing of a run.
+// body, or no frame and another incarnation in place of its server, may be that of a server that crashed, and
+// one that tells to come back says nothing of a run.
 func (x *relayedRequest) reportAnswer(a *attempt, response *carrier.Response, hasBody bool) {
+	if !response.Framed() && x.cfg.Servers.Replaced(a.server) {
+		return
+	}
 	if (hasBody || response.Framed()) && !statusImpliesNotRun(response.StatusCode) {
 		x.cfg.Quarantine.Answered(incarnationOf(a.server), x.suspect, response.Framed())
 	}
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -14,6 +14,7 @@
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/logger"
+	"cowsliphinge/quarantiner"
 	"cowsliphinge/storer"
 	"cowsliphinge/versioner"
 )
@@ -27,6 +28,8 @@
 	origins *streamOrigins
 	kind    string
 	decode  func(storer.Object) (chooser.Server, error)
+	// ended is called with each incarnation that another one has replaced; it may be nil.
+	ended func(quarantiner.Server)
 	// unusable limits the log lines about entries that can't be decoded.
 	unusable logger.RevisionFilter
 
@@ -133,14 +136,23 @@
 		b.chooser.Remove(b.serverID(o), b.clock.Now())
 		return
 	}
-	if old, known := b.chooser.Server(s.ID); !known || old.Draining != s.Draining || old.StartedAt != s.StartedAt || old.Software != s.Software {
+	old, known := b.chooser.Server(s.ID)
+	if !known || old.Draining != s.Draining || old.StartedAt != s.StartedAt || old.Software != s.Software {
 		// Object.Version is the revision of the store.
 		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "software", s.Software, "draining", s.Draining, versioner.Attr(o.Version))
 	}
+	if b.ended != nil && known && !sameIncarnation(old, s) {
+		b.ended(quarantiner.Server{ID: old.ID, StartedAt: old.StartedAt})
+	}
 	b.chooser.Set(s)
 	b.origins.seen(s)
 }
 
+// sameIncarnation reports whether two entries of a server are of the same incarnation.
+func sameIncarnation(a, b chooser.Server) bool {
+	return a.StartedAt == b.StartedAt && a.Address == b.Address
+}
+
 // remove removes a server. With a grace period, used right after an outage, the server
 // is only marked missing, since its entry may come back.
 func (b *backendPool) remove(id string, grace clocker.Millis) {
@@ -287,7 +299,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current, known := b.chooser.Server(s.ID)
-	return known && (current.StartedAt != s.StartedAt || current.Address != s.Address)
+	return known && !sameIncarnation(current, s)
 }
 
 // LastActivity implements relayer.Servers.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -140,6 +140,7 @@
 	r.origins = newStreamOrigins(r)
 	r.backends = newBackendPool(cfg, r.origins, r.cacheTokens, r.fleetSize, r.sharePosition)
 	r.withholder = r.newWithholder()
+	r.backends.ended = r.withholder.Ended
 	r.startMembership(ctx)
 	r.group.Go(func() error {
 		r.withholder.Keep(ctx)
--- a/withholder/withholder.go
+++ b/withholder/withholder.go
@@ -97,6 +97,13 @@
 	w.logChanges(now)
 }
 
+// Ended records that another incarnation has replaced that of a server.
+func (w *Withholder) Ended(s quarantiner.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.quarantiner.Ended(s.Hash())
+}
+
 // Crashed records that a server crashed before it had begun to answer a request.
 func (w *Withholder) Crashed(s quarantiner.Server, r quarantiner.Request) {
 	w.mu.Lock()
