Storer: an answer without a length is no value

A router that takes the beginning of a value for the value reads a budget, a claim or a configuration with its last fields missing: the beginning of an encoded message can be decoded too.

Cause: the library reads an answer that has neither a length nor chunks to the end of the connection, and the kernel ends the connections of a store, or of something before it, by a FIN when its process dies. The library then sets a length itself, so that the answer looked like any other.

Now the body is read as a stream, which shows how it is delimited, and such an answer is an outcome that is not known: a read is made again, a write read back. Answers with a length or in chunks are read as before, within the same limits of time and size.

The client of the platform's store (package platform) needs a whole JSON object and is not affected. Nothing changes between hosts or in the store.

--- a/storer/client.go
+++ b/storer/client.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -25,10 +27,16 @@
 	watchTimeout = 30 * clocker.Second
 	// defaultCallsPerSecond bounds the calls of one process.
 	defaultCallsPerSecond = 20
+	// maxAnswerBytes limits the body of an answer.
+	maxAnswerBytes = 64 << 20
+	// chunkedLength is the content length that fasthttp reports for a chunked body.
+	chunkedLength = -1
 	// VersionHeader carries the version of an object in answers.
 	VersionHeader = "Object-Version"
 )
 
+var errUndelimitedBody = errors.New("the body has neither a length nor chunks")
+
 // ListedHost is an entry of the platform's host list.
 type ListedHost struct {
 	Name    string
@@ -76,7 +84,7 @@
 	}
 	return &Client{
 		cfg:      cfg,
-		http:     fasthttp.Client{TLSConfig: cfg.TLS, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 64 << 20},
+		http:     fasthttp.Client{TLSConfig: cfg.TLS, MaxIdemponentCallAttempts: 1},
 		tokens:   float64(2 * cfg.CallsPerSecond()),
 		refilled: cfg.Clock.Now(),
 	}
@@ -198,14 +206,37 @@
 		req.Header.Set("If-Match", strconv.FormatInt(cl.version, 10))
 	}
 	req.SetBody(cl.value)
-	if err := c.http.DoTimeout(req, resp, timeout.Duration()); err != nil {
+	resp.StreamBody = true // the library hides whether a body that it has read had a length
+	err := c.http.DoTimeout(req, resp, timeout.Duration())
+	var body []byte
+	if err == nil {
+		body, err = readWhole(resp)
+		_ = resp.CloseBodyStream()
+	}
+	if err != nil {
 		count(cl.kind, "no_answer")
 		return result{err: ErrOutcomeUnknown{Key: cl.key, Cause: err.Error()}}
 	}
-	body, version, err := answer(cl, resp)
+	body, version, err := answer(cl, resp, body)
 	return result{body: body, version: version, err: err}
 }
 
+// readWhole reads the body of an answer. One that has neither a length nor chunks ends with its connection, so
+// that the beginning of a body can't be told from a whole one.
+func readWhole(resp *fasthttp.Response) ([]byte, error) {
+	if !resp.IsBodyStream() {
+		return nil, nil
+	}
+	if resp.Header.ContentLength() < chunkedLength {
+		return nil, errUndelimitedBody
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = fasthttp.ErrBodyTooLarge
+	}
+	return body, err
+}
+
 func (c *Client) host(uri string) string {
 	parsed, err := url.Parse(uri)
 	if err != nil {
@@ -214,12 +245,13 @@
 	return parsed.Host
 }
 
-func answer(cl call, resp *fasthttp.Response) ([]byte, int64, error) {
+// answer returns what an answer with this body means for the call.
+func answer(cl call, resp *fasthttp.Response, body []byte) ([]byte, int64, error) {
 	version, _ := strconv.ParseInt(string(resp.Header.Peek(VersionHeader)), 10, 64)
 	switch resp.StatusCode() {
 	case http.StatusOK:
 		count(cl.kind, "ok")
-		return append([]byte(nil), resp.Body()...), version, nil
+		return body, version, nil
 	case http.StatusNotFound:
 		count(cl.kind, "not_found")
 		return nil, 0, ErrNotFound{Key: cl.key}
