Balancer: cache events of a restarted engine are fetched

After the restart of a model engine under its name, hosts hear nothing more of its prompt cache until it has stored as many prefixes as the engine before: they send requests to engines that do not hold their prefix, which is read again.

Cause: events are fetched after the highest sequence number so far, and a new incarnation counts from 1.

Now the last known event is fetched again with those after it. An engine that knows neither it nor a later one has restarted, and the next poll fetches all of its events. What was known before is not applied a second time.

Calls to engines stay as many; each answer holds one event more.

--- a/balancer/poll.go
+++ b/balancer/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -29,10 +30,11 @@
 // poll describes a query for the load report of a server, optionally with a query for its
 // cache events.
 type poll struct {
-	name          string
-	address       string
-	withEvents    bool
-	afterSequence int64
+	name       string
+	address    string
+	withEvents bool
+	// lastSequence is the sequence number of the last cache event that was fetched.
+	lastSequence int64
 }
 
 // pollState tracks the polls of one server.
@@ -100,7 +102,7 @@
 	state.lastPollAt = now
 	state.count++
 	events := state.count%pollsPerEventQuery == 1 && b.index.Service(oldest.Service).GetKind() == messenger.ServiceKind_LANGUAGE
-	return poll{name: oldest.Name, address: oldest.Address, withEvents: events, afterSequence: state.lastSequence}, true
+	return poll{name: oldest.Name, address: oldest.Address, withEvents: events, lastSequence: state.lastSequence}, true
 }
 
 func (b *Balancer) pollStateOf(name string) *pollState {
@@ -121,10 +123,9 @@
 	pollCtx, cancel := b.cfg.Clock.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	report, err := b.cfg.LoadSource.FetchLoad(pollCtx, p.address)
-	var events []picker.CacheEvent
+	var events fetchedEvents
 	if err == nil && p.withEvents {
-		// Cache events are hints, so an error is ignored: the next such poll fetches them.
-		events, _ = b.cfg.LoadSource.FetchCacheEvents(pollCtx, p.address, p.afterSequence)
+		events = b.fetchEvents(pollCtx, p)
 	}
 	if ctx.Err() != nil {
 		return
@@ -132,7 +133,26 @@
 	b.recordPollResult(p, report, events, err)
 }
 
-func (b *Balancer) recordPollResult(p poll, report picker.LoadReport, events []picker.CacheEvent, err error) {
+// fetchedEvents are the cache events that a poll fetched.
+type fetchedEvents struct {
+	events []picker.CacheEvent
+	// restarted is true if the engine's events start anew: it is another incarnation.
+	restarted bool
+}
+
+// fetchEvents fetches the cache events after the last one. That one is fetched again, since an engine that does
+// not know it has restarted. Cache events are hints, so an error is ignored: the next such poll fetches them.
+func (b *Balancer) fetchEvents(ctx context.Context, p poll) fetchedEvents {
+	events, err := b.cfg.LoadSource.FetchCacheEvents(ctx, p.address, max(0, p.lastSequence-1))
+	if err != nil {
+		return fetchedEvents{}
+	}
+	isOld := func(e picker.CacheEvent) bool { return e.Sequence <= p.lastSequence }
+	restarted := p.lastSequence > 0 && !slices.ContainsFunc(events, func(e picker.CacheEvent) bool { return e.Sequence >= p.lastSequence })
+	return fetchedEvents{events: slices.DeleteFunc(events, isOld), restarted: restarted}
+}
+
+func (b *Balancer) recordPollResult(p poll, report picker.LoadReport, events fetchedEvents, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.cfg.Clock.Now()
@@ -147,7 +167,10 @@
 		return
 	}
 	b.admission.RecordLoadReport(now, p.name, report)
-	for _, event := range events {
+	if events.restarted {
+		state.lastSequence = 0 // the next such poll fetches all events
+	}
+	for _, event := range events.events {
 		b.admission.RecordCacheEvent(now, p.name, event)
 		state.lastSequence = max(state.lastSequence, event.Sequence)
 	}
