--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -191,6 +191,15 @@
 	return m.Server, true
 }
 
+// Running returns a server as it runs: its entry, or an incarnation after that of the entry.
+func (c *Chooser) Running(id string) (Server, bool) {
+	m := c.servers[id]
+	if m == nil {
+		return Server{}, false
+	}
+	return m.running(), true
+}
+
 // Limit returns the requests a second that a server takes from all hosts together, and
 // whether it named a limit.
 func (c *Chooser) Limit(id string) (perSecond float64, limited bool) {
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -141,14 +141,21 @@
 		// Object.Version is the revision of the store.
 		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "software", s.Software, "draining", s.Draining, versioner.Attr(o.Version))
 	}
-	if b.ended != nil && known && !sameIncarnation(old, s) {
-		b.ended(quarantiner.Server{ID: old.ID, StartedAt: old.StartedAt})
-	}
-	b.chooser.Set(s)
+	b.replacing(s.ID, func() { b.chooser.Set(s) })
 	b.origins.seen(s)
 }
 
-// sameIncarnation reports whether two entries of a server are of the same incarnation.
+// replacing calls update, and then ended if another incarnation of the server runs after that.
+func (b *backendPool) replacing(id string, update func()) {
+	before, known := b.chooser.Running(id)
+	update()
+	after, _ := b.chooser.Running(id)
+	if b.ended != nil && known && !sameIncarnation(before, after) {
+		b.ended(quarantiner.Server{ID: id, StartedAt: before.StartedAt})
+	}
+}
+
+// sameIncarnation reports whether two states of a server are of the same incarnation.
 func sameIncarnation(a, b chooser.Server) bool {
 	return a.StartedAt == b.StartedAt && a.Address == b.Address
 }
@@ -263,7 +270,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, _ := b.chooser.Server(t.ID)
-	if !b.chooser.MarkRestarted(t.ID, startedAt, b.clock.Now()) {
+	isNews := false
+	b.replacing(t.ID, func() { isNews = b.chooser.MarkRestarted(t.ID, startedAt, b.clock.Now()) })
+	if !isNews {
 		return
 	}
 	b.log.Info("backend server is another incarnation than its entry tells of", "server", t.ID, "entry_started_at", s.StartedAt, "started_at", startedAt, "software", s.Software)
@@ -298,7 +307,7 @@
 func (b *backendPool) Replaced(s chooser.Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current, known := b.chooser.Server(s.ID)
+	current, known := b.chooser.Running(s.ID)
 	return known && !sameIncarnation(current, s)
 }
 
--- a/runner/ended_incarnation_test.go
+++ b/runner/ended_incarnation_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/carrier"
 	"cowsliphinge/clocker"
 	"cowsliphinge/quarantiner"
 	"cowsliphinge/storer"
@@ -39,3 +40,21 @@
 	b.clock.Advance(10 * clocker.Second)
 	assert.Assert(t, !refused(), "the server lived on")
 }
+
+// An incarnation ends as well when its successor tells of itself before its entry is read; that entry then ends
+// nothing more.
+func TestIncarnationEndsOnceItsSuccessorTellsOfItself(t *testing.T) {
+	b := newIncarnationPool()
+	var ended []quarantiner.Server
+	b.ended = func(s quarantiner.Server) { ended = append(ended, s) }
+	b.Replace([]storer.Object{firstIncarnation.at(t, 12)}, 0)
+	first, _ := b.chooser.Server("one")
+	assert.Assert(t, !b.Replaced(first))
+	b.restarted(carrier.Target{ID: "one", StartedAt: firstIncarnation.StartedAt}, secondIncarnation.StartedAt)
+	assert.Assert(t, b.Replaced(first))
+	running, _ := b.chooser.Running("one")
+	assert.Assert(t, !b.Replaced(running))
+	b.Apply([]storer.Change{{Object: secondIncarnation.at(t, 15)}}, 0)
+	assert.Assert(t, !b.Replaced(running))
+	assert.DeepEqual(t, ended, []quarantiner.Server{{ID: "one", StartedAt: firstIncarnation.StartedAt}})
+}
