LOST: a planned stop closes a connection only once its answer is sent

Cause: a connection counted as idle when the handler of its request returned, but net/http sends what the handler wrote after that. A stop that closes idle connections in between closes this one, and the answer is lost.

Change: a connection is busy until net/http reports it as idle, which it does behind the flush.

--- a/runner/conn_tracker.go
+++ b/runner/conn_tracker.go
@@ -39,15 +39,19 @@
 	return context.WithValue(ctx, connKey{}, state)
 }
 
-// connState is the ConnState hook of the http.Server. It ends the tracking of a closed
-// connection.
+// connState is the ConnState hook of the http.Server. It ends the request of a connection that is idle, and the
+// tracking of a closed one. When a handler returns, the server has not sent all of its answer yet.
 func (c *connTracker) connState(conn net.Conn, state http.ConnState) {
-	if state != http.StateClosed && state != http.StateHijacked {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.conns, conn)
+	switch state {
+	case http.StateIdle:
+		if tracked := c.conns[conn]; tracked != nil {
+			tracked.busy = false
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(c.conns, conn)
+	}
 }
 
 // wrap returns a handler that calls next, except for requests on connections being
@@ -55,11 +59,8 @@
 func (c *connTracker) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		state, ok := r.Context().Value(connKey{}).(*callerConn)
-		if ok {
-			if !c.startRequest(state) {
-				panic(http.ErrAbortHandler)
-			}
-			defer c.endRequest(state)
+		if ok && !c.startRequest(state) {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -72,12 +73,6 @@
 	return state.busy
 }
 
-func (c *connTracker) endRequest(state *callerConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	state.busy = false
-}
-
 // closeIdle closes the connections without a request and returns the number of those
 // with one. Once there are none, or with force, further requests are aborted.
 func (c *connTracker) closeIdle(force bool) int {
