Chooser: a limit belongs to the incarnation that named it, also before its entry

A server that has restarted is throttled by the limit of the incarnation before, at all hosts, until a response without a limit arrives; at a limit of nothing that takes seven seconds a host and more.

Cause: a host learns of a restart on a connection, before the new entry, and discards the limit (MarkRestarted). Reports between hosts were still matched with the start by the entry: another host's report of the old limit was applied to the new incarnation and survived its entry, and a limit that the new incarnation named was told of the one before.

Now reports are told and applied by the start of the incarnation that runs.

--- a/chooser/limit_report.go
+++ b/chooser/limit_report.go
@@ -34,7 +34,7 @@
 	var reports []LimitReport
 	for _, m := range c.servers {
 		if m.limit.reported(now) {
-			reports = append(reports, m.limit.report(m.Server))
+			reports = append(reports, m.limit.report(m.running()))
 		}
 	}
 	slices.SortFunc(reports, func(a, b LimitReport) int {
@@ -49,7 +49,7 @@
 	var changed []string
 	for _, r := range reports {
 		m := c.servers[r.Server]
-		if m == nil || m.StartedAt != r.StartedAt {
+		if m == nil || m.running().StartedAt != r.StartedAt {
 			continue
 		}
 		wasLimited := m.limit.limited
