Runner: a server's word counts against the incarnation that was expected

A sound server gets no streams that may be resumed for two seconds, and after that none that began elsewhere, for as long as it lives: it counts as an incarnation of which no entry will ever tell.

Cause: what a server told of itself on a connection was compared with the entry at that time, not with the one by which the connection was opened. After two restarts in a row, or a pause of the host, the word of an earlier incarnation arrives when the last entry is read already, and discarded what is known of the last incarnation.

Now a word counts only if the server still is, by all that is known, the incarnation that the connection was opened to; the next connection tells otherwise. Replaced, and what the quarantine hears of ended incarnations, go by the incarnation that runs as well (Chooser.Running), not by the entry: a restart that a connection told of ends the incarnation before, and the entry that follows ends nothing.

Evidence: TestWordOnAnEarlierEntryDoesNotCount and TestReplacedServersAreThoseOfAnotherIncarnation fail before and pass after; TestAnswerOfAnIncarnationThatAnotherOneEndedDoesNotLiftAQuarantine. Nothing changes between hosts or in the store.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,7 +42,7 @@
 	LastActivity(id string) clocker.Millis
 	// Leaving reports whether a server is about to stop, or is not known any more.
 	Leaving(id string) bool
-	// Replaced reports whether the entry of a server is that of another incarnation by now.
+	// Replaced reports whether another incarnation runs in place of a server by now.
 	Replaced(s chooser.Server) bool
 }
 
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -141,11 +141,20 @@
 		// Object.Version is the revision of the store.
 		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "software", s.Software, "draining", s.Draining, versioner.Attr(o.Version))
 	}
-	if b.ended != nil && known && !sameIncarnation(old, s) {
-		b.ended(quarantiner.Server{ID: old.ID, StartedAt: old.StartedAt})
-	}
+	before, _ := b.chooser.Running(s.ID)
 	b.chooser.Set(s)
 	b.origins.seen(s)
+	if known {
+		b.reportEnd(before)
+	}
+}
+
+// reportEnd reports that an incarnation has ended, unless it is the one known now.
+func (b *backendPool) reportEnd(before chooser.Server) {
+	now, _ := b.chooser.Running(before.ID)
+	if b.ended != nil && !sameIncarnation(before, now) {
+		b.ended(quarantiner.Server{ID: before.ID, StartedAt: before.StartedAt})
+	}
 }
 
 // sameIncarnation reports whether two entries of a server are of the same incarnation.
@@ -258,14 +267,20 @@
 	b.chooser.MarkDown(id, b.clock.Now())
 }
 
-// restarted records that a server is another incarnation than its entry tells of.
+// restarted records that a server is another incarnation than its entry tells of. The connection on which it
+// said so was opened to an incarnation that may not be the one known last by now.
 func (b *backendPool) restarted(t carrier.Target, startedAt clocker.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, _ := b.chooser.Server(t.ID)
+	before, known := b.chooser.Running(t.ID)
+	if !known || before.StartedAt != t.StartedAt || before.Address != t.Address {
+		return
+	}
 	if !b.chooser.MarkRestarted(t.ID, startedAt, b.clock.Now()) {
 		return
 	}
+	b.reportEnd(before)
 	b.log.Info("backend server is another incarnation than its entry tells of", "server", t.ID, "entry_started_at", s.StartedAt, "started_at", startedAt, "software", s.Software)
 }
 
@@ -298,7 +313,7 @@
 func (b *backendPool) Replaced(s chooser.Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current, known := b.chooser.Server(s.ID)
+	current, known := b.chooser.Running(s.ID)
 	return known && !sameIncarnation(current, s)
 }
 
--- a/runner/ended_incarnation_test.go
+++ b/runner/ended_incarnation_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/carrier"
 	"cowsliphinge/clocker"
 	"cowsliphinge/quarantiner"
 	"cowsliphinge/storer"
@@ -39,3 +40,17 @@
 	b.clock.Advance(10 * clocker.Second)
 	assert.Assert(t, !refused(), "the server lived on")
 }
+
+// The same before the entry of the next incarnation is read, which told of itself on a connection. Its first entry
+// ends nothing.
+func TestAnswerOfAnIncarnationThatAnotherOneEndedDoesNotLiftAQuarantine(t *testing.T) {
+	b := newIncarnationPool()
+	var ended []quarantiner.Server
+	b.ended = func(s quarantiner.Server) { ended = append(ended, s) }
+	b.Replace([]storer.Object{firstIncarnation.at(t, 12)}, 0)
+	told := carrier.Target{ID: "one", StartedAt: firstIncarnation.StartedAt}
+	b.restarted(told, secondIncarnation.StartedAt)
+	b.restarted(told, secondIncarnation.StartedAt)
+	b.Apply([]storer.Change{{Object: firstIncarnation.at(t, 13)}, {Object: secondIncarnation.at(t, 15)}}, 0)
+	assert.DeepEqual(t, ended, []quarantiner.Server{{ID: "one", StartedAt: firstIncarnation.StartedAt}})
+}
--- a/runner/entry_order_test.go
+++ b/runner/entry_order_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
 	"cowsliphinge/storer"
@@ -102,4 +103,22 @@
 	assert.Assert(t, b.Replaced(first))
 	second, _ := b.chooser.Server("one")
 	assert.Assert(t, !b.Replaced(second))
+
+	b.restarted(carrier.Target{ID: "one", StartedAt: second.StartedAt}, second.StartedAt+1)
+	assert.Assert(t, b.Replaced(second))
+	third := b.Choose(chooser.Request{Service: "s"}).Server
+	assert.Equal(t, third.StartedAt, second.StartedAt+1)
+	assert.Assert(t, !b.Replaced(third))
+}
+
+// Guards against a server that is taken for an earlier incarnation for as long as it lives: it had restarted twice,
+// and told of the first time on a connection that was opened by the entry before, after its last entry was read.
+func TestWordOnAnEarlierEntryDoesNotCount(t *testing.T) {
+	b := newIncarnationPool()
+	b.Replace([]storer.Object{firstIncarnation.at(t, 12)}, 0)
+	b.Apply([]storer.Change{{Object: secondIncarnation.at(t, 15)}}, 0)
+	b.restarted(carrier.Target{ID: "one", StartedAt: firstIncarnation.StartedAt}, 500)
+	choice := b.Choose(chooser.Request{Service: "s", Resumable: true})
+	assert.Assert(t, choice.Found)
+	assert.Equal(t, choice.Server.StartedAt, secondIncarnation.StartedAt)
 }
