--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -191,7 +191,8 @@
 	return m.Server, true
 }
 
-// Running returns a server as it runs: its entry, or an incarnation after that of the entry.
+// Running returns a server as it runs by all that is known: its start is not that of its entry while the entry
+// is still that of an earlier incarnation. It returns false if the server is not known.
 func (c *Chooser) Running(id string) (Server, bool) {
 	m := c.servers[id]
 	if m == nil {
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -141,21 +141,23 @@
 		// Object.Version is the revision of the store.
 		b.log.Info("backend server", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.AvailabilityZone, "software", s.Software, "draining", s.Draining, versioner.Attr(o.Version))
 	}
-	b.replacing(s.ID, func() { b.chooser.Set(s) })
+	before, _ := b.chooser.Running(s.ID)
+	b.chooser.Set(s)
 	b.origins.seen(s)
+	if known {
+		b.reportEnd(before)
+	}
 }
 
-// replacing calls update, and then ended if another incarnation of the server runs after that.
-func (b *backendPool) replacing(id string, update func()) {
-	before, known := b.chooser.Running(id)
-	update()
-	after, _ := b.chooser.Running(id)
-	if b.ended != nil && known && !sameIncarnation(before, after) {
-		b.ended(quarantiner.Server{ID: id, StartedAt: before.StartedAt})
+// reportEnd reports that an incarnation has ended, unless it is the one known now.
+func (b *backendPool) reportEnd(before chooser.Server) {
+	now, _ := b.chooser.Running(before.ID)
+	if b.ended != nil && !sameIncarnation(before, now) {
+		b.ended(quarantiner.Server{ID: before.ID, StartedAt: before.StartedAt})
 	}
 }
 
-// sameIncarnation reports whether two states of a server are of the same incarnation.
+// sameIncarnation reports whether two entries of a server are of the same incarnation.
 func sameIncarnation(a, b chooser.Server) bool {
 	return a.StartedAt == b.StartedAt && a.Address == b.Address
 }
@@ -265,16 +267,20 @@
 	b.chooser.MarkDown(id, b.clock.Now())
 }
 
-// restarted records that a server is another incarnation than its entry tells of.
+// restarted records that a server is another incarnation than its entry tells of. The connection on which it
+// said so was opened to an incarnation that may not be the one known last by now.
 func (b *backendPool) restarted(t carrier.Target, startedAt clocker.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, _ := b.chooser.Server(t.ID)
-	isNews := false
-	b.replacing(t.ID, func() { isNews = b.chooser.MarkRestarted(t.ID, startedAt, b.clock.Now()) })
-	if !isNews {
+	before, known := b.chooser.Running(t.ID)
+	if !known || before.StartedAt != t.StartedAt || before.Address != t.Address {
+		return
+	}
+	if !b.chooser.MarkRestarted(t.ID, startedAt, b.clock.Now()) {
 		return
 	}
+	b.reportEnd(before)
 	b.log.Info("backend server is another incarnation than its entry tells of", "server", t.ID, "entry_started_at", s.StartedAt, "started_at", startedAt, "software", s.Software)
 }
 
