--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -102,7 +102,7 @@
 		}
 		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d findings\n", seed, result.Requests, result.Served, len(result.Faults), len(result.Findings))
 		s := result.Streams
-		fmt.Printf("  %d streams joined, %d answers short but complete, %d whole, %d broken\n  %v\n  at routers in touch %v\n", s.Joined, s.Short, s.Whole, s.Broken, s, result.Judged)
+		fmt.Printf("  %d streams joined, %d answers short but complete, %d whole, %d broken (%d behind their last byte)\n  %v\n  at routers in touch %v\n", s.Joined, s.Short, s.Whole, s.Broken, s.Unconfirmed, s, result.Judged)
 		for _, number := range result.Unready {
 			fmt.Printf("  router %d was not ready within 10 s at the start\n", number)
 		}
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -24,12 +24,18 @@
 	306, // a second server's failure was the end of a stream that had begun, framed as complete
 }
 
-// A soak in which servers name limits lasts longer: a limit is judged from three seconds on, over
-// four.
-func TestShortSoakWithLimits(t *testing.T) {
+// buildProgram builds the program whose routers run as processes.
+func buildProgram(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "cowsliphinge")
 	out, err := exec.Command("go", "build", "-o", program, "cowsliphinge").CombinedOutput()
 	assert.NilError(t, err, string(out))
+	return program
+}
+
+// A soak in which servers name limits lasts longer: a limit is judged from three seconds on, over
+// four.
+func TestShortSoakWithLimits(t *testing.T) {
+	program := buildProgram(t)
 	result, err := soaker.Run(context.Background(), soaker.Config{
 		Clock:   clocker.NewWall(),
 		Dialect: platform.Dialect,
@@ -48,9 +54,7 @@
 }
 
 func TestShortSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "cowsliphinge")
-	out, err := exec.Command("go", "build", "-o", program, "cowsliphinge").CombinedOutput()
-	assert.NilError(t, err, string(out))
+	program := buildProgram(t)
 	for _, seed := range soakSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			result, err := soaker.Run(context.Background(), soaker.Config{
@@ -70,3 +74,28 @@
 		})
 	}
 }
+
+// Streams joined from two software versions, since the entry of a restarted server names the one before
+// (issue 48).
+func TestSoakRestartedServersDoNotJoinSoftwareVersions(t *testing.T) {
+	result := soakServers(t, soaker.Config{Seed: 481, Versions: true})
+	assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
+	assert.Assert(t, result.Streams.TakeUps > 0)
+}
+
+// Answers without a length that look whole, though the process of their server died (issue 48).
+func TestSoakDyingServersDoNotEndAnswersAsWhole(t *testing.T) {
+	result := soakServers(t, soaker.Config{Seed: 482, Deaths: true})
+	assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
+	assert.Assert(t, result.Served > 0)
+}
+
+// soakServers runs a soak whose backend servers restart or die.
+func soakServers(t *testing.T, cfg soaker.Config) soaker.Result {
+	cfg.Clock, cfg.Dialect, cfg.Program = clocker.NewWall(), platform.Dialect, buildProgram(t)
+	cfg.For = 10 * clocker.Second
+	cfg.Routers, cfg.Servers, cfg.Callers, cfg.Prepaid = 3, 6, 12, 200_000
+	result, err := soaker.Run(context.Background(), cfg)
+	assert.NilError(t, err)
+	return result
+}
--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -18,14 +18,15 @@
 
 // backend is one incarnation of a backend server.
 type backend struct {
-	id      string
-	zone    string
-	address string
-	version string
-	born    clocker.Millis
-	server  *server.Server
-	http    *http.Server
-	listed  map[string]any
+	id       string
+	zone     string
+	address  string
+	version  string
+	born     clocker.Millis
+	server   *server.Server
+	listener net.Listener
+	http     *http.Server
+	listed   map[string]any
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -46,13 +47,15 @@
 	return w.list(b.id, b.listed)
 }
 
-// serveBackend starts the process of a backend server. Its entry is not written yet.
+// serveBackend starts the process of a backend server, born no sooner than b.born. Its entry is not
+// written yet.
 func (w *world) serveBackend(b *backend) error {
 	l, err := net.Listen("tcp4", b.address)
 	if err != nil {
 		return err
 	}
-	b.address, b.born, b.conns = l.Addr().String(), w.cfg.Clock.Now(), map[net.Conn]bool{}
+	b.listener, b.conns = l, map[net.Conn]bool{}
+	b.address, b.born = l.Addr().String(), max(b.born, w.cfg.Clock.Now())
 	cfg := server.Config{
 		ID: b.id, Clock: w.cfg.Clock, Version: b.version, Born: int64(b.born), Events: streamEvents, Pause: eventPause,
 		Ran: func(r server.Run) { w.record.ran(b.id, r) }, Seed: w.cfg.Seed,
@@ -88,6 +91,7 @@
 // die ends the server as the kernel ends a process: the listener closes, then all connections by a
 // FIN, or by a reset.
 func (b *backend) die(reset bool) {
+	_ = b.listener.Close() // also if it is not served yet
 	if reset {
 		b.mu.Lock()
 		for c := range b.conns {
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -149,7 +149,9 @@
 	switch {
 	case q.status == http.StatusOK && streams(q.path):
 		q.readEvents(body)
+		q.unconfirmed = q.broken && q.after+len(q.events) == streamEvents
 	case q.broken:
+		q.unconfirmed = q.status == http.StatusOK && body == server.Body(q.id)
 	case q.status == http.StatusOK:
 		q.short = len(body) < len(server.Body(q.id)) && strings.HasPrefix(server.Body(q.id), body)
 		q.foreign = q.foreign || !q.short && body != server.Body(q.id)
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -38,6 +38,8 @@
 	origin string
 	// short is true if an answer that is no stream ended whole and lacks its end.
 	short bool
+	// unconfirmed is true if an answer that broke off holds all events or bytes.
+	unconfirmed bool
 	// reason is why a router refused the request.
 	reason string
 	// stray is what follows in a stream and is no event.
--- a/soaker/restarts.go
+++ b/soaker/restarts.go
@@ -12,11 +12,13 @@
 const (
 	// restartPause is the mean time between two restarts or deaths of backend servers, in milliseconds.
 	restartPause = 700
-	// minRefusing and maxRefusing are how long an address refuses connections where a restart takes
-	// time, and heartbeat the longest time until the new incarnation writes its entry, in milliseconds.
+	// maxQuick bounds how long a quick restart takes, and minRefusing and maxRefusing a slow one, in
+	// milliseconds. The address refuses connections meanwhile.
+	maxQuick    = 5
 	minRefusing = 200
 	maxRefusing = 800
-	heartbeat   = 1200
+	// heartbeat is the longest time until a new incarnation writes its entry, in milliseconds.
+	heartbeat = 1200
 	// minServers are left alone by restarts.
 	minServers = 2
 )
@@ -25,7 +27,7 @@
 // another software version, mostly within milliseconds.
 func restartServers(w *world, rng *rand.Rand) string {
 	reset := rng.IntN(3) == 0
-	down := clocker.Millis(0)
+	down := clocker.Millis(rng.IntN(maxQuick))
 	if rng.IntN(4) == 0 {
 		down = clocker.Millis(minRefusing + rng.IntN(maxRefusing-minRefusing))
 	}
@@ -38,11 +40,9 @@
 	for _, b := range w.takeServers(rng, 1+rng.IntN(2)) {
 		w.endServer(b, reset)
 		names = append(names, b.id)
-		restarted = append(restarted, &backend{id: b.id, zone: b.zone, address: b.address, version: otherVersion(b.version)})
-	}
-	if down > 0 {
-		w.cfg.Clock.SleepUncancellable(down)
+		restarted = append(restarted, &backend{id: b.id, zone: b.zone, address: b.address, version: otherVersion(b.version), born: b.born + 1})
 	}
+	w.cfg.Clock.SleepUncancellable(down)
 	failed := ""
 	for _, b := range restarted {
 		if err := w.serveBackend(b); err != nil {
--- a/soaker/takeups.go
+++ b/soaker/takeups.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 
@@ -34,8 +35,9 @@
 	// Joined streams hold events of two software versions. Short answers lack events or bytes and
 	// are framed as complete.
 	Joined, Short int
-	// Whole are the answers that came whole, and Broken those that broke off behind their head.
-	Whole, Broken int
+	// Whole are the answers that came whole, and Broken those that broke off behind their head;
+	// Unconfirmed of these hold all events or bytes, and only their end is missing.
+	Whole, Broken, Unconfirmed int
 }
 
 // life is an incarnation of a backend server, up for from to to; to is 0 while it serves.
@@ -51,7 +53,7 @@
 		return
 	}
 	origin, last := q.id, 0
-	for n := 1; n <= maxTakeUps && (q.broken || q.status != 200); n++ {
+	for n := 1; n <= maxTakeUps && q.mayGoOn(); n++ {
 		if len(q.events) > 0 {
 			last = q.events[len(q.events)-1]
 		}
@@ -64,6 +66,11 @@
 	}
 }
 
+// mayGoOn reports whether a caller asks again for what a stream lacks.
+func (q request) mayGoOn() bool {
+	return q.broken || q.status >= http.StatusInternalServerError || slices.Contains(promises, q.status)
+}
+
 // otherRouter returns any router but one, unless that is the only one.
 func (c *caller) otherRouter(number int) *router {
 	if len(c.routers) == 1 {
@@ -112,12 +119,12 @@
 
 // miscounted reports whether a stream that is framed as complete lacks events or has too many.
 func (q request) miscounted() bool {
-	return streams(q.path) && q.status == 200 && !q.broken && q.after+len(q.events) != streamEvents
+	return streams(q.path) && q.status == http.StatusOK && !q.broken && q.after+len(q.events) != streamEvents
 }
 
 // goesOn reports whether a stream began or went on.
 func (q request) goesOn() bool {
-	return q.status == 200 && (len(q.events) > 0 || !q.broken)
+	return q.status == http.StatusOK && (len(q.events) > 0 || !q.broken)
 }
 
 // versionsOfStreams returns the software versions of the events that callers hold, by the request that
@@ -167,7 +174,7 @@
 	s := Streams{Refused: map[string]int{}}
 	for _, q := range r.requests {
 		inTouch := !overlaps(r.disturbed[q.router], q.sentAt-steady, q.endedAt)
-		failedByServer := q.signed && q.status != 200
+		failedByServer := q.signed && q.status != http.StatusOK
 		if inTouch && !failedByServer && (q.origin == "" || r.peers(versions[q.origin], q) >= minPeers) {
 			s.add(q)
 		}
@@ -211,7 +218,10 @@
 	switch {
 	case q.status != 0 && q.broken:
 		s.Broken++
-	case q.status == 200:
+		if q.unconfirmed {
+			s.Unconfirmed++
+		}
+	case q.status == http.StatusOK:
 		s.Whole++
 	}
 	if !streams(q.path) {
