Soak: servers that end behind their answers; take-ups that servers failed are left out of the share

A quarter of the ends with -deaths stops listening and ends once its answers are sent, so that whole answers without a length end beside a server that is gone; how many of them break off is a figure.

--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -88,16 +89,35 @@
 	}
 }
 
-// die ends the server as the kernel ends a process: the listener closes, then all connections by a
-// FIN, or by a reset.
-func (b *backend) die(reset bool) {
+// ending is how the process of a server ends.
+type ending string
+
+const (
+	// byFin closes all connections at once, as the kernel does where nothing is unread.
+	byFin ending = "by FIN"
+	// byReset resets them.
+	byReset ending = "by reset"
+	// behindAnswers takes no more requests and ends once all answers are sent, within maxAnswer.
+	behindAnswers ending = "behind its answers"
+)
+
+// maxAnswer is how long a server waits for its answers before it ends, in milliseconds.
+const maxAnswer = 1 * clocker.Second
+
+// die ends the process of the server. The listener closes first.
+func (b *backend) die(how ending) {
 	_ = b.listener.Close() // also if it is not served yet
-	if reset {
+	switch how {
+	case byReset:
 		b.mu.Lock()
 		for c := range b.conns {
 			_ = c.(*net.TCPConn).SetLinger(0) // the connection may have ended
 		}
 		b.mu.Unlock()
+	case behindAnswers:
+		ctx, cancel := context.WithTimeout(context.Background(), maxAnswer.Duration())
+		defer cancel()
+		_ = b.http.Shutdown(ctx) // Close ends what is left
 	}
 	_ = b.http.Close()
 }
--- a/soaker/restarts.go
+++ b/soaker/restarts.go
@@ -26,7 +26,7 @@
 // restartServers ends one or two backend servers at once and starts each under its ID and address with
 // another software version, mostly within milliseconds.
 func restartServers(w *world, rng *rand.Rand) string {
-	reset := rng.IntN(3) == 0
+	how := []ending{byFin, byFin, byReset}[rng.IntN(3)]
 	down := clocker.Millis(rng.IntN(maxQuick))
 	if rng.IntN(4) == 0 {
 		down = clocker.Millis(minRefusing + rng.IntN(maxRefusing-minRefusing))
@@ -38,7 +38,7 @@
 	var restarted []*backend
 	var names []string
 	for _, b := range w.takeServers(rng, 1+rng.IntN(2)) {
-		w.endServer(b, reset)
+		w.endServer(b, how)
 		names = append(names, b.id)
 		restarted = append(restarted, &backend{id: b.id, zone: b.zone, address: b.address, version: otherVersion(b.version), born: b.born + 1})
 	}
@@ -54,7 +54,7 @@
 	for _, b := range restarted {
 		w.relist(b)
 	}
-	return fmt.Sprintf("restart %s with another version, reset %v, after %d ms, entry after %d ms%s", strings.Join(names, ", "), reset, down, until, failed)
+	return fmt.Sprintf("restart %s with another version, end %s, start after %d ms, entry after %d ms%s", strings.Join(names, ", "), how, down, until, failed)
 }
 
 // relist writes the entry of a restarted server unless it has left or restarted meanwhile.
@@ -72,11 +72,11 @@
 // killServers ends one or two backend servers at once. Their entries stay for a while; others
 // start after that.
 func killServers(w *world, rng *rand.Rand) string {
-	reset := rng.IntN(4) == 0
+	how := []ending{byFin, byFin, byReset, behindAnswers}[rng.IntN(4)]
 	var names []string
 	killed := w.takeServers(rng, 1+rng.IntN(2))
 	for _, b := range killed {
-		w.endServer(b, reset)
+		w.endServer(b, how)
 		names = append(names, b.id)
 	}
 	w.pause(rng, maxRefusing)
@@ -86,7 +86,7 @@
 			names = append(names, err.Error())
 		}
 	}
-	return fmt.Sprintf("processes of %s die, reset %v", strings.Join(names, ", "), reset)
+	return fmt.Sprintf("processes of %s end %s", strings.Join(names, ", "), how)
 }
 
 // takeServers takes up to n servers out of those that other faults may choose.
@@ -103,9 +103,9 @@
 }
 
 // endServer ends the process of a backend server.
-func (w *world) endServer(b *backend, reset bool) {
+func (w *world) endServer(b *backend, how ending) {
 	w.record.crash(b.id, w.cfg.Clock.Now())
-	b.die(reset)
+	b.die(how)
 }
 
 func otherVersion(version string) string {
--- a/soaker/servers.go
+++ b/soaker/servers.go
@@ -99,7 +99,7 @@
 	b := w.servers[at]
 	w.servers = append(w.servers[:at:at], w.servers[at+1:]...)
 	w.mu.Unlock()
-	w.endServer(b, false)
+	w.endServer(b, byFin)
 	w.pause(rng, maxServerFault)
 	w.unlist(b.id)
 	if err := w.addServer(); err != nil {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -327,7 +327,7 @@
 	w.record.drain(old.id, w.cfg.Clock.Now())
 	w.cfg.Clock.SleepUncancellable(2 * drainBound)
 	w.unlist(old.id)
-	old.die(false)
+	old.die(byFin)
 	return "replace server " + old.id
 }
 
--- a/soaker/takeups.go
+++ b/soaker/takeups.go
@@ -151,15 +151,25 @@
 	var found []string
 	for id, versions := range r.versionsOfStreams() {
 		if len(versions) > 1 {
-			found = append(found, fmt.Sprintf("the stream of request %s holds events of software versions %s", id, strings.Join(versions, ", ")))
+			found = append(found, fmt.Sprintf("the stream of request %s holds events of software versions %s, %s", id, strings.Join(versions, ", "), r.joinedWhere(id)))
 		}
 	}
 	slices.Sort(found)
 	return found
 }
 
+// joinedWhere says whether one answer holds events of two versions. The caller holds mu.
+func (r *recorder) joinedWhere(origin string) string {
+	if slices.ContainsFunc(r.requests, func(q request) bool {
+		return (q.id == origin || q.origin == origin) && len(q.versions) > 1
+	}) {
+		return "in one answer"
+	}
+	return "over its take-ups"
+}
+
 // checkTakeUps: at routers that nothing has disrupted, and while two servers of their version serve,
-// streams that are taken up go on half as often as new ones begin. What a server failed is left out.
+// streams that are taken up go on half as often as new ones begin. What servers fail is left out.
 func (r *recorder) checkTakeUps() []string {
 	streams := r.judgedStreams()
 	if streams.TakeUps < minTakeUps || 2*streams.WentOn*streams.New >= streams.TakeUps*streams.Began {
@@ -174,14 +184,18 @@
 	s := Streams{Refused: map[string]int{}}
 	for _, q := range r.requests {
 		inTouch := !overlaps(r.disturbed[q.router], q.sentAt-steady, q.endedAt)
-		failedByServer := q.signed && q.status != http.StatusOK
-		if inTouch && !failedByServer && (q.origin == "" || r.peers(versions[q.origin], q) >= minPeers) {
+		if inTouch && !r.failedByServers(q) && (q.origin == "" || r.peers(versions[q.origin], q) >= minPeers) {
 			s.add(q)
 		}
 	}
 	return s
 }
 
+// failedByServers reports whether a stream did not go on since backend servers failed, cut or refused it.
+func (r *recorder) failedByServers(q request) bool {
+	return !q.goesOn() && (q.signed || q.reason == "server_shed" || r.harmedRun(q))
+}
+
 // peers returns how many servers of a stream's version serve all the time of a request and were listed
 // before it.
 func (r *recorder) peers(versions []string, q request) int {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -235,7 +235,7 @@
 	}
 	w.mu.Lock()
 	for _, b := range w.servers {
-		b.die(false)
+		b.die(byFin)
 	}
 	w.mu.Unlock()
 	for _, stop := range w.stops {
