--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -18,14 +19,15 @@
 
 // backend is one incarnation of a backend server.
 type backend struct {
-	id      string
-	zone    string
-	address string
-	version string
-	born    clocker.Millis
-	server  *server.Server
-	http    *http.Server
-	listed  map[string]any
+	id       string
+	zone     string
+	address  string
+	version  string
+	born     clocker.Millis
+	server   *server.Server
+	listener net.Listener
+	http     *http.Server
+	listed   map[string]any
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -46,13 +48,15 @@
 	return w.list(b.id, b.listed)
 }
 
-// serveBackend starts the process of a backend server. Its entry is not written yet.
+// serveBackend starts the process of a backend server, born no sooner than b.born. Its entry is not
+// written yet.
 func (w *world) serveBackend(b *backend) error {
 	l, err := net.Listen("tcp4", b.address)
 	if err != nil {
 		return err
 	}
-	b.address, b.born, b.conns = l.Addr().String(), w.cfg.Clock.Now(), map[net.Conn]bool{}
+	b.listener, b.conns = l, map[net.Conn]bool{}
+	b.address, b.born = l.Addr().String(), max(b.born, w.cfg.Clock.Now())
 	cfg := server.Config{
 		ID: b.id, Clock: w.cfg.Clock, Version: b.version, Born: int64(b.born), Events: streamEvents, Pause: eventPause,
 		Ran: func(r server.Run) { w.record.ran(b.id, r) }, Seed: w.cfg.Seed,
@@ -85,15 +89,35 @@
 	}
 }
 
-// die ends the server as the kernel ends a process: the listener closes, then all connections by a
-// FIN, or by a reset.
-func (b *backend) die(reset bool) {
-	if reset {
+// ending is how the process of a server ends.
+type ending string
+
+const (
+	// byFin closes all connections at once, as the kernel does where nothing is unread.
+	byFin ending = "by FIN"
+	// byReset resets them.
+	byReset ending = "by reset"
+	// behindAnswers takes no more requests and ends once all answers are sent, within maxAnswer.
+	behindAnswers ending = "behind its answers"
+)
+
+// maxAnswer is how long a server waits for its answers before it ends, in milliseconds.
+const maxAnswer = 1 * clocker.Second
+
+// die ends the process of the server. The listener closes first.
+func (b *backend) die(how ending) {
+	_ = b.listener.Close() // also if it is not served yet
+	switch how {
+	case byReset:
 		b.mu.Lock()
 		for c := range b.conns {
 			_ = c.(*net.TCPConn).SetLinger(0) // the connection may have ended
 		}
 		b.mu.Unlock()
+	case behindAnswers:
+		ctx, cancel := context.WithTimeout(context.Background(), maxAnswer.Duration())
+		defer cancel()
+		_ = b.http.Shutdown(ctx) // Close ends what is left
 	}
 	_ = b.http.Close()
 }
