Chooser: a request that ends while its server's entry is missing is not in flight for ever

In an outage of the store entries lapse while requests go on. Finish dropped the end of such a request, but the state with its count in flight comes back with the entry. After the next failure the server was never probed and stayed ejected for as long as it lived, and a brittle server lost the room.

TestRequestThatEndsWithoutAnEntryIsNotInFlightForEver and TestRoomOfABrittleServerSurvivesAMissingEntry failed before.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -406,6 +406,9 @@
 // Finish records how an attempt ended. It reports whether the server is ejected.
 func (c *Chooser) Finish(id string, o Outcome, now clocker.Millis) bool {
 	m := c.servers[id]
+	if m == nil {
+		m = c.removed[id]
+	}
 	if m == nil {
 		return false
 	}
