Carrier: an idle connection is used for the address that it was opened to

Idle connections are kept by the ID of the server. Where a server starts again under its ID at another address while the process before still serves, requests for the new incarnation went to the old one, whose ID the expected one is: they reached a server that leaves, and ran with its software.

TestIdleConnectionIsNotReusedForAnotherAddressOfTheServer failed before.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -38,6 +38,8 @@
 	net.Conn
 	reader  *bufio.Reader
 	traffic Traffic
+	// address is that of the server, set once the connection is idle.
+	address string
 	// via is the host that the connection passes through, "" for a direct one.
 	via string
 	// idleSince is when the last exchange of a request and its response ended.
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -69,7 +69,7 @@
 	for i := len(conns) - 1; i >= 0; i-- {
 		cn := conns[i]
 		idleTime := now - cn.idleSince
-		expired := idleTime > c.idleTimeout(cn) || !c.cfg.Dialer.Usable(cn.via)
+		expired := idleTime > c.idleTimeout(cn) || !c.cfg.Dialer.Usable(cn.via) || cn.address != t.Address
 		if !expired && idleTime > r.MaxIdleTime {
 			return nil
 		}
@@ -99,6 +99,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cn.idleSince = c.cfg.Clock.Now()
+	cn.address = t.Address
 	if len(c.idle[t.ID]) >= maxIdleConnsPerServer || len(cn.requestIDHashes) >= maxRequestsPerConn {
 		_ = cn.Close()
 		return
