Relayer: what an attempt tells of a server counts for the incarnation that it was sent to

Outcomes, status reports and refused connections were passed on by the ID of the server. What the incarnation before told after the entry of the next one was read, such as that it leaves or a limit, held for the new one for as long as it lived, and two requests that the old one cut ejected the new one.

Nothing of an attempt counts now whose server another incarnation has replaced, by the start that its connection told if it did.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -116,7 +116,7 @@
 	a.log.Incarnation = response.StartedAt()
 	a.log.Unframed = !response.Framed()
 	if response.StatusCode != http.StatusMisdirectedRequest { // another server has taken over the address
-		x.cfg.Servers.RecordActivity(a.server.ID, x.cfg.HeaderNames.statusReport(response.StatusCode, response.Header, a.sentAt))
+		x.recordActivity(a, x.cfg.HeaderNames.statusReport(response.StatusCode, response.Header, a.sentAt))
 	}
 	if f, refused := x.checkServerRefusal(a, response); refused {
 		return f, true
@@ -157,14 +157,14 @@
 	a.log.setCause(err)
 	if connector.IsErrNotSent(err) {
 		if x.ctx.Err() != nil {
-			x.cfg.Servers.Finish(a.server.ID, chooser.NoFailure)
+			x.finish(a, chooser.NoFailure)
 			return serverUnreachable
 		}
 		if carrier.IsErrOtherIncarnation(err) {
 			return x.finishAttempt(a, chooser.NoFailure, serverUnreachable)
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			x.cfg.Servers.MarkDown(a.server.ID)
+			x.markDown(a)
 		}
 		return x.finishAttempt(a, chooser.Unreachable, serverUnreachable)
 	}
@@ -197,7 +197,7 @@
 
 // finishAttempt records the outcome of an attempt and returns f.
 func (x *relayedRequest) finishAttempt(a *attempt, o chooser.Outcome, f failure) failure {
-	x.cfg.Servers.Finish(a.server.ID, o)
+	x.finish(a, o)
 	a.log.setOutcome(f.reason)
 	return f
 }
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -118,7 +118,7 @@
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
-			x.cfg.Servers.RecordActivity(a.server.ID, chooser.StatusReport{})
+			x.recordActivity(a, chooser.StatusReport{})
 		}
 		if complete := events.add(buffer[:n]); len(complete) > 0 {
 			if a.answerBegan == 0 {
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -133,7 +133,7 @@
 		x.countSent(a)
 		x.countPossibleRun(a)
 	}
-	x.cfg.Servers.Finish(a.server.ID, chooser.NoFailure)
+	x.finish(a, chooser.NoFailure)
 	a.log.setOutcome(wentOn)
 	a.close()
 }
