Quarantine: a server that listens again at once has crashed as well

The crash of a server was evidence against the request under which it went only if the address refused a connection. A server whose next incarnation listens at once crashed under a deadly request again and again, and no quarantine began.

The probe behind a lost connection asks for the incarnation as well, and a replaced incarnation that had not been leaving has crashed.

Refuses is now Ended, and its checks in runner the same.

--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -47,15 +47,26 @@
 	return cn, err
 }
 
-// Refuses reports whether nothing accepts connections at the server's address, as after its
-// crash. It is false if that is not certain, as on a path that loses or resets connections.
-func (c *Carrier) Refuses(ctx context.Context, t Target, timeout clocker.Millis) bool {
+// Ended reports whether the incarnation of a server has ended: nothing accepts connections at its address, as after
+// its crash, or another incarnation does. It is false if that is not certain, as on a path that loses or resets
+// connections.
+func (c *Carrier) Ended(ctx context.Context, t Target, timeout clocker.Millis) bool {
 	cn, err := c.dial(ctx, t.Address, timeout)
-	if err == nil {
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if c.cfg.Identity == nil || !t.Identifies || t.StartedAt == 0 {
 		_ = cn.Close()
 		return false
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	reusable, err := c.identify(ctx, cn, t)
+	if err != nil || !reusable {
+		_ = cn.Close()
+	} else {
+		c.putIdle(t, cn)
+	}
+	told := cn.incarnation.startedAt
+	return err == nil && told > 0 && told != t.StartedAt
 }
 
 // popIdle removes and returns the most recently used connection that suits the request, has not been idle
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -76,6 +76,8 @@
 	// removed holds servers whose entry was removed; a server that reappears in the
 	// same incarnation gets its state back.
 	removed map[string]*serverState
+	// ended holds the incarnation before the present one, by the ID of the server.
+	ended map[string]endedIncarnation
 	// meanLoad is the moving average of the reported load, by service.
 	meanLoad map[string]float64
 	// brittle holds the services whose servers are or were brittle.
@@ -89,6 +91,7 @@
 		cfg:      cfg,
 		servers:  map[string]*serverState{},
 		removed:  map[string]*serverState{},
+		ended:    map[string]endedIncarnation{},
 		meanLoad: map[string]float64{},
 		brittle:  map[string]*brittleService{},
 		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
@@ -104,6 +107,7 @@
 	}
 	switch {
 	case m == nil || !m.sameIncarnation(s) && !m.isUnlisted(s):
+		c.recordEnd(m)
 		m = c.newState(s.Service)
 	case m.isUnlisted(s):
 		m.unlistedStart = 0
@@ -130,6 +134,7 @@
 	if m == nil || m.StartedAt == startedAt || m.unlistedStart == startedAt {
 		return false
 	}
+	c.recordEnd(m)
 	fresh := c.newState(m.Service)
 	fresh.Server = m.Server
 	fresh.missingDeadline = m.missingDeadline
@@ -169,6 +174,7 @@
 		}
 	}
 	maps.DeleteFunc(c.removed, func(_ string, m *serverState) bool { return now-m.removedAt > removedRetention })
+	maps.DeleteFunc(c.ended, func(id string, _ endedIncarnation) bool { return c.servers[id] == nil && c.removed[id] == nil })
 	return expired
 }
 
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -62,8 +62,8 @@
 }
 
 // reportCrash reports a crash of the server if the connection was lost for that reason before the
-// server had begun its answer. A server that leaves stops as planned, and so may one that another incarnation
-// has replaced.
+// server had begun its answer. A server that leaves stops as planned. One that does not has crashed if nothing
+// listens at its address, or another incarnation does.
 func (x *relayedRequest) reportCrash(a *attempt, cause error) {
 	if x.ctx.Err() != nil || !connector.IsConnectionLost(cause) {
 		return
@@ -71,16 +71,23 @@
 	if a.answerBegan > 0 && x.cfg.Clock.Now()-a.answerBegan > answerBeginning {
 		return
 	}
-	if x.cfg.Servers.Leaving(a.server.ID) || x.cfg.Servers.Replaced(a.server) {
+	if !x.crashed(a) {
 		return
 	}
-	if x.cfg.Carrier.Refuses(x.ctx, x.targetOf(a), crashProbeTimeout) {
-		a.log.Crashed = true
-		x.cfg.Servers.MarkDown(a.server.ID)
-		suspect := x.suspect
-		suspect.Begun = a.headerReceived
-		x.cfg.Quarantine.Crashed(incarnationOf(a.server), suspect)
+	a.log.Crashed = true
+	x.markDown(a)
+	suspect := x.suspect
+	suspect.Begun = a.headerReceived
+	x.cfg.Quarantine.Crashed(incarnationOf(a.incarnation()), suspect)
+}
+
+// crashed reports whether the server of an attempt has ended other than as planned.
+func (x *relayedRequest) crashed(a *attempt) bool {
+	s := a.incarnation()
+	if x.cfg.Servers.Replaced(s) {
+		return !x.cfg.Servers.LeftAsPlanned(s)
 	}
+	return !x.cfg.Servers.Leaving(s.ID) && x.cfg.Carrier.Ended(x.ctx, x.targetOf(a), crashProbeTimeout)
 }
 
 func incarnationOf(s chooser.Server) quarantiner.Server {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -44,6 +44,8 @@
 	Leaving(id string) bool
 	// Replaced reports whether another incarnation runs in place of a server by now.
 	Replaced(s chooser.Server) bool
+	// LeftAsPlanned reports whether a server that was replaced had been leaving, or may have been.
+	LeftAsPlanned(s chooser.Server) bool
 }
 
 // Budgets reserves and settles tokens of client accounts. Reservations of a lower rank take
--- a/relayer/replaced_server_test.go
+++ b/relayer/replaced_server_test.go
@@ -19,6 +19,13 @@
 	return known && current.Address != server.Address
 }
 
+// LeftAsPlanned implements Servers.
+func (s *lockedChooser) LeftAsPlanned(server chooser.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.LeftAsPlanned(server)
+}
+
 // replace makes the entry of the first server that of another incarnation at the address of b.
 func (f *fixture) replace(b *backend) {
 	f.servers.mu.Lock()
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -317,6 +317,13 @@
 	return known && !sameIncarnation(current, s)
 }
 
+// LeftAsPlanned implements relayer.Servers.
+func (b *backendPool) LeftAsPlanned(s chooser.Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.chooser.LeftAsPlanned(s)
+}
+
 // LastActivity implements relayer.Servers.
 func (b *backendPool) LastActivity(id string) clocker.Millis {
 	b.mu.Lock()
--- a/runner/detour_test.go
+++ b/runner/detour_test.go
@@ -226,8 +226,8 @@
 	assert.NilError(t, f.servers[0].Close())
 	assert.Assert(t, h.exchange(t, 1) != "")
 	c := carrier.New(carrier.Config{Clock: clocker.NewWall(), Dialer: h})
-	assert.Assert(t, c.Refuses(t.Context(), carrier.Target{Address: f.servers[0].Addr().String()}, detourTimeout))
-	assert.Assert(t, !c.Refuses(t.Context(), carrier.Target{Address: f.servers[1].Addr().String()}, detourTimeout))
+	assert.Assert(t, c.Ended(t.Context(), carrier.Target{Address: f.servers[0].Addr().String()}, detourTimeout))
+	assert.Assert(t, !c.Ended(t.Context(), carrier.Target{Address: f.servers[1].Addr().String()}, detourTimeout))
 }
 
 // Guards against many dials for one cut: requests that fail at once share one verification.
