Carrier: an answer to HEAD is whole with its header

Since an answer without a length counts only if its server goes on. An answer to HEAD has no body, and mostly no length: each cost a connection, and where the server ended behind it the caller got 502.

TestAnswerToHeadIsWholeWithItsHeader failed before.

--- a/carrier/response.go
+++ b/carrier/response.go
@@ -95,7 +95,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if !r.Framed() {
+	if !r.Framed() && r.Request.Method != http.MethodHead { // an answer to HEAD is its header
 		if r.waitWrite() != nil {
 			return n, io.ErrUnexpectedEOF // a TCP reset fails either the write or the read, not both
 		}
