--- /dev/null
+++ b/relayer/review_test.go
@@ -0,0 +1,41 @@
+package relayer
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/matcher"
+)
+
+// A resumable stream of a service whose declaration has no engine.
+func TestReviewStreamOfAServiceWithoutEngineDoesNotGoOnAtARestartedServer(t *testing.T) {
+	broken := newBackend(t, tellStart(1, breakAfter(3)))
+	restarted := newBackend(t, tellStart(2, resume(6)))
+	f, _ := newEngineFixture(t, resumableRoute, []string{"v1", "v1"}, broken, restarted)
+	f.table.Service("s").Engine = false
+	got := f.call(t, "POST", "/r/x", "b")
+	assert.Assert(t, got.truncated, "%q", got.body)
+}
+
+// A late copy of the answer to the identity call promises nothing about an unsafe request that runs.
+func TestReviewExtraIdentityAnswerIsNoPromise(t *testing.T) {
+	identified, ran := false, false
+	b := newBackend(t, func(w io.Writer, req *http.Request) {
+		if req.URL.Path == identityPath {
+			identified = true
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
+			return
+		}
+		ran = true
+		_, _ = io.WriteString(w, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n") // without an ID: an extra answer
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sign: s\r\nContent-Length: 2\r\n\r\nok", req.Header.Get("X-Id"))
+	})
+	f, _ := newEngineFixture(t, matcher.Route{Kind: matcher.Unsafe}, []string{"v1"}, b)
+	got := f.call(t, "POST", "/r/x", "b")
+	assert.Assert(t, identified && ran)
+	assert.Assert(t, got.status != http.StatusServiceUnavailable, "the request ran and the caller got %d", got.status)
+}
