--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -98,7 +98,7 @@
 	Address string
 	// StartedAt is when the incarnation started that its entry tells of, 0 if unknown.
 	StartedAt clocker.Millis
-	// Identifies is true if the server is of a kind that answers Config.Identity.
+	// Identifies is true if the server is asked for its incarnation on each new connection.
 	Identifies bool
 }
 
@@ -152,6 +152,9 @@
 	}
 	cancelClose := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	response, err := c.roundTrip(cn, r)
+	if err == nil && r.SameIncarnation {
+		err = c.confirmIncarnation(ctx, cn, t)
+	}
 	if err != nil {
 		cancelClose()
 		_ = cn.Close()
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -101,6 +101,11 @@
 	return len(c.requestIDHashes) == 1
 }
 
+// isFirstResponse reports whether no response was due on the connection before that to the current request.
+func (c *conn) isFirstResponse() bool {
+	return c.isFirstExchange() && (!c.incarnation.asked || c.incarnation.before)
+}
+
 // setReadLimit limits the number of bytes read from now on.
 func (c *conn) setReadLimit(n int) {
 	c.readLimit = n
--- a/carrier/end.go
+++ b/carrier/end.go
@@ -34,6 +34,7 @@
 // has restarted if it has closed any idle connection as well.
 func (c *Carrier) goesOn(r *Response) bool {
 	t := r.target
+	t.Identifies = true // also where new connections are not worth the call
 	if startedAt := r.StartedAt(); startedAt > 0 {
 		t.StartedAt = startedAt
 	}
@@ -42,7 +43,8 @@
 		return false
 	}
 	defer c.putIdle(r.target, cn)
-	if told := cn.incarnation.startedAt; told > 0 && t.StartedAt > 0 {
+	told := cn.incarnation.startedAt
+	if told > 0 && t.StartedAt > 0 || r.StartedAt() > 0 {
 		return told == t.StartedAt
 	}
 	return !c.closedIdle(t)
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/connector"
 )
 
 const (
@@ -45,6 +46,8 @@
 	asked bool
 	// startedAt is when the incarnation started, 0 if the server didn't tell.
 	startedAt clocker.Millis
+	// before is true if the server told it on an earlier connection.
+	before bool
 }
 
 // ErrOtherIncarnation reports that a server has restarted, or does not tell whether it has.
@@ -100,12 +103,15 @@
 		_ = cn.Close()
 		if err != nil {
 			identitiesRefused.Inc()
-			if ctx.Err() == nil {
+			var status errIdentityStatus
+			if ctx.Err() == nil && !errors.As(err, &status) {
 				c.cfg.Dialer.Lost(cn.via)
 			}
 			return nil, err
 		}
-		told = incarnation{asked: true, startedAt: cn.incarnation.startedAt}
+		if cn.incarnation.startedAt > 0 || told.startedAt == 0 {
+			told = incarnation{asked: true, startedAt: cn.incarnation.startedAt, before: true}
+		}
 	}
 	cn, err := c.dial(ctx, t.Address, c.cfg.DialTimeout)
 	if err == nil {
@@ -114,6 +120,29 @@
 	return cn, err
 }
 
+// confirmIncarnation asks a server again behind the header of its response if it told its incarnation before the
+// connection was opened: it may have restarted in between.
+func (c *Carrier) confirmIncarnation(ctx context.Context, cn *conn, t Target) error {
+	if !cn.incarnation.before || cn.incarnation.startedAt == 0 {
+		return nil
+	}
+	cn.incarnation.before = false
+	if !c.stillRuns(ctx, t) {
+		return connector.ErrAborted{Cause: errServerGone}
+	}
+	return nil
+}
+
+// stillRuns reports whether the incarnation that the target names still listens, as far as the server tells.
+func (c *Carrier) stillRuns(ctx context.Context, t Target) bool {
+	cn, err := c.dialServer(ctx, t)
+	if err != nil {
+		return false
+	}
+	c.putIdle(t, cn)
+	return cn.incarnation.startedAt == t.StartedAt
+}
+
 // identify asks a server on a new connection which incarnation it is. It reports whether the connection
 // can be used for a request afterwards.
 func (c *Carrier) identify(ctx context.Context, cn *conn, t Target) (reusable bool, err error) {
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -48,7 +48,7 @@
 			return nil, connector.ErrAborted{Cause: err}
 		}
 		id := resp.Header.Get(c.cfg.RequestIDHeader)
-		if id == r.ID || id == "" && cn.isFirstExchange() && resp.StatusCode >= http.StatusMultipleChoices {
+		if id == r.ID || id == "" && cn.isFirstResponse() && resp.StatusCode >= http.StatusMultipleChoices {
 			return resp, nil
 		}
 		if id == "" {
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -64,6 +65,8 @@
 	// Admits reports whether requests may be sent to servers of a version of a service; nil
 	// admits all.
 	Admits func(service, software string) bool
+	// AdmitsUnlisted is Admits for the version that stands for an incarnation without an entry.
+	AdmitsUnlisted func(service, software string) bool
 	// Seed seeds the random choice among servers of similar cost.
 	Seed uint64
 }
@@ -131,14 +134,16 @@
 // until the new entry is set. It reports whether the incarnation is news.
 func (c *Chooser) MarkRestarted(id string, startedAt, now clocker.Millis) bool {
 	m := c.servers[id]
-	if m == nil || m.StartedAt == startedAt || m.unlistedStart == startedAt {
+	if m == nil || m.running().StartedAt == startedAt {
 		return false
 	}
 	c.recordEnd(m)
 	fresh := c.newState(m.Service)
 	fresh.Server = m.Server
 	fresh.missingDeadline = m.missingDeadline
-	fresh.unlistedStart, fresh.unlistedSince = startedAt, now
+	if startedAt != m.StartedAt { // else what it told last was wrong
+		fresh.unlistedStart, fresh.unlistedSince = startedAt, now
+	}
 	c.servers[id] = fresh
 	return true
 }
@@ -239,6 +244,7 @@
 // Choose returns the server with the lowest estimated cost for a request, if any server
 // of the service accepts new requests. Call Start when the request is sent to it.
 func (c *Chooser) Choose(r Request, now clocker.Millis) Choice {
+	r.Software = c.listed(r.Software)
 	candidates := c.candidates(r, now)
 	if len(candidates) == 0 {
 		return Choice{RetryAt: c.earliestRetry(r, now)}
@@ -256,15 +262,26 @@
 
 // serves reports whether a server is of the service and the version that a request needs, and may be used.
 func (c *Chooser) serves(m *serverState, r Request, now clocker.Millis) bool {
-	if m.Service != r.Service || r.Pinned && (m.running().Software != r.Software || m.restarted(now)) {
+	running := m.running()
+	if m.Service != r.Service || r.Pinned && (running.Software != r.Software || m.restarted(now)) {
 		return false
 	}
 	if r.Resumable && m.unlistedStart > 0 {
-		return now-m.unlistedSince >= unlistedDelay
+		return now-m.unlistedSince >= unlistedDelay && (c.cfg.AdmitsUnlisted == nil || c.cfg.AdmitsUnlisted(m.Service, running.Software))
 	}
 	return c.cfg.Admits == nil || c.cfg.Admits(m.Service, m.Software)
 }
 
+// listed returns the software that an entry names by now for a version that stands for an incarnation without an entry,
+// and any other version unchanged.
+func (c *Chooser) listed(software string) string {
+	id, _, unlisted := strings.Cut(software, unlistedSeparator)
+	if m := c.servers[id]; unlisted && m != nil && m.unlistedStart == 0 && unlistedSoftware(m.ID, m.StartedAt) == software {
+		return m.Software
+	}
+	return software
+}
+
 // earliestRetry returns when the first server of the service may get a request again that
 // backs off or whose limit is used up; 0 if there is none.
 func (c *Chooser) earliestRetry(r Request, now clocker.Millis) clocker.Millis {
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -177,11 +177,18 @@
 	s := m.Server
 	if m.unlistedStart > 0 {
 		s.StartedAt = m.unlistedStart
-		s.Software = fmt.Sprintf("%s@%d", s.ID, m.unlistedStart)
+		s.Software = unlistedSoftware(s.ID, m.unlistedStart)
 	}
 	return s
 }
 
+const unlistedSeparator = "@"
+
+// unlistedSoftware returns the version that stands for an incarnation without an entry.
+func unlistedSoftware(id string, startedAt clocker.Millis) string {
+	return fmt.Sprint(id, unlistedSeparator, startedAt)
+}
+
 // leaving reports whether the server is draining, has reported in this incarnation that it
 // is leaving, or has a missing entry whose deadline has passed.
 func (m *serverState) leaving(now clocker.Millis) bool {
--- a/recorder/versions.go
+++ b/recorder/versions.go
@@ -54,6 +54,16 @@
 	s.lastSeen = now
 }
 
+// Used records that streams begin at servers of the version, or are about to. Unlike Seen it does not take a version
+// for one that came back, so that the version stays admitted.
+func (v *Versions) Used(service, software string, now clocker.Millis) {
+	s := v.state(service, software)
+	if s.firstSeen == 0 {
+		s.firstSeen = now
+	}
+	s.lastSeen = now
+}
+
 // ApplyRecord applies the record of the store: the versions of each service.
 func (v *Versions) ApplyRecord(record map[string][]string, now clocker.Millis) {
 	v.recordRead = true
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -37,7 +37,8 @@
 
 // targetOf returns the server of an attempt.
 func (x *relayedRequest) targetOf(a *attempt) carrier.Target {
-	return carrier.Target{ID: a.server.ID, Address: a.server.Address, StartedAt: a.server.StartedAt, Identifies: x.service.Engine}
+	identifies := x.service.Engine || x.table.Resumable(x.service.Name)
+	return carrier.Target{ID: a.server.ID, Address: a.server.Address, StartedAt: a.server.StartedAt, Identifies: identifies}
 }
 
 // close ends the exchange with the server.
--- a/relayer/incarnation_test.go
+++ b/relayer/incarnation_test.go
@@ -187,3 +187,30 @@
 		}
 	}
 }
+
+// A resumable stream of a service whose declaration has no engine.
+func TestStreamOfAServiceWithoutEngineDoesNotGoOnAtARestartedServer(t *testing.T) {
+	broken := newBackend(t, tellStart(1, breakAfter(3)))
+	restarted := newBackend(t, tellStart(2, resume(6)))
+	f, _ := newEngineFixture(t, resumableRoute, []string{"v1", "v1"}, broken, restarted)
+	f.table.Service("s").Engine = false
+	got := f.call(t, "POST", "/r/x", "b")
+	assert.Assert(t, got.truncated, "%q", got.body)
+}
+
+// The same server without an engine dies and is back before this host looks; no idle connection tells of it.
+func TestCutAnswerOfARestartedServerWithoutEngineIsNotWhole(t *testing.T) {
+	b := newBackend(t, nil)
+	restarted := func(w io.Writer, req *http.Request) {
+		unframed(3)(w, req)
+		b.mu.Lock()
+		b.handlers = []handler{tellStart(2, unframed(6))}
+		b.mu.Unlock()
+		_ = w.(net.Conn).Close()
+	}
+	b.handlers = []handler{tellStart(1, restarted)}
+	f, _ := newEngineFixture(t, matcher.Route{Kind: matcher.Stream}, []string{"v1"}, b)
+	f.table.Service("s").Engine = false
+	got := f.call(t, "POST", "/r/x", "b")
+	assert.Assert(t, got.truncated, "%q", got.body)
+}
--- a/runner/stream_origins.go
+++ b/runner/stream_origins.go
@@ -115,11 +115,20 @@
 	return o.versions.Admitted(service, software, o.clock.Now())
 }
 
+// admitsUnlisted implements chooser.Config.AdmitsUnlisted. No entry names the version, so that it has to be recorded
+// from here.
+func (o *streamOrigins) admitsUnlisted(service, software string) bool {
+	o.mu.Lock()
+	o.versions.Used(service, software, o.clock.Now())
+	o.mu.Unlock()
+	return o.admits(service, software)
+}
+
 // Began implements relayer.Origins.
 func (o *streamOrigins) Began(id string, s chooser.Server) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.versions.Seen(s.Service, s.Software, o.clock.Now()) // no entry names that of an unlisted incarnation
+	o.versions.Used(s.Service, s.Software, o.clock.Now()) // no entry names that of an unlisted incarnation
 	o.recorder.Began(recorder.Origin{Stream: recorder.StreamHash(id), Software: s.Software}, o.lifetime(), o.clock.Now())
 }
 
