--- a/carrier/response.go
+++ b/carrier/response.go
@@ -87,6 +87,8 @@
 	cancelClose func() bool
 	write       *requestWrite
 	complete    bool
+	// cut is true once the end of a body without a length was found to be none.
+	cut bool
 }
 
 // Read reads from the body. It returns io.EOF only after a complete body.
@@ -99,7 +101,8 @@
 		if r.waitWrite() != nil {
 			return n, io.ErrUnexpectedEOF // a TCP reset fails either the write or the read, not both
 		}
-		if !r.complete && !r.confirmEnd() {
+		r.cut = r.cut || !r.complete && !r.confirmEnd()
+		if r.cut {
 			return n, errServerGone
 		}
 	}
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -281,6 +281,10 @@
 		return
 	}
 	b.reportEnd(before)
+	if s.StartedAt == startedAt {
+		b.log.Info("backend server is the incarnation that its entry tells of", "server", t.ID, "started_at", startedAt, "told_before", before.StartedAt)
+		return
+	}
 	b.log.Info("backend server is another incarnation than its entry tells of", "server", t.ID, "entry_started_at", s.StartedAt, "started_at", startedAt, "software", s.Software)
 }
 
