Soak: take-ups behind the last event are counted apart

A stream whose answer breaks off behind its last event is taken up with nothing left to come. They say nothing of streams that go on, so they are a figure of their own.

--- a/soaker/takeups.go
+++ b/soaker/takeups.go
@@ -30,6 +30,8 @@
 	New, Began int
 	// TakeUps were sent by callers behind events that they had, and WentOn of them.
 	TakeUps, WentOn int
+	// AtEnd are take-ups behind the last event, which nothing can go on with and no other figure holds.
+	AtEnd int
 	// Refused counts the take-ups that did not go on by status and reason.
 	Refused map[string]int
 	// Joined streams hold events of two software versions. Short answers lack events or bytes and
@@ -242,6 +244,8 @@
 		return
 	}
 	switch {
+	case q.after == streamEvents:
+		s.AtEnd++
 	case q.origin == "":
 		s.New++
 		if q.goesOn() {
@@ -258,7 +262,7 @@
 
 // String says how many streams began and went on.
 func (s Streams) String() string {
-	return fmt.Sprintf("%d of %d new streams began, %d of %d take-ups went on, others %v", s.Began, s.New, s.WentOn, s.TakeUps, s.Refused)
+	return fmt.Sprintf("%d of %d new streams began, %d of %d take-ups went on, others %v, %d behind the last event", s.Began, s.New, s.WentOn, s.TakeUps, s.Refused, s.AtEnd)
 }
 
 // refusal names how a take-up ended that did not go on.
