Carrier: a plain service without a free slot still goes on

Behind an answer without a length the server is asked whether it goes on. A plain service treats that as a request, and refused it with 503 where it had no free slot; its whole answer became a failure. A server that never told its incarnation goes on if it answers at all.

TestAnswerWithoutLengthOfAFullServiceIsWhole failed before.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -103,7 +103,7 @@
 
 // isFirstResponse reports whether no response was due on the connection before that to the current request.
 func (c *conn) isFirstResponse() bool {
-	return c.isFirstExchange() && (!c.incarnation.asked || c.incarnation.before)
+	return c.isFirstExchange() && (!c.incarnation.asked || c.incarnation.toldBefore)
 }
 
 // setReadLimit limits the number of bytes read from now on.
--- a/carrier/end.go
+++ b/carrier/end.go
@@ -39,6 +39,10 @@
 		t.StartedAt = startedAt
 	}
 	cn, err := c.dialServer(r.ctx, t)
+	var status errIdentityStatus
+	if errors.As(err, &status) && r.StartedAt() == 0 { // it answers, as a plain service without a free slot does
+		return !c.closedIdle(t)
+	}
 	if err != nil {
 		return false
 	}
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -46,8 +46,8 @@
 	asked bool
 	// startedAt is when the incarnation started, 0 if the server didn't tell.
 	startedAt clocker.Millis
-	// before is true if the server told it on an earlier connection.
-	before bool
+	// toldBefore is true if the server told it on an earlier connection.
+	toldBefore bool
 }
 
 // ErrOtherIncarnation reports that a server has restarted, or does not tell whether it has.
@@ -110,7 +110,7 @@
 			return nil, err
 		}
 		if cn.incarnation.startedAt > 0 || told.startedAt == 0 {
-			told = incarnation{asked: true, startedAt: cn.incarnation.startedAt, before: true}
+			told = incarnation{asked: true, startedAt: cn.incarnation.startedAt, toldBefore: true}
 		}
 	}
 	cn, err := c.dial(ctx, t.Address, c.cfg.DialTimeout)
@@ -123,10 +123,10 @@
 // confirmIncarnation asks a server again behind the header of its response if it told its incarnation before the
 // connection was opened: it may have restarted in between.
 func (c *Carrier) confirmIncarnation(ctx context.Context, cn *conn, t Target) error {
-	if !cn.incarnation.before || cn.incarnation.startedAt == 0 {
+	if !cn.incarnation.toldBefore || cn.incarnation.startedAt == 0 {
 		return nil
 	}
-	cn.incarnation.before = false
+	cn.incarnation.toldBefore = false
 	if !c.stillRuns(ctx, t) {
 		return connector.ErrAborted{Cause: errServerGone}
 	}
--- a/carrier/identity_test.go
+++ b/carrier/identity_test.go
@@ -203,3 +203,23 @@
 	assert.Assert(t, connector.IsErrNotSent(err), "%v", err)
 	<-ended
 }
+
+// Guards against a whole answer of a plain service that becomes a failure: the service has no free slot for the
+// question whether it goes on.
+func TestAnswerWithoutLengthOfAFullServiceIsWhole(t *testing.T) {
+	address, _ := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == identityPath {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nwhole", r.Header.Get("X-Id"))
+		_ = conn.Close()
+	})
+	body, err := send(t, newIdentityCarrier(nil), Target{ID: "one", Address: address, StartedAt: 7}, clocker.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "whole")
+}
