--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -93,8 +93,8 @@
 // soakServers runs a soak whose backend servers restart or die.
 func soakServers(t *testing.T, cfg soaker.Config) soaker.Result {
 	cfg.Clock, cfg.Dialect, cfg.Program = clocker.NewWall(), platform.Dialect, buildProgram(t)
-	cfg.For = 10 * clocker.Second
-	cfg.Routers, cfg.Servers, cfg.Callers, cfg.Prepaid = 3, 6, 12, 200_000
+	cfg.For = 12 * clocker.Second
+	cfg.Routers, cfg.Servers, cfg.Callers, cfg.Prepaid = 3, 8, 24, 400_000
 	result, err := soaker.Run(context.Background(), cfg)
 	assert.NilError(t, err)
 	return result
--- a/soaker/restarts.go
+++ b/soaker/restarts.go
@@ -11,7 +11,7 @@
 
 const (
 	// restartPause is the mean time between two restarts or deaths of backend servers, in milliseconds.
-	restartPause = 700
+	restartPause = 400
 	// maxQuick bounds how long a quick restart takes, and minRefusing and maxRefusing a slow one, in
 	// milliseconds. The address refuses connections meanwhile.
 	maxQuick    = 5
--- a/soaker/takeups.go
+++ b/soaker/takeups.go
@@ -59,7 +59,7 @@
 		if len(q.events) > 0 {
 			last = q.events[len(q.events)-1]
 		}
-		if !q.broken && c.cfg.Clock.Sleep(ctx, refusedPause) != nil {
+		if n > 1 && ctx.Err() != nil || !q.broken && c.cfg.Clock.Sleep(ctx, refusedPause) != nil {
 			return
 		}
 		next := request{id: fmt.Sprintf("%s-resumed-%d", origin, n), path: q.path, account: q.account, after: last, origin: origin}
