Soak: the path of readiness probes is configured

Package soaker imported platform for that path, which only the assembly in cmd may do. It is a field of the soak's configuration now.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -79,16 +79,17 @@
 	status := subcommands.ExitSuccess
 	for seed := c.seed; seed < c.seed+c.seeds && ctx.Err() == nil; seed++ {
 		result, err := soaker.Run(ctx, soaker.Config{
-			Clock:   clocker.NewWall(),
-			Dialect: platform.Dialect,
-			Program: program,
-			Seed:    seed,
-			For:     clocker.Millis(c.seconds) * clocker.Second,
-			Routers: c.routers,
-			Servers: c.servers,
-			Callers: c.callers,
-			Prepaid: c.prepaid,
-			Limits:  c.limits,
+			Clock:     clocker.NewWall(),
+			Dialect:   platform.Dialect,
+			ReadyPath: platform.ReadyPath,
+			Program:   program,
+			Seed:      seed,
+			For:       clocker.Millis(c.seconds) * clocker.Second,
+			Routers:   c.routers,
+			Servers:   c.servers,
+			Callers:   c.callers,
+			Prepaid:   c.prepaid,
+			Limits:    c.limits,
 
 			Restores:   c.restores,
 			FaultPause: clocker.Millis(c.pause),
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -37,16 +37,17 @@
 func TestShortSoakWithLimits(t *testing.T) {
 	program := buildProgram(t)
 	result, err := soaker.Run(context.Background(), soaker.Config{
-		Clock:   clocker.NewWall(),
-		Dialect: platform.Dialect,
-		Program: program,
-		Seed:    1,
-		For:     12 * clocker.Second,
-		Routers: 3,
-		Servers: 3,
-		Callers: 6,
-		Prepaid: 8000,
-		Limits:  true,
+		Clock:     clocker.NewWall(),
+		Dialect:   platform.Dialect,
+		ReadyPath: platform.ReadyPath,
+		Program:   program,
+		Seed:      1,
+		For:       12 * clocker.Second,
+		Routers:   3,
+		Servers:   3,
+		Callers:   6,
+		Prepaid:   8000,
+		Limits:    true,
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
@@ -58,15 +59,16 @@
 	for _, seed := range soakSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			result, err := soaker.Run(context.Background(), soaker.Config{
-				Clock:   clocker.NewWall(),
-				Dialect: platform.Dialect,
-				Program: program,
-				Seed:    seed,
-				For:     6 * clocker.Second,
-				Routers: 3,
-				Servers: 2,
-				Callers: 4,
-				Prepaid: 4000,
+				Clock:     clocker.NewWall(),
+				Dialect:   platform.Dialect,
+				ReadyPath: platform.ReadyPath,
+				Program:   program,
+				Seed:      seed,
+				For:       6 * clocker.Second,
+				Routers:   3,
+				Servers:   2,
+				Callers:   4,
+				Prepaid:   4000,
 			})
 			assert.NilError(t, err)
 			assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
@@ -92,7 +94,7 @@
 
 // soakServers runs a soak whose backend servers restart or die.
 func soakServers(t *testing.T, cfg soaker.Config) soaker.Result {
-	cfg.Clock, cfg.Dialect, cfg.Program = clocker.NewWall(), platform.Dialect, buildProgram(t)
+	cfg.Clock, cfg.Dialect, cfg.ReadyPath, cfg.Program = clocker.NewWall(), platform.Dialect, platform.ReadyPath, buildProgram(t)
 	cfg.For = 12 * clocker.Second
 	cfg.Routers, cfg.Servers, cfg.Callers, cfg.Prepaid = 3, 8, 24, 400_000
 	result, err := soaker.Run(context.Background(), cfg)
--- a/soaker/router.go
+++ b/soaker/router.go
@@ -10,7 +10,6 @@
 	"syscall"
 
 	"cowsliphinge/clocker"
-	"cowsliphinge/platform"
 )
 
 const (
@@ -67,7 +66,7 @@
 	defer cancel()
 	var numbers []int
 	for _, r := range w.routers {
-		for !r.ready() {
+		for !r.ready(w.cfg.ReadyPath) {
 			if w.cfg.Clock.Sleep(ctx, readyPause) != nil {
 				numbers = append(numbers, r.number)
 				break
@@ -77,9 +76,10 @@
 	return numbers
 }
 
-func (r *router) ready() bool {
+// ready reports whether a router answers probes at path with success.
+func (r *router) ready(path string) bool {
 	client := http.Client{Timeout: clocker.Second.Duration()}
-	resp, err := client.Get("http://" + r.settings.ReadyAddress + platform.ReadyPath)
+	resp, err := client.Get("http://" + r.settings.ReadyAddress + path)
 	if err != nil {
 		return false
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -27,6 +27,8 @@
 	Clock *clocker.Clock
 	// Dialect names the headers that callers send and read.
 	Dialect relayer.HeaderNames
+	// ReadyPath is where routers are asked whether they are ready.
+	ReadyPath string
 	// Program is the path of the cowsliphinge binary.
 	Program string
 	// Seed decides all faults and requests.
