Detour: a verification asks more than one host of each other zone

Cause: a verification of the path opened one connection to each of three servers, through one random host of each other zone. Half of the hosts are cut off and have not told yet: all hosts that are asked are cut off as well with a chance of (1/2)^(3 * other zones). Then the path counts as sound and the next verification waits a second. With five zones that is one host of 4,096, in a subtest of 97 such hosts 2 in 100; with two zones one host of 8.

Change: three connections to each server at once, each through one host of each other zone and at least three hosts, own zone included. A verification that all servers fail takes at most two time limits of a connection longer with two zones, and none with four or more.

Where three quarters of the hosts or more are cut off at once, a verification may still find none.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -32,6 +32,8 @@
 	ownZoneHosts = 2
 	// moreHosts is the number of further hosts. A host that is cut off itself says so at once.
 	moreHosts = 6
+	// minVerifiers is the number of hosts that a connection of a verification tries at least.
+	minVerifiers = 3
 	// hostPause is how long a host is not chosen after it failed, in milliseconds.
 	hostPause = clocker.Second
 )
@@ -147,27 +149,41 @@
 func (d *Detourer) Hosts(peers []heartbeater.Peer, zone string, now clocker.Millis) []heartbeater.Peer {
 	byZone := d.usableHosts(peers, now)
 	hosts := d.choose(nil, byZone[zone], ownZoneHosts)
-	hosts = append(hosts, d.Elsewhere(peers, zone, now)...)
-	var rest []heartbeater.Peer
-	for _, p := range slices.Concat(slices.Collect(maps.Values(byZone))...) {
-		if !slices.ContainsFunc(hosts, func(h heartbeater.Peer) bool { return h.Host == p.Host }) {
-			rest = append(rest, p)
-		}
-	}
-	return d.choose(hosts, rest, moreHosts)
+	hosts = d.oneOfEachOtherZone(hosts, byZone, zone)
+	return d.chooseMore(hosts, byZone, moreHosts)
 }
 
-// Elsewhere returns a host of each other zone, for a verification of the path: the hosts of the own zone
-// may be cut off alike.
-func (d *Detourer) Elsewhere(peers []heartbeater.Peer, zone string, now clocker.Millis) []heartbeater.Peer {
+// Verifiers returns random hosts for a verification of the path, in the order in which they are tried: one
+// of each other zone, since the hosts of the own zone may be cut off alike, and others up to minVerifiers.
+func (d *Detourer) Verifiers(peers []heartbeater.Peer, zone string, now clocker.Millis) []heartbeater.Peer {
 	byZone := d.usableHosts(peers, now)
-	delete(byZone, zone)
+	hosts := d.oneOfEachOtherZone(nil, byZone, zone)
+	return d.chooseMore(hosts, byZone, minVerifiers-len(hosts))
+}
+
+// oneOfEachOtherZone appends a host of each zone other than zone, in random order.
+func (d *Detourer) oneOfEachOtherZone(chosen []heartbeater.Peer, byZone map[string][]heartbeater.Peer, zone string) []heartbeater.Peer {
 	var hosts []heartbeater.Peer
 	for _, z := range slices.Sorted(maps.Keys(byZone)) {
-		hosts = d.choose(hosts, byZone[z], 1)
+		if z != zone {
+			hosts = d.choose(hosts, byZone[z], 1)
+		}
 	}
 	d.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return hosts
+	return append(chosen, hosts...)
+}
+
+// chooseMore appends up to n of the hosts that are not chosen yet.
+func (d *Detourer) chooseMore(chosen []heartbeater.Peer, byZone map[string][]heartbeater.Peer, n int) []heartbeater.Peer {
+	var rest []heartbeater.Peer
+	for _, z := range slices.Sorted(maps.Keys(byZone)) {
+		for _, p := range byZone[z] {
+			if !slices.ContainsFunc(chosen, func(h heartbeater.Peer) bool { return h.Host == p.Host }) {
+				rest = append(rest, p)
+			}
+		}
+	}
+	return d.choose(chosen, rest, n)
 }
 
 // usableHosts returns the hosts that may be asked for tunnels, by zone.
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -120,7 +120,13 @@
 			}
 			slices.Sort(zones[ownZoneHosts : ownZoneHosts+2])
 			assert.DeepEqual(t, zones[:ownZoneHosts+2], []string{"a", "a", "b", "c"})
-			assert.Equal(t, len(d.Elsewhere(all, "a", 1000)), 2)
+			zones = nil
+			for _, p := range d.Verifiers(all, "a", 1000) {
+				zones = append(zones, p.AvailabilityZone)
+			}
+			assert.Equal(t, len(zones), minVerifiers)
+			slices.Sort(zones[:2])
+			assert.DeepEqual(t, zones[:2], []string{"b", "c"})
 		}
 	}
 }
--- a/runner/detour.go
+++ b/runner/detour.go
@@ -21,6 +21,9 @@
 const (
 	// verifiedServers is the number of servers that a verification or a probe connects to.
 	verifiedServers = 3
+	// verifyingConns is the number of connections through other hosts that a verification opens to each of
+	// its servers at once. Each goes through hosts of its own choice.
+	verifyingConns = 3
 	// maxUnreachable is the number of hosts that do not reach a server after which no further one is
 	// tried for the connection.
 	maxUnreachable = 4
@@ -160,12 +163,12 @@
 	d.mu.Lock()
 	hosts := d.decider.Hosts(d.cfg.Peers(), d.cfg.AvailabilityZone, d.cfg.Clock.Now())
 	d.mu.Unlock()
-	return d.dialThroughFirst(ctx, hosts, address, timeout)
+	return d.dialThroughFirst(ctx, hosts, maxUnreachable, address, timeout)
 }
 
 // dialThroughFirst connects through the first of the hosts that reaches the server. A host that does not
-// may be cut off itself, so that up to maxUnreachable are believed only together.
-func (d *detour) dialThroughFirst(ctx context.Context, hosts []heartbeater.Peer, address string, timeout clocker.Millis) (net.Conn, string, error) {
+// may be cut off itself, so that up to maxFailures of them are believed only together.
+func (d *detour) dialThroughFirst(ctx context.Context, hosts []heartbeater.Peer, maxFailures int, address string, timeout clocker.Millis) (net.Conn, string, error) {
 	err := errNoOtherHost
 	var unreachable []heartbeater.Peer
 	for _, p := range hosts {
@@ -183,7 +186,7 @@
 		default:
 			unreachable = append(unreachable, p)
 		}
-		if len(unreachable) == maxUnreachable {
+		if len(unreachable) == maxFailures {
 			break
 		}
 	}
@@ -238,8 +241,7 @@
 	}()
 }
 
-// verify connects to some servers directly and, if none accepts that soon, through hosts of other
-// zones.
+// verify connects to some servers directly and, if none accepts that soon, through other hosts.
 func (d *detour) verify(failed string) detourer.Verification {
 	servers := d.sampleServers(failed)
 	direct := make(chan bool, 1)
@@ -258,20 +260,16 @@
 	if failed != "" {
 		detoured = append(slices.Clone(servers[:min(len(servers), verifiedServers-1)]), failed)
 	}
-	elsewhere := d.anyConnects(detoured, d.dialElsewhere)
+	elsewhere := d.anyConnects(slices.Repeat(detoured, verifyingConns), d.dialToVerify)
 	return detourer.Verification{Direct: <-direct, Detour: elsewhere}
 }
 
-// dialElsewhere connects through a host of another zone, or of the own one if there is no other.
-func (d *detour) dialElsewhere(ctx context.Context, address string, timeout clocker.Millis) (net.Conn, error) {
+// dialToVerify connects through any of the hosts that a verification asks.
+func (d *detour) dialToVerify(ctx context.Context, address string, timeout clocker.Millis) (net.Conn, error) {
 	d.mu.Lock()
-	now := d.cfg.Clock.Now()
-	hosts := d.decider.Elsewhere(d.cfg.Peers(), d.cfg.AvailabilityZone, now)
-	if len(hosts) == 0 {
-		hosts = d.decider.Hosts(d.cfg.Peers(), d.cfg.AvailabilityZone, now)
-	}
+	hosts := d.decider.Verifiers(d.cfg.Peers(), d.cfg.AvailabilityZone, d.cfg.Clock.Now())
 	d.mu.Unlock()
-	c, _, err := d.dialThroughFirst(ctx, hosts, address, timeout)
+	c, _, err := d.dialThroughFirst(ctx, hosts, len(hosts), address, timeout)
 	return c, err
 }
 
--- a/runner/detour_test.go
+++ b/runner/detour_test.go
@@ -198,6 +198,32 @@
 	}
 }
 
+// Guards against a verification that gives up after one host of each other zone: callers of hosts that are
+// cut off together with half of the fleet are refused where there are few availability zones.
+func TestHalfOfTheHostsOfFewZonesReachServersThroughOthers(t *testing.T) {
+	t.Parallel()
+	for _, zones := range []int{1, 2, 3} {
+		for how, cutHow := range map[string]howCut{"refusing": refusing, "hanging": hanging} {
+			t.Run(fmt.Sprintf("%d zones/%s", zones, how), func(t *testing.T) {
+				f := newDetourFleet(t, zones, 60/zones)
+				var group sync.WaitGroup
+				for i, h := range f.hosts {
+					if i%2 == 0 {
+						h.cutHow.Store(int32(cutHow))
+					}
+				}
+				for _, h := range f.hosts {
+					group.Go(func() {
+						via := h.exchange(t, 0)
+						assert.Check(t, (via != "") == (howCut(h.cutHow.Load()) != notCut), "%s went through %q", h.name, via)
+					})
+				}
+				group.Wait()
+			})
+		}
+	}
+}
+
 // Guards against a crash being taken for a cut: a server refuses connections while others accept them,
 // and all servers are down.
 func TestServersThatAreDownAreReportedAsDown(t *testing.T) {
