Stream origins: archived in the store while several versions are in use

Cause: which software version began a stream was kept by hosts alone.

Ruled out: asking servers (their reports name running requests only, and a run ends with its connection); guessing by the versions of today (ORDER).

Change: while several versions are in use, each host tells one of them, chosen by a fixed hash, what it began, at most every 50 ms and 100 calls a second for all hosts. That one writes at most every 250 ms into eight objects in turn. A host that neither knows an origin nor finds a host that does reads them, once in five seconds. Origins never change, so several writers, old contents and a restored store can't contradict each other. Old builds beside: they neither archive nor tell; where one of them ranks first nothing is archived, as before.

Figures: TestStreamsCanBeTakenUpAfterTheDeathOfAllHosts (1, 8, 195 hosts) and TestStreamsAreArchivedByHostsThatDoNotSeeEachOther fail without the read of the archive and pass with it.

--- a/runner/software_record.go
+++ b/runner/software_record.go
@@ -26,18 +26,20 @@
 	softwareWritePatience = 500 * clocker.Millis(1)
 )
 
-// keepOrigins keeps the origins of streams for other hosts, and the record of the versions, until ctx
-// ends.
+// keepOrigins keeps the origins of streams for other hosts and in the store, and the record of the versions,
+// until ctx ends.
 func (r *Runner) keepOrigins(ctx context.Context) error {
 	var group errgroup.Group
 	group.Go(func() error {
 		r.keepSoftwareRecord(ctx)
 		return nil
 	})
-	group.Go(func() error {
-		r.origins.share(ctx)
-		return nil
-	})
+	for _, keep := range []func(context.Context){r.origins.share, r.origins.keepArchive, r.origins.writeArchive} {
+		group.Go(func() error {
+			keep(ctx)
+			return nil
+		})
+	}
 	return group.Wait()
 }
 
--- a/runner/stream_origins.go
+++ b/runner/stream_origins.go
@@ -60,6 +60,8 @@
 	// readRecord reads the record of the versions from the store and reports whether it could.
 	readRecord func(ctx context.Context) bool
 
+	archive *streamArchive
+
 	mu       sync.Mutex
 	recorder *recorder.Recorder
 	versions *recorder.Versions
@@ -88,6 +90,7 @@
 			return t != nil && t.Resumable(service)
 		},
 		readRecord: r.readSoftwareRecord,
+		archive:    &streamArchive{clock: r.cfg.Clock, log: r.cfg.Log, store: r.cfg.Platform.Store, host: r.cfg.Settings.Host},
 		recorder:   recorder.New(r.cfg.Clock.Now()),
 		versions:   recorder.NewVersions(),
 	}
@@ -166,6 +169,10 @@
 	if software, known := o.only(service); known && anyAnswer {
 		return software, true
 	}
+	if software, known := o.findArchived(ctx, stream); known {
+		originsFound.Inc()
+		return software, true
+	}
 	originsUnknown.Inc()
 	return "", false
 }
@@ -243,21 +250,33 @@
 	return keepers
 }
 
-// add adds origins that another host told of.
+// add adds origins that another host, or the store, told of.
 func (o *streamOrigins) add(batches []*messenger.OriginBatch) {
 	lifetime := o.lifetime()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for _, origin := range originsOf(batches) {
+		o.recorder.Add(origin, lifetime, o.clock.Now())
+	}
+}
+
+// originsOf returns the origins that batches hold.
+func originsOf(batches []*messenger.OriginBatch) []recorder.Origin {
+	var origins []recorder.Origin
 	for _, b := range batches {
 		for _, stream := range b.Streams {
-			o.recorder.Add(recorder.Origin{Stream: stream, Software: b.Software}, lifetime, o.clock.Now())
+			origins = append(origins, recorder.Origin{Stream: stream, Software: b.Software})
 		}
 	}
+	return origins
 }
 
 // ShareOrigins implements exchanger.OriginKeeper.
 func (o *streamOrigins) ShareOrigins(_ context.Context, q *messenger.OriginRequest) (*messenger.OriginReply, error) {
 	o.add(q.Began)
+	if _, own := o.archiveHost(); own {
+		o.archive.add(originsOf(q.Began))
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	reply := &messenger.OriginReply{}
@@ -294,6 +313,7 @@
 	}
 	o.mu.Unlock()
 	originsShared.Add(len(origins))
+	o.archive.toArchive(origins)
 	batches := map[string][]*messenger.OriginBatch{}
 	for _, origin := range origins {
 		for _, address := range o.keepers(origin.Stream, originKeepers) {
