--- a/runner/stream_origins_test.go
+++ b/runner/stream_origins_test.go
@@ -387,6 +387,77 @@
 	}
 }
 
+// Guards against a stream that goes on at another version on the word of one host that nobody would have told:
+// the hosts that were told of the stream do not answer.
+func TestHostsThatWereNotToldDoNotProveTheOrigin(t *testing.T) {
+	for _, hosts := range []int{4, 8, 90} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newOriginFleet(hosts)
+				defer f.stop()
+				f.know("v1")
+				f.sleep(clocker.Second)
+				outOfStep := f.hosts[hosts-1]
+				outOfStep.cutOff(true, false)
+				outOfStep.dead.Store(true) // stands still
+				for _, h := range f.hosts[:hosts-1] {
+					h.origins.seen(chooser.Server{Service: "s", Software: "v2"})
+				}
+				f.sleep(clocker.Second)
+				for i := range 20 {
+					id := fmt.Sprint("a", i)
+					f.hosts[0].origins.Began(id, chooser.Server{Service: "s", Software: "v2"})
+					f.sleep(originCallTimeout + originShareInterval)
+					told := f.hosts[0].origins.keepers(recorder.StreamHash(id), originKeepers)
+					silent := append(told, f.hosts[0].name)
+					setSilent := func(dead bool) {
+						for _, h := range f.hosts[:hosts-1] {
+							h.dead.Store(dead && slices.Contains(silent, h.name))
+						}
+					}
+					setSilent(true)
+					outOfStep.dead.Store(false)
+					software, known := outOfStep.origins.Origin(t.Context(), id, "s")
+					assert.Check(t, !known, "stream %d goes on at %s", i, software)
+					setSilent(false)
+					outOfStep.dead.Store(true)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream that goes on at another version on the word of hosts that are cut off alike: the hosts of a
+// zone hear neither from the store nor from other zones while servers of a new version join.
+func TestZoneOutOfStepDoesNotTakeTheOldVersionForTheOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newOriginFleet(8)
+		defer f.stop()
+		f.know("v1")
+		f.sleep(clocker.Second)
+		const zoneStart = 5
+		for i, h := range f.hosts {
+			all := h.origins.peers
+			h.origins.peers = func() []heartbeater.Peer {
+				return slices.DeleteFunc(all(), func(p heartbeater.Peer) bool { return (p.Host >= f.hosts[zoneStart].name) != (i >= zoneStart) })
+			}
+			if i >= zoneStart {
+				h.cutOff(true, false)
+				continue
+			}
+			h.origins.seen(chooser.Server{Service: "s", Software: "v2"})
+		}
+		f.sleep(clocker.Second)
+		assert.Assert(t, f.hosts[0].origins.admits("s", "v2"))
+		f.hosts[0].origins.Began("a", chooser.Server{Service: "s", Software: "v2"})
+		f.sleep(originCallTimeout + originShareInterval)
+		for _, h := range f.hosts[zoneStart:] {
+			software, known := h.origins.Origin(t.Context(), "a", "s")
+			assert.Check(t, !known, "%s: the stream goes on at %s", h.name, software)
+		}
+	})
+}
+
 // Guards against streams that are all refused as a cure: with one version in use they go on, while the store or
 // another host answers.
 func TestStreamsGoOnWhereOneVersionIsConfirmed(t *testing.T) {
