Origins: hosts that are cut off together don't confirm the old version

What callers saw: nothing reported; found by the review. A caller that moves to a zone which is cut off from the store and from other zones gets events of another software version (ORDER).

Cause: without the store the word of a host that would have been told of the stream proves that no other version began it. Hosts that are cut off together are told nothing and confirm each other.

Ruled out: refusing only in a zone without news of other zones (two zones cut into halves look alike from both); counting hosts heard in the last second (at 195 hosts beats come by way of others).

Change: without the store a single known version counts only while the host hears of more than half of all known hosts, itself included. Nothing changes on the wire; old builds keep the fault.

Conclusion: ORDER outranks take-ups while the store is away and half of the hosts or more are out of touch. The first four seconds of a cut are left.

--- a/runner/stream_origins.go
+++ b/runner/stream_origins.go
@@ -54,6 +54,8 @@
 	exchange originExchange
 	// peers returns the live hosts.
 	peers func() []heartbeater.Peer
+	// hosts returns the number of all known hosts, live or not, this one included.
+	hosts func() int
 	// longestStream returns the longest timeout of a stream that may be taken up, and resumable
 	// whether a service has such streams.
 	longestStream func() clocker.Millis
@@ -82,6 +84,7 @@
 		log:      r.cfg.Log,
 		exchange: r.exchange,
 		peers:    r.livePeers,
+		hosts:    func() int { return len(r.heartbeater.Peers()) + 1 },
 		longestStream: func() clocker.Millis {
 			if t := r.table.Load(); t != nil {
 				return t.LongestStream()
@@ -141,7 +144,8 @@
 // Origin implements relayer.Origins. A single version in use is the origin of any stream, but this host
 // may not have heard of a new one: it was cut off, or stood still. So it counts only if the record in
 // the store confirms it now, or, without the store, if a host does not know the stream that would have been told of
-// it: such hosts are told of each stream once two versions are in use.
+// it: such hosts are told of each stream once two versions are in use. They count only while this host hears of most
+// others.
 func (o *streamOrigins) Origin(ctx context.Context, id, service string) (string, bool) {
 	if id == "" {
 		if !o.confirmVersions(ctx) {
@@ -169,7 +173,7 @@
 			break
 		}
 	}
-	if software, known := o.only(service); known && neverTold {
+	if software, known := o.only(service); known && neverTold && o.hearsMostHosts() {
 		return software, true
 	}
 	if software, known := o.findArchived(ctx, stream); known {
@@ -180,6 +184,12 @@
 	return "", false
 }
 
+// hearsMostHosts reports whether more than half of all known hosts are in touch. Fewer may be cut off alike, so that
+// none of them was told of a stream.
+func (o *streamOrigins) hearsMostHosts() bool {
+	return 2*(len(o.peers())+1) > o.hosts()
+}
+
 // confirmVersions reads the record of the versions, unless that was begun since the call, and reports
 // whether it could be read.
 func (o *streamOrigins) confirmVersions(ctx context.Context) bool {
