--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -76,6 +76,10 @@
 	// of a lease that had run out.
 	ignoresLease    bool
 	trustsOldLeases bool
+	// promisesSpent promises not to spend guarded tokens though some were spent, and
+	// forgetsPromises spends them in spite of a promise.
+	promisesSpent   bool
+	forgetsPromises bool
 	// tamper modifies the object before it is written.
 	tamper func(*messenger.BudgetShard)
 }
--- a/allotter/export_test.go
+++ b/allotter/export_test.go
@@ -19,6 +19,10 @@
 	// a lease that had run out.
 	IgnoresLease    Fault = "ignores the lease"
 	TrustsOldLeases Fault = "trusts old leases"
+	// PromisesSpent promises not to spend guarded tokens though some were spent, and
+	// ForgetsPromises spends them in spite of a promise.
+	PromisesSpent   Fault = "promises spent tokens"
+	ForgetsPromises Fault = "forgets promises"
 	NoFault         Fault = ""
 )
 
@@ -32,6 +36,8 @@
 	a.faults.drawsUnsettled = f == DrawsUnsettled
 	a.faults.ignoresLease = f == IgnoresLease
 	a.faults.trustsOldLeases = f == TrustsOldLeases
+	a.faults.promisesSpent = f == PromisesSpent
+	a.faults.forgetsPromises = f == ForgetsPromises
 }
 
 // TamperWrites sets a function that modifies each object before it is written.
--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -10,7 +10,7 @@
 // A holder keeps far more tokens than it spends between two writes, to go on serving without the
 // store. If it dies, nobody knows how many of these it has spent, so that all count as spent. A guard
 // bounds this loss: the entry names a part of the limit as guarded, and the incarnation promises not to
-// spend it before a lease has run out that each of its writes renews. So it gets the guarded tokens only
+// spend it before a lease has run out that each of its writes and its promises renew. So it gets the guarded tokens only
 // once it has been without the store for as long as the lease. The next incarnation at the same address
 // knows that the earlier one has ended. If that was while the lease ran, the guarded tokens were not spent,
 // and it closes the entries with what is left of their limits.
@@ -19,7 +19,8 @@
 type GuardConfig struct {
 	// LeaseTime is how long guarded tokens are not spent after a write, in milliseconds.
 	LeaseTime clocker.Millis
-	// RenewInterval is the time between two renewals, in milliseconds.
+	// RenewInterval is the time between two renewals, in milliseconds. One holder renews the leases
+	// of all, the first that finds this time past, so that it should differ from holder to holder.
 	RenewInterval clocker.Millis
 	// DrawHorizon is the time whose demand is not guarded, in milliseconds.
 	DrawHorizon clocker.Millis
@@ -53,6 +54,9 @@
 	// writes whose outcome is not known, 0 without such a write. A lease starts at the last
 	// contact before its write.
 	confirmedAt, pendingAt clocker.Millis
+	// promisedAt is the start of the latest promised lease, 0 without one. Any content in the store
+	// may have it.
+	promisedAt clocker.Millis
 	// inDoubt is true if an earlier write than the last one may still take effect.
 	inDoubt bool
 	// conditions are those of the last look at all budgets.
@@ -88,10 +92,10 @@
 		return
 	}
 	b.drawLimit = MaxGranted
-	if b.confirmedDraw >= 0 && a.leaseRuns(a.guard.confirmedAt) {
+	if b.confirmedDraw >= 0 && a.leaseRuns(max(a.guard.confirmedAt, a.guard.promisedAt)) {
 		b.guarded, b.drawLimit = true, b.confirmedDraw
 	}
-	if b.pendingDraw >= 0 && a.leaseRuns(a.guard.pendingAt) {
+	if b.pendingDraw >= 0 && a.leaseRuns(max(a.guard.pendingAt, a.guard.promisedAt)) {
 		b.guarded, b.drawLimit = true, min(b.drawLimit, b.pendingDraw)
 	}
 }
@@ -159,6 +163,7 @@
 		a.updateDrawLimit(b)
 	}
 	a.stageLease(value, guards)
+	a.stagePromises(value, c.GuardPromises)
 }
 
 // stageLease writes the own lease if it guards anything, and removes those that guard nothing any more.
@@ -196,25 +201,38 @@
 // drawTarget returns the headroom that a holder does not guard: the expected demand of DrawHorizon, at most
 // the holder's part of DrawShare of the budget, and at least that of a few requests, at most an even part.
 func (b *budgetState) drawTarget(a *Allotter, stored *messenger.Budget, c Conditions) int64 {
-	own, all, holders := float64(b.perSecond(c.Now)), 0.0, 1.0
-	for _, h := range stored.GetHolders() {
-		if !h.Closed && h.Incarnation != a.cfg.Incarnation && (c.IsLive == nil || c.IsLive(h.Incarnation)) {
-			holders++
-			all += float64(max(0, h.PerSecond))
-		}
+	own, all := float64(b.perSecond(c.Now)), 0.0
+	for _, h := range a.otherHolders(stored, c) {
+		all += float64(max(0, h.PerSecond))
 	}
 	bound := c.DrawShare * float64(stored.GetGranted())
 	demand := 0.0
 	if own > 0 {
 		demand = min(own*float64(a.cfg.Guard.DrawHorizon)/float64(clocker.Second), bound*own/(own+all))
 	}
-	few := bound / holders
+	few := a.evenDraw(stored, c)
 	if b.demand.meanSize > 0 { // else no request has shown its size yet
 		few = min(b.demand.expectedReserve(minHeadroomRequests, c.Now), few)
 	}
 	return int64(max(demand, few, b.demand.expectedReserve(1, c.Now)))
 }
 
+// evenDraw returns an even part of the tokens that all holders may leave unguarded.
+func (a *Allotter) evenDraw(stored *messenger.Budget, c Conditions) float64 {
+	return c.DrawShare * float64(stored.GetGranted()) / float64(1+len(a.otherHolders(stored, c)))
+}
+
+// otherHolders returns the open entries of other live incarnations.
+func (a *Allotter) otherHolders(stored *messenger.Budget, c Conditions) []*messenger.Holder {
+	var others []*messenger.Holder
+	for _, h := range stored.GetHolders() {
+		if !h.Closed && h.Incarnation != a.cfg.Incarnation && (c.IsLive == nil || c.IsLive(h.Incarnation)) {
+			others = append(others, h)
+		}
+	}
+	return others
+}
+
 // perSecond returns the demand of this host in tokens per second.
 func (b *budgetState) perSecond(now clocker.Millis) int64 {
 	return int64(b.demand.rate(now) * float64(clocker.Second))
@@ -235,7 +253,7 @@
 		return false
 	}
 	a.observeTime(c.Now)
-	renewal := c.Now-a.guard.confirmedAt >= a.cfg.Guard.RenewInterval
+	renewal := a.renewalDue(c)
 	for _, b := range a.ordered {
 		stored := a.knownBudgets[b.name]
 		if h := findEntry(stored, a.cfg.Incarnation); h == nil || h.Closed {
@@ -292,3 +310,18 @@
 	}
 	return returned
 }
+
+// LacksGuardedOnly reports whether requests wait, and all of them for tokens that are held but guarded.
+func (a *Allotter) LacksGuardedOnly() bool {
+	lacking := false
+	for _, b := range a.ordered {
+		if b.waiting <= b.headroom() {
+			continue
+		}
+		if b.waiting > b.heldHeadroom() {
+			return false
+		}
+		lacking = true
+	}
+	return lacking
+}
--- /dev/null
+++ b/allotter/promise_test.go
@@ -0,0 +1,260 @@
+package allotter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
+)
+
+// promises returns what the other processes that run promise.
+func (h *guardHost) promises() map[string]clocker.Millis {
+	promises := map[string]clocker.Millis{}
+	for _, other := range h.fleet.hosts {
+		if other == h || other.allotter == nil || other.paused {
+			continue
+		}
+		if at := other.allotter.PromiseGuard(h.fleet.now); at > 0 {
+			promises[other.allotter.cfg.Incarnation] = at
+		}
+	}
+	return promises
+}
+
+// planPromised returns the next write with promises, if one is due.
+func (h *guardHost) planPromised(promises map[string]clocker.Millis) (Write, bool) {
+	c := h.conditions()
+	c.GuardPromises = promises
+	w, ok := h.allotter.Plan(c)
+	if ok {
+		w.Value = proto.CloneOf(w.Value)
+	}
+	return w, ok
+}
+
+// writeIfDue makes the due write of a host take effect, with the promises that it wants. It reports whether one was
+// due.
+func (h *guardHost) writeIfDue() bool {
+	if !h.allotter.PlatformCallDue(h.conditions()) {
+		return false
+	}
+	var promises map[string]clocker.Millis
+	if len(h.allotter.PromisesWanted(h.fleet.now)) > 0 {
+		promises = h.promises()
+	}
+	h.read()
+	w, ok := h.planPromised(promises)
+	if ok && h.fleet.apply(w) {
+		h.allotter.Confirm(w, h.fleet.version, h.fleet.now)
+	}
+	return ok
+}
+
+// One host renews the leases of all with a write a second, so that few tokens are lost with the death of all
+// hosts, though most of them last wrote long before and had more demand then.
+func TestOneWriteRenewsTheLeasesOfAll(t *testing.T) {
+	for _, hosts := range []int{2, 8, 24} {
+		f := newGuardFleet(hosts, NoFault)
+		for i := range 5 * hosts {
+			assert.Assert(t, f.hosts[i%hosts].spendOrWrite(300))
+			f.now += 50
+		}
+		writes, steps := 0, 200
+		for range steps {
+			f.now += 100
+			for _, h := range f.hosts {
+				if h.writeIfDue() {
+					writes++
+				}
+			}
+		}
+		for _, h := range f.hosts {
+			h.kill()
+		}
+		f.now += 1300
+		for _, h := range f.hosts {
+			h.start()
+			h.write()
+		}
+		unused := Unassigned(f.object.Budgets[0])
+		for _, h := range f.hosts {
+			unused += h.allotter.Held()
+		}
+		lost, bound := guardGrant-f.consumed-unused, int64(excessFactor*max(0.04*guardGrant, float64(hosts*300)))
+		t.Logf("%d hosts: %d writes in 20 s, %d tokens lost, %d allowed", hosts, writes, lost, bound)
+		assert.Check(t, lost >= 0 && lost <= bound, "%d hosts: %d tokens lost, %d allowed", hosts, lost, bound)
+		assert.Check(t, writes <= 30, "%d hosts: %d writes", hosts, writes)
+	}
+}
+
+// A host that has used guarded tokens promises nothing until it has told so by a write, and its lease stays as
+// it was.
+func TestSpentGuardedTokensAreNotPromised(t *testing.T) {
+	f := newGuardFleet(2, NoFault)
+	h := f.hosts[0]
+	h.spendOrWrite(500)
+	h.write()
+	assert.Equal(t, h.allotter.PromiseGuard(f.now), f.now)
+	f.now += guardLease
+	assert.Assert(t, h.spend(h.allotter.Held()/2))
+	assert.Equal(t, h.allotter.PromiseGuard(f.now), clocker.Millis(0))
+	h.write()
+	assert.Equal(t, h.allotter.PromiseGuard(f.now), f.now)
+}
+
+// A promise holds though nobody has written it, and also for the content of a write whose answer is lost.
+func TestPromisesBindWithoutAWrite(t *testing.T) {
+	f := newGuardFleet(1, NoFault)
+	h := f.hosts[0]
+	h.spendOrWrite(500)
+	h.write()
+	f.now += guardLease - 100
+	assert.Equal(t, h.allotter.PromiseGuard(f.now), f.now)
+	f.now += guardLease - 100
+	h.allotter.observeTime(f.now)
+	assert.Assert(t, h.allotter.Headroom(guardBudget) < h.allotter.Held())
+	f.now += 100
+	h.allotter.observeTime(f.now)
+	assert.Equal(t, h.allotter.Headroom(guardBudget), h.allotter.Held())
+}
+
+// Leases of an earlier era of the store, and those without the time since the boot of a machine, are not moved on.
+func TestPromisesDoNotRenewLeasesThatProveNothing(t *testing.T) {
+	for name, change := range map[string]func(l *messenger.GuardLease){
+		"none":         func(*messenger.GuardLease) {},
+		"earlier era":  func(l *messenger.GuardLease) { l.Era = -1 },
+		"unknown boot": func(l *messenger.GuardLease) { l.BootMs = 0 },
+	} {
+		f := newGuardFleet(2, NoFault)
+		f.hosts[1].spendOrWrite(500)
+		f.hosts[1].write()
+		other := f.hosts[1].allotter.cfg.Incarnation
+		f.hosts[0].spendOrWrite(500)
+		lease := func() *messenger.GuardLease {
+			for _, l := range f.object.Leases {
+				if l.Incarnation == other {
+					return l
+				}
+			}
+			return nil
+		}
+		f.object = proto.CloneOf(f.object)
+		change(lease())
+		f.version++
+		before := proto.CloneOf(lease())
+		f.now += guardLease / 2
+		h := f.hosts[0]
+		h.read()
+		w, ok := h.planPromised(map[string]clocker.Millis{other: f.now})
+		assert.Assert(t, ok && f.apply(w))
+		assert.Equal(t, lease().AtMs > before.AtMs, name == "none", name)
+		assert.Equal(t, lease().AtMs-before.AtMs, lease().BootMs-before.BootMs, name)
+	}
+}
+
+// playPromised is play with writes that carry promises. Time passes between the promises and the write, in
+// which other hosts act; the write may take effect late, and its answer may be lost.
+func (f *guardFleet) playPromised(random *rand.Rand, steps int) error {
+	lives := map[string]*Allotter{}
+	for step := range steps {
+		h := f.hosts[random.IntN(len(f.hosts))]
+		f.now += clocker.Millis(random.IntN(400))
+		switch event := random.IntN(10); {
+		case event < 4 && f.hosts[0].allotter != nil && !f.hosts[0].paused:
+			f.writePromised(f.hosts[0], random)
+		case event < 6 && h.allotter != nil && !h.paused:
+			h.spendAll(random)
+		case event == 6 && h.allotter != nil && random.IntN(3) == 0:
+			h.kill()
+		case event == 7 && h.allotter != nil && !h.paused: // without the store until its lease has run out
+			f.now += guardLease
+			h.spendAll(random)
+		case h.allotter == nil:
+			h.start()
+		case event < 9 || h.paused:
+			f.act(h, random)
+		default:
+			f.writePromised(h, random)
+		}
+		if err := f.checkCharges(lives); err != nil {
+			return fmt.Errorf("step %d: %w", step, err)
+		}
+	}
+	return nil
+}
+
+// checkCharges returns an error if more was consumed or assigned than granted, or if the entry of a process that
+// has ended is charged with less than the process used.
+func (f *guardFleet) checkCharges(lives map[string]*Allotter) error {
+	if f.consumed > guardGrant {
+		return fmt.Errorf("%d tokens consumed", f.consumed)
+	}
+	if assigned := Assigned(f.object.Budgets[0]); assigned > guardGrant {
+		return fmt.Errorf("%d tokens assigned", assigned)
+	}
+	for _, h := range f.hosts {
+		if h.allotter != nil {
+			lives[h.allotter.cfg.Incarnation] = h.allotter
+		}
+	}
+	for _, entry := range f.object.Budgets[0].Holders {
+		if life := lives[entry.Incarnation]; life != nil && entry.Closed && entry.Charge < life.getOrAddBudget(guardBudget).charge() {
+			return fmt.Errorf("%s used %d tokens and is charged with %d", entry.Incarnation, life.getOrAddBudget(guardBudget).charge(), entry.Charge)
+		}
+	}
+	return nil
+}
+
+func (f *guardFleet) writePromised(h *guardHost, random *rand.Rand) {
+	h.read()
+	promises := h.promises()
+	writer := h.allotter
+	for range random.IntN(3) {
+		f.now += clocker.Millis(random.IntN(400))
+		f.act(f.hosts[random.IntN(len(f.hosts))], random)
+	}
+	if h.allotter != writer || h.paused {
+		return
+	}
+	w, ok := h.planPromised(promises)
+	switch {
+	case !ok:
+	case random.IntN(4) > 0:
+		if f.apply(w) {
+			h.allotter.Confirm(w, f.version, f.now)
+		} else {
+			h.allotter.Rejected(w)
+		}
+	case random.IntN(2) == 0:
+		f.apply(w)
+		h.allotter.OutcomeUnknown(w)
+	default:
+		h.late = &w
+		h.allotter.OutcomeUnknown(w)
+	}
+}
+
+// Guards against spending past a budget where other hosts renew leases: promises that are lost, used late, or given
+// shortly before a pause, an outage or a death. The planted faults show that the check sees it.
+func TestPromisedTokensAreNeverSpentTwice(t *testing.T) {
+	for _, c := range []struct {
+		fault Fault
+		found bool
+	}{{NoFault, false}, {PromisesSpent, true}, {ForgetsPromises, true}, {IgnoresLease, true}, {TrustsOldLeases, true}} {
+		var found error
+		for seed := range uint64(400) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			if err := newGuardFleet(1+int(seed%4), c.fault).playPromised(random, 400); err != nil {
+				found = fmt.Errorf("seed %d: %w", seed, err)
+				break
+			}
+		}
+		t.Logf("%s: %v", c.fault, found)
+		assert.Equal(t, found != nil, c.found, "%s: %v", c.fault, found)
+	}
+}
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -45,6 +45,9 @@
 	LongDead func(incarnation string) bool
 	// DrawShare is the share of a budget that all holders together may leave unguarded for their demand.
 	DrawShare float64
+	// GuardPromises are the starts of the leases that other incarnations promised to this one, by
+	// their clocks; nil if it has not asked them.
+	GuardPromises map[string]clocker.Millis
 }
 
 func (c Conditions) raiseThreshold() float64 {
@@ -212,6 +215,7 @@
 		return a.settlementDue(c) || a.SettlementReadDue(c)
 	}
 	a.guard.conditions = c
+	a.guard.conditions.GuardPromises = nil // they are for one write
 	if a.reclaimDue() || a.guardDue(c) {
 		return true
 	}
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -92,22 +92,34 @@
 // updateEntries adjusts the own entries of a shard to the policy, in one write for all its
 // budgets.
 func (r *Reserver) updateEntries(ctx context.Context, s *shard, v *fleetView) updateOutcome {
-	if !r.cfg.PlatformReachable() || !r.platform.mayCall(r.cfg.Clock.Now()) || !s.acquirePlatformSlot(ctx) {
+	if !r.cfg.PlatformReachable() || !r.platform.mayCall(r.cfg.Clock.Now()) {
+		return updateOutcome{}
+	}
+	promises := r.requestPromises(ctx, s, v)
+	if !s.acquirePlatformSlot(ctx) {
 		return updateOutcome{}
 	}
 	defer s.releasePlatformSlot()
-	s.forgetIfRestored(r.conditions(s, v), r.cfg.StoreEra())
+	conditions := func() allotter.Conditions {
+		c := r.conditions(s, v)
+		c.GuardPromises = promises
+		return c
+	}
+	s.forgetIfRestored(conditions(), r.cfg.StoreEra())
 	r.refreshBeforeWrite(ctx, s)
 	for attempt := range maxWriteAttempts {
-		w, due := s.planWithoutRead(r.conditions(s, v))
+		w, due := s.planWithoutRead(conditions())
 		if !due {
+			if s.nothingDue(conditions()) {
+				return updateOutcome{}
+			}
 			if s.isFresh(r.cfg.Clock.Now()) {
 				return updateOutcome{answered: true}
 			}
 			if err := r.read(ctx, s); err != nil {
 				return updateOutcome{contended: storer.IsErrRateLimited(err)}
 			}
-			w, due = s.plan(r.conditions(s, v))
+			w, due = s.plan(conditions())
 		}
 		if !due {
 			return updateOutcome{answered: true}
@@ -266,6 +278,14 @@
 	return s.allotter.Plan(c)
 }
 
+// nothingDue reports whether nothing is due by the known content, since another host has renewed the leases
+// meanwhile, so that no read is needed either.
+func (s *shard) nothingDue(c allotter.Conditions) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contentKnown && !s.allotter.PlatformCallDue(c)
+}
+
 // isFresh reports whether the content was read so recently that another read is not
 // needed. It is false if requests wait for a budget that the content lacks, because the
 // budget's first top-up may have happened since.
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -149,6 +149,8 @@
 	r.requestFromHolders(ctx, s, v, &progress)
 	if r.platformUnreachable() {
 		r.requestLoans(ctx, s, v, &progress)
+	} else {
+		r.requestUnguarded(ctx, s, v, &progress)
 	}
 	switch {
 	case !r.platformDue(s, v): // nothing is due
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -29,6 +29,9 @@
 		return nil, trace.NotFound("%s is not the incarnation of this host", request.To)
 	}
 	reply := &messenger.TransferReply{From: r.cfg.Incarnation}
+	if request.RenewsGuardOf != "" {
+		reply.GuardPromisedAtMs = int64(r.promiseGuard(request.RenewsGuardOf))
+	}
 	for _, t := range request.Totals {
 		received := r.mergeTotal(request.From, t)
 		reply.Received = append(reply.Received, &messenger.TransferTotal{Budget: t.Budget, Given: received})
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -84,7 +85,10 @@
 	// milliseconds. An incarnation that starts within it returns those of the one before, so it
 	// covers guardRenewInterval and a restart of two seconds.
 	guardLeaseTime     = 3200 * clocker.Millis(1)
-	guardRenewInterval = 1200 * clocker.Millis(1)
+	guardRenewInterval = 900 * clocker.Millis(1)
+	// guardRenewSpread is the time by which the renewal intervals of holders differ at most, in
+	// milliseconds: one renews the leases of all before those of the others are due.
+	guardRenewSpread = 300 * clocker.Millis(1)
 	// drawHorizon is the time whose demand a holder does not guard, in milliseconds: it serves for
 	// so long without the store until its lease has run out. drawShare bounds this part, as a fraction of a
 	// budget for all holders together: it is lost if all hosts die at once.
@@ -97,7 +101,7 @@
 func (r *Runner) guard() *allotter.GuardConfig {
 	return &allotter.GuardConfig{
 		LeaseTime:     guardLeaseTime,
-		RenewInterval: guardRenewInterval,
+		RenewInterval: guardRenewInterval + clocker.Millis(rand.Int64N(int64(guardRenewSpread))),
 		DrawHorizon:   drawHorizon,
 		Address:       r.exchangeAddress,
 		SameHost:      func(incarnation string) bool { return heartbeater.HostOf(incarnation) == r.cfg.Settings.Host },
