Budgets: a loan of unguarded tokens does not delay the write for guarded ones

Cause: a host whose requests lack only guarded tokens asked up to four peers for loans, one after the other, for up to 500 ms each, and then wrote. A request waits 150 ms.

Ruled out: the restore. Requests were refused before it as well; after it entries were written again within 0.5 s and settled, with leases and limits of the new era; the copy's lease and an old promise held tokens back only until then.

Change: a refill waits 20 ms for a loan, then writes. What a slow peer sends is merged when it arrives. A slow peer is not asked for such loans for a second, so that under load hosts write as they did before loans.

Conclusion: loans save calls while peers are fast, and cost nothing but a message where they are not.

--- a/reserver/guard.go
+++ b/reserver/guard.go
@@ -2,19 +2,27 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/heartbeater"
 	"cowsliphinge/messenger"
 )
 
 // promiseTimeout bounds the wait for the promises of other holders before a write, in milliseconds.
 const promiseTimeout = 100 * clocker.Millis(1)
 
-// maxUnguardedLenders is how many peers are asked for tokens that they don't guard before this host writes
-// the object to use its own guarded ones.
-const maxUnguardedLenders = 4
+const (
+	// maxUnguardedLenders is how many peers are asked for tokens that they don't guard before this host
+	// writes the object to use its own guarded ones.
+	maxUnguardedLenders = 4
+	// unguardedLoanWait bounds the wait for each of them, in milliseconds. A peer that takes longer is not
+	// asked again for slowLenderPause: the requests would give up before the write.
+	unguardedLoanWait = 20 * clocker.Millis(1)
+	slowLenderPause   = clocker.Second
+)
 
 // promiseGuard promises a host that is about to renew the leases of a budget's shard not to spend guarded
 // tokens. It returns the start of the promised lease, 0 without a promise: a host that does not reach the
@@ -68,21 +76,46 @@
 }
 
 // requestUnguarded requests the tokens that waiting requests lack from other holders, if this host holds
-// enough but guards it. A loan costs no call of the store.
+// enough but guards it. A loan costs no call of the store. It stops at the first peer that is slow to answer.
 func (r *Reserver) requestUnguarded(ctx context.Context, s *shard, v *fleetView, progress *refillProgress) {
 	if r.cfg.Guard == nil || !s.lacksGuardedOnly() {
 		return
 	}
-	lenders := r.lenders(s, v)
+	lenders := slices.DeleteFunc(r.lenders(s, v), func(p heartbeater.Peer) bool { return r.slowLenders.active(p.Incarnation, v.now) })
 	for _, p := range lenders[:min(maxUnguardedLenders, len(lenders))] {
 		if !s.lacksGuardedOnly() {
 			return
 		}
-		asks := s.asks(r.conditions(s, v), true)
-		for _, ask := range asks {
-			ask.Tokens = ask.Needed
+		if !r.requestUnguardedFrom(ctx, s, v, p, progress) {
+			r.slowLenders.set(p.Incarnation, slowLenderPause, false, r.cfg.Clock.Now())
+			return
 		}
-		r.requestTransfer(ctx, s, p, asks, progress)
+	}
+}
+
+// requestUnguardedFrom requests them from one peer and waits for the answer. It returns false if the peer takes
+// too long; the tokens that it sends are merged when they arrive.
+func (r *Reserver) requestUnguardedFrom(ctx context.Context, s *shard, v *fleetView, p heartbeater.Peer, progress *refillProgress) bool {
+	asks := s.asks(r.conditions(s, v), true)
+	for _, ask := range asks {
+		ask.Tokens = ask.Needed
+	}
+	loan := refillProgress{exhausted: map[string]bool{}, busy: map[string]bool{}}
+	answered := make(chan struct{})
+	r.tasks.Go(func() error {
+		defer close(answered)
+		r.requestTransfer(ctx, s, p, asks, &loan)
+		return nil
+	})
+	wait, cancel := r.cfg.Clock.WithTimeout(ctx, unguardedLoanWait)
+	defer cancel()
+	select {
+	case <-answered:
+		maps.Copy(progress.exhausted, loan.exhausted)
+		maps.Copy(progress.busy, loan.busy)
+		return true
+	case <-wait.Done():
+		return false
 	}
 }
 
--- a/reserver/guard_price_test.go
+++ b/reserver/guard_price_test.go
@@ -1,6 +1,7 @@
 package reserver_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,6 +44,8 @@
 	// grantRequests is the grant of an account, in requests.
 	grantRequests int64
 	guard         bool
+	// roundTrip is the round trip between two hosts, in milliseconds; 0 means pricedRoundTrip.
+	roundTrip clocker.Millis
 }
 
 // pricedCalls are the calls of the store, by kind.
@@ -58,9 +61,10 @@
 
 // pricedFleet runs reservers with the background tasks and the settings of a deployment in simulated time.
 type pricedFleet struct {
-	clock *clocker.Clock
-	store *platform.Store
-	hosts []*pricedHost
+	clock     *clocker.Clock
+	store     *platform.Store
+	hosts     []*pricedHost
+	roundTrip clocker.Millis
 
 	mu      sync.Mutex
 	calls   pricedCalls
@@ -147,7 +151,9 @@
 }
 
 func (h *pricedHost) Transfer(ctx context.Context, address string, request *messenger.TransferRequest) (*messenger.TransferReply, error) {
-	h.fleet.sleep(pricedRoundTrip)
+	if err := h.fleet.clock.Sleep(ctx, h.fleet.roundTrip); err != nil {
+		return nil, err
+	}
 	for _, other := range h.fleet.hosts {
 		if other.name == address {
 			return other.reserver.Transfer(ctx, request)
@@ -197,7 +203,7 @@
 	var calls pricedCalls
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(7, 0))
-		f := &pricedFleet{clock: clocker.NewWall()}
+		f := &pricedFleet{clock: clocker.NewWall(), roundTrip: cmp.Or(load.roundTrip, pricedRoundTrip)}
 		f.store = platform.New(f.clock)
 		var accounts []string
 		for i := range load.accounts {
@@ -291,3 +297,21 @@
 		}
 	}
 }
+
+// Guards against holders that refuse requests while they hold enough tokens under their guard: they asked slow
+// peers for loans first, and the requests had given up when the write for the guarded tokens was due.
+func TestSlowPeersDoNotKeepRequestsFromGuardedTokens(t *testing.T) {
+	for _, load := range []pricedLoad{
+		{zones: 2, hostsPerZone: 2, accounts: 1, perSecond: 12, grantRequests: 400},
+		{zones: 2, hostsPerZone: 2, accounts: 1, perSecond: 30, grantRequests: 800},
+	} {
+		for _, roundTrip := range []clocker.Millis{20, 60, 160, 700} {
+			load.guard, load.roundTrip = false, roundTrip
+			without := priceOf(t, load)
+			load.guard = true
+			with := priceOf(t, load)
+			t.Logf("%v requests a second, round trip of %d ms: without the guard %+v, with it %+v", load.perSecond, roundTrip, without, with)
+			assert.Check(t, with.refused <= without.refused, "%v requests a second, round trip of %d ms: %d refused, %d without the guard", load.perSecond, roundTrip, with.refused, without.refused)
+		}
+	}
+}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -131,6 +131,7 @@
 	platform         platformHealth
 	unknownTransfers unknownTransfers
 	pauses           askPauses
+	slowLenders      askPauses
 	emptyAnswers     answerMeter
 	membership       membership
 
