allotter: the random test of promises lets the store come back from copies

The random tests of the guard lacked restores of the store. TestPromisedTokensAreNotSpentTwiceAcrossRestores adds them, amid promises that are lost or late, pauses, deaths and writes in doubt: of copies that lack only writes of live processes, after which tokens used, held and unassigned together must stay within the grant (stricter than used alone), and of any copies, after which no process that has ended may be charged with less than it used. The same stricter sum now holds in TestPromisedTokensAreNeverSpentTwice. TestLeaseProvesNothingAcrossRestores: guarded tokens of a lease of before a restore are not returned.

--- a/allotter/guard_test.go
+++ b/allotter/guard_test.go
@@ -28,8 +28,30 @@
 	consumed int64
 	fault    Fault
 	lives    int
+	// copies are the object after each write of this era, from which the store may come back. Those from
+	// completeFrom on have all writes of the processes that have ended.
+	copies       []guardCopy
+	completeFrom int
+	// restores says which copies the store comes back from.
+	restores guardRestores
 }
 
+type guardCopy struct {
+	version int64
+	object  *messenger.BudgetShard
+}
+
+// guardRestores says which copies the store comes back from.
+type guardRestores int
+
+const (
+	noRestores guardRestores = iota
+	// completeCopies lack writes only of processes that run and write their entries again at once.
+	completeCopies
+	// anyCopies lack also writes of processes that have ended or stand still, whose spending nobody may know.
+	anyCopies
+)
+
 type guardHost struct {
 	fleet    *guardFleet
 	address  string
@@ -46,6 +68,7 @@
 func newGuardFleet(hosts int, fault Fault) *guardFleet {
 	f := &guardFleet{now: clocker.Hour, version: 1, fault: fault}
 	f.object = &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: guardBudget, Granted: guardGrant}}}
+	f.copies = []guardCopy{{version: f.version, object: f.object}}
 	for i := range hosts {
 		h := &guardHost{fleet: f, address: fmt.Sprint("host-", i), bootedAt: f.now - clocker.Minute}
 		h.start()
@@ -67,6 +90,7 @@
 
 // kill ends the process. What it had reserved may have been used.
 func (h *guardHost) kill() {
+	h.fleet.completeFrom = len(h.fleet.copies) - 1
 	h.allotter, h.open, h.paused = nil, nil, false
 }
 
@@ -75,8 +99,14 @@
 }
 
 func (h *guardHost) conditions() Conditions {
+	var running []string
+	for _, other := range h.fleet.hosts {
+		if other.allotter != nil {
+			running = append(running, other.allotter.cfg.Incarnation)
+		}
+	}
 	return Conditions{
-		Now: h.fleet.now, KeepsHeadroom: true, ChangeInterval: 1500, RaiseThreshold: 0.8, DrawShare: 0.04,
+		Now: h.fleet.now, KeepsHeadroom: true, ChangeInterval: 1500, RaiseThreshold: 0.8, DrawShare: 0.04, MustSpeak: running,
 		Policy: &messenger.Policy{FloorTokens: MaxGranted, MaxShareOfRestMilli: 300 / int64(len(h.fleet.hosts)), HeadroomMs: 1500, BusyShareOfRestMilli: 100},
 	}
 }
@@ -97,6 +127,7 @@
 	}
 	f.version++
 	f.object = proto.CloneOf(w.Value)
+	f.copies = append(f.copies, guardCopy{version: f.version, object: f.object})
 	return true
 }
 
--- a/allotter/promise_test.go
+++ b/allotter/promise_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -10,6 +11,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
+	"cowsliphinge/versioner"
 )
 
 // promises returns what the other processes that run promise.
@@ -164,6 +166,9 @@
 	for step := range steps {
 		h := f.hosts[random.IntN(len(f.hosts))]
 		f.now += clocker.Millis(random.IntN(400))
+		if f.restores != noRestores && random.IntN(20) == 0 {
+			f.restore(random)
+		}
 		switch event := random.IntN(10); {
 		case event < 4 && f.hosts[0].allotter != nil && !f.hosts[0].paused:
 			f.writePromised(f.hosts[0], random)
@@ -188,13 +193,52 @@
 	return nil
 }
 
-// checkCharges returns an error if more was consumed or assigned than granted, or if the entry of a process that
-// has ended is charged with less than the process used.
+// restore lets the store come back from a copy.
+func (f *guardFleet) restore(random *rand.Rand) {
+	from := 0
+	if f.restores == completeCopies {
+		if slices.ContainsFunc(f.hosts, func(h *guardHost) bool { return h.paused }) {
+			return
+		}
+		from = f.completeFrom
+	}
+	if random.IntN(2) == 0 {
+		from = max(from, len(f.copies)-5) // the latest, whose leases still run
+	}
+	f.restoreCopy(from + random.IntN(len(f.copies)-from))
+	if f.restores == anyCopies {
+		return
+	}
+	for range 2 { // all write their entries again, then the last of them settles the object
+		for _, h := range f.hosts {
+			if h.allotter != nil {
+				h.write()
+			}
+		}
+	}
+}
+
+func (f *guardFleet) restoreCopy(i int) {
+	f.version = versioner.New(versioner.Era(f.version)+1, versioner.Revision(f.copies[i].version))
+	f.object = f.copies[i].object
+	f.copies = f.copies[:i+1]
+	f.completeFrom = min(f.completeFrom, i)
+}
+
+// checkCharges returns an error if more was consumed or may be than granted, or if the entry of a process that
+// has ended is charged with less than the process used. What the store forgot of processes that have ended can't
+// be checked but by the charges.
 func (f *guardFleet) checkCharges(lives map[string]*Allotter) error {
-	if f.consumed > guardGrant {
-		return fmt.Errorf("%d tokens consumed", f.consumed)
+	usable := f.consumed + max(0, Unassigned(f.object.Budgets[0]))
+	for _, h := range f.hosts {
+		if h.allotter != nil {
+			usable += h.allotter.Held()
+		}
 	}
-	if assigned := Assigned(f.object.Budgets[0]); assigned > guardGrant {
+	if usable > guardGrant && f.restores != anyCopies {
+		return fmt.Errorf("%d tokens consumed, %d with those that may be", f.consumed, usable)
+	}
+	if assigned := Assigned(f.object.Budgets[0]); assigned > guardGrant && f.restores == noRestores {
 		return fmt.Errorf("%d tokens assigned", assigned)
 	}
 	for _, h := range f.hosts {
@@ -258,3 +302,56 @@
 		assert.Equal(t, found != nil, c.found, "%s: %v", c.fault, found)
 	}
 }
+
+// Guards against spending past a budget where the store comes back from copies, amid promises, pauses and deaths.
+func TestPromisedTokensAreNotSpentTwiceAcrossRestores(t *testing.T) {
+	for _, c := range []struct {
+		restores guardRestores
+		fault    Fault
+		found    bool
+	}{
+		{completeCopies, NoFault, false},
+		{anyCopies, NoFault, false},
+		{completeCopies, ForgetsPromises, true},
+		{completeCopies, AdoptsRestoredLimits, true},
+		{completeCopies, IgnoresLease, true},
+		{completeCopies, TrustsOldLeases, true},
+		{anyCopies, PromisesSpent, true},
+	} {
+		var found error
+		for seed := range uint64(400) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			f := newGuardFleet(1+int(seed%4), c.fault)
+			f.restores = c.restores
+			if err := f.playPromised(random, 400); err != nil {
+				found = fmt.Errorf("seed %d: %w", seed, err)
+				break
+			}
+		}
+		t.Logf("copies %d, %s: %v", c.restores, c.fault, found)
+		assert.Check(t, (found != nil) == c.found, "copies %d, %s: %v", c.restores, c.fault, found)
+	}
+}
+
+// A lease of before a restore of the store proves nothing: the process may have spent what was guarded then by
+// writes that the store forgot.
+func TestLeaseProvesNothingAcrossRestores(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		f := newGuardFleet(1, NoFault)
+		h := f.hosts[0]
+		h.spendOrWrite(500)
+		h.write()
+		copied := len(f.copies) - 1
+		assert.Assert(t, h.spendOrWrite(h.allotter.Held()/2), "used by a write that the copy lacks")
+		before, used := h.allotter.cfg.Incarnation, f.consumed
+		h.kill()
+		if restored {
+			f.restoreCopy(copied)
+		}
+		h.start()
+		h.write()
+		entry := findEntry(f.object.Budgets[0], before)
+		assert.Equal(t, entry.Closed, !restored)
+		assert.Assert(t, entry.Closed || entry.Limit >= used, "%d tokens used of a limit of %d", used, entry.Limit)
+	}
+}
