LIMIT: brittle servers that a host has not heard from are taken for those that it has

Cause: at 195 hosts a host hears from 2.6 of 40 servers in two seconds, and took the others for empty, with all slots that they name. It went on sending to servers whose queues were full. Class: the lack of news taken for good news.

Ruled out: the growth of the room (39 of 368 rejections are due to it). Room seen at each server told in heartbeats (trial): 5.0 falls in the mean, 4.8 together with the mean room; with a pause of 2 s after waiting requests 2.5, but a tenth less served. The mean room alone: 4.7, up to 8. Dropped; no message changes. Holding back where any request waits served 3.6 in 100 less before 94 servers at 90 hosts.

Change: roomEstimate sums up the servers of the service that reported lately. One that has not reported for ten seconds is taken to have at most their mean room; one that has not for a second to have more waiting than running if most of them do. Nothing is sent where more wait than run, unless the server has failed since.

--- a/chooser/brittle.go
+++ b/chooser/brittle.go
@@ -150,16 +150,16 @@
 	}
 }
 
-// hasRoom reports whether the server has room for a request of this host. Servers that are not
-// brittle always have: they say so where they have none.
-func (c *Chooser) hasRoom(m *serverState, now clocker.Millis) bool {
-	if _, brittle := c.Brittle(m.Service); !brittle {
+// hasRoom reports whether the server has room for a request of this host, given the estimate of its
+// service. Servers that are not brittle always have: they say so where they have none.
+func (c *Chooser) hasRoom(m *serverState, e *roomEstimate, now clocker.Millis) bool {
+	if e == nil {
 		return true
 	}
-	if now < m.share.pausedUntil {
+	if now < m.share.pausedUntil || e.requestsWait(m, now) {
 		return false
 	}
-	share := slotShare(m.share.limit(m.slots(), now), c.position(m.ID), c.hosts())
+	share := slotShare(e.limit(m, now), c.position(m.ID), c.hosts())
 	if share > 0 {
 		share = max(1, int(float64(share)*(1-m.share.cutNow(now))))
 	}
--- a/chooser/brittle_test.go
+++ b/chooser/brittle_test.go
@@ -225,13 +225,14 @@
 	}
 }
 
-// The same where many hosts share servers that run less than half of their slots: each host learns it from
-// its own responses alone.
+// Guards against the same where many hosts share servers that run less than half of their slots: a host hears
+// from few of them.
 func TestBrittleServersOfManyHostsWithLittleRoomDoNotFallOver(t *testing.T) {
 	t.Parallel()
 	f := newBrittleFleet(195, 40, 12)
 	f.room = 5
 	f.play(1.5)
+	t.Logf("%d falls, served %d", f.falls(), f.served)
 	assert.Check(t, f.falls() <= 2+40/10, "%d", f.falls())
 }
 
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -287,12 +287,13 @@
 func (c *Chooser) earliestRetry(r Request, now clocker.Millis) clocker.Millis {
 	var earliest clocker.Millis
 	hosts := c.hosts()
+	estimate := c.roomEstimate(r.Service, now)
 	for _, m := range c.servers {
 		if !c.serves(m, r, now) || m.leaving(now) {
 			continue
 		}
 		at := m.retryAt(hosts, now)
-		if !c.hasRoom(m, now) {
+		if !c.hasRoom(m, estimate, now) {
 			at = max(at, now+brittleRetryDelay)
 		}
 		if at > 0 && (earliest == 0 || at < earliest) {
@@ -310,9 +311,10 @@
 	var healthy, fallback []*serverState
 	unreachable := c.unreachableZones(now)
 	hosts := c.hosts()
+	estimate := c.roomEstimate(r.Service, now)
 	for _, id := range c.IDs() {
 		m := c.servers[id]
-		if !c.serves(m, r, now) || m.unavailable(hosts, now) || !c.hasRoom(m, now) || slices.Contains(r.Avoid, id) {
+		if !c.serves(m, r, now) || m.unavailable(hosts, now) || !c.hasRoom(m, estimate, now) || slices.Contains(r.Avoid, id) {
 			continue
 		}
 		if m.ejected(now) || unreachable[m.AvailabilityZone] && m.consecutiveFailures == 0 {
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -263,12 +263,17 @@
 // that this host sent since the report if the report is recent, else the mean of its
 // service, but in both cases at least the requests of this host in flight.
 func (m *serverState) estimatedLoad(now clocker.Millis, mean float64) float64 {
-	if m.loadReportedAt == 0 || now-m.loadReportedAt > maxLoadAge {
+	if !m.reportedWithin(maxLoadAge, now) {
 		return max(float64(m.inFlight), mean)
 	}
 	return float64(max(m.inFlight, m.load.Running+m.load.Queued+m.startedSinceLoad))
 }
 
+// reportedWithin reports whether the server reported its load at most maxAge ago.
+func (m *serverState) reportedWithin(maxAge, now clocker.Millis) bool {
+	return m.loadReportedAt > 0 && now-m.loadReportedAt <= maxAge
+}
+
 func (m *serverState) slots() int {
 	if m.load.Slots > 0 {
 		return m.load.Slots
