Detour: a verification during which the host ran late shows no cut

Cause: a verification compares direct connections, which have 250 ms, with connections through other hosts, which are tried one after the other. A host that does not run for most of the 250 ms sees none of its direct connections accepted, though the kernel has opened them, and one of the others afterwards.

Ruled out: the elapsed time of the verification alone. It says nothing where timers fire in time and the goroutines wait for a turn, and connections that are refused end at once, however late the host runs. Discarding all delayed verifications: a host that never runs in time would never find a real cut.

Change: a verification checks ten times within the time limit of a direct connection how late its timers fire. If direct connections ran out of time and one timer was a quarter of the limit late, it shows no cut; the next failed connection is verified again without the pause between verifications, and after four such results in a row without a direct connection the path counts as cut. Callers wait no longer than before: those that shared the verification are connected through the host that reached a server, for this exchange alone.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -36,6 +36,9 @@
 	minVerifiers = 3
 	// hostPause is how long a host is not chosen after it failed, in milliseconds.
 	hostPause = clocker.Second
+	// maxDelayedVerifications is the number of delayed verifications in a row that are discarded. The
+	// path of a host that never gets its processor time may be cut all the same.
+	maxDelayedVerifications = 4
 )
 
 // Verification is what a verification of the path showed.
@@ -43,6 +46,9 @@
 	// Direct is true if a server accepted a direct connection, and Detour if one accepted a
 	// connection through another host.
 	Direct, Detour bool
+	// Delayed is true if this host ran too late to see whether its direct connections were accepted
+	// in time.
+	Delayed bool
 }
 
 // Detourer tracks the path of this host to the backend servers.
@@ -52,8 +58,10 @@
 	connectedAt    clocker.Millis
 	nextVerifyAt   clocker.Millis
 	verifyInterval clocker.Millis
-	nextProbeAt    clocker.Millis
-	goodProbes     int
+	// delayed is the number of delayed verifications since a direct connection was accepted.
+	delayed     int
+	nextProbeAt clocker.Millis
+	goodProbes  int
 	// pausedUntil is when a host may be chosen again, by exchange address.
 	pausedUntil map[string]clocker.Millis
 	random      *rand.Rand
@@ -73,6 +81,7 @@
 func (d *Detourer) Connected(now clocker.Millis) {
 	d.connectedAt = now
 	d.verifyInterval = minVerifyInterval
+	d.delayed = 0
 }
 
 // VerifyAfterDial reports whether a direct connection that was begun at startedAt and failed is a
@@ -90,7 +99,8 @@
 	return d.VerifyAfterDial(now-quietTime, now)
 }
 
-// Verified records a verification that ended at now. It reports whether the path has become cut.
+// Verified records a verification that ended at now. It reports whether the path has become cut. A delayed
+// verification shows no cut, and the next failed connection is verified again.
 func (d *Detourer) Verified(v Verification, now clocker.Millis) bool {
 	switch {
 	case v.Direct:
@@ -102,8 +112,13 @@
 		return false
 	case d.cut:
 		return false
+	case v.Delayed && d.delayed < maxDelayedVerifications:
+		d.delayed++
+		d.nextVerifyAt = now
+		return false
 	}
 	d.cut = true
+	d.delayed = 0
 	d.goodProbes = 0
 	d.nextProbeAt = now + probeInterval
 	return true
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -41,6 +41,31 @@
 	assert.Assert(t, verifications <= 35, "%d", verifications)
 }
 
+// Guards against a host without processor time that takes its own slowness for a cut of its path: a delayed
+// verification is repeated at the next failure. A host that never runs in time finds a cut all the same.
+func TestDelayedVerificationIsRepeated(t *testing.T) {
+	d := New(1)
+	now := 10 * clocker.Second
+	delayed := func() bool {
+		now += 10
+		assert.Assert(t, d.VerifyAfterDial(now-10, now))
+		now += 300
+		return d.Verified(Verification{Detour: true, Delayed: true}, now)
+	}
+	for range 3 {
+		for range maxDelayedVerifications {
+			assert.Assert(t, !delayed())
+		}
+		d.Connected(now)
+		now += minVerifyInterval
+	}
+	for range maxDelayedVerifications {
+		assert.Assert(t, !delayed())
+	}
+	assert.Assert(t, delayed())
+	assert.Assert(t, d.Cut())
+}
+
 // One server fails under load while others accept connections.
 func TestFailureOfOneServerIsNotVerified(t *testing.T) {
 	d := New(1)
--- a/runner/detour.go
+++ b/runner/detour.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -30,11 +31,18 @@
 	// directHeadStart is how long a verification waits for a direct connection before it tries other
 	// hosts, in milliseconds: many round trips between availability zones.
 	directHeadStart = 30 * clocker.Millis(1)
+	// delayChecks is the number of times that a verification checks how late this host runs within the
+	// time limit of a direct connection.
+	delayChecks = 10
+	// maxDelayShare is the longest delay of this host at which direct connections that run out of time
+	// count as failed, as a share of their time limit. Opening one takes a few turns on the processor.
+	maxDelayShare = 0.25
 )
 
 var (
 	pathCuts       = metrics.NewCounter("cowsliphinge_backend_path_cuts_total")
 	verifications  = metrics.NewCounter("cowsliphinge_backend_path_verifications_total")
+	delayedResults = metrics.NewCounter("cowsliphinge_backend_path_verifications_delayed_total")
 	detouredConns  = metrics.NewCounter(`cowsliphinge_detoured_connections_total{outcome="opened"}`)
 	failedDetours  = metrics.NewCounter(`cowsliphinge_detoured_connections_total{outcome="failed"}`)
 	errNoOtherHost = errors.New("no other host offers a connection to the server")
@@ -68,11 +76,18 @@
 
 	mu      sync.Mutex
 	decider *detourer.Detourer
-	// verifying is closed when the verification in progress ends; nil without one.
-	verifying chan struct{}
+	// verifying is the verification in progress; nil without one.
+	verifying *verification
 	probing   bool
 }
 
+// verification is a verification in progress.
+type verification struct {
+	ended chan struct{}
+	// detour is true if only connections through other hosts were opened. It is set before ended is closed.
+	detour bool
+}
+
 func newDetour(ctx context.Context, cfg detourConfig) *detour {
 	return &detour{
 		cfg:     cfg,
@@ -90,7 +105,7 @@
 }
 
 // Dial implements carrier.Dialer. A direct connection that fails may lead to a verification of the
-// path; if that is cut, the connection is opened through another host.
+// path; if only other hosts reach servers, the connection is opened through one of them.
 func (d *detour) Dial(ctx context.Context, address string, timeout clocker.Millis) (net.Conn, string, error) {
 	if d.cut() {
 		return d.dialThroughHost(ctx, address, timeout)
@@ -203,7 +218,7 @@
 }
 
 // verifyAfterDial verifies the path after a failed direct connection, unless there is no reason to, and
-// reports whether it is cut. Connections that fail meanwhile share one verification.
+// reports whether to connect through another host. Connections that fail meanwhile share one verification.
 func (d *detour) verifyAfterDial(ctx context.Context, startedAt clocker.Millis, address string) bool {
 	d.mu.Lock()
 	if d.verifying == nil && d.decider.VerifyAfterDial(startedAt, d.cfg.Clock.Now()) {
@@ -213,7 +228,8 @@
 	d.mu.Unlock()
 	if verifying != nil {
 		select {
-		case <-verifying:
+		case <-verifying.ended:
+			return verifying.detour || d.cut()
 		case <-ctx.Done():
 		}
 	}
@@ -223,11 +239,15 @@
 // startVerification starts a verification; failed is the server that did not accept a connection, or "".
 // The caller holds mu.
 func (d *detour) startVerification(failed string) {
-	done := make(chan struct{})
-	d.verifying = done
+	current := &verification{ended: make(chan struct{})}
+	d.verifying = current
 	verifications.Inc()
 	go func() {
 		v := d.verify(failed)
+		current.detour = !v.Direct && v.Detour
+		if v.Delayed {
+			delayedResults.Inc()
+		}
 		d.mu.Lock()
 		becameCut := d.decider.Verified(v, d.cfg.Clock.Now())
 		d.verifying = nil
@@ -237,23 +257,23 @@
 			d.cfg.Log.Warn("path to the backend servers is cut, connecting through other hosts", "failed", failed)
 			d.cfg.Changed(true)
 		}
-		close(done)
+		close(current.ended)
 	}()
 }
 
 // verify connects to some servers directly and, if none accepts that soon, through other hosts.
 func (d *detour) verify(failed string) detourer.Verification {
 	servers := d.sampleServers(failed)
-	direct := make(chan bool, 1)
-	go func() { direct <- d.anyConnects(servers, d.dialDirect) }()
+	direct := make(chan detourer.Verification, 1)
+	go func() { direct <- d.verifyDirect(servers) }()
 	headStart, cancel := d.cfg.Clock.WithTimeout(d.ctx, directHeadStart)
 	defer cancel()
 	select {
-	case connected := <-direct:
-		if connected {
-			return detourer.Verification{Direct: true}
+	case v := <-direct:
+		if v.Direct {
+			return v
 		}
-		direct <- false
+		direct <- v
 	case <-headStart.Done():
 	}
 	detoured := servers
@@ -261,7 +281,43 @@
 		detoured = append(slices.Clone(servers[:min(len(servers), verifiedServers-1)]), failed)
 	}
 	elsewhere := d.anyConnects(slices.Repeat(detoured, verifyingConns), d.dialToVerify)
-	return detourer.Verification{Direct: <-direct, Detour: elsewhere}
+	v := <-direct
+	v.Detour = elsewhere
+	return v
+}
+
+// verifyDirect connects to the servers directly and checks meanwhile whether this host runs in time.
+func (d *detour) verifyDirect(servers []string) detourer.Verification {
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	delay := make(chan clocker.Millis, 1)
+	go func() { delay <- d.longestDelay(ctx, d.cfg.DialTimeout/delayChecks) }()
+	var timedOut atomic.Bool
+	connected := d.anyConnects(servers, func(ctx context.Context, address string, timeout clocker.Millis) (net.Conn, error) {
+		c, err := d.dialDirect(ctx, address, timeout)
+		var netErr net.Error
+		if errors.As(err, &netErr) && netErr.Timeout() {
+			timedOut.Store(true)
+		}
+		return c, err
+	})
+	cancel()
+	late := float64(<-delay) > maxDelayShare*float64(d.cfg.DialTimeout)
+	return detourer.Verification{Direct: connected, Delayed: !connected && timedOut.Load() && late}
+}
+
+// longestDelay returns the longest time by which a timer of the interval fired late until ctx ended, in
+// milliseconds.
+func (d *detour) longestDelay(ctx context.Context, interval clocker.Millis) clocker.Millis {
+	var longest clocker.Millis
+	for {
+		due := d.cfg.Clock.Now() + interval
+		err := d.cfg.Clock.Sleep(ctx, interval)
+		longest = max(longest, d.cfg.Clock.Now()-due)
+		if err != nil {
+			return longest
+		}
+	}
 }
 
 // dialToVerify connects through any of the hosts that a verification asks.
--- a/runner/detour_test.go
+++ b/runner/detour_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -224,6 +226,80 @@
 	}
 }
 
+// pausedHost is a host of a fleet whose clock is set by the test and whose direct connections all run
+// out of their time.
+type pausedHost struct {
+	*detourHost
+	clock *clocker.Clock
+}
+
+func newPausedHost(f *detourFleet) pausedHost {
+	h := pausedHost{detourHost: f.hosts[0], clock: clocker.NewManual(clocker.Minute)}
+	h.cfg.Clock = h.clock
+	h.cfg.DialTimeout = dialTimeout
+	h.cfg.DialServer = func(ctx context.Context, _ string, timeout clocker.Millis) (net.Conn, error) {
+		ctx, cancel := h.clock.WithTimeout(ctx, timeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, os.ErrDeadlineExceeded
+	}
+	return h
+}
+
+// awaitWaiters waits until n sleeps and timeouts are pending.
+func (h pausedHost) awaitWaiters(n int) {
+	for h.clock.WaiterCount() != n {
+		runtime.Gosched()
+	}
+}
+
+// dial opens a connection, during whose verification the host does not run for pause; with a pause of 0 it
+// runs all the time. It returns the host in between.
+func (h pausedHost) dial(t *testing.T, pause clocker.Millis) string {
+	t.Helper()
+	via := make(chan string, 1)
+	go func() {
+		c, host, err := h.Dial(t.Context(), h.fleet.servers[0].Addr().String(), dialTimeout)
+		assert.Check(t, err)
+		if err == nil {
+			_ = c.Close()
+		}
+		via <- host
+	}()
+	h.awaitWaiters(1)
+	h.clock.Advance(dialTimeout)
+	const headStart, delayCheck = 1, 1
+	h.awaitWaiters(verifiedServers + headStart + delayCheck)
+	if pause > 0 {
+		h.clock.Advance(pause)
+		return <-via
+	}
+	const step = 5
+	for elapsed := clocker.Millis(step); elapsed < dialTimeout; elapsed += step {
+		h.clock.Advance(step)
+		waiters := verifiedServers + delayCheck
+		if elapsed < directHeadStart {
+			waiters += headStart
+		}
+		h.awaitWaiters(waiters)
+	}
+	h.clock.Advance(step)
+	return <-via
+}
+
+// Guards against a host without processor time that takes its own slowness for a cut of its path: its direct
+// connections run out of their time while it does not run, and one through another host is opened afterwards.
+func TestVerificationDuringAPauseOfTheHostShowsNoCut(t *testing.T) {
+	h := newPausedHost(newDetourFleet(t, 2, 2))
+	assert.Assert(t, h.dial(t, clocker.Second) != "", "the caller waits no longer than at a cut")
+	assert.Assert(t, !h.cut())
+	assert.Equal(t, h.changes.Load(), int64(0))
+	h.clock.Advance(clocker.Second)
+	assert.Assert(t, h.dial(t, 0) != "", "the next failure is verified again")
+	assert.Assert(t, h.cut())
+	assert.Equal(t, h.changes.Load(), int64(1))
+}
+
 // Guards against a crash being taken for a cut: a server refuses connections while others accept them,
 // and all servers are down.
 func TestServersThatAreDownAreReportedAsDown(t *testing.T) {
