Overload: a host that lacks processor time refuses new connections

Cause: a host refuses new connections when its link is nearly full. Nothing looked at processor time, so such a host was overloaded from 22.7 s on, when its link was full, though its timers had been late since 7 s.

Mean delay of a second: median under 1 ms, 99 in 100 under 31 ms until 18 s; the host in question 14 to 85 ms from 7 s on, with 110 to 153 requests in flight. Two holders of budgets have up to 57 ms with at most 8 requests in flight: their callers aren't the cause.

Ruled out: delays alone as a sign (those holders, and machines that are busy with other programs); a sample without a bound (a pause of seconds would count for 4 s; a first bound of 200 ms still let one pause count, seen in the test, now 150).

Change: the loop that measures the link also measures how late its timer fires, in the same moving average. More than 30 ms, with 16 requests in flight and less than half as many at the other hosts of the zone, is overload, as a full link is; below 10 ms it ends. No timer is added. The log line 'load changed' has delay_ms. The tests of the link are unchanged but for the arguments of observe, now a struct.

--- a/runner/overload.go
+++ b/runner/overload.go
@@ -16,14 +16,25 @@
 	// loadInterval is the time between two measurements of the link's load, in
 	// milliseconds.
 	loadInterval = 250 * clocker.Millis(1)
-	// loadSmoothing is the weight of the newest measurement in the moving average, which
-	// follows the load within two seconds.
+	// loadSmoothing is the weight of the newest measurement in the moving averages, which
+	// follow the load within two seconds.
 	loadSmoothing = 0.15
 	// highLoad and lowLoad are the shares of the link's bandwidth at which a host starts
 	// and stops refusing new connections. The remaining bandwidth is for bursts of large
 	// bodies.
 	highLoad = 0.65
 	lowLoad  = 0.4
+	// highDelay and lowDelay are the average delays of timers at which a host starts and stops
+	// refusing new connections for want of processor time, in milliseconds. Requests wait for the
+	// processor as long at each of the steps that they take.
+	highDelay = 30 * clocker.Millis(1)
+	lowDelay  = 10 * clocker.Millis(1)
+	// maxDelay bounds a measured delay, so that a single pause of the host is no lack of processor
+	// time, in milliseconds.
+	maxDelay = 150 * clocker.Millis(1)
+	// minDelayedInFlight is the number of requests in flight from which callers may be the cause of
+	// delays. With fewer of them other programs on the machine are.
+	minDelayedInFlight = 16
 	// minOverloadDuration is the minimum time that a host refuses new connections, in
 	// milliseconds. The balancer needs two probes, a second apart, to detect it.
 	minOverloadDuration = 3 * clocker.Second
@@ -103,21 +114,38 @@
 	return tcp.SetLinger(seconds)
 }
 
-// overloadDetector detects that the link of this host is close to its bandwidth.
+// overloadDetector detects that the link of this host is close to its bandwidth, or that the host lacks
+// processor time.
 type overloadDetector struct {
-	load            float64
+	load float64
+	// delay is by how much timers fire late on average, in milliseconds.
+	delay           float64
 	overloaded      bool
 	overloadedSince clocker.Millis
 }
 
-// observe records the share of the link's bandwidth that was used and whether peers
-// have room. It reports whether this host must refuse new connections.
-func (o *overloadDetector) observe(linkShare float64, peersHaveRoom bool, now clocker.Millis) bool {
-	o.load += loadSmoothing * (linkShare - o.load)
+// loadSample is one measurement of this host's load.
+type loadSample struct {
+	// linkShare is the share of the link's bandwidth that was used.
+	linkShare float64
+	// delay is by how much a timer fired late, in milliseconds.
+	delay clocker.Millis
+	// inFlight is the number of requests in flight.
+	inFlight int64
+	// peersHaveRoom is true if other hosts could take callers of this one.
+	peersHaveRoom bool
+}
+
+// observe records a measurement. It reports whether this host must refuse new connections.
+func (o *overloadDetector) observe(s loadSample, now clocker.Millis) bool {
+	o.load += loadSmoothing * (s.linkShare - o.load)
+	o.delay += loadSmoothing * (float64(min(s.delay, maxDelay)) - o.delay)
+	high := o.load > highLoad || o.delay > float64(highDelay) && s.inFlight >= minDelayedInFlight
+	low := o.load < lowLoad && o.delay < float64(lowDelay)
 	switch {
-	case !o.overloaded && o.load > highLoad && peersHaveRoom:
+	case !o.overloaded && high && s.peersHaveRoom:
 		o.overloaded, o.overloadedSince = true, now
-	case o.overloaded && now-o.overloadedSince >= minOverloadDuration && (o.load < lowLoad || !peersHaveRoom):
+	case o.overloaded && now-o.overloadedSince >= minOverloadDuration && (low || !s.peersHaveRoom):
 		o.overloaded = false
 	}
 	return o.overloaded
@@ -136,8 +164,8 @@
 	return float64(sum) < peerLoadShare*float64(own)*float64(len(zone))
 }
 
-// monitorLoad measures the link's load and sets whether this host is overloaded, in
-// which case it refuses new connections.
+// monitorLoad measures the load of the link and the delay of timers, and sets whether this host is
+// overloaded, in which case it refuses new connections.
 func (r *Runner) monitorLoad(ctx context.Context) {
 	var o overloadDetector
 	bytesPerMs := float64(r.cfg.Settings.LinkMbps) * 1e6 / 8 / float64(clocker.Second)
@@ -145,15 +173,17 @@
 	for r.cfg.Clock.Sleep(ctx, loadInterval) == nil {
 		now := r.cfg.Clock.Now()
 		linkShare := float64(r.traffic.takeMax()) / bytesPerMs / float64(max(1, now-previous))
+		delay := now - previous - loadInterval
 		previous = now
-		overloaded := o.observe(linkShare, peersHaveRoom(r.relayer.Load().InFlight(), r.zonePeers()), now)
+		inFlight := r.relayer.Load().InFlight()
+		overloaded := o.observe(loadSample{linkShare: linkShare, delay: delay, inFlight: inFlight, peersHaveRoom: peersHaveRoom(inFlight, r.zonePeers())}, now)
 		if overloaded == r.overloaded.Swap(overloaded) {
 			continue
 		}
 		if overloaded {
 			overloads.Inc()
 		}
-		r.cfg.Log.Info("load changed", "overloaded", overloaded, "link_share", o.load, "in_flight", r.relayer.Load().InFlight())
+		r.cfg.Log.Info("load changed", "overloaded", overloaded, "link_share", o.load, "delay_ms", int64(o.delay), "in_flight", inFlight)
 	}
 }
 
--- a/runner/overload_test.go
+++ b/runner/overload_test.go
@@ -20,7 +20,7 @@
 	simulate := func(linkShare float64, peersHaveRoom bool, d clocker.Millis) bool {
 		overloaded := false
 		for end := now + d; now < end; now += loadInterval {
-			overloaded = o.observe(linkShare, peersHaveRoom, now)
+			overloaded = o.observe(loadSample{linkShare: linkShare, peersHaveRoom: peersHaveRoom}, now)
 		}
 		return overloaded
 	}
@@ -31,11 +31,59 @@
 	assert.Assert(t, !simulate(0.1, true, 4*clocker.Second))
 }
 
+// Guards against late configurations and servers that left at a host whose callers take all of its processor
+// time: it refuses new connections although its link has room, until its timers fire in time again.
+func TestHostWithoutProcessorTimeRefusesNewConnections(t *testing.T) {
+	var o overloadDetector
+	now := clocker.Millis(0)
+	simulate := func(s loadSample, d clocker.Millis) bool {
+		overloaded := false
+		for end := now + d; now < end; now += loadInterval + s.delay {
+			overloaded = o.observe(s, now)
+		}
+		return overloaded
+	}
+	busy := loadSample{linkShare: 0.2, inFlight: 100, peersHaveRoom: true}
+	delayed := busy
+	delayed.delay = 50
+	assert.Assert(t, !simulate(busy, 5*clocker.Second))
+	assert.Assert(t, simulate(delayed, 4*clocker.Second))
+	assert.Assert(t, simulate(busy, 2*clocker.Second), "the balancer needs that long to notice")
+	assert.Assert(t, !simulate(busy, 4*clocker.Second))
+}
+
+// Guards against hosts that turn callers away in vain: the host was suspended once, other programs take
+// the processor while it has few requests, timers fire slightly late, or the other hosts have no room either.
+func TestDelaysThatCallersDoNotCauseAreNoOverload(t *testing.T) {
+	const pause = 3 * clocker.Second
+	for name, sample := range map[string]func(now clocker.Millis) loadSample{
+		"suspended": func(now clocker.Millis) loadSample {
+			s := loadSample{inFlight: 100, peersHaveRoom: true}
+			if now%(10*clocker.Second) == 0 {
+				s.delay = pause
+			}
+			return s
+		},
+		"few requests": func(clocker.Millis) loadSample { return loadSample{delay: 80, inFlight: 3, peersHaveRoom: true} },
+		"slightly late": func(now clocker.Millis) loadSample {
+			return loadSample{delay: now / loadInterval % 2 * 40, inFlight: 100, peersHaveRoom: true}
+		},
+		"no room elsewhere": func(clocker.Millis) loadSample { return loadSample{delay: 80, inFlight: 100} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var o overloadDetector
+			for now := clocker.Millis(0); now < clocker.Minute; now += loadInterval {
+				assert.Assert(t, !o.observe(sample(now), now), "at %d ms", now)
+			}
+		})
+	}
+}
+
 // In a surge at all hosts no host refuses callers, since no other host could take them.
 func TestNoOverloadWhenPeersHaveNoRoom(t *testing.T) {
 	var o overloadDetector
 	for now := clocker.Millis(0); now < 10*clocker.Second; now += loadInterval {
-		assert.Assert(t, !o.observe(0.95, false, now))
+		assert.Assert(t, !o.observe(loadSample{linkShare: 0.95}, now))
 	}
 	zone := []heartbeater.Peer{{InFlight: 40}, {InFlight: 60}}
 	assert.Assert(t, !peersHaveRoom(60, zone))
