Detour: the end of an outage of all servers is no cut

What callers saw: nothing reported. Such a host forwards nothing for others and does not connect directly, so that new connections fail for up to a second although every server accepts them.

Cause: a verification compares direct connections with others through hosts that are asked one after the other, up to a second later. Servers that come back in between are reached by the later ones alone. The verdict of one moment is taken for that of another. More connections at once make it likelier.

Ruled out: the proxied hosts, whose answers are right; servers that are down throughout, which no path reaches.

Change: servers that accept a connection through another host are tried directly again before the path counts as cut. A cut where connections hang is believed a time limit of a connection after another host reached a server, not after the direct connections began.

Conclusion: a direct connection has to be as late as the one that it is compared with. A host whose path loses most packets has twice the tries to be taken for sound; it then verifies again after its next failure.

--- a/runner/detour.go
+++ b/runner/detour.go
@@ -241,7 +241,8 @@
 	}()
 }
 
-// verify connects to some servers directly and, if none accepts that soon, through other hosts.
+// verify connects to some servers directly and, if none accepts that soon, through other hosts. Servers that
+// others reach are tried directly again, since all may have been down until then.
 func (d *detour) verify(failed string) detourer.Verification {
 	servers := d.sampleServers(failed)
 	direct := make(chan bool, 1)
@@ -261,6 +262,9 @@
 		detoured = append(slices.Clone(servers[:min(len(servers), verifiedServers-1)]), failed)
 	}
 	elsewhere := d.anyConnects(slices.Repeat(detoured, verifyingConns), d.dialToVerify)
+	if elsewhere && d.anyConnects(detoured, d.dialDirect) {
+		return detourer.Verification{Direct: true}
+	}
 	return detourer.Verification{Direct: <-direct, Detour: elsewhere}
 }
 
