Detour: a verification asks hosts whatever their load

Cause: a verification chose the less loaded of two random hosts, as connections through others do. A host whose connections to servers are refused answers its requests at once and has few in flight, so that it is preferred: with half of the hosts cut off, three of four hosts asked are, with three quarters 15 of 16. The chance that a verification finds none is (3/4)^27 and (15/16)^27 = 17 in 100, not (1/2)^27 and (3/4)^27.

Ruled out: a cut where connections hang; requests pile up there and the choice avoids such hosts.

Change: the hosts of a verification are any. Those that connections go through are chosen by load as before; hosts that are known to be cut off are left out.

Conclusion: the sample was drawn by a property that the fault itself changes. The choice of the hosts for connections has the same bias until heartbeats tell.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -148,33 +148,34 @@
 // with fewer requests in flight comes first.
 func (d *Detourer) Hosts(peers []heartbeater.Peer, zone string, now clocker.Millis) []heartbeater.Peer {
 	byZone := d.usableHosts(peers, now)
-	hosts := d.choose(nil, byZone[zone], ownZoneHosts)
-	hosts = d.oneOfEachOtherZone(hosts, byZone, zone)
-	return d.chooseMore(hosts, byZone, moreHosts)
+	hosts := choose(nil, byZone[zone], ownZoneHosts, d.lessLoaded)
+	hosts = d.oneOfEachOtherZone(hosts, byZone, zone, d.lessLoaded)
+	return choose(hosts, others(byZone, hosts), moreHosts, d.lessLoaded)
 }
 
 // Verifiers returns random hosts for a verification of the path, in the order in which they are tried: one
 // of each other zone, since the hosts of the own zone may be cut off alike, and others up to minVerifiers.
+// Their load does not count, since hosts that are cut off refuse requests at once and have few in flight.
 func (d *Detourer) Verifiers(peers []heartbeater.Peer, zone string, now clocker.Millis) []heartbeater.Peer {
 	byZone := d.usableHosts(peers, now)
-	hosts := d.oneOfEachOtherZone(nil, byZone, zone)
-	return d.chooseMore(hosts, byZone, minVerifiers-len(hosts))
+	hosts := d.oneOfEachOtherZone(nil, byZone, zone, d.anyOf)
+	return choose(hosts, others(byZone, hosts), minVerifiers-len(hosts), d.anyOf)
 }
 
 // oneOfEachOtherZone appends a host of each zone other than zone, in random order.
-func (d *Detourer) oneOfEachOtherZone(chosen []heartbeater.Peer, byZone map[string][]heartbeater.Peer, zone string) []heartbeater.Peer {
+func (d *Detourer) oneOfEachOtherZone(chosen []heartbeater.Peer, byZone map[string][]heartbeater.Peer, zone string, pick pickFunc) []heartbeater.Peer {
 	var hosts []heartbeater.Peer
 	for _, z := range slices.Sorted(maps.Keys(byZone)) {
 		if z != zone {
-			hosts = d.choose(hosts, byZone[z], 1)
+			hosts = choose(hosts, byZone[z], 1, pick)
 		}
 	}
 	d.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return append(chosen, hosts...)
 }
 
-// chooseMore appends up to n of the hosts that are not chosen yet.
-func (d *Detourer) chooseMore(chosen []heartbeater.Peer, byZone map[string][]heartbeater.Peer, n int) []heartbeater.Peer {
+// others returns the hosts that are not chosen yet.
+func others(byZone map[string][]heartbeater.Peer, chosen []heartbeater.Peer) []heartbeater.Peer {
 	var rest []heartbeater.Peer
 	for _, z := range slices.Sorted(maps.Keys(byZone)) {
 		for _, p := range byZone[z] {
@@ -183,7 +184,7 @@
 			}
 		}
 	}
-	return d.choose(chosen, rest, n)
+	return rest
 }
 
 // usableHosts returns the hosts that may be asked for tunnels, by zone.
@@ -202,13 +203,27 @@
 	return p.Incarnation != "" && p.ExchangeAddress != "" && !p.Suspect && !p.Draining && !p.BackendsCut
 }
 
+// pickFunc returns the index of one of the hosts, which are not empty.
+type pickFunc func(hosts []heartbeater.Peer) int
+
+// anyOf picks a random host.
+func (d *Detourer) anyOf(hosts []heartbeater.Peer) int {
+	return d.random.IntN(len(hosts))
+}
+
+// lessLoaded picks that of two random hosts that has fewer requests in flight.
+func (d *Detourer) lessLoaded(hosts []heartbeater.Peer) int {
+	i, j := d.random.IntN(len(hosts)), d.random.IntN(len(hosts))
+	if hosts[j].InFlight < hosts[i].InFlight {
+		return j
+	}
+	return i
+}
+
 // choose appends up to n of the hosts, which it reorders.
-func (d *Detourer) choose(chosen, hosts []heartbeater.Peer, n int) []heartbeater.Peer {
+func choose(chosen, hosts []heartbeater.Peer, n int, pick pickFunc) []heartbeater.Peer {
 	for range min(n, len(hosts)) {
-		i, j := d.random.IntN(len(hosts)), d.random.IntN(len(hosts))
-		if hosts[j].InFlight < hosts[i].InFlight {
-			i = j
-		}
+		i := pick(hosts)
 		chosen = append(chosen, hosts[i])
 		hosts[i] = hosts[len(hosts)-1]
 		hosts = hosts[:len(hosts)-1]
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -131,6 +131,31 @@
 	}
 }
 
+// Guards against a verification that asks mostly hosts that are cut off as well: these have few requests in
+// flight, since they refuse them at once.
+func TestVerifiersAreChosenWhateverTheirLoad(t *testing.T) {
+	for _, perZone := range []int{10, 20, 40} {
+		all := slices.Concat(peers("a", perZone), peers("b", perZone), peers("c", perZone))
+		for i := range all {
+			if i%2 == 0 {
+				all[i].InFlight = 10
+			}
+		}
+		d := New(1)
+		const draws = 1000
+		idle := 0
+		for range draws {
+			for _, p := range d.Verifiers(all, "a", 1000) {
+				if p.InFlight == 0 {
+					idle++
+				}
+			}
+		}
+		share := float64(idle) / (draws * minVerifiers)
+		assert.Assert(t, share > 0.45 && share < 0.55, "%d hosts a zone: %.2f", perZone, share)
+	}
+}
+
 // Many hosts of a zone are cut off at once: their connections spread over the others, and busy ones get
 // fewer.
 func TestDetoursSpreadOverHosts(t *testing.T) {
