Origins: only hosts that would have been told prove that a stream is unknown

A caller that takes a stream up can get events of another software version (ORDER).

Cause: a host that can't read the record of versions asks three hosts for the origin of a stream. If any answered and none knew it, the only version that the host knows counted. Two hosts are told of a stream, those that rank first without the one that began it; the third of those asked is told only if the beginner ranks before it. Where the hosts that were told are silent, its "unknown" proves nothing.

Ruled out: different ranks, all hosts here know the same hosts; a read of the store, which decides alone where it succeeds.

Change: the answer of one of the two hosts that rank first among all, this one included, is needed: these began the stream or were told. The three are asked as before. Nothing changes on the wire; hosts of older versions keep the fault.

Conclusion: without the store and without an answer of both hosts a take-up is refused (origin_unknown, "not run" is true) where the third alone answers, also with one version in use. A share that fails is not sent again; one of the two hosts may then not know. Hosts that are cut off together are the next case.

--- a/runner/stream_origins.go
+++ b/runner/stream_origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,6 +48,7 @@
 // streamOrigins knows which software version began each stream, also for other hosts, which ask it when
 // a caller takes a stream up there. It is safe for concurrent use.
 type streamOrigins struct {
+	host     string
 	clock    *clocker.Clock
 	log      *slog.Logger
 	exchange originExchange
@@ -73,6 +75,7 @@
 
 func newStreamOrigins(r *Runner) *streamOrigins {
 	return &streamOrigins{
+		host:     r.cfg.Settings.Host,
 		clock:    r.cfg.Clock,
 		log:      r.cfg.Log,
 		exchange: r.exchange,
@@ -134,8 +137,8 @@
 
 // Origin implements relayer.Origins. A single version in use is the origin of any stream, but this host
 // may not have heard of a new one: it was cut off, or stood still. So it counts only if the record in
-// the store confirms it now, or, without the store, if a host that keeps the stream does not know it: such hosts
-// are told of each stream once two versions are in use.
+// the store confirms it now, or, without the store, if a host does not know the stream that would have been told of
+// it: such hosts are told of each stream once two versions are in use.
 func (o *streamOrigins) Origin(ctx context.Context, id, service string) (string, bool) {
 	if id == "" {
 		if !o.confirmVersions(ctx) {
@@ -151,19 +154,19 @@
 	if software, known := o.only(service); known && confirmed {
 		return software, true
 	}
-	anyAnswer := false
+	neverTold := false
 	for range 2 {
-		software, known, answered := o.ask(ctx, stream)
+		software, known, keeperAnswered := o.ask(ctx, stream)
 		if known {
 			originsFound.Inc()
 			return software, true
 		}
-		anyAnswer = anyAnswer || answered
+		neverTold = neverTold || keeperAnswered
 		if o.clock.Sleep(ctx, originRetryDelay) != nil {
 			break
 		}
 	}
-	if software, known := o.only(service); known && anyAnswer {
+	if software, known := o.only(service); known && neverTold {
 		return software, true
 	}
 	originsUnknown.Inc()
@@ -201,46 +204,70 @@
 	return o.recorder.Find(stream)
 }
 
-// ask asks the hosts that keep a stream for its origin; the first one that knows it decides. answered is true
-// if any of them answered.
-func (o *streamOrigins) ask(ctx context.Context, stream uint64) (software string, known, answered bool) {
+// ask asks the hosts that may keep a stream for its origin; the first one that knows it decides. keeperAnswered
+// is true if one of them answered that is told wherever the stream began.
+func (o *streamOrigins) ask(ctx context.Context, stream uint64) (software string, known, keeperAnswered bool) {
 	ctx, cancel := o.clock.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
+	type answer struct {
+		address string
+		reply   *messenger.OriginReply
+	}
 	addresses := o.keepers(stream, askedKeepers)
-	answers := make(chan *messenger.OriginReply, len(addresses))
+	answers := make(chan answer, len(addresses))
 	for _, address := range addresses {
 		go func() { // ends at the latest with ctx
 			reply, err := o.exchange.ShareOrigins(ctx, address, &messenger.OriginRequest{Wanted: []uint64{stream}})
 			if err != nil {
 				reply = nil // it may be cut off or dead, and the others know the stream as well
 			}
-			answers <- reply
+			answers <- answer{address, reply}
 		}()
 	}
+	alwaysTold := o.alwaysTold(stream)
 	for range addresses {
-		reply := <-answers
-		answered = answered || reply != nil
-		o.add(reply.GetKnown())
+		a := <-answers
+		keeperAnswered = keeperAnswered || a.reply != nil && slices.Contains(alwaysTold, a.address)
+		o.add(a.reply.GetKnown())
 		if software, known = o.find(stream); known {
 			return software, true, true
 		}
 	}
-	return "", false, answered
+	return "", false, keeperAnswered
 }
 
-// keepers returns the exchange addresses of the n live hosts that keep a stream.
+// keepers returns the exchange addresses of the n live hosts that keep a stream, this one left out.
 func (o *streamOrigins) keepers(stream uint64, n int) []string {
-	addresses := map[string]string{}
-	var hosts []string
+	addresses, hosts := o.liveHosts()
+	return rankedAddresses(stream, addresses, hosts, n)
+}
+
+// alwaysTold returns the exchange addresses of the hosts that are told of a stream, or began it, wherever it
+// began: those that rank first among all hosts. The next one is told only if one of these began it.
+func (o *streamOrigins) alwaysTold(stream uint64) []string {
+	addresses, hosts := o.liveHosts()
+	return rankedAddresses(stream, addresses, append(hosts, o.host), originKeepers)
+}
+
+// liveHosts returns the names of the other live hosts, and their exchange addresses by name.
+func (o *streamOrigins) liveHosts() (addresses map[string]string, hosts []string) {
+	addresses = map[string]string{}
 	for _, p := range o.peers() {
 		addresses[p.Host] = p.ExchangeAddress
 		hosts = append(hosts, p.Host)
 	}
-	var keepers []string
+	return addresses, hosts
+}
+
+// rankedAddresses returns the addresses of the n hosts that rank first for a stream, as far as these have one.
+func rankedAddresses(stream uint64, addresses map[string]string, hosts []string, n int) []string {
+	var ranked []string
 	for _, host := range recorder.Keepers(stream, hosts, n) {
-		keepers = append(keepers, addresses[host])
+		if address, ok := addresses[host]; ok {
+			ranked = append(ranked, address)
+		}
 	}
-	return keepers
+	return ranked
 }
 
 // add adds origins that another host told of.
--- a/runner/stream_origins_test.go
+++ b/runner/stream_origins_test.go
@@ -371,6 +371,46 @@
 	}
 }
 
+// Guards against a stream that goes on at another version on the word of one host that nobody would have told:
+// the hosts that were told of the stream do not answer.
+func TestHostsThatWereNotToldDoNotProveTheOrigin(t *testing.T) {
+	for _, hosts := range []int{4, 8, 90} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newOriginFleet(hosts)
+				defer f.stop()
+				f.know("v1")
+				f.sleep(clocker.Second)
+				outOfStep := f.hosts[hosts-1]
+				outOfStep.cutOff(true, false)
+				outOfStep.dead.Store(true) // stands still
+				for _, h := range f.hosts[:hosts-1] {
+					h.origins.seen(chooser.Server{Service: "s", Software: "v2"})
+				}
+				f.sleep(clocker.Second)
+				for i := range 20 {
+					id := fmt.Sprint("a", i)
+					f.hosts[0].origins.Began(id, chooser.Server{Service: "s", Software: "v2"})
+					f.sleep(originCallTimeout + originShareInterval)
+					told := f.hosts[0].origins.keepers(recorder.StreamHash(id), originKeepers)
+					silent := append(told, f.hosts[0].name)
+					setSilent := func(dead bool) {
+						for _, h := range f.hosts[:hosts-1] {
+							h.dead.Store(dead && slices.Contains(silent, h.name))
+						}
+					}
+					setSilent(true)
+					outOfStep.dead.Store(false)
+					software, known := outOfStep.origins.Origin(t.Context(), id, "s")
+					assert.Check(t, !known, "stream %d goes on at %s", i, software)
+					setSilent(false)
+					outOfStep.dead.Store(true)
+				}
+			})
+		})
+	}
+}
+
 // Guards against streams that are all refused as a cure: with one version in use they go on, while the store or
 // another host answers.
 func TestStreamsGoOnWhereOneVersionIsConfirmed(t *testing.T) {
