Known red: a zone out of step continues streams at the old version

What callers saw: nothing reported; found by a review. A caller that moves to a zone which is cut off from the store and from other zones gets events of another software version (ORDER).

Cause: without the store the word of a host that would have been told of the stream proves that no other version began it. Hosts that are cut off together are told nothing and confirm each other.

Not mended: hosts of such a zone see what hosts see while the store is down for all and others have died, where refusing would lose the take-ups (LOST).

Conclusion: open. To weigh: heartbeats could carry the versions in use, or the time since which a host has heard from the store.

--- a/runner/stream_origins_test.go
+++ b/runner/stream_origins_test.go
@@ -411,6 +411,37 @@
 	}
 }
 
+// Guards against a stream that goes on at another version on the word of hosts that are cut off alike: the hosts of a
+// zone hear neither from the store nor from other zones while servers of a new version join.
+func TestZoneOutOfStepDoesNotTakeTheOldVersionForTheOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newOriginFleet(8)
+		defer f.stop()
+		f.know("v1")
+		f.sleep(clocker.Second)
+		const zoneStart = 5
+		for i, h := range f.hosts {
+			all := h.origins.peers
+			h.origins.peers = func() []heartbeater.Peer {
+				return slices.DeleteFunc(all(), func(p heartbeater.Peer) bool { return (p.Host >= f.hosts[zoneStart].name) != (i >= zoneStart) })
+			}
+			if i >= zoneStart {
+				h.cutOff(true, false)
+				continue
+			}
+			h.origins.seen(chooser.Server{Service: "s", Software: "v2"})
+		}
+		f.sleep(clocker.Second)
+		assert.Assert(t, f.hosts[0].origins.admits("s", "v2"))
+		f.hosts[0].origins.Began("a", chooser.Server{Service: "s", Software: "v2"})
+		f.sleep(originCallTimeout + originShareInterval)
+		for _, h := range f.hosts[zoneStart:] {
+			software, known := h.origins.Origin(t.Context(), "a", "s")
+			assert.Check(t, !known, "%s: the stream goes on at %s", h.name, software)
+		}
+	})
+}
+
 // Guards against streams that are all refused as a cure: with one version in use they go on, while the store or
 // another host answers.
 func TestStreamsGoOnWhereOneVersionIsConfirmed(t *testing.T) {
