Carrier: a slow report does not make a whole answer a failure

A whole answer without a length ends as broken off, or as 502 outcome_unknown, where its server takes longer than 250 ms to tell its incarnation.

Cause: the call that confirms the end of such an answer, and that behind the header of a server that closes each connection, had the time limit of a dial. It is meant for servers that a request has not reached yet and can leave for others; here the request has run.

Ruled out: a server whose process died refuses the connection at once and needs no time limit; a cut path fails in the dial, whose limit stays.

Change: two seconds for the answer to these two calls. Calls before the first request on a connection keep the limit of a dial.

--- a/carrier/end.go
+++ b/carrier/end.go
@@ -38,7 +38,7 @@
 	if startedAt := r.StartedAt(); startedAt > 0 {
 		t.StartedAt = startedAt
 	}
-	cn, err := c.dialServer(r.ctx, t)
+	cn, err := c.dialServer(r.ctx, t, confirmTimeout)
 	var status errIdentityStatus
 	if errors.As(err, &status) && r.StartedAt() == 0 { // it answers, as a plain service without a free slot does
 		return !c.closedIdle(t)
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -20,6 +20,9 @@
 	// identityAttempts is the number of connections on which a server is asked that closes each one
 	// behind its answer.
 	identityAttempts = 2
+	// confirmTimeout is how long a server has to tell its incarnation behind an answer, in milliseconds. A slow
+	// server has sent the answer all the same; a dead one refuses the connection.
+	confirmTimeout = 2 * clocker.Second
 )
 
 var (
@@ -85,8 +88,9 @@
 }
 
 // dialServer opens a connection to a server and asks which incarnation it is, if servers like it tell. For one
-// that closes each connection behind its answer, the answer on the connection just before counts.
-func (c *Carrier) dialServer(ctx context.Context, t Target) (*conn, error) {
+// that closes each connection behind its answer, the answer on the connection just before counts. timeout limits the wait
+// for each answer, in milliseconds.
+func (c *Carrier) dialServer(ctx context.Context, t Target, timeout clocker.Millis) (*conn, error) {
 	if c.cfg.Identity == nil || !t.Identifies {
 		return c.dial(ctx, t.Address, c.cfg.DialTimeout)
 	}
@@ -96,7 +100,7 @@
 		if err != nil {
 			return nil, err
 		}
-		reusable, err := c.identify(ctx, cn, t)
+		reusable, err := c.identify(ctx, cn, t, timeout)
 		if err == nil && reusable {
 			return cn, nil
 		}
@@ -135,7 +139,7 @@
 
 // stillRuns reports whether the incarnation that the target names still listens, as far as the server tells.
 func (c *Carrier) stillRuns(ctx context.Context, t Target) bool {
-	cn, err := c.dialServer(ctx, t)
+	cn, err := c.dialServer(ctx, t, confirmTimeout)
 	if err != nil {
 		return false
 	}
@@ -145,14 +149,14 @@
 
 // identify asks a server on a new connection which incarnation it is. It reports whether the connection
 // can be used for a request afterwards.
-func (c *Carrier) identify(ctx context.Context, cn *conn, t Target) (reusable bool, err error) {
+func (c *Carrier) identify(ctx context.Context, cn *conn, t Target, timeout clocker.Millis) (reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	defer func() {
 		if !stop() && err == nil {
 			err = ctx.Err()
 		}
 	}()
-	_ = cn.SetDeadline(clocker.FromNow(c.cfg.DialTimeout))
+	_ = cn.SetDeadline(clocker.FromNow(timeout))
 	defer func() { _ = cn.SetDeadline(time.Time{}) }()
 	cn.setReadLimit(maxIdentityBytes)
 	defer cn.setReadLimit(noReadLimit)
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -39,7 +39,7 @@
 		}
 		_ = cn.Close()
 	}
-	cn, err := c.dialServer(ctx, t)
+	cn, err := c.dialServer(ctx, t, c.cfg.DialTimeout)
 	if err == nil && !c.suits(cn, t, r) {
 		c.putIdle(t, cn) // for requests that any incarnation may get
 		return nil, ErrOtherIncarnation{ID: t.ID, StartedAt: cn.incarnation.startedAt}
@@ -59,7 +59,7 @@
 		_ = cn.Close()
 		return false
 	}
-	reusable, err := c.identify(ctx, cn, t)
+	reusable, err := c.identify(ctx, cn, t, c.cfg.DialTimeout)
 	if err != nil || !reusable {
 		_ = cn.Close()
 	} else {
