--- a/chooser/server.go
+++ b/chooser/server.go
@@ -182,6 +182,7 @@
 	return s
 }
 
+// unlistedSeparator stands between the ID and the start of a server in the version of an incarnation without an entry.
 const unlistedSeparator = "@"
 
 // unlistedSoftware returns the version that stands for an incarnation without an entry.
