Budgets: where hosts of a zone differ, the large ones hold

Cause: holders were chosen by rendezvous hashing alone. On a deployment of 62 hosts four of six holders were machines of 0.144 of a core that took 30 to 100 ms (p50) to answer a request for tokens; a machine of 0.8 took 5 ms. Requests wait 150 ms for tokens. Ruled out: weighted rendezvous hashing; thirteen small machines of a zone weigh as much as its two largest ones. Change: hosts tell their processor capacity in heartbeats (CapacityMilli, from the settings CpuShare and Cores). Rendezvous hashing is over the hosts with at least 0.75 of the second largest capacity of the zone; unknown or equal capacities choose as before. Result: not measured yet.

--- a/allotter/holders.go
+++ b/allotter/holders.go
@@ -7,8 +7,43 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// HoldersPerZone is the number of holders of a shard in each availability zone.
-const HoldersPerZone = 2
+const (
+	// HoldersPerZone is the number of holders of a shard in each availability zone.
+	HoldersPerZone = 2
+	// minHolderCapacity is the share of the HoldersPerZone-th largest capacity of a zone that a host
+	// needs to be a holder. A holder answers the requests for tokens of its whole zone: machines of
+	// 0.144 of a core took 30 to 100 ms for an answer, one of 0.8 took 5 ms.
+	minHolderCapacity = 0.75
+)
+
+// Candidate is a host that may hold budgets.
+type Candidate struct {
+	Host string
+	// CapacityMilli is the processor capacity of its machine in thousandths of a core, 0 if unknown.
+	CapacityMilli int64
+}
+
+// HoldersByCapacity returns the holders of a shard among the hosts of an availability zone: those
+// that Holders returns for the hosts with a large capacity. Where capacities are equal or unknown, all
+// hosts qualify.
+func HoldersByCapacity(shard int, zone []Candidate) []string {
+	capacities := make([]int64, 0, len(zone))
+	for _, c := range zone {
+		capacities = append(capacities, c.CapacityMilli)
+	}
+	slices.SortFunc(capacities, func(x, y int64) int { return cmp.Compare(y, x) })
+	threshold := int64(0)
+	if len(capacities) >= HoldersPerZone {
+		threshold = int64(minHolderCapacity * float64(capacities[HoldersPerZone-1]))
+	}
+	var hosts []string
+	for _, c := range zone {
+		if c.CapacityMilli >= threshold {
+			hosts = append(hosts, c.Host)
+		}
+	}
+	return Holders(shard, hosts)
+}
 
 // Holders returns the holders of a shard among the hosts of an availability zone,
 // by rendezvous hashing: when a host is added or removed, only the shards that it
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -327,6 +327,9 @@
 	p.PlatformReachable = beat.PlatformReachable
 	p.BackendsCut = beat.BackendsCut
 	p.InFlight = beat.InFlight
+	if beat.CapacityMilli > 0 { // earlier builds forward beats without it
+		p.CapacityMilli = beat.CapacityMilli
+	}
 	p.HeldTokens = beat.HeldTokens
 	p.LeavingInFlight = beat.LeavingInFlight
 	p.RequestsCut = beat.RequestsCut
--- a/heartbeater/peer.go
+++ b/heartbeater/peer.go
@@ -31,7 +31,9 @@
 	// BackendsCut is true while it can't connect to backend servers that other hosts reach.
 	BackendsCut bool
 	InFlight    int64
-	HeldTokens  int64
+	// CapacityMilli is the processor capacity of its machine in thousandths of a core, 0 if unknown.
+	CapacityMilli int64
+	HeldTokens    int64
 	// LeavingInFlight is the number of its requests on leaving backend servers.
 	LeavingInFlight int64
 	// RequestsCut is the number of requests that it aborted in its graceful stop.
--- a/heartbeater/sample.go
+++ b/heartbeater/sample.go
@@ -67,6 +67,7 @@
 		BackendsCut:          member.peer.BackendsCut,
 		SentAtMs:             int64(member.lastSentAt),
 		InFlight:             member.peer.InFlight,
+		CapacityMilli:        member.peer.CapacityMilli,
 		HeldTokens:           member.peer.HeldTokens,
 		LeavingInFlight:      member.peer.LeavingInFlight,
 		RequestsCut:          member.peer.RequestsCut,
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -35,7 +35,7 @@
 	// liveHosts are the hosts of the live incarnations.
 	liveHosts map[string]bool
 	// zoneHosts are the hosts of the own availability zone that may hold budgets.
-	zoneHosts []string
+	zoneHosts []allotter.Candidate
 	// zoneHash is a hash of zoneHosts.
 	zoneHash uint64
 	// stable is true once the membership of the fleet is stable.
@@ -49,7 +49,7 @@
 		policy:    r.cfg.Policy(),
 		live:      map[string]bool{r.cfg.Incarnation: true},
 		liveHosts: map[string]bool{r.cfg.Host: true},
-		zoneHosts: []string{r.cfg.Host},
+		zoneHosts: []allotter.Candidate{{Host: r.cfg.Host, CapacityMilli: r.cfg.CapacityMilli}},
 	}
 	for _, p := range r.cfg.Peers() {
 		if p.Suspect || p.Incarnation == "" || p.Incarnation == r.cfg.Incarnation {
@@ -59,11 +59,11 @@
 		v.live[p.Incarnation] = true
 		v.liveHosts[p.Host] = true
 		if p.AvailabilityZone == r.cfg.AvailabilityZone && !p.Draining {
-			v.zoneHosts = append(v.zoneHosts, p.Host)
+			v.zoneHosts = append(v.zoneHosts, allotter.Candidate{Host: p.Host, CapacityMilli: p.CapacityMilli})
 		}
 	}
-	for _, host := range v.zoneHosts {
-		v.zoneHash += xxhash.Sum64String(host)
+	for _, c := range v.zoneHosts {
+		v.zoneHash += xxhash.Sum64String(c.Host) ^ uint64(c.CapacityMilli)
 	}
 	var hostsHash uint64
 	for host := range v.liveHosts {
@@ -91,7 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.holders == nil || s.holdersZoneHash != v.zoneHash {
-		s.holders = allotter.Holders(s.number, v.zoneHosts)
+		s.holders = allotter.HoldersByCapacity(s.number, v.zoneHosts)
 		s.holdersZoneHash = v.zoneHash
 	}
 	return s.holders
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -47,9 +47,11 @@
 	Incarnation      string
 	Host             string
 	AvailabilityZone string
-	Clock            *clocker.Clock
-	Store            Store
-	Exchange         Exchange
+	// CapacityMilli is the processor capacity of this machine in thousandths of a core, 0 if unknown.
+	CapacityMilli int64
+	Clock         *clocker.Clock
+	Store         Store
+	Exchange      Exchange
 	// Peers returns the other routers as currently known.
 	Peers func() []heartbeater.Peer
 	// Policy returns the policy in force with its defaults filled in.
--- a/reserver/restore.go
+++ b/reserver/restore.go
@@ -92,17 +92,17 @@
 
 // mustSpeak returns the live incarnations that hold the shard in their availability zones.
 func (r *Reserver) mustSpeak(s *shard, v *fleetView) []string {
-	zones := map[string][]string{r.cfg.AvailabilityZone: {r.cfg.Host}}
+	zones := map[string][]allotter.Candidate{r.cfg.AvailabilityZone: {{Host: r.cfg.Host, CapacityMilli: r.cfg.CapacityMilli}}}
 	incarnations := map[string]string{r.cfg.Host: r.cfg.Incarnation}
 	for _, p := range r.cfg.Peers() {
 		if v.live[p.Incarnation] && !p.Draining {
-			zones[p.AvailabilityZone] = append(zones[p.AvailabilityZone], p.Host)
+			zones[p.AvailabilityZone] = append(zones[p.AvailabilityZone], allotter.Candidate{Host: p.Host, CapacityMilli: p.CapacityMilli})
 			incarnations[p.Host] = p.Incarnation
 		}
 	}
 	var holders []string
 	for _, hosts := range zones {
-		for _, host := range allotter.Holders(s.number, hosts) {
+		for _, host := range allotter.HoldersByCapacity(s.number, hosts) {
 			holders = append(holders, incarnations[host])
 		}
 	}
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -255,6 +255,7 @@
 		Incarnation:          r.incarnation,
 		Host:                 r.cfg.Settings.Host,
 		AvailabilityZone:     r.cfg.Settings.AvailabilityZone,
+		CapacityMilli:        r.cfg.Settings.capacityMilli(),
 		Clock:                r.cfg.Clock,
 		Store:                r.cfg.Platform.Store,
 		GetStale:             r.cfg.Platform.Store.GetStale,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -366,6 +366,7 @@
 		CallerAddress:    s.CallerAddress,
 		Draining:         r.draining.Load(),
 		BackendsCut:      r.backendsCut.Load(),
+		CapacityMilli:    s.capacityMilli(),
 		SentAtMs:         int64(r.cfg.Clock.Now()),
 	}
 	if t := r.table.Load(); t != nil {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -13,6 +13,9 @@
 	"cowsliphinge/clocker"
 )
 
+// milliPerCore is the capacity of one core in thousandths.
+const milliPerCore = 1000
+
 // Settings is the content of the settings file of one process on the operators'
 // platform. The field names are the keys of the file.
 type Settings struct {
@@ -33,6 +36,10 @@
 	MemoryMb int64
 	// LinkMbps is the bandwidth of the link of this host in each direction.
 	LinkMbps float64
+	// CpuShare is the share of a core that the process may use, and Cores how many times as fast as the
+	// fleet's unit that core is. Hosts with a large product of both hold the budgets; 0 means unknown.
+	CpuShare float64
+	Cores    float64
 	// StopBoundMs is the time limit of a graceful stop.
 	StopBoundMs clocker.Millis
 	// ConfigurationMs is the time within which an accepted configuration must be in
@@ -98,6 +105,11 @@
 			findings = append(findings, fmt.Sprintf("%s is %d, not a positive time", key, value))
 		}
 	}
+	for key, value := range map[string]float64{"CpuShare": s.CpuShare, "Cores": s.Cores} {
+		if value < 0 {
+			findings = append(findings, fmt.Sprintf("%s is %v, a negative capacity", key, value))
+		}
+	}
 	if s.LinkMbps <= 0 {
 		findings = append(findings, fmt.Sprintf("LinkMbps is %v, not a positive rate", s.LinkMbps))
 	}
@@ -105,6 +117,11 @@
 	return findings
 }
 
+// capacityMilli returns the processor capacity of the machine in thousandths of a core, 0 if unknown.
+func (s Settings) capacityMilli() int64 {
+	return int64(milliPerCore * s.CpuShare * s.Cores)
+}
+
 // level is the log level shared by all loggers of the process. A reload changes it.
 var level slog.LevelVar
 
@@ -125,6 +142,6 @@
 	ApplyLogLevel(s)
 	restartNeeded := old.Host != s.Host || old.AvailabilityZone != s.AvailabilityZone || old.CallerAddress != s.CallerAddress ||
 		old.ReadyAddress != s.ReadyAddress || old.ExchangeAddress != s.ExchangeAddress || old.StoreAddress != s.StoreAddress ||
-		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb || old.LinkMbps != s.LinkMbps
+		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb || old.LinkMbps != s.LinkMbps || old.capacityMilli() != s.capacityMilli()
 	r.cfg.Log.Info("settings reloaded", "changed", *old != s, "restart_needed", restartNeeded)
 }
