Load: read reports and callers' fields that have grown

A load of more than three figures was ignored as a whole, so that on deployments with a fourth figure no load was known. The first three are read as before, the fourth is the slowdown of the machine, further ones are skipped. An invalid figure gives the behavior without it, counts in cowsliphinge_invalid_server_loads_total and is logged once.

go test -race ./chooser ./relayer ./platform and 10 s of FuzzHeaders pass.

--- a/chooser/server.go
+++ b/chooser/server.go
@@ -77,6 +77,9 @@
 type StatusReport struct {
 	// Load is nil if the response carried no load.
 	Load *Load
+	// Slowdown is how long work takes on the server's machine at this moment, as a multiple of the
+	// usual time; 0 if the response did not tell.
+	Slowdown float64
 	// Leaving is true if the server is shutting down; this holds for the rest of the
 	// incarnation.
 	Leaving bool
--- a/relayer/header_fuzz_test.go
+++ b/relayer/header_fuzz_test.go
@@ -19,6 +19,10 @@
 	f.Add("a:9223372036854775807,b:9223372036854775807", "9223372036854775807,9223372036854775807", "9223372036854775807,9223372036854775807,0", "1e300", 503)
 	f.Add(",,,:", ",", ",,", "NaN", 503)
 	f.Add("a:1", "1460", "x", "Inf", 200)
+	f.Add("a:1:9,b:2", "1460,80,7", "3,0,8,250", "0.35", 200)
+	f.Add("a:1", "1460,80", "3,0,8,-1,x", "0", 200)
+	f.Add("a:1", "1460,80", "3,0,8,1e300", "0", 200)
+	f.Add("a:1", "1460,80", "3,0,8,NaN,4", "0", 200)
 	f.Fuzz(func(t *testing.T, prompt, tokens, load, retryAfter string, status int) {
 		if in, out, ok := parseTokens(tokens); ok {
 			assert.Assert(t, in >= 0 && out >= 0)
@@ -26,6 +30,8 @@
 		if l := parseLoad(load); l != nil {
 			assert.Assert(t, l.Running >= 0 && l.Queued >= 0 && l.Slots >= 0)
 		}
+		slowdown, _ := parseSlowdown(load)
+		assert.Assert(t, slowdown >= 0 && slowdown <= maxSlowdownFigure/usualSlowdown)
 		report := HeaderNames{Leaving: "X-Leaving", Load: "X-Load"}.statusReport(status, http.Header{"X-Load": {load}, "Retry-After": {retryAfter}}, 0)
 		assert.Assert(t, report.BackOff >= 0 && report.BackOff <= maxBackOff+backOffMargin)
 
--- a/relayer/header_names.go
+++ b/relayer/header_names.go
@@ -17,9 +17,14 @@
 	// backOffMargin is added to the requested back-off, in milliseconds. It covers
 	// the transfer of the response and the clock drift between two machines.
 	backOffMargin = 20 * clocker.Millis(1)
+	// maxLoggedValue limits the bytes of an invalid header field in the log.
+	maxLoggedValue = 64
 )
 
-var invalidLimits = metrics.NewCounter("cowsliphinge_invalid_server_limits_total")
+var (
+	invalidLimits = metrics.NewCounter("cowsliphinge_invalid_server_limits_total")
+	invalidLoads  = metrics.NewCounter("cowsliphinge_invalid_server_loads_total")
+)
 
 // HeaderNames holds the names of the headers that a Relayer reads and sets. They are
 // specific to the protocol of the deployment. A header with an empty name is never
@@ -43,7 +48,8 @@
 	NotRun string
 	// Leaving marks the responses of a backend server that is about to stop.
 	Leaving string
-	// Load holds running requests, waiting requests and slots, separated by commas.
+	// Load holds running requests, waiting requests and slots, separated by commas. A fourth figure is
+	// the machine's slowdown at this moment in percent; others may follow.
 	Load string
 	// Priority holds the priority in requests to model engines, from 0 (most urgent)
 	// to 9.
@@ -65,12 +71,15 @@
 	Brittleness func(http.Header) (chooser.Brittleness, bool)
 	// Stripped are headers that are removed from callers' requests.
 	Stripped []string
+	// invalidLoad is called with a load that can't be read, or whose slowdown can't; it may be nil.
+	invalidLoad func(value string)
 }
 
 // statusReport returns the load, planned stop, limit and requested back-off that a backend
 // server reports in the headers of the response to a request that was sent at sentAt.
 func (d HeaderNames) statusReport(status int, h http.Header, sentAt clocker.Millis) chooser.StatusReport {
-	report := chooser.StatusReport{Load: parseLoad(h.Get(d.Load)), Leaving: h.Get(d.Leaving) != ""}
+	report := chooser.StatusReport{Leaving: h.Get(d.Leaving) != ""}
+	report.Load, report.Slowdown = d.load(h)
 	if status == http.StatusServiceUnavailable {
 		report.BackOff = parseRetryAfter(h.Get("Retry-After"))
 	}
@@ -85,6 +94,26 @@
 	return report
 }
 
+// load returns the load and the slowdown that a response reports, nil and 0 without a valid one.
+func (d HeaderNames) load(h http.Header) (*chooser.Load, float64) {
+	value := h.Get(d.Load)
+	if value == "" {
+		return nil, 0
+	}
+	load := parseLoad(value)
+	slowdown, ok := parseSlowdown(value)
+	if load == nil || !ok {
+		invalidLoads.Inc()
+		if d.invalidLoad != nil {
+			d.invalidLoad(value)
+		}
+	}
+	if load == nil {
+		return nil, 0
+	}
+	return load, slowdown
+}
+
 // brittleness returns what a response says of its service, or nil. Only a success that does not call
 // it brittle shows that it is not.
 func (d HeaderNames) brittleness(status int, h http.Header) *chooser.Brittleness {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,12 @@
 	if cfg.Origins == nil {
 		cfg.Origins = sameOrigin{}
 	}
+	var logInvalidLoad sync.Once // servers repeat the same fault in each response
+	cfg.HeaderNames.invalidLoad = func(value string) {
+		logInvalidLoad.Do(func() {
+			cfg.Log.Warn("load of a backend server is not valid, further ones are only counted", "value", value[:min(len(value), maxLoggedValue)])
+		})
+	}
 	r := &Relayer{cfg: cfg, overlap: maxOverlap}
 	r.ended, r.endAll = context.WithCancel(context.Background())
 	return r
@@ -266,7 +273,8 @@
 
 // callerTimeout returns how long the caller waits for the response, in milliseconds.
 func (x *relayedRequest) callerTimeout() clocker.Millis {
-	ms, err := strconv.ParseInt(strings.TrimSpace(x.req.Header.Get(x.cfg.HeaderNames.Timeout)), 10, 64)
+	figure, _, _ := strings.Cut(x.req.Header.Get(x.cfg.HeaderNames.Timeout), ",") // others may follow
+	ms, err := strconv.ParseInt(strings.TrimSpace(figure), 10, 64)
 	if err != nil || ms <= 0 {
 		return defaultTimeout
 	}
