Reserver: few asks for tokens, at the same time, of those that can have some

A host that lacked tokens asked the holders of its zone one after the other, all beginning with the same one, then up to 12 peers for loans, most of which had nothing. Several refills of one host sent the same ask again while the first was unanswered.

Hosts now begin with different holders and ask the next one once the first answered with too little, or after 30 ms. While an ask is on its way to a peer no second one for the same budgets is sent to it; requests that arrive meanwhile are refilled after its answer. Loans are asked of holders of any zone, computed from the live hosts, and of hosts with an open entry: at most 4, 2 by a host whose holders answered.

--- a/reserver/guard.go
+++ b/reserver/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 
@@ -100,23 +99,16 @@
 	for _, ask := range asks {
 		ask.Tokens = ask.Needed
 	}
-	loan := refillProgress{exhausted: map[string]bool{}, busy: map[string]bool{}}
-	answered := make(chan struct{})
+	results := make(chan askResult, 1)
 	r.tasks.Go(func() error {
-		defer close(answered)
-		r.requestTransfer(ctx, s, p, asks, &loan)
+		results <- r.requestTransfer(ctx, s, p, asks)
 		return nil
 	})
-	wait, cancel := r.cfg.Clock.WithTimeout(ctx, unguardedLoanWait)
-	defer cancel()
-	select {
-	case <-answered:
-		maps.Copy(progress.exhausted, loan.exhausted)
-		maps.Copy(progress.busy, loan.busy)
-		return true
-	case <-wait.Done():
-		return false
+	result, ok := r.awaitAnswer(ctx, results, unguardedLoanWait)
+	if ok {
+		progress.add(result)
 	}
+	return ok
 }
 
 // lacksGuardedOnly reports whether requests wait, and all of them for tokens that this host guards.
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -38,6 +38,10 @@
 	zoneHosts []string
 	// zoneHash is a hash of zoneHosts.
 	zoneHash uint64
+	// otherZones are the hosts of each other availability zone that may hold budgets, and
+	// otherZonesHash is a hash of them.
+	otherZones     map[string][]string
+	otherZonesHash uint64
 	// stable is true once the membership of the fleet is stable.
 	stable bool
 }
@@ -50,6 +54,8 @@
 		live:      map[string]bool{r.cfg.Incarnation: true},
 		liveHosts: map[string]bool{r.cfg.Host: true},
 		zoneHosts: []string{r.cfg.Host},
+
+		otherZones: map[string][]string{},
 	}
 	for _, p := range r.cfg.Peers() {
 		if p.Suspect || p.Incarnation == "" || p.Incarnation == r.cfg.Incarnation {
@@ -58,8 +64,13 @@
 		v.peers = append(v.peers, p)
 		v.live[p.Incarnation] = true
 		v.liveHosts[p.Host] = true
-		if p.AvailabilityZone == r.cfg.AvailabilityZone && !p.Draining {
+		switch {
+		case p.Draining:
+		case p.AvailabilityZone == r.cfg.AvailabilityZone:
 			v.zoneHosts = append(v.zoneHosts, p.Host)
+		default:
+			v.otherZones[p.AvailabilityZone] = append(v.otherZones[p.AvailabilityZone], p.Host)
+			v.otherZonesHash += xxhash.Sum64String(p.AvailabilityZone + "/" + p.Host)
 		}
 	}
 	for _, host := range v.zoneHosts {
@@ -97,6 +108,27 @@
 	return s.holders
 }
 
+// allHolders returns the hosts that are holders of the shard, in any availability zone, as far as this host
+// knows the live hosts of the zones.
+func (v *fleetView) allHolders(s *shard) map[string]bool {
+	holders := map[string]bool{}
+	for _, host := range v.zoneHolders(s) {
+		holders[host] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.otherHolders == nil || s.otherZonesHash != v.otherZonesHash {
+		s.otherHolders, s.otherZonesHash = []string{}, v.otherZonesHash
+		for _, hosts := range v.otherZones {
+			s.otherHolders = append(s.otherHolders, allotter.Holders(s.number, hosts)...)
+		}
+	}
+	for _, host := range s.otherHolders {
+		holders[host] = true
+	}
+	return holders
+}
+
 // isHolder reports whether this host is one of those that get tokens of the shard's
 // budgets from the platform for the availability zone.
 func (r *Reserver) isHolder(s *shard, v *fleetView) bool {
--- a/reserver/peers.go
+++ b/reserver/peers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cowsliphinge/allotter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/heartbeater"
@@ -15,8 +17,11 @@
 const (
 	// transferTimeout bounds one transfer request to a peer.
 	transferTimeout = 500 * clocker.Millis(1)
-	// maxLenders is how many peers one refill requests a loan from.
-	maxLenders = 12
+	// maxLenders is how many peers one refill requests a loan from. maxLendersBesideHolders is the same
+	// for a host whose holders answered: those of builds that don't borrow for their zone can't be told
+	// from others.
+	maxLenders              = 4
+	maxLendersBesideHolders = 2
 	// transferRetryInterval is the time between two retries of transfers of unknown
 	// outcome.
 	transferRetryInterval = 5 * clocker.Second
@@ -25,56 +30,76 @@
 )
 
 // requestFromHolders requests tokens from the holders of the own availability zone,
-// unless this host is one of them.
+// unless this host is one of them. Hosts begin with different holders, and ask the next one
+// once the first answered with too little or is slow.
 func (r *Reserver) requestFromHolders(ctx context.Context, s *shard, v *fleetView, progress *refillProgress) {
 	if r.isHolder(s, v) {
 		return
 	}
-	holders := v.zoneHolders(s)
+	hosts := v.zoneHolders(s)
+	var holders []heartbeater.Peer
 	for _, p := range v.peers {
-		if slices.Contains(holders, p.Host) && p.AvailabilityZone == r.cfg.AvailabilityZone {
-			if r.pauses.requested(p.Incarnation, v.now) {
-				progress.holderAnswered = true // it lacks tokens, and calls the platform for the zone
-				continue
-			}
-			progress.holderAnswered = r.requestTransfer(ctx, s, p, s.asks(r.conditions(s, v), false), progress) || progress.holderAnswered
+		switch {
+		case !slices.Contains(hosts, p.Host) || p.AvailabilityZone != r.cfg.AvailabilityZone:
+		case r.pauses.requested(p.Incarnation, v.now):
+			progress.holderAnswered = true // it lacks tokens, and calls the platform for the zone
+		default:
+			holders = append(holders, p)
 		}
 	}
+	if len(holders) > 1 && xxhash.Sum64String(r.cfg.Host)%2 == 1 {
+		slices.Reverse(holders)
+	}
+	asks := func() []*messenger.TransferAsk { return s.asks(r.conditions(s, v), false) }
+	if r.askInTurn(ctx, s, holders, asks, holderAskWait, progress) {
+		progress.holderAnswered = true
+	}
 }
 
 // requestLoans requests the tokens that waiting requests lack from peers, the most
-// promising first.
+// promising first. A host that is no holder asks few of them if the holders of its zone answered,
+// since these borrow for it.
 func (r *Reserver) requestLoans(ctx context.Context, s *shard, v *fleetView, progress *refillProgress) {
-	c := r.conditions(s, v)
-	if len(s.asks(c, true)) == 0 {
+	asks := func() []*messenger.TransferAsk { return s.asks(r.conditions(s, v), true) }
+	if len(asks()) == 0 {
 		return
 	}
-	lenders := r.lenders(s, v)
-	for _, p := range lenders[:min(maxLenders, len(lenders))] {
-		asks := s.asks(c, true)
-		if len(asks) == 0 {
-			return
-		}
-		r.requestTransfer(ctx, s, p, asks, progress)
+	count := maxLenders
+	if r.cfg.HoldersFirst && progress.holderAnswered {
+		count = maxLendersBesideHolders
 	}
+	lenders := r.lenders(s, v)
+	lenders = slices.DeleteFunc(lenders[:min(count, len(lenders))], func(p heartbeater.Peer) bool { return r.pauses.active(p.Incarnation, v.now) })
+	r.askInTurn(ctx, s, lenders, asks, loanAskWait, progress)
 }
 
-// lenders returns the live peers. Peers with an open entry for a budget that is waited
-// for come first, then those of the own availability zone, then those that hold the
-// most tokens.
+// lenders returns the live peers that can have tokens: the holders of all availability zones, and the
+// hosts with an open entry for a budget that is waited for. Holders with such an entry come first, then other
+// holders, then those of the own availability zone, then those that hold the most tokens. So that not all
+// hosts ask the same one, the tokens of each peer count for a share that differs from host to host.
 func (r *Reserver) lenders(s *shard, v *fleetView) []heartbeater.Peer {
-	open := s.openEntries()
+	open, holders := s.openEntries(), v.allHolders(s)
 	lenders := slices.Clone(v.peers)
+	lenders = slices.DeleteFunc(lenders, func(p heartbeater.Peer) bool {
+		return !holders[p.Host] && !open[p.Incarnation]
+	})
 	slices.SortStableFunc(lenders, func(x, y heartbeater.Peer) int {
 		return cmp.Or(
+			-compareBool(holders[x.Host] && open[x.Incarnation], holders[y.Host] && open[y.Incarnation]),
 			-compareBool(open[x.Incarnation], open[y.Incarnation]),
 			-compareBool(x.AvailabilityZone == r.cfg.AvailabilityZone, y.AvailabilityZone == r.cfg.AvailabilityZone),
-			-cmp.Compare(x.HeldTokens, y.HeldTokens),
+			-cmp.Compare(r.heldShare(x), r.heldShare(y)),
 		)
 	})
 	return lenders
 }
 
+// heldShare returns the tokens that a peer holds, times a factor of 0.5 to 1 that is fixed for this host and the
+// peer.
+func (r *Reserver) heldShare(p heartbeater.Peer) float64 {
+	return float64(p.HeldTokens) * (0.5 + float64(xxhash.Sum64String(r.cfg.Host+"/"+p.Host)%1000)/2000)
+}
+
 func compareBool(x, y bool) int {
 	switch {
 	case x == y:
@@ -106,17 +131,26 @@
 	return s.allotter.TransferAsks(c, loan)
 }
 
-// requestTransfer requests tokens from a peer and merges its reply. A request without
-// a reply may have moved tokens, so exchangeTotals records it to be repeated later. It
-// reports whether the peer answered.
-func (r *Reserver) requestTransfer(ctx context.Context, s *shard, p heartbeater.Peer, asks []*messenger.TransferAsk, progress *refillProgress) bool {
+// requestTransfer requests tokens from a peer and merges its reply. Budgets of which an ask is on its way
+// to the peer are left out. A request without a reply may have moved tokens, so exchangeTotals
+// records it to be repeated later.
+func (r *Reserver) requestTransfer(ctx context.Context, s *shard, p heartbeater.Peer, asks []*messenger.TransferAsk) askResult {
 	if len(asks) == 0 || r.pauses.active(p.Incarnation, r.cfg.Clock.Now()) {
-		return false
+		return askResult{}
+	}
+	asks = s.startAsks(p.Incarnation, asks)
+	if len(asks) == 0 {
+		asksSkipped.Inc()
+		return askResult{onItsWay: true}
 	}
 	request := &messenger.TransferRequest{From: r.cfg.Incarnation, To: p.Incarnation, Asks: asks}
 	s.mu.Lock()
+	totalled := map[string]bool{}
 	for _, ask := range asks {
-		request.Totals = append(request.Totals, s.allotter.TransferTotalTo(p.Incarnation, ask.Budget))
+		if !totalled[ask.Budget] {
+			totalled[ask.Budget] = true
+			request.Totals = append(request.Totals, s.allotter.TransferTotalTo(p.Incarnation, ask.Budget))
+		}
 	}
 	s.mu.Unlock()
 	reply := r.exchangeTotals(ctx, p, request)
@@ -126,13 +160,10 @@
 	case reply.PauseMs > 0:
 		r.pauses.set(p.Incarnation, min(clocker.Millis(reply.PauseMs), maxAskPause), true, now)
 	}
-	for _, budget := range reply.GetExhausted() {
-		progress.exhausted[budget] = true
-	}
-	for _, budget := range reply.GetBusy() {
-		progress.busy[budget] = true
+	if s.endAsks(p.Incarnation, asks) {
+		r.queueRefill(s)
 	}
-	return reply != nil
+	return askResult{answered: reply != nil, exhausted: reply.GetExhausted(), busy: reply.GetBusy()}
 }
 
 // exchangeTotals sends totals to a peer and merges the totals of its reply. It returns
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -44,6 +44,14 @@
 
 	holders         []string
 	holdersZoneHash uint64
+	// otherHolders are the holders of other availability zones, computed from the hosts with otherZonesHash.
+	otherHolders   []string
+	otherZonesHash uint64
+
+	// asked are the budgets of which an ask is on its way, by incarnation of the peer. askSkipped is true
+	// for a peer if a further ask was left out because of that.
+	asked      map[string]map[string]bool
+	askSkipped map[string]bool
 }
 
 // waiter is a request that waits for headroom.
@@ -70,6 +78,8 @@
 		platformSlot: make(chan struct{}, 1),
 		allotter:     allotter.New(cfg),
 		refusals:     map[string]refusal{},
+		asked:        map[string]map[string]bool{},
+		askSkipped:   map[string]bool{},
 	}
 }
 
