--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -38,6 +38,10 @@
 	zoneHosts []allotter.Candidate
 	// zoneHash is a hash of zoneHosts.
 	zoneHash uint64
+	// otherZones are the hosts of each other availability zone that may hold budgets, and
+	// otherZonesHash is a hash of them.
+	otherZones     map[string][]allotter.Candidate
+	otherZonesHash uint64
 	// stable is true once the membership of the fleet is stable.
 	stable bool
 }
@@ -50,6 +54,8 @@
 		live:      map[string]bool{r.cfg.Incarnation: true},
 		liveHosts: map[string]bool{r.cfg.Host: true},
 		zoneHosts: []allotter.Candidate{{Host: r.cfg.Host, CapacityMilli: r.cfg.CapacityMilli}},
+
+		otherZones: map[string][]allotter.Candidate{},
 	}
 	for _, p := range r.cfg.Peers() {
 		if p.Suspect || p.Incarnation == "" || p.Incarnation == r.cfg.Incarnation {
@@ -58,8 +64,14 @@
 		v.peers = append(v.peers, p)
 		v.live[p.Incarnation] = true
 		v.liveHosts[p.Host] = true
-		if p.AvailabilityZone == r.cfg.AvailabilityZone && !p.Draining {
-			v.zoneHosts = append(v.zoneHosts, allotter.Candidate{Host: p.Host, CapacityMilli: p.CapacityMilli})
+		candidate := allotter.Candidate{Host: p.Host, CapacityMilli: p.CapacityMilli}
+		switch {
+		case p.Draining:
+		case p.AvailabilityZone == r.cfg.AvailabilityZone:
+			v.zoneHosts = append(v.zoneHosts, candidate)
+		default:
+			v.otherZones[p.AvailabilityZone] = append(v.otherZones[p.AvailabilityZone], candidate)
+			v.otherZonesHash += xxhash.Sum64String(p.AvailabilityZone+"/"+p.Host) ^ uint64(p.CapacityMilli)
 		}
 	}
 	for _, c := range v.zoneHosts {
@@ -97,6 +109,27 @@
 	return s.holders
 }
 
+// allHolders returns the hosts that are holders of the shard, in any availability zone, as far as this host
+// knows the live hosts of the zones.
+func (v *fleetView) allHolders(s *shard) map[string]bool {
+	holders := map[string]bool{}
+	for _, host := range v.zoneHolders(s) {
+		holders[host] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.otherHolders == nil || s.otherZonesHash != v.otherZonesHash {
+		s.otherHolders, s.otherZonesHash = []string{}, v.otherZonesHash
+		for _, hosts := range v.otherZones {
+			s.otherHolders = append(s.otherHolders, allotter.HoldersByCapacity(s.number, hosts)...)
+		}
+	}
+	for _, host := range s.otherHolders {
+		holders[host] = true
+	}
+	return holders
+}
+
 // isHolder reports whether this host is one of those that get tokens of the shard's
 // budgets from the platform for the availability zone.
 func (r *Reserver) isHolder(s *shard, v *fleetView) bool {
