Reserver: asks of a zone wait for the holder's next write, and holders borrow for their zone

Each ask that a holder could not cover took the platform slot for a write of its own and gave up after 60 ms; most gave up while a write that covered them waited for its turn. After a conflict the writer slept 8 to 16 ms, then up to 512 ms, with the slot. Before a write it waited 100 ms for the promises of slow holders. Without the store a holder sent what it had, and every asker went on to ask others for loans itself.

Now all budgets that an ask lacks wait together, for up to 100 ms, for a refill that runs once at a time and covers all waiting asks by one write or, without the store, by loans from holders of other zones. Askers whose holders answered ask one lender at most (holders of earlier builds don't borrow for their zone). A conflict is tried again after a random delay of at most 8 ms, then 16, then 32; with requests waiting, promises are waited for 20 ms, and all loans that spare a write 20 ms together.

--- a/reserver/ask_storm_test.go
+++ b/reserver/ask_storm_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -39,7 +40,7 @@
 }
 
 func (p stormPhase) String() string {
-	return fmt.Sprintf("%d requests, %d refused (%d of them although a host had the tokens), %d asks of holders, %d asks for loans, %d writes, %d of them conflicts", p.requests, p.refused, p.owed, p.zoneAsks, p.loanAsks, p.writes, p.conflicts)
+	return fmt.Sprintf("%d requests, %d refused (%d of them although a holder had the tokens), %d asks of holders, %d asks for loans, %d writes, %d of them conflicts", p.requests, p.refused, p.owed, p.zoneAsks, p.loanAsks, p.writes, p.conflicts)
 }
 
 const (
@@ -65,6 +66,7 @@
 	*pricedHost
 	storm      *stormFleet
 	answerTime clocker.Millis
+	holder     bool
 	// turn is held while the host works on an ask.
 	turn chan struct{}
 }
@@ -186,11 +188,14 @@
 	})
 }
 
-// usable returns the tokens of a budget that one host could give away at the moment, guarded ones left out.
+// usable returns the most tokens of a budget that one holder could give away at the moment, guarded ones left out.
 // While the store answers, its unassigned tokens count too.
 func (f *stormFleet) usable(budget string) int64 {
 	var most, unassigned int64
 	for _, h := range f.hosts {
+		if !h.holder {
+			continue
+		}
 		for _, s := range h.reserver.Snapshots([]string{budget}) {
 			most = max(most, s.Headroom)
 			unassigned = max(unassigned, s.Unassigned)
@@ -236,6 +241,16 @@
 				f.hosts = append(f.hosts, h)
 			}
 		}
+		for z := range load.zones {
+			zone := f.hosts[z*load.hostsPerZone : (z+1)*load.hostsPerZone]
+			var names []string
+			for _, h := range zone {
+				names = append(names, h.name)
+			}
+			for _, h := range zone {
+				h.holder = slices.Contains(allotter.Holders(0, names), h.name)
+			}
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, h := range f.hosts {
 			h.startStorm(ctx, load, grants, random)
@@ -295,6 +310,9 @@
 	t.Parallel()
 	const (
 		maxAsksPerRequest = 2.5
+		maxRefusedPercent = 3
+		// maxWrites is two thirds of what was tried before, in the first phase.
+		maxWrites = 300
 	)
 	load := stormLoad{zones: 3, hostsPerZone: 20, accounts: 24, perSecond: 400, grantFactor: 1.3, phases: [4]clocker.Millis{5000, 4000, 3000, 5000}}
 	phases := runStorm(t, load)
@@ -303,4 +321,6 @@
 		asks := float64(p.zoneAsks+p.loanAsks) / float64(p.requests)
 		assert.Check(t, asks <= maxAsksPerRequest, "phase %d: %.1f asks a request", i, asks)
 	}
+	assert.Check(t, phases[0].refused <= phases[0].requests*maxRefusedPercent/100, "%d of %d refused with the store", phases[0].refused, phases[0].requests)
+	assert.Check(t, phases[0].writes <= maxWrites, "%d writes with the store", phases[0].writes)
 }
--- a/reserver/asks.go
+++ b/reserver/asks.go
@@ -104,7 +104,7 @@
 			progress.add(result)
 		case total.Err() != nil:
 			progress.contended = true
-			return answered
+			return true // no answer within transferTimeout makes a pause, and the next refill goes on without the peer
 		}
 	}
 	return answered
--- a/reserver/guard.go
+++ b/reserver/guard.go
@@ -10,15 +10,19 @@
 	"cowsliphinge/messenger"
 )
 
-// promiseTimeout bounds the wait for the promises of other holders before a write, in milliseconds.
-const promiseTimeout = 100 * clocker.Millis(1)
+// promiseTimeout bounds the wait for the promises of other holders before a write, in milliseconds, and
+// promiseTimeoutWaiting the same while requests wait for the write: one slow holder kept all of them waiting.
+const (
+	promiseTimeout        = 100 * clocker.Millis(1)
+	promiseTimeoutWaiting = 20 * clocker.Millis(1)
+)
 
 const (
 	// maxUnguardedLenders is how many peers are asked for tokens that they don't guard before this host
 	// writes the object to use its own guarded ones.
 	maxUnguardedLenders = 4
-	// unguardedLoanWait bounds the wait for each of them, in milliseconds. A peer that takes longer is not
-	// asked again for slowLenderPause: the requests would give up before the write.
+	// unguardedLoanWait bounds the wait for each of them, in milliseconds, and no further one is asked after
+	// it. A peer that takes longer is not asked again for slowLenderPause: the requests would give up before the write.
 	unguardedLoanWait = 20 * clocker.Millis(1)
 	slowLenderPause   = clocker.Second
 )
@@ -43,7 +47,11 @@
 	if len(wanted) == 0 || r.cfg.Exchange == nil {
 		return nil
 	}
-	ctx, cancel := r.cfg.Clock.WithTimeout(ctx, promiseTimeout)
+	timeout := promiseTimeout
+	if s.hasPendingWork() {
+		timeout = promiseTimeoutWaiting
+	}
+	ctx, cancel := r.cfg.Clock.WithTimeout(ctx, timeout)
 	defer cancel()
 	var mu sync.Mutex
 	var calls sync.WaitGroup
@@ -81,8 +89,9 @@
 		return
 	}
 	lenders := slices.DeleteFunc(r.lenders(s, v), func(p heartbeater.Peer) bool { return r.slowLenders.active(p.Incarnation, v.now) })
+	started := r.cfg.Clock.Now()
 	for _, p := range lenders[:min(maxUnguardedLenders, len(lenders))] {
-		if !s.lacksGuardedOnly() {
+		if !s.lacksGuardedOnly() || r.cfg.Clock.Now()-started >= unguardedLoanWait {
 			return
 		}
 		if !r.requestUnguardedFrom(ctx, s, v, p, progress) {
--- a/reserver/peers.go
+++ b/reserver/peers.go
@@ -21,7 +21,7 @@
 	// for a host whose holders answered: those of builds that don't borrow for their zone can't be told
 	// from others.
 	maxLenders              = 4
-	maxLendersBesideHolders = 2
+	maxLendersBesideHolders = 1
 	// transferRetryInterval is the time between two retries of transfers of unknown
 	// outcome.
 	transferRetryInterval = 5 * clocker.Second
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -20,6 +20,9 @@
 const (
 	// maxWriteAttempts bounds the write attempts of one call of updateEntries.
 	maxWriteAttempts = 6
+	// maxBackoffDoublings is how often the delay after a conflict doubles. Longer delays than the requests wait
+	// keep the shard's platformSlot from them.
+	maxBackoffDoublings = 2
 	// rateLimitDelay is the delay after a call that was rate limited.
 	rateLimitDelay = 50 * clocker.Millis(1)
 	// probeInterval is the minimum time between two calls while the platform does not
@@ -137,9 +140,9 @@
 		if r.cfg.ConflictBackoff > 0 && !s.hasPendingWork() {
 			return updateOutcome{} // retried by the next inspection
 		}
-		// A repeated conflict means that there are more writers than the delay spreads
-		// out, so it doubles with each attempt.
-		if delay := r.cfg.ConflictBackoff << attempt; delay > 0 && r.cfg.Clock.Sleep(ctx, delay+clocker.Millis(rand.Int64N(int64(delay)))) != nil {
+		// The conflict told the present object, so the next attempt mostly succeeds. A repeated conflict
+		// means that there are more writers than the delay spreads out, so it grows.
+		if longest := r.cfg.ConflictBackoff << min(attempt, maxBackoffDoublings); longest > 0 && r.cfg.Clock.Sleep(ctx, clocker.Millis(rand.Int64N(int64(longest)))) != nil {
 			return updateOutcome{}
 		}
 	}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -91,9 +91,8 @@
 	// Isolated reports whether no other host can be reached; transfer requests are
 	// not sent then. Nil means never.
 	Isolated func() bool
-	// ConflictBackoff is the minimum delay after the first write conflict, in
-	// milliseconds; the actual delay is random between that and twice that. It
-	// doubles with each further conflict. 0 means none.
+	// ConflictBackoff bounds the random delay after the first write conflict, in
+	// milliseconds. It doubles with each further conflict. 0 means none.
 	ConflictBackoff clocker.Millis
 	// GetStale is a cheap read of an object that may return an older version. It is
 	// called before a write to make conflicts with other hosts' writes rare; nil means
@@ -124,9 +123,11 @@
 	active []*shard
 
 	refillQueue *ringer.DroppingQueue[*shard]
-	stop        context.CancelFunc
-	tasks       *errgroup.Group
-	closing     atomic.Bool
+	// ctx is the context of the tasks.
+	ctx     context.Context
+	stop    context.CancelFunc
+	tasks   *errgroup.Group
+	closing atomic.Bool
 
 	platform         platformHealth
 	unknownTransfers unknownTransfers
@@ -147,6 +148,7 @@
 	r := newUnstarted(cfg)
 	ctx, r.stop = context.WithCancel(ctx)
 	r.tasks, ctx = errgroup.WithContext(ctx)
+	r.ctx = ctx
 	for range refillWorkers {
 		r.tasks.Go(func() error {
 			r.refillLoop(ctx)
@@ -182,6 +184,7 @@
 		cfg:         cfg,
 		shards:      make([]atomic.Pointer[shard], cfg.Shards),
 		refillQueue: ringer.New[*shard]("budget_refills", refillQueueSize),
+		ctx:         context.Background(),
 		stop:        func() {},
 		tasks:       &errgroup.Group{},
 	}
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -36,6 +36,8 @@
 	closing bool
 	// refillQueued is true while the shard waits in the refill queue.
 	refillQueued bool
+	// refillsForAskers is true while refillForAskers runs, and askersWait once further asks arrived.
+	refillsForAskers, askersWait bool
 	// refillsStarted counts the started refills; several may run concurrently.
 	refillsStarted int64
 	// nextRefillAt is when the next refill for requests that still wait is due.
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -11,9 +11,11 @@
 	"cowsliphinge/messenger"
 )
 
-// raiseLimitTimeout is how long a reply to a peer may wait for tokens from the platform, in
-// milliseconds: several response times of the platform, and less than a request waits.
-const raiseLimitTimeout = 60 * clocker.Millis(1)
+// raiseLimitTimeout is how long a reply to a peer may wait for tokens from the platform or from other
+// availability zones, in milliseconds: less than a request waits, and enough for the write that is under way
+// and the next one. With 60 ms most replies were sent empty while a write that covered them was waiting
+// for its turn.
+const raiseLimitTimeout = 100 * clocker.Millis(1)
 
 var (
 	tokensReceived = metrics.NewCounter("cowsliphinge_budget_transferred_tokens_total{direction=\"received\"}")
@@ -37,13 +39,17 @@
 		reply.Received = append(reply.Received, &messenger.TransferTotal{Budget: t.Budget, Given: received})
 	}
 	v := r.viewFleet()
-	ctx, cancel := r.cfg.Clock.WithTimeout(ctx, raiseLimitTimeout)
-	defer cancel()
 	var granted, needed int64
+	var lacking []*lackingAsk
 	for _, ask := range request.Asks {
-		granted += r.answerAsk(ctx, request.From, ask, v, reply)
+		sent, lack := r.answerAsk(request.From, ask, v, reply)
+		granted += sent
 		needed += ask.Needed
+		if lack != nil {
+			lacking = append(lacking, lack)
+		}
 	}
+	granted += r.obtainForZone(ctx, request.From, lacking)
 	if needed > 0 && granted == 0 {
 		reply.PauseMs = int64(r.emptyAnswers.record(v.now))
 	}
@@ -66,9 +72,9 @@
 	return s.allotter.ReceivedFrom(from, t.Budget)
 }
 
-// answerAsk sends the requested tokens as far as this host has them, and raises
-// its limit at the platform if it does so for its zone. It returns the tokens sent.
-func (r *Reserver) answerAsk(ctx context.Context, to string, ask *messenger.TransferAsk, v *fleetView, reply *messenger.TransferReply) int64 {
+// answerAsk sends the requested tokens as far as this host has them. It returns the tokens sent, and what is
+// lacking if this host obtains tokens for its zone.
+func (r *Reserver) answerAsk(to string, ask *messenger.TransferAsk, v *fleetView, reply *messenger.TransferReply) (int64, *lackingAsk) {
 	s := r.shard(ask.Budget)
 	c := r.conditions(s, v)
 	s.mu.Lock()
@@ -84,22 +90,105 @@
 	due := (sent > 0 || ask.Needed > 0) && s.allotter.CallDue(c)
 	s.mu.Unlock()
 	tokensSent.Add(int(sent))
-	if shortfall := ask.Needed - sent; shortfall > 0 && r.raisesLimitForZone(s, v, ask) && !s.platformCannotCover(ask, shortfall, v) {
-		if raised := r.raiseLimitFor(ctx, s, v, to, ask, shortfall); raised != nil {
-			total = raised
-		}
-	} else if due {
+	reply.Totals = append(reply.Totals, total)
+	if shortfall := ask.Needed - sent; shortfall > 0 && r.obtainsForZone(s, v, ask) && !s.platformCannotCover(ask, shortfall, v) {
+		w := &waiter{budget: ask.Budget, tokens: shortfall, rank: int(ask.Rank), result: make(chan waitResult, 1)}
+		return sent, &lackingAsk{shard: s, waiter: w, total: total}
+	}
+	if due {
 		r.queueRefill(s)
 	}
-	reply.Totals = append(reply.Totals, total)
+	return sent, nil
+}
+
+// lackingAsk is an ask of a host of the zone that waits for tokens from the platform or from other zones.
+type lackingAsk struct {
+	shard  *shard
+	waiter *waiter
+	// total is the total in the reply, to be raised by the tokens obtained.
+	total *messenger.TransferTotal
+}
+
+// obtainsForZone reports whether this host obtains tokens on behalf of a host of its zone, by a raise
+// of its limit at the platform or as loans from holders of other zones. One write of a holder serves all
+// hosts that send requests meanwhile, whereas writes of their own would conflict.
+func (r *Reserver) obtainsForZone(s *shard, v *fleetView, ask *messenger.TransferAsk) bool {
+	return r.cfg.HoldersFirst && !ask.Loan && r.isHolder(s, v) && !r.closing.Load()
+}
+
+// obtainForZone waits until refills have obtained the tokens that the asks of a peer lack, at most for
+// raiseLimitTimeout, and adds them to the totals. It returns the tokens added.
+func (r *Reserver) obtainForZone(ctx context.Context, to string, lacking []*lackingAsk) int64 {
+	if len(lacking) == 0 {
+		return 0
+	}
+	for _, lack := range lacking {
+		lack.shard.addWaiter(lack.waiter)
+	}
+	for _, lack := range lacking {
+		r.refillForAskers(lack.shard)
+	}
+	ctx, cancel := r.cfg.Clock.WithTimeout(ctx, raiseLimitTimeout)
+	defer cancel()
+	var added int64
+	for _, lack := range lacking {
+		added += r.awaitTokens(ctx, to, lack)
+	}
+	return added
+}
+
+// awaitTokens waits for the tokens of one ask and sends them to the peer.
+func (r *Reserver) awaitTokens(ctx context.Context, to string, lack *lackingAsk) int64 {
+	s, w := lack.shard, lack.waiter
+	var result waitResult
+	select {
+	case result = <-w.result:
+	case <-ctx.Done():
+		var ended bool
+		if result, ended = s.removeWaiter(w); !ended {
+			return 0
+		}
+	}
+	if result.err != nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allotter.Cancel(w.budget, result.reservationID)
+	sentBefore := s.allotter.TransferTotalTo(to, w.budget).Given
+	total := s.allotter.TransferTo(to, &messenger.TransferAsk{Budget: w.budget, Tokens: w.tokens, Needed: w.tokens, Rank: int32(w.rank)}, r.cfg.Clock.Now())
+	tokensSent.Add(int(total.Given - sentBefore))
+	lack.total.Given = max(lack.total.Given, total.Given)
 	return total.Given - sentBefore
 }
 
-// raisesLimitForZone reports whether this host raises its limit at the platform on behalf
-// of a host of its zone. One write of a holder serves all hosts that send requests
-// meanwhile, whereas writes of their own would conflict.
-func (r *Reserver) raisesLimitForZone(s *shard, v *fleetView, ask *messenger.TransferAsk) bool {
-	return r.cfg.HoldersFirst && !ask.Loan && r.isHolder(s, v) && !r.platformUnreachable() && !r.closing.Load()
+// refillForAskers refills a shard for the asks that wait. One such refill runs at a time: asks that arrive
+// meanwhile are served by its write if it is not planned yet, else by the next refill together.
+func (r *Reserver) refillForAskers(s *shard) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refillsForAskers {
+		s.askersWait = true
+		return
+	}
+	s.refillsForAskers = true
+	r.tasks.Go(func() error {
+		for {
+			r.refill(r.ctx, s)
+			if !s.nextRefillForAskers() {
+				return nil
+			}
+		}
+	})
+}
+
+// nextRefillForAskers reports whether further asks have arrived since the last call.
+func (s *shard) nextRefillForAskers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refillsForAskers = s.askersWait && len(s.waiters) > 0
+	s.askersWait = false
+	return s.refillsForAskers
 }
 
 // platformCannotCover reports whether fresh content from the platform shows that it
@@ -112,25 +201,6 @@
 	return fresh && !s.allotter.UnassignedCovers(ask.Budget, shortfall, int(ask.Rank))
 }
 
-// raiseLimitFor obtains the missing tokens from the platform and sends them to the peer.
-// It returns nil if they are not available in time.
-func (r *Reserver) raiseLimitFor(ctx context.Context, s *shard, v *fleetView, to string, ask *messenger.TransferAsk, shortfall int64) *messenger.TransferTotal {
-	w := &waiter{budget: ask.Budget, tokens: shortfall, rank: int(ask.Rank), result: make(chan waitResult, 1)}
-	s.addWaiter(w)
-	r.updateEntries(ctx, s, v)
-	result, ended := s.removeWaiter(w)
-	if !ended || result.err != nil {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.allotter.Cancel(ask.Budget, result.reservationID)
-	sentBefore := s.allotter.TransferTotalTo(to, ask.Budget).Given
-	total := s.allotter.TransferTo(to, &messenger.TransferAsk{Budget: ask.Budget, Tokens: shortfall, Needed: shortfall, Rank: ask.Rank}, r.cfg.Clock.Now())
-	tokensSent.Add(int(total.Given - sentBefore))
-	return total
-}
-
 // isExhausted reports whether fresh content from the platform shows no unassigned tokens
 // of the budget. The caller holds mu.
 func (s *shard) isExhausted(budget string, v *fleetView) bool {
