allotter: guarded tokens open by rates that the entry states

Cause: guarded tokens opened all at once when the lease ended, and an incarnation that began to listen after it could return nothing, because nobody knew how many of them had been spent.

Change: an entry states two rates (Holder.OpenPerSecond and FastPerSecond), a lease the time from which the second one holds (GuardLease.FastAfterMs). After the lease guarded tokens open by these; the next incarnation at the address charges what can have been open when it began to listen, with a margin for the clocks, and returns the rest. Without rates all is as before. Nothing opens before DurationMs, so that earlier builds, which return guarded tokens only until then, return none that were spent. While a write is in doubt, both contents bind. Metric cowsliphinge_budget_opened_tokens; the line on returned tokens names those charged as opened. No setting uses it yet.

Tests: the random plays of the guard, of promises and of restores also run with rates, alone and beside processes of an earlier build (400 plays of 400 steps each, nothing found; planted faults are found: all opened at once, half of what was open returned, and those there were). The loops of the random tests became one function; the table of clock proofs runs with rates as well.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -76,6 +76,14 @@
 	// of a lease that had run out.
 	ignoresLease    bool
 	trustsOldLeases bool
+	// opensAtOnce spends all guarded tokens when the lease has ended, whatever rate the entry states,
+	// and opensFasterInDoubt ignores the rate of writes whose outcome is not known.
+	opensAtOnce        bool
+	opensFasterInDoubt bool
+	// returnsOpened returns half of the tokens that may have been open when a process began to listen.
+	returnsOpened bool
+	// reclaimsAsEarlierBuilds returns nothing after the end of a lease. It is no fault.
+	reclaimsAsEarlierBuilds bool
 	// promisesSpent promises not to spend guarded tokens though some were spent, and
 	// forgetsPromises spends them in spite of a promise.
 	promisesSpent   bool
@@ -108,6 +116,9 @@
 	// that of writes whose outcome is not known; -1 without one. While guarded is true,
 	// drawLimit bounds what may be spent.
 	confirmedDraw, pendingDraw int64
+	// confirmedOpen and pendingOpen are the rates at which guarded tokens open after the lease in
+	// these contents, the lowest ones of several writes.
+	confirmedOpen, pendingOpen openRates
 	guarded                    bool
 	drawLimit                  int64
 
--- a/allotter/export_test.go
+++ b/allotter/export_test.go
@@ -23,7 +23,13 @@
 	// ForgetsPromises spends them in spite of a promise.
 	PromisesSpent   Fault = "promises spent tokens"
 	ForgetsPromises Fault = "forgets promises"
-	NoFault         Fault = ""
+	// OpensAtOnce spends all guarded tokens when the lease has ended, and OpensFasterInDoubt ignores the
+	// rate of writes whose outcome is not known.
+	OpensAtOnce        Fault = "opens at once"
+	OpensFasterInDoubt Fault = "opens faster while a write is in doubt"
+	// ReturnsOpened returns half of the tokens that may have been open when a process began to listen.
+	ReturnsOpened Fault = "returns opened tokens"
+	NoFault       Fault = ""
 )
 
 // InjectFault enables one fault and disables the others.
@@ -38,6 +44,9 @@
 	a.faults.trustsOldLeases = f == TrustsOldLeases
 	a.faults.promisesSpent = f == PromisesSpent
 	a.faults.forgetsPromises = f == ForgetsPromises
+	a.faults.opensAtOnce = f == OpensAtOnce
+	a.faults.opensFasterInDoubt = f == OpensFasterInDoubt
+	a.faults.returnsOpened = f == ReturnsOpened
 }
 
 // TamperWrites sets a function that modifies each object before it is written.
--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -11,9 +11,10 @@
 // store. If it dies, nobody knows how many of these it has spent, so that all count as spent. A guard
 // bounds this loss: the entry names a part of the limit as guarded, and the incarnation promises not to
 // spend it before a lease has run out that each of its writes and its promises renew. So it gets the guarded tokens only
-// once it has been without the store for as long as the lease. The next incarnation at the same address
-// knows that the earlier one has ended. If that was while the lease ran, the guarded tokens were not spent,
-// and it closes the entries with what is left of their limits.
+// once it has been without the store for as long as the lease, and then by the rate that the entry states
+// (schedule.go). The next incarnation at the same address knows that the earlier one has ended, and when it
+// began to listen itself. What had not opened by then was not spent, and it closes the entries charged
+// without that.
 
 // GuardConfig configures the guard.
 type GuardConfig struct {
@@ -22,6 +23,15 @@
 	// RenewInterval is the time between two renewals, in milliseconds. One holder renews the leases
 	// of all, the first that finds this time past, so that it should differ from holder to holder.
 	RenewInterval clocker.Millis
+	// OpenFactor is how many times the measured demand of this host the rate is at which guarded tokens
+	// open after the lease. Until FastAfter, a time since the start of the lease in milliseconds, at most
+	// as many open as OpenShare of what a holder leaves unguarded.
+	OpenFactor, OpenShare float64
+	FastAfter             clocker.Millis
+	// FastFactor is the same as OpenFactor from then on. OpenTime is the time from then on in which all of
+	// them open at the latest, in milliseconds; 0 means all at once when the lease has ended.
+	FastFactor float64
+	OpenTime   clocker.Millis
 	// DrawHorizon is the time whose demand is not guarded, in milliseconds.
 	DrawHorizon clocker.Millis
 	// Address is where this incarnation listens for other hosts. Whoever listens there
@@ -35,8 +45,8 @@
 }
 
 const (
-	// leaseMargin is the time by which a lease must still have run when the next incarnation
-	// began to listen, in milliseconds. It covers clocks that run at different speeds.
+	// leaseMargin is added to the time between a lease and the start of the next incarnation, in
+	// milliseconds. It covers maxClockDifference and the rounding of the four times.
 	leaseMargin = 200 * clocker.Millis(1)
 	// maxClockDifference is how much the time between a lease and the start of the next
 	// incarnation may differ between the two clocks, in milliseconds. A larger difference means
@@ -79,11 +89,6 @@
 	a.guard.contactAt = max(a.guard.contactAt, now)
 }
 
-// leaseRuns reports whether a lease that was written at a time still runs.
-func (a *Allotter) leaseRuns(at clocker.Millis) bool {
-	return at > 0 && a.guard.now < at+a.cfg.Guard.LeaseTime
-}
-
 // updateDrawLimit updates the limit without guarded tokens. While a write is in doubt, either
 // content may be the one that the next incarnation reads.
 func (a *Allotter) updateDrawLimit(b *budgetState) {
@@ -91,20 +96,17 @@
 	if a.cfg.Guard == nil || a.faults.ignoresLease {
 		return
 	}
-	b.drawLimit = MaxGranted
-	if b.confirmedDraw >= 0 && a.leaseRuns(max(a.guard.confirmedAt, a.guard.promisedAt)) {
-		b.guarded, b.drawLimit = true, b.confirmedDraw
-	}
-	if b.pendingDraw >= 0 && a.leaseRuns(max(a.guard.pendingAt, a.guard.promisedAt)) {
-		b.guarded, b.drawLimit = true, min(b.drawLimit, b.pendingDraw)
-	}
+	confirmed := a.openLimit(b.confirmedDraw, b.confirmedOpen, max(a.guard.confirmedAt, a.guard.promisedAt))
+	pending := a.openLimit(b.pendingDraw, b.pendingOpen, max(a.guard.pendingAt, a.guard.promisedAt))
+	b.drawLimit = min(confirmed, pending)
+	b.guarded = b.drawLimit < MaxGranted
 }
 
 // adoptGuard updates the guard of a budget from its entry in the known content, nil without one.
 func (a *Allotter) adoptGuard(b *budgetState, h *messenger.Holder) {
 	b.pendingDraw, b.confirmedDraw = -1, -1
 	if h != nil && !h.Closed {
-		b.confirmedDraw = b.foldedLimit + h.Limit - h.Guarded
+		b.confirmedDraw, b.confirmedOpen = b.foldedLimit+h.Limit-h.Guarded, openRates{h.OpenPerSecond, h.FastPerSecond}
 	}
 	a.updateDrawLimit(b)
 }
@@ -155,13 +157,20 @@
 		h.Guarded = h.Limit - draw
 		h.PerSecond = b.perSecond(c.Now)
 		guards = guards || h.Guarded > 0
+		rates := a.cfg.Guard.openRates(h, a.drawPart(b, stored, c))
+		h.OpenPerSecond, h.FastPerSecond = rates.slow, rates.fast
 		if total := b.foldedLimit + draw; b.pendingDraw < 0 || !a.guard.inDoubt {
-			b.pendingDraw = total
+			b.pendingDraw, b.pendingOpen = total, rates
 		} else {
-			b.pendingDraw = min(b.pendingDraw, total)
+			b.pendingDraw, b.pendingOpen = min(b.pendingDraw, total), slowerRates(b.pendingOpen, rates)
 		}
 		a.updateDrawLimit(b)
 	}
+	if a.faults.opensFasterInDoubt {
+		for _, b := range a.ordered {
+			b.pendingOpen = openRates{}
+		}
+	}
 	a.stageLease(value, guards)
 	a.stagePromises(value, c.GuardPromises)
 }
@@ -182,6 +191,7 @@
 		BootMs:      int64(g.BootAt + a.guard.pendingAt - g.StartedAt),
 		DurationMs:  int64(g.LeaseTime),
 		Era:         a.restore.era,
+		FastAfterMs: int64(g.FastAfter),
 	})
 }
 
@@ -201,15 +211,7 @@
 // drawTarget returns the headroom that a holder does not guard: the expected demand of DrawHorizon, at most
 // the holder's part of DrawShare of the budget, and at least that of a few requests, at most an even part.
 func (b *budgetState) drawTarget(a *Allotter, stored *messenger.Budget, c Conditions) int64 {
-	own, all := float64(b.perSecond(c.Now)), 0.0
-	for _, h := range a.otherHolders(stored, c) {
-		all += float64(max(0, h.PerSecond))
-	}
-	bound := c.DrawShare * float64(stored.GetGranted())
-	demand := 0.0
-	if own > 0 {
-		demand = min(own*float64(a.cfg.Guard.DrawHorizon)/float64(clocker.Second), bound*own/(own+all))
-	}
+	demand := min(float64(b.perSecond(c.Now))*float64(a.cfg.Guard.DrawHorizon)/float64(clocker.Second), a.drawPart(b, stored, c))
 	few := a.evenDraw(stored, c)
 	if b.demand.meanSize > 0 { // else no request has shown its size yet
 		few = min(b.demand.expectedReserve(minHeadroomRequests, c.Now), few)
@@ -217,6 +219,18 @@
 	return int64(max(demand, few, b.demand.expectedReserve(1, c.Now)))
 }
 
+// drawPart returns the holder's part, by its demand, of the tokens that all holders may leave unguarded.
+func (a *Allotter) drawPart(b *budgetState, stored *messenger.Budget, c Conditions) float64 {
+	own, all := float64(b.perSecond(c.Now)), 0.0
+	if own <= 0 {
+		return 0
+	}
+	for _, h := range a.otherHolders(stored, c) {
+		all += float64(max(0, h.PerSecond))
+	}
+	return c.DrawShare * float64(stored.GetGranted()) * own / (own + all)
+}
+
 // evenDraw returns an even part of the tokens that all holders may leave unguarded.
 func (a *Allotter) evenDraw(stored *messenger.Budget, c Conditions) float64 {
 	return c.DrawShare * float64(stored.GetGranted()) / float64(1+len(a.otherHolders(stored, c)))
@@ -267,48 +281,73 @@
 	return false
 }
 
-// endedUnderLease reports whether an earlier incarnation at the own address has ended while its lease ran,
-// so that it did not spend its guarded tokens. Writes of before a restore of the store prove nothing.
-func (a *Allotter) endedUnderLease(l *messenger.GuardLease) bool {
+// timeSinceLease returns the time between the start of a lease and the moment at which this incarnation began
+// to listen, if the lease is of an earlier incarnation at the own address, which had ended by then. Leases of
+// before a restore of the store prove nothing, and neither do two clocks that differ.
+func (a *Allotter) timeSinceLease(l *messenger.GuardLease) (clocker.Millis, bool) {
 	g := a.cfg.Guard
 	if l.Address != g.Address || l.Incarnation == a.cfg.Incarnation || !g.SameHost(l.Incarnation) || l.Era != a.restore.era || l.BootMs <= 0 || g.BootAt <= 0 {
-		return false
-	}
-	if a.faults.trustsOldLeases {
-		return true
+		return 0, false
 	}
 	byClock, sinceBoot := g.StartedAt-clocker.Millis(l.AtMs), g.BootAt-clocker.Millis(l.BootMs)
-	return sinceBoot >= 0 && max(byClock-sinceBoot, sinceBoot-byClock) <= maxClockDifference &&
-		max(byClock, sinceBoot) <= clocker.Millis(l.DurationMs)-leaseMargin
+	if sinceBoot < 0 || max(byClock-sinceBoot, sinceBoot-byClock) > maxClockDifference {
+		return 0, false
+	}
+	return max(byClock, sinceBoot), true
+}
+
+// returnable returns how many tokens of an entry its incarnation can't have spent before this one began to
+// listen; false if the lease and the entry prove nothing about it.
+func (a *Allotter) returnable(l *messenger.GuardLease, h *messenger.Holder) (int64, bool) {
+	elapsed, known := a.timeSinceLease(l)
+	if !known || h == nil || h.Closed || h.Era != l.Era {
+		return 0, false
+	}
+	guarded := min(max(0, h.Guarded), h.Limit)
+	if a.faults.trustsOldLeases || elapsed <= clocker.Millis(l.DurationMs)-leaseMargin {
+		return guarded, true
+	}
+	rates := openRates{h.OpenPerSecond, h.FastPerSecond}
+	if rates.atOnce() || a.faults.reclaimsAsEarlierBuilds {
+		return 0, false
+	}
+	charged := rates.openedAtMost(guarded, elapsed-clocker.Millis(l.DurationMs), clocker.Millis(l.FastAfterMs-l.DurationMs))
+	if a.faults.returnsOpened {
+		charged /= 2
+	}
+	return guarded - charged, true
 }
 
 // reclaimDue reports whether an earlier incarnation at the own address left guarded tokens.
 func (a *Allotter) reclaimDue() bool {
 	return a.cfg.Guard != nil && !a.closing && !a.Unsettled() && slices.ContainsFunc(a.object.GetLeases(), func(l *messenger.GuardLease) bool {
-		return a.endedUnderLease(l) && hasOpenEntry(a.object, l.Incarnation)
+		return slices.ContainsFunc(a.object.GetBudgets(), func(b *messenger.Budget) bool {
+			unspent, _ := a.returnable(l, findEntry(b, l.Incarnation))
+			return unspent > 0
+		})
 	})
 }
 
 // stageReclaims closes the entries of earlier incarnations at the own address in an object to be
-// written. They are charged with all that they may have spent; the rest is returned.
-func (a *Allotter) stageReclaims(value *messenger.BudgetShard) int64 {
+// written. They are charged with all that they may have spent; the rest is returned. Of the guarded tokens,
+// opened are those that are charged.
+func (a *Allotter) stageReclaims(value *messenger.BudgetShard) (returned, opened int64) {
 	if !a.reclaimDue() {
-		return 0
+		return 0, 0
 	}
-	var returned int64
 	for _, l := range value.Leases {
-		if !a.endedUnderLease(l) {
-			continue
-		}
 		for _, b := range value.Budgets {
-			if h := findEntry(b, l.Incarnation); h != nil && !h.Closed && h.Era == l.Era {
-				unspent := min(max(0, h.Guarded), h.Limit)
-				h.Closed, h.Charge, h.Limit, h.Guarded = true, h.Limit-unspent, 0, 0
-				returned += unspent
+			h := findEntry(b, l.Incarnation)
+			unspent, proved := a.returnable(l, h)
+			if !proved {
+				continue
 			}
+			returned += unspent
+			opened += h.Guarded - unspent
+			h.Closed, h.Charge, h.Limit, h.Guarded, h.OpenPerSecond, h.FastPerSecond = true, h.Limit-unspent, 0, 0, 0, 0
 		}
 	}
-	return returned
+	return returned, opened
 }
 
 // LacksGuardedOnly reports whether requests wait, and all of them for tokens that are held but guarded.
--- a/allotter/guard_test.go
+++ b/allotter/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -28,6 +29,10 @@
 	consumed int64
 	fault    Fault
 	lives    int
+	// configure changes the guard of each process when it starts; nil means no change.
+	configure func(*GuardConfig)
+	// mixed makes every third process one of an earlier build, which knows no rates.
+	mixed bool
 	// copies are the object after each write of this era, from which the store may come back. Those from
 	// completeFrom on have all writes of the processes that have ended.
 	copies       []guardCopy
@@ -66,7 +71,29 @@
 }
 
 func newGuardFleet(hosts int, fault Fault) *guardFleet {
-	f := &guardFleet{now: clocker.Hour, version: 1, fault: fault}
+	return newConfiguredFleet(hosts, &guardFleet{fault: fault})
+}
+
+// testOpenTime and testOpenFactor are the schedule of scheduled.
+const (
+	testOpenTime   = 20 * clocker.Second
+	testOpenFactor = 8
+)
+
+// scheduled makes guarded tokens open at a rate after the lease.
+func scheduled(g *GuardConfig) {
+	g.OpenTime, g.FastFactor = testOpenTime, testOpenFactor
+	g.OpenFactor, g.OpenShare, g.FastAfter = testOpenFactor, 10, g.LeaseTime+clocker.Second
+}
+
+// newScheduledFleet returns a fleet whose guarded tokens open at a rate after the lease.
+func newScheduledFleet(hosts int, fault Fault, mixed bool) *guardFleet {
+	return newConfiguredFleet(hosts, &guardFleet{fault: fault, configure: scheduled, mixed: mixed})
+}
+
+// newConfiguredFleet starts the hosts of a fleet.
+func newConfiguredFleet(hosts int, f *guardFleet) *guardFleet {
+	f.now, f.version = clocker.Hour, 1
 	f.object = &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: guardBudget, Granted: guardGrant}}}
 	f.copies = []guardCopy{{version: f.version, object: f.object}}
 	for i := range hosts {
@@ -80,10 +107,16 @@
 func (h *guardHost) start() {
 	f := h.fleet
 	f.lives++
-	h.allotter = New(Config{Incarnation: fmt.Sprint("life-", f.lives), DemandTimeConstant: 4 * clocker.Second, Guard: &GuardConfig{
+	guard := &GuardConfig{
 		LeaseTime: guardLease, RenewInterval: guardLease / 3, DrawHorizon: guardLease, Address: h.address, SameHost: func(string) bool { return true }, StartedAt: f.now, BootAt: f.now - h.bootedAt,
-	}})
+	}
+	earlier := f.mixed && f.lives%3 == 0
+	if f.configure != nil && !earlier {
+		f.configure(guard)
+	}
+	h.allotter = New(Config{Incarnation: fmt.Sprint("life-", f.lives), DemandTimeConstant: 4 * clocker.Second, Guard: guard})
 	h.allotter.InjectFault(f.fault)
+	h.allotter.faults.reclaimsAsEarlierBuilds = earlier
 	h.allotter.KeepFloor(guardBudget)
 	h.read()
 }
@@ -238,8 +271,15 @@
 }
 
 // Guards against clocks that were set and machines that were booted: what then looks like a short time proves
-// nothing.
+// nothing. After the end of a lease only rates prove something.
 func TestLeaseProvesNothingAcrossBootsAndClockSteps(t *testing.T) {
+	checkProofs(t, newGuardFleet, "none")
+	checkProofs(t, func(hosts int, fault Fault) *guardFleet { return newScheduledFleet(hosts, fault, false) }, "none", "too late")
+}
+
+// checkProofs checks in which cases the entry of a killed process is closed.
+func checkProofs(t *testing.T, newFleet func(hosts int, fault Fault) *guardFleet, closed ...string) {
+	t.Helper()
 	for name, change := range map[string]func(g *GuardConfig){
 		"none":                          func(*GuardConfig) {},
 		"clock set back":                func(g *GuardConfig) { g.StartedAt -= 2000 },
@@ -251,7 +291,7 @@
 		"too late":                      func(g *GuardConfig) { g.StartedAt, g.BootAt = g.StartedAt+guardLease, g.BootAt+guardLease },
 		"clock and boot before a lease": func(g *GuardConfig) { g.StartedAt, g.BootAt = g.StartedAt-guardLease, g.BootAt-guardLease },
 	} {
-		f := newGuardFleet(1, NoFault)
+		f := newFleet(1, NoFault)
 		h := f.hosts[0]
 		h.spendOrWrite(500)
 		h.write()
@@ -261,7 +301,7 @@
 		h.start()
 		change(h.allotter.cfg.Guard)
 		h.write()
-		assert.Equal(t, findEntry(f.object.Budgets[0], before).Closed, name == "none", name)
+		assert.Equal(t, findEntry(f.object.Budgets[0], before).Closed, slices.Contains(closed, name), name)
 	}
 }
 
@@ -333,6 +373,9 @@
 		h.stop()
 	case event == 8: // without the store for long enough
 		f.now += guardLease
+		if f.configure != nil { // any part of the guarded tokens is open
+			f.now += clocker.Millis(random.Int64N(int64(testOpenTime)))
+		}
 		h.spendAll(random)
 	default:
 		h.spendAll(random)
@@ -380,19 +423,53 @@
 // Guards against spending past a budget: what dead hosts may have spent stays spent, also with late
 // writes, lost answers, pauses, outages and boots. The planted faults show that the check sees it.
 func TestGuardedTokensAreNeverSpentTwice(t *testing.T) {
-	for _, c := range []struct {
-		fault Fault
-		found bool
-	}{{NoFault, false}, {IgnoresLease, true}, {TrustsOldLeases, true}} {
+	checkPlays(t, 1, []guardPlay{{fault: NoFault}, {fault: IgnoresLease, found: true}, {fault: TrustsOldLeases, found: true}}, (*guardFleet).play)
+}
+
+// The same where guarded tokens open at a rate, alone and beside processes of an earlier build, which neither
+// write nor read the rate.
+func TestGuardedTokensAreNeverSpentTwiceWithASchedule(t *testing.T) {
+	for _, mixed := range []bool{false, true} {
+		checkPlays(t, 1, []guardPlay{
+			{fault: NoFault}, {fault: IgnoresLease, found: true}, {fault: TrustsOldLeases, found: true}, {fault: OpensAtOnce, found: true},
+		}, scheduledPlay((*guardFleet).play, mixed))
+	}
+}
+
+// guardPlay is a random play with a fault that has to be found or not.
+type guardPlay struct {
+	fault Fault
+	found bool
+	// restores says which copies the store comes back from.
+	restores guardRestores
+}
+
+type playFunc func(f *guardFleet, random *rand.Rand, steps int) error
+
+// scheduledPlay runs a play in fleets whose guarded tokens open at a rate.
+func scheduledPlay(play playFunc, mixed bool) playFunc {
+	return func(f *guardFleet, random *rand.Rand, steps int) error {
+		s := newScheduledFleet(len(f.hosts), f.fault, mixed)
+		s.restores = f.restores
+		return play(s, random, steps)
+	}
+}
+
+// checkPlays runs each play with 400 seeds, or until it finds something.
+func checkPlays(t *testing.T, stream uint64, plays []guardPlay, play playFunc) {
+	t.Helper()
+	for _, c := range plays {
 		var found error
 		for seed := range uint64(400) {
-			random := rand.New(rand.NewPCG(seed, 1))
-			if err := newGuardFleet(1+int(seed%4), c.fault).play(random, 400); err != nil {
+			random := rand.New(rand.NewPCG(seed, stream))
+			f := newGuardFleet(1+int(seed%4), c.fault)
+			f.restores = c.restores
+			if err := play(f, random, 400); err != nil {
 				found = fmt.Errorf("seed %d: %w", seed, err)
 				break
 			}
 		}
-		t.Logf("%s: %v", c.fault, found)
-		assert.Equal(t, found != nil, c.found, "%s: %v", c.fault, found)
+		t.Logf("copies %d, %s: %v", c.restores, c.fault, found)
+		assert.Check(t, (found != nil) == c.found, "copies %d, %s: %v", c.restores, c.fault, found)
 	}
 }
--- a/allotter/promise_test.go
+++ b/allotter/promise_test.go
@@ -178,6 +178,9 @@
 			h.kill()
 		case event == 7 && h.allotter != nil && !h.paused: // without the store until its lease has run out
 			f.now += guardLease
+			if f.configure != nil { // any part of the guarded tokens is open
+				f.now += clocker.Millis(random.Int64N(int64(testOpenTime)))
+			}
 			h.spendAll(random)
 		case h.allotter == nil:
 			h.start()
@@ -286,50 +289,47 @@
 // Guards against spending past a budget where other hosts renew leases: promises that are lost, used late, or given
 // shortly before a pause, an outage or a death. The planted faults show that the check sees it.
 func TestPromisedTokensAreNeverSpentTwice(t *testing.T) {
-	for _, c := range []struct {
-		fault Fault
-		found bool
-	}{{NoFault, false}, {PromisesSpent, true}, {ForgetsPromises, true}, {IgnoresLease, true}, {TrustsOldLeases, true}} {
-		var found error
-		for seed := range uint64(400) {
-			random := rand.New(rand.NewPCG(seed, 2))
-			if err := newGuardFleet(1+int(seed%4), c.fault).playPromised(random, 400); err != nil {
-				found = fmt.Errorf("seed %d: %w", seed, err)
-				break
-			}
-		}
-		t.Logf("%s: %v", c.fault, found)
-		assert.Equal(t, found != nil, c.found, "%s: %v", c.fault, found)
+	checkPlays(t, 2, promisedPlays, (*guardFleet).playPromised)
+}
+
+var promisedPlays = []guardPlay{
+	{fault: NoFault},
+	{fault: PromisesSpent, found: true},
+	{fault: ForgetsPromises, found: true},
+	{fault: IgnoresLease, found: true},
+	{fault: TrustsOldLeases, found: true},
+}
+
+// The same where guarded tokens open at a rate, alone and beside processes of an earlier build.
+func TestPromisedTokensAreNeverSpentTwiceWithASchedule(t *testing.T) {
+	for _, mixed := range []bool{false, true} {
+		checkPlays(t, 2, append(slices.Clone(promisedPlays), []guardPlay{
+			{fault: OpensAtOnce, found: true}, {fault: ReturnsOpened, found: true},
+		}...), scheduledPlay((*guardFleet).playPromised, mixed))
 	}
 }
 
 // Guards against spending past a budget where the store comes back from copies, amid promises, pauses and deaths.
 func TestPromisedTokensAreNotSpentTwiceAcrossRestores(t *testing.T) {
-	for _, c := range []struct {
-		restores guardRestores
-		fault    Fault
-		found    bool
-	}{
-		{completeCopies, NoFault, false},
-		{anyCopies, NoFault, false},
-		{completeCopies, ForgetsPromises, true},
-		{completeCopies, AdoptsRestoredLimits, true},
-		{completeCopies, IgnoresLease, true},
-		{completeCopies, TrustsOldLeases, true},
-		{anyCopies, PromisesSpent, true},
-	} {
-		var found error
-		for seed := range uint64(400) {
-			random := rand.New(rand.NewPCG(seed, 3))
-			f := newGuardFleet(1+int(seed%4), c.fault)
-			f.restores = c.restores
-			if err := f.playPromised(random, 400); err != nil {
-				found = fmt.Errorf("seed %d: %w", seed, err)
-				break
-			}
-		}
-		t.Logf("copies %d, %s: %v", c.restores, c.fault, found)
-		assert.Check(t, (found != nil) == c.found, "copies %d, %s: %v", c.restores, c.fault, found)
+	checkPlays(t, 3, restoredPlays, (*guardFleet).playPromised)
+}
+
+var restoredPlays = []guardPlay{
+	{restores: completeCopies, fault: NoFault},
+	{restores: anyCopies, fault: NoFault},
+	{restores: completeCopies, fault: ForgetsPromises, found: true},
+	{restores: completeCopies, fault: AdoptsRestoredLimits, found: true},
+	{restores: completeCopies, fault: IgnoresLease, found: true},
+	{restores: completeCopies, fault: TrustsOldLeases, found: true},
+	{restores: anyCopies, fault: PromisesSpent, found: true},
+}
+
+// The same where guarded tokens open at a rate, alone and beside processes of an earlier build.
+func TestPromisedTokensAreNotSpentTwiceAcrossRestoresWithASchedule(t *testing.T) {
+	for _, mixed := range []bool{false, true} {
+		checkPlays(t, 3, append(slices.Clone(restoredPlays), []guardPlay{
+			{restores: completeCopies, fault: OpensAtOnce, found: true}, {restores: completeCopies, fault: ReturnsOpened, found: true},
+		}...), scheduledPlay((*guardFleet).playPromised, mixed))
 	}
 }
 
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -72,6 +72,9 @@
 	// Returned are the tokens that earlier incarnations at the own address left and that the
 	// write returns to their budgets.
 	Returned int64
+	// Opened are the guarded tokens of these incarnations that the write charges, because they may have
+	// been spent after the end of a lease.
+	Opened int64
 
 	entries []plannedEntry
 }
@@ -278,12 +281,12 @@
 		a.stageEntry(e, stored, c.Now)
 		foldEntries(stored, c.IsLive)
 	}
-	returned := a.stageReclaims(value)
+	returned, opened := a.stageReclaims(value)
 	a.stageGuards(value, c)
 	if a.faults.tamper != nil {
 		a.faults.tamper(value)
 	}
-	return Write{Version: a.version, Value: value, Returned: returned, entries: entries}
+	return Write{Version: a.version, Value: value, Returned: returned, Opened: opened, entries: entries}
 }
 
 // stageEntry puts an entry into the object to be written. A lowered limit takes
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -200,13 +200,14 @@
 // sets the gauges.
 func (r *Reserver) inspectAll() {
 	v := r.viewFleet()
-	var held, stranded int64
+	var held, opened, stranded int64
 	for _, s := range r.activeShards() {
 		c := r.conditions(s, v)
 		s.mu.Lock()
 		s.allotter.SetPlatformUnreachable(r.platformUnreachable())
 		due := s.allotter.CallDue(c) || s.allotter.Version() > 0 && r.cfg.StoreEra() > s.allotter.Era()
 		held += s.allotter.Held()
+		opened += s.allotter.Opened()
 		stranded += s.allotter.Stranded(v.isLive)
 		s.mu.Unlock()
 		if due {
@@ -214,6 +215,7 @@
 		}
 	}
 	r.gauge("held").Set(float64(held))
+	r.gauge("opened").Set(float64(opened))
 	r.gauge("stranded").Set(float64(stranded))
 }
 
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -221,7 +221,7 @@
 		writes.Inc()
 		if w.Returned > 0 {
 			returnedTokens.AddInt64(w.Returned)
-			slog.Info("tokens of an earlier incarnation are returned", "key", s.key, "tokens", w.Returned)
+			slog.Info("tokens of an earlier incarnation are returned", "key", s.key, "tokens", w.Returned, "opened", w.Opened)
 		}
 		clear(s.refusals)
 		unsettled := s.allotter.Unsettled()
