Carrier: a request body in parts, without a copy for each attempt

Each attempt copied the whole body behind its head. A Payload is a body in parts that is retained until the write of the request has ended, which may be after Send has returned. Parts of more than 16 KB are written from where they are, in one system call; shorter ones are still copied, so that one small write sends all. Package quarantiner hashes bodies in parts.

New tests and those of both packages pass with the race detector.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,6 +25,12 @@
 // has read all of it.
 const maxSyncWriteBytes = 4 << 10
 
+// maxJoinedBytes is the size up to which the parts of a body are copied behind the head, so that one write
+// sends both. Longer ones are written from where they are.
+const maxJoinedBytes = 16 << 10
+
+var errBodyReleased = errors.New("the body of the request was released")
+
 // Dialer opens connections to backend servers.
 type Dialer interface {
 	// Dial opens a connection within a timeout in milliseconds. via is the host that it passes
@@ -111,6 +118,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Payload follows Body; it may be nil.
+	Payload Payload
 	// ResponseHeaderTimeout limits the wait for the response header, in milliseconds.
 	ResponseHeaderTimeout clocker.Millis
 	// OnSent, if not nil, is called once the request is written or its write has begun, before the wait for
@@ -128,6 +137,17 @@
 	MaxIdleTime clocker.Millis
 }
 
+// Payload is a body in parts that several attempts may send. The write of a request may outlive the call of
+// Send and retains the payload until it has ended.
+type Payload interface {
+	Len() int64
+	// Parts returns the content in order, valid until Release.
+	Parts() [][]byte
+	// Retain adds a user. It returns false if there is none left.
+	Retain() bool
+	Release()
+}
+
 // New returns a Carrier without open connections.
 func New(cfg Config) *Carrier {
 	if cfg.Traffic == nil {
@@ -174,20 +194,23 @@
 }
 
 func (c *Carrier) roundTrip(cn *conn, r Request) (*Response, error) {
+	if r.Payload != nil && !r.Payload.Retain() {
+		return nil, connector.ErrNotSent{Cause: errBodyReleased}
+	}
 	cn.addRequestID(r.ID)
 	cn.onSilence = r.OnSilence
 	if r.ResponseHeaderTimeout > 0 {
 		_ = cn.SetReadDeadline(clocker.FromNow(r.ResponseHeaderTimeout))
 	}
 	write := &requestWrite{done: make(chan struct{})}
-	message := r.serialize()
-	if len(message) <= maxSyncWriteBytes {
-		write.run(cn, message)
+	head, parts := r.serialize()
+	if len(parts) == 0 && len(head) <= maxSyncWriteBytes {
+		write.run(cn, r.Payload, head, nil)
 		if write.err != nil {
 			return nil, connector.ErrAborted{Cause: write.err}
 		}
 	} else {
-		go write.run(cn, message) // ends at the latest when the connection is closed
+		go write.run(cn, r.Payload, head, parts) // ends at the latest when the connection is closed
 	}
 	if r.OnSent != nil {
 		r.OnSent()
@@ -206,21 +229,44 @@
 	err error
 }
 
-func (w *requestWrite) run(cn *conn, message []byte) {
+// run writes head and parts, and releases the payload that they may be part of.
+func (w *requestWrite) run(cn *conn, payload Payload, head []byte, parts [][]byte) {
 	defer close(w.done)
-	_, w.err = cn.Write(message)
+	if payload != nil {
+		defer payload.Release()
+	}
+	if len(parts) == 0 {
+		_, w.err = cn.Write(head)
+		return
+	}
+	w.err = cn.writeParts(append(net.Buffers{head}, parts...))
 }
 
-// serialize returns the request in HTTP/1.1 wire format.
-func (r Request) serialize() []byte {
+// serialize returns the request in HTTP/1.1 wire format. The parts of a payload follow what it returns, unless
+// they are short enough to be copied.
+func (r Request) serialize() (head []byte, parts [][]byte) {
+	length := int64(len(r.Body))
+	if r.Payload != nil {
+		parts = r.Payload.Parts()
+		length += r.Payload.Len()
+	}
+	joined := length <= maxJoinedBytes || len(parts) == 0
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1024)
+	if joined {
+		b.Grow(int(length) + 1024)
+	}
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	_ = r.Header.Write(&b) // writes to a bytes.Buffer never fail
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	if length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", length)
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
-	return b.Bytes()
+	if !joined {
+		return b.Bytes(), parts
+	}
+	for _, part := range parts {
+		b.Write(part)
+	}
+	return b.Bytes(), nil
 }
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -189,6 +189,14 @@
 	return n, err
 }
 
+// writeParts writes the parts in order, in one system call where the connection allows it, and counts the
+// bytes.
+func (c *conn) writeParts(parts net.Buffers) error {
+	n, err := parts.WriteTo(c.Conn)
+	c.traffic.Sent(int(n))
+	return err
+}
+
 // setSocketOptions makes the kernel close a connection whose peer sends no
 // acknowledgements, and limits its receive buffer.
 func setSocketOptions(_, _ string, raw syscall.RawConn) error {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -73,6 +73,8 @@
 	// Target is path and query.
 	Target string
 	Body   []byte
+	// Parts follow Body, in order.
+	Parts [][]byte
 }
 
 // NewRequest returns the request of a client account whose prompt has the parts with these IDs.
@@ -83,6 +85,9 @@
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(content.Body)
+	for _, part := range content.Parts {
+		_, _ = h.Write(part)
+	}
 	r := Request{Account: xxhash.Sum64String(account), ID: h.Sum64()}
 	for _, id := range partIDs {
 		r.Parts = append(r.Parts, xxhash.Sum64String(id))
