Relayer: bodies and buffered answers are charged to the memory budget

Bodies were read by io.ReadAll without any bound on their sum. They are read in charged chunks now and released as soon as no attempt can need them. A request for which the budget has no room, or whose unfinished body is evicted, gets 503 memory_full with Retry-After and Connection: close before any server gets it. What is left of a refused body is read for 500 ms at most; net/http waited for up to 256 KB for as long as the caller liked. Buffered answers are charged beyond 4 KB, and passed on as they arrive when the budget has no room: their requests have run.

The tests of the package pass with the race detector.

--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -33,6 +33,7 @@
 	noRoute               = failure{status: http.StatusNotFound, reason: "no_route"}
 	unknownKey            = failure{status: http.StatusUnauthorized, reason: "unknown_key"}
 	bodyTooLarge          = failure{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	memoryFull            = failure{status: http.StatusServiceUnavailable, reason: "memory_full", meanRetryAfter: 500}
 	bodyReadFailed        = failure{status: http.StatusBadRequest, reason: "body_broken"}
 	budgetExhausted       = failure{status: http.StatusPaymentRequired, reason: "budget_exhausted"}
 	budgetUnreachable     = failure{status: http.StatusServiceUnavailable, reason: "budget_unreachable", meanRetryAfter: 700}
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -34,7 +34,7 @@
 	for _, p := range x.prompt {
 		ids = append(ids, p.ID)
 	}
-	content := quarantiner.Content{Method: x.req.Method, Target: requestTarget(x.req), Body: x.body}
+	content := quarantiner.Content{Method: x.req.Method, Target: requestTarget(x.req), Parts: x.body.Parts()}
 	return quarantiner.NewRequest(account, content, ids)
 }
 
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
@@ -64,8 +65,14 @@
 	promptTokens    int64
 	maxOutputTokens int64
 	reservation     reserver.Reservation
-	body            []byte
-	outbound        carrier.Request
+	// memory is what the connection of the caller holds; it may be nil.
+	memory *admitter.Holding
+	// body is nil before it was read, and once no attempt can need it. bodyRead is true once it was read.
+	body     *admitter.Body
+	bodyRead bool
+	// responseCharge is what a buffered response is charged.
+	responseCharge int64
+	outbound       carrier.Request
 
 	// triedServers are the IDs of the servers chosen so far; none is chosen again.
 	triedServers []string
@@ -210,7 +217,11 @@
 	x.log.reason = f.reason
 	x.log.refused = true
 	x.log.setStatus(f.status)
+	x.boundRest(f)
 	x.reply.refuse(f, x.remaining())
+	if !x.bodyRead {
+		x.memory.Reset() // the connection may stay open for a while
+	}
 }
 
 // fail ends a request to which no server sent a complete successful response. The
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,16 +8,14 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
@@ -161,6 +159,7 @@
 	}
 	x := r.newRelayedRequest(w, req)
 	defer x.settleAndLog()
+	defer x.releaseBody()
 	x.serve()
 	if x.reply.truncated() {
 		x.reply.abort(req)
@@ -198,6 +197,7 @@
 		req:      req,
 		ctx:      req.Context(),
 		id:       req.Header.Get(r.cfg.HeaderNames.RequestID),
+		memory:   admitter.FromContext(req.Context()),
 		started:  now,
 		position: positionAfter(unnumbered),
 	}
@@ -207,6 +207,9 @@
 // outbound request. It returns a failure and false if the request must not be sent.
 func (x *relayedRequest) admit() (failure, bool) {
 	x.deadline = x.started + x.callerTimeout()
+	if x.memory.Charge(admitter.RequestBytes) != nil {
+		return memoryFull, false
+	}
 	x.table = x.cfg.Table()
 	if x.table == nil {
 		return noConfiguration, false
@@ -243,12 +246,12 @@
 		return f, false
 	}
 	x.outbound = carrier.Request{
-		ID:     x.id,
-		Method: x.req.Method,
-		URI:    uri,
-		Host:   x.req.Host,
-		Header: x.outboundHeader(),
-		Body:   x.body,
+		ID:      x.id,
+		Method:  x.req.Method,
+		URI:     uri,
+		Host:    x.req.Host,
+		Header:  x.outboundHeader(),
+		Payload: x.payload(),
 	}
 	return failure{}, true
 }
@@ -273,32 +276,6 @@
 	return min(clocker.Millis(ms), maxCallerTimeout)
 }
 
-// readBody reads the complete body, so that retries can send it again.
-func (x *relayedRequest) readBody() (failure, bool) {
-	limit := x.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.req.ContentLength > limit {
-		x.reply.w.Header().Set("Connection", "close")
-		return bodyTooLarge, false
-	}
-	control := http.NewResponseController(x.reply.w)
-	_ = control.SetReadDeadline(clocker.FromNow(x.remaining())) // fails only for test writers without deadlines
-	body, err := io.ReadAll(http.MaxBytesReader(x.reply.w, x.req.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return bodyTooLarge, false
-	case err != nil:
-		x.reply.w.Header().Set("Connection", "close")
-		return bodyReadFailed, false
-	}
-	x.body = body
-	return failure{}, true
-}
-
 // outboundHeader returns the headers sent to every backend server. requestFor adds
 // those that differ between attempts.
 func (x *relayedRequest) outboundHeader() http.Header {
--- a/relayer/reply.go
+++ b/relayer/reply.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -55,10 +56,10 @@
 // sendEvents writes complete events of a stream and flushes them.
 func (r *callerReply) sendEvents(b []byte) error {
 	if _, err := r.w.Write(b); err != nil {
-		return errCallerDisconnected
+		return fmt.Errorf("%w: %w", errCallerDisconnected, err)
 	}
 	if err := http.NewResponseController(r.w).Flush(); err != nil {
-		return errCallerDisconnected
+		return fmt.Errorf("%w: %w", errCallerDisconnected, err)
 	}
 	return nil
 }
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -37,8 +36,9 @@
 		return x.finishAttempt(a, outcome, outcomeUnknown), true
 	}
 	response.SetReadTimeout(max(1, x.remaining()))
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
-	if err == nil && len(body) == maxBufferedBytes {
+	x.releaseBodyAfterLastAttempt()
+	body, long, err := x.readResponse(response)
+	if long {
 		x.relayLong(a, response, body)
 		return failure{}, false
 	}
@@ -53,6 +53,7 @@
 	if outcome == chooser.NoFailure {
 		x.reportAnswer(a, response, len(body) > 0)
 		x.finishAttempt(a, outcome, failure{})
+		x.releaseBody()
 		x.sendBuffered(response, body)
 		return failure{}, false
 	}
@@ -81,9 +82,9 @@
 // same point.
 func (x *relayedRequest) relayLong(a *attempt, response *carrier.Response, prefix []byte) {
 	x.log.setStatus(response.StatusCode)
+	x.releaseBody()
 	x.reply.sendHeader(response, response.ContentLength)
-	rest := io.LimitReader(response, maxResponseBytes-maxBufferedBytes)
-	_, err := io.Copy(x.reply.w, io.MultiReader(bytes.NewReader(prefix), rest))
+	err := x.passOn(prefix, io.LimitReader(response, int64(maxResponseBytes-len(prefix))))
 	if err == nil && response.Complete() {
 		x.reply.complete = true
 		x.reportAnswer(a, response, true)
@@ -112,6 +113,7 @@
 // stream ended early.
 func (x *relayedRequest) relayStream(a *attempt, response *carrier.Response) (failure, bool) {
 	x.position.switchServer()
+	x.releaseBodyAfterLastAttempt()
 	var events eventBuffer
 	buffer := make([]byte, streamReadBytes)
 	response.SetReadTimeout(x.eventTimeout())
