Runner: callers' connections, heads and unread answers are bounded

Connections were unbounded, stalled heads and unread answers held memory without a bound, and a caller that does not read held its server's slot without a time limit.

Heads are charged to the memory budget; a connection for whose head it has no room is closed. Callers get at most half of the descriptors (new setting MaxDescriptors, else the system's limit) and 16 connections per MB; at the bound the connection that has been without a complete request for longest is closed. Answers that make no progress for CallerStallMs (default 20 s) are reset. SO_RCVBUF and SO_SNDBUF are 32 KB. The readiness listener has bounds of its own.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/carrier"
 	"cowsliphinge/clocker"
 	"cowsliphinge/exchanger"
@@ -111,6 +112,8 @@
 
 	configurationWatcher atomic.Pointer[watcher.Watcher]
 
+	// memory bounds what this process holds for callers.
+	memory      *admitter.Budget
 	server      *http.Server
 	callerConns *connTracker
 	readyServer *http.Server
@@ -120,7 +123,8 @@
 // New opens the listeners and starts a router. It is ready for callers once a
 // configuration and the backend servers are known.
 func New(ctx context.Context, cfg Config) (*Runner, error) {
-	callers, err := net.Listen("tcp4", cfg.Settings.CallerAddress)
+	listenConfig := net.ListenConfig{Control: limitCallerBuffers}
+	callers, err := listenConfig.Listen(ctx, "tcp4", cfg.Settings.CallerAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -313,7 +317,13 @@
 }
 
 func (r *Runner) serve(callers, probes, peers net.Listener) {
-	r.callerConns = newConnTracker()
+	r.memory = admitter.New(memoryConfig(r.cfg))
+	r.callerConns = newBoundedConnTracker(connTrackerConfig{
+		Clock:    r.cfg.Clock,
+		MaxConns: maxCallerConns(r.cfg.Settings),
+		Stall:    callerStall(r.cfg.Settings),
+		Memory:   r.memory,
+	})
 	r.server = &http.Server{
 		Handler:           r.callerConns.wrap(r.relayer.Load()),
 		ConnContext:       r.callerConns.connContext,
@@ -323,7 +333,17 @@
 		MaxHeaderBytes:    maxCallerHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(r.cfg.Log.Handler(), slog.LevelDebug),
 	}
-	r.readyServer = &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: callerHeaderTimeout.Duration()}
+	probeConns := newBoundedConnTracker(connTrackerConfig{Clock: r.cfg.Clock, MaxConns: maxProbeConns})
+	r.readyServer = &http.Server{
+		Handler:        probeConns.wrap(http.HandlerFunc(r.serveReadiness)),
+		ConnContext:    probeConns.connContext,
+		ConnState:      probeConns.connState,
+		ReadTimeout:    callerHeaderTimeout.Duration(),
+		WriteTimeout:   callerHeaderTimeout.Duration(),
+		IdleTimeout:    callerIdleTimeout.Duration(),
+		MaxHeaderBytes: maxProbeHeaderBytes,
+		ErrorLog:       slog.NewLogLogger(r.cfg.Log.Handler(), slog.LevelDebug),
+	}
 	r.peerServer = exchanger.NewServer(exchanger.ServerConfig{
 		RouterKey:        r.cfg.Settings.RouterKey,
 		HeartbeatHandler: r.heartbeater,
@@ -332,8 +352,12 @@
 		Tunnels:          r.tunnels,
 		Ready:            r.Ready,
 	})
-	r.group.Go(func() error { return serveErr(r.server.Serve(meteredListener{Listener: callers, traffic: &r.traffic})) })
-	r.group.Go(func() error { return serveErr(r.readyServer.Serve(probes)) })
+	r.group.Go(func() error {
+		return serveErr(r.server.Serve(callerListener{Listener: callers, traffic: &r.traffic, tracker: r.callerConns}))
+	})
+	r.group.Go(func() error {
+		return serveErr(r.readyServer.Serve(callerListener{Listener: probes, traffic: &traffic{}, tracker: probeConns}))
+	})
 	r.group.Go(func() error { return r.peerServer.Serve(peers) })
 }
 
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -31,6 +31,11 @@
 	RouterKey string
 	// MemoryMb is the memory limit of the process.
 	MemoryMb int64
+	// MaxDescriptors is the limit of open descriptors of the process; 0 means that of the system.
+	MaxDescriptors int64
+	// CallerStallMs is how long a response may make no progress because its caller does not read; 0 means
+	// defaultCallerStall.
+	CallerStallMs clocker.Millis
 	// LinkMbps is the bandwidth of the link of this host in each direction.
 	LinkMbps float64
 	// StopBoundMs is the time limit of a graceful stop.
@@ -98,6 +103,11 @@
 			findings = append(findings, fmt.Sprintf("%s is %d, not a positive time", key, value))
 		}
 	}
+	for key, value := range map[string]int64{"MemoryMb": s.MemoryMb, "MaxDescriptors": s.MaxDescriptors, "CallerStallMs": int64(s.CallerStallMs)} {
+		if value < 0 {
+			findings = append(findings, fmt.Sprintf("%s is %d, less than 0", key, value))
+		}
+	}
 	if s.LinkMbps <= 0 {
 		findings = append(findings, fmt.Sprintf("LinkMbps is %v, not a positive rate", s.LinkMbps))
 	}
@@ -125,6 +135,6 @@
 	ApplyLogLevel(s)
 	restartNeeded := old.Host != s.Host || old.AvailabilityZone != s.AvailabilityZone || old.CallerAddress != s.CallerAddress ||
 		old.ReadyAddress != s.ReadyAddress || old.ExchangeAddress != s.ExchangeAddress || old.StoreAddress != s.StoreAddress ||
-		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb || old.LinkMbps != s.LinkMbps
+		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb || old.MaxDescriptors != s.MaxDescriptors || old.CallerStallMs != s.CallerStallMs || old.LinkMbps != s.LinkMbps
 	r.cfg.Log.Info("settings reloaded", "changed", *old != s, "restart_needed", restartNeeded)
 }
