--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -38,7 +38,7 @@
   Runs a router until SIGTERM or SIGINT, or until a move in force says that the
   host leaves, then stops without cutting a request.
   A second signal, or the stop bound of the policy, ends it with a report.
-  Example: cowsliphinge serve -settings examples/kauri-lane/akl-a-1.json
+  Example: cowsliphinge serve -settings examples/settings.json
   Exit codes: 0 clean stop, 1 failed or requests were cut, 2 usage, 3 findings.
 `
 }
