--- a/validator/settings.go
+++ b/validator/settings.go
@@ -13,6 +13,8 @@
 	maxBody = 64 << 20
 	// maxOpen bounds the setting of open connections.
 	maxOpen = 1 << 20
+	// maxMemory bounds the setting of a process's memory, in MB.
+	maxMemory = 1 << 20
 )
 
 // Settings returns everything that is wrong with the settings of a process.
@@ -33,6 +35,7 @@
 	c.oneOf("$.LogLevel", s.LogLevel, "Debug", "Info", "Warn", "Error")
 	c.bounds("$.MaxBodyBytes", s.MaxBodyBytes, 0, maxBody)
 	c.bounds("$.MaxConnections", s.MaxConnections, 0, maxOpen)
+	c.bounds("$.MemoryMb", s.MemoryMb, 0, maxMemory)
 	c.tlsFiles("$.CallerTls", s.CallerTls)
 	c.tlsFiles("$.ExchangeTls", s.ExchangeTls)
 	return c.findings
