Exchange: bound the memory and the time of calls' bodies

Bodies of up to 64 MB were read for any number of calls at once and for any time. Bodies of hosts and those of operators now have a memory budget each, an eighth of MemoryMb (512 MB without a limit), a quarter of it reserved for bodies up to 256 KB decoded; a call beyond it gets 503 unavailable, the unfinished one that holds the most is evicted. A body must arrive within 10 s, idle connections end after 60 s. A call without the key is answered and its connection closed without its body being read. serve and route (one line in runner) pass MemoryMb.

go test -race -count=3 ./exchanger: ok. The test server of server_test.go takes a memory limit; no check changed.

--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -21,6 +21,9 @@
 	// headerTimeout is the time limit for reading a request's header, in
 	// milliseconds.
 	headerTimeout = 5 * clocker.Second
+	// serverIdleTimeout is the time after which an idle connection is closed, in milliseconds: twice the
+	// time for which clients keep one.
+	serverIdleTimeout = 2 * idleConnTimeout
 	// maxBodyBytes limits the body of a request.
 	maxBodyBytes = 64 << 20
 	// maxHeaderBytes limits the header of a request.
@@ -82,6 +85,9 @@
 	Querier   messenger.Querier
 	// Ready reports whether the router accepts requests from callers.
 	Ready func() bool
+	// MemoryMb is the memory limit of the process, from which the bound on the bodies of calls is derived;
+	// 0 means none.
+	MemoryMb int64
 }
 
 // Server serves calls from other routers and operators, metrics and health checks.
@@ -106,9 +112,10 @@
 	}
 	s := &Server{cfg: cfg}
 	s.http = &http.Server{
-		Handler:           s.withTunnels(s.routes()),
+		Handler:           s.withTunnels(withBodyDeadline(s.routes())),
 		TLSConfig:         cfg.TLS,
 		ReadHeaderTimeout: headerTimeout.Duration(),
+		IdleTimeout:       serverIdleTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return s
@@ -147,9 +154,11 @@
 	})
 	commands := messenger.NewCommanderServer(s.cfg.Commander)
 	queries := messenger.NewQuerierServer(s.cfg.Querier)
-	mux.Handle(exchange.PathPrefix(), s.authenticated(s.cfg.RouterKey, exchange))
-	mux.Handle(commands.PathPrefix(), s.authenticated(s.cfg.OperatorKey, commands))
-	mux.Handle(queries.PathPrefix(), s.authenticated(s.cfg.OperatorKey, queries))
+	// Operators' calls have a budget of their own: they never take the room of heartbeats and transfers.
+	hostBodies, operatorBodies := newBodyReader(s.cfg.MemoryMb), newBodyReader(s.cfg.MemoryMb)
+	mux.Handle(exchange.PathPrefix(), s.authenticated(s.cfg.RouterKey, hostBodies.wrap(exchange)))
+	mux.Handle(commands.PathPrefix(), s.authenticated(s.cfg.OperatorKey, operatorBodies.wrap(commands)))
+	mux.Handle(queries.PathPrefix(), s.authenticated(s.cfg.OperatorKey, operatorBodies.wrap(queries)))
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -179,13 +188,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		presented, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok || !keysEqual(presented, key) {
-			unauthenticatedCalls.Inc()
-			w.Header().Set("Content-Type", "application/json")
-			w.WriteHeader(http.StatusUnauthorized)
-			_, _ = w.Write([]byte(`{"code":"unauthenticated","msg":"the key is missing or wrong"}`))
+			refuseBody(w, http.StatusUnauthorized, "unauthenticated", "the key is missing or wrong", unauthenticatedCalls)
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/exchanger/server_test.go
+++ b/exchanger/server_test.go
@@ -35,13 +35,19 @@
 }
 
 func serve(t *testing.T) string {
+	t.Helper()
+	return serveWithMemory(t, 0)
+}
+
+// serveWithMemory starts a server of a process with a memory limit in MB; 0 means none.
+func serveWithMemory(t *testing.T, memoryMb int64) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := exchanger.NewServer(exchanger.ServerConfig{
 		OperatorKey: operatorKey, RouterKey: routerKey,
 		HeartbeatHandler: stubServices{}, Commander: stubServices{}, Querier: stubServices{},
-		Ready: func() bool { return false },
+		Ready: func() bool { return false }, MemoryMb: memoryMb,
 	})
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
--- a/router/components.go
+++ b/router/components.go
@@ -189,6 +189,7 @@
 			Self:     r.ownBeat,
 			Peers:    r.heartbeater.Peers,
 		}),
-		Ready: r.Ready,
+		Ready:    r.Ready,
+		MemoryMb: s.MemoryMb,
 	})
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -331,6 +331,7 @@
 		OriginKeeper:     r.origins,
 		Tunnels:          r.tunnels,
 		Ready:            r.Ready,
+		MemoryMb:         r.cfg.Settings.MemoryMb,
 	})
 	r.group.Go(func() error { return serveErr(r.server.Serve(meteredListener{Listener: callers, traffic: &r.traffic})) })
 	r.group.Go(func() error { return serveErr(r.readyServer.Serve(probes)) })
