Exchange: a single body may take a third of the memory

With a quarter, a body of 8 MB was refused for its length at MemoryMb 128. The length that TestLargeBodyIsHandled expects to be refused grows with it.

go test -race ./exchanger: ok.

--- a/exchanger/bodies.go
+++ b/exchanger/bodies.go
@@ -25,7 +25,7 @@
 	// operators.
 	bodiesDivisor = 8
 	// bodiesAloneDivisor is the part that a single body may take.
-	bodiesAloneDivisor = 4
+	bodiesAloneDivisor = 3
 	// defaultMemory is assumed without a memory limit, in bytes. A body of maxBodyBytes fits.
 	defaultMemory = 4 << 30
 	// smallBodyBytes is what a body may take of the part that is reserved for small ones. Heartbeats of a
