--- a/validator/settings.go
+++ b/validator/settings.go
@@ -15,6 +15,13 @@
 	maxOpen = 1 << 20
 	// maxMemory bounds the setting of a process's memory, in MB.
 	maxMemory = 1 << 20
+	// minMemory is the least memory limit of a process, in MB. An idle process takes 26 MB.
+	minMemory = 64
+	// defaultBody is the default of MaxBodyBytes, in bytes.
+	defaultBody = 1 << 20
+	// bodiesInMemory is the part of the memory limit that one body may be, so that a single one always fits: it
+	// is held up to seven times while it is parsed and sent on, and one request may take a third of the memory.
+	bodiesInMemory = 24
 )
 
 // Settings returns everything that is wrong with the settings of a process.
@@ -35,12 +42,26 @@
 	c.oneOf("$.LogLevel", s.LogLevel, "Debug", "Info", "Warn", "Error")
 	c.bounds("$.MaxBodyBytes", s.MaxBodyBytes, 0, maxBody)
 	c.bounds("$.MaxConnections", s.MaxConnections, 0, maxOpen)
-	c.bounds("$.MemoryMb", s.MemoryMb, 0, maxMemory)
+	c.memory(s)
 	c.tlsFiles("$.CallerTls", s.CallerTls)
 	c.tlsFiles("$.ExchangeTls", s.ExchangeTls)
 	return c.findings
 }
 
+func (c *checker) memory(s *messenger.Settings) {
+	if s.MemoryMb == 0 {
+		return
+	}
+	c.bounds("$.MemoryMb", s.MemoryMb, minMemory, maxMemory)
+	body := s.MaxBodyBytes
+	if body == 0 {
+		body = defaultBody
+	}
+	if s.MemoryMb >= minMemory && body > s.MemoryMb<<20/bodiesInMemory {
+		c.add("$.MaxBodyBytes", "must not be above 1/%d of MemoryMb", bodiesInMemory)
+	}
+}
+
 func (c *checker) url(path, value string, required bool) {
 	if value == "" && !required {
 		return
