Dispatcher: answers of application servers are charged to the memory of their request

Complete answers of up to 16 MB were read for any number of requests at once, in a buffer that doubles. They are read in their length, or in chunks, and charged. An answer that finds no room ends the call without another attempt: AnswerBroken, or OutcomeUnknown if the service is not idempotent, both with NotRun false. New code MemoryFull (503).

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/clocker"
 )
 
@@ -140,6 +141,8 @@
 	// OwnConnection sends the request on a connection of its own. Requests whose ID another one
 	// had set it: a server may repeat the answer to that one, which could not be told apart.
 	OwnConnection bool
+	// Memory is charged for a complete answer, which stays charged to it; nil means without a bound.
+	Memory *admitter.Holding
 }
 
 // Answer is the answer of a backend server.
@@ -168,18 +171,50 @@
 // readAll reads the body. It rejects a body that has no length and is not chunked:
 // such a body ends when its connection closes, so that a truncated one cannot be
 // told from a complete one.
-func (a *Answer) readAll() ([]byte, error) {
+func (a *Answer) readAll(memory *admitter.Holding) ([]byte, error) {
 	if !a.response.IsBodyStream() {
 		return nil, nil
 	}
 	if a.response.Header.ContentLength() < chunkedLength {
 		return nil, errUndelimitedBody
 	}
-	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = fasthttp.ErrBodyTooLarge
+	if length := a.response.Header.ContentLength(); length >= 0 {
+		return a.readLength(length, memory)
 	}
-	return body, err
+	chunks, err := admitter.ReadBody(io.LimitReader(a, maxAnswerBytes+1), chunkedLength, memory)
+	if err != nil {
+		return nil, err
+	}
+	defer chunks.Release()
+	if chunks.Len() > maxAnswerBytes {
+		return nil, fasthttp.ErrBodyTooLarge
+	}
+	if err := memory.Charge(chunks.Len()); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, chunks.Len())
+	for _, part := range chunks.Parts() {
+		body = append(body, part...)
+	}
+	return body, nil
+}
+
+// readLength reads a body of a known length.
+func (a *Answer) readLength(length int, memory *admitter.Holding) ([]byte, error) {
+	if length > maxAnswerBytes {
+		return nil, fasthttp.ErrBodyTooLarge
+	}
+	if err := memory.Charge(int64(length)); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(a, body); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF // a truncated body
+		}
+		return nil, err
+	}
+	return body, nil
 }
 
 // Close releases a streamed answer. Its connection is reused only if the body was
@@ -225,7 +260,7 @@
 		return nil, err
 	}
 	defer answer.Close()
-	answer.Body, err = answer.readAll()
+	answer.Body, err = answer.readAll(r.Memory)
 	if err != nil {
 		return nil, ErrAborted{Cause: err}
 	}
--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/claimer"
 	"cowsliphinge/connector"
 	"cowsliphinge/messenger"
@@ -141,6 +142,10 @@
 		return "refused_by_server", nil
 	case err == nil:
 		return "", nil
+	case admitter.IsErrMemoryFull(err):
+		// The server has answered. Another attempt would find as little memory.
+		r.releaseSlot(picker.Succeeded)
+		return "", r.refuseAnswer()
 	}
 	r.reportCrash(err)
 	r.releaseSlot(picker.Failed)
@@ -150,6 +155,15 @@
 	return "", NewRefusal(CodeOutcomeUnknown, r.call.RequestID, false, err.Error())
 }
 
+// refuseAnswer returns the refusal of a call whose answer could not be held.
+func (r *activeRequest) refuseAnswer() *Refusal {
+	code := CodeOutcomeUnknown
+	if r.call.Service.Idempotent {
+		code = CodeAnswerBroken
+	}
+	return NewRefusal(code, r.call.RequestID, false, "the memory for answers is taken")
+}
+
 func retryReason(err error) string {
 	if connector.IsErrRequestIDMismatch(err) {
 		return "crossed_answer"
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/claimer"
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
@@ -37,6 +38,9 @@
 	// LastEventID is the number of the last event that the caller has received; 0
 	// for none.
 	LastEventID int64
+
+	// Memory is charged for the answer of an application server; nil means without a bound.
+	Memory *admitter.Holding
 }
 
 // Answer is a complete answer.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -318,6 +318,7 @@
 		Path:            path,
 		ContentType:     contentType,
 		Body:            body,
+		Memory:          r.call.Memory,
 		RequestID:       r.call.RequestID,
 		IdempotencyKey:  r.call.IdempotencyKey,
 		Priority:        priorityNames[r.call.Priority],
--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -29,6 +29,7 @@
 	CodeOutcomeUnknown    Code = "OutcomeUnknown"
 	CodeAnswerBroken      Code = "AnswerBroken"
 	CodeQuarantined       Code = "Quarantined"
+	CodeMemoryFull        Code = "MemoryFull"
 )
 
 // Refusal is the router's answer to a request for which it returns no answer of a
@@ -74,6 +75,7 @@
 	CodeNoServer:          503,
 	CodeDraining:          503,
 	CodeQuarantined:       503,
+	CodeMemoryFull:        503,
 	CodeDeadlineExceeded:  504,
 }
 
@@ -91,4 +93,5 @@
 	CodeInProgress:        500,
 	CodeBudgetUnreachable: 2000,
 	CodeClaimUnreachable:  2000,
+	CodeMemoryFull:        1000,
 }
