Listener: bound the memory that serve holds for callers

fasthttp read whole bodies into buffers that double, for as many connections as there were: 229 to 447 MB with 100 bodies of 2 MiB. Bodies are streamed in and charged to a budget of package admitter, with the copies that parsing makes of them; at MemoryMb 0 the budget is 1 GiB. A request that finds no room, or is evicted, gets 503 MemoryFull and its connection is closed. At the limit of connections the one without a complete request for longest is closed; the limit follows MemoryMb and the descriptor limit. Answers are written in pieces of 32 KB, each within 30 s, so that slow links are not taken for callers that do not read; where memory lacks, an answer stalled for 5 s is broken off. Kernel buffers are bounded with MemoryMb. Forms are passed on in the bytes that came.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -54,6 +55,10 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
+	if settings.MemoryMb > 0 {
+		debug.SetGCPercent(collectPercent)
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMb<<20) * memoryShare))
+	}
 	log := newLogger(os.Stderr, settings)
 	slog.SetDefault(log)
 	r, err := router.New(context.Background(), router.Config{Settings: settings, Clock: clocker.NewWall(), Log: log})
--- a/listener/handlers.go
+++ b/listener/handlers.go
@@ -42,7 +42,10 @@
 }
 
 func (l *Listener) readCompletion(ctx *fasthttp.RequestCtx, call *dispatcher.Call) *dispatcher.Refusal {
-	body := append([]byte(nil), ctx.PostBody()...)
+	body, refusal := l.readBody(ctx, *call, completionCopies)
+	if refusal != nil {
+		return refusal
+	}
 	completion, err := dispatcher.ParseCompletion(body)
 	if err != nil {
 		return dispatcher.NewRefusal(dispatcher.CodeBadRequest, call.RequestID, !call.NeedsClaim(), err.Error())
@@ -114,9 +117,20 @@
 		call.Path += "?" + query
 	}
 	call.ContentType = string(ctx.Request.Header.ContentType())
-	call.Body = append([]byte(nil), ctx.PostBody()...)
+	body, refusal := l.readBody(ctx, call, callCopies)
+	if refusal != nil {
+		writeRefusal(ctx, refusal)
+		return
+	}
+	call.Body = body
+	if conn := callerConnOf(ctx.Conn()); conn != nil {
+		call.Memory = conn.holding
+	}
 	answer, refusal := l.cfg.Dispatcher.RunApplication(l.ctx, call)
 	if refusal != nil {
+		if refusal.Code == dispatcher.CodeAnswerBroken || refusal.Code == dispatcher.CodeOutcomeUnknown {
+			l.conns.closeStalled() // it may have lacked memory that they hold
+		}
 		writeRefusal(ctx, refusal)
 		return
 	}
@@ -131,6 +145,6 @@
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetContentType(answer.ContentType)
 	if answer.Status != http.StatusNoContent {
-		ctx.SetBody(answer.Body)
+		ctx.Response.SetBodyRaw(answer.Body) // a copy would double what a slow reader holds
 	}
 }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
 	"cowsliphinge/dispatcher"
@@ -68,6 +69,10 @@
 	MaxBodyBytes int64
 	// MaxConnections bounds the number of open connections; 0 means 20000.
 	MaxConnections int64
+	// Memory is the budget that requests are charged to; nil means that they are not bounded.
+	Memory *admitter.Budget
+	// BoundsBuffers bounds the kernel buffers of connections.
+	BoundsBuffers bool
 }
 
 // Listener serves the HTTP API for callers.
@@ -88,14 +93,21 @@
 	if cfg.MaxConnections == 0 {
 		cfg.MaxConnections = 20000
 	}
-	l := &Listener{cfg: cfg, conns: newConnections()}
+	l := &Listener{cfg: cfg, conns: newConnections(cfg.Clock, cfg.MaxConnections, cfg.Memory, cfg.BoundsBuffers)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.server = &fasthttp.Server{
-		Handler:               l.handle,
-		ErrorHandler:          handleBadRequest,
-		MaxRequestBodySize:    int(cfg.MaxBodyBytes),
-		ReadBufferSize:        maxHeaderBytes,
-		Concurrency:           int(cfg.MaxConnections),
+		Handler:            l.handle,
+		ErrorHandler:       handleBadRequest,
+		MaxRequestBodySize: int(cfg.MaxBodyBytes),
+		StreamRequestBody:  true,
+		// Forms are passed on as they came, and charged like other bodies.
+		DisablePreParseMultipartForm: true,
+		ReduceMemoryUsage:            true,
+		ReadBufferSize:               maxHeaderBytes,
+		// connections bounds their number. Those that it closes take a moment to end.
+		Concurrency:           2 * int(cfg.MaxConnections),
+		HeaderReceived:        l.headReceived,
+		ConnState:             l.conns.stateChanged,
 		ReadTimeout:           callerProgressTimeout.Duration(),
 		IdleTimeout:           callerProgressTimeout.Duration(),
 		CloseOnShutdown:       true,
@@ -128,6 +140,11 @@
 }
 
 func (l *Listener) handle(ctx *fasthttp.RequestCtx) {
+	l.serve(ctx)
+	closeUnread(ctx)
+}
+
+func (l *Listener) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch path {
 	case "/healthz":
@@ -148,6 +165,9 @@
 		writeRefusal(ctx, refusal)
 		return
 	}
+	if conn := callerConnOf(ctx.Conn()); conn != nil && !ctx.Request.IsBodyStream() {
+		l.conns.markBusy(conn) // there is no body to wait for
+	}
 	switch path {
 	case "/v1/chat/completions":
 		l.serveCompletion(ctx, call)
--- a/router/components.go
+++ b/router/components.go
@@ -166,7 +166,9 @@
 		Ready:          r.Ready,
 		TLS:            callerTLS,
 		MaxBodyBytes:   s.MaxBodyBytes,
-		MaxConnections: s.MaxConnections,
+		MaxConnections: maxConnections(s, maxDescriptors()),
+		Memory:         newMemoryBudget(s, r.cfg.Log),
+		BoundsBuffers:  s.MemoryMb > 0,
 	})
 	spreader := r.spreader.Load()
 	r.commander = commander.New(commander.Config{Spreader: spreader, TopUpper: r.reserver, Planner: r.mover})
