--- a/validator/settings_test.go
+++ b/validator/settings_test.go
@@ -28,3 +28,25 @@
 s.json: $.LogFormat: must be one of [Text Json]
 s.json: $.CallerTls: must name both CertificateFile and KeyFile, or neither`)
 }
+
+// Guards against a memory limit into which the process or a single body does not fit.
+func TestMemoryMustHoldOneBody(t *testing.T) {
+	for _, c := range []struct {
+		memoryMb, maxBodyBytes int64
+		finding                string
+	}{
+		{0, 0, ""},
+		{0, 64 << 20, ""},
+		{64, 0, ""},
+		{64, 2 << 20, ""},
+		{64, 3 << 20, "s.json: $.MaxBodyBytes: must not be above 1/24 of MemoryMb"},
+		{63, 0, "s.json: $.MemoryMb: must be from 64 to 1048576"},
+		{-1, 0, "s.json: $.MemoryMb: must be from 64 to 1048576"},
+	} {
+		findings := validator.Settings("s.json", &messenger.Settings{
+			Host: "a", AvailabilityZone: "a", CallerAddress: "127.0.0.1:1", ExchangeAddress: "127.0.0.1:2", PlatformUrl: "http://127.0.0.1:3",
+			OperatorKey: "0123456789abcdef", RouterKey: "fedcba9876543210", MemoryMb: c.memoryMb, MaxBodyBytes: c.maxBodyBytes,
+		})
+		assert.Equal(t, decoder.ErrFindings{Findings: findings}.Error(), c.finding)
+	}
+}
