--- a/listener/harness_test.go
+++ b/listener/harness_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/claimer"
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
@@ -138,6 +139,12 @@
 // newHarness starts a listener. Requests are sent to the backend servers in the given
 // order.
 func newHarness(t testing.TB, idempotent bool, backends ...*backend) *harness {
+	t.Helper()
+	return newHarnessWithMemory(t, idempotent, nil, backends...)
+}
+
+// newHarnessWithMemory starts a listener whose requests are charged to budget.
+func newHarnessWithMemory(t testing.TB, idempotent bool, budget *admitter.Budget, backends ...*backend) *harness {
 	t.Helper()
 	h := &harness{backends: backends}
 	service := func(name string, kind messenger.ServiceKind) *messenger.Service {
@@ -164,7 +171,7 @@
 	})
 	l := listener.New(listener.Config{
 		Clock: clock, Index: func() *indexer.Index { return index }, Dispatcher: d,
-		Ready: func() bool { return true },
+		Ready: func() bool { return true }, Memory: budget,
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/listener/memory_test.go
+++ b/listener/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -174,3 +175,77 @@
 	assert.Equal(t, status, 200)
 	assert.Equal(t, string(e.lastCall.Body), form)
 }
+
+// noEvictor belongs to requests that are never evicted.
+type noEvictor struct{}
+
+// Evict implements admitter.Evictor.
+func (noEvictor) Evict() {}
+
+// Guards against an answer that finds no room and is called "not run", or is fetched again from another server.
+func TestAnswerWithoutRoomMayHaveRun(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		budget := admitter.New(admitter.ForMemory(64))
+		others := budget.Open(noEvictor{})
+		assert.NilError(t, others.Charge(12<<20))
+		assert.NilError(t, others.Finish())
+		first := &backend{name: "a1", call: plainReply("200 OK", "", strings.Repeat("b", 1<<20))}
+		second := &backend{name: "a2", call: plainReply("200 OK", "", "small")}
+		h := newHarnessWithMemory(t, idempotent, budget, first, second)
+		resp := h.send(t, requestWithClose("/orders/x", "", "order"))
+		assert.Equal(t, resp.status, 502, resp.body)
+		assert.Assert(t, strings.Contains(resp.body, `"NotRun":false`), resp.body)
+		assert.Assert(t, !second.mayHaveRun())
+		others.Reset()
+		resp = h.send(t, requestWithClose("/orders/x", "", "order"))
+		assert.Equal(t, resp.status, 200)
+		assert.Equal(t, len(resp.body), 1<<20)
+	}
+}
+
+// largeDispatcher answers calls of /large with a body that no kernel buffer takes, and others as if their answer
+// had found no room.
+type largeDispatcher struct{ echoDispatcher }
+
+// RunApplication implements listener.Dispatcher.
+func (*largeDispatcher) RunApplication(_ context.Context, call dispatcher.Call) (*dispatcher.Answer, *dispatcher.Refusal) {
+	if call.Path == "/large" {
+		return &dispatcher.Answer{Status: 200, Body: make([]byte, 32<<20)}, nil
+	}
+	return nil, dispatcher.NewRefusal(dispatcher.CodeAnswerBroken, call.RequestID, false, "no room")
+}
+
+// Guards against callers that do not read an answer and hold memory that others need.
+func TestStalledAnswerIsBrokenOffWhereMemoryLacks(t *testing.T) {
+	index := indexer.New(&messenger.Configuration{Declarations: &messenger.Declarations{
+		ClientAccounts: []*messenger.ClientAccount{{Name: "mason", KeySha256: indexer.HashKey("secret")}},
+		Services:       []*messenger.Service{{Name: "orders", Kind: messenger.ServiceKind_APPLICATION, Idempotent: true}},
+	}})
+	clock := clocker.NewManual(1_000_000)
+	d := &largeDispatcher{}
+	l := listener.New(listener.Config{
+		Clock: clock, Index: func() *indexer.Index { return index }, Dispatcher: d, Tickets: d,
+		Ready: func() bool { return true }, BoundsBuffers: true,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = l.Serve(ln) }()
+	t.Cleanup(func() { _ = l.Abort() })
+	slow := dial(t, ln.Addr().String())
+	_, err = io.WriteString(slow, request("/orders/large", authHeader, ""))
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.ContentLength, int64(32<<20))
+	broken := make(chan error, 1)
+	for range 100 {
+		clock.Advance(6 * clocker.Second)
+		status, body := exchange(t, dial(t, ln.Addr().String()), request("/orders/x", authHeader, ""))
+		assert.Equal(t, status, 502, body)
+	}
+	go func() {
+		_, err := io.Copy(io.Discard, resp.Body)
+		broken <- err
+	}()
+	assert.Assert(t, <-broken != nil, "the answer is whole")
+}
