--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -38,7 +39,7 @@
   Runs a router until SIGTERM or SIGINT, or until a move in force says that the
   host leaves, then stops without cutting a request.
   A second signal, or the stop bound of the policy, ends it with a report.
-  Example: cowsliphinge serve -settings examples/kauri-lane/akl-a-1.json
+  Example: cowsliphinge serve -settings examples/settings.json
   Exit codes: 0 clean stop, 1 failed or requests were cut, 2 usage, 3 findings.
 `
 }
@@ -54,6 +55,10 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
+	if settings.MemoryMb > 0 {
+		debug.SetGCPercent(collectPercent)
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMb<<20) * memoryShare))
+	}
 	log := newLogger(os.Stderr, settings)
 	slog.SetDefault(log)
 	r, err := router.New(context.Background(), router.Config{Settings: settings, Clock: clocker.NewWall(), Log: log})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -351,6 +351,7 @@
 		OriginKeeper:     r.origins,
 		Tunnels:          r.tunnels,
 		Ready:            r.Ready,
+		MemoryMb:         r.cfg.Settings.MemoryMb,
 	})
 	r.group.Go(func() error {
 		return serveErr(r.server.Serve(callerListener{Listener: callers, traffic: &r.traffic, tracker: r.callerConns}))
