--- a/allotter/random_fleet_test.go
+++ b/allotter/random_fleet_test.go
@@ -42,12 +42,14 @@
 	// mayLoseTokens is true once a host crashed or started to close, perhaps before it
 	// returned what it had received.
 	mayLoseTokens bool
+	// guarded makes hosts guard tokens, which open at rates, and start at the address of one that crashed.
+	guarded bool
 }
 
 type host struct {
-	incarnation string
-	allotter    *allotter.Allotter
-	write       *allotter.Write
+	incarnation, address string
+	allotter             *allotter.Allotter
+	write                *allotter.Write
 	// answer delivers the platform's answer to write; nil until write is sent.
 	answer  func()
 	open    []reservation
@@ -66,13 +68,22 @@
 }
 
 func newRandomFleet(hosts int) *randomFleet {
+	return newRandomFleetOf(hosts, false)
+}
+
+// newGuardedRandomFleet returns the same with hosts that guard tokens.
+func newGuardedRandomFleet(hosts int) *randomFleet {
+	return newRandomFleetOf(hosts, true)
+}
+
+func newRandomFleetOf(hosts int, guarded bool) *randomFleet {
 	clock := clocker.NewManual(clocker.Hour)
 	f := &randomFleet{
 		clock: clock, store: platform.New(clock), consumed: map[string]int64{},
-		submittedTopUps: map[string]map[string]int64{}, firstSeen: map[string]clocker.Millis{},
+		submittedTopUps: map[string]map[string]int64{}, firstSeen: map[string]clocker.Millis{}, guarded: guarded,
 	}
-	for range hosts {
-		f.startHost()
+	for i := range hosts {
+		f.startHostAt(fmt.Sprint("address-", i))
 	}
 	for i, budget := range budgetNames {
 		h := f.hosts[i%hosts]
@@ -85,8 +96,19 @@
 }
 
 func (f *randomFleet) startHost() *host {
-	h := &host{incarnation: fmt.Sprintf("host-%d", len(f.hosts)+len(f.crashed))}
-	h.allotter = allotter.New(allotter.Config{Incarnation: h.incarnation, UrgentReserveHorizon: clocker.Second})
+	return f.startHostAt("")
+}
+
+func (f *randomFleet) startHostAt(address string) *host {
+	h := &host{incarnation: fmt.Sprintf("host-%d", len(f.hosts)+len(f.crashed)), address: address}
+	cfg := allotter.Config{Incarnation: h.incarnation, UrgentReserveHorizon: clocker.Second}
+	if f.guarded {
+		cfg.Guard = &allotter.GuardConfig{
+			LeaseTime: 2000, RenewInterval: 900, DrawHorizon: clocker.Second, OpenFactor: 2, OpenShare: 1, FastAfter: 4000, FastFactor: 4, OpenTime: clocker.Minute,
+			Address: address, SameHost: func(string) bool { return true }, StartedAt: f.clock.Now(), BootAt: f.clock.Now(),
+		}
+	}
+	h.allotter = allotter.New(cfg)
 	f.hosts = append(f.hosts, h)
 	return h
 }
@@ -272,7 +294,7 @@
 	f.mayLoseTokens = true
 	f.crashed = append(f.crashed, f.hosts[i])
 	f.hosts = append(f.hosts[:i], f.hosts[i+1:]...)
-	f.injectFaults(f.startHost())
+	f.injectFaults(f.startHostAt(f.crashed[len(f.crashed)-1].address))
 }
 
 // check verifies the invariants of all budgets.
--- a/allotter/rapid_test.go
+++ b/allotter/rapid_test.go
@@ -31,8 +31,12 @@
 // randomRun returns a property that drives a fleet through random steps, with the
 // given faults injected on all hosts.
 func randomRun(fault allotter.Fault, reclaimEntries bool) func(*rapid.T) {
+	return randomRunOf(newRandomFleet, fault, reclaimEntries)
+}
+
+func randomRunOf(newFleet func(hosts int) *randomFleet, fault allotter.Fault, reclaimEntries bool) func(*rapid.T) {
 	return func(t *rapid.T) {
-		f := newRandomFleet(3)
+		f := newFleet(3)
 		f.fault, f.reclaimEntries = fault, reclaimEntries
 		for _, h := range f.hosts {
 			f.injectFaults(h)
@@ -51,6 +55,17 @@
 	rapid.Check(t, randomRun("", false))
 }
 
+// The same with hosts that guard tokens, and that return those of a crashed host at their address. The planted faults
+// show that the check sees it.
+func TestNoInterleavingOverspendsWithGuards(t *testing.T) {
+	rapid.Check(t, randomRunOf(newGuardedRandomFleet, "", false))
+	for _, fault := range []allotter.Fault{allotter.RaiseBeforeConfirm, allotter.IgnoresLease, allotter.TrustsOldLeases, allotter.ReturnsOpened} {
+		t.Run(string(fault), func(t *testing.T) {
+			assert.Assert(t, findsFailure(t, randomRunOf(newGuardedRandomFleet, fault, false)))
+		})
+	}
+}
+
 func TestInjectedFaultsAreFound(t *testing.T) {
 	for _, fault := range []allotter.Fault{
 		allotter.RaiseBeforeConfirm, allotter.LowerAfterWrite, allotter.UnknownIsSuccess, allotter.SettleTwice,
