Budgets: holders open guarded tokens from 2.0 s without the store on

Cause: without the store a holder refused requests until its lease of 3.2 s had ended, though it held their tokens, and a process that was back later than its lease got nothing back.

Change: the settings of the schedule in runner/budgets.go, chosen by the model in schedule_model_test.go (6 holders, 2.2% of a grant a second; table in docs/design/guard-schedule.md): lease 2.0 s, then the measured demand, at most half of the unguarded part until 3.2 s, then 7.5 times the demand, all within 3 s. Writes are the same.

TestGuardCostsFewStoreCalls (reserver) uses the new settings, as it names those of package runner; its bound is unchanged.

--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -82,17 +82,26 @@
 
 const (
 	// guardLeaseTime is how long a holder does not spend its guarded tokens after a write, in
-	// milliseconds. An incarnation that starts within it returns those of the one before, so it
-	// covers guardRenewInterval and a restart of two seconds.
-	guardLeaseTime     = 3200 * clocker.Millis(1)
+	// milliseconds. An incarnation that starts within it returns all of those of the one before. Later
+	// ones return what was not open yet. Until guardFastAfter, which covers guardRenewInterval and a restart
+	// of two seconds, tokens open for guardOpenFactor times the demand, at most guardOpenShare of what holders
+	// leave unguarded. Then they open for guardFastFactor times the demand, as a busy account needs, and all of
+	// them within guardOpenTime. docs/design/guard-schedule.md has what other values lose.
+	guardLeaseTime  = 2000 * clocker.Millis(1)
+	guardOpenFactor = 1
+	guardOpenShare  = 0.5
+	guardFastAfter  = 3200 * clocker.Millis(1)
+	guardFastFactor = 7.5
+	guardOpenTime   = 3 * clocker.Second
+	// guardRenewInterval is the least time between two renewals of the leases, in milliseconds.
 	guardRenewInterval = 900 * clocker.Millis(1)
 	// guardRenewSpread is the time by which the renewal intervals of holders differ at most, in
 	// milliseconds: one renews the leases of all before those of the others are due.
 	guardRenewSpread = 300 * clocker.Millis(1)
 	// drawHorizon is the time whose demand a holder does not guard, in milliseconds: it serves for
-	// so long without the store until its lease has run out. drawShare bounds this part, as a fraction of a
+	// so long without the store until many guarded tokens open. drawShare bounds this part, as a fraction of a
 	// budget for all holders together: it is lost if all hosts die at once.
-	drawHorizon = guardLeaseTime
+	drawHorizon = guardFastAfter
 	drawShare   = 0.04
 )
 
@@ -101,6 +110,11 @@
 func (r *Runner) guard() *allotter.GuardConfig {
 	return &allotter.GuardConfig{
 		LeaseTime:     guardLeaseTime,
+		OpenFactor:    guardOpenFactor,
+		OpenShare:     guardOpenShare,
+		FastAfter:     guardFastAfter,
+		FastFactor:    guardFastFactor,
+		OpenTime:      guardOpenTime,
 		RenewInterval: guardRenewInterval + clocker.Millis(rand.Int64N(int64(guardRenewSpread))),
 		DrawHorizon:   drawHorizon,
 		Address:       r.exchangeAddress,
