allotter: a lease without a duration, and a schedule out of range, prove nothing

A negative DurationMs made the time since the lease overflow, so that all guarded tokens would have been returned; a FastAfterMs far below zero made the slow rate last for ever. TestMalformedSchedulesReturnNoMoreThanProved has these and missing, negative and huge rates.

--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -286,7 +286,7 @@
 // before a restore of the store prove nothing, and neither do two clocks that differ.
 func (a *Allotter) timeSinceLease(l *messenger.GuardLease) (clocker.Millis, bool) {
 	g := a.cfg.Guard
-	if l.Address != g.Address || l.Incarnation == a.cfg.Incarnation || !g.SameHost(l.Incarnation) || l.Era != a.restore.era || l.BootMs <= 0 || g.BootAt <= 0 {
+	if l.Address != g.Address || l.Incarnation == a.cfg.Incarnation || !g.SameHost(l.Incarnation) || l.Era != a.restore.era || l.BootMs <= 0 || l.DurationMs <= 0 || g.BootAt <= 0 {
 		return 0, false
 	}
 	byClock, sinceBoot := g.StartedAt-clocker.Millis(l.AtMs), g.BootAt-clocker.Millis(l.BootMs)
@@ -311,7 +311,7 @@
 	if rates.atOnce() || a.faults.reclaimsAsEarlierBuilds {
 		return 0, false
 	}
-	charged := rates.openedAtMost(guarded, elapsed-clocker.Millis(l.DurationMs), clocker.Millis(l.FastAfterMs-l.DurationMs))
+	charged := rates.openedAtMost(guarded, elapsed-clocker.Millis(l.DurationMs), clocker.Millis(max(l.FastAfterMs, l.DurationMs)-l.DurationMs))
 	if a.faults.returnsOpened {
 		charged /= 2
 	}
--- a/allotter/schedule_test.go
+++ b/allotter/schedule_test.go
@@ -89,6 +89,42 @@
 	assert.Equal(t, slowerRates(openRates{5, 50}, openRates{9, 20}), openRates{5, 20})
 }
 
+// Guards against fields that are missing, negative or huge: an entry that states no rates is charged in full after its
+// lease, and one without FastAfterMs by its fast rate from the end of the lease on.
+func TestMalformedSchedulesReturnNoMoreThanProved(t *testing.T) {
+	const elapsed = guardLease + 2*clocker.Second
+	for name, c := range map[string]struct {
+		change func(h *messenger.Holder, l *messenger.GuardLease)
+		// returned are the tokens returned of 10,000 guarded ones of a limit of 11,000. With 1,000 and 2,000 tokens a second from
+		// one second after the lease on, 3,000 are open after 2 s, and 440 in the margin.
+		returned int64
+	}{
+		"none":                  {func(*messenger.Holder, *messenger.GuardLease) {}, 10_000 - 3000 - 440 - 1},
+		"no slow rate":          {func(h *messenger.Holder, _ *messenger.GuardLease) { h.OpenPerSecond = 0 }, 0},
+		"no fast rate":          {func(h *messenger.Holder, _ *messenger.GuardLease) { h.FastPerSecond = 0 }, 0},
+		"negative rate":         {func(h *messenger.Holder, _ *messenger.GuardLease) { h.OpenPerSecond = math.MinInt64 }, 0},
+		"huge rate":             {func(h *messenger.Holder, _ *messenger.GuardLease) { h.FastPerSecond = math.MaxInt64 }, 0},
+		"no start of fast rate": {func(_ *messenger.Holder, l *messenger.GuardLease) { l.FastAfterMs = 0 }, 10_000 - 4000 - 440 - 1},
+		"negative start":        {func(_ *messenger.Holder, l *messenger.GuardLease) { l.FastAfterMs = math.MinInt64 }, 10_000 - 4000 - 440 - 1},
+		"no duration":           {func(_ *messenger.Holder, l *messenger.GuardLease) { l.DurationMs = 0 }, 0},
+		"negative duration":     {func(_ *messenger.Holder, l *messenger.GuardLease) { l.DurationMs = math.MinInt64 }, 0},
+		"guarded beyond limit":  {func(h *messenger.Holder, _ *messenger.GuardLease) { h.Guarded = math.MaxInt64 }, 11_000 - 3000 - 440 - 1},
+		"negative guarded":      {func(h *messenger.Holder, _ *messenger.GuardLease) { h.Guarded = -1 }, 0},
+	} {
+		f := newScheduledFleet(1, NoFault, false)
+		a := f.hosts[0].allotter
+		g := a.cfg.Guard
+		h := &messenger.Holder{Incarnation: "dead", Limit: 11_000, Guarded: 10_000, OpenPerSecond: 1000, FastPerSecond: 2000}
+		l := &messenger.GuardLease{
+			Incarnation: "dead", Address: g.Address, AtMs: int64(g.StartedAt - elapsed), BootMs: int64(g.BootAt - elapsed),
+			DurationMs: int64(guardLease), FastAfterMs: int64(guardLease + clocker.Second),
+		}
+		c.change(h, l)
+		returned, _ := a.returnable(l, h)
+		assert.Check(t, returned == c.returned, "%s: %d returned, %d expected", name, returned, c.returned)
+	}
+}
+
 // Rates are missing where nothing is guarded, or where the guard has no schedule, as in earlier builds.
 func TestRatesFollowTheDemand(t *testing.T) {
 	g := &GuardConfig{LeaseTime: 2000, OpenFactor: 1, OpenShare: 0.5, FastAfter: 3000, FastFactor: 8, OpenTime: 4000}
