Reserver: refusals tell when tokens are expected, and hopeless ones come at once

Retry-After of budget_unreachable was 0.35 to 1.05 s whatever the cause, so that callers came back within a second while the store was away for seconds. ErrBudgetUnreachable now has ExpectedIn: while the store does not answer, the end of the pauses that the zone's holders asked for or the end of the guard's lease (Allotter.GuardOpensAt), else the next call that tries the store. relayer sends it as the least Retry-After. A host whose zone's holders have all asked for pauses beyond the longest wait refuses at once, after no asks. A holder's pause ends when its guarded tokens may be spent; before, pauses of up to 5 s went on beyond that.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -346,7 +346,9 @@
 	case reserver.IsErrBudgetExhausted(err):
 		return budgetExhausted, false
 	default:
-		return budgetUnreachable, false
+		var unreachable reserver.ErrBudgetUnreachable
+		errors.As(err, &unreachable)
+		return budgetUnreachable.withMinRetryAfter(unreachable.ExpectedIn), false
 	}
 }
 
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -321,6 +322,19 @@
 	assert.Equal(t, b.requestCount(), 0)
 }
 
+// Guards against retries within a second of a refusal for lack of tokens, while none are expected so soon.
+func TestBudgetRefusalTellsWhenTokensAreExpected(t *testing.T) {
+	b := newBackend(t, respond(200, "x"))
+	f := newFixture(t, matcher.Route{}, b)
+	f.budgets.err = reserver.ErrBudgetUnreachable{ExpectedIn: 1200}
+	got := f.call(t, "POST", "/r/", "p", "X-Tokens", "10,5")
+	assert.Equal(t, got.status, 503)
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds >= 1.5 && seconds < 2.3, "%v", seconds) // at most a third of the time that the caller waits
+	assert.Equal(t, b.requestCount(), 0)
+}
+
 func TestRequestThatDidNotRunIsNotCharged(t *testing.T) {
 	b := newBackend(t, respond(503, "", "X-Not-Run: 1"))
 	f := newFixture(t, matcher.Route{}, b)
--- a/reserver/ask_pauses.go
+++ b/reserver/ask_pauses.go
@@ -17,6 +17,8 @@
 	// maxAskPause bounds a pause, in milliseconds. A host that lacks tokens of one budget may have
 	// some of another.
 	maxAskPause = 5 * clocker.Second
+	// openingSpread spreads the asks that come when a holder's guarded tokens may be spent, in milliseconds.
+	openingSpread = 200 * clocker.Millis(1)
 	// silentPeerPause is how long a peer that did not answer is not asked again, in milliseconds: it
 	// may have too much to do.
 	silentPeerPause = clocker.Second
@@ -94,3 +96,13 @@
 	p := a.byPeer[incarnation]
 	return p.requested && now < p.until
 }
+
+// until returns the end of the pause that the peer asked for last, 0 without one.
+func (a *askPauses) until(incarnation string) clocker.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p := a.byPeer[incarnation]; p.requested {
+		return p.until
+	}
+	return 0
+}
--- a/reserver/export_test.go
+++ b/reserver/export_test.go
@@ -81,7 +81,7 @@
 
 // TimeOut ends the wait of p as its timeout does.
 func (p *Pending) TimeOut() {
-	p.Reservation, p.Err = p.shard.timeOut(p.w)
+	p.Reservation, p.Err = p.shard.timeOut(p.w, 0)
 	p.Ended = true
 }
 
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -32,6 +32,8 @@
 	rank   int
 	// exhausted is true if the platform reported that not enough is left.
 	exhausted bool
+	// expectedAt is when tokens are expected, 0 if that is not known.
+	expectedAt clocker.Millis
 }
 
 // refillProgress is the progress of one refill.
@@ -57,11 +59,11 @@
 	return err
 }
 
-func (f refusal) err(budget string, tokens int64) error {
+func (f refusal) err(budget string, tokens int64, now clocker.Millis) error {
 	if f.exhausted {
 		return countRefusal(ErrBudgetExhausted{Budget: budget, Tokens: tokens}, "exhausted")
 	}
-	return countRefusal(ErrBudgetUnreachable{Budget: budget, Tokens: tokens}, "unreachable")
+	return countRefusal(ErrBudgetUnreachable{Budget: budget, Tokens: tokens, ExpectedIn: max(0, f.expectedAt-now)}, "unreachable")
 }
 
 // refuseImmediately returns an error if waiting cannot help a request.
@@ -72,12 +74,19 @@
 	if remaining <= 0 {
 		return countRefusal(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "late")
 	}
+	now := r.cfg.Clock.Now()
+	pausedUntil := r.holdersPausedUntil(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.inFlightMayCover(w) {
+		return nil
+	}
 	f, ok := s.refusals[w.budget]
-	fresh := ok && r.cfg.Clock.Now()-f.at < freshAge
-	if fresh && w.tokens >= f.tokens && w.rank >= f.rank && !s.inFlightMayCover(w) {
-		return f.err(w.budget, w.tokens)
+	if ok && now-f.at < freshAge && w.tokens >= f.tokens && w.rank >= f.rank {
+		return f.err(w.budget, w.tokens, now)
+	}
+	if pausedUntil-now > min(remaining, clocker.Millis(r.cfg.Policy().PatienceMs)) {
+		return refusal{expectedAt: pausedUntil}.err(w.budget, w.tokens, now)
 	}
 	return nil
 }
@@ -93,7 +102,7 @@
 	case result := <-w.result:
 		return result.reservation(w)
 	case <-ctx.Done():
-		return s.timeOut(w)
+		return s.timeOut(w, r.expectedAt(s, w.budget)[w.budget]-r.cfg.Clock.Now())
 	}
 }
 
@@ -104,12 +113,13 @@
 	return expectedFree > 0 && s.allotter.Headroom(w.budget)+expectedFree >= w.tokens
 }
 
-// timeOut ends the wait of a request that has waited for the longest allowed time.
-func (s *shard) timeOut(w *waiter) (Reservation, error) {
+// timeOut ends the wait of a request that has waited for the longest allowed time. expectedIn is the time until
+// tokens are expected.
+func (s *shard) timeOut(w *waiter, expectedIn clocker.Millis) (Reservation, error) {
 	if result, ok := s.removeWaiter(w); ok {
 		return result.reservation(w)
 	}
-	return Reservation{}, countRefusal(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "patience")
+	return Reservation{}, countRefusal(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens, ExpectedIn: max(0, expectedIn)}, "patience")
 }
 
 func (result waitResult) reservation(w *waiter) (Reservation, error) {
@@ -161,7 +171,9 @@
 	case r.cfg.HoldersFirst && progress.holderAnswered && !s.platformMayHelp(progress.exhausted):
 		// All budgets whose waiting requests lack tokens are used up, as peers reported.
 	case r.cfg.HoldersFirst && progress.holderAnswered && len(v.zoneHosts) > maxDirectHosts:
-		progress.contended = true // the holders call the platform for the whole zone
+		// The holders call the platform for the whole zone. If it is away and they asked for pauses, waiting
+		// can't help.
+		progress.contended = progress.contended || r.holdersPausedUntil(s) == 0
 	default:
 		outcome := r.updateEntries(ctx, s, v)
 		progress.platformAnswered = outcome.answered
@@ -169,7 +181,7 @@
 	}
 	r.requestLoans(ctx, s, v, &progress)
 	r.returnToPeers(ctx, s, v)
-	s.endRefill(progress, r.cfg.Clock.Now())
+	s.endRefill(progress, r.expectedAt(s, s.waitedFor()...), r.cfg.Clock.Now())
 }
 
 // platformMayHelp reports whether requests wait for tokens of a budget that is not in
@@ -217,7 +229,7 @@
 // endRefill refuses the requests that the refill could not serve, unless reservations
 // in flight, a retry or the holders may still provide the tokens. Requests that arrived
 // after it had started are left to a later refill.
-func (s *shard) endRefill(progress refillProgress, now clocker.Millis) {
+func (s *shard) endRefill(progress refillProgress, expectedAt map[string]clocker.Millis, now clocker.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reserveForWaiters(now)
@@ -227,8 +239,9 @@
 		}
 		keptForUrgent := allotter.Unassigned(s.allotter.KnownBudget(w.budget)) >= w.tokens // enough is unassigned, but kept for urgent requests
 		f := refusal{at: now, tokens: w.tokens, rank: w.rank, exhausted: progress.platformAnswered && !keptForUrgent || progress.exhausted[w.budget]}
+		f.expectedAt = expectedAt[w.budget]
 		s.refusals[w.budget] = f
-		return waitResult{err: f.err(w.budget, w.tokens)}, true
+		return waitResult{err: f.err(w.budget, w.tokens, now)}, true
 	})
 	s.nextRefillAt = now + s.refillDelay
 	s.refillDelay = min(2*s.refillDelay, maxRefillRetryDelay)
--- a/reserver/reservation.go
+++ b/reserver/reservation.go
@@ -5,6 +5,8 @@
 import (
 	"errors"
 	"fmt"
+
+	"cowsliphinge/clocker"
 )
 
 // Reservation is the worst-case token use of one request, reserved from a budget.
@@ -38,6 +40,8 @@
 type ErrBudgetUnreachable struct {
 	Budget string
 	Tokens int64
+	// ExpectedIn is the time until tokens are expected at the earliest, in milliseconds; 0 if it is not known.
+	ExpectedIn clocker.Millis
 }
 
 // Error implements error.
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -51,11 +52,25 @@
 	}
 	granted += r.obtainForZone(ctx, request.From, lacking)
 	if needed > 0 && granted == 0 {
-		reply.PauseMs = int64(r.emptyAnswers.record(v.now))
+		reply.PauseMs = int64(r.pauseUntilOpening(request.Asks, r.emptyAnswers.record(v.now)))
 	}
 	return reply, nil
 }
 
+// pauseUntilOpening shortens a pause that would go on while guarded tokens of the asked budgets may be spent.
+func (r *Reserver) pauseUntilOpening(asks []*messenger.TransferAsk, pause clocker.Millis) clocker.Millis {
+	if pause == 0 || !r.platformUnreachable() {
+		return pause
+	}
+	now := r.cfg.Clock.Now()
+	for _, ask := range asks {
+		if opensAt := r.shard(ask.Budget).guardOpensAt(ask.Budget); opensAt > now {
+			pause = min(pause, opensAt-now+clocker.Millis(rand.Int64N(int64(openingSpread))))
+		}
+	}
+	return pause
+}
+
 // mergeTotal merges one total from a peer and returns the total after the merge.
 func (r *Reserver) mergeTotal(from string, t *messenger.TransferTotal) int64 {
 	s := r.shard(t.Budget)
