Log lines of budgets and of peers only for changes worth reading

A budget is now logged if it refused a request, if a figure changed by more than a tenth of what is granted, and every minute; the line has the count of refusals.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"log/slog"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -85,6 +84,8 @@
 	tasks  errgroup.Group
 
 	peers atomic.Pointer[[]Peer]
+	// changes selects the lines about peers. The caller of updatePeers holds mu.
+	changes peerChanges
 	// hostListRead is true once the host list was read.
 	hostListRead atomic.Bool
 	// announced has an element for each round to bring forward.
@@ -308,7 +309,9 @@
 	}
 	peers := h.members.Peers(h.cfg.Clock.Now())
 	if old := h.peers.Swap(&peers); old != nil {
-		logChanges(*old, peers)
+		for _, c := range h.changes.observe(*old, peers, h.cfg.Clock.Now()) {
+			c.log()
+		}
 	}
 }
 
@@ -351,20 +354,6 @@
 	return !slices.ContainsFunc(h.Peers(), func(p Peer) bool { return !p.Suspect })
 }
 
-func logChanges(old, current []Peer) {
-	oldByHost := make(map[string]Peer, len(old))
-	for _, p := range old {
-		oldByHost[p.Host] = p
-	}
-	for _, p := range current {
-		previous, known := oldByHost[p.Host]
-		if known && previous.Suspect == p.Suspect && previous.Draining == p.Draining && previous.Incarnation == p.Incarnation {
-			continue
-		}
-		slog.Info("peer changed", "host", p.Host, "incarnation", p.Incarnation, "suspect", p.Suspect, "draining", p.Draining)
-	}
-}
-
 // randomSeed returns a random seed that differs between incarnations.
 func randomSeed(incarnation string) uint64 {
 	h := fnv.New64a()
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -201,10 +201,15 @@
 	if id, ok := s.reserve(budget, tokens, rank, now); ok {
 		return waitResult{reservationID: id}.reservation(w)
 	}
-	if err := r.refuseImmediately(s, w, deadline-now); err != nil {
-		return Reservation{}, err
+	err := r.refuseImmediately(s, w, deadline-now)
+	var reservation Reservation
+	if err == nil {
+		reservation, err = r.waitForHeadroom(ctx, s, w, deadline)
 	}
-	return r.waitForHeadroom(ctx, s, w, deadline)
+	if err != nil {
+		s.countRefused(budget)
+	}
+	return reservation, err
 }
 
 // Settle ends a reservation and charges the tokens that were used, at most the
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -24,6 +24,8 @@
 	allotter *allotter.Allotter
 	waiters  []*waiter
 	refusals map[string]refusal
+	// refused are the refused requests by budget.
+	refused map[string]int64
 	// contentKnown is true while the allotter has the object as the last call left it.
 	// It is false before the first read, and after a write whose resulting object is
 	// not known.
@@ -80,6 +82,7 @@
 		platformSlot: make(chan struct{}, 1),
 		allotter:     allotter.New(cfg),
 		refusals:     map[string]refusal{},
+		refused:      map[string]int64{},
 		asked:        map[string]map[string]bool{},
 		askSkipped:   map[string]bool{},
 	}
@@ -91,6 +94,13 @@
 	return s.allotter.Reserve(budget, tokens, rank, now)
 }
 
+// countRefused counts a refused request.
+func (s *shard) countRefused(budget string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[budget]++
+}
+
 // settle ends a reservation. It returns true if requests still wait and the budget
 // has no open reservation left here that could free tokens for them.
 func (s *shard) settle(reservation Reservation, used int64, now clocker.Millis) bool {
--- a/reserver/snapshot.go
+++ b/reserver/snapshot.go
@@ -16,6 +16,8 @@
 	// ContentAt is when the budget was last read from the platform or written; 0 means
 	// never.
 	ContentAt clocker.Millis
+	// Refused is the number of requests that this incarnation refused for lack of tokens.
+	Refused int64
 }
 
 // Snapshots returns the locally known state of the given budgets.
@@ -34,6 +36,7 @@
 			Headroom:   s.allotter.Headroom(name),
 			Reserved:   s.allotter.Reserved(name),
 			ContentAt:  s.allotter.ContentAt(),
+			Refused:    s.refused[name],
 		})
 		s.mu.Unlock()
 	}
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -45,7 +45,7 @@
 	// each call to the store, and one write raises the limits of all budgets of an
 	// object.
 	budgetShards = 1
-	// budgetLogInterval is the time between two log lines of a budget, in milliseconds.
+	// budgetLogInterval is the least time between two log lines of a budget, in milliseconds.
 	budgetLogInterval = 5 * clocker.Second
 )
 
@@ -286,14 +286,18 @@
 	})
 }
 
-// logBudgets periodically logs this host's view of each budget. The log key "rest"
-// holds the unassigned tokens.
+// logBudgets periodically logs this host's view of the budgets that changed. The log key "rest"
+// holds the unassigned tokens, "refused" the requests that this host refused so far.
 func (r *Runner) logBudgets(ctx context.Context) {
+	var lines budgetLog
 	for r.cfg.Clock.Sleep(ctx, budgetLogInterval) == nil {
 		now := r.cfg.Clock.Now()
 		for _, s := range r.reserver.Load().Snapshots(r.declaredBudgets()) {
+			if !lines.due(s, now) {
+				continue
+			}
 			r.cfg.Log.Info("budget", "account", s.Budget, "granted", s.Granted, "rest", s.Unassigned, "stranded", s.Stranded,
-				"headroom", s.Headroom, "reserved", s.Reserved, "age_ms", now-s.ContentAt)
+				"headroom", s.Headroom, "reserved", s.Reserved, "refused", s.Refused, "age_ms", now-s.ContentAt)
 		}
 	}
 }
