Allotter: the urgent demand of dead hosts fades as the living measure it

The demand in a dead host's entry now counts less by the time constant with which the others measure.

TestDeadEntriesDoNotReserveTwice refuses 19,000 of 60,000 unassigned tokens without the change (by arithmetic: 16 s of 5,000 a second reserved).

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -60,6 +60,11 @@
 
 	// faults are injected by tests to prove that the checks detect them.
 	faults injectedFaults
+
+	// deadSince is when this host noticed that the incarnation of an open entry is dead, and urgentRefreshedAt is
+	// when the urgent demand in the entries was summed up last.
+	deadSince         map[string]clocker.Millis
+	urgentRefreshedAt clocker.Millis
 }
 
 // injectedFaults are set by tests only.
--- a/allotter/urgency.go
+++ b/allotter/urgency.go
@@ -1,10 +1,15 @@
 package allotter
 
 import (
+	"math"
+
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
 
+// urgentRefreshInterval is the time between two sums of the urgent demand in the entries, in milliseconds.
+const urgentRefreshInterval = 250 * clocker.Millis(1)
+
 // rankState is the demand of the requests of one rank. Rank 0 is the most urgent.
 type rankState struct {
 	rank int
@@ -47,21 +52,62 @@
 }
 
 // fleetUrgentReserve returns the unassigned tokens that are reserved for urgent
-// requests of all hosts, according to the open entries of the budget. Entries of
-// dead hosts count too, because their callers reconnect to other hosts.
+// requests of all hosts, according to the open entries of the budget.
 func (a *Allotter) fleetUrgentReserve(b *budgetState) int64 {
 	return b.fleetUrgentPerSecond * int64(a.cfg.UrgentReserveHorizon) / int64(clocker.Second)
 }
 
-// sumUrgent returns the sum of the urgent demand in the open entries of a budget.
-func sumUrgent(stored *messenger.Budget) int64 {
-	var sum int64
+// refreshUrgent sums up the urgent demand in the open entries again, since that of dead hosts fades.
+func (a *Allotter) refreshUrgent(now clocker.Millis) {
+	if a.cfg.UrgentReserveHorizon == 0 || now-a.urgentRefreshedAt < urgentRefreshInterval {
+		return
+	}
+	a.urgentRefreshedAt = now
+	open := map[string]bool{}
+	for _, b := range a.ordered {
+		stored := a.knownBudgets[b.name]
+		for _, h := range stored.GetHolders() {
+			open[h.Incarnation] = open[h.Incarnation] || !h.Closed
+		}
+		b.fleetUrgentPerSecond = a.sumUrgent(stored)
+	}
+	for incarnation := range a.deadSince {
+		if !open[incarnation] || a.guard.conditions.IsLive(incarnation) {
+			delete(a.deadSince, incarnation)
+		}
+	}
+}
+
+// sumUrgent returns the sum of the urgent demand in the open entries of a budget. The callers of a dead host
+// reconnect to others, whose entries tell their demand as these measure it. So its own entry counts less by the time
+// constant of that measurement; with its full demand the same callers would count twice, and after the
+// death of all hosts less urgent requests would be refused although enough is unassigned.
+func (a *Allotter) sumUrgent(stored *messenger.Budget) int64 {
+	var sum float64
 	for _, h := range stored.GetHolders() {
 		if !h.Closed {
-			sum += h.UrgentPerSecond
+			sum += float64(h.UrgentPerSecond) * a.urgentWeight(h.Incarnation)
+		}
+	}
+	return int64(sum)
+}
+
+// urgentWeight returns the share of the urgent demand in an incarnation's entry that counts.
+func (a *Allotter) urgentWeight(incarnation string) float64 {
+	c := a.guard.conditions
+	if c.IsLive == nil || incarnation == a.cfg.Incarnation || c.IsLive(incarnation) {
+		return 1
+	}
+	since, known := a.deadSince[incarnation]
+	if !known {
+		if a.deadSince == nil {
+			a.deadSince = map[string]clocker.Millis{}
 		}
+		since = c.Now
+		a.deadSince[incarnation] = since
 	}
-	return sum
+	timeConstant := (&demand{timeConstant: a.cfg.DemandTimeConstant}).fastTimeConstant()
+	return math.Exp(-float64(max(0, c.Now-since)) / timeConstant)
 }
 
 // shortfallTokens returns the tokens that waiting requests lack beyond the headroom with the guarded tokens;
--- a/allotter/urgency_test.go
+++ b/allotter/urgency_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"cowsliphinge/allotter"
@@ -162,3 +163,29 @@
 	assert.Assert(t, a.UnassignedCovers("mason", 50_000, urgent))
 	assert.Assert(t, !a.UnassignedCovers("mason", 50_001, urgent))
 }
+
+// Guards against refusals of less urgent requests although enough is unassigned: after the death of all hosts the
+// demand of the same callers counted twice, in the entries of the dead and in those of the living. Load:
+// 5,000 urgent tokens a second, of which 8 s are reserved, and 60,000 unassigned tokens.
+func TestDeadEntriesDoNotReserveTwice(t *testing.T) {
+	object := &messenger.BudgetShard{Budgets: []*messenger.Budget{{Name: "mason", Granted: 150_000, Holders: []*messenger.Holder{
+		{Incarnation: "host-a-1-00000000", Limit: 60_000, UrgentPerSecond: 3000},
+		{Incarnation: "host-b-1-00000000", Limit: 30_000, UrgentPerSecond: 2000},
+	}}}}
+	a := allotter.New(allotter.Config{Incarnation: "host-a-2-00000000", DemandTimeConstant: 4 * clocker.Second, UrgentReserveHorizon: 8 * clocker.Second})
+	c := allotter.Conditions{Now: clocker.Hour, Policy: tightPolicy, IsLive: func(incarnation string) bool { return incarnation == "host-b-2-00000000" }}
+	a.Merge(7, object, c.Now)
+	a.AddWaiting("mason", 0, urgent) // makes both ranks known
+	a.AddWaiting("mason", 0, large)
+	a.PlatformCallDue(c)
+	assert.Assert(t, !a.UnassignedCovers("mason", 30_000, large), "the callers of the dead have not reconnected yet")
+	assert.Assert(t, a.UnassignedCovers("mason", 20_000, large))
+
+	object = proto.CloneOf(object)
+	object.Budgets[0].Holders = append(object.Budgets[0].Holders, &messenger.Holder{Incarnation: "host-b-2-00000000", UrgentPerSecond: 5000})
+	c.Now += 20 * clocker.Second
+	a.Merge(8, object, c.Now)
+	a.PlatformCallDue(c)
+	assert.Assert(t, a.UnassignedCovers("mason", 19_000, large))
+	assert.Assert(t, !a.UnassignedCovers("mason", 21_000, large))
+}
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -129,7 +129,7 @@
 // adoptEntry updates a budget from the known content: its own entry and the urgent
 // demand of all hosts.
 func (a *Allotter) adoptEntry(b *budgetState) {
-	b.fleetUrgentPerSecond = sumUrgent(a.knownBudgets[b.name])
+	b.fleetUrgentPerSecond = a.sumUrgent(a.knownBudgets[b.name])
 	h := findEntry(a.knownBudgets[b.name], a.cfg.Incarnation)
 	defer a.adoptGuard(b, h)
 	switch {
@@ -216,6 +216,9 @@
 	}
 	a.guard.conditions = c
 	a.guard.conditions.GuardPromises = nil // they are for one write
+	if c.IsLive != nil {
+		a.refreshUrgent(c.Now)
+	}
 	if a.reclaimDue() || a.guardDue(c) {
 		return true
 	}
