--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -331,7 +332,9 @@
 	case reserver.IsErrBudgetExhausted(err):
 		return budgetExhausted, false
 	default:
-		return budgetUnreachable, false
+		var unreachable reserver.ErrBudgetUnreachable
+		errors.As(err, &unreachable)
+		return budgetUnreachable.withMinRetryAfter(unreachable.ExpectedIn), false
 	}
 }
 
