Budgets: holders keep shares by demand

Cause: each holder keeps an even share of 30% of what is left of a budget, but the callers of an account may all arrive in one availability zone. Change: three quarters of a holder's share go by its share of the demand that the entries of the live holders tell (PerSecond), at most three times an even share. Without demand, or with entries that tell none, shares are even as before.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -99,7 +99,9 @@
 
 // budgetState is the state of one budget.
 type budgetState struct {
-	name string
+	// incarnation is this one.
+	incarnation string
+	name        string
 	// limit is the limit in effect: it is raised once a write is confirmed, and
 	// lowered when one is planned. Tokens received from peers come on top.
 	limit int64
@@ -276,7 +278,7 @@
 func (a *Allotter) getOrAddBudget(name string) *budgetState {
 	b, ok := a.budgets[name]
 	if !ok {
-		b = &budgetState{name: name, unusedShare: 1} // no settlement observed yet: assume that all is unused
+		b = &budgetState{name: name, incarnation: a.cfg.Incarnation, unusedShare: 1} // no settlement observed yet: assume that all is unused
 		b.demand.timeConstant = a.cfg.DemandTimeConstant
 		a.budgets[name] = b
 		a.ordered = append(a.ordered, b)
--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -225,7 +225,7 @@
 	if own <= 0 {
 		return 0
 	}
-	for _, h := range a.otherHolders(stored, c) {
+	for _, h := range otherHolders(stored, a.cfg.Incarnation, c) {
 		all += float64(max(0, h.PerSecond))
 	}
 	return c.DrawShare * float64(stored.GetGranted()) * own / (own + all)
@@ -233,14 +233,14 @@
 
 // evenDraw returns an even part of the tokens that all holders may leave unguarded.
 func (a *Allotter) evenDraw(stored *messenger.Budget, c Conditions) float64 {
-	return c.DrawShare * float64(stored.GetGranted()) / float64(1+len(a.otherHolders(stored, c)))
+	return c.DrawShare * float64(stored.GetGranted()) / float64(1+len(otherHolders(stored, a.cfg.Incarnation, c)))
 }
 
-// otherHolders returns the open entries of other live incarnations.
-func (a *Allotter) otherHolders(stored *messenger.Budget, c Conditions) []*messenger.Holder {
+// otherHolders returns the open entries of live incarnations other than this one.
+func otherHolders(stored *messenger.Budget, incarnation string, c Conditions) []*messenger.Holder {
 	var others []*messenger.Holder
 	for _, h := range stored.GetHolders() {
-		if !h.Closed && h.Incarnation != a.cfg.Incarnation && (c.IsLive == nil || c.IsLive(h.Incarnation)) {
+		if !h.Closed && h.Incarnation != incarnation && (c.IsLive == nil || c.IsLive(h.Incarnation)) {
 			others = append(others, h)
 		}
 	}
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -41,10 +41,36 @@
 	horizon := clocker.Millis(c.Policy.HeadroomMs + int64(reserve))
 	remaining := float64(unassigned + max(0, b.heldHeadroom()))
 	demand := b.expectedDemand(horizon, c.Now)
-	normalTarget := min(max(demand, b.floorTokens(c)), int64(maxShare(c)*remaining))
+	normalTarget := min(max(demand, b.floorTokens(c)), int64(b.holderShare(c, stored)*remaining))
 	return max(normalTarget, min(demand, int64(busyShare(c)*remaining)))
 }
 
+// maxDemandWeight bounds how many times an even share a holder's share is.
+const maxDemandWeight = 3
+
+// holderShare returns the largest share of the remaining tokens that a holder keeps ahead of its demand. Of an
+// even share, DemandShare goes by the demand that the entries of the live holders tell: the callers of an
+// account often all arrive in one availability zone, and what the holders of other zones keep
+// can't be reached from there while zones are cut off from each other.
+func (b *budgetState) holderShare(c Conditions, stored *messenger.Budget) float64 {
+	even := maxShare(c)
+	if c.DemandShare <= 0 || even >= 1 {
+		return even
+	}
+	own := float64(b.perSecond(c.Now))
+	all, holders := own, 1.0
+	for _, h := range otherHolders(stored, b.incarnation, c) {
+		all += float64(max(0, h.PerSecond))
+		holders++
+	}
+	if all <= 0 {
+		return even
+	}
+	weight := min(1-c.DemandShare+c.DemandShare*holders*own/all, maxDemandWeight)
+	perUnassigned := weight * even / (1 - even) // the headroom divided by the unassigned tokens
+	return perUnassigned / (1 + perUnassigned)
+}
+
 // floorTokens returns the headroom that a holder keeps regardless of demand.
 // Without it, a client account would be rejected in an availability zone that is
 // cut off before the account was first used there.
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -45,6 +45,9 @@
 	LongDead func(incarnation string) bool
 	// DrawShare is the share of a budget that all holders together may leave unguarded for their demand.
 	DrawShare float64
+	// DemandShare is the part of a holder's share of the remaining tokens that goes by its share of the
+	// demand; 0 means that all holders keep even shares.
+	DemandShare float64
 	// GuardPromises are the starts of the leases that other incarnations promised to this one, by
 	// their clocks; nil if it has not asked them.
 	GuardPromises map[string]clocker.Millis
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -162,6 +162,7 @@
 		HostCount:           len(v.liveHosts),
 		PrefetchShare:       r.cfg.PrefetchShare,
 		DrawShare:           r.cfg.DrawShare,
+		DemandShare:         r.cfg.DemandShare,
 	}
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -113,6 +113,8 @@
 	// is the share of a budget that all holders together may leave unguarded for their demand.
 	Guard     *allotter.GuardConfig
 	DrawShare float64
+	// DemandShare is the part of a holder's share of the remaining tokens that goes by its share of the demand.
+	DemandShare float64
 }
 
 // Reserver reserves and settles tokens for one incarnation. It is safe for
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -54,6 +54,9 @@
 	// the holders' headroom) that all holders together hold. It must last through an
 	// outage of the store. Most of it is guarded, see guardLeaseTime.
 	heldShare = 0.3
+	// demandShare is the part of each holder's share of heldShare that goes by its share of the demand. The
+	// rest is even, for callers that move to another availability zone.
+	demandShare = 0.75
 	// busyHeadroom is the headroom of a holder whose demand exceeds its even share of
 	// heldShare, in milliseconds of its demand: the time between two writes. It is
 	// limited to busyHeadroomShare of the sum of the unassigned tokens and the holder's
@@ -294,6 +297,7 @@
 		DeclaredGrant:        r.declaredGrant,
 		Guard:                r.guard(),
 		DrawShare:            drawShare,
+		DemandShare:          demandShare,
 	}))
 	r.group.Go(func() error {
 		r.logBudgets(ctx)
