--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -137,7 +137,8 @@
 	progress uint64
 	// unfinished are the holdings that may be evicted.
 	unfinished holdingHeap
-	full       bool
+	// full is true from a refusal or an eviction until there is room again.
+	full bool
 }
 
 // New returns an empty Budget.
@@ -201,13 +202,15 @@
 	}
 	b := h.budget
 	b.mu.Lock()
+	wasFull := b.full
 	reason := b.grant(h, n)
 	if reason == "" {
 		h.inBodies += inBodies
 		b.add(h, n)
+	} else {
+		b.full = true
 	}
-	becameFull := reason != "" && !b.full
-	b.full = b.full || becameFull
+	becameFull := b.full && !wasFull
 	held := b.held
 	b.mu.Unlock()
 	if becameFull {
@@ -273,6 +276,7 @@
 func (b *Budget) evict(h *Holding) {
 	heap.Remove(&b.unfinished, h.index)
 	h.state = evicted
+	b.full = true
 	b.leaving += h.bytes
 	evictions.Inc()
 	h.evictor.Evict()
