Allotter: hosts that write without known holders take tokens for more than the waiting requests

After the start of all hosts at once each takes itself for a holder until it has heard the others, and until the membership is stable holders raise their limits by what waits only: in the model most writes of the first 3 s are by the six holders, up to 400 tried a second. Such a host now takes three times its shortfall ahead, at most MaxShareOfRestMilli of what is unassigned; what it does not use is returned as before.

--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -16,6 +16,9 @@
 	// defaultRaiseThreshold is the share of the target headroom below which the limit
 	// is raised.
 	defaultRaiseThreshold = 0.5
+	// shortfallsAhead is how many times the present shortfall a host that is not a holder takes ahead when it
+	// has to write, so that it does not write for each request.
+	shortfallsAhead = 3
 	// nonHolderHorizon is the time for which a host that is not a holder keeps its
 	// expected demand.
 	nonHolderHorizon = clocker.Second
@@ -133,7 +136,9 @@
 		target = b.targetHeadroom(c, stored, unassigned)
 		returnAbove = 2 * target
 	case free < 0:
-		target = b.nonHolderTarget(c) // the holders of its zone did not have enough
+		// The holders of its zone did not have enough, or are not known yet: more requests will lack tokens.
+		ahead := min(shortfallsAhead*-free, int64(maxShare(c)*float64(unassigned)))
+		target = max(b.nonHolderTarget(c), ahead)
 	}
 	switch {
 	case free < 0 && float64(unassigned) < min(float64(-free), b.demand.meanSize):
--- a/reserver/ask_storm_test.go
+++ b/reserver/ask_storm_test.go
@@ -32,6 +32,9 @@
 	// phases are the lengths of the phases: with the store, without it while the guards' leases run, without
 	// it once they have ended, and with it again.
 	phases [4]clocker.Millis
+	// hearsWithin is the time within which a host hears the first heartbeats of the others; 0 means at once.
+	hearsWithin clocker.Millis
+	warmUp      clocker.Millis
 }
 
 // stormPhase are the figures of one phase.
@@ -67,6 +70,8 @@
 	storm      *stormFleet
 	answerTime clocker.Millis
 	holder     bool
+	// hearsAt is when this host hears the first heartbeat of another one.
+	hearsAt map[string]clocker.Millis
 	// turn is held while the host works on an ask.
 	turn chan struct{}
 }
@@ -157,8 +162,18 @@
 	return nil, storer.ErrNotFound{Key: address}
 }
 
+// peers returns the other hosts. Those that this host has not heard yet are listed without an incarnation.
 func (h *stormHost) peers() []heartbeater.Peer {
-	return h.pricedHost.peers()
+	peers := h.pricedHost.peers()
+	now := h.storm.clock.Now()
+	for i := range peers {
+		p := &peers[i]
+		p.LastHeard = now
+		if now < h.hearsAt[p.Host] {
+			p.Suspect, p.LastHeard, p.Incarnation = true, 0, ""
+		}
+	}
+	return peers
 }
 
 func (h *stormHost) startStorm(ctx context.Context, load stormLoad, grants map[string]int64, random *rand.Rand) {
@@ -177,6 +192,7 @@
 		Incarnation: h.incarnation, Host: h.name, AvailabilityZone: h.zone, Clock: f.clock, Store: h, GetStale: h.GetStale,
 		Exchange: h, Peers: h.peers, Policy: func() *messenger.Policy { return policy }, Shards: 1, ChangeInterval: 1500,
 		DemandTimeConstant: 4000, UrgentReserveHorizon: 12 * clocker.Second, HoldersFirst: true, ConflictBackoff: 8,
+		MembershipStableFor: min(1500, load.hearsWithin), MembershipTimeout: min(7500, 5*load.hearsWithin),
 		RaiseThreshold: 0.8, BatchRaiseThreshold: 0.95, PrefetchShare: 0.1, DrawShare: 0.04,
 		PlatformReachable: func() bool { return !f.away.Load() },
 		DeclaredBudgets:   func() []string { return accounts },
@@ -221,7 +237,7 @@
 		random := rand.New(rand.NewPCG(11, 0))
 		f := &stormFleet{pricedFleet: &pricedFleet{clock: clocker.NewWall(), roundTrip: pricedRoundTrip}}
 		f.store = platform.New(f.clock)
-		total := pricedWarmUp
+		total := load.warmUp
 		for _, d := range load.phases {
 			total += d
 		}
@@ -252,12 +268,20 @@
 			}
 		}
 		ctx, cancel := context.WithCancel(t.Context())
+		for _, h := range f.hosts {
+			h.hearsAt = map[string]clocker.Millis{}
+			for _, other := range f.hosts {
+				if load.hearsWithin > 0 {
+					h.hearsAt[other.name] = f.clock.Now() + clocker.Millis(random.Int64N(int64(load.hearsWithin)))
+				}
+			}
+		}
 		for _, h := range f.hosts {
 			h.startStorm(ctx, load, grants, random)
 			f.sleep(clocker.Millis(random.IntN(10)))
 		}
 		var requests sync.WaitGroup
-		f.sendFor(ctx, pricedWarmUp, load, random, &requests)
+		f.sendFor(ctx, load.warmUp, load, random, &requests)
 		f.nextPhase()
 		for i, d := range load.phases {
 			f.away.Store(i == 1 || i == 2)
@@ -314,7 +338,7 @@
 		// maxWrites is two thirds of what was tried before, in the first phase.
 		maxWrites = 300
 	)
-	load := stormLoad{zones: 3, hostsPerZone: 20, accounts: 24, perSecond: 400, grantFactor: 1.3, phases: [4]clocker.Millis{5000, 4000, 3000, 5000}}
+	load := stormLoad{zones: 3, hostsPerZone: 20, accounts: 24, perSecond: 400, grantFactor: 1.3, warmUp: pricedWarmUp, phases: [4]clocker.Millis{5000, 4000, 3000, 5000}}
 	phases := runStorm(t, load)
 	for i, p := range phases {
 		t.Logf("phase %d: %v", i, p)
@@ -324,3 +348,17 @@
 	assert.Check(t, phases[0].refused <= phases[0].requests*maxRefusedPercent/100, "%d of %d refused with the store", phases[0].refused, phases[0].requests)
 	assert.Check(t, phases[0].writes <= maxWrites, "%d writes with the store", phases[0].writes)
 }
+
+// Guards against refusals after the start of all hosts at once: each heard the others only within some seconds, took
+// itself for a holder until then, and wrote for each request. 60 hosts that hear each other within 2 s, 400 requests a
+// second.
+func TestStartOfAllHostsServesRequests(t *testing.T) {
+	t.Parallel()
+	const maxRefusedPercent = 10
+	load := stormLoad{zones: 3, hostsPerZone: 20, accounts: 24, perSecond: 400, grantFactor: 3, phases: [4]clocker.Millis{3000, 0, 0, 1000}, hearsWithin: 2000}
+	phases := runStorm(t, load)
+	t.Logf("at the start: %v", phases[0])
+	t.Logf("then: %v", phases[3])
+	assert.Check(t, phases[0].refused <= phases[0].requests*maxRefusedPercent/100, "%d of %d refused", phases[0].refused, phases[0].requests)
+	assert.Check(t, phases[3].refused <= phases[3].requests*maxRefusedPercent/100, "%d of %d refused", phases[3].refused, phases[3].requests)
+}
