soak: hostile clients whose requests don't end

`-hostile N` adds clients that send bodies of 4 MiB which stop short of their end, chunked ones, bodies announced far over the limit and heads of 8,000 lines, to routers with 64 MB. No server ever gets them. A router that has taken more than its memory is a finding.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -25,6 +25,7 @@
 	restores bool
 	versions bool
 	deaths   bool
+	hostile  int
 	program  string
 	pause    int64
 	keep     bool
@@ -60,6 +61,7 @@
 	f.BoolVar(&c.restores, "restores", false, "bring the store back from copies")
 	f.BoolVar(&c.versions, "versions", false, "restart backend servers under their IDs with another software version")
 	f.BoolVar(&c.deaths, "deaths", false, "let backend servers answer without a length and die")
+	f.IntVar(&c.hostile, "hostile", 0, "how `many` clients send requests that don't end; routers get little memory")
 	f.Int64Var(&c.pause, "pause", 500, "mean `milliseconds` between two faults of routers and store")
 	f.StringVar(&c.program, "program", "", "`path` of the binary whose routers run; the own one if empty")
 	f.BoolVar(&c.keep, "keep", false, "keep settings and logs of the routers")
@@ -95,6 +97,7 @@
 			FaultPause: clocker.Millis(c.pause),
 			Versions:   c.versions,
 			Deaths:     c.deaths,
+			Hostile:    c.hostile,
 			Keep:       c.keep,
 		})
 		if err != nil {
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -92,6 +92,13 @@
 	assert.Assert(t, result.Served > 0)
 }
 
+// Requests that don't end took all memory of routers, whose callers then got no answers.
+func TestSoakHostileClientsDoNotEndTheServiceOfOthers(t *testing.T) {
+	result := soakServers(t, soaker.Config{Seed: 521, Hostile: 48})
+	assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
+	assert.Assert(t, result.Served > 0)
+}
+
 // soakServers runs a soak whose backend servers restart or die.
 func soakServers(t *testing.T, cfg soaker.Config) soaker.Result {
 	cfg.Clock, cfg.Dialect, cfg.ReadyPath, cfg.Program = clocker.NewWall(), platform.Dialect, platform.ReadyPath, buildProgram(t)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -51,6 +51,8 @@
 	Versions bool
 	// Deaths ends the processes of backend servers, a part of whose answers have no length.
 	Deaths bool
+	// Hostile clients send requests that don't end, to routers with little memory.
+	Hostile int
 	// Keep leaves the folder with settings and logs in place.
 	Keep bool
 }
@@ -117,6 +119,13 @@
 			return nil
 		})
 	}
+	for i := range cfg.Hostile {
+		rng := rand.New(rand.NewPCG(cfg.Seed, hostileSeries+uint64(i)))
+		group.Go(func() error {
+			w.harassUntil(ctx, i, rng)
+			return nil
+		})
+	}
 	var serverFaults []string
 	group.Go(func() error {
 		serverFaults = w.harmServersUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, serverSeries)))
@@ -147,6 +156,9 @@
 	_ = group.Wait()
 	faults = slices.Concat(faults, serverFaults, restarts, limits, restores)
 	result := Result{Faults: faults, Findings: w.record.findings(), Unready: unready, Folder: w.folder}
+	if cfg.Hostile > 0 {
+		result.Findings = append(result.Findings, w.memoryFindings()...)
+	}
 	result.Streams, result.Judged = w.record.figures()
 	for _, q := range w.record.requests {
 		result.Requests++
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -147,10 +147,14 @@
 	for name, tokens := range w.cfg.prepaid() {
 		accounts = append(accounts, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "prepaid": tokens})
 	}
+	bodyBytes := 65536
+	if w.cfg.Hostile > 0 {
+		bodyBytes = hostileBodyBytes
+	}
 	err := w.store.Put("config", "main", map[string]any{
 		"version": w.version, "routes": w.routes, "tenants": accounts,
 		"services": []map[string]any{{"name": "s", "engine": map[string]any{"stride": 1, "kv_cache_tokens": 1000}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": bodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	if err != nil {
 		panic(err) // the content is made here and always encodes
@@ -203,6 +207,9 @@
 		RouterKey: "soak", MemoryMb: 256, LinkMbps: 10_000, StopBoundMs: stopBound, ConfigurationMs: 2000, LeaveMs: 2000, SteadyMs: 1500,
 		RetryRatio: 0.2, RetryExtra: 40, RetryWindowMs: 10000,
 	}}
+	if w.cfg.Hostile > 0 {
+		r.settings.MemoryMb = hostileMemoryMb
+	}
 	content, err := json.Marshal(r.settings)
 	if err != nil {
 		return err
