--- a/soaker/hostile.go
+++ b/soaker/hostile.go
@@ -16,15 +16,18 @@
 	// hostileSeries is the first of the series of random numbers of the hostile clients.
 	hostileSeries = 3 * serverSeries
 	// hostileMemoryMb and hostileBodyBytes are the memory of routers and the limit of bodies with
-	// Config.Hostile: 64 bodies fill the memory of a router.
+	// Config.Hostile: 16 bodies fill the memory of a router.
 	hostileMemoryMb  = 64
-	hostileBodyBytes = 1 << 20
+	hostileBodyBytes = 4 << 20
 	// hostileStay is the longest time that a hostile client stays, in milliseconds.
 	hostileStay = 4 * clocker.Second
 	// hostilePause is the longest pause of a hostile client, in milliseconds.
 	hostilePause = 50
 )
 
+// hostileBody is shared by all hostile clients.
+var hostileBody = make([]byte, hostileBodyBytes-1)
+
 // harassUntil sends requests that don't end until ctx ends. No server ever gets one, so that the record of the run
 // need not know them.
 func (w *world) harassUntil(ctx context.Context, number int, rng *rand.Rand) {
@@ -34,27 +37,27 @@
 			continue // the router is down
 		}
 		_ = conn.SetDeadline(clocker.FromNow(clocker.Millis(1 + rng.IntN(int(hostileStay))))) // fails only if conn is closed
-		message := hostileMessage(fmt.Sprintf("hostile-%d-%d", number, n), rng)
-		if _, err := io.WriteString(conn, message); err == nil {
+		head, body := hostileMessage(fmt.Sprintf("hostile-%d-%d", number, n), rng)
+		message := net.Buffers{[]byte(head), body}
+		if _, err := message.WriteTo(conn); err == nil {
 			_, _ = io.Copy(io.Discard, conn) // ends with the deadline or the connection
 		}
 		_ = conn.Close()
 	}
 }
 
-// hostileMessage returns a request that stops short of its end.
-func hostileMessage(id string, rng *rand.Rand) string {
-	head := fmt.Sprintf("POST /order/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 60000\r\nAuthorization: Bearer key-one\r\n", host, id)
-	body := strings.Repeat("h", hostileBodyBytes-1)
+// hostileMessage returns head and body of a request that stops short of its end.
+func hostileMessage(id string, rng *rand.Rand) (head string, body []byte) {
+	head = fmt.Sprintf("POST /order/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 60000\r\nAuthorization: Bearer key-one\r\n", host, id)
 	switch rng.IntN(4) {
 	case 0:
-		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, hostileBodyBytes, body)
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, hostileBodyBytes), hostileBody
 	case 1:
-		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(body), body)
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n", head, hostileBodyBytes), hostileBody
 	case 2:
-		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, 100*hostileBodyBytes, body)
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, 100*hostileBodyBytes), hostileBody
 	default:
-		return head + strings.Repeat("h:\r\n", 8000)
+		return head + strings.Repeat("h:\r\n", 8000), nil
 	}
 }
 
