Choice: learn rates and speeds of servers, spread by own sends

The prefill rate and the costs per request were constants of one deployment, engines of different speed got the same share, and all requests with a shared part went to one engine.

Rates are learned per service from first events, bounded, from the constants on. The speed of each server is learned relative to its service and told in heartbeats (Beat.Speeds, field 50): a host sees about three first events of an engine in 40 s. A host that has sent a server more than its part sends to others; three servers in the order of the hash share the requests with a prompt part. The reported slowdown counts with a weight that falls over 600 ms, and one below the usual not at all, so that no report draws hosts. An engine whose queue or memory is full gets nothing while others have room. Metrics show rates, speeds and spread.

The fleet under load was not measured.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -6,24 +6,10 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cowsliphinge/clocker"
 )
 
 const (
-	// prefillTokensPerMilli is the prefill rate of a model engine, in prompt tokens
-	// per millisecond.
-	prefillTokensPerMilli = 92
-	// recomputeWeight multiplies the prefill time of an uncached part, because
-	// computing it also evicts another part from the engine's cache.
-	recomputeWeight = 2
-	// batchedRequestCostMs is the delay that each request in a server's batch adds to
-	// the next one.
-	batchedRequestCostMs = 6
-	// queuedRequestCostMs is the delay that each request beyond a server's slots adds
-	// to the next one.
-	queuedRequestCostMs = 50
 	// otherZoneCostMs is the cost of a server in another availability zone: two round
 	// trips plus the price of cross-zone traffic.
 	otherZoneCostMs = 5
@@ -83,6 +69,15 @@
 	ended map[string]endedIncarnation
 	// meanLoad is the moving average of the reported load, by service.
 	meanLoad map[string]float64
+	// learned holds the learned rates, by service.
+	learned map[string]*Rates
+	// ledgers holds the sends of this host, by service.
+	ledgers map[string]*sendLedger
+	// speedReported is the position of the next server of whose speed others are told.
+	speedReported int
+	// views and hashInput are reused by each choice.
+	views     []serverView
+	hashInput []byte
 	// brittle holds the services whose servers are or were brittle.
 	brittle map[string]*brittleService
 	random  *rand.Rand
@@ -96,6 +91,8 @@
 		removed:  map[string]*serverState{},
 		ended:    map[string]endedIncarnation{},
 		meanLoad: map[string]float64{},
+		learned:  map[string]*Rates{},
+		ledgers:  map[string]*sendLedger{},
 		brittle:  map[string]*brittleService{},
 		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
@@ -112,6 +109,7 @@
 	case m == nil || !m.sameIncarnation(s) && !m.isUnlisted(s):
 		c.recordEnd(m)
 		m = c.newState(s.Service)
+		m.sent = c.meanSent(s)
 	case m.isUnlisted(s):
 		m.unlistedStart = 0
 	}
@@ -139,6 +137,7 @@
 	}
 	c.recordEnd(m)
 	fresh := c.newState(m.Service)
+	fresh.sent = c.meanSent(m.Server)
 	fresh.Server = m.Server
 	fresh.missingDeadline = m.missingDeadline
 	if startedAt != m.StartedAt { // else what it told last was wrong
@@ -249,15 +248,17 @@
 	if len(candidates) == 0 {
 		return Choice{RetryAt: c.earliestRetry(r, now)}
 	}
-	preferred := c.affinityServer(candidates, r)
-	best, bestCost := (*serverState)(nil), 0.0
-	for _, m := range candidates {
-		cost := c.cost(m, r, m == preferred, now)
-		if best == nil || cost < bestCost {
-			best, bestCost = m, cost
+	view := c.view(candidates, r, now)
+	c.preferHomes(view, r)
+	best, bestCost := 0, 0.0
+	for i := range view.servers {
+		cost := c.cost(view, i, r)
+		if i == 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
-	return Choice{Server: best.running(), Found: true, Restarted: best.restarted(now)}
+	m := candidates[best]
+	return Choice{Server: m.running(), Found: true, Restarted: m.restarted(now), Dispatch: view.dispatch(best, r)}
 }
 
 // serves reports whether a server is of the service and the version that a request needs, and may be used.
@@ -304,11 +305,11 @@
 }
 
 // candidates returns the servers that may get the request, sorted by ID: the healthy
-// ones, or the ejected and unreachable ones if there is no other. In an unreachable zone,
+// ones, without those that can't hold more if there are others, or the ejected and unreachable ones if there is no other. In an unreachable zone,
 // a server that has failed counts as healthy once its ejection is over, so that its next
 // request probes whether the zone is reachable again.
 func (c *Chooser) candidates(r Request, now clocker.Millis) []*serverState {
-	var healthy, fallback []*serverState
+	var healthy, full, fallback []*serverState
 	unreachable := c.unreachableZones(now)
 	hosts := c.hosts()
 	estimate := c.roomEstimate(r.Service, now)
@@ -321,10 +322,17 @@
 			fallback = append(fallback, m)
 			continue
 		}
+		if m.full(now) {
+			full = append(full, m)
+			continue
+		}
 		healthy = append(healthy, m)
 	}
-	if len(healthy) > 0 {
+	switch {
+	case len(healthy) > 0:
 		return healthy
+	case len(full) > 0:
+		return full
 	}
 	return fallback
 }
@@ -351,69 +359,6 @@
 	return unreachable
 }
 
-// affinityServer returns the server that all hosts prefer for the shared parts of a
-// prompt, by rendezvous hashing of the last shared part, or nil if the prompt shares too
-// few tokens.
-func (c *Chooser) affinityServer(candidates []*serverState, r Request) *serverState {
-	if sharedTokens(r.Prompt) < minSharedTokens {
-		return nil
-	}
-	key := r.Prompt[len(r.Prompt)-2].ID
-	var best *serverState
-	var bestHash uint64
-	for _, m := range candidates {
-		if h := xxhash.Sum64String(key + "/" + m.ID); best == nil || h > bestHash {
-			best, bestHash = m, h
-		}
-	}
-	return best
-}
-
-func sharedTokens(prompt []PromptPart) int {
-	tokens := 0
-	for _, p := range prompt[:max(0, len(prompt)-1)] {
-		tokens += p.Tokens
-	}
-	return tokens
-}
-
-// cost estimates how much longer a request takes on a server than on an idle server of
-// the own availability zone, in milliseconds. Uncached tokens cost nothing on the preferred
-// server: the requests of all hosts with the same shared parts go there, so it either has
-// them cached or is the one server that should compute them.
-func (c *Chooser) cost(m *serverState, r Request, preferred bool, now clocker.Millis) float64 {
-	load := m.estimatedLoad(now, c.meanLoad[m.Service])
-	cost := batchedRequestCostMs*load + maxJitterCostMs*c.random.Float64()
-	if excess := load + 1 - float64(m.slots()); excess > 0 {
-		cost += queuedRequestCostMs * excess
-	}
-	if m.AvailabilityZone != c.cfg.AvailabilityZone {
-		cost += otherZoneCostMs
-	}
-	if m.ColdRemaining > 0 {
-		cost += coldServerCostMs
-	}
-	cost += errorCostMs * m.errorRate
-	if !preferred {
-		cost += recomputeWeight * float64(c.uncachedTokens(m, r.Prompt)) / prefillTokensPerMilli
-	}
-	return cost
-}
-
-// uncachedTokens returns the number of shared prompt tokens that the server has to
-// compute. A part can only be reused if all parts before it are cached.
-func (c *Chooser) uncachedTokens(m *serverState, prompt []PromptPart) int {
-	tokens := 0
-	missing := false
-	for _, p := range prompt[:max(0, len(prompt)-1)] {
-		missing = missing || !m.cache.has(p.ID)
-		if missing {
-			tokens += p.Tokens
-		}
-	}
-	return tokens
-}
-
 // Start records that a request is sent to a server.
 func (c *Chooser) Start(id string, r Request) {
 	m := c.servers[id]
@@ -421,13 +366,26 @@
 		return
 	}
 	m.inFlight++
+	m.outstandingTokens += promptTokens(r.Prompt)
 	m.limit.use()
 	m.startedSinceLoad++
+	m.sent += c.ledger(m.Service).record()
 	for _, p := range r.Prompt[:max(0, len(r.Prompt)-1)] {
 		m.cache.add(p)
 	}
 }
 
+// Release records that a server no longer holds the prompt of a request, which ended or was not sent.
+func (c *Chooser) Release(id string, r Request) {
+	m := c.servers[id]
+	if m == nil {
+		m = c.removed[id]
+	}
+	if m != nil {
+		m.outstandingTokens = max(0, m.outstandingTokens-promptTokens(r.Prompt))
+	}
+}
+
 // Finish records how an attempt ended. It reports whether the server is ejected.
 func (c *Chooser) Finish(id string, o Outcome, now clocker.Millis) bool {
 	m := c.servers[id]
@@ -441,7 +399,12 @@
 	if o == Refused {
 		c.rejected(m, now)
 	}
-	return m.recordOutcome(o, now)
+	wasFailing := m.consecutiveFailures > 0
+	ejected := m.recordOutcome(o, now)
+	if wasFailing && m.consecutiveFailures == 0 {
+		m.sent = max(m.sent, c.meanSent(m.Server))
+	}
+	return ejected
 }
 
 // ForgetFailures ends all ejections. It is called when this host's path to the servers has turned
@@ -483,6 +446,9 @@
 	}
 	isNew := report.Leaving && !m.reportedLeaving || report.BackOff > 0 && now >= m.backOffUntil
 	m.applyReport(report, now)
+	if report.FirstEvent != nil {
+		c.recordFirstEvent(m, *report.FirstEvent)
+	}
 	return isNew
 }
 
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -80,6 +80,8 @@
 	// Slowdown is how long work takes on the server's machine at this moment, as a multiple of the
 	// usual time; 0 if the response did not tell.
 	Slowdown float64
+	// FirstEvent is set with the first event of a response.
+	FirstEvent *FirstEvent
 	// Leaving is true if the server is shutting down; this holds for the rest of the
 	// incarnation.
 	Leaving bool
@@ -100,6 +102,8 @@
 	// Restarted is true if the server went down lately and its entry is that of before: it may
 	// be another incarnation, with other software.
 	Restarted bool
+	// Dispatch goes into the FirstEvent of the response.
+	Dispatch Dispatch
 	// RetryAt is when the first server may get a request that backs off or whose limit is
 	// used up. It is 0 if a server was found, or if no server is held back so.
 	RetryAt clocker.Millis
@@ -133,6 +137,16 @@
 	loadReportedAt clocker.Millis
 	// startedSinceLoad counts the requests that this host sent after load was reported.
 	startedSinceLoad int
+	// slowdown is the last one reported, at slowdownAt; 0 for none.
+	slowdown   float64
+	slowdownAt clocker.Millis
+	speed      serverSpeed
+	// sent is the server's part in the sendLedger of its service.
+	sent float64
+	// outstandingTokens is the number of prompt tokens of this host's requests in flight.
+	outstandingTokens int
+	// usualLoad is the moving average of the reported loads.
+	usualLoad float64
 	// consecutiveFailures counts the attempts that failed to get a response since the
 	// last one that did not.
 	consecutiveFailures int
@@ -235,10 +249,18 @@
 		m.backOffUntil = max(m.backOffUntil, now+report.BackOff)
 	}
 	if report.Load != nil {
+		load := float64(report.Load.Running + report.Load.Queued)
+		if m.loadReportedAt == 0 {
+			m.usualLoad = load
+		}
+		m.usualLoad += usualLoadWeight * (load - m.usualLoad)
 		m.load = *report.Load
 		m.loadReportedAt = now
 		m.startedSinceLoad = 0
 	}
+	if report.Slowdown > 0 {
+		m.slowdown, m.slowdownAt = report.Slowdown, now
+	}
 }
 
 const (
@@ -252,6 +274,10 @@
 	// maxLoadAge is how long a reported load is used. Reports are already some hundred
 	// milliseconds old when they arrive.
 	maxLoadAge = clocker.Second
+	// usualLoadWeight is the weight of a new load report in the moving average of a server, and usualLoadAge
+	// the age of the last report from which that average is not used.
+	usualLoadWeight = 0.3
+	usualLoadAge    = 10 * clocker.Second
 	// errorRateWeight is the weight of the newest attempt in errorRate.
 	errorRateWeight = 0.1
 	// minEjection is how long a server is ejected after the first failure. The time
@@ -264,13 +290,17 @@
 )
 
 // estimatedLoad estimates the requests on the server: the reported load plus the requests
-// that this host sent since the report if the report is recent, else the mean of its
-// service, but in both cases at least the requests of this host in flight.
+// that this host sent since the report if the report is recent, else the server's usual load, which
+// counts less with its age, and the mean of its service, but in both cases at least the requests of this host in flight.
 func (m *serverState) estimatedLoad(now clocker.Millis, mean float64) float64 {
-	if !m.reportedWithin(maxLoadAge, now) {
-		return max(float64(m.inFlight), mean)
+	age := now - m.loadReportedAt
+	if m.loadReportedAt > 0 && age <= maxLoadAge {
+		return float64(max(m.inFlight, m.load.Running+m.load.Queued+m.startedSinceLoad))
+	}
+	if m.loadReportedAt > 0 && age < usualLoadAge {
+		mean += (m.usualLoad - mean) * (1 - float64(age)/float64(usualLoadAge))
 	}
-	return float64(max(m.inFlight, m.load.Running+m.load.Queued+m.startedSinceLoad))
+	return max(float64(m.inFlight), mean)
 }
 
 // reportedWithin reports whether the server reported its load at most maxAge ago.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -27,6 +27,8 @@
 	// when it sent its first event, 0 before.
 	headerReceived bool
 	answerBegan    clocker.Millis
+	// dispatch is what was known of the server when it was chosen.
+	dispatch chooser.Dispatch
 
 	// response and err are what Send returned.
 	response *carrier.Response
@@ -89,7 +91,7 @@
 	}
 	now := x.cfg.Clock.Now()
 	x.triedServers = append(x.triedServers, chosen.Server.ID)
-	a := &attempt{server: chosen.Server, mayHaveRestarted: chosen.Restarted, sentAt: now, log: x.log.startAttempt(chosen.Server, now-x.started)}
+	a := &attempt{server: chosen.Server, mayHaveRestarted: chosen.Restarted, sentAt: now, dispatch: chosen.Dispatch, log: x.log.startAttempt(chosen.Server, now-x.started)}
 	return a, failure{}, true
 }
 
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -189,10 +189,11 @@
 	return choice
 }
 
-func (s *lockedChooser) Finish(id string, o chooser.Outcome) {
+func (s *lockedChooser) Finish(id string, r chooser.Request, o chooser.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outcomes = append(s.outcomes, o)
+	s.chooser.Release(id, r)
 	s.chooser.Finish(id, o, s.clock.Now())
 }
 
--- a/relayer/incarnation.go
+++ b/relayer/incarnation.go
@@ -17,7 +17,7 @@
 // finish records the outcome of an attempt.
 func (x *relayedRequest) finish(a *attempt, o chooser.Outcome) {
 	if !x.cfg.Servers.Replaced(a.incarnation()) {
-		x.cfg.Servers.Finish(a.server.ID, o)
+		x.cfg.Servers.Finish(a.server.ID, x.chooserRequest(), o)
 	}
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -32,8 +32,8 @@
 	// Choose returns a server that accepts new requests, if there is one, and counts
 	// the request as sent to it.
 	Choose(r chooser.Request) chooser.Choice
-	// Finish records the outcome of an attempt.
-	Finish(id string, o chooser.Outcome)
+	// Finish records the outcome of an attempt with a request.
+	Finish(id string, r chooser.Request, o chooser.Outcome)
 	// MarkDown records that nothing listens at the address of a server.
 	MarkDown(id string)
 	// RecordActivity records that bytes arrived from a server, and the status report in
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -123,6 +123,7 @@
 		if complete := events.add(buffer[:n]); len(complete) > 0 {
 			if a.answerBegan == 0 {
 				a.answerBegan = x.cfg.Clock.Now()
+				x.recordActivity(a, chooser.StatusReport{FirstEvent: &chooser.FirstEvent{Dispatch: a.dispatch, After: a.answerBegan - a.sentAt}})
 			}
 			if relayErr := x.relayEvents(a, response, complete); relayErr != nil {
 				a.log.setCause(relayErr)
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -181,6 +181,7 @@
 func (b *backendPool) expire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.publishSpreads()
 	expired := b.chooser.Expire(b.clock.Now())
 	for _, id := range b.chooser.IDs() {
 		if s, ok := b.chooser.Server(id); ok {
@@ -251,9 +252,10 @@
 }
 
 // Finish implements relayer.Servers.
-func (b *backendPool) Finish(id string, o chooser.Outcome) {
+func (b *backendPool) Finish(id string, r chooser.Request, o chooser.Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.chooser.Release(id, r)
 	wasEjected := b.chooser.Ejected(id, b.clock.Now())
 	if b.chooser.Finish(id, o, b.clock.Now()) && !wasEjected {
 		b.log.Info("backend server is left out", "server", id, "outcome", int(o))
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -187,6 +187,7 @@
 func (r *Runner) applyBeat(beat *messenger.Beat) {
 	r.backends.applyLimitsOfBeat(beat)
 	r.backends.applyBrittlenessOfBeat(beat)
+	r.backends.applySpeedsOfBeat(beat)
 	r.withholder.ApplyBeat(beat)
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -374,6 +374,7 @@
 	beat.ServersFingerprint = r.backends.currentFingerprint()
 	beat.Limits = r.backends.serverLimits()
 	beat.Brittleness = r.backends.brittleness()
+	beat.Speeds = r.backends.serverSpeeds()
 	r.withholder.AddToBeat(beat)
 	if w := r.serverWatcher.Load(); w != nil {
 		beat.ServersRevision = w.LastRevision()
