Choice: spread by own sends only where servers report a slowdown

Cause: with equal servers the sharing of prompt parts by three servers moves prompts away from the one that has them cached. Change: a service counts as uneven once one of its servers has reported the slowdown of its machine; for others the choice goes by load, speed and cached parts as before. Rates and speeds are learned everywhere.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -73,6 +73,9 @@
 	learned map[string]*Rates
 	// ledgers holds the sends of this host, by service.
 	ledgers map[string]*sendLedger
+	// sharedMachines are the services whose servers have reported a slowdown: they share their machines with
+	// other workloads, so that equal shares are not what they can do.
+	sharedMachines map[string]bool
 	// speedReported is the position of the next server of whose speed others are told.
 	speedReported int
 	// views and hashInput are reused by each choice.
@@ -93,8 +96,10 @@
 		meanLoad: map[string]float64{},
 		learned:  map[string]*Rates{},
 		ledgers:  map[string]*sendLedger{},
-		brittle:  map[string]*brittleService{},
-		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
+
+		sharedMachines: map[string]bool{},
+		brittle:        map[string]*brittleService{},
+		random:         rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
@@ -438,6 +443,9 @@
 		m.share.observe(*report.Load, false, now)
 		c.meanLoad[m.Service] = mean + meanLoadWeight*(float64(report.Load.Running+report.Load.Queued)-mean)
 	}
+	if report.Slowdown > 0 {
+		c.sharedMachines[m.Service] = true
+	}
 	if report.Brittleness != nil {
 		c.applyBrittleness(m.Service, *report.Brittleness, now)
 	}
--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -149,6 +149,9 @@
 type choiceView struct {
 	servers []serverView
 	rates   *Rates
+	// spreads is true if requests are spread by the sends of this host: the servers are uneven, as their
+	// reports tell. Elsewhere that only moves prompts away from the server that has them cached.
+	spreads bool
 	// meanLoad is that of the service.
 	meanLoad float64
 	// meanSent is that of sentNow.
@@ -160,7 +163,7 @@
 func (c *Chooser) view(candidates []*serverState, r Request, now clocker.Millis) choiceView {
 	ledger := c.ledger(r.Service)
 	c.scaleLedger(ledger, r.Service, len(candidates))
-	v := choiceView{servers: c.views[:0], ledger: ledger, rates: c.rates(r.Service), meanLoad: c.meanLoad[r.Service]}
+	v := choiceView{servers: c.views[:0], ledger: ledger, rates: c.rates(r.Service), spreads: c.sharedMachines[r.Service], meanLoad: c.meanLoad[r.Service]}
 	var sum, count [2]float64
 	for _, m := range candidates {
 		s := serverView{serverState: m, load: m.estimatedLoad(now, v.meanLoad), slowdown: m.slowdownNow(now), local: c.local(m.AvailabilityZone)}
@@ -249,12 +252,18 @@
 func (c *Chooser) homes(key []byte, v choiceView) int {
 	servers := float64(len(v.servers))
 	others := v.ledger.count(key) - 1
+	if !v.spreads {
+		return 1
+	}
 	return minHomes + int(homesPerShare*others*servers/(v.ledger.total/v.ledger.weight+servers))
 }
 
 // surplus returns the part of the requests of a server that exceeds its part of the service's load, or of the sends of
 // this host, whichever is more.
 func (v choiceView) surplus(i int) float64 {
+	if !v.spreads {
+		return 0
+	}
 	s := &v.servers[i]
 	return max(0, 1-(affinityLoadFactor*v.meanLoad+affinityLoadSlack)/max(s.load, 1), 1-(affinityLoadFactor*v.meanSent+affinityLoadSlack)/max(s.sentNow, 1))
 }
@@ -276,8 +285,11 @@
 		cost += recomputeWeight * v.rates.PerToken * float64(s.uncachedTokens(r.Prompt))
 	}
 	cost *= s.slowness
-	cost += aheadCostMs * s.ahead
+	if v.spreads {
+		cost += aheadCostMs * s.ahead
+	}
 	switch {
+	case !v.spreads:
 	case s.preferred && s.rank == 0:
 		cost -= aheadCostMs * firstHomeAhead
 	case s.preferred:
