--- a/chooser/cost_test.go
+++ b/chooser/cost_test.go
@@ -22,6 +22,7 @@
 			servers[choice.Server.ID] = true
 			c.Start(choice.Server.ID, r)
 			c.Finish(choice.Server.ID, NoFailure, 1000)
+			c.Release(choice.Server.ID, r)
 		}
 		return len(servers)
 	}
