--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -30,8 +30,9 @@
 	// leavingDivisor is the part of a Budget by which evicted requests that have not released their
 	// memory yet may exceed it.
 	leavingDivisor = 8
-	// roomDivisor is the part of a Budget that must be free again before it counts as having room.
-	roomDivisor = 4
+	// roomDivisor is the part of a Budget that must be free again before it counts as having room: half, so that
+	// a burst of refusals writes few log lines.
+	roomDivisor = 2
 	// smallBytes is what a small request holds at most: head, body and the overhead of RequestBytes.
 	smallBytes = 128 << 10
 	// defaultMemoryMb is assumed for a process without a memory limit.
