--- a/reserver/ask_storm_test.go
+++ b/reserver/ask_storm_test.go
@@ -58,11 +58,10 @@
 // stormFleet is a pricedFleet whose hosts take time to answer asks, and whose store can be away.
 type stormFleet struct {
 	*pricedFleet
-	away   atomic.Bool
-	mu     sync.Mutex
-	phase  stormPhase
-	hosts  []*stormHost
-	served map[string]int64
+	away  atomic.Bool
+	mu    sync.Mutex
+	phase stormPhase
+	hosts []*stormHost
 }
 
 type stormHost struct {
