--- a/runner/settings.go
+++ b/runner/settings.go
@@ -41,10 +41,10 @@
 	CallerStallMs clocker.Millis
 	// LinkMbps is the bandwidth of the link of this host in each direction.
 	LinkMbps float64
-	// CpuShare is the share of a core that the process may use, and Cores how many times as fast as the
+	// ProcessorShare is the share of a core that the process may use, and ProcessorSpeed how many times as fast as the
 	// fleet's unit that core is. Hosts with a large product of both hold the budgets; 0 means unknown.
-	CpuShare float64
-	Cores    float64
+	ProcessorShare float64
+	ProcessorSpeed float64
 	// StopBoundMs is the time limit of a graceful stop.
 	StopBoundMs clocker.Millis
 	// ConfigurationMs is the time within which an accepted configuration must be in
@@ -110,7 +110,7 @@
 			findings = append(findings, fmt.Sprintf("%s is %d, not a positive time", key, value))
 		}
 	}
-	for key, value := range map[string]float64{"CpuShare": s.CpuShare, "Cores": s.Cores} {
+	for key, value := range map[string]float64{"ProcessorShare": s.ProcessorShare, "ProcessorSpeed": s.ProcessorSpeed} {
 		if value < 0 {
 			findings = append(findings, fmt.Sprintf("%s is %v, a negative capacity", key, value))
 		}
@@ -129,7 +129,7 @@
 
 // capacityMilli returns the processor capacity of the machine in thousandths of a core, 0 if unknown.
 func (s Settings) capacityMilli() int64 {
-	return int64(milliPerCore * s.CpuShare * s.Cores)
+	return int64(milliPerCore * s.ProcessorShare * s.ProcessorSpeed)
 }
 
 // level is the log level shared by all loggers of the process. A reload changes it.
