Tests: wait for connections and configurations that later steps rely on

The read of the idle connection ended by its deadline and passed. Now the answer on a connection opened later shows that the idle one was accepted, and the read must not end by its deadline. Ruled out: a request that stays unanswered at the bound.

The deployment now waits for it at all hosts.

--- a/listener/memory_test.go
+++ b/listener/memory_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -155,14 +156,18 @@
 	idle := dial(t, address)
 	_, err := io.WriteString(idle, "POST /orders/a HTTP/1.1\r\nX-Never")
 	assert.NilError(t, err)
+	// Connections are accepted in the order in which they were opened: the answer shows that the idle one was
+	// accepted before the requests that follow.
+	status, _ = exchange(t, dial(t, address), request("/orders/a", authHeader, ""))
+	assert.Equal(t, status, 200)
 	status, _ = exchange(t, used, request("/orders/a", authHeader, ""))
 	assert.Equal(t, status, 200)
-	for range 2 {
-		status, _ = exchange(t, dial(t, address), request("/orders/a", authHeader, ""))
-		assert.Equal(t, status, 200)
-	}
+	status, _ = exchange(t, dial(t, address), request("/orders/a", authHeader, ""))
+	assert.Equal(t, status, 200)
 	_, err = idle.Read(make([]byte, 1))
 	assert.Assert(t, err != nil, "the idle connection is open")
+	var timeout net.Error
+	assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the idle connection is open: %v", err)
 	status, _ = exchange(t, used, request("/orders/a", authHeader, ""))
 	assert.Equal(t, status, 200)
 }
--- a/mover/deployment_test.go
+++ b/mover/deployment_test.go
@@ -109,6 +109,10 @@
 	w.writeLimits(false)
 	_, err := w.hosts[0].spreader.Apply(context.Background(), &messenger.ApplyRequest{OperationId: "first", Declarations: d, By: "ann"})
 	assert.NilError(t, err)
+	// The first configuration reaches the other hosts in the background. Without it they know no move.
+	w.waitFor("first configuration", 5*clocker.Second, func() bool {
+		return !slices.ContainsFunc(w.hosts, func(h *host) bool { return h.spreader.Index().Version() == 0 })
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	for _, h := range w.hosts {
