Allotter: hosts keep no tokens that don't cover a request

Cause: a host that is no holder keeps a second of demand of each account, at most its part of a tenth of the grant. With 70 hosts that part is less than one request, so that no request could use it, and all hosts together kept up to 10% of a budget: missing at its end, and lost when hosts die.

Change: such a host keeps nothing ahead if its target is less than a request, and returns a surplus from a quarter of a request on.

--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -110,9 +110,15 @@
 	return float64(c.Policy.MaxShareOfRestMilli) / 1000
 }
 
-// nonHolderTarget returns the target headroom of a host that is not a holder.
+// nonHolderTarget returns the target headroom of a host that is not a holder. Tokens that don't cover a request
+// serve none: on many hosts that each keep a part of a request they add up to some percent of a budget, which are
+// missing at its end and lost with the hosts.
 func (b *budgetState) nonHolderTarget(c Conditions) int64 {
-	return b.boundedDemand(nonHolderHorizon, c)
+	target := b.boundedDemand(nonHolderHorizon, c)
+	if c.PrefetchShare > 0 && float64(target) < b.demand.meanSize {
+		return 0
+	}
+	return target
 }
 
 // boundedDemand returns the expected demand in the next d milliseconds, and at
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -8,6 +8,10 @@
 	"cowsliphinge/messenger"
 )
 
+// minReturnShare is the share of a request below which surplus tokens are not returned to peers: what each
+// request reserves and does not use is not worth a message.
+const minReturnShare = 0.25
+
 // totals are cumulative numbers of tokens by incarnation.
 type totals struct {
 	byIncarnation map[string]int64
@@ -107,7 +111,7 @@
 	}
 	target := b.nonHolderTarget(c)
 	free := b.headroom() - b.waiting
-	if c.KeepsHeadroom || free <= 2*target {
+	if c.KeepsHeadroom || free <= 2*target || float64(free) < minReturnShare*b.demand.meanSize {
 		return 0
 	}
 	return min(free-target, unreturnable)
