Flooder: unread responses, exchange connections and uncharged answers

The processes get a route below which an event does not end, the setting CallerStallMs, and a service with claims; the existing clients and bounds are the same. Functions that read the queues of connections move to a file of their own.

--- a/flooder/process_test.go
+++ b/flooder/process_test.go
@@ -39,8 +39,12 @@
 	ioTimeout = 30 * clocker.Second
 	// hostName is the host of all routes.
 	hostName = "flood.example"
+	// routerKey is the RouterKey of the processes.
+	routerKey = "flood"
 	// largeAnswerBytes is the length of the body below /large/.
 	largeAnswerBytes = 7 << 20
+	// openEventBytes is the length of the data of the event below /event/.
+	openEventBytes = 120 << 10
 )
 
 var (
@@ -48,6 +52,8 @@
 	program string
 	// largeAnswer is shared by all answers, so that the test itself takes little memory.
 	largeAnswer = make([]byte, largeAnswerBytes)
+	// openEvent is the start of an event, a little shorter than what a stream may hold of one.
+	openEvent = []byte("id: 2\ndata: " + strings.Repeat("d", openEventBytes))
 )
 
 // TestMain builds the program once.
@@ -75,6 +81,8 @@
 	memoryMb, maxBodyBytes int64
 	// maxDescriptors is the setting of that name; 0 leaves it out.
 	maxDescriptors int
+	// callerStall is the setting CallerStallMs, in milliseconds; 0 leaves it out.
+	callerStall clocker.Millis
 }
 
 // process is a running `route` process with its store and one backend server.
@@ -85,8 +93,12 @@
 	command  *exec.Cmd
 	exited   chan struct{}
 	callers  string
+	exchange string
+	server   string
 	log      string
 	requests atomic.Int64
+	// eventsSent counts the events without an end that the backend server has sent.
+	eventsSent atomic.Int64
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -97,27 +109,30 @@
 	folder := t.TempDir()
 	p := &process{t: t, cfg: cfg, clock: clocker.NewWall(), exited: make(chan struct{}), log: filepath.Join(folder, "log")}
 	store := objects.New(p.clock)
-	server := serve(t, http.HandlerFunc(answer))
+	p.server = serve(t, http.HandlerFunc(p.answer))
 	assert.NilError(t, store.Put("config", "main", map[string]any{
 		"version":  1,
 		"tenants":  []map[string]any{{"name": "one", "api_keys": []string{"key-one"}, "prepaid": 100_000_000}},
-		"routes":   []map[string]any{route("/order/", "safe"), route("/large/", "safe"), route("/stream/", "streaming")},
+		"routes":   []map[string]any{route("/order/", "safe"), route("/large/", "safe"), route("/stream/", "streaming"), route("/event/", "streaming")},
 		"services": []map[string]any{{"name": "s"}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": cfg.maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}))
 	assert.NilError(t, store.Put("servers", "i-1", map[string]any{
-		"service": "s", "address": server, "zone": "a", "slots": 4096, "state": "ready", "born": int64(p.clock.Now()),
+		"service": "s", "address": p.server, "zone": "a", "slots": 4096, "state": "ready", "born": int64(p.clock.Now()),
 	}))
 	addresses := freeAddresses(t, 3)
-	p.callers = addresses[0]
+	p.callers, p.exchange = addresses[0], addresses[2]
 	settings := map[string]any{
 		"Host": "h0", "AvailabilityZone": "a", "CallerAddress": addresses[0], "ReadyAddress": addresses[1], "ExchangeAddress": addresses[2],
-		"StoreAddress": serve(t, store), "RouterKey": "flood", "MemoryMb": cfg.memoryMb, "LinkMbps": 10_000, "StopBoundMs": 6000,
+		"StoreAddress": serve(t, store), "RouterKey": routerKey, "MemoryMb": cfg.memoryMb, "LinkMbps": 10_000, "StopBoundMs": 6000,
 		"ConfigurationMs": 2000, "LeaveMs": 2000, "SteadyMs": 1500, "RetryRatio": 0.2, "RetryExtra": 40, "RetryWindowMs": 10_000,
 	}
 	if cfg.maxDescriptors > 0 {
 		settings["MaxDescriptors"] = cfg.maxDescriptors
 	}
+	if cfg.callerStall > 0 {
+		settings["CallerStallMs"] = cfg.callerStall
+	}
 	content, err := json.Marshal(settings)
 	assert.NilError(t, err)
 	file := filepath.Join(folder, "settings.json")
@@ -166,9 +181,9 @@
 	return addresses
 }
 
-// answer is the handler of the backend server. It answers /order/ shortly, /large/ with largeAnswerBytes and
-// /stream/ with events without end.
-func answer(w http.ResponseWriter, r *http.Request) {
+// answer is the handler of the backend server. It answers /order/ shortly, /large/ with largeAnswerBytes,
+// /stream/ with events without end and /event/ with a short event and a large one that does not end.
+func (p *process) answer(w http.ResponseWriter, r *http.Request) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // the router has closed the connection
 	}
@@ -186,6 +201,14 @@
 				return
 			}
 		}
+	case strings.HasPrefix(r.URL.Path, "/event/"):
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: first\n\n") // the router may have closed the connection
+		_ = http.NewResponseController(w).Flush()          // likewise
+		_, _ = w.Write(openEvent)                          // likewise
+		_ = http.NewResponseController(w).Flush()          // likewise
+		p.eventsSent.Add(1)
+		<-r.Context().Done()
 	default:
 		_, _ = io.WriteString(w, "ok") // the router may have closed the connection
 	}
@@ -206,9 +229,14 @@
 	}
 }
 
-// dial opens a connection that stays open until the test ends, with a deadline for all its reads and writes.
+// dial opens a connection for a caller that stays open until the test ends, with a deadline for all its reads and
+// writes.
 func (p *process) dial() (net.Conn, error) {
-	c, err := net.Dial("tcp4", p.callers)
+	return p.dialTo(p.callers)
+}
+
+func (p *process) dialTo(address string) (net.Conn, error) {
+	c, err := net.Dial("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -221,11 +249,16 @@
 // crowd runs n hostile clients at once. It returns when each has sent all that it sends or was refused, and
 // the process has read it. The connections stay open.
 func (p *process) crowd(n int, client func(c net.Conn) error) {
+	p.crowdAt(p.callers, n, client)
+}
+
+// crowdAt is crowd for clients of one address of the process.
+func (p *process) crowdAt(address string, n int, client func(c net.Conn) error) {
 	var clients sync.WaitGroup
 	var refused atomic.Int64
 	for range n {
 		clients.Go(func() {
-			c, err := p.dial()
+			c, err := p.dialTo(address)
 			if err == nil {
 				err = client(c)
 			}
@@ -249,31 +282,6 @@
 	}
 }
 
-// unreadBytes returns the number of bytes that the kernel has received for the process from its callers.
-func (p *process) unreadBytes() int64 {
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", p.command.Process.Pid))
-	if err != nil {
-		return 0 // the process has ended, which assertBounded finds
-	}
-	_, port, err := net.SplitHostPort(p.callers)
-	assert.NilError(p.t, err)
-	number, err := strconv.Atoi(port)
-	assert.NilError(p.t, err)
-	const listening = "0A" // its queue counts connections
-	sum := int64(0)
-	for line := range strings.Lines(string(content)) {
-		fields := strings.Fields(line)
-		if len(fields) < 5 || !strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", number)) || fields[3] == listening {
-			continue
-		}
-		_, queue, _ := strings.Cut(fields[4], ":")
-		unread, err := strconv.ParseInt(queue, 16, 64)
-		assert.NilError(p.t, err)
-		sum += unread
-	}
-	return sum
-}
-
 // requestHead returns the head of a request without its blank line and body headers.
 func (p *process) requestHead(path string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %016x\r\nX-Deadline-Ms: 600000\r\nAuthorization: Bearer key-one\r\n", path, hostName, p.requests.Add(1))
@@ -303,6 +311,18 @@
 	return resp.StatusCode
 }
 
+// eventually repeats f until it succeeds, within maxPolls attempts, and returns its last error.
+func (p *process) eventually(f func() error) error {
+	var err error
+	for range maxPolls {
+		if err = f(); err == nil || !p.alive() {
+			break
+		}
+		p.clock.SleepUncancellable(pollPause)
+	}
+	return err
+}
+
 // assertServes asserts that an ordinary request is answered, within maxPolls attempts.
 func (p *process) assertServes() {
 	status := 0
--- a/flooder/serve_test.go
+++ b/flooder/serve_test.go
@@ -58,6 +58,8 @@
 	serveCallerKey   = "key-of-the-caller"
 	serveOperatorKey = "operator-key-of-the-flood"
 	serveRouterKey   = "router-key-of-the-flood"
+	// serveClaimed is the service whose requests with a key run at most once.
+	serveClaimed = "orders"
 )
 
 // serveProgram builds the program once, without the race detector.
@@ -128,21 +130,22 @@
 	return p
 }
 
-// configure puts one client account with a budget, and two services of one server each, in force.
+// configure puts one client account with a budget, and three services of one server each, in force.
 func (p *serveProcess) configure(server string) {
 	service := func(name string, kind messenger.ServiceKind, maxOutputTokens int64) *messenger.Service {
 		return &messenger.Service{
-			Name: name, Kind: kind, Idempotent: true, MaxOutputTokens: maxOutputTokens, QueueLimit: 4096, ProgressTimeoutMs: 60_000, DefaultDeadlineMs: 600_000,
+			Name: name, Kind: kind, Idempotent: name != serveClaimed, MaxOutputTokens: maxOutputTokens, QueueLimit: 4096, ProgressTimeoutMs: 60_000, DefaultDeadlineMs: 600_000,
 		}
 	}
 	declarations := &messenger.Declarations{
 		Deployment:     "flood",
 		ClientAccounts: []*messenger.ClientAccount{{Name: "one", KeySha256: indexer.HashKey(serveCallerKey), Budget: "one", Weight: 1}},
-		Services:       []*messenger.Service{service("drafts", messenger.ServiceKind_LANGUAGE, 1024), service("calls", messenger.ServiceKind_APPLICATION, 0)},
+		Services:       []*messenger.Service{service("drafts", messenger.ServiceKind_LANGUAGE, 1024), service("calls", messenger.ServiceKind_APPLICATION, 0), service(serveClaimed, messenger.ServiceKind_APPLICATION, 0)},
 		Models:         []*messenger.Model{{Name: "draft-1", Version: "1", SizeMb: 100}},
 		BackendServers: []*messenger.BackendServer{
 			{Name: "e", Address: server, AvailabilityZone: "a", Service: "drafts", Models: []string{"draft-1"}, Slots: 1024},
-			{Name: "c", Address: serveAlias(server), AvailabilityZone: "a", Service: "calls", Slots: 1024},
+			{Name: "c", Address: serveAlias(server, 2), AvailabilityZone: "a", Service: "calls", Slots: 1024},
+			{Name: "o", Address: serveAlias(server, 3), AvailabilityZone: "a", Service: serveClaimed, Slots: 1024},
 		},
 		Hosts: []*messenger.Host{{Name: "h0", AvailabilityZone: "a", CallerAddress: p.callers, ExchangeAddress: p.exchange}},
 		Policy: &messenger.Policy{
@@ -165,9 +168,9 @@
 }
 
 // serveAlias returns the same port at another loopback address, since no two servers may have the same one.
-func serveAlias(address string) string {
+func serveAlias(address string, last int) string {
 	_, port, _ := net.SplitHostPort(address)
-	return "127.0.0.2:" + port
+	return fmt.Sprintf("127.0.0.%d:%s", last, port)
 }
 
 func serveListen(t *testing.T) net.Listener {
@@ -198,7 +201,8 @@
 	return l.Addr().String()
 }
 
-// serveBackend answers load reports, calls and completions. A completion is a stream without end.
+// serveBackend answers load reports, calls and completions. A completion is a stream without end, unless its prompt
+// contains serveFinitePrompt.
 func serveBackend(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	switch r.URL.Path {
@@ -210,11 +214,18 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Content-Length", strconv.Itoa(serveAnswerBytes))
 		_, _ = w.Write(make([]byte, serveAnswerBytes)) // fails if the process has ended
-	case "/v1/chat/completions":
+	case "/stored":
 		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(make([]byte, serveStoredBytes)) // fails if the process has ended
+	case "/v1/chat/completions":
+		body, _ := io.ReadAll(r.Body)
 		w.Header().Set("Content-Type", "text/event-stream")
 		text := strings.Repeat("x", 4096)
 		for n := 1; ; n++ {
+			if n > serveFiniteEvents && bytes.Contains(body, []byte(serveFinitePrompt)) {
+				_, _ = io.WriteString(w, "data: [DONE]\n\n") // fails if the process has ended
+				return
+			}
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", n, text); err != nil {
 				return
 			}
