relayer: charge streams 48 KB

A stream takes 60 KB for stacks and buffers.

A stream is charged 16 KB more, before it is sent; without room it is refused with memory_full.

--- a/relayer/body.go
+++ b/relayer/body.go
@@ -18,6 +18,9 @@
 	refusalReadTimeout = 500 * clocker.Millis(1)
 	// freeResponseBytes is the part of a buffered response that the charge of a request in progress covers.
 	freeResponseBytes = 4 << 10
+	// streamBytes is the charge for a stream besides admitter.RequestBytes. 480 streams that nobody reads took 60
+	// KB each for stacks and buffers, and the process more than its memory.
+	streamBytes = 16 << 10
 	// passBytes is the buffer for a response that is passed on as it arrives, and scarcePassBytes the same
 	// while the memory budget is full.
 	passBytes       = 32 << 10
--- a/relayer/memory_test.go
+++ b/relayer/memory_test.go
@@ -48,10 +48,17 @@
 // Guards against a process that takes more than its memory: a request without room is refused with a status
 // that promises that it did not run, before any server gets it.
 func TestRequestWithoutRoomIsRefusedBeforeItIsSent(t *testing.T) {
-	for _, left := range []int64{1000, admitter.RequestBytes + 1000} { // for the request, and for its body
+	for _, c := range []struct {
+		kind matcher.Kind
+		left int64
+	}{
+		{matcher.Safe, 1000},                                    // lacks room for the request
+		{matcher.Safe, admitter.RequestBytes + 1000},            // for its body
+		{matcher.Stream, admitter.RequestBytes + streamBytes/2}, // for its stream
+	} {
 		b := newBackend(t, respond(200, "x"))
-		f := newFixture(t, matcher.Route{Kind: matcher.Safe}, b)
-		f.useBudget(t, fill(t, admitter.ForMemory(64), left))
+		f := newFixture(t, matcher.Route{Kind: c.kind}, b)
+		f.useBudget(t, fill(t, admitter.ForMemory(64), c.left))
 		got := f.call(t, "POST", "/r/", strings.Repeat("b", 9000))
 		assert.Equal(t, got.status, http.StatusServiceUnavailable)
 		assert.Assert(t, strings.Contains(got.body, "memory_full"), got.body)
@@ -147,5 +154,5 @@
 	_, err = io.ReadAll(resp.Body)
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
-	assert.Equal(t, <-held, int64(admitter.RequestBytes))
+	assert.Equal(t, <-held, int64(admitter.RequestBytes+streamBytes))
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -234,6 +234,9 @@
 	if x.resumable() {
 		x.position = positionAfter(parseEventNumber([]byte(x.req.Header.Get(x.cfg.HeaderNames.LastEventID))))
 	}
+	if x.route.Kind == matcher.Stream && x.memory.Charge(streamBytes) != nil {
+		return memoryFull, false
+	}
 	if stopAt := x.cfg.StopDeadline(); stopAt > 0 && x.started+x.expectedDuration() > stopAt {
 		return stopping, false
 	}
