route: end unread responses after 5 s while memory is short

Cause: complete requests whose responses nobody reads fill the memory budget until CallerStallMs (20 s) has passed; ordinary callers get 503 meanwhile.

Change: from a refused charge or an eviction until half of the budget is free, a response may make no progress for 5 s, or CallerStallMs if that is less. Counter: reason "stalled_memory_full".

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -333,6 +333,16 @@
 	return h.state == evicted
 }
 
+// Short reports whether the budget was full and has not regained room since.
+func (h *Holding) Short() bool {
+	if h == nil {
+		return false
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.budget.full
+}
+
 // Release takes back a part of what was charged.
 func (h *Holding) Release(n int64) {
 	h.release(n, 0)
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -40,6 +40,24 @@
 	return ""
 }
 
+// Load: finished requests fill the budget and are answered. Memory that counts as short for too long would end
+// responses that only pause.
+func TestMemoryIsShortFromARefusalUntilThereIsRoom(t *testing.T) {
+	b := testBudget()
+	first, _ := open(t, b, 600)
+	second, _ := open(t, b, 200)
+	assert.NilError(t, errors.Join(first.Finish(), second.Finish()))
+	assert.Assert(t, !first.Short())
+	other := b.Open(&reader{})
+	assert.Equal(t, reasonOf(other.Charge(300)), ReasonFull)
+	assert.Assert(t, first.Short())
+	second.Reset()
+	assert.Assert(t, first.Short(), "more than half is held")
+	first.Reset()
+	assert.Assert(t, !first.Short())
+	assert.Assert(t, !(*Holding)(nil).Short())
+}
+
 // Load: unfinished bodies of different sizes fill the budget. A body that is larger than all others would
 // otherwise drive out smaller ones.
 func TestLargestUnfinishedRequestLeaves(t *testing.T) {
--- a/runner/caller_conn.go
+++ b/runner/caller_conn.go
@@ -23,12 +23,16 @@
 	callerBufferBytes = 32 << 10
 	// stallChecks is how often the progress of a response is checked within the time that it may stall.
 	stallChecks = 2
+	// scarceStall is how long a response may make no progress while the memory budget has no room, in
+	// milliseconds: TCP repeats a lost packet several times within it.
+	scarceStall = 5 * clocker.Second
 )
 
 var (
 	closedAtLimit = metrics.NewCounter(`cowsliphinge_caller_connections_closed_total{reason="limit"}`)
 	closedForHead = metrics.NewCounter(`cowsliphinge_caller_connections_closed_total{reason="memory"}`)
 	closedStalled = metrics.NewCounter(`cowsliphinge_caller_connections_closed_total{reason="stalled"}`)
+	closedScarce  = metrics.NewCounter(`cowsliphinge_caller_connections_closed_total{reason="stalled_memory_full"}`)
 )
 
 var errCallerStalled = errors.New("the caller has read nothing for too long")
@@ -81,7 +85,7 @@
 }
 
 // Write implements net.Conn. It fails and resets the connection once the caller has read nothing for the
-// time that a response may stall.
+// time that a response may stall, which is shorter while the memory budget has no room.
 func (c *callerConn) Write(b []byte) (int, error) {
 	if c.stall <= 0 {
 		return c.meteredConn.Write(b)
@@ -101,8 +105,12 @@
 			lastProgress = now
 		}
 		unsent = queued
-		if now-lastProgress >= c.stall {
-			closedStalled.Inc()
+		if stalled := now - lastProgress; stalled >= c.maxStall() {
+			if stalled < c.stall {
+				closedScarce.Inc()
+			} else {
+				closedStalled.Inc()
+			}
 			_ = c.SetLinger(0) // what is unsent must not look like the end of the response
 			_ = c.Close()
 			return written, errCallerStalled
@@ -110,9 +118,17 @@
 	}
 }
 
+// maxStall returns how long a response may make no progress now, in milliseconds.
+func (c *callerConn) maxStall() clocker.Millis {
+	if c.memory.Short() {
+		return min(c.stall, scarceStall)
+	}
+	return c.stall
+}
+
 // armWrite sets a write deadline unless one is set that is late enough.
 func (c *callerConn) armWrite() {
-	interval := max(1, c.stall/stallChecks)
+	interval := max(1, min(c.stall, scarceStall)/stallChecks)
 	now := c.clock.Now()
 	if c.armed-now > interval/2 {
 		return
--- a/runner/caller_conn_test.go
+++ b/runner/caller_conn_test.go
@@ -225,6 +225,35 @@
 	assert.Equal(t, clock.Now()-began, 100*slow.step+2*slow.step, "the last byte was taken two steps before the last take")
 }
 
+// noEvictor is the Evictor of a request that is not evicted.
+type noEvictor struct{}
+
+func (noEvictor) Evict() {}
+
+// Guards against responses that nobody reads and that keep the memory budget full until CallerStallMs has passed,
+// against cutting off stalled callers while there is room, and against a longer time than CallerStallMs.
+func TestResponseThatIsNotReadEndsEarlierWhileMemoryIsShort(t *testing.T) {
+	for _, c := range []struct {
+		short       bool
+		stall, want clocker.Millis
+	}{{false, 20_000, 20_000}, {true, 20_000, scarceStall}, {true, 2000, 2000}} {
+		budget := admitter.New(admitter.Config{Bytes: 1000, SmallBytes: 1000})
+		held := budget.Open(noEvictor{})
+		assert.NilError(t, held.Charge(1000))
+		assert.NilError(t, held.Finish())
+		clock := clocker.NewManual(1_000_000)
+		slow := &slowConn{clock: clock, step: 500}
+		conn := &callerConn{meteredConn: meteredConn{Conn: slow, traffic: &traffic{}}, clock: clock, stall: c.stall, memory: budget.Open(noEvictor{})}
+		if c.short {
+			assert.Assert(t, admitter.IsErrMemoryFull(budget.Open(noEvictor{}).Charge(1)))
+		}
+		began := clock.Now()
+		_, err := conn.Write(make([]byte, 1000))
+		assert.ErrorIs(t, err, errCallerStalled)
+		assert.Equal(t, clock.Now()-began, c.want)
+	}
+}
+
 // Guards against a bound that ordinary deployments reach, and one that leaves servers no descriptors.
 func TestCallersConnectionsAreBoundedByMemoryAndDescriptors(t *testing.T) {
 	for _, c := range []struct {
