exchanger: bound the connections of the exchange listener

Cause: only the time of a connection was bounded, not their number: clients without a key took as many descriptors as the system allows.

Change: 4 connections for each MB (4,096 without a limit), a quarter of the descriptors, at least 64. At the bound the connection that has been without a complete call for longest is closed: of those that never had one, unless they are less than a quarter; else of the others. A call is complete once its key and its body are accepted. Tunnels get the connection itself, whose options they set, and count no more once they are open. Counter: cowsliphinge_exchange_connections_closed_total{reason}.

--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -85,15 +85,18 @@
 	Querier   messenger.Querier
 	// Ready reports whether the router accepts requests from callers.
 	Ready func() bool
-	// MemoryMb is the memory limit of the process, from which the bound on the bodies of calls is derived;
-	// 0 means none.
+	// MemoryMb is the memory limit of the process, from which the bounds on the bodies of calls and on
+	// connections are derived; 0 means none.
 	MemoryMb int64
+	// MaxDescriptors is the configured limit of open descriptors; 0 means that of the system.
+	MaxDescriptors int64
 }
 
 // Server serves calls from other routers and operators, metrics and health checks.
 type Server struct {
-	cfg  ServerConfig
-	http *http.Server
+	cfg   ServerConfig
+	http  *http.Server
+	conns *connBound
 }
 
 // NewServer returns a server; Serve accepts connections.
@@ -110,19 +113,22 @@
 	if cfg.OriginKeeper == nil {
 		cfg.OriginKeeper = unimplemented{}
 	}
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, conns: newConnBound(maxConns(cfg.MemoryMb, descriptorLimit(cfg.MaxDescriptors)))}
 	s.http = &http.Server{
 		Handler:           s.withTunnels(withBodyDeadline(s.routes())),
 		TLSConfig:         cfg.TLS,
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		IdleTimeout:       serverIdleTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       connContext,
+		ConnState:         s.conns.connState,
 	}
 	return s
 }
 
 // Serve accepts connections on l until Shutdown or Close.
 func (s *Server) Serve(l net.Listener) error {
+	l = boundedListener{Listener: l, bound: s.conns}
 	if s.cfg.TLS != nil {
 		l = tls.NewListener(l, s.cfg.TLS)
 	}
@@ -156,9 +162,9 @@
 	queries := messenger.NewQuerierServer(s.cfg.Querier)
 	// Operators' calls have a budget of their own: they never take the room of heartbeats and transfers.
 	hostBodies, operatorBodies := newBodyReader(s.cfg.MemoryMb), newBodyReader(s.cfg.MemoryMb)
-	mux.Handle(exchange.PathPrefix(), s.authenticated(s.cfg.RouterKey, hostBodies.wrap(exchange)))
-	mux.Handle(commands.PathPrefix(), s.authenticated(s.cfg.OperatorKey, operatorBodies.wrap(commands)))
-	mux.Handle(queries.PathPrefix(), s.authenticated(s.cfg.OperatorKey, operatorBodies.wrap(queries)))
+	mux.Handle(exchange.PathPrefix(), s.authenticated(s.cfg.RouterKey, hostBodies.wrap(s.conns.wrap(exchange))))
+	mux.Handle(commands.PathPrefix(), s.authenticated(s.cfg.OperatorKey, operatorBodies.wrap(s.conns.wrap(commands))))
+	mux.Handle(queries.PathPrefix(), s.authenticated(s.cfg.OperatorKey, operatorBodies.wrap(s.conns.wrap(queries))))
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -174,7 +180,7 @@
 	if s.cfg.Tunnels == nil {
 		return calls
 	}
-	tunnels := s.authenticated(s.cfg.RouterKey, s.cfg.Tunnels)
+	tunnels := s.authenticated(s.cfg.RouterKey, s.conns.wrap(withConnection(s.cfg.Tunnels)))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
 			tunnels.ServeHTTP(w, r)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -352,6 +352,7 @@
 		Tunnels:          r.tunnels,
 		Ready:            r.Ready,
 		MemoryMb:         r.cfg.Settings.MemoryMb,
+		MaxDescriptors:   r.cfg.Settings.MaxDescriptors,
 	})
 	r.group.Go(func() error {
 		return serveErr(r.server.Serve(callerListener{Listener: callers, traffic: &r.traffic, tracker: r.callerConns}))
