serve: charge answers that are held whole

Cause: completions that are not streamed, streams gathered for HTTP/1.0 callers, answers that another host forwards and answers that a claim replays were held without a charge.

Change: each is charged to the request that it answers. The text of a completion counts four times while it is gathered, a gathered stream three times, since buffers grow and are copied; a forwarded answer is read in charged chunks. Without room the call ends with AnswerBroken or OutcomeUnknown, NotRun false, and answers that nobody has read for 5 s are broken off, as for application servers.

--- a/dispatcher/application.go
+++ b/dispatcher/application.go
@@ -51,7 +51,7 @@
 		r.claim = decision.Claim
 		return nil, nil
 	case claimer.Answered:
-		return replayedAnswer(id, decision.Answer)
+		return r.replayedAnswer(decision.Answer)
 	case claimer.InProgress:
 		return nil, NewRefusal(CodeInProgress, id, false, "the request with this key is being run")
 	case claimer.KeyReused:
@@ -71,15 +71,23 @@
 // run it.
 func (r *activeRequest) forward(ctx context.Context, incarnation string) (*Answer, *Refusal) {
 	answer, err := r.d.cfg.Forwarder.Forward(ctx, incarnation, r.call)
-	if err == nil {
+	switch {
+	case err == nil:
 		return answer, nil
+	case admitter.IsErrMemoryFull(err):
+		return nil, r.refuseAnswer()
 	}
 	return nil, NewRefusal(CodeOutcomeUnknown, r.call.RequestID, false, "the host that issued the key does not answer; it alone may have run the request")
 }
 
-func replayedAnswer(id string, stored *messenger.StoredAnswer) (*Answer, *Refusal) {
+// replayedAnswer returns the stored answer of an earlier run. It is charged once it was read; a claim stores
+// claimer.MaxAnswerBytes of an answer at most.
+func (r *activeRequest) replayedAnswer(stored *messenger.StoredAnswer) (*Answer, *Refusal) {
 	if stored == nil || stored.Truncated {
-		return nil, NewRefusal(CodeOutcomeUnknown, id, false, "the request with this key ran; its answer is no longer kept")
+		return nil, NewRefusal(CodeOutcomeUnknown, r.call.RequestID, false, "the request with this key ran; its answer is no longer kept")
+	}
+	if r.call.Memory.Charge(int64(len(stored.Body))) != nil {
+		return nil, r.refuseAnswer()
 	}
 	return &Answer{
 		Status:      int(stored.Status),
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -39,7 +39,7 @@
 	// for none.
 	LastEventID int64
 
-	// Memory is charged for the answer of an application server; nil means without a bound.
+	// Memory is charged for an answer that is held whole; nil means without a bound.
 	Memory *admitter.Holding
 }
 
--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -49,7 +49,11 @@
 	}
 }
 
-// Collect reads the whole stream and returns it as one answer.
+// collectedCopies is the charge for a byte of text that Collect gathers: it is held in a buffer that grows, and
+// copied while the answer is encoded.
+const collectedCopies = 4
+
+// Collect reads the whole stream and returns it as one answer, which is charged to the memory of the call.
 func (s *Stream) Collect(ctx context.Context) (*Answer, *Refusal) {
 	for {
 		event, refusal := s.nextEvent(ctx)
@@ -63,6 +67,9 @@
 			refusal := NewRefusal(CodeAnswerBroken, s.call.RequestID, false, fmt.Sprintf("an event of the model engine cannot be read: %v", err))
 			return nil, s.abortBeforeDelivery(ctx, refusal)
 		}
+		if s.chargeCollected() != nil {
+			return nil, s.abortBeforeDelivery(ctx, s.refuseAnswer())
+		}
 	}
 	s.finish(ctx)
 	defer s.settle(s.usage.Total())
@@ -70,9 +77,23 @@
 	if err != nil {
 		return nil, NewRefusal(CodeAnswerBroken, s.call.RequestID, false, err.Error())
 	}
+	if s.call.Memory.Charge(int64(len(body))) != nil {
+		return nil, s.refuseAnswer()
+	}
+	s.call.Memory.Release(s.collectedCharge) // the text is not used any more
 	return &Answer{Status: 200, ContentType: "application/json", Body: body}, nil
 }
 
+// chargeCollected charges what was gathered since the last charge.
+func (s *Stream) chargeCollected() error {
+	charge := collectedCopies*int64(s.collectedText.Len()) - s.collectedCharge
+	if err := s.call.Memory.Charge(charge); err != nil {
+		return err
+	}
+	s.collectedCharge = max(s.collectedCharge, s.collectedCharge+charge)
+	return nil
+}
+
 // nextEvent returns the event that StartCompletion read ahead, then reads on.
 func (s *Stream) nextEvent(ctx context.Context) (streamer.Event, *Refusal) {
 	if s.hasPendingEvent {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -46,9 +46,11 @@
 	// collectedText and finishReason are what Collect has read of the current run.
 	collectedText strings.Builder
 	finishReason  string
-	usage         Usage
-	hasUsage      bool
-	resumeCount   int
+	// collectedCharge is what the text is charged.
+	collectedCharge int64
+	usage           Usage
+	hasUsage        bool
+	resumeCount     int
 }
 
 // StartCompletion sends a chat completion to a model engine and returns when its
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -14,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
 	"cowsliphinge/dispatcher"
@@ -68,21 +70,57 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
+	response.StreamBody = true
+	defer func() { _ = response.CloseBodyStream() }() // the answer was read, or its connection is discarded
 	remaining := call.Deadline - f.cfg.Clock.Now()
 	f.fillRequest(request, serveAddress, call, remaining)
 	if err := f.client.DoTimeout(request, response, remaining.Duration()); err != nil {
 		failedForwards.Inc()
 		return nil, trace.Wrap(err)
 	}
+	body, err := readBody(response, call.Memory)
+	if err != nil {
+		failedForwards.Inc()
+		return nil, trace.Wrap(err)
+	}
 	forwardedRequests.Inc()
 	return &dispatcher.Answer{
 		Status:      response.StatusCode(),
 		ContentType: string(response.Header.ContentType()),
-		Body:        append([]byte(nil), response.Body()...),
+		Body:        body,
 		Replayed:    string(response.Header.Peek("Idempotent-Replayed")) == "true",
 	}, nil
 }
 
+// readBody reads the body of an answer in charged chunks and returns it in one piece, which stays charged.
+func readBody(response *fasthttp.Response, memory *admitter.Holding) ([]byte, error) {
+	stream := response.BodyStream()
+	if stream == nil {
+		body := append([]byte(nil), response.Body()...)
+		return body, memory.Charge(int64(len(body)))
+	}
+	length := int64(response.Header.ContentLength())
+	chunks, err := admitter.ReadBody(io.LimitReader(stream, maxAnswerBytes+1), length, memory)
+	if err != nil {
+		return nil, err
+	}
+	defer chunks.Release()
+	switch {
+	case chunks.Len() > maxAnswerBytes:
+		return nil, fasthttp.ErrBodyTooLarge
+	case length >= 0 && chunks.Len() != length:
+		return nil, io.ErrUnexpectedEOF
+	}
+	if err := memory.Charge(chunks.Len()); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, chunks.Len())
+	for _, part := range chunks.Parts() {
+		body = append(body, part...)
+	}
+	return body, nil
+}
+
 // serveAddress returns the address for callers of the incarnation's host, or "" if the
 // host is unknown or must not be called.
 func (f *Forwarder) serveAddress(incarnation string) string {
--- a/listener/handlers.go
+++ b/listener/handlers.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cowsliphinge/admitter"
 	"cowsliphinge/connector"
 	"cowsliphinge/dispatcher"
 	"cowsliphinge/messenger"
@@ -24,9 +25,12 @@
 		writeRefusal(ctx, refusal)
 		return
 	}
+	if conn := callerConnOf(ctx.Conn()); conn != nil {
+		call.Memory = conn.holding
+	}
 	stream, refusal := l.cfg.Dispatcher.StartCompletion(l.ctx, call)
 	if refusal != nil {
-		writeRefusal(ctx, refusal)
+		l.refuseAnswer(ctx, refusal)
 		return
 	}
 	if call.Completion.Stream {
@@ -35,7 +39,7 @@
 	}
 	answer, refusal := stream.Collect(l.ctx)
 	if refusal != nil {
-		writeRefusal(ctx, refusal)
+		l.refuseAnswer(ctx, refusal)
 		return
 	}
 	writeAnswer(ctx, call, answer)
@@ -89,17 +93,44 @@
 // callers, which do not support chunked encoding and could not distinguish the end of
 // a stream from a truncation.
 func (l *Listener) writeBufferedStream(ctx *fasthttp.RequestCtx, call dispatcher.Call, stream *dispatcher.Stream) {
-	var body bytes.Buffer
+	body := chargedBuffer{holding: call.Memory}
 	err := stream.Copy(l.ctx, bufio.NewWriter(&body))
 	var refusal *dispatcher.Refusal
 	if err != nil && !errors.As(err, &refusal) {
 		refusal = dispatcher.NewRefusal(dispatcher.CodeAnswerBroken, call.RequestID, false, err.Error())
 	}
 	if refusal != nil {
-		writeRefusal(ctx, refusal)
+		l.refuseAnswer(ctx, refusal)
 		return
 	}
-	ctx.SetBody(body.Bytes())
+	ctx.Response.SetBodyRaw(body.Bytes()) // a copy would double what a slow reader holds
+}
+
+// refuseAnswer writes the refusal of a request that may have run. It may have lacked memory that callers hold who
+// read nothing.
+func (l *Listener) refuseAnswer(ctx *fasthttp.RequestCtx, refusal *dispatcher.Refusal) {
+	if refusal.Code == dispatcher.CodeAnswerBroken || refusal.Code == dispatcher.CodeOutcomeUnknown {
+		l.conns.closeStalled()
+	}
+	writeRefusal(ctx, refusal)
+}
+
+// bufferCopies is the charge for a byte in a chargedBuffer: while the buffer grows, it is held in the old one and
+// in one of twice the size.
+const bufferCopies = 3
+
+// chargedBuffer is a buffer that is charged before it grows.
+type chargedBuffer struct {
+	bytes.Buffer
+	holding *admitter.Holding
+}
+
+// Write implements io.Writer.
+func (c *chargedBuffer) Write(p []byte) (int, error) {
+	if err := c.holding.Charge(bufferCopies * int64(len(p))); err != nil {
+		return 0, err
+	}
+	return c.Buffer.Write(p)
 }
 
 func (l *Listener) serveApplication(ctx *fasthttp.RequestCtx, call dispatcher.Call, path string) {
@@ -128,10 +159,7 @@
 	}
 	answer, refusal := l.cfg.Dispatcher.RunApplication(l.ctx, call)
 	if refusal != nil {
-		if refusal.Code == dispatcher.CodeAnswerBroken || refusal.Code == dispatcher.CodeOutcomeUnknown {
-			l.conns.closeStalled() // it may have lacked memory that they hold
-		}
-		writeRefusal(ctx, refusal)
+		l.refuseAnswer(ctx, refusal)
 		return
 	}
 	writeAnswer(ctx, call, answer)
