relayer: charge events of streams that are not complete

Cause: an event of up to 128 KB is held until its server ends it, on each open stream, without a charge.

Change: the buffer is charged twice its size beyond 4 KB, before it grows, and given back once the event is sent. Without room the stream ends visibly, or with 502 outcome_unknown if nothing was sent; no other server is tried.

--- a/relayer/events.go
+++ b/relayer/events.go
@@ -4,15 +4,59 @@
 	"bytes"
 	"slices"
 	"strconv"
+
+	"cowsliphinge/admitter"
 )
 
 // maxEventBytes limits one event of a stream, which is buffered until it is complete.
 const maxEventBytes = 128 << 10
 
+const (
+	// freeEventBytes is the part of an incomplete event that the charge of a stream covers.
+	freeEventBytes = 4 << 10
+	// eventCopies is the charge for a byte of the buffer of an event: complete events are copied to be sent.
+	eventCopies = 2
+)
+
 // eventBuffer collects the bytes of a stream and releases complete events only. A
 // truncated stream can then continue with the next event on another server.
 type eventBuffer struct {
 	pending []byte
+	// memory is charged for the buffer beyond freeEventBytes; it may be nil. charged is the charge.
+	memory  *admitter.Holding
+	charged int64
+}
+
+// reserve makes room for n more bytes. It returns an admitter.ErrMemoryFull if the memory budget has none.
+func (c *eventBuffer) reserve(n int) error {
+	need := len(c.pending) + n
+	if need <= max(cap(c.pending), freeEventBytes) {
+		return nil
+	}
+	size := max(need, min(2*cap(c.pending), maxEventBytes+streamReadBytes))
+	charge := int64(eventCopies * size)
+	if err := c.memory.Charge(charge - c.charged); err != nil {
+		return err
+	}
+	c.charged = charge
+	grown := make([]byte, len(c.pending), size)
+	copy(grown, c.pending)
+	c.pending = grown
+	return nil
+}
+
+// shrink gives a large buffer back that holds little.
+func (c *eventBuffer) shrink() {
+	if c.charged > 0 && len(c.pending) <= freeEventBytes {
+		c.pending = bytes.Clone(c.pending)
+		c.release()
+	}
+}
+
+// release ends the charge of the buffer.
+func (c *eventBuffer) release() {
+	c.memory.Release(c.charged)
+	c.charged = 0
 }
 
 // add appends bytes and returns all events that are complete now, or nil.
--- a/relayer/events_test.go
+++ b/relayer/events_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"cowsliphinge/admitter"
 )
 
 func TestEventBufferReturnsCompleteEvents(t *testing.T) {
@@ -33,6 +36,26 @@
 	assert.Assert(t, buffer.hasPartial())
 }
 
+// Guards against a large event that stays charged, or its buffer held, after it was sent.
+func TestEventBufferIsChargedWhileItIsLarge(t *testing.T) {
+	budget := admitter.New(admitter.ForMemory(64))
+	buffer := eventBuffer{memory: budget.Open(noEvictor{})}
+	part := []byte(strings.Repeat("d", streamReadBytes))
+	for n := 1; n <= 31; n++ {
+		assert.NilError(t, buffer.reserve(len(part)))
+		buffer.add(part)
+		assert.Assert(t, n == 1 || budget.Held() >= int64(eventCopies*cap(buffer.pending)), "%d bytes for %d", budget.Held(), cap(buffer.pending))
+		buffer.shrink()
+	}
+	assert.Assert(t, budget.Held() <= eventCopies*(maxEventBytes+streamReadBytes))
+	assert.NilError(t, buffer.reserve(5))
+	assert.Equal(t, len(buffer.add([]byte("\n\nid:"))), 31*streamReadBytes+2)
+	buffer.shrink()
+	assert.Equal(t, budget.Held(), int64(0))
+	assert.Equal(t, string(buffer.pending), "id:")
+	assert.Assert(t, cap(buffer.pending) <= freeEventBytes)
+}
+
 func FuzzSplit(f *testing.F) {
 	f.Add([]byte("id: 1\n\nid: x\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/relayer/memory_test.go
+++ b/relayer/memory_test.go
@@ -156,3 +156,30 @@
 	assert.NilError(t, resp.Body.Close())
 	assert.Equal(t, <-held, int64(admitter.RequestBytes+streamBytes))
 }
+
+// Guards against events that servers send without an end and that are held without a charge, and against a response
+// without room that looks complete or promises that the request did not run.
+func TestEventWithoutRoomEndsItsStream(t *testing.T) {
+	large := "id: 2\ndata: " + strings.Repeat("d", 100_000) + "\n\n"
+	for _, first := range []string{"", "id: 1\ndata: first\n\n"} {
+		for _, left := range []int64{admitter.RequestBytes + streamBytes + 50_000, admitter.RequestBytes + streamBytes + 400_000} {
+			events := first + large
+			b := newBackend(t, respond(200, events, "Content-Type: text/event-stream"))
+			f := newFixture(t, matcher.Route{Kind: matcher.Stream}, b)
+			budget := fill(t, admitter.ForMemory(64), left)
+			before := budget.Held()
+			f.useBudget(t, budget)
+			got := f.call(t, "POST", "/r/", "")
+			switch {
+			case left > 400_000:
+				assert.Assert(t, got.status == 200 && !got.truncated && got.body == events, "%d, %d bytes", got.status, len(got.body))
+			case first == "":
+				assert.Equal(t, got.status, http.StatusBadGateway)
+			default:
+				assert.Assert(t, got.status == 200 && got.truncated && got.body == first, "%d, %d bytes", got.status, len(got.body))
+			}
+			f.frontend.Close() // waits for the handlers
+			assert.Equal(t, budget.Held(), before)
+		}
+	}
+}
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -114,7 +114,8 @@
 func (x *relayedRequest) relayStream(a *attempt, response *carrier.Response) (failure, bool) {
 	x.position.switchServer()
 	x.releaseBodyAfterLastAttempt()
-	var events eventBuffer
+	events := eventBuffer{memory: x.memory}
+	defer events.release()
 	buffer := make([]byte, streamReadBytes)
 	response.SetReadTimeout(x.eventTimeout())
 	for {
@@ -122,6 +123,12 @@
 		if n > 0 {
 			x.recordActivity(a, chooser.StatusReport{})
 		}
+		if full := events.reserve(n); full != nil {
+			a.log.setCause(full)
+			x.finishAttempt(a, chooser.NoFailure, outcomeUnknown)
+			x.fail(outcomeUnknown) // another attempt would find as little memory
+			return failure{}, false
+		}
 		if complete := events.add(buffer[:n]); len(complete) > 0 {
 			if a.answerBegan == 0 {
 				a.answerBegan = x.cfg.Clock.Now()
@@ -131,6 +138,7 @@
 				a.log.setCause(relayErr)
 				return x.finishAttempt(a, x.relayErrorOutcome(relayErr), outcomeUnknown), true
 			}
+			events.shrink()
 			response.SetReadTimeout(x.eventTimeout()) // bytes of an incomplete event do not extend the timeout
 		}
 		switch {
