--- a/relayer/memory_test.go
+++ b/relayer/memory_test.go
@@ -48,10 +48,17 @@
 // Guards against a process that takes more than its memory: a request without room is refused with a status
 // that promises that it did not run, before any server gets it.
 func TestRequestWithoutRoomIsRefusedBeforeItIsSent(t *testing.T) {
-	for _, left := range []int64{1000, admitter.RequestBytes + 1000} { // for the request, and for its body
+	for _, c := range []struct {
+		kind matcher.Kind
+		left int64
+	}{
+		{matcher.Safe, 1000},                                    // lacks room for the request
+		{matcher.Safe, admitter.RequestBytes + 1000},            // for its body
+		{matcher.Stream, admitter.RequestBytes + streamBytes/2}, // for its stream
+	} {
 		b := newBackend(t, respond(200, "x"))
-		f := newFixture(t, matcher.Route{Kind: matcher.Safe}, b)
-		f.useBudget(t, fill(t, admitter.ForMemory(64), left))
+		f := newFixture(t, matcher.Route{Kind: c.kind}, b)
+		f.useBudget(t, fill(t, admitter.ForMemory(64), c.left))
 		got := f.call(t, "POST", "/r/", strings.Repeat("b", 9000))
 		assert.Equal(t, got.status, http.StatusServiceUnavailable)
 		assert.Assert(t, strings.Contains(got.body, "memory_full"), got.body)
@@ -147,5 +154,32 @@
 	_, err = io.ReadAll(resp.Body)
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
-	assert.Equal(t, <-held, int64(admitter.RequestBytes))
+	assert.Equal(t, <-held, int64(admitter.RequestBytes+streamBytes))
+}
+
+// Guards against events that servers send without an end and that are held without a charge, and against a response
+// without room that looks complete or promises that the request did not run.
+func TestEventWithoutRoomEndsItsStream(t *testing.T) {
+	large := "id: 2\ndata: " + strings.Repeat("d", 100_000) + "\n\n"
+	for _, first := range []string{"", "id: 1\ndata: first\n\n"} {
+		for _, left := range []int64{admitter.RequestBytes + streamBytes + 50_000, admitter.RequestBytes + streamBytes + 400_000} {
+			events := first + large
+			b := newBackend(t, respond(200, events, "Content-Type: text/event-stream"))
+			f := newFixture(t, matcher.Route{Kind: matcher.Stream}, b)
+			budget := fill(t, admitter.ForMemory(64), left)
+			before := budget.Held()
+			f.useBudget(t, budget)
+			got := f.call(t, "POST", "/r/", "")
+			switch {
+			case left > 400_000:
+				assert.Assert(t, got.status == 200 && !got.truncated && got.body == events, "%d, %d bytes", got.status, len(got.body))
+			case first == "":
+				assert.Equal(t, got.status, http.StatusBadGateway)
+			default:
+				assert.Assert(t, got.status == 200 && got.truncated && got.body == first, "%d, %d bytes", got.status, len(got.body))
+			}
+			f.frontend.Close() // waits for the handlers
+			assert.Equal(t, budget.Held(), before)
+		}
+	}
 }
