Tests: count the calls of the store of a fleet of 80 hosts by kind and cause

Calls of hosts that are cut off do not reach the store and are not counted; lists of hosts are stale reads and stay out of the sums.

The simulated store now returns all changes since a revision, as the operators' one does (it returned the last one only, so that no list after several changes was ever made), refuses calls, is silent, and can keep the zones apart.

Command: GOMAXPROCS=2 go test ./runner -run 'TestCallsOfAFleet|WithoutTheDesignated|AfterRefusals' -v

--- a/runner/fleet_fixture_test.go
+++ b/runner/fleet_fixture_test.go
@@ -71,6 +71,8 @@
 	hosts []*fleetHost
 	// byAddress finds hosts by their exchange address.
 	byAddress map[string]*fleetHost
+	// zonesApart is true while hosts of different zones do not reach each other.
+	zonesApart atomic.Bool
 }
 
 type fleetHost struct {
@@ -82,8 +84,13 @@
 	cut atomic.Bool
 	// alone is true while the host reaches the store but no other host.
 	alone atomic.Bool
+	// refused is true while the store refuses each call of the host at once and ends its watches, and
+	// silent while the store answers none of its calls.
+	refused, silent atomic.Bool
 	// watches counts the watch calls of the host.
 	watches atomic.Int64
+	// next holds the cause of the next call of each kind. The caller holds the mutex of the store.
+	next map[string]callCause
 }
 
 // reaches reports whether heartbeats pass between two hosts.
@@ -93,7 +100,7 @@
 			return false
 		}
 	}
-	return true
+	return !h.fleet.zonesApart.Load() || h.cfg.Settings.AvailabilityZone == other.cfg.Settings.AvailabilityZone
 }
 
 // fleetConfiguration is the content of the configuration object.
@@ -137,7 +144,7 @@
 }
 
 func (f *fleet) newHost(zone, name string) *fleetHost {
-	h := &fleetHost{fleet: f}
+	h := &fleetHost{fleet: f, next: map[string]callCause{}}
 	cfg := Config{
 		Clock: f.clock,
 		Log:   slog.New(slog.DiscardHandler),
@@ -244,6 +251,10 @@
 	readsSince       clocker.Millis
 	// era rises with each restore.
 	era int64
+	// history holds all objects of each kind since the last restore, oldest first.
+	history map[string][]storer.Object
+	// calls counts the calls that reach the store.
+	calls map[storeCall]int
 }
 
 // busiestSecond returns the most calls in one second since it was last called.
@@ -272,7 +283,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	s.revision, s.objects = c.revision, maps.Clone(c.objects)
+	s.revision, s.objects, s.history = c.revision, maps.Clone(c.objects), map[string][]storer.Object{}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -280,7 +291,7 @@
 func newFleetStore(f *fleet) *fleetStore {
 	return &fleetStore{
 		fleet: f, revision: 1, era: 1, objects: map[string]storer.Object{}, sizes: map[string]int{},
-		changed: make(chan struct{}), hung: make(chan struct{}),
+		changed: make(chan struct{}), hung: make(chan struct{}), history: map[string][]storer.Object{}, calls: map[storeCall]int{},
 	}
 }
 
@@ -301,6 +312,7 @@
 	s.revision++
 	s.sizes[kind] = size
 	s.objects[kind] = storer.Object{Key: key, Version: s.revision, Value: value}
+	s.history[kind] = append(s.history[kind], s.objects[kind])
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.fleet.clock.Now()
@@ -349,21 +361,32 @@
 	host *fleetHost
 }
 
-var errFleetCutOff = errors.New("the store is not reachable")
+var (
+	errFleetCutOff  = errors.New("the store is not reachable")
+	errFleetRefused = errors.New("the store refuses the call")
+)
 
 // begin starts a call; without a path to the store it fails after the timeout.
 func (s *fleetStoreClient) begin(ctx context.Context, timeout clocker.Millis) error {
-	if s.host.cut.Load() {
+	if s.host.cut.Load() || s.host.silent.Load() {
 		if err := s.fleet.clock.Sleep(ctx, timeout); err != nil {
 			return err
 		}
 		return errFleetCutOff
 	}
+	if s.host.refused.Load() {
+		if err := s.fleet.clock.Sleep(ctx, fleetStoreResponseTime); err != nil {
+			return err
+		}
+		return errFleetRefused
+	}
 	return s.call()
 }
 
 // List implements watcher.Source.
-func (s *fleetStoreClient) List(ctx context.Context, kind string, _ bool) ([]storer.Object, int64, error) {
+func (s *fleetStoreClient) List(ctx context.Context, kind string, _ bool) (objects []storer.Object, revision int64, err error) {
+	s.count(kind, listCall)
+	defer func() { s.recordList(kind, err) }()
 	if err := s.begin(ctx, 2*clocker.Second); err != nil {
 		return nil, 0, err
 	}
@@ -371,7 +394,8 @@
 		return s.listHosts(), 0, nil
 	}
 	s.mu.Lock()
-	o, size, revision := s.objects[kind], s.sizes[kind], versioner.New(s.era, s.revision)
+	o, size := s.objects[kind], s.sizes[kind]
+	revision = versioner.New(s.era, s.revision)
 	o.Version = versioner.New(s.era, o.Version)
 	s.mu.Unlock()
 	return []storer.Object{o}, revision, s.transfer(ctx, size)
@@ -388,8 +412,10 @@
 }
 
 // Watch implements watcher.Source.
-func (s *fleetStoreClient) Watch(ctx context.Context, kind string, since int64, wait clocker.Millis) ([]storer.Change, int64, error) {
+func (s *fleetStoreClient) Watch(ctx context.Context, kind string, since int64, wait clocker.Millis) (changes []storer.Change, next int64, err error) {
 	s.host.watches.Add(1)
+	s.count(kind, watchCall)
+	defer func() { s.recordWatch(ctx, kind, len(changes), err) }()
 	if err := s.begin(ctx, wait+fleetWatchMargin); err != nil {
 		return nil, 0, err
 	}
@@ -399,13 +425,28 @@
 		s.mu.Lock()
 		o, size, revision, oldest, changed, hung := s.objects[kind], s.sizes[kind], versioner.New(s.era, s.revision), versioner.New(s.era, s.oldest), s.changed, s.hung
 		o.Version = versioner.New(s.era, o.Version)
+		history := s.history[kind]
 		s.mu.Unlock()
 		switch {
+		case s.host.refused.Load():
+			return nil, 0, errFleetRefused
+		case s.host.silent.Load():
+			<-waitCtx.Done()
+			_ = s.fleet.clock.Sleep(ctx, fleetWatchMargin)
+			return nil, 0, errFleetCutOff
 		case since < oldest || versioner.Era(since) != versioner.Era(revision):
 			return nil, 0, storer.ErrHistoryGone{Kind: kind}
 		case o.Version > since:
-			err := s.transfer(ctx, size)
-			return []storer.Change{{Object: o}}, revision, err
+			var newer []storer.Change
+			for _, old := range history {
+				if old.Version = versioner.New(versioner.Era(revision), old.Version); old.Version > since {
+					newer = append(newer, storer.Change{Object: old})
+				}
+			}
+			if len(newer) == 0 { // the store came back from a copy, which has no history
+				newer = []storer.Change{{Object: o}}
+			}
+			return newer, revision, s.transfer(ctx, size*len(newer))
 		}
 		select {
 		case <-waitCtx.Done():
