listener: refused completions break off unread answers only while memory is short

Cause: since completions are charged, each one that an engine failed closed the connections of callers that had read nothing for 5 s, also with room.

Change: only while the budget is short (Holding.Short). Calls of application servers do as before; TestStalledAnswerIsBrokenOffWhereMemoryLacks, which has no budget, holds that.

--- a/listener/handlers.go
+++ b/listener/handlers.go
@@ -30,7 +30,7 @@
 	}
 	stream, refusal := l.cfg.Dispatcher.StartCompletion(l.ctx, call)
 	if refusal != nil {
-		l.refuseAnswer(ctx, refusal)
+		l.refuseCompletion(ctx, refusal)
 		return
 	}
 	if call.Completion.Stream {
@@ -39,7 +39,7 @@
 	}
 	answer, refusal := stream.Collect(l.ctx)
 	if refusal != nil {
-		l.refuseAnswer(ctx, refusal)
+		l.refuseCompletion(ctx, refusal)
 		return
 	}
 	writeAnswer(ctx, call, answer)
@@ -100,16 +100,16 @@
 		refusal = dispatcher.NewRefusal(dispatcher.CodeAnswerBroken, call.RequestID, false, err.Error())
 	}
 	if refusal != nil {
-		l.refuseAnswer(ctx, refusal)
+		l.refuseCompletion(ctx, refusal)
 		return
 	}
 	ctx.Response.SetBodyRaw(body.Bytes()) // a copy would double what a slow reader holds
 }
 
-// refuseAnswer writes the refusal of a request that may have run. It may have lacked memory that callers hold who
-// read nothing.
-func (l *Listener) refuseAnswer(ctx *fasthttp.RequestCtx, refusal *dispatcher.Refusal) {
-	if refusal.Code == dispatcher.CodeAnswerBroken || refusal.Code == dispatcher.CodeOutcomeUnknown {
+// refuseCompletion writes the refusal of a completion. While memory is short, it may have lacked what callers hold
+// who read nothing.
+func (l *Listener) refuseCompletion(ctx *fasthttp.RequestCtx, refusal *dispatcher.Refusal) {
+	if conn := callerConnOf(ctx.Conn()); conn != nil && conn.holding.Short() {
 		l.conns.closeStalled()
 	}
 	writeRefusal(ctx, refusal)
@@ -159,7 +159,10 @@
 	}
 	answer, refusal := l.cfg.Dispatcher.RunApplication(l.ctx, call)
 	if refusal != nil {
-		l.refuseAnswer(ctx, refusal)
+		if refusal.Code == dispatcher.CodeAnswerBroken || refusal.Code == dispatcher.CodeOutcomeUnknown {
+			l.conns.closeStalled() // it may have lacked memory that they hold
+		}
+		writeRefusal(ctx, refusal)
 		return
 	}
 	writeAnswer(ctx, call, answer)
