Watches: most hosts of a large zone call an unreachable store rarely

Cause: while the store refuses calls, each host repeats a list every 700 ms: 960 lists of the configuration in an outage of 6 s for 80 hosts, 432 in one of 9 s for a third.

Ruled out: waiting for heartbeats alone. In an outage for some hosts the news of the others stays fresh, so nothing tells when it is over.

Change: from the second failure in a row on, hosts of zones of six hosts and more begin a call each half of ConfigurationMs. The designated hosts and the holders of budgets keep the backoff, since others rely on them. When the news of others turns from stale to fresh, a host calls at once. The interval counts from the start of the call, so that a silent store is not retried later than before. The watcher of the backend servers waits for that of the configuration, as before.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -202,6 +202,7 @@
 		WatchTimeoutFunc: r.configurationTimeout,
 		BatchDelay:       r.cfg.Settings.ConfigurationMs / batchDelayDivisor,
 		ProbesStore:      true,
+		RetryInterval:    r.storeRetryInterval,
 
 		RelistAfterBurst: true,
 	}))
--- a/runner/store_calls_test.go
+++ b/runner/store_calls_test.go
@@ -219,16 +219,16 @@
 			l.change()
 			l.sleep(loadSettle)
 		})
-		l.measure("outage for all, refused", 1600, func() {
+		l.measure("outage for all, refused", 1075, func() {
 			l.outage(func(_ int, h *fleetHost, on bool) { h.refused.Store(on) }, refused, outageForAll)
 		})
 		l.measure("outage for all, silent", 870, func() {
 			l.outage(func(_ int, h *fleetHost, on bool) { h.silent.Store(on) }, silent, outageForAll)
 		})
-		l.measure("outage for a third, refused", 950, func() {
+		l.measure("outage for a third, refused", 760, func() {
 			l.outage(func(i int, h *fleetHost, on bool) { h.refused.Store(on && everyThird(i)) }, refused, outageForSome)
 		})
-		l.measure("outage for a third, silent", 620, func() {
+		l.measure("outage for a third, silent", 615, func() {
 			l.outage(func(i int, h *fleetHost, on bool) { h.silent.Store(on && everyThird(i)) }, silent, outageForSome)
 		})
 		l.measure("a zone is cut off", 465, func() {
--- a/runner/version_lag.go
+++ b/runner/version_lag.go
@@ -36,11 +36,15 @@
 	minHostsForDesignation = 6
 	// newsTimeoutPercent is the age from which the news of others is too old to rely on, in percent
 	// of a time limit. The remaining time is for a call of the store, which may return a large
-	// configuration to the whole fleet. Zones with designated hosts have fewer sources of news, which
-	// is often older than half of the limit for a moment; their watches are shorter than
+	// configuration to the whole fleet. In zones with designated hosts the news has fewer sources and is
+	// often older than half of the limit for a moment; without any, their hosts end a watch after
 	// smallZoneTimeoutPercent in any case.
 	newsTimeoutPercent           = 50
 	designatedNewsTimeoutPercent = 60
+	// rareRetryDivisor divides the time within which a configuration must be in force to get the interval
+	// of the calls of an unreachable store by most hosts of a zone with designated hosts. The
+	// remaining time is for the call.
+	rareRetryDivisor = 2
 	// designationShard is the budget shard whose holders are the designated hosts; they
 	// call the store anyway.
 	designationShard = 0
@@ -94,6 +98,33 @@
 	return watchTimeout(s.Host, zone, r.fleetPosition(), s.SteadyMs, false)
 }
 
+// storeRetryInterval returns the interval of the calls of an unreachable store, 0 for the usual backoff.
+func (r *Runner) storeRetryInterval() clocker.Millis {
+	s := r.cfg.Settings
+	zone := []allotter.Candidate{{Host: s.Host, CapacityMilli: s.capacityMilli()}}
+	for _, p := range r.zonePeers() {
+		zone = append(zone, allotter.Candidate{Host: p.Host, CapacityMilli: p.CapacityMilli})
+	}
+	return retryInterval(s.Host, zone, s.ConfigurationMs)
+}
+
+// retryInterval returns the interval of the calls of an unreachable store by a host, given the live hosts
+// of its zone; 0 for the usual backoff. In a zone of many hosts the designated hosts and the holders of
+// budgets keep the usual one. The others are told by heartbeats when the store responds to those again.
+func retryInterval(host string, zone []allotter.Candidate, bound clocker.Millis) clocker.Millis {
+	if len(zone) < minHostsForDesignation {
+		return 0
+	}
+	hosts := make([]string, 0, len(zone))
+	for _, c := range zone {
+		hosts = append(hosts, c.Host)
+	}
+	if slices.Contains(allotter.Holders(designationShard, hosts), host) || slices.Contains(allotter.HoldersByCapacity(designationShard, zone), host) {
+		return 0
+	}
+	return bound / rareRetryDivisor
+}
+
 // confirmations returns until when the store has told this host of all changes.
 func (r *Runner) confirmations() heartbeater.Confirmations {
 	var c heartbeater.Confirmations
@@ -230,6 +261,9 @@
 	stale := isStale(now-news.Configuration, r.cfg.Settings.ConfigurationMs, zoneHosts)
 	if stale != r.newsStale {
 		r.newsStale = stale
+		if !stale && zoneHosts >= minHostsForDesignation { // the store responds to other hosts again
+			r.configurationWatcher.Load().RetryNow()
+		}
 		r.cfg.Log.Info("news of the store from other hosts changed", "stale", stale, "age_ms", now-news.Configuration, "version", r.configurationVersion())
 	}
 	if stale {
--- a/runner/version_lag_test.go
+++ b/runner/version_lag_test.go
@@ -89,6 +89,34 @@
 	}
 }
 
+// Guards against refused calls of all hosts of a large zone at the rate of a small one, and against late
+// recovery of those on which others rely.
+func TestMostHostsOfALargeZoneRetryRarely(t *testing.T) {
+	const bound = 3000
+	var zone []allotter.Candidate
+	for i := range 16 {
+		zone = append(zone, allotter.Candidate{Host: fmt.Sprint("host-", i), CapacityMilli: int64(100 * (1 + i%3))})
+		rare := 0
+		for _, c := range zone {
+			switch interval := retryInterval(c.Host, zone, bound); interval {
+			case 0:
+			case bound / 2:
+				rare++
+			default:
+				t.Fatalf("interval of %d", interval)
+			}
+		}
+		if len(zone) < minHostsForDesignation {
+			assert.Equal(t, rare, 0)
+			continue
+		}
+		assert.Assert(t, rare >= len(zone)-2*allotter.HoldersPerZone && rare <= len(zone)-allotter.HoldersPerZone, "%d of %d", rare, len(zone))
+		for _, host := range allotter.HoldersByCapacity(designationShard, zone) {
+			assert.Equal(t, retryInterval(host, zone, bound), clocker.Millis(0), "a holder of budgets")
+		}
+	}
+}
+
 // The watch of backend servers hangs. Another host with other servers from a later revision
 // reveals it; one with an earlier revision, or with the same servers, does not.
 func TestServersOutdatedNeedsLaterRevision(t *testing.T) {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -73,6 +73,9 @@
 	// WatchTimeoutFunc, unless nil, returns the timeout of the next watch call in place
 	// of WatchTimeout.
 	WatchTimeoutFunc func() clocker.Millis
+	// RetryInterval, unless nil, returns the time between the starts of failed calls from the second
+	// failure in a row on, in milliseconds, unless RetryNow is called. 0 means the usual backoff.
+	RetryInterval func() clocker.Millis
 	// BatchDelay is the delay of the next call after a change, in milliseconds: one call
 	// returns all changes made during the delay.
 	BatchDelay clocker.Millis
@@ -94,7 +97,10 @@
 	Log         *slog.Logger
 }
 
-var overdueWatches = metrics.NewCounter("cowsliphinge_overdue_watches_total")
+var (
+	overdueWatches = metrics.NewCounter("cowsliphinge_overdue_watches_total")
+	earlyRetries   = metrics.NewCounter("cowsliphinge_early_retries_total")
+)
 
 // Watcher follows the objects of one kind until Close.
 type Watcher struct {
@@ -114,6 +120,8 @@
 	renewed        bool
 	// batching is true during the batch delay after a change.
 	batching bool
+	// endRetryDelay ends the delay after a failed call in progress; nil if there is none.
+	endRetryDelay context.CancelFunc
 
 	revision int64
 	// lastRevision is the revision of the store's last response, and confirmedAt the time
@@ -182,6 +190,17 @@
 	w.cancelWatch()
 }
 
+// RetryNow ends the delay after a failed call in progress. It is called when other hosts reach the
+// store again.
+func (w *Watcher) RetryNow() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.endRetryDelay != nil {
+		earlyRetries.Inc()
+		w.endRetryDelay()
+	}
+}
+
 // ConfirmedAt returns the time until which the store has told of all changes, in milliseconds; 0
 // before its first response.
 func (w *Watcher) ConfirmedAt() clocker.Millis {
@@ -369,9 +388,29 @@
 	if w.cfg.ProbesStore {
 		w.cfg.Health.recordFailure(startedAt)
 	}
-	_ = w.cfg.Clock.Sleep(ctx, w.backoff)
+	w.awaitRetry(ctx, startedAt)
 	w.backoff = min(2*w.backoff, maxBackoff)
 	if w.cfg.Health != nil && !w.cfg.ProbesStore {
 		w.cfg.Health.awaitRecovery(ctx, maxProbeWait)
 	}
 }
+
+// awaitRetry waits before the call after a failed one that started at startedAt. With RetryInterval it
+// counts from that start: a call that took long to fail is retried no later than by the backoff.
+func (w *Watcher) awaitRetry(ctx context.Context, startedAt clocker.Millis) {
+	delay := w.backoff
+	if w.cfg.RetryInterval != nil && w.backoff > initialBackoff {
+		delay = max(delay, startedAt+w.cfg.RetryInterval()-w.cfg.Clock.Now())
+	}
+	ctx, cancel := w.cfg.Clock.WithTimeout(ctx, delay)
+	defer cancel()
+	w.setEndRetryDelay(cancel)
+	<-ctx.Done()
+	w.setEndRetryDelay(nil)
+}
+
+func (w *Watcher) setEndRetryDelay(end context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endRetryDelay = end
+}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -262,3 +262,74 @@
 	assert.Equal(t, source.listCalls, 1)
 	assert.NilError(t, w.Close(context.Background()))
 }
+
+// Guards against a fleet whose calls of a store that refuses them add up: with a RetryInterval the second
+// failure in a row is followed by a longer delay, which RetryNow ends.
+func TestRetriesRarelyUntilOthersReachTheStore(t *testing.T) {
+	w, store := newTestWatcher()
+	w.cfg.RetryInterval = func() clocker.Millis { return 1500 }
+	pollOnce(w)
+	store.err = storer.ErrOutcomeUnknown{}
+	startedAt := store.clock.Now()
+	poll := func() <-chan struct{} {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.poll(t.Context())
+		}()
+		for store.clock.WaiterCount() == 0 {
+			runtime.Gosched() // until the delay starts
+		}
+		return done
+	}
+	done := poll()
+	store.clock.Advance(initialBackoff)
+	<-done
+	done = poll()
+	store.clock.Advance(1499)
+	assert.Equal(t, store.clock.WaiterCount(), 1, "the delay is over")
+	store.clock.Advance(1)
+	<-done
+	assert.Equal(t, store.clock.Now()-startedAt, initialBackoff+1500)
+	done = poll()
+	w.RetryNow()
+	<-done
+	assert.Equal(t, store.clock.Now()-startedAt, initialBackoff+1500)
+	w.RetryNow() // no delay is in progress
+	store.err = nil
+	pollOnce(w)
+	pollOnce(w)
+	assert.Equal(t, store.listCalls, 4)
+}
+
+// slowFailure is a Source whose calls fail after a time.
+type slowFailure struct {
+	*fakeStore
+	after clocker.Millis
+}
+
+func (s slowFailure) List(context.Context, string, bool) ([]storer.Object, int64, error) {
+	s.clock.Advance(s.after)
+	return nil, 0, storer.ErrOutcomeUnknown{}
+}
+
+// Guards against a late configuration after an outage in which the store did not answer: the time-out of the
+// call counts towards the RetryInterval.
+func TestRareRetriesCountFromTheStartOfTheCall(t *testing.T) {
+	w, store := newTestWatcher()
+	w.cfg.RetryInterval = func() clocker.Millis { return 1500 }
+	w.cfg.Source = slowFailure{fakeStore: store, after: 2000}
+	for _, delay := range []clocker.Millis{initialBackoff, 2 * initialBackoff} {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.poll(t.Context())
+		}()
+		for store.clock.WaiterCount() == 0 {
+			runtime.Gosched() // until the delay starts
+		}
+		store.clock.Advance(delay)
+		<-done
+	}
+	assert.Equal(t, store.clock.Now(), 1000+2*2000+3*initialBackoff)
+}
