Reserver: simulated loads of hosts without the store and without each other

Cause: the simulated fleet had neither the settings of the deployment, where guarded tokens open by rates, nor hosts that are cut off from each other.

Change: TestOpeningTokensServeRequestsWithoutStore runs the fleet of 60 hosts with the schedule of runner/budgets.go; TestHostsServeWhatTheyHoldWhileCutOff cuts 195 hosts off from the store and from each other for 7 s (24 accounts with budgets of some 200 requests, 16 hosts with callers of each). Both allow 4 asks a request while the store is away. The existing load and its bounds are unchanged.

--- a/reserver/ask_storm_test.go
+++ b/reserver/ask_storm_test.go
@@ -35,15 +35,32 @@
 	// hearsWithin is the time within which a host hears the first heartbeats of the others; 0 means at once.
 	hearsWithin clocker.Millis
 	warmUp      clocker.Millis
+	// callerHosts is the number of hosts that serve the callers of an account; 0 means all hosts.
+	callerHosts int
+	// evenAccounts is true if all accounts send the same number of requests.
+	evenAccounts bool
+	// opens is true if guarded tokens open by the rates of the deployment's settings (runner/budgets.go), and not
+	// all at once.
+	opens bool
+	// cut is true if the hosts don't reach each other either while the store is away.
+	cut bool
 }
 
 // stormPhase are the figures of one phase.
 type stormPhase struct {
 	requests, refused, owed, zoneAsks, loanAsks, writes, conflicts int
+	// heldAtStart are the tokens that hosts other than holders held when the phase began, in thousandths of the
+	// grants. They are lost if all hosts die.
+	heldAtStart int64
+}
+
+// asksPerRequest returns the mean number of asks.
+func (p stormPhase) asksPerRequest() float64 {
+	return float64(p.zoneAsks+p.loanAsks) / float64(p.requests)
 }
 
 func (p stormPhase) String() string {
-	return fmt.Sprintf("%d requests, %d refused (%d of them although a holder had the tokens), %d asks of holders, %d asks for loans, %d writes, %d of them conflicts", p.requests, p.refused, p.owed, p.zoneAsks, p.loanAsks, p.writes, p.conflicts)
+	return fmt.Sprintf("%d requests, %d refused (%d of them although a holder had the tokens), %d asks of holders, %d asks for loans, %d writes, %d of them conflicts, %.1f%% of the grants held by other hosts than holders", p.requests, p.refused, p.owed, p.zoneAsks, p.loanAsks, p.writes, p.conflicts, float64(p.heldAtStart)/10)
 }
 
 const (
@@ -51,6 +68,8 @@
 	// Every third host is slow. All are in milliseconds.
 	slowAnswer = 6 * clocker.Millis(1)
 	fastAnswer = clocker.Millis(1)
+	// stormIsolationTime is the silence after which a host knows that it is cut off, in milliseconds.
+	stormIsolationTime = 2 * clocker.Second
 	// stormUsed is the mean use of a request.
 	stormUsed = worstCase * 2 / 3
 )
@@ -58,7 +77,9 @@
 // stormFleet is a pricedFleet whose hosts take time to answer asks, and whose store can be away.
 type stormFleet struct {
 	*pricedFleet
-	away  atomic.Bool
+	away atomic.Bool
+	// cutAt is when the hosts were cut off from each other, 0 while they are not.
+	cutAt atomic.Int64
 	mu    sync.Mutex
 	phase stormPhase
 	hosts []*stormHost
@@ -139,6 +160,10 @@
 			}
 		})
 	}
+	if h.storm.cutAt.Load() > 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if err := h.storm.clock.Sleep(ctx, h.storm.roundTrip); err != nil {
 		return nil, err
 	}
@@ -171,10 +196,17 @@
 		if now < h.hearsAt[p.Host] {
 			p.Suspect, p.LastHeard, p.Incarnation = true, 0, ""
 		}
+		p.Suspect = p.Suspect || h.isolated()
 	}
 	return peers
 }
 
+// isolated reports whether this host has noticed that it is cut off from all others.
+func (h *stormHost) isolated() bool {
+	cutAt := clocker.Millis(h.storm.cutAt.Load())
+	return cutAt > 0 && h.storm.clock.Now()-cutAt >= stormIsolationTime
+}
+
 func (h *stormHost) startStorm(ctx context.Context, load stormLoad, grants map[string]int64, random *rand.Rand) {
 	f := h.storm
 	holders := float64(min(load.hostsPerZone, allotter.HoldersPerZone) * load.zones)
@@ -187,6 +219,16 @@
 	for i := range load.accounts {
 		accounts = append(accounts, budgetName(i))
 	}
+	guard := &allotter.GuardConfig{
+		LeaseTime: 3200, RenewInterval: 900 + clocker.Millis(random.IntN(300)), DrawHorizon: 3200,
+		Address: h.name, SameHost: func(string) bool { return false }, StartedAt: f.clock.Now(), BootAt: clocker.Hour,
+	}
+	demandShare := 0.0
+	if load.opens {
+		guard.LeaseTime, guard.OpenFactor, guard.OpenShare = 2000, 1, 0.5
+		guard.FastAfter, guard.FastFactor, guard.OpenTime = 3200, 7.5, 3000
+		demandShare = 0.75
+	}
 	h.reserver = reserver.New(ctx, reserver.Config{
 		Incarnation: h.incarnation, Host: h.name, AvailabilityZone: h.zone, Clock: f.clock, Store: h, GetStale: h.GetStale,
 		Exchange: h, Peers: h.peers, Policy: func() *messenger.Policy { return policy }, Shards: 1, ChangeInterval: 1500,
@@ -196,10 +238,8 @@
 		PlatformReachable: func() bool { return !f.away.Load() },
 		DeclaredBudgets:   func() []string { return accounts },
 		DeclaredGrant:     func(budget string) int64 { return grants[budget] },
-		Guard: &allotter.GuardConfig{
-			LeaseTime: 3200, RenewInterval: 900 + clocker.Millis(random.IntN(300)), DrawHorizon: 3200,
-			Address: h.name, SameHost: func(string) bool { return false }, StartedAt: f.clock.Now(), BootAt: clocker.Hour,
-		},
+		Isolated:          h.isolated,
+		Guard:             guard, DemandShare: demandShare,
 	})
 }
 
@@ -222,12 +262,46 @@
 	return most
 }
 
-// stormShare returns an account's share of the requests.
-func stormShare(account, accounts int) float64 {
-	if account == 0 {
+// heldOutside returns what hosts other than holders hold, in thousandths of the grants.
+func (f *stormFleet) heldOutside(grants map[string]int64) int64 {
+	var granted, held int64
+	for _, g := range grants {
+		granted += g
+	}
+	for _, h := range f.hosts {
+		if !h.holder {
+			held += h.reserver.HeldTokens()
+		}
+	}
+	return held * 1000 / granted
+}
+
+// share returns an account's share of the requests.
+func (l stormLoad) share(account int) float64 {
+	switch {
+	case l.evenAccounts:
+		return 1 / float64(l.accounts)
+	case account == 0:
 		return 0.5
+	default:
+		return 0.5 / float64(l.accounts-1)
+	}
+}
+
+// account draws the account of a request.
+func (l stormLoad) account(random *rand.Rand) int {
+	if random.Float64() < l.share(0) {
+		return 0
+	}
+	return 1 + random.IntN(l.accounts-1)
+}
+
+// host draws the host that gets a request of an account.
+func (f *stormFleet) host(account int, load stormLoad, random *rand.Rand) *stormHost {
+	if load.callerHosts == 0 {
+		return f.hosts[random.IntN(len(f.hosts))]
 	}
-	return 0.5 / float64(accounts-1)
+	return f.hosts[(account*31+random.IntN(load.callerHosts)*len(f.hosts)/load.callerHosts)%len(f.hosts)]
 }
 
 // runStorm returns the figures of the phases of a load.
@@ -242,7 +316,7 @@
 		}
 		grants := map[string]int64{}
 		for i := range load.accounts {
-			requests := stormShare(i, load.accounts) * load.perSecond * float64(total) / 1000
+			requests := load.share(i) * load.perSecond * float64(total) / 1000
 			grants[budgetName(i)] = int64(load.grantFactor * requests * stormUsed)
 		}
 		for z := range load.zones {
@@ -283,9 +357,18 @@
 		f.sendFor(ctx, load.warmUp, load, random, &requests)
 		f.nextPhase()
 		for i, d := range load.phases {
-			f.away.Store(i == 1 || i == 2)
+			away := i == 1 || i == 2
+			f.away.Store(away)
+			switch {
+			case !away || !load.cut:
+				f.cutAt.Store(0)
+			case f.cutAt.Load() == 0:
+				f.cutAt.Store(int64(f.clock.Now()))
+			}
+			held := f.heldOutside(grants)
 			f.sendFor(ctx, d, load, random, &requests)
 			phases[i] = f.nextPhase()
+			phases[i].heldAtStart = held
 		}
 		requests.Wait()
 		cancel()
@@ -299,11 +382,8 @@
 func (f *stormFleet) sendFor(ctx context.Context, d clocker.Millis, load stormLoad, random *rand.Rand, requests *sync.WaitGroup) {
 	for end := f.clock.Now() + d; f.clock.Now() < end; {
 		for range int(load.perSecond / 100) { // each 10 ms
-			h, used := f.hosts[random.IntN(len(f.hosts))], int64(stormUsed/2+random.IntN(stormUsed))
-			account := 0
-			if random.Float64() >= stormShare(0, load.accounts) {
-				account = 1 + random.IntN(load.accounts-1)
-			}
+			account := load.account(random)
+			h, used := f.host(account, load, random), int64(stormUsed/2+random.IntN(stormUsed))
 			requests.Go(func() {
 				reservation, err := h.reserver.Reserve(ctx, budgetName(account), worstCase, 0, f.clock.Now()+clocker.Second)
 				owed := err != nil && f.usable(budgetName(account)) >= worstCase
@@ -341,8 +421,7 @@
 	phases := runStorm(t, load)
 	for i, p := range phases {
 		t.Logf("phase %d: %v", i, p)
-		asks := float64(p.zoneAsks+p.loanAsks) / float64(p.requests)
-		assert.Check(t, asks <= maxAsksPerRequest, "phase %d: %.1f asks a request", i, asks)
+		assert.Check(t, p.asksPerRequest() <= maxAsksPerRequest, "phase %d: %.1f asks a request", i, p.asksPerRequest())
 	}
 	assert.Check(t, phases[0].refused <= phases[0].requests*maxRefusedPercent/100, "%d of %d refused with the store", phases[0].refused, phases[0].requests)
 	assert.Check(t, phases[0].writes <= maxWrites, "%d writes with the store", phases[0].writes)
@@ -361,3 +440,37 @@
 	assert.Check(t, phases[0].refused <= phases[0].requests*maxRefusedPercent/100, "%d of %d refused", phases[0].refused, phases[0].requests)
 	assert.Check(t, phases[3].refused <= phases[3].requests*maxRefusedPercent/100, "%d of %d refused", phases[3].refused, phases[3].requests)
 }
+
+// Guards against refusals for lack of tokens that exist, with the settings of the deployment: guarded tokens open by
+// rates. The fleet and its load are otherwise those of TestTokensOfTheFleetServeRequestsWithFewAsks.
+func TestOpeningTokensServeRequestsWithoutStore(t *testing.T) {
+	t.Parallel()
+	const maxAsksPerRequest = 4
+	load := stormLoad{zones: 3, hostsPerZone: 20, accounts: 24, perSecond: 400, grantFactor: 1.3, warmUp: pricedWarmUp, phases: [4]clocker.Millis{5000, 4000, 3000, 5000}, opens: true}
+	for i, p := range runStorm(t, load) {
+		t.Logf("phase %d: %v", i, p)
+		assert.Check(t, p.asksPerRequest() <= maxAsksPerRequest, "phase %d: %.1f asks a request", i, p.asksPerRequest())
+	}
+}
+
+// Guards against refusals by hosts that have only what they hold: 195 hosts are cut off from the store and from each
+// other for 7 seconds. 24 accounts have budgets of some 200 requests, and the callers of each reach 16 hosts.
+func TestHostsServeWhatTheyHoldWhileCutOff(t *testing.T) {
+	t.Parallel()
+	const (
+		maxAsksPerRequest = 4
+		// maxHeldPercent bounds what is lost beyond the holders' part if all hosts die.
+		maxHeldPercent = 10
+	)
+	load := stormLoad{
+		zones: 5, hostsPerZone: 39, accounts: 24, perSecond: 200, grantFactor: 1.7, warmUp: pricedWarmUp,
+		phases: [4]clocker.Millis{1000, 4000, 3000, 2000}, evenAccounts: true, callerHosts: 16, opens: true, cut: true,
+	}
+	for i, p := range runStorm(t, load) {
+		t.Logf("phase %d: %v", i, p)
+		if i == 1 || i == 2 { // without the store
+			assert.Check(t, p.asksPerRequest() <= maxAsksPerRequest, "phase %d: %.1f asks a request", i, p.asksPerRequest())
+		}
+		assert.Check(t, p.heldAtStart <= 10*maxHeldPercent, "phase %d: %.1f%% held", i, float64(p.heldAtStart)/10)
+	}
+}
