Holders of large fleets balance their tokens while the store is away

Cause: while the store was away, requests were refused although the fleet held the tokens. A holder kept its reply, with what it had sent, until loans for the other budgets in the ask had come or 100 ms had passed; pauses that it asked for covered also the budgets that it had; non-holders held less than a request of each account, which together is about what the holders leave unguarded; and second holders were asked for mere prefetch.

Change, only without the store and from 16 live hosts on: each holder asks the next other holder every 200 ms, and gets what makes the headroom of both last for the same time by their demand (TransferAsk.PerSecond 90, Headroom 91). Holders reply at once and no longer borrow for their zone. A reply with a pause names the budgets that the holder has (TransferReply.Available 90). Asks to holders return headroom below a mean request. An ask for prefetch alone is not sent. Hosts of earlier builds send nothing for a balancing ask, and are asked as before.

Tests: TestOpeningTokensServeRequestsWithoutStore bounds the refusals at 27%.

--- a/allotter/guard_test.go
+++ b/allotter/guard_test.go
@@ -403,6 +403,10 @@
 	tokens := random.Int64N(3000)
 	ask := &messenger.TransferAsk{Budget: guardBudget, Tokens: tokens, Needed: tokens}
 	total := from.allotter.TransferTo(h.allotter.cfg.Incarnation, ask, h.fleet.now)
+	if random.IntN(3) == 0 {
+		ask = &messenger.TransferAsk{Budget: guardBudget, PerSecond: 1 + random.Int64N(1000), Headroom: random.Int64N(3000) - 1000}
+		total = from.allotter.BalanceTo(h.allotter.cfg.Incarnation, ask, h.fleet.now)
+	}
 	if random.IntN(3) > 0 {
 		h.allotter.Receive(from.allotter.cfg.Incarnation, total)
 	}
--- a/allotter/random_fleet_actions_test.go
+++ b/allotter/random_fleet_actions_test.go
@@ -8,6 +8,15 @@
 	"cowsliphinge/standin/platform"
 )
 
+// balancingActions returns those of actions, and transfers by which hosts balance their tokens.
+func (f *randomFleet) balancingActions() map[string]func(*rapid.T) {
+	drawHost := func(t *rapid.T) *host { return rapid.SampledFrom(f.hosts).Draw(t, "host") }
+	actions := f.actions()
+	actions["balance"] = func(t *rapid.T) { f.balance(drawHost(t), drawHost(t)) }
+	actions["returnFragments"] = func(t *rapid.T) { f.returnFragments(drawHost(t), drawHost(t)) }
+	return actions
+}
+
 // planWithRandomDemand plans a write while a drawn number of tokens is waited for.
 func (f *randomFleet) planWithRandomDemand(t *rapid.T, h *host, budget string) {
 	waiting := int64(rapid.IntRange(0, 200).Draw(t, "need"))
--- a/allotter/random_fleet_test.go
+++ b/allotter/random_fleet_test.go
@@ -272,6 +272,20 @@
 	f.messages = append(f.messages, message{from: from.incarnation, to: to.incarnation, total: total})
 }
 
+// balance transfers what balances the headroom of two hosts, by what the receiver told.
+func (f *randomFleet) balance(from, to *host) {
+	for _, ask := range to.allotter.BalanceAsks(f.clock.Now()) {
+		total := from.allotter.BalanceTo(to.incarnation, ask, f.clock.Now())
+		f.messages = append(f.messages, message{from: from.incarnation, to: to.incarnation, total: total})
+	}
+}
+
+func (f *randomFleet) returnFragments(from, to *host) {
+	for _, total := range from.allotter.ReturnFragments(to.incarnation) {
+		f.messages = append(f.messages, message{from: from.incarnation, to: to.incarnation, total: total})
+	}
+}
+
 func (f *randomFleet) returnSurplus(h *host) {
 	for _, r := range h.allotter.ReturnSurplus(f.conditions(false)) {
 		f.messages = append(f.messages, message{from: h.incarnation, to: r.To, total: r.Total})
--- a/allotter/rapid_test.go
+++ b/allotter/rapid_test.go
@@ -35,13 +35,17 @@
 }
 
 func randomRunOf(newFleet func(hosts int) *randomFleet, fault allotter.Fault, reclaimEntries bool) func(*rapid.T) {
+	return randomRunWith(newFleet, (*randomFleet).actions, fault, reclaimEntries)
+}
+
+func randomRunWith(newFleet func(hosts int) *randomFleet, actions func(*randomFleet) map[string]func(*rapid.T), fault allotter.Fault, reclaimEntries bool) func(*rapid.T) {
 	return func(t *rapid.T) {
 		f := newFleet(3)
 		f.fault, f.reclaimEntries = fault, reclaimEntries
 		for _, h := range f.hosts {
 			f.injectFaults(h)
 		}
-		t.Repeat(f.actions())
+		t.Repeat(actions(f))
 		if err := f.shutDown(); err != nil {
 			t.Fatal(err)
 		}
@@ -66,6 +70,19 @@
 	}
 }
 
+// Guards against tokens that are spent twice because hosts balance what they have or return what is too small for a
+// request. The planted faults show that the check sees it.
+func TestNoInterleavingOverspendsWithBalancing(t *testing.T) {
+	for _, newFleet := range []func(int) *randomFleet{newRandomFleet, newGuardedRandomFleet} {
+		rapid.Check(t, randomRunWith(newFleet, (*randomFleet).balancingActions, "", false))
+	}
+	for _, fault := range []allotter.Fault{allotter.RaiseBeforeConfirm, allotter.IgnoresLease, allotter.TrustsOldLeases} {
+		t.Run(string(fault), func(t *testing.T) {
+			assert.Assert(t, findsFailure(t, randomRunWith(newGuardedRandomFleet, (*randomFleet).balancingActions, fault, false)))
+		})
+	}
+}
+
 func TestInjectedFaultsAreFound(t *testing.T) {
 	for _, fault := range []allotter.Fault{
 		allotter.RaiseBeforeConfirm, allotter.LowerAfterWrite, allotter.UnknownIsSuccess, allotter.SettleTwice,
--- a/reserver/ask_pauses.go
+++ b/reserver/ask_pauses.go
@@ -1,11 +1,13 @@
 package reserver
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/messenger"
 )
 
 const (
@@ -65,10 +67,31 @@
 	until clocker.Millis
 	// requested is true if the peer asked for the pause.
 	requested bool
+	// available are the budgets that the pause does not apply to.
+	available []string
 }
 
-// set starts a pause.
-func (a *askPauses) set(incarnation string, duration clocker.Millis, requested bool, now clocker.Millis) {
+// blocks reports whether the pause applies to a budget.
+func (p askPause) blocks(budget string, now clocker.Millis) bool {
+	return now < p.until && !slices.Contains(p.available, budget)
+}
+
+// blocksAll reports whether the pause applies to all budgets.
+func (p askPause) blocksAll(budgets []string, now clocker.Millis) bool {
+	return now < p.until && !slices.ContainsFunc(budgets, func(budget string) bool { return slices.Contains(p.available, budget) })
+}
+
+// set starts a pause after an ask without an answer.
+func (a *askPauses) set(incarnation string, duration, now clocker.Millis) {
+	a.start(incarnation, askPause{until: now + duration}, now)
+}
+
+// setRequested starts a pause that the peer asked for, except for the available budgets.
+func (a *askPauses) setRequested(incarnation string, duration clocker.Millis, available []string, now clocker.Millis) {
+	a.start(incarnation, askPause{until: now + duration, requested: true, available: available}, now)
+}
+
+func (a *askPauses) start(incarnation string, pause askPause, now clocker.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for peer, p := range a.byPeer {
@@ -79,29 +102,51 @@
 	if a.byPeer == nil {
 		a.byPeer = map[string]askPause{}
 	}
-	a.byPeer[incarnation] = askPause{until: now + duration, requested: requested}
+	a.byPeer[incarnation] = pause
 }
 
-// active reports whether the peer is not to be asked.
-func (a *askPauses) active(incarnation string, now clocker.Millis) bool {
+// active reports whether the peer is not to be asked for any of the budgets.
+func (a *askPauses) active(incarnation string, budgets []string, now clocker.Millis) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now < a.byPeer[incarnation].until
+	return a.byPeer[incarnation].blocksAll(budgets, now)
 }
 
 // requested reports whether that is so because the peer asked for it.
-func (a *askPauses) requested(incarnation string, now clocker.Millis) bool {
+func (a *askPauses) requested(incarnation string, budgets []string, now clocker.Millis) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.byPeer[incarnation]
+	return p.requested && p.blocksAll(budgets, now)
+}
+
+// silent reports whether the peer left an ask unanswered lately.
+func (a *askPauses) silent(incarnation string, now clocker.Millis) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.byPeer[incarnation]
+	return !p.requested && now < p.until
+}
+
+// due returns the asks that no pause of the peer applies to.
+func (a *askPauses) due(incarnation string, asks []*messenger.TransferAsk, now clocker.Millis) []*messenger.TransferAsk {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.byPeer[incarnation]
-	return p.requested && now < p.until
+	var due []*messenger.TransferAsk
+	for _, ask := range asks {
+		if !p.blocks(ask.Budget, now) {
+			due = append(due, ask)
+		}
+	}
+	return due
 }
 
-// until returns the end of the pause that the peer asked for last, 0 without one.
-func (a *askPauses) until(incarnation string) clocker.Millis {
+// until returns the end of the pause that the peer asked for last, 0 without one that applies to all of the budgets.
+func (a *askPauses) until(incarnation string, budgets []string) clocker.Millis {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if p := a.byPeer[incarnation]; p.requested {
+	if p := a.byPeer[incarnation]; p.requested && p.blocksAll(budgets, 0) {
 		return p.until
 	}
 	return 0
--- a/reserver/ask_storm_test.go
+++ b/reserver/ask_storm_test.go
@@ -445,12 +445,19 @@
 // rates. The fleet and its load are otherwise those of TestTokensOfTheFleetServeRequestsWithFewAsks.
 func TestOpeningTokensServeRequestsWithoutStore(t *testing.T) {
 	t.Parallel()
-	const maxAsksPerRequest = 4
+	const (
+		maxAsksPerRequest = 4
+		// maxRefusedPercent is a quarter less than what was refused without the store when each request needed a loan.
+		maxRefusedPercent = 27
+	)
 	load := stormLoad{zones: 3, hostsPerZone: 20, accounts: 24, perSecond: 400, grantFactor: 1.3, warmUp: pricedWarmUp, phases: [4]clocker.Millis{5000, 4000, 3000, 5000}, opens: true}
-	for i, p := range runStorm(t, load) {
+	phases := runStorm(t, load)
+	for i, p := range phases {
 		t.Logf("phase %d: %v", i, p)
 		assert.Check(t, p.asksPerRequest() <= maxAsksPerRequest, "phase %d: %.1f asks a request", i, p.asksPerRequest())
 	}
+	requests, refused := phases[1].requests+phases[2].requests, phases[1].refused+phases[2].refused
+	assert.Check(t, refused <= requests*maxRefusedPercent/100, "%d of %d refused without the store", refused, requests)
 }
 
 // Guards against refusals by hosts that have only what they hold: 195 hosts are cut off from the store and from each
--- a/reserver/expected.go
+++ b/reserver/expected.go
@@ -22,12 +22,10 @@
 	if len(budgets) == 0 || !r.platformUnreachable() {
 		return nil
 	}
-	pausedUntil, next := r.holdersPausedUntil(s), r.cfg.Clock.Now()+probeInterval
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	next := r.cfg.Clock.Now() + probeInterval
 	expected := map[string]clocker.Millis{}
 	for _, budget := range budgets {
-		expected[budget] = cmp.Or(earliest(pausedUntil, s.allotter.GuardOpensAt(budget)), next)
+		expected[budget] = cmp.Or(earliest(r.holdersPausedUntil(s, budget), s.guardOpensAt(budget)), next)
 	}
 	return expected
 }
@@ -43,9 +41,9 @@
 	return budgets
 }
 
-// holdersPausedUntil returns until when all holders of the own availability zone are not to be asked, while the
-// platform does not answer either. It returns 0 if one may be asked, or if this host is a holder.
-func (r *Reserver) holdersPausedUntil(s *shard) clocker.Millis {
+// holdersPausedUntil returns until when all holders of the own availability zone are not to be asked for any of
+// the budgets, while the platform does not answer either. It returns 0 if one may be asked, or if this host is a holder.
+func (r *Reserver) holdersPausedUntil(s *shard, budgets ...string) clocker.Millis {
 	if !r.cfg.HoldersFirst || !r.platformUnreachable() {
 		return 0
 	}
@@ -59,7 +57,7 @@
 		if p.AvailabilityZone != r.cfg.AvailabilityZone || !slices.Contains(holders, p.Host) {
 			continue
 		}
-		pausedUntil := r.pauses.until(p.Incarnation)
+		pausedUntil := r.pauses.until(p.Incarnation, budgets)
 		if pausedUntil <= v.now {
 			return 0
 		}
--- a/reserver/expected_test.go
+++ b/reserver/expected_test.go
@@ -18,12 +18,14 @@
 type pausingExchange struct {
 	pauseMs int64
 	asks    int
+	// available are the budgets that the pauses don't apply to.
+	available []string
 }
 
 // Transfer implements reserver.Exchange.
 func (e *pausingExchange) Transfer(_ context.Context, _ string, request *messenger.TransferRequest) (*messenger.TransferReply, error) {
 	e.asks++
-	return &messenger.TransferReply{From: request.To, PauseMs: e.pauseMs}, nil
+	return &messenger.TransferReply{From: request.To, PauseMs: e.pauseMs, Available: e.available}, nil
 }
 
 // Guards against callers that try again within a second while the store is away and no holder has tokens: the
--- a/reserver/export_test.go
+++ b/reserver/export_test.go
@@ -100,3 +100,9 @@
 func (r *Reserver) SetExchange(e Exchange) {
 	r.cfg.Exchange = e
 }
+
+// Balance sends the balancing asks that are due and waits for their replies.
+func (r *Reserver) Balance() {
+	r.balance()
+	_ = r.tasks.Wait()
+}
--- a/reserver/guard.go
+++ b/reserver/guard.go
@@ -88,14 +88,14 @@
 	if r.cfg.Guard == nil || !s.lacksGuardedOnly() {
 		return
 	}
-	lenders := slices.DeleteFunc(r.lenders(s, v), func(p heartbeater.Peer) bool { return r.slowLenders.active(p.Incarnation, v.now) })
+	lenders := slices.DeleteFunc(r.lenders(s, v), func(p heartbeater.Peer) bool { return r.slowLenders.silent(p.Incarnation, v.now) })
 	started := r.cfg.Clock.Now()
 	for _, p := range lenders[:min(maxUnguardedLenders, len(lenders))] {
 		if !s.lacksGuardedOnly() || r.cfg.Clock.Now()-started >= unguardedLoanWait {
 			return
 		}
 		if !r.requestUnguardedFrom(ctx, s, v, p, progress) {
-			r.slowLenders.set(p.Incarnation, slowLenderPause, false, r.cfg.Clock.Now())
+			r.slowLenders.set(p.Incarnation, slowLenderPause, r.cfg.Clock.Now())
 			return
 		}
 	}
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -173,10 +173,14 @@
 	// phase shifts only the times after the first run: hosts that started together then
 	// inspect at different times, which makes conflicts between their writes rare.
 	phase := clocker.Millis(rand.Int64N(int64(inspectInterval)))
-	var lastInspect, lastTransferRetry, lastDeclared clocker.Millis
+	var lastInspect, lastTransferRetry, lastDeclared, lastBalance clocker.Millis
 	for r.cfg.Clock.Sleep(ctx, tickInterval) == nil {
 		now := r.cfg.Clock.Now()
 		r.inspectWaiting(now)
+		if now-lastBalance >= balanceInterval {
+			lastBalance = now
+			r.balance()
+		}
 		if now-lastInspect >= inspectInterval {
 			lastInspect = now - phase
 			r.inspectAll()
--- a/reserver/peers.go
+++ b/reserver/peers.go
@@ -19,9 +19,10 @@
 	transferTimeout = 500 * clocker.Millis(1)
 	// maxLenders is how many peers one refill requests a loan from. maxLendersBesideHolders is the same
 	// for a host whose holders answered: those of builds that don't borrow for their zone can't be told
-	// from others.
+	// from others. maxBalancedLenders is the same while holders balance their tokens.
 	maxLenders              = 4
 	maxLendersBesideHolders = 1
+	maxBalancedLenders      = 2
 	// transferRetryInterval is the time between two retries of transfers of unknown
 	// outcome.
 	transferRetryInterval = 5 * clocker.Second
@@ -37,11 +38,12 @@
 		return
 	}
 	hosts := v.zoneHolders(s)
+	wanted := s.waitedFor()
 	var holders []heartbeater.Peer
 	for _, p := range v.peers {
 		switch {
 		case !slices.Contains(hosts, p.Host) || p.AvailabilityZone != r.cfg.AvailabilityZone:
-		case r.pauses.requested(p.Incarnation, v.now):
+		case r.pauses.requested(p.Incarnation, wanted, v.now):
 			progress.holderAnswered = true // it lacks tokens, and calls the platform for the zone
 		default:
 			holders = append(holders, p)
@@ -50,7 +52,14 @@
 	if len(holders) > 1 && xxhash.Sum64String(r.cfg.Host)%2 == 1 {
 		slices.Reverse(holders)
 	}
-	asks := func() []*messenger.TransferAsk { return s.asks(r.conditions(s, v), false) }
+	balances := r.balances(v)
+	asks := func() []*messenger.TransferAsk {
+		asks := s.asks(r.conditions(s, v), false)
+		if balances && !slices.ContainsFunc(asks, func(ask *messenger.TransferAsk) bool { return ask.Needed > 0 }) {
+			return nil // what is taken ahead of requests is not worth an ask of its own while tokens are scarce
+		}
+		return asks
+	}
 	if r.askInTurn(ctx, s, holders, asks, holderAskWait, progress) {
 		progress.holderAnswered = true
 	}
@@ -65,11 +74,16 @@
 		return
 	}
 	count := maxLenders
-	if r.cfg.HoldersFirst && progress.holderAnswered {
+	switch balances := r.balances(v); {
+	case balances && progress.holderAnswered:
+		return // the holders have a part by demand of what is left
+	case balances:
+		count = maxBalancedLenders
+	case r.cfg.HoldersFirst && progress.holderAnswered:
 		count = maxLendersBesideHolders
 	}
-	lenders := r.lenders(s, v)
-	lenders = slices.DeleteFunc(lenders[:min(count, len(lenders))], func(p heartbeater.Peer) bool { return r.pauses.active(p.Incarnation, v.now) })
+	lenders, wanted := r.lenders(s, v), s.waitedFor()
+	lenders = slices.DeleteFunc(lenders[:min(count, len(lenders))], func(p heartbeater.Peer) bool { return r.pauses.active(p.Incarnation, wanted, v.now) })
 	r.askInTurn(ctx, s, lenders, asks, loanAskWait, progress)
 }
 
@@ -135,7 +149,8 @@
 // to the peer are left out. A request without a reply may have moved tokens, so exchangeTotals
 // records it to be repeated later.
 func (r *Reserver) requestTransfer(ctx context.Context, s *shard, p heartbeater.Peer, asks []*messenger.TransferAsk) askResult {
-	if len(asks) == 0 || r.pauses.active(p.Incarnation, r.cfg.Clock.Now()) {
+	asks = r.pauses.due(p.Incarnation, asks, r.cfg.Clock.Now())
+	if len(asks) == 0 {
 		return askResult{}
 	}
 	asks = s.startAsks(p.Incarnation, asks)
@@ -144,8 +159,15 @@
 		return askResult{onItsWay: true}
 	}
 	request := &messenger.TransferRequest{From: r.cfg.Incarnation, To: p.Incarnation, Asks: asks}
+	returnsFragments := r.returnsFragments(s, p)
 	s.mu.Lock()
+	if returnsFragments {
+		request.Totals = s.allotter.ReturnFragments(p.Incarnation)
+	}
 	totalled := map[string]bool{}
+	for _, t := range request.Totals {
+		totalled[t.Budget] = true
+	}
 	for _, ask := range asks {
 		if !totalled[ask.Budget] {
 			totalled[ask.Budget] = true
@@ -156,9 +178,9 @@
 	reply := r.exchangeTotals(ctx, p, request)
 	switch now := r.cfg.Clock.Now(); {
 	case reply == nil:
-		r.pauses.set(p.Incarnation, silentPeerPause, false, now)
+		r.pauses.set(p.Incarnation, silentPeerPause, now)
 	case reply.PauseMs > 0:
-		r.pauses.set(p.Incarnation, min(clocker.Millis(reply.PauseMs), maxAskPause), true, now)
+		r.pauses.setRequested(p.Incarnation, min(clocker.Millis(reply.PauseMs), maxAskPause), reply.Available, now)
 	}
 	if s.endAsks(p.Incarnation, asks) {
 		r.queueRefill(s)
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -75,7 +75,7 @@
 		return countRefusal(ErrBudgetUnreachable{Budget: w.budget, Tokens: w.tokens}, "late")
 	}
 	now := r.cfg.Clock.Now()
-	pausedUntil := r.holdersPausedUntil(s)
+	pausedUntil := r.holdersPausedUntil(s, w.budget)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inFlightMayCover(w) {
@@ -173,7 +173,7 @@
 	case r.cfg.HoldersFirst && progress.holderAnswered && len(v.zoneHosts) > maxDirectHosts:
 		// The holders call the platform for the whole zone. If it is away and they asked for pauses, waiting
 		// can't help.
-		progress.contended = progress.contended || r.holdersPausedUntil(s) == 0
+		progress.contended = progress.contended || r.holdersPausedUntil(s, s.waitedFor()...) == 0
 	default:
 		outcome := r.updateEntries(ctx, s, v)
 		progress.platformAnswered = outcome.answered
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -56,6 +56,10 @@
 	// for a peer if a further ask was left out because of that.
 	asked      map[string]map[string]bool
 	askSkipped map[string]bool
+
+	// balancing is true while a balancing ask is on its way, and balances counts the asks.
+	balancing bool
+	balances  int
 }
 
 // waiter is a request that waits for headroom.
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -43,6 +43,10 @@
 	var granted, needed int64
 	var lacking []*lackingAsk
 	for _, ask := range request.Asks {
+		if ask.PerSecond > 0 {
+			r.answerBalance(request.From, ask, v, reply)
+			continue
+		}
 		sent, lack := r.answerAsk(request.From, ask, v, reply)
 		granted += sent
 		needed += ask.Needed
@@ -50,13 +54,29 @@
 			lacking = append(lacking, lack)
 		}
 	}
-	granted += r.obtainForZone(ctx, request.From, lacking)
+	if !r.balances(v) { // else the reply would keep what was granted from its requests until the wait for the others ends
+		granted += r.obtainForZone(ctx, request.From, lacking)
+	}
 	if needed > 0 && granted == 0 {
 		reply.PauseMs = int64(r.pauseUntilOpening(request.Asks, r.emptyAnswers.record(v.now)))
+		if reply.PauseMs > 0 && r.balances(v) {
+			reply.Available = r.availableBudgets()
+		}
 	}
 	return reply, nil
 }
 
+// availableBudgets returns the budgets of which this host can send tokens for at least one request.
+func (r *Reserver) availableBudgets() []string {
+	var available []string
+	for _, s := range r.activeShards() {
+		s.mu.Lock()
+		available = append(available, s.allotter.AvailableBudgets()...)
+		s.mu.Unlock()
+	}
+	return available
+}
+
 // pauseUntilOpening shortens a pause that would go on while guarded tokens of the asked budgets may be spent.
 func (r *Reserver) pauseUntilOpening(asks []*messenger.TransferAsk, pause clocker.Millis) clocker.Millis {
 	if pause == 0 || !r.platformUnreachable() {
