Chooser, relayer: requests that no server can start in time are refused at once

Cause: a request that each server of its service would start after its deadline, or reject, was sent. It kept its tokens and its caller until then, and took a place to wait from more urgent ones.

A request that may have run is never refused so. The time that requests hold a slot is learned from own complete responses of servers that had a free slot. A counter by service and reason, an attribute of the request line, and one log line for the start and one for the end of such a time at a service.

Weighed: in place of the fresh load of ejected and unreachable servers nothing is used, as they get no requests while others do; a server whose last attempt failed counts as one with room. The decision before the tokens are reserved was left out: it would need a second look at the servers after a wait of up to 150 ms.

Not measured: the product under load.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/shedder"
 )
 
 const (
@@ -83,7 +84,9 @@
 	hashInput []byte
 	// brittle holds the services whose servers are or were brittle.
 	brittle map[string]*brittleService
-	random  *rand.Rand
+	// shedders decide which requests are refused, by service.
+	shedders map[string]*shedder.Shedder
+	random   *rand.Rand
 }
 
 // New returns a Chooser without servers.
@@ -99,6 +102,7 @@
 
 		sharedMachines: map[string]bool{},
 		brittle:        map[string]*brittleService{},
+		shedders:       map[string]*shedder.Shedder{},
 		random:         rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
@@ -249,10 +253,14 @@
 // of the service accepts new requests. Call Start when the request is sent to it.
 func (c *Chooser) Choose(r Request, now clocker.Millis) Choice {
 	r.Software = c.listed(r.Software)
-	candidates := c.candidates(r, now)
+	usable := c.usable(r, now)
+	candidates := usable.best()
 	if len(candidates) == 0 {
 		return Choice{RetryAt: c.earliestRetry(r, now)}
 	}
+	if verdict := c.shed(usable, r, now); verdict.Reason != shedder.Sent {
+		return Choice{Shed: verdict.Reason, RetryAt: now + verdict.RoomIn}
+	}
 	view := c.view(candidates, r, now)
 	c.preferHomes(view, r)
 	best, bestCost := 0, 0.0
@@ -263,7 +271,7 @@
 		}
 	}
 	m := candidates[best]
-	return Choice{Server: m.running(), Found: true, Restarted: m.restarted(now), Dispatch: view.dispatch(best, r)}
+	return Choice{Server: m.running(), Found: true, Restarted: m.restarted(now), Dispatch: view.dispatch(best, r, now)}
 }
 
 // serves reports whether a server is of the service and the version that a request needs, and may be used.
@@ -309,12 +317,29 @@
 	return earliest
 }
 
-// candidates returns the servers that may get the request, sorted by ID: the healthy
-// ones, without those that can't hold more if there are others, or the ejected and unreachable ones if there is no other. In an unreachable zone,
-// a server that has failed counts as healthy once its ejection is over, so that its next
-// request probes whether the zone is reachable again.
-func (c *Chooser) candidates(r Request, now clocker.Millis) []*serverState {
-	var healthy, full, fallback []*serverState
+// usableServers are the servers that may get a request, sorted by ID.
+type usableServers struct {
+	healthy []*serverState
+	// full can't hold more, and fallback are ejected or unreachable.
+	full, fallback []*serverState
+}
+
+// best returns the servers among which one is chosen: the healthy ones, without those that can't hold more if
+// there are others, or the ejected and unreachable ones if there is no other.
+func (u usableServers) best() []*serverState {
+	switch {
+	case len(u.healthy) > 0:
+		return u.healthy
+	case len(u.full) > 0:
+		return u.full
+	}
+	return u.fallback
+}
+
+// usable returns the servers that may get the request. In an unreachable zone, a server that has failed counts as
+// healthy once its ejection is over, so that its next request probes whether the zone is reachable again.
+func (c *Chooser) usable(r Request, now clocker.Millis) usableServers {
+	var u usableServers
 	unreachable := c.unreachableZones(now)
 	hosts := c.hosts()
 	estimate := c.roomEstimate(r.Service, now)
@@ -323,23 +348,16 @@
 		if !c.serves(m, r, now) || m.unavailable(hosts, now) || !c.hasRoom(m, estimate, now) || slices.Contains(r.Avoid, id) {
 			continue
 		}
-		if m.ejected(now) || unreachable[m.AvailabilityZone] && m.consecutiveFailures == 0 {
-			fallback = append(fallback, m)
-			continue
-		}
-		if m.full(now) {
-			full = append(full, m)
-			continue
+		switch {
+		case m.ejected(now) || unreachable[m.AvailabilityZone] && m.consecutiveFailures == 0:
+			u.fallback = append(u.fallback, m)
+		case m.full(now):
+			u.full = append(u.full, m)
+		default:
+			u.healthy = append(u.healthy, m)
 		}
-		healthy = append(healthy, m)
 	}
-	switch {
-	case len(healthy) > 0:
-		return healthy
-	case len(full) > 0:
-		return full
-	}
-	return fallback
+	return u
 }
 
 // unreachableZones returns the other availability zones in which at least
@@ -375,6 +393,7 @@
 	m.limit.use()
 	m.startedSinceLoad++
 	m.sent += c.ledger(m.Service).record()
+	c.shedder(m.Service).RecordSend(r.Account, r.Rank)
 	for _, p := range r.Prompt[:max(0, len(r.Prompt)-1)] {
 		m.cache.add(p)
 	}
@@ -403,6 +422,7 @@
 	m.inFlight = max(0, m.inFlight-1)
 	if o == Refused {
 		c.rejected(m, now)
+		m.recordRejection(now)
 	}
 	wasFailing := m.consecutiveFailures > 0
 	ejected := m.recordOutcome(o, now)
@@ -457,6 +477,9 @@
 	if report.FirstEvent != nil {
 		c.recordFirstEvent(m, *report.FirstEvent)
 	}
+	if report.Completion != nil {
+		c.recordCompletion(m.Service, *report.Completion)
+	}
 	return isNew
 }
 
--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -199,14 +199,14 @@
 }
 
 // dispatch returns what is known of a server when a request is sent to it.
-func (v choiceView) dispatch(i int, r Request) Dispatch {
+func (v choiceView) dispatch(i int, r Request, now clocker.Millis) Dispatch {
 	s := v.servers[i]
 	slots := float64(s.slots())
 	tokens := s.uncachedTokens(r.Prompt)
 	if len(r.Prompt) > 0 {
 		tokens += r.Prompt[len(r.Prompt)-1].Tokens
 	}
-	return Dispatch{UncachedTokens: tokens, Batched: s.load, Queued: max(0, s.load+1-slots), Slowdown: s.slowdown}
+	return Dispatch{UncachedTokens: tokens, Batched: s.load, Queued: max(0, s.load+1-slots), Slowdown: s.slowdown, FreeSlot: s.reportedWithin(maxLoadAge, now) && s.load+1 <= slots}
 }
 
 // preferHomes marks the servers that all hosts prefer for the shared parts of a
--- a/chooser/rates.go
+++ b/chooser/rates.go
@@ -67,6 +67,8 @@
 	Batched, Queued float64
 	// Slowdown is the reported slowdown with its weight at that time; 0 if nothing is to be learned.
 	Slowdown float64
+	// FreeSlot is true if the server had a free slot by a recent report.
+	FreeSlot bool
 }
 
 // FirstEvent tells when a server sent the first event of a response.
--- a/chooser/server.go
+++ b/chooser/server.go
@@ -12,6 +12,7 @@
 	"fmt"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/shedder"
 )
 
 // Server is the published entry of a backend server.
@@ -54,6 +55,14 @@
 	Software string
 	// Avoid lists the IDs of servers that earlier attempts of this request were sent to.
 	Avoid []string
+	// StartBefore is the deadline of a request that is refused if no server can start it in time; 0 if it is sent in
+	// any case.
+	StartBefore clocker.Millis
+	// Account is the client account, and Rank the priority: requests of a lower one are more urgent.
+	Account string
+	Rank    int
+	// Ordered is true if the servers of the service start the most urgent requests first.
+	Ordered bool
 }
 
 // Load is the load that a backend server reported.
@@ -82,6 +91,8 @@
 	Slowdown float64
 	// FirstEvent is set with the first event of a response.
 	FirstEvent *FirstEvent
+	// Completion is set at the end of a complete response.
+	Completion *Completion
 	// Leaving is true if the server is shutting down; this holds for the rest of the
 	// incarnation.
 	Leaving bool
@@ -104,8 +115,10 @@
 	Restarted bool
 	// Dispatch goes into the FirstEvent of the response.
 	Dispatch Dispatch
+	// Shed is why the request is refused although servers accept requests; "" if it is not.
+	Shed shedder.Reason
 	// RetryAt is when the first server may get a request that backs off or whose limit is
-	// used up. It is 0 if a server was found, or if no server is held back so.
+	// used up, or is expected to have room again. It is 0 if a server was found, or if no server is held back so.
 	RetryAt clocker.Millis
 }
 
@@ -173,6 +186,9 @@
 	backOffUntil clocker.Millis
 	limit        requestLimit
 	share        serverShare
+	// rejectsAt is the number of requests that the server held when it rejected one at rejectedAt, 0 for none.
+	rejectsAt  int
+	rejectedAt clocker.Millis
 	// removedAt is when the entry was removed.
 	removedAt clocker.Millis
 	cache     promptCache
@@ -255,6 +271,9 @@
 		}
 		m.usualLoad += usualLoadWeight * (load - m.usualLoad)
 		m.load = *report.Load
+		if m.load.Running+m.load.Queued > m.rejectsAt {
+			m.rejectsAt = 0
+		}
 		m.loadReportedAt = now
 		m.startedSinceLoad = 0
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -10,6 +10,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
 	"cowsliphinge/matcher"
+	"cowsliphinge/shedder"
 )
 
 // attempt is the request at one server.
@@ -86,6 +87,9 @@
 		return nil, streamNotContinued, false
 	}
 	chosen := x.cfg.Servers.Choose(x.chooserRequest())
+	if chosen.Shed != shedder.Sent {
+		return nil, x.shedFailure(chosen), false
+	}
 	if !chosen.Found {
 		return nil, x.noServerFailure(chosen.RetryAt), false
 	}
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -39,6 +39,7 @@
 	budgetUnreachable     = failure{status: http.StatusServiceUnavailable, reason: "budget_unreachable", meanRetryAfter: 700}
 	noServer              = failure{status: http.StatusServiceUnavailable, reason: "no_server", meanRetryAfter: 500}
 	serversPaused         = failure{status: http.StatusServiceUnavailable, reason: "servers_paused", meanRetryAfter: 100}
+	serversFull           = failure{status: http.StatusServiceUnavailable, reason: "servers_full", meanRetryAfter: 250}
 	serverUnreachable     = failure{status: http.StatusServiceUnavailable, reason: "server_unreachable", meanRetryAfter: 250}
 	serverShed            = failure{status: http.StatusServiceUnavailable, reason: "server_shed", meanRetryAfter: 250}
 	crashesServers        = failure{status: http.StatusServiceUnavailable, reason: "quarantined", meanRetryAfter: 100, exactRetryAfter: true}
--- a/relayer/incarnation.go
+++ b/relayer/incarnation.go
@@ -16,6 +16,10 @@
 
 // finish records the outcome of an attempt.
 func (x *relayedRequest) finish(a *attempt, o chooser.Outcome) {
+	if o == chooser.NoFailure && a.headerReceived && x.ctx.Err() == nil { // else the caller may have left early
+		after := x.cfg.Clock.Now() - a.sentAt
+		x.recordActivity(a, chooser.StatusReport{Completion: &chooser.Completion{Dispatch: a.dispatch, After: after}})
+	}
 	if !x.cfg.Servers.Replaced(a.incarnation()) {
 		x.cfg.Servers.Finish(a.server.ID, x.chooserRequest(), o)
 	}
--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -61,7 +61,15 @@
 	return x.position.forwarded > 0 && !x.origin.known
 }
 
-// chooserRequest returns what the choice of the next server depends on.
+// chooserRequest returns what the choice of the next server depends on. Only a request that has not run may be refused for
+// want of room.
 func (x *relayedRequest) chooserRequest() chooser.Request {
-	return chooser.Request{Service: x.service.Name, Prompt: x.prompt, Resumable: x.resumable(), Pinned: x.origin.known, Software: x.origin.software, Avoid: x.triedServers}
+	r := chooser.Request{Service: x.service.Name, Prompt: x.prompt, Resumable: x.resumable(), Pinned: x.origin.known, Software: x.origin.software, Avoid: x.triedServers, Rank: x.priority(), Ordered: x.service.Engine}
+	if x.account != nil {
+		r.Account = x.account.Name
+	}
+	if !x.mayHaveRun() {
+		r.StartBefore = x.deadline
+	}
+	return r
 }
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowsliphinge/admitter"
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
@@ -171,6 +174,13 @@
 	return noServer
 }
 
+// shedFailure returns the failure of a request that no server can start in time.
+func (x *relayedRequest) shedFailure(chosen chooser.Choice) failure {
+	x.log.shed = chosen.Shed
+	metrics.GetOrCreateCounter(fmt.Sprintf("cowsliphinge_requests_shed_total{service=%q,reason=%q}", x.service.Name, chosen.Shed)).Inc()
+	return serversFull.withMinRetryAfter(chosen.RetryAt - x.cfg.Clock.Now())
+}
+
 // requestFor returns the request with the headers and timeouts for one server. It may use
 // a connection that was idle for up to defaultTimeout, but only for reachabilityTTL if it
 // can't be retried and the server has not shown within this time that it is reachable.
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -7,6 +7,7 @@
 
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
+	"cowsliphinge/shedder"
 )
 
 var latencies = metrics.NewHistogram("cowsliphinge_relay_seconds")
@@ -40,7 +41,9 @@
 	refused         bool
 	reason          string
 	firstEventAfter clocker.Millis
-	attempts        []*attemptLog
+	// shed is why no server could start the request in time.
+	shed     shedder.Reason
+	attempts []*attemptLog
 }
 
 // attemptLog is one server chosen for the request. The field names are keys of the log
@@ -148,6 +151,9 @@
 	if x.service != nil {
 		attributes = append(attributes, "service", x.service.Name, "tries", x.log.attempts)
 	}
+	if x.log.shed != shedder.Sent {
+		attributes = append(attributes, "shed", x.log.shed, "priority", x.priority())
+	}
 	if x.position.forwarded > 0 {
 		attributes = append(attributes, "events", x.position.forwarded, "last_event", x.position.callerLast, "first_event_ms", x.log.firstEventAfter)
 	}
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -40,6 +40,8 @@
 	versions map[string]int64
 	// fingerprint identifies the set of servers and their states, 0 before the first list.
 	fingerprint uint64
+	// sheds logs the services whose servers are full.
+	sheds shedLog
 }
 
 // newBackendPool returns a pool without servers. hosts returns the number of hosts that share
@@ -182,6 +184,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.publishSpreads()
+	b.sheds.expire(b.log, b.clock.Now())
 	expired := b.chooser.Expire(b.clock.Now())
 	for _, id := range b.chooser.IDs() {
 		if s, ok := b.chooser.Server(id); ok {
@@ -245,6 +248,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	choice := b.chooser.Choose(r, b.clock.Now())
+	b.sheds.record(b.log, r.Service, choice.Shed, b.clock.Now())
 	if choice.Found {
 		b.chooser.Start(choice.Server.ID, r)
 	}
