Shedder: a few waiting requests, or other rejections, don't make a server full

Cause: a server that reported one request waiting and one running counted as one that runs one request at a time, whatever its slots; engines let requests wait for their next step at any load. A rejection for a limit or a back-off that the server had named counted as one for want of room.

Change: fewer than the slots are taken to run only if more requests wait than run and more than a quarter of the slots. A rejection tells a bound only if the server had no free slot and had named no limit or back-off.

--- a/chooser/shed.go
+++ b/chooser/shed.go
@@ -64,13 +64,14 @@
 	return s
 }
 
-// recordRejection records that the server rejected a request, if it reported its load with that and had no free slot.
-// Servers also reject requests for other reasons.
+// recordRejection records that the server rejected a request, if it reported its load with that and had no free slot. A server
+// that has named a limit or a back-off, or is leaving, also rejects what it has room for.
 func (m *serverState) recordRejection(now clocker.Millis) {
 	held := m.load.Running + m.load.Queued
-	if m.reportedWithin(rejectionLoadAge, now) && (held >= m.slots() || m.load.Queued > 0) {
-		m.rejectsAt, m.rejectedAt = held, now
+	if m.limit.limited || m.unavailable(1, now) || !m.reportedWithin(rejectionLoadAge, now) || held < m.slots() {
+		return
 	}
+	m.rejectsAt, m.rejectedAt = held, now
 }
 
 // recordCompletion learns how long a request held its slot, if its server had a free one.
--- a/chooser/shed_test.go
+++ b/chooser/shed_test.go
@@ -121,6 +121,25 @@
 	assert.Equal(t, shed(c, r, end+1), shedder.Sent)
 }
 
+// Guards against a bound learned from a rejection for another reason than a lack of room: a free slot, a limit or a back-off that the
+// server has named, or an old report.
+func TestRejectionForAnotherReasonTellsNothingOfRoom(t *testing.T) {
+	for name, report := range map[string]StatusReport{
+		"free slot": {Load: &Load{Running: 5, Slots: 6}},
+		"limit":     {Load: fullReport.Load, Limit: &RequestLimit{Named: true, PerSecond: 1}},
+		"back-off":  {Load: fullReport.Load, BackOff: 10},
+		"old":       {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := fullChooser()
+			now := 100 + clocker.Second
+			c.RecordActivity("one", report, now)
+			c.Finish("one", Refused, now)
+			assert.Equal(t, c.servers["one"].rejectsAt, 0)
+		})
+	}
+}
+
 // Guards against times that include a wait at the server being taken for the time in a slot.
 func TestHoldIsLearnedFromServersWithAFreeSlot(t *testing.T) {
 	c := newChooser("one")
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -230,12 +230,12 @@
 	return m.ReportAge >= 0 && m.ReportAge <= maxReportAge
 }
 
-// capacity returns how many requests the server runs: fewer than its slots if others wait nevertheless, for example for
-// memory.
+// capacity returns how many requests the server runs: fewer than its slots if many others wait nevertheless, for example
+// for memory. A few wait for the next step of an engine at any load.
 func (m Server) capacity() int {
 	slots := max(1, m.Slots)
-	if m.recent() && m.Queued > 0 && m.Running > 0 {
-		return min(m.Running, slots)
+	if m.recent() && m.Queued > max(m.Running, slots/4) {
+		return min(max(1, m.Running), slots)
 	}
 	return slots
 }
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -37,6 +37,8 @@
 		"old report":       {Slots: 10, Running: 10, Queued: 20, ReportAge: maxReportAge + 1, InFlight: 9},
 		"ended since":      {Slots: 10, Running: 10, Queued: 1, ReportAge: 300},
 		"short queue":      {Slots: 10, Running: 10, Queued: 8},
+		"few wait":         {Slots: 64, Running: 3, Queued: 10},
+		"fewer than run":   {Slots: 64, Running: 25, Queued: 20},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.DeepEqual(t, decide(learned(), r, fullServer, other), Verdict{})
@@ -57,6 +59,11 @@
 	assert.Equal(t, decide(learned(), Request{TimeLeft: clocker.Second}, sent).Reason, WaitTooLong)
 }
 
+// Guards against requests to an engine whose memory is full before its slots.
+func TestEngineThatRunsFewerThanItsSlotsIsFull(t *testing.T) {
+	assert.Equal(t, decide(learned(), Request{TimeLeft: clocker.Second}, Server{Slots: 64, Running: 10, Queued: 20}).Reason, WaitTooLong)
+}
+
 // Guards against a request to a server that has just rejected one and reports as many requests since.
 func TestServerThatRejectsAtItsLoadGetsNothing(t *testing.T) {
 	r := Request{TimeLeft: clocker.Minute}
