Chooser: test that brittle services are not refused by the shedder detects the fault

Cause: in the test the brittle servers got no requests for another reason, so that it passed also without the rule (injected fault). Change: as many requests wait as run, which brittle services allow. Result: the test fails with the injected fault and passes without it (race detector).

--- a/chooser/shed_test.go
+++ b/chooser/shed_test.go
@@ -60,7 +60,11 @@
 			r.Service = "other"
 			return 100
 		},
-		"brittle": func(c *Chooser, _ *Request) clocker.Millis {
+		"brittle": func(c *Chooser, r *Request) clocker.Millis {
+			for _, id := range []string{"one", "two"} { // as many wait as run, so that brittle servers get requests
+				c.RecordActivity(id, StatusReport{Load: &Load{Running: 6, Queued: 6, Slots: 6}}, 100)
+			}
+			assert.Equal(t, shed(c, *r, 100), shedder.WaitTooLong)
 			c.RecordActivity("one", StatusReport{Brittleness: &Brittleness{Brittle: true, RejectionsPerSecond: 5}}, 100)
 			return 100
 		},
