--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -54,6 +54,8 @@
 	Admits func(service, software string) bool
 	// AdmitsUnlisted is Admits for the version that stands for an incarnation without an entry.
 	AdmitsUnlisted func(service, software string) bool
+	// Sheds makes Choose refuse requests that no server can start in time.
+	Sheds bool
 	// Seed seeds the random choice among servers of similar cost.
 	Seed uint64
 }
--- a/chooser/shed.go
+++ b/chooser/shed.go
@@ -32,7 +32,7 @@
 // have no StartBefore. Brittle services have bounds of their own, and servers that fail may have lost what
 // they reported.
 func (c *Chooser) shed(u usableServers, r Request, now clocker.Millis) shedder.Verdict {
-	if _, brittle := c.Brittle(r.Service); r.StartBefore == 0 || brittle {
+	if _, brittle := c.Brittle(r.Service); !c.cfg.Sheds || r.StartBefore == 0 || brittle {
 		return shedder.Verdict{}
 	}
 	request := shedder.Request{Account: r.Account, Rank: r.Rank, Ordered: r.Ordered, TimeLeft: r.StartBefore - now}
--- a/chooser/shed_test.go
+++ b/chooser/shed_test.go
@@ -18,6 +18,7 @@
 // second.
 func fullChooser() *Chooser {
 	c := newChooser("one", "two")
+	c.cfg.Sheds = true
 	for range 100 {
 		c.RecordActivity("one", StatusReport{Completion: &Completion{Dispatch: Dispatch{FreeSlot: true}, After: clocker.Second}}, 1)
 	}
@@ -154,3 +155,11 @@
 	c.RecordActivity("one", StatusReport{Load: &Load{Slots: 6}}, 100)
 	assert.Assert(t, !c.Choose(request, 101+maxLoadAge).Dispatch.FreeSlot)
 }
+
+// Guards against refusals in deployments whose settings do not ask for them.
+func TestNothingIsRefusedWithoutTheSetting(t *testing.T) {
+	c := fullChooser()
+	c.cfg.Sheds = false
+	assert.Equal(t, shed(c, shedRequest, 100), shedder.Sent)
+	assert.Assert(t, c.Choose(shedRequest, 100).Found)
+}
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -262,7 +262,7 @@
 	route.Splits = []matcher.Split{{Service: "s", Weight: 1}}
 	clock := clocker.NewWall()
 	f := &fixture{
-		servers:  &lockedChooser{chooser: chooser.New(chooser.Config{AvailabilityZone: "a"}), clock: clock},
+		servers:  &lockedChooser{chooser: chooser.New(chooser.Config{AvailabilityZone: "a", Sheds: true}), clock: clock},
 		budgets:  &fakeBudgets{settled: make(chan int64, 100)},
 		logLines: make(logLines, 100),
 		table: matcher.New(matcher.Declaration{
--- a/runner/backends.go
+++ b/runner/backends.go
@@ -54,7 +54,7 @@
 		kind:     cfg.Platform.ServerKind,
 		decode:   cfg.Platform.DecodeServer,
 		versions: map[string]int64{},
-		chooser:  chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Position: position, Admits: origins.admits, AdmitsUnlisted: origins.admitsUnlisted, Seed: rand.Uint64()}),
+		chooser:  chooser.New(chooser.Config{AvailabilityZone: cfg.Settings.AvailabilityZone, CacheTokens: cacheTokens, Hosts: hosts, Position: position, Sheds: cfg.Settings.RefusesWhenFull, Admits: origins.admits, AdmitsUnlisted: origins.admitsUnlisted, Seed: rand.Uint64()}),
 	}
 }
 
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -39,6 +39,8 @@
 	// CallerStallMs is how long a response may make no progress because its caller does not read; 0 means
 	// defaultCallerStall.
 	CallerStallMs clocker.Millis
+	// RefusesWhenFull makes the host refuse requests that no backend server can start before their deadline.
+	RefusesWhenFull bool
 	// LinkMbps is the bandwidth of the link of this host in each direction.
 	LinkMbps float64
 	// ProcessorShare is the share of a core that the process may use, and ProcessorSpeed how many times as fast as the
@@ -153,6 +155,6 @@
 	restartNeeded := old.Host != s.Host || old.AvailabilityZone != s.AvailabilityZone || old.CallerAddress != s.CallerAddress ||
 		old.ReadyAddress != s.ReadyAddress || old.ExchangeAddress != s.ExchangeAddress || old.StoreAddress != s.StoreAddress ||
 		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb || old.MaxDescriptors != s.MaxDescriptors || old.CallerStallMs != s.CallerStallMs ||
-		old.LinkMbps != s.LinkMbps || old.capacityMilli() != s.capacityMilli()
+		old.LinkMbps != s.LinkMbps || old.RefusesWhenFull != s.RefusesWhenFull || old.capacityMilli() != s.capacityMilli()
 	r.cfg.Log.Info("settings reloaded", "changed", *old != s, "restart_needed", restartNeeded)
 }
