Review: tokens of requests that don't fit are lost when processes die

Cause: a host draws all unassigned tokens of a budget for a waiting request that is larger than what is left, and does not guard them. Processes that die then leave an entry of which nothing is returned.

No code of the project is changed.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Builds the program with the stand-ins and clients of the cases 6 to 10. It needs no network.
+set -euo pipefail
+cd "$(dirname "$0")/harness-2"
+mkdir -p ../../target
+go build -o ../../target/review-harness-2 .
