--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the program with the stand-ins and clients of the cases 6 to 10. It needs no network.
+# Builds the program with the stand-ins and clients of the cases 7 to 10. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/harness-2"
 mkdir -p ../../target
