Review: the harness uses the project's clock

Change: review/harness-2 takes its times from package clocker, as review/harness does; no new dependency.

--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"cowsliphinge/clocker"
 	"errors"
 	"fmt"
 	"io"
@@ -53,7 +54,7 @@
 		return answer{err: err}
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(q.limit))
+	_ = conn.SetDeadline(clocker.FromNow(millis(q.limit)))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", q.method, q.path, q.id, q.limit.Milliseconds())
 	if q.key != "" {
 		head += "Authorization: Bearer " + q.key + "\r\n"
--- a/review/harness-2/denied.go
+++ b/review/harness-2/denied.go
@@ -26,8 +26,8 @@
 	s.run(8, 100*time.Millisecond, func(used int64, _ int) bool { return used >= s.prepaid*40/100 })
 	stop := s.sendTooLarge(2_000_000, 200*time.Millisecond)
 	for range kills {
-		until := time.Now().Add(4 * time.Second)
-		s.run(8, 400*time.Millisecond, func(int64, int) bool { return time.Now().After(until) })
+		until := now() + 4*time.Second
+		s.run(8, 400*time.Millisecond, func(int64, int) bool { return now() > until })
 		if !w.trouble {
 			continue
 		}
@@ -38,7 +38,7 @@
 		for _, r := range hosts {
 			r.wait()
 		}
-		time.Sleep(500 * time.Millisecond)
+		sleep(500 * time.Millisecond)
 		for _, r := range hosts {
 			if err := r.start(); err != nil {
 				return failed, err
@@ -49,7 +49,7 @@
 		}
 	}
 	stop()
-	time.Sleep(recovery)
+	sleep(recovery)
 	s.spendRest()
 	return s.verdict(), nil
 }
@@ -70,7 +70,7 @@
 			r.signal(syscall.SIGKILL)
 			r.wait()
 		}
-		time.Sleep(time.Second)
+		sleep(time.Second)
 		rest := append([]*router(nil), hosts[2:]...)
 		for _, lost := range hosts[:2] {
 			r, err := w.startRouter(lost.host+"-new", lost.zone)
@@ -84,7 +84,7 @@
 		}
 		s.hosts.Store(&rest)
 	}
-	time.Sleep(recovery)
+	sleep(recovery)
 	s.spendRest()
 	return s.verdict(), nil
 }
@@ -93,10 +93,10 @@
 // some requests in a row without success one client goes on, slowly, so that few requests count at their most.
 func (s *spender) spendRest() {
 	s.judge()
-	end := time.Now().Add(eventualEnd)
-	over := func(used int64) bool { return used >= s.prepaid*97/100 || time.Now().After(end) }
+	end := now() + eventualEnd
+	over := func(used int64) bool { return used >= s.prepaid*97/100 || now() > end }
 	s.run(8, 100*time.Millisecond, func(used int64, idle int) bool { return over(used) || idle >= idleBound })
-	time.Sleep(2 * settle)
+	sleep(2 * settle)
 	s.run(1, 300*time.Millisecond, func(used int64, idle int) bool { return over(used) || idle >= idleBound })
 }
 
--- a/review/harness-2/late.go
+++ b/review/harness-2/late.go
@@ -46,14 +46,14 @@
 		s.began(id)
 		done := make(chan error, 1)
 		go func() {
-			time.Sleep(s.readAfter)
+			sleep(s.readAfter)
 			n, err := io.Copy(io.Discard, r.Body)
 			s.world.record.line("server %s has read %d bytes of the body of request %s: %v", s.id, n, id, err)
 			done <- err
 		}()
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Request-Id: %s\r\nX-Server-Signature: %s.%s\r\n\r\n", id, s.id, id)
 		for i := 1; i <= s.events; i++ {
-			time.Sleep(s.pause)
+			sleep(s.pause)
 			event := eventOf(i, id)
 			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 				s.world.record.line("server %s: request %s is broken off after %d events: %v", s.id, id, i-1, err)
@@ -83,7 +83,7 @@
 		return failed, err
 	}
 	defer func() { _ = l.Close() }()
-	s.backend = &backend{world: w, id: "i-model-0", service: "model", zone: "oslo-a", engine: true, listener: l, address: l.Addr().String(), born: time.Now().UnixMilli(), runs: map[string]int{}}
+	s.backend = &backend{world: w, id: "i-model-0", service: "model", zone: "oslo-a", engine: true, listener: l, address: l.Addr().String(), born: int64(clock.Now()), runs: map[string]int{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -105,10 +105,10 @@
 	if err := awaitReady(20*time.Second, host); err != nil {
 		return failed, err
 	}
-	time.Sleep(6 * time.Second) // the traffic starts 10 s after the machines
+	sleep(6 * time.Second) // the traffic starts 10 s after the machines
 	w.record.line("host %s gets SIGHUP", host.host)
 	host.signal(syscall.SIGHUP)
-	time.Sleep(300 * time.Millisecond)
+	sleep(300 * time.Millisecond)
 	var group sync.WaitGroup
 	answers := make([]answer, streams)
 	for i := range answers {
--- a/review/harness-2/leaving.go
+++ b/review/harness-2/leaving.go
@@ -32,10 +32,10 @@
 	if err := awaitReady(20*time.Second, host); err != nil {
 		return failed, err
 	}
-	time.Sleep(6 * time.Second) // the traffic starts 10 s after the machines
+	sleep(6 * time.Second) // the traffic starts 10 s after the machines
 	w.record.line("host %s gets SIGHUP", host.host)
 	host.signal(syscall.SIGHUP)
-	time.Sleep(300 * time.Millisecond)
+	sleep(300 * time.Millisecond)
 	answers := make([]answer, streams)
 	var group sync.WaitGroup
 	for i := range answers {
@@ -48,7 +48,7 @@
 			answers[i] = q.send(host.caller)
 			w.record.line("request %s: %v", q.id, answers[i])
 		})
-		time.Sleep(50 * time.Millisecond)
+		sleep(50 * time.Millisecond)
 	}
 	if w.trouble {
 		fresh := &backend{id: "i-model-new", service: "model", zone: "oslo-a", engine: true, answer: old.answer}
@@ -56,7 +56,7 @@
 			return failed, err
 		}
 		old.report("draining")
-		time.Sleep((drainMs + 500) * time.Millisecond)
+		sleep((drainMs + 500) * time.Millisecond)
 		w.record.line("server %s takes no further connections and ends what it has begun", old.id)
 		_ = old.listener.Close()
 	}
@@ -92,7 +92,7 @@
 	defer func() { _ = conn.Close() }()
 	writeHead(buffered, b, id)
 	for i := 1; i <= n; i++ {
-		time.Sleep(pause)
+		sleep(pause)
 		_, _ = buffered.WriteString(eventOf(i, id))
 		if err := buffered.Flush(); err != nil {
 			b.world.record.line("server %s: request %s is broken off after %d events", b.id, id, i-1)
@@ -102,7 +102,7 @@
 	b.world.record.line("server %s has sent all %d events of request %s and closes the connection", b.id, n, id)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
-		time.Sleep(100 * time.Millisecond)
+		sleep(100 * time.Millisecond)
 	}
 }
 
--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	b.world, b.listener, b.address = w, l, l.Addr().String()
-	b.born, b.runs = time.Now().UnixMilli(), map[string]int{}
+	b.born, b.runs = int64(clock.Now()), map[string]int{}
 	b.server = &http.Server{Handler: b, IdleTimeout: 30 * time.Second}
 	go func() { _ = b.server.Serve(l) }() // until its end
 	b.report("ready")
@@ -108,7 +108,7 @@
 	control := http.NewResponseController(w)
 	for i := 1; i <= n; i++ {
 		select {
-		case <-time.After(pause):
+		case <-after(pause):
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
--- a/review/harness-2/spender.go
+++ b/review/harness-2/spender.go
@@ -39,7 +39,7 @@
 type charge struct {
 	atMost, used int64
 	// endedAt is zero while the request goes on.
-	endedAt time.Time
+	endedAt time.Duration
 }
 
 // judgement counts the answers to requests from its begin on.
@@ -86,9 +86,9 @@
 		s.recent = map[string]*charge{}
 	}
 	s.recent[id] = &charge{atMost: atMost}
-	now, sum := time.Now(), int64(0)
+	at, sum := now(), int64(0)
 	for other, c := range s.recent {
-		if !c.endedAt.IsZero() && now.Sub(c.endedAt) >= settle {
+		if c.endedAt > 0 && at-c.endedAt >= settle {
 			s.used += c.used
 			delete(s.recent, other)
 			continue
@@ -102,7 +102,7 @@
 func (s *spender) end(id string, served bool) int64 {
 	s.mu.Lock()
 	c := s.recent[id]
-	c.endedAt = time.Now()
+	c.endedAt = now()
 	if served {
 		c.used = c.atMost
 	}
@@ -123,7 +123,7 @@
 				} else {
 					idle.Add(1)
 				}
-				time.Sleep(pause)
+				sleep(pause)
 			}
 		})
 	}
@@ -183,7 +183,7 @@
 				select {
 				case <-stopped:
 					return
-				case <-time.After(time.Duration(float64(interval) * (0.5 + rand.Float64()))):
+				case <-after(time.Duration(float64(interval) * (0.5 + rand.Float64()))):
 				}
 				id := fmt.Sprintf("q%05d", s.next.Add(1))
 				s.begin(id, int64(prompt+outputTokens))
@@ -212,7 +212,7 @@
 	w.store.put("config", "main", desired(1, prepaid))
 	hosts, err := startHosts(w, 1)
 	if err == nil {
-		time.Sleep(6 * time.Second) // the traffic starts 10 s after the machines
+		sleep(6 * time.Second) // the traffic starts 10 s after the machines
 	}
 	return hosts, err
 }
--- a/review/harness-2/stopped.go
+++ b/review/harness-2/stopped.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,8 +34,8 @@
 	if err := awaitReady(20*time.Second, hosts...); err != nil {
 		return failed, err
 	}
-	time.Sleep(6 * time.Second) // the traffic starts 10 s after the machines
-	stoppedAt := time.Now()
+	sleep(6 * time.Second) // the traffic starts 10 s after the machines
+	stoppedAt := now()
 	if w.trouble {
 		for _, r := range hosts[:2] {
 			w.record.line("host %s gets SIGTERM", r.host)
@@ -44,18 +45,18 @@
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	lost, sent := 0, 0
-	send := func(after time.Duration, host *router, number int, limit, length time.Duration) {
+	send := func(at time.Duration, host *router, number int, limit, length time.Duration) {
 		group.Go(func() {
-			time.Sleep(time.Until(stoppedAt.Add(after)))
+			sleep(stoppedAt + at - now())
 			n := int(length/(290*time.Millisecond)) + 1
 			q := request{
 				id: fmt.Sprintf("q%03d", number), path: "/stream/x", method: http.MethodPost, key: tenantKey, limit: limit, body: []byte("prompt"),
 				headers: map[string]string{"X-Model": "m", "X-Token-Usage": fmt.Sprintf("100,%d", n*eventTokens), "X-Prompt-Prefix": fmt.Sprintf("a1:50,b%d:50", number), "Length-Ms": fmt.Sprint(length.Milliseconds())},
 			}
-			sentAt := time.Since(stoppedAt)
+			sentAt := now() - stoppedAt
 			w.record.line("request %s with a limit of %d ms is sent to host %s, %.3f s after the SIGTERM; its server takes %d ms", q.id, limit.Milliseconds(), host.host, sentAt.Seconds(), length.Milliseconds())
 			a := q.send(host.caller)
-			endedAt := time.Since(stoppedAt)
+			endedAt := now() - stoppedAt
 			events := strings.Count(a.body, "\n\n")
 			w.record.line("request %s: %v, %d of %d events, %.3f s after the SIGTERM", q.id, a, events, n, endedAt.Seconds())
 			mu.Lock()
@@ -92,9 +93,9 @@
 
 // streamLength returns how long a server takes for a stream.
 func streamLength(r *http.Request) time.Duration {
-	length, err := time.ParseDuration(r.Header.Get("Length-Ms") + "ms")
+	ms, err := strconv.Atoi(r.Header.Get("Length-Ms"))
 	if err != nil {
 		return time.Second
 	}
-	return length
+	return time.Duration(ms) * time.Millisecond
 }
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -127,7 +127,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(storeDelay)
+	sleep(storeDelay)
 	if s.down.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -184,7 +184,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	timeout := after(time.Duration(wait) * time.Millisecond)
 	for over := false; ; {
 		s.mu.Lock()
 		events := []storeEvent{}
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -26,7 +26,7 @@
 type record struct {
 	mu    sync.Mutex
 	file  *os.File
-	begin time.Time
+	begin time.Duration
 }
 
 func newRecord(path string) (*record, error) {
@@ -34,14 +34,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, begin: time.Now()}, nil
+	return &record{file: f, begin: now()}, nil
 }
 
 // line writes a line with the time since the start of the case.
 func (r *record) line(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.begin).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", (now() - r.begin).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // verdict is how a case ended; its values are exit codes.
@@ -204,13 +204,13 @@
 
 // awaitReady waits until all the hosts are ready.
 func awaitReady(limit time.Duration, routers ...*router) error {
-	deadline := time.Now().Add(limit)
+	deadline := now() + limit
 	for _, r := range routers {
 		for !r.isReady() {
-			if time.Now().After(deadline) {
+			if now() > deadline {
 				return errNotReady
 			}
-			time.Sleep(50 * time.Millisecond)
+			sleep(50 * time.Millisecond)
 		}
 	}
 	return nil
