Answers without a length of servers that leave are complete

Cause: the end of an answer without a length counted only if the same incarnation accepted a new connection. A server that stops as planned does not. The entry's state is no proof, since a draining server can be killed. Ruled out: the SIGHUP of the case; it is cut without it as well.

Change: a connection to each server that sends answers without a length stays open while it does so, and is asked behind the end; one for each answer once the server leaves, since it may close each connection behind its answer. Without an answer there, a stream of a leaving server is complete if its events hold all tokens that were asked for, and a resumable stream is taken up at another server, whose framed empty answer is its end.

A service that closes some idle connections early no longer looks restarted if another one from before the request answers.

The stand-in for a dying server in relayer's tests left its other connections open; it closes all of them now, as a kernel does, so that the test asks for more than before.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
@@ -75,6 +76,8 @@
 	// Restarted is called when a server tells another incarnation than the Target names, with the
 	// start of that; it may be nil.
 	Restarted func(t Target, startedAt clocker.Millis)
+	// Leaving reports whether a server stops as planned, or is not known any more; it may be nil.
+	Leaving func(id string) bool
 }
 
 // Traffic counts bytes. It is called once for each read and write of a connection.
@@ -93,9 +96,13 @@
 // for concurrent use.
 type Carrier struct {
 	cfg Config
+	// opened counts the connections.
+	opened atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// witnesses are those of the incarnations that send responses without a length.
+	witnesses map[Target]*witness
 }
 
 // Target identifies one backend server.
@@ -156,7 +163,7 @@
 	if cfg.Dialer == nil {
 		cfg.Dialer = directDialer{}
 	}
-	return &Carrier{cfg: cfg, idle: map[string][]*conn{}}
+	return &Carrier{cfg: cfg, idle: map[string][]*conn{}, witnesses: map[Target]*witness{}}
 }
 
 // Send sends a request and returns as soon as the response header has been read. The
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -42,6 +42,8 @@
 	address string
 	// via is the host that the connection passes through, "" for a direct one.
 	via string
+	// number counts the connections of the Carrier in the order in which they were opened.
+	number int64
 	// idleSince is when the last exchange of a request and its response ended.
 	idleSince clocker.Millis
 	// serverIdleTimeout is how long the server keeps the idle connection open; 0 if
@@ -76,6 +78,7 @@
 	}
 	cn := newConn(opened, c.cfg.Traffic)
 	cn.via = via
+	cn.number = c.opened.Add(1)
 	return cn, nil
 }
 
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -53,6 +53,11 @@
 	toldBefore bool
 }
 
+// tells reports whether the server told on this connection that it is the incarnation which started at startedAt.
+func (c *conn) tells(startedAt clocker.Millis) bool {
+	return c.incarnation.asked && !c.incarnation.toldBefore && c.incarnation.startedAt == startedAt
+}
+
 // ErrOtherIncarnation reports that a server has restarted, or does not tell whether it has.
 type ErrOtherIncarnation struct {
 	ID string
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -97,6 +97,23 @@
 	return nil
 }
 
+// popIdleWhere removes and returns the most recently used connection to the address of a server that has not been idle
+// for too long and for which suits returns true, nil if there is none.
+func (c *Carrier) popIdleWhere(t Target, suits func(*conn) bool) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	conns := c.idle[t.ID]
+	for i := len(conns) - 1; i >= 0; i-- {
+		cn := conns[i]
+		if now-cn.idleSince <= c.idleTimeout(cn) && c.cfg.Dialer.Usable(cn.via) && cn.address == t.Address && suits(cn) {
+			c.idle[t.ID] = slices.Delete(conns, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 // idleTimeout returns how long a connection may be idle.
 func (c *Carrier) idleTimeout(cn *conn) clocker.Millis {
 	if cn.serverIdleTimeout > 0 {
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -89,11 +89,16 @@
 	complete    bool
 	// cut is true once the end of a body without a length was found to be none.
 	cut bool
+	// witness is that of the server while it sends a body without a length; nil before.
+	witness *witness
 }
 
 // Read reads from the body. It returns io.EOF only after a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
+	if err == nil && !r.Framed() && r.witness == nil && r.carrier.cfg.Identity != nil {
+		r.witness = r.carrier.attachWitness(incarnationOf(r))
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -140,6 +145,9 @@
 // after the response.
 func (r *Response) Close() {
 	open := r.cancelClose()
+	if r.witness != nil {
+		r.witness.detach()
+	}
 	if !open || !r.complete || r.Response.Close || !r.Framed() || !r.writeSucceeded() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -44,6 +44,7 @@
 	handlers []handler
 	requests []*http.Request
 	bodies   []string
+	conns    []net.Conn
 	// closed receives a value for each closed connection.
 	closed chan struct{}
 }
@@ -59,12 +60,25 @@
 			if err != nil {
 				return
 			}
+			b.mu.Lock()
+			b.conns = append(b.conns, c)
+			b.mu.Unlock()
 			go b.serve(c)
 		}
 	}()
 	return b
 }
 
+// closeAll closes the listener and all connections, as the kernel does when a process ends.
+func (b *backend) closeAll() {
+	_ = b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.conns {
+		_ = c.Close()
+	}
+}
+
 func (b *backend) serve(c net.Conn) {
 	defer func() {
 		_ = c.Close()
--- a/relayer/incarnation_test.go
+++ b/relayer/incarnation_test.go
@@ -114,13 +114,12 @@
 	}
 }
 
-// die ends the server after s as the kernel ends that of a dead process: nothing listens any more, and the
-// connection is closed by a FIN.
+// die ends the server after s as the kernel ends that of a dead process: nothing listens any more, and all
+// connections are closed by a FIN.
 func (b *backend) die(s handler) handler {
 	return func(w io.Writer, req *http.Request) {
 		s(w, req)
-		_ = b.listener.Close()
-		_ = w.(net.Conn).Close()
+		b.closeAll()
 	}
 }
 
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -92,6 +92,8 @@
 	origin streamOrigin
 	// position is the caller's position in its stream.
 	position streamPosition
+	// endUnproven is true if the last server ended its stream behind an event, and may have died there.
+	endUnproven bool
 	// lastFailure is the last error response of a server to a retryable request.
 	lastFailure *failedResponse
 
@@ -212,16 +214,20 @@
 func (x *relayedRequest) settleAndLog() {
 	used := int64(0)
 	if x.mayHaveRun() {
-		perEvent := int64(1)
-		if x.service != nil {
-			perEvent = int64(max(1, x.service.TokensPerEvent))
-		}
-		used = x.promptTokens + min(x.maxOutputTokens, x.position.forwarded*perEvent)
+		used = x.promptTokens + min(x.maxOutputTokens, x.forwardedTokens())
 	}
 	x.cfg.Budgets.Settle(x.reservation, used)
 	x.writeLog(used)
 }
 
+// forwardedTokens returns how many tokens the events hold that were forwarded, at most.
+func (x *relayedRequest) forwardedTokens() int64 {
+	if x.service == nil {
+		return x.position.forwarded
+	}
+	return x.position.forwarded * int64(max(1, x.service.TokensPerEvent))
+}
+
 // refuse responds with a failure that this host generates.
 func (x *relayedRequest) refuse(f failure) {
 	x.log.reason = f.reason
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
@@ -142,13 +143,14 @@
 			response.SetReadTimeout(x.eventTimeout()) // bytes of an incomplete event do not extend the timeout
 		}
 		switch {
-		case errors.Is(err, io.EOF) && !events.hasPartial() && x.position.complete():
+		case err != nil && !events.hasPartial() && x.streamEnded(a, response, err):
 			x.startStream(response) // not started yet if the caller already had all events
 			x.reply.complete = true
 			x.reportAnswer(a, response, true)
 			x.finishAttempt(a, chooser.NoFailure, failure{})
 			return failure{}, false
 		case err != nil || events.tooLong():
+			x.endUnproven = carrier.IsErrServerGone(err) && !events.hasPartial() && x.position.complete()
 			a.log.setCause(err)
 			x.reportCrash(a, err)
 			return x.finishAttempt(a, x.relayErrorOutcome(err), outcomeUnknown), true
@@ -156,6 +158,40 @@
 	}
 }
 
+// streamEnded reports whether the end of a response behind a complete event, with err, is the end of the stream.
+func (x *relayedRequest) streamEnded(a *attempt, response *carrier.Response, err error) bool {
+	switch {
+	case errors.Is(err, io.EOF) && x.position.complete():
+		return true
+	case errors.Is(err, io.EOF):
+		// Two servers agree that nothing follows the last event.
+		return x.endUnproven && response.Framed() && isEventStream(response.Header) && x.position.serverEvents == 0
+	case carrier.IsErrServerGone(err) && x.position.complete():
+		return x.hasAllTokens() && x.leavesAsPlanned(a)
+	}
+	return false
+}
+
+// hasAllTokens reports whether the events that were forwarded hold as many tokens as the caller asked for at most.
+func (x *relayedRequest) hasAllTokens() bool {
+	return x.hasTokenCounts && x.maxOutputTokens > 0 && x.forwardedTokens() >= x.maxOutputTokens && x.service.TokensPerEvent > 0
+}
+
+// leavesAsPlanned reports whether the server of an attempt was known to stop as planned.
+func (x *relayedRequest) leavesAsPlanned(a *attempt) bool {
+	s := a.incarnation()
+	if x.cfg.Servers.Replaced(s) {
+		return x.cfg.Servers.LeftAsPlanned(s)
+	}
+	return x.cfg.Servers.Leaving(s.ID)
+}
+
+// isEventStream reports whether a header announces events.
+func isEventStream(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // relayErrorOutcome returns the outcome of a failed relay. A caller's disconnect does
 // not count as a failure of the server.
 func (x *relayedRequest) relayErrorOutcome(err error) chooser.Outcome {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -268,6 +268,7 @@
 		Dialer:          r.detour,
 		Identity:        r.cfg.Platform.Identity,
 		Restarted:       r.backends.restarted,
+		Leaving:         r.backends.Leaving,
 	})
 	r.relayer.Store(relayer.New(relayer.Config{
 		Clock:       r.cfg.Clock,
