Holders close the entries of others whose processes have ended

Cause: only the next incarnation at the same address could close the entry of a dead process, since nobody else knew that it had ended, and for how long its guarded tokens could have opened. Ruled out: a time limit alone, which overspends if the host is cut off and lives.

Change: holders ask each other for the age of their leases. An answer is sent after its question, which bounds the start of the lease on the watcher's own clock. Once the address of a holder refuses connections, its process has ended, and the watcher's next write closes its entries, charged with what the stated rates can have opened. Old builds tell no age and stay charged.

Evidence: random plays with pauses, late writes, restarts and restores compare each charge with what the dead process had used; four planted faults are found.

Not mended: machines that lose their power refuse nothing.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -87,6 +87,8 @@
 	opensFasterInDoubt bool
 	// returnsOpened returns half of the tokens that may have been open when a process began to listen.
 	returnsOpened bool
+	// ageOfLastWrite tells the age of the lease of a write whose outcome is not known.
+	ageOfLastWrite bool
 	// reclaimsAsEarlierBuilds returns nothing after the end of a lease. It is no fault.
 	reclaimsAsEarlierBuilds bool
 	// promisesSpent promises not to spend guarded tokens though some were spent, and
--- a/allotter/export_test.go
+++ b/allotter/export_test.go
@@ -29,7 +29,11 @@
 	OpensFasterInDoubt Fault = "opens faster while a write is in doubt"
 	// ReturnsOpened returns half of the tokens that may have been open when a process began to listen.
 	ReturnsOpened Fault = "returns opened tokens"
-	NoFault       Fault = ""
+	// AgeOfLastWrite tells the age of the lease of a write whose outcome is not known, and EndsEarly assumes that a
+	// process has ended sooner than is known.
+	AgeOfLastWrite Fault = "tells the age of the last write"
+	EndsEarly      Fault = "ends early"
+	NoFault        Fault = ""
 )
 
 // InjectFault enables one fault and disables the others.
@@ -47,6 +51,7 @@
 	a.faults.opensAtOnce = f == OpensAtOnce
 	a.faults.opensFasterInDoubt = f == OpensFasterInDoubt
 	a.faults.returnsOpened = f == ReturnsOpened
+	a.faults.ageOfLastWrite = f == AgeOfLastWrite
 }
 
 // TamperWrites sets a function that modifies each object before it is written.
--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -69,6 +69,9 @@
 	promisedAt clocker.Millis
 	// inDoubt is true if an earlier write than the last one may still take effect.
 	inDoubt bool
+	// ended are other incarnations that have ended, with the longest time for which their guarded
+	// tokens may have opened: since the start of their earliest lease.
+	ended map[string]clocker.Millis
 	// conditions are those of the last look at all budgets.
 	conditions Conditions
 }
@@ -281,11 +284,49 @@
 	return false
 }
 
-// timeSinceLease returns the time between the start of a lease and the moment at which this incarnation began
-// to listen, if the lease is of an earlier incarnation at the own address, which had ended by then. Leases of
-// before a restore of the store prove nothing, and neither do two clocks that differ.
+// GuardAge returns the age of the earliest lease that the store may have of this incarnation, false without a lease.
+// Whatever it has, no guarded tokens were open before that lease had ended.
+func (a *Allotter) GuardAge(now clocker.Millis) (clocker.Millis, bool) {
+	a.observeTime(now)
+	g := &a.guard
+	if a.cfg.Guard == nil || g.confirmedAt <= 0 {
+		return 0, false
+	}
+	start := max(g.confirmedAt, g.promisedAt)
+	if a.faults.ageOfLastWrite {
+		start = max(start, g.pendingAt)
+	} else if g.pendingAt > 0 {
+		start = min(start, max(g.pendingAt, g.promisedAt))
+	}
+	return max(0, a.guard.now-start), true
+}
+
+// ObserveEnded records that another incarnation has ended, at most elapsed after the start of the earliest lease that
+// the store may have had of it.
+func (a *Allotter) ObserveEnded(incarnation string, elapsed clocker.Millis) {
+	if a.guard.ended == nil {
+		a.guard.ended = map[string]clocker.Millis{}
+	}
+	a.guard.ended[incarnation] = elapsed
+}
+
+// LeaseHolders returns the addresses of the incarnations that have a lease, by incarnation.
+func (a *Allotter) LeaseHolders() map[string]string {
+	holders := map[string]string{}
+	for _, l := range a.object.GetLeases() {
+		holders[l.Incarnation] = l.Address
+	}
+	return holders
+}
+
+// timeSinceLease returns for how long guarded tokens may have opened by a lease, if its incarnation has ended: until
+// another host found that, or this incarnation began to listen at its address. Leases of before a restore of the store
+// prove nothing, and neither do two clocks that differ.
 func (a *Allotter) timeSinceLease(l *messenger.GuardLease) (clocker.Millis, bool) {
 	g := a.cfg.Guard
+	if elapsed, ended := a.guard.ended[l.Incarnation]; ended && l.Era == a.restore.era && l.DurationMs > 0 {
+		return elapsed, true
+	}
 	if l.Address != g.Address || l.Incarnation == a.cfg.Incarnation || !g.SameHost(l.Incarnation) || l.Era != a.restore.era || l.BootMs <= 0 || l.DurationMs <= 0 || g.BootAt <= 0 {
 		return 0, false
 	}
@@ -296,8 +337,8 @@
 	return max(byClock, sinceBoot), true
 }
 
-// returnable returns how many tokens of an entry its incarnation can't have spent before this one began to
-// listen; false if the lease and the entry prove nothing about it.
+// returnable returns how many tokens of an entry its incarnation can't have spent before it ended; false if the lease
+// and the entry prove nothing about it.
 func (a *Allotter) returnable(l *messenger.GuardLease, h *messenger.Holder) (int64, bool) {
 	elapsed, known := a.timeSinceLease(l)
 	if !known || h == nil || h.Closed || h.Era != l.Era {
@@ -318,7 +359,7 @@
 	return guarded - charged, true
 }
 
-// reclaimDue reports whether an earlier incarnation at the own address left guarded tokens.
+// reclaimDue reports whether an incarnation that has ended left guarded tokens.
 func (a *Allotter) reclaimDue() bool {
 	return a.cfg.Guard != nil && !a.closing && !a.Unsettled() && slices.ContainsFunc(a.object.GetLeases(), func(l *messenger.GuardLease) bool {
 		return slices.ContainsFunc(a.object.GetBudgets(), func(b *messenger.Budget) bool {
@@ -328,8 +369,7 @@
 	})
 }
 
-// stageReclaims closes the entries of earlier incarnations at the own address in an object to be
-// written. They are charged with all that they may have spent; the rest is returned. Of the guarded tokens,
+// stageReclaims closes the entries of incarnations that have ended in an object to be written. They are charged with all that they may have spent; the rest is returned. Of the guarded tokens,
 // opened are those that are charged.
 func (a *Allotter) stageReclaims(value *messenger.BudgetShard) (returned, opened int64) {
 	if !a.reclaimDue() {
--- a/allotter/guard_test.go
+++ b/allotter/guard_test.go
@@ -39,6 +39,11 @@
 	completeFrom int
 	// restores says which copies the store comes back from.
 	restores guardRestores
+	// watches makes hosts watch each other. leaseStarts are the earliest starts of leases by their answers, and ended
+	// are the incarnations that have ended since.
+	watches     bool
+	leaseStarts map[string]clocker.Millis
+	ended       []string
 }
 
 type guardCopy struct {
@@ -124,6 +129,7 @@
 // kill ends the process. What it had reserved may have been used.
 func (h *guardHost) kill() {
 	h.fleet.completeFrom = len(h.fleet.copies) - 1
+	h.fleet.ended = append(h.fleet.ended, h.allotter.cfg.Incarnation)
 	h.allotter, h.open, h.paused = nil, nil, false
 }
 
--- a/allotter/promise_test.go
+++ b/allotter/promise_test.go
@@ -169,6 +169,9 @@
 		if f.restores != noRestores && random.IntN(20) == 0 {
 			f.restore(random)
 		}
+		if f.watches {
+			f.watch(random)
+		}
 		switch event := random.IntN(10); {
 		case event < 4 && f.hosts[0].allotter != nil && !f.hosts[0].paused:
 			f.writePromised(f.hosts[0], random)
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -173,7 +173,7 @@
 	// phase shifts only the times after the first run: hosts that started together then
 	// inspect at different times, which makes conflicts between their writes rare.
 	phase := clocker.Millis(rand.Int64N(int64(inspectInterval)))
-	var lastInspect, lastTransferRetry, lastDeclared, lastBalance clocker.Millis
+	var lastInspect, lastTransferRetry, lastDeclared, lastBalance, lastWatch clocker.Millis
 	for r.cfg.Clock.Sleep(ctx, tickInterval) == nil {
 		now := r.cfg.Clock.Now()
 		r.inspectWaiting(now)
@@ -190,6 +190,10 @@
 			phase = 0
 			r.maintainDeclared()
 		}
+		if now-lastWatch >= watchInterval {
+			lastWatch = now
+			r.watchHolders(ctx)
+		}
 		if now-lastTransferRetry >= transferRetryInterval {
 			lastTransferRetry = now
 			r.retryUnknownTransfers(ctx)
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -35,6 +35,9 @@
 	if request.RenewsGuardOf != "" {
 		reply.GuardPromisedAtMs = int64(r.promiseGuard(request.RenewsGuardOf))
 	}
+	if request.GuardAgeOf != "" {
+		reply.GuardAgeMs = r.guardAge(request.GuardAgeOf)
+	}
 	for _, t := range request.Totals {
 		received := r.mergeTotal(request.From, t)
 		reply.Received = append(reply.Received, &messenger.TransferTotal{Budget: t.Budget, Given: received})
