Connections whose peer reads late are not closed

Cause: Linux applies TCP_USER_TIMEOUT to a full window as well, although the peer answers each window probe.

Change: package prober looks 500 ms after a long write began, and lifts the kernel's limit while bytes wait and all probes are answered. It closes the connection itself once a probe stays unanswered for 1.5 s. Both ends of a tunnel are watched for as long as it is open.

Ruled out as criterion: the time since the last acknowledgement, which grew to over two seconds with an answering peer, and unacknowledged segments, since a receiver without room drops them.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -19,6 +19,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
+	"cowsliphinge/prober"
 )
 
 // maxSyncWriteBytes is the size up to which a request is written before the response is
@@ -218,6 +219,7 @@
 		}
 	} else {
 		go write.run(cn, r.Payload, head, parts) // ends at the latest when the connection is closed
+		prober.Start(c.cfg.Clock, cn.Conn)
 	}
 	if r.OnSent != nil {
 		r.OnSent()
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -13,14 +13,12 @@
 	"golang.org/x/sys/unix"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/prober"
 )
 
 const (
 	// readBufferBytes is enough for a response header or several events of a stream.
 	readBufferBytes = 4 << 10
-	// ackTimeout is how long sent bytes may remain unacknowledged before the kernel
-	// closes the connection, in milliseconds.
-	ackTimeout = 1500 * clocker.Millis(1)
 	// receiveBufferBytes limits what a server can send on a connection that is not
 	// being read, such as an idle one.
 	receiveBufferBytes = 64 << 10
@@ -206,7 +204,7 @@
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
 		optionErr = errors.Join(
-			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout)),
+			prober.SetTimeout(fd, prober.Timeout),
 			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes),
 		)
 	})
--- a/tunneler/forward.go
+++ b/tunneler/forward.go
@@ -7,24 +7,23 @@
 	"net"
 	"sync"
 
-	"golang.org/x/sys/unix"
-
 	"cowsliphinge/clocker"
+	"cowsliphinge/prober"
 )
 
 const (
 	// bufferBytes is the size of a read: an event of a stream, or a part of a longer answer.
 	bufferBytes = 8 << 10
-	// ackTimeout is how long bytes sent to the near host may stay unacknowledged, and how long
-	// it may leave keep-alive probes unanswered, in milliseconds. A host that was cut off must not
-	// keep a server at work.
-	ackTimeout = 1500 * clocker.Millis(1)
-	// probeIdle and probeInterval are the times of the keep-alive probes, in milliseconds.
+	// probeIdle and probeInterval are the times of the keep-alive probes, in milliseconds. A host that was cut off
+	// must not keep a server at work.
 	probeIdle     = 500 * clocker.Millis(1)
 	probeInterval = 500 * clocker.Millis(1)
 	probeCount    = 3
 )
 
+// wall is the clock of the connections' time limits.
+var wall = clocker.NewWall()
+
 var buffers = sync.Pool{New: func() any { return new([blockHeaderBytes + bufferBytes]byte) }}
 
 // forward passes bytes between the near host and the server until either end closes. The end
@@ -34,7 +33,11 @@
 // closed, the server's connection is closed at once.
 func forward(host, server net.Conn, marked bool, forwarded func(int)) {
 	watchPeer(host)
-	done := make(chan struct{})
+	done, ended := make(chan struct{}), make(chan struct{})
+	defer close(ended)
+	for _, c := range []net.Conn{host, server} { // either may read later than it gets bytes
+		prober.Keep(wall, c, ended)
+	}
 	go func() {
 		defer close(done)
 		_ = copyBytes(server, host, forwarded) // the near host knows no half-closed connections
@@ -116,6 +119,6 @@
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout))
+		_ = prober.SetTimeout(fd, prober.Timeout)
 	})
 }
