A planned stop accepts no request that it ends itself

Cause: a stop accepted requests that end before its deadline, and ended all requests 200 ms before that. Both use one time now; later requests are refused as not run, so that their callers go to another host.

Test that failed before ("requests are accepted 200 ms longer than they last"): TestPlannedStopAcceptsNoRequestThatItEnds.

--- a/runner/stop.go
+++ b/runner/stop.go
@@ -30,9 +30,9 @@
 	clock := r.cfg.Clock
 	r.draining.Store(true)
 	r.cfg.Log.Info("stopping", "in_flight", r.relayer.Load().InFlight())
-	deadline := clock.Now() + r.settings.Load().StopBoundMs - stopMargin
+	deadline, requestsEnd := stopTimes(clock.Now(), r.settings.Load().StopBoundMs)
 	_ = clock.Sleep(ctx, balancerDelay)
-	r.stopDeadline.Store(int64(deadline))
+	r.stopDeadline.Store(int64(requestsEnd))
 	for r.callerConns.closeIdle(false) > 0 && clock.Now() < deadline-budgetReturnTimeout {
 		_ = clock.Sleep(ctx, drainPollInterval)
 	}
@@ -43,7 +43,7 @@
 		r.cfg.Log.Warn("budgets were not returned", "cause", err.Error(), "held", r.reserver.Load().HeldTokens())
 	}
 	for (r.callerConns.closeIdle(true) > 0 || r.tunnels.Open() > 0) && clock.Now() < deadline {
-		if clock.Now() >= deadline-answerTime {
+		if clock.Now() >= requestsEnd {
 			r.relayer.Load().EndAll()
 		}
 		_ = clock.Sleep(ctx, drainPollInterval)
@@ -57,3 +57,10 @@
 	r.cfg.Log.Info("stopped", "requests_cut", cut)
 	return cut
 }
+
+// stopTimes returns when a stop that begins now is over at the latest, and when it ends the requests in flight. No request
+// that may last longer is accepted.
+func stopTimes(now, bound clocker.Millis) (deadline, requestsEnd clocker.Millis) {
+	deadline = now + bound - stopMargin
+	return deadline, deadline - answerTime
+}
