Requests that can't be covered take no tokens from others

Cause: for a request that lacked tokens a host drew all that was unassigned, also where that did not cover it, and left it unguarded; it lent nothing and asked others for theirs meanwhile. A kill lost all of it.

Change: only waiting requests that the headroom and the unassigned tokens cover together count where tokens are drawn, guarded, kept from peers or balanced. A request larger than all that may be unspent is refused at once. What holders leave unguarded for their demand is a share of what remains. guardOpenShare is 1 in place of 0.5 of the smaller part, and the same in the model of TestChosenScheduleKeepsItsBounds, whose bounds are as they were.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -145,9 +145,10 @@
 	// declaredGrant is the sum of all top-ups in the declarations; 0 if there are
 	// none.
 	declaredGrant int64
-	// waiting is the number of tokens that waiting requests need; byRank holds the
-	// same number for each rank, in ascending order of rank.
+	// waiting is the number of tokens that the waiting requests need, and waits are these in the order of their
+	// arrival. byRank are the ranks of requests in ascending order.
 	waiting int64
+	waits   []wait
 	byRank  []rankState
 	// peerDemands is the urgent demand of hosts that get their tokens from this
 	// one, by incarnation.
--- a/allotter/balance.go
+++ b/allotter/balance.go
@@ -12,7 +12,7 @@
 	var asks []*messenger.TransferAsk
 	for _, b := range a.ordered {
 		if perSecond := b.perSecond(now); perSecond > 0 && !b.closePlanned && !b.closed {
-			asks = append(asks, &messenger.TransferAsk{Budget: b.name, Loan: true, PerSecond: perSecond, Headroom: b.headroom() - b.waiting})
+			asks = append(asks, &messenger.TransferAsk{Budget: b.name, Loan: true, PerSecond: perSecond, Headroom: b.headroom() - a.coverableTokens(b)})
 		}
 	}
 	return asks
@@ -24,7 +24,7 @@
 	a.observeTime(now)
 	b := a.getOrAddBudget(ask.Budget)
 	own, asker := float64(b.perSecond(now)), float64(ask.PerSecond)
-	free := b.headroom() - b.waiting
+	free := b.headroom() - a.coverableTokens(b)
 	if a.closing || to == a.cfg.Incarnation || asker <= 0 || free <= 0 {
 		return b.totalTo(to)
 	}
@@ -39,7 +39,7 @@
 func (a *Allotter) AvailableBudgets() []string {
 	var available []string
 	for _, b := range a.ordered {
-		if free := float64(b.headroom() - b.waiting); free > 0 && free >= b.demand.meanSize {
+		if free := float64(b.headroom() - a.coverableTokens(b)); free > 0 && free >= b.demand.meanSize {
 			available = append(available, b.name)
 		}
 	}
--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -205,14 +205,14 @@
 	})
 }
 
-// draw returns the part of an entry's limit that is not guarded: what was used, what waiting requests need,
-// and what is expected to be used.
+// draw returns the part of an entry's limit that is not guarded: what was used, what the waiting requests need that
+// can be covered, and what is expected to be used.
 func (b *budgetState) draw(a *Allotter, stored *messenger.Budget, c Conditions) int64 {
-	return b.charge() + max(0, b.waiting) + b.drawTarget(a, stored, c)
+	return b.charge() + a.coverableTokens(b) + b.drawTarget(a, stored, c)
 }
 
 // drawTarget returns the headroom that a holder does not guard: the expected demand of DrawHorizon, at most
-// the holder's part of DrawShare of the budget, and at least that of a few requests, at most an even part.
+// the holder's part of DrawShare of what remains, and at least that of a few requests, at most an even part.
 func (b *budgetState) drawTarget(a *Allotter, stored *messenger.Budget, c Conditions) int64 {
 	demand := min(float64(b.perSecond(c.Now))*float64(a.cfg.Guard.DrawHorizon)/float64(clocker.Second), a.drawPart(b, stored, c))
 	few := a.evenDraw(stored, c)
@@ -222,7 +222,8 @@
 	return int64(max(demand, few, b.demand.expectedReserve(1, c.Now)))
 }
 
-// drawPart returns the holder's part, by its demand, of the tokens that all holders may leave unguarded.
+// drawPart returns the holder's part, by its demand, of the tokens that all holders may leave unguarded: a share of what
+// remains of the budget.
 func (a *Allotter) drawPart(b *budgetState, stored *messenger.Budget, c Conditions) float64 {
 	own, all := float64(b.perSecond(c.Now)), 0.0
 	if own <= 0 {
@@ -231,14 +232,25 @@
 	for _, h := range otherHolders(stored, a.cfg.Incarnation, c) {
 		all += float64(max(0, h.PerSecond))
 	}
-	return c.DrawShare * float64(stored.GetGranted()) * own / (own + all)
+	return c.DrawShare * float64(a.remaining(b, stored, c)) * own / (own + all)
 }
 
-// evenDraw returns an even part of the tokens that all holders may leave unguarded.
+// evenDraw returns an even part of the tokens that all holders may leave unguarded for a few requests each: a share of
+// the whole budget, since each request of a small one would cause a write near its end.
 func (a *Allotter) evenDraw(stored *messenger.Budget, c Conditions) float64 {
 	return c.DrawShare * float64(stored.GetGranted()) / float64(1+len(otherHolders(stored, a.cfg.Incarnation, c)))
 }
 
+// remaining returns about how many tokens of a budget are unspent: those that are unassigned, and those that live
+// holders guard or this one holds.
+func (a *Allotter) remaining(b *budgetState, stored *messenger.Budget, c Conditions) int64 {
+	sum := max(0, Unassigned(stored)) + max(0, b.heldHeadroom())
+	for _, h := range otherHolders(stored, a.cfg.Incarnation, c) {
+		sum += h.Guarded
+	}
+	return sum
+}
+
 // otherHolders returns the open entries of live incarnations other than this one.
 func otherHolders(stored *messenger.Budget, incarnation string, c Conditions) []*messenger.Holder {
 	var others []*messenger.Holder
@@ -276,7 +288,7 @@
 		if h := findEntry(stored, a.cfg.Incarnation); h == nil || h.Closed {
 			continue
 		}
-		lacking := b.waiting > b.headroom() && b.heldHeadroom() > b.headroom()
+		lacking := a.coverableTokens(b) > b.headroom() && b.heldHeadroom() > b.headroom()
 		if lacking || renewal && b.limit-b.foldedLimit > b.draw(a, stored, c) {
 			return true
 		}
@@ -394,10 +406,11 @@
 func (a *Allotter) LacksGuardedOnly() bool {
 	lacking := false
 	for _, b := range a.ordered {
-		if b.waiting <= b.headroom() {
+		waiting := a.coverableTokens(b)
+		if waiting <= b.headroom() {
 			continue
 		}
-		if b.waiting > b.heldHeadroom() {
+		if waiting > b.heldHeadroom() {
 			return false
 		}
 		lacking = true
--- a/allotter/policy.go
+++ b/allotter/policy.go
@@ -27,14 +27,6 @@
 	loanHorizon = 10 * clocker.Second
 )
 
-// AddWaiting adds the tokens that requests of a rank started to wait for; a
-// negative number removes them when the wait ends.
-func (a *Allotter) AddWaiting(name string, tokens int64, rank int) {
-	b := a.getOrAddBudget(name)
-	b.waiting += tokens
-	b.rankState(rank).waiting += tokens
-}
-
 // targetHeadroom returns the headroom that the policy gives a holder: the expected
 // demand of the policy's time horizon or the floor, whichever is larger, capped at
 // MaxShareOfRestMilli of the sum of the unassigned tokens and the own headroom. The
@@ -157,7 +149,7 @@
 }
 
 // limitChange returns by how much to raise the limit, or to lower it if negative.
-// free is the headroom minus the tokens of waiting requests, without those of the
+// free is the headroom minus the tokens of the waiting requests that can be covered, without those of the
 // least urgent rank if shortfallTokens leaves them out. Tokens that waiting requests
 // lack are not capped at the policy's share.
 func (b *budgetState) limitChange(c Conditions, stored *messenger.Budget, unassigned, free int64) int64 {
@@ -197,8 +189,8 @@
 		if b.closePlanned || b.closed {
 			continue
 		}
-		shortfalls := a.shortfalls(b, c.Now)
-		prefetch, urgent := b.prefetchTokens(c), b.urgentPerSecond(c.Now)
+		shortfalls := a.shortfalls(b, c)
+		prefetch, urgent := a.prefetchTokens(b, c), b.urgentPerSecond(c.Now)
 		if loan {
 			prefetch = b.boundedDemand(loanHorizon, c)
 		} else if len(shortfalls) == 0 && prefetch > 0 {
@@ -214,8 +206,8 @@
 
 // prefetchTokens returns the tokens that a host that is not a holder requests in
 // addition to those of waiting requests.
-func (b *budgetState) prefetchTokens(c Conditions) int64 {
-	free := b.headroom() - b.waiting
+func (a *Allotter) prefetchTokens(b *budgetState, c Conditions) int64 {
+	free := b.headroom() - a.coverableTokens(b)
 	if target := b.nonHolderTarget(c); !c.KeepsHeadroom && free < target/2 {
 		return target - max(0, free)
 	}
--- a/allotter/schedule_model_test.go
+++ b/allotter/schedule_model_test.go
@@ -206,7 +206,7 @@
 }
 
 // chosenSchedule is that of package runner.
-var chosenSchedule = schedule{lease: 2000, factor: 1, share: 0.5, fastAfter: presentLease, fastFactor: 7.5, openTime: 3000}
+var chosenSchedule = schedule{lease: 2000, factor: 1, share: 1, fastAfter: presentLease, fastFactor: 7.5, openTime: 3000}
 
 // Guards against a schedule that loses more than 4% of a grant with the death of all holders, that serves less without
 // the store than the lease alone, or that costs writes.
--- a/allotter/transfer.go
+++ b/allotter/transfer.go
@@ -75,7 +75,7 @@
 }
 
 func (a *Allotter) transferable(b *budgetState, ask *messenger.TransferAsk, now clocker.Millis) int64 {
-	headroom := max(0, b.headroom()-b.waiting-a.urgentReserve(b, int(ask.Rank), ask.Needed, now))
+	headroom := max(0, b.headroom()-a.coverableTokens(b)-a.urgentReserve(b, int(ask.Rank), ask.Needed, now))
 	needed := min(max(0, min(ask.Needed, ask.Tokens)), headroom)
 	prefetch := min(max(0, ask.Tokens-needed), (headroom-needed)/2)
 	return needed + prefetch
@@ -95,7 +95,7 @@
 func (a *Allotter) ReturnSurplus(c Conditions) []ReturnTransfer {
 	var returns []ReturnTransfer
 	for _, b := range a.ordered {
-		returns = append(returns, b.returnSurplus(b.surplus(c, a.closing), c.IsLive)...)
+		returns = append(returns, b.returnSurplus(a.surplus(b, c), c.IsLive)...)
 	}
 	return returns
 }
@@ -104,13 +104,13 @@
 // the entry would not return to the platform. Closing returns the entry's limit minus
 // the charge, which is not negative. Used tokens therefore come off the received tokens
 // and foldedLimit first, and what is left of these can only go back to peers.
-func (b *budgetState) surplus(c Conditions, closing bool) int64 {
+func (a *Allotter) surplus(b *budgetState, c Conditions) int64 {
 	unreturnable := b.received.sum - b.sent.sum - b.spent - b.reserved + b.foldedLimit
-	if closing {
+	if a.closing {
 		return min(b.headroom(), unreturnable)
 	}
 	target := b.nonHolderTarget(c)
-	free := b.headroom() - b.waiting
+	free := b.headroom() - a.coverableTokens(b)
 	if c.KeepsHeadroom || free <= 2*target || float64(free) < minReturnShare*b.demand.meanSize {
 		return 0
 	}
--- a/allotter/urgency.go
+++ b/allotter/urgency.go
@@ -13,8 +13,6 @@
 // rankState is the demand of the requests of one rank. Rank 0 is the most urgent.
 type rankState struct {
 	rank int
-	// waiting is the number of tokens that waiting requests of the rank need.
-	waiting int64
 	// demand estimates the tokens that requests of the rank reserve.
 	demand demand
 }
@@ -110,13 +108,13 @@
 	return math.Exp(-float64(max(0, c.Now-since)) / timeConstant)
 }
 
-// shortfallTokens returns the tokens that waiting requests lack beyond the headroom with the guarded tokens;
+// shortfallTokens returns the tokens that the waiting requests which can be covered lack beyond the headroom with the guarded tokens;
 // it is negative if headroom remains. If the unassigned tokens are reserved for
 // urgent requests, requests of the least urgent rank are not counted.
 func (a *Allotter) shortfallTokens(b *budgetState, unassigned int64) int64 {
-	waiting := b.waiting
+	waiting, leastUrgent := a.coverable(b)
 	if last := len(b.byRank) - 1; last > 0 && unassigned < waiting+a.fleetUrgentReserve(b) {
-		waiting -= b.byRank[last].waiting
+		waiting -= leastUrgent
 	}
 	return waiting - b.heldHeadroom()
 }
@@ -132,7 +130,7 @@
 	}
 	unassigned := Unassigned(stored)
 	if last := len(b.byRank) - 1; last > 0 && rank >= b.byRank[last].rank {
-		unassigned -= b.waiting + a.fleetUrgentReserve(b)
+		unassigned -= a.coverableTokens(b) + a.fleetUrgentReserve(b)
 	}
 	return unassigned >= tokens
 }
@@ -206,17 +204,17 @@
 }
 
 // shortfalls returns the tokens that waiting requests lack by rank, the most urgent
-// rank first.
-func (a *Allotter) shortfalls(b *budgetState, now clocker.Millis) []shortfall {
+// rank first, as far as other hosts may help.
+func (a *Allotter) shortfalls(b *budgetState, c Conditions) []shortfall {
 	var shortfalls []shortfall
 	free := b.headroom()
 	for i := range b.byRank {
-		need := b.byRank[i].waiting
+		rank := b.byRank[i].rank
+		need := a.askable(b, rank, c)
 		if need <= 0 {
 			continue
 		}
-		rank := b.byRank[i].rank
-		usable := free - a.urgentReserve(b, rank, need, now)
+		usable := free - a.urgentReserve(b, rank, need, c.Now)
 		if short := need - usable; short > 0 {
 			shortfalls = append(shortfalls, shortfall{rank: rank, tokens: short})
 		}
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -43,7 +43,7 @@
 	// LongDead reports whether an incarnation was dead for so long that it can't have raised a
 	// limit since a copy of the store was made; nil means never.
 	LongDead func(incarnation string) bool
-	// DrawShare is the share of a budget that all holders together may leave unguarded for their demand.
+	// DrawShare is the share of what remains of a budget that all holders together may leave unguarded for their demand.
 	DrawShare float64
 	// DemandShare is the part of a holder's share of the remaining tokens that goes by its share of the
 	// demand; 0 means that all holders keep even shares.
--- a/reserver/refill.go
+++ b/reserver/refill.go
@@ -78,6 +78,9 @@
 	pausedUntil := r.holdersPausedUntil(s, w.budget)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.neverFits(w, now) {
+		return refusal{exhausted: true}.err(w.budget, w.tokens, now)
+	}
 	if s.inFlightMayCover(w) {
 		return nil
 	}
@@ -106,6 +109,12 @@
 	}
 }
 
+// neverFits reports whether content from the platform that was read recently shows that a request is larger than all
+// that may be unspent. The caller holds mu.
+func (s *shard) neverFits(w *waiter, now clocker.Millis) bool {
+	return s.contentKnown && now-s.allotter.ContentAt() < freshAge && w.tokens > s.allotter.MostUnspent(w.budget)
+}
+
 // inFlightMayCover reports whether requests in flight here are expected to free the
 // tokens that a request lacks. The caller holds mu.
 func (s *shard) inFlightMayCover(w *waiter) bool {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -110,7 +110,7 @@
 	// StoreEra returns the latest era that the store named; nil means a store without eras.
 	StoreEra func() int64
 	// Guard bounds the tokens that are lost if this incarnation dies; nil means no bound. DrawShare
-	// is the share of a budget that all holders together may leave unguarded for their demand.
+	// is the share of what remains of a budget that all holders together may leave unguarded for their demand.
 	Guard     *allotter.GuardConfig
 	DrawShare float64
 	// DemandShare is the part of a holder's share of the remaining tokens that goes by its share of the demand.
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -95,7 +95,7 @@
 	// them within guardOpenTime. docs/design/guard-schedule.md has what other values lose.
 	guardLeaseTime  = 2000 * clocker.Millis(1)
 	guardOpenFactor = 1
-	guardOpenShare  = 0.5
+	guardOpenShare  = 1
 	guardFastAfter  = 3200 * clocker.Millis(1)
 	guardFastFactor = 7.5
 	guardOpenTime   = 3 * clocker.Second
