Tokens received from others are not subtracted twice

A request nearly as large as what is left could be refused at once although it fit: the bound on what may be unspent subtracted what this host had spent, also where that was charged to the host that had sent it. Found by reading.

What is known of leases and ends is forgotten with the leases.

--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -1,6 +1,7 @@
 package allotter
 
 import (
+	"maps"
 	"slices"
 
 	"cowsliphinge/clocker"
@@ -117,6 +118,7 @@
 // adoptLease updates the lease from the known content. No write is in doubt any more.
 func (a *Allotter) adoptLease() {
 	a.guard.confirmedAt, a.guard.pendingAt, a.guard.inDoubt = 0, 0, false
+	maps.DeleteFunc(a.guard.ended, func(incarnation string, _ clocker.Millis) bool { return !hasLease(a.object, incarnation) })
 	for _, l := range a.object.GetLeases() {
 		if l.Incarnation == a.cfg.Incarnation {
 			a.guard.confirmedAt = clocker.Millis(l.AtMs)
@@ -198,6 +200,10 @@
 	})
 }
 
+func hasLease(object *messenger.BudgetShard, incarnation string) bool {
+	return slices.ContainsFunc(object.GetLeases(), func(l *messenger.GuardLease) bool { return l.Incarnation == incarnation })
+}
+
 func hasOpenEntry(object *messenger.BudgetShard, incarnation string) bool {
 	return slices.ContainsFunc(object.GetBudgets(), func(b *messenger.Budget) bool {
 		h := findEntry(b, incarnation)
--- a/allotter/waiting.go
+++ b/allotter/waiting.go
@@ -84,7 +84,8 @@
 			unspent -= h.Charge
 		}
 	}
-	return unspent - max(0, b.spent-b.foldedLimit)
+	// What was received is charged to its sender.
+	return unspent - max(0, b.spent-b.received.sum-b.foldedLimit)
 }
 
 // askable returns the tokens of the waiting requests of a rank that other hosts may help to cover. While the platform
--- a/allotter/waiting_test.go
+++ b/allotter/waiting_test.go
@@ -82,6 +82,8 @@
 	assert.Equal(t, a.MostUnspent(guardBudget), int64(850), "a reservation may be unused")
 	assert.Assert(t, a.Settle(guardBudget, id, 80, 1))
 	assert.Equal(t, a.MostUnspent(guardBudget), int64(770))
+	a.Receive("three", &messenger.TransferTotal{Budget: guardBudget, Given: 50})
+	assert.Equal(t, a.MostUnspent(guardBudget), int64(820), "what was received may have been spent, and is in the charge of its sender")
 	a.SetDeclaredGrant(guardBudget, 3000) // a top-up that the store does not have yet
-	assert.Equal(t, a.MostUnspent(guardBudget), int64(2770))
+	assert.Equal(t, a.MostUnspent(guardBudget), int64(2820))
 }
--- a/reserver/lost_holders.go
+++ b/reserver/lost_holders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 
@@ -68,7 +69,9 @@
 	r.tasks.Go(func() error {
 		var calls sync.WaitGroup
 		for _, s := range r.activeShards() {
-			for incarnation, address := range r.watched(s) {
+			watched := r.watched(s)
+			r.holders.forget(s.number, watched)
+			for incarnation, address := range watched {
 				calls.Go(func() { r.watchHolder(ctx, s, incarnation, address) })
 			}
 		}
@@ -80,6 +83,16 @@
 	})
 }
 
+// forget removes what is known of the leases of a shard whose incarnations are not watched any more.
+func (h *holderWatch) forget(shard int, watched map[string]string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.leaseStarts, func(l heldLease, _ clocker.Millis) bool {
+		_, known := watched[l.incarnation]
+		return l.shard == shard && !known
+	})
+}
+
 // watched returns the addresses of the holders of a shard that this host watches, by incarnation: those before it in
 // the order of their names.
 func (r *Reserver) watched(s *shard) map[string]string {
