An empty stream ends that of a leaving server only

Suspected cause, by reading: a server died in the middle of its stream, and the one that took it up ended it empty, as the soak lets servers do. The empty rest was taken for the end although the first server did not leave. It counts only behind a server that is known to leave as planned now. Test that failed before: TestEmptyAnswerDoesNotEndTheStreamOfACrashedServer.

The soak's stand-in for a dead process also answered on connections that it had not closed yet, which a dead process can't; it sends nothing now once it is dead. That makes the stand-in more like a process, and no check weaker.

--- a/relayer/leaving_server_test.go
+++ b/relayer/leaving_server_test.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// Guards against a false end: a server that does not leave has died in the middle of its stream, and the one that takes it
+// up loses the rest.
+func TestEmptyAnswerDoesNotEndTheStreamOfACrashedServer(t *testing.T) {
+	f, _ := newEngineFixture(t, resumableRoute, []string{"v1", "v1"}, newMortalBackend(t, 3), newBackend(t, tellStart(1, streamEvents(4, 3, true))))
+	got := f.call(t, "POST", "/r/x", "b")
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Assert(t, got.truncated)
+}
+
 // The tokens count only as long as the server is known to leave: another one may have crashed.
 func TestStreamWithAllTokensOfACrashedServerStaysCut(t *testing.T) {
 	b := newMortalBackend(t, 6)
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -92,7 +92,8 @@
 	origin streamOrigin
 	// position is the caller's position in its stream.
 	position streamPosition
-	// endUnproven is true if the last server ended its stream behind an event, and may have died there.
+	// endUnproven is true if the last server, which leaves as planned, ended its stream behind an event. It may have died
+	// there instead.
 	endUnproven bool
 	// lastFailure is the last error response of a server to a retryable request.
 	lastFailure *failedResponse
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -150,7 +150,7 @@
 			x.finishAttempt(a, chooser.NoFailure, failure{})
 			return failure{}, false
 		case err != nil || events.tooLong():
-			x.endUnproven = carrier.IsErrServerGone(err) && !events.hasPartial() && x.position.complete()
+			x.endUnproven = carrier.IsErrServerGone(err) && !events.hasPartial() && x.position.complete() && x.leavesAsPlanned(a)
 			a.log.setCause(err)
 			x.reportCrash(a, err)
 			return x.finishAttempt(a, x.relayErrorOutcome(err), outcomeUnknown), true
--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/standin/server"
@@ -29,10 +30,43 @@
 	http     *http.Server
 	listed   map[string]any
 
+	// dead is true once the process has ended.
+	dead atomic.Bool
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 }
 
+// mortalListener accepts connections of a process that may end.
+type mortalListener struct {
+	net.Listener
+	dead *atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l mortalListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return mortalConn{c.(*net.TCPConn), l.dead}, nil
+}
+
+// mortalConn sends nothing once its process has ended: a process that is dead answers on no connection, also while
+// others of its connections are still being closed.
+type mortalConn struct {
+	*net.TCPConn
+	dead *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c mortalConn) Write(b []byte) (int, error) {
+	if c.dead.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.TCPConn.Write(b)
+}
+
 // addServer starts a backend server that never ran before and lists it.
 func (w *world) addServer() error {
 	w.mu.Lock()
@@ -71,7 +105,7 @@
 		"version": b.version, "born": int64(b.born),
 	}
 	w.record.began(b.id, b.version, b.born)
-	go func() { _ = b.http.Serve(l) }() // ends by Close
+	go func() { _ = b.http.Serve(mortalListener{l, &b.dead}) }() // ends by Close
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.servers = append(w.servers, b)
@@ -111,7 +145,7 @@
 	case byReset:
 		b.mu.Lock()
 		for c := range b.conns {
-			_ = c.(*net.TCPConn).SetLinger(0) // the connection may have ended
+			_ = c.(mortalConn).SetLinger(0) // the connection may have ended
 		}
 		b.mu.Unlock()
 	case behindAnswers:
@@ -119,5 +153,6 @@
 		defer cancel()
 		_ = b.http.Shutdown(ctx) // Close ends what is left
 	}
+	b.dead.Store(true)
 	_ = b.http.Close()
 }
--- a/standin/server/fault.go
+++ b/standin/server/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -112,7 +111,7 @@
 	}
 	_, _ = buffered.WriteString(part) // a router that has left needs no answer
 	_ = buffered.Flush()
-	if tcp, ok := conn.(*net.TCPConn); ok && f.Kind == Reset {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok && f.Kind == Reset {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
