Tests of the budgets use the slow rate of package runner

Cause: it still had half of the unguarded part as the bound of the slow rate. That part is smaller since requests that can't be covered take no tokens from others, and package runner uses all of it since then. The tests have the settings of package runner again; their bounds and loads are as they were.

--- a/reserver/ask_storm_test.go
+++ b/reserver/ask_storm_test.go
@@ -225,7 +225,7 @@
 	}
 	demandShare := 0.0
 	if load.opens {
-		guard.LeaseTime, guard.OpenFactor, guard.OpenShare = 2000, 1, 0.5
+		guard.LeaseTime, guard.OpenFactor, guard.OpenShare = 2000, 1, 1
 		guard.FastAfter, guard.FastFactor, guard.OpenTime = 3200, 7.5, 3000
 		demandShare = 0.75
 	}
--- a/reserver/guard_price_test.go
+++ b/reserver/guard_price_test.go
@@ -185,7 +185,7 @@
 	if load.guard {
 		guard = &allotter.GuardConfig{
 			LeaseTime: 2000, RenewInterval: 900 + clocker.Millis(random.IntN(300)), DrawHorizon: 3200,
-			OpenFactor: 1, OpenShare: 0.5, FastAfter: 3200, FastFactor: 7.5, OpenTime: 3000,
+			OpenFactor: 1, OpenShare: 1, FastAfter: 3200, FastFactor: 7.5, OpenTime: 3000,
 			Address: h.name, SameHost: func(string) bool { return false }, StartedAt: f.clock.Now(), BootAt: clocker.Hour,
 		}
 	}
