Responses with a status that no response has are failures

Callers saw: a server answers with status 000, and the caller gets it as an answer. By `serve` it is a 200 with that body, 001 and 099 are passed on. By `route` whatever follows such a head, or a body that looks like a response, reaches the caller as a 200; a 421 or a marked 503 behind it has an unsafe request sent to a second server. In the store's client a write counts as done, in `orderer` an order, and `platform` believes the era of such an answer.

Cause: the parsers of net/http and fasthttp take any three digits for a status and any digits for a version. fasthttp reports 0 as 200; `carrier` took all statuses below 200, 101 among them, for interim responses and read on, also behind an interim response that announces a body.

Change: package `verifier` checks the bytes of a response while they are read, by the same rules for both libraries: servers, direct and through tunnels, orders, the store, other hosts. A broken response fails the read, so that the outcome of the attempt is unknown, its connection is closed and nothing of its head is believed. A log line names server and rule, a counter counts by reason. A broken response is no sign of a lost path.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
 	"cowsliphinge/prober"
+	"cowsliphinge/verifier"
 )
 
 // maxSyncWriteBytes is the size up to which a request is written before the response is
@@ -189,7 +191,8 @@
 		if !cn.isFirstExchange() && ctx.Err() == nil {
 			c.closeIdle(t) // the cause may have broken all idle connections
 		}
-		if ctx.Err() == nil {
+		reportBroken(t, err)
+		if ctx.Err() == nil && !verifier.IsErrBrokenResponse(err) {
 			c.cfg.Dialer.Lost(cn.via)
 		}
 		return nil, err
@@ -201,6 +204,11 @@
 	return response, nil
 }
 
+// reportBroken counts and logs a response of a server that is not valid HTTP.
+func reportBroken(t Target, err error) {
+	verifier.Report(err, slog.String("server", t.ID), slog.String("address", t.Address))
+}
+
 func (c *Carrier) roundTrip(cn *conn, r Request) (*Response, error) {
 	if r.Payload != nil && !r.Payload.Retain() {
 		return nil, connector.ErrNotSent{Cause: errBodyReleased}
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -14,6 +14,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/prober"
+	"cowsliphinge/verifier"
 )
 
 const (
@@ -53,8 +54,9 @@
 	requestIDHashes []uint64
 	// readLimit is the number of bytes that may still be read, or noReadLimit.
 	readLimit int
-	// header counts the lines of the header that is being read.
+	// header counts the lines of the header that is being read, and head checks its bytes.
 	header headerLines
+	head   verifier.Head
 	// onSilence is Request.OnSilence of the current request.
 	onSilence func(hasBytes func() bool) clocker.Millis
 }
@@ -112,7 +114,7 @@
 	c.readLimit = n
 }
 
-// Read implements net.Conn, counts the bytes and enforces the read limit.
+// Read implements net.Conn, counts the bytes, enforces the read limit and checks the head of a response.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.readLimit == 0 {
 		return 0, errPreBodyTooLong
@@ -128,9 +130,22 @@
 	if !c.header.add(b[:n]) {
 		return 0, errHeaderTooLong
 	}
+	if _, broken := c.head.Scan(b[:n]); broken != nil {
+		return 0, broken
+	}
 	return n, err
 }
 
+// beginHead starts to count the lines of the header of a response and to check its bytes, some of which may have been
+// read behind the response before.
+func (c *conn) beginHead() error {
+	c.header.begin(maxHeaderLines)
+	c.head.Begin()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	_, err := c.head.Scan(buffered)
+	return err
+}
+
 // headerLines counts the lines of a header up to its blank line. Each field takes far more memory once it
 // is parsed than its bytes.
 type headerLines struct {
--- a/carrier/endless_response_test.go
+++ b/carrier/endless_response_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
+	"cowsliphinge/standin/responder"
 )
 
 // maxEndlessRead limits the bytes that one exchange with an endless response may read,
@@ -216,12 +218,15 @@
 }
 
 // FuzzAnswer reads arbitrary bytes of a server. Reading stays within the limits, does not
-// panic, and never returns the response to another request.
+// panic, and never returns the response to another request or one with a status that no response has.
 func FuzzAnswer(f *testing.F) {
 	for _, response := range endlessResponses {
 		f.Add([]byte(response.Start+strings.Repeat(response.Repeated, 3)), true)
 	}
 	f.Add([]byte(responseText("1", "whole")), false)
+	for _, shape := range slices.Concat(responder.BrokenStatuses("X-Id: 1\r\n"), responder.Sound("X-Id: 1\r\n")) {
+		f.Add([]byte(shape.Text), false)
+	}
 	f.Fuzz(func(t *testing.T, sent []byte, reused bool) {
 		client, server := net.Pipe()
 		go func() {
@@ -243,6 +248,7 @@
 		}
 		got := resp.Header.Get("X-Id")
 		assert.Assert(t, got == "1" || got == "" && !reused && resp.StatusCode >= 300)
+		assert.Assert(t, resp.StatusCode >= 200 && resp.StatusCode <= 599, "status %d", resp.StatusCode)
 		var body bytes.Buffer
 		_, _ = io.Copy(&body, resp.Body) // any error is allowed
 		assert.Assert(t, body.Len() <= len(sent))
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -12,6 +12,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
+	"cowsliphinge/verifier"
 )
 
 const (
@@ -113,7 +114,7 @@
 		if err != nil {
 			identitiesRefused.Inc()
 			var status errIdentityStatus
-			if ctx.Err() == nil && !errors.As(err, &status) {
+			if ctx.Err() == nil && !errors.As(err, &status) && !verifier.IsErrBrokenResponse(err) {
 				c.cfg.Dialer.Lost(cn.via)
 			}
 			return nil, err
@@ -170,6 +171,7 @@
 	}
 	resp, err := readResponseHeader(cn, http.MethodGet)
 	if err != nil {
+		reportBroken(t, err)
 		return false, err
 	}
 	body, err := io.ReadAll(resp.Body)
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -64,7 +64,9 @@
 
 func readResponseHeader(cn *conn, method string) (*http.Response, error) {
 	for {
-		cn.header.begin(maxHeaderLines)
+		if err := cn.beginHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		cn.header = headerLines{} // the rest of the bytes are no header
 		if err != nil {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -19,6 +19,7 @@
 
 	"cowsliphinge/admitter"
 	"cowsliphinge/clocker"
+	"cowsliphinge/verifier"
 )
 
 const (
@@ -394,7 +395,7 @@
 }
 
 func (c *Connector) newHostClient(address string, timeout clocker.Millis) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
+	client := &fasthttp.HostClient{
 		Addr:                      address,
 		IsTLS:                     c.cfg.TLS != nil,
 		TLSConfig:                 c.cfg.TLS,
@@ -410,6 +411,8 @@
 			return NewProgressConn(conn, timeout), nil
 		},
 	}
+	verifier.Configure(client)
+	return client
 }
 
 var _ io.Reader = (*Answer)(nil)
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -14,6 +14,7 @@
 
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
+	"cowsliphinge/verifier"
 )
 
 const (
@@ -133,6 +134,7 @@
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleConnTimeout.Duration(),
 	}
+	verifier.ConfigureTransport(transport)
 	return &http.Client{Timeout: callTimeout.Duration(), Transport: bearerTransport{key: key, next: transport}}
 }
 
--- /dev/null
+++ b/forwarder/broken_response_test.go
@@ -0,0 +1,46 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowsliphinge/clocker"
+	"cowsliphinge/dispatcher"
+	"cowsliphinge/forwarder"
+	"cowsliphinge/heartbeater"
+	"cowsliphinge/messenger"
+	"cowsliphinge/standin/responder"
+)
+
+// forward returns the answer of another router that responds with text.
+func forward(t *testing.T, text string) (*dispatcher.Answer, error) {
+	s, err := responder.Start(responder.Config{Respond: func(*http.Request) string { return text }})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	clock := clocker.NewWall()
+	f := forwarder.New(forwarder.Config{Clock: clock, Peers: func() []heartbeater.Peer {
+		return []heartbeater.Peer{{Incarnation: "host-b-1", CallerAddress: s.Address()}}
+	}})
+	return f.Forward(t.Context(), "host-b-1", dispatcher.Call{
+		Service: &messenger.Service{Name: "orders"}, Method: http.MethodPost, Path: "/place",
+		RequestID: "r", IdempotencyKey: "k", Deadline: clock.Now() + 2*clocker.Second,
+	})
+}
+
+// Guards against a broken answer of another router that a caller gets.
+func TestAnswersWithBrokenStatusFail(t *testing.T) {
+	for _, shape := range responder.BrokenStatuses("X-Request-Id: r\r\n") {
+		got, err := forward(t, shape.Text)
+		assert.Assert(t, err != nil, "%s: %+v", shape.Name, got)
+	}
+}
+
+func TestUnusualAnswersPass(t *testing.T) {
+	for _, shape := range responder.Sound("X-Request-Id: r\r\n") {
+		got, err := forward(t, shape.Text)
+		assert.NilError(t, err, shape.Name)
+		assert.Equal(t, string(got.Body), responder.Body, shape.Name)
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"cowsliphinge/connector"
 	"cowsliphinge/dispatcher"
 	"cowsliphinge/heartbeater"
+	"cowsliphinge/verifier"
 )
 
 // maxAnswerBytes is the maximum size of the body of a forwarded answer.
@@ -54,6 +55,7 @@
 		TLSConfig:                 cfg.TLS,
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxAnswerBytes,
+		ConfigureClient:           verifier.ConfigureHostClient,
 	}}
 }
 
--- a/orderer/client.go
+++ b/orderer/client.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/verifier"
 )
 
 const (
@@ -35,7 +36,11 @@
 
 // NewClient returns a client. Connections are opened by the first calls.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, http: fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswerBytes}}
+	return &Client{cfg: cfg, http: fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxAnswerBytes,
+		ConfigureClient:           verifier.ConfigureHostClient,
+	}}
 }
 
 // State reads the state of an engine.
--- a/storer/client.go
+++ b/storer/client.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/verifier"
 )
 
 const (
@@ -84,7 +85,7 @@
 	}
 	return &Client{
 		cfg:      cfg,
-		http:     fasthttp.Client{TLSConfig: cfg.TLS, MaxIdemponentCallAttempts: 1},
+		http:     fasthttp.Client{TLSConfig: cfg.TLS, MaxIdemponentCallAttempts: 1, ConfigureClient: verifier.ConfigureHostClient},
 		tokens:   float64(2 * cfg.CallsPerSecond()),
 		refilled: cfg.Clock.Now(),
 	}
--- a/tunneler/dial.go
+++ b/tunneler/dial.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/verifier"
 )
 
 // DialFunc opens a TCP connection within a timeout in milliseconds.
@@ -48,15 +49,16 @@
 // connect asks the far host to connect to the server and reads its reply. It reports whether the far
 // host marks the server's clean end.
 func (d Dialer) connect(c net.Conn, hostAddress, address string, timeout clocker.Millis) (bool, error) {
+	checked := verifier.NewConn(c) // up to the end of the reply
 	unavailable := func(cause string) (bool, error) {
 		return false, ErrHostUnavailable{Address: hostAddress, Cause: cause}
 	}
-	_, err := fmt.Fprintf(c, "CONNECT %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\n%s: %s\r\n\r\n",
+	_, err := fmt.Fprintf(checked, "CONNECT %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\n%s: %s\r\n\r\n",
 		address, address, d.RouterKey, timeoutHeader, timeout, endMarkHeader, endMarkValue)
 	if err != nil {
 		return unavailable(err.Error())
 	}
-	r := bufio.NewReader(io.LimitReader(c, maxReplyBytes))
+	r := bufio.NewReader(io.LimitReader(checked, maxReplyBytes))
 	resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return unavailable(err.Error())
--- /dev/null
+++ b/verifier/response.go
@@ -0,0 +1,141 @@
+package verifier
+
+import "net/http"
+
+type responsePart uint8
+
+const (
+	// noResponse is the state before a request and after the end of its response. Bytes that arrive then belong to none.
+	noResponse responsePart = iota
+	headPart
+	// sizedPart is a body with a length.
+	sizedPart
+	chunkSizePart
+	chunkExtensionPart
+	chunkPart
+	chunkEndPart
+	trailerPart
+	// uncheckedPart is what nothing can be told of: a body that ends with its connection, or chunks that the parser
+	// refuses.
+	uncheckedPart
+)
+
+// maxChunkDigits bounds the length of a chunk, so that its value fits into an int64.
+const maxChunkDigits = 15
+
+// response follows the bytes of a response to its end, so that its heads and its trailer are checked and its body is
+// not.
+type response struct {
+	part responsePart
+	head Head
+	// toHead is true for the response to a HEAD request, which has no body.
+	toHead bool
+	// left is the number of bytes that are left of the body or of the chunk, or the length of the chunk so far.
+	left   int64
+	digits int
+}
+
+func (r *response) ended() bool {
+	return r.part == noResponse
+}
+
+// begin starts to check the response to a request.
+func (r *response) begin(toHead bool) {
+	*r = response{part: headPart, toHead: toHead}
+	r.head.Begin()
+}
+
+// scan checks the next bytes. It returns their number, or an ErrBrokenResponse and the number of those before what breaks
+// a rule.
+func (r *response) scan(b []byte) (int, error) {
+	for i := 0; i < len(b); {
+		switch r.part {
+		case noResponse, uncheckedPart:
+			return len(b), nil
+		case headPart, trailerPart:
+			n, err := r.head.Scan(b[i:])
+			i += n
+			if err != nil {
+				return i, err
+			}
+			if r.head.Ended() {
+				r.endHead()
+			}
+		case sizedPart, chunkPart:
+			n := min(r.left, int64(len(b)-i))
+			i += int(n)
+			r.left -= n
+			if r.left == 0 {
+				r.endData()
+			}
+		default:
+			r.nextOfChunk(b[i])
+			i++
+		}
+	}
+	return len(b), nil
+}
+
+// endHead finds out what follows a head or a trailer.
+func (r *response) endHead() {
+	h := &r.head
+	switch {
+	case r.part == trailerPart:
+		r.part = noResponse
+	case h.status < http.StatusOK:
+		h.Begin()
+	case r.toHead || h.status == http.StatusNoContent || h.status == http.StatusNotModified || !h.chunked && h.length == 0:
+		r.part = noResponse
+	case h.chunked:
+		r.beginChunk()
+	case h.length > 0:
+		r.part, r.left = sizedPart, h.length
+	default:
+		r.part = uncheckedPart
+	}
+}
+
+func (r *response) endData() {
+	r.part = noResponse
+	if r.head.chunked {
+		r.part = chunkEndPart
+	}
+}
+
+func (r *response) beginChunk() {
+	r.part, r.left, r.digits = chunkSizePart, 0, 0
+}
+
+// nextOfChunk takes a byte of the line before a chunk or of the line end behind it.
+func (r *response) nextOfChunk(c byte) {
+	digit, isDigit := hexDigit(c)
+	switch {
+	case r.part == chunkEndPart && c == '\r', r.part == chunkExtensionPart && c != '\n':
+	case r.part == chunkEndPart && c == '\n':
+		r.beginChunk()
+	case r.part == chunkSizePart && isDigit && r.digits < maxChunkDigits:
+		r.left = r.left<<4 | digit
+		r.digits++
+	case r.part == chunkEndPart || r.digits == 0 || isDigit && r.part == chunkSizePart:
+		r.part = uncheckedPart
+	case c != '\n':
+		r.part = chunkExtensionPart
+	case r.left > 0:
+		r.part = chunkPart
+	default:
+		r.part = trailerPart
+		r.head.beginTrailer()
+	}
+}
+
+func hexDigit(c byte) (int64, bool) {
+	switch {
+	case isDigit(c):
+		return int64(c - '0'), true
+	case c >= 'a' && c <= 'f':
+		return int64(c-'a') + 10, true
+	case c >= 'A' && c <= 'F':
+		return int64(c-'A') + 10, true
+	}
+	return 0, false
+}
