Responses with fields that no response has are failures

Callers saw: a server sends a field with a blank in its name, and the response is passed on. By `route` `Transfer-Encoding : chunked` and `Content-Length : 8` mean nothing, so that raw chunks, or what follows to the end of the connection, are the body; by `serve`, in orders and in the store's client both are believed. Chunks with HTTP/1.0 reach callers raw by both. A control byte in a name was handled before by both libraries; its tests stay.

Cause: net/http keeps a name with a blank as a name of its own, fasthttp removes the blank, in heads and trailers; both ignore Transfer-Encoding with HTTP/1.0. Two readings of one head give two bodies.

Change: `verifier` checks names, values and the fields that frame the body, in heads, interim responses and trailers. `carrier` checks its connections by the same verifier.Response as the other paths, so that trailers are covered.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -54,9 +54,11 @@
 	requestIDHashes []uint64
 	// readLimit is the number of bytes that may still be read, or noReadLimit.
 	readLimit int
-	// header counts the lines of the header that is being read, and head checks its bytes.
+	// header counts the lines of the header that is being read.
 	header headerLines
-	head   verifier.Head
+	// response checks the response that is being read, and broken is its error, after which nothing is read any more.
+	response verifier.Response
+	broken   error
 	// onSilence is Request.OnSilence of the current request.
 	onSilence func(hasBytes func() bool) clocker.Millis
 }
@@ -114,8 +116,11 @@
 	c.readLimit = n
 }
 
-// Read implements net.Conn, counts the bytes, enforces the read limit and checks the head of a response.
+// Read implements net.Conn, counts the bytes, enforces the read limit and checks the response.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.broken != nil {
+		return 0, c.broken
+	}
 	if c.readLimit == 0 {
 		return 0, errPreBodyTooLong
 	}
@@ -130,19 +135,24 @@
 	if !c.header.add(b[:n]) {
 		return 0, errHeaderTooLong
 	}
-	if _, broken := c.head.Scan(b[:n]); broken != nil {
+	valid, broken := c.response.Scan(b[:n])
+	if broken == nil {
+		return n, err
+	}
+	c.broken = broken
+	if valid == 0 {
 		return 0, broken
 	}
-	return n, err
+	return valid, nil
 }
 
-// beginHead starts to count the lines of the header of a response and to check its bytes, some of which may have been
-// read behind the response before.
-func (c *conn) beginHead() error {
+// beginResponse starts to check a response and to count the lines of its header. Some of its bytes may have been read
+// together with the response before.
+func (c *conn) beginResponse(method string) error {
 	c.header.begin(maxHeaderLines)
-	c.head.Begin()
+	c.response.Begin(method)
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	_, err := c.head.Scan(buffered)
+	_, err := c.response.Scan(buffered)
 	return err
 }
 
--- a/carrier/endless_response_test.go
+++ b/carrier/endless_response_test.go
@@ -224,7 +224,7 @@
 		f.Add([]byte(response.Start+strings.Repeat(response.Repeated, 3)), true)
 	}
 	f.Add([]byte(responseText("1", "whole")), false)
-	for _, shape := range slices.Concat(responder.BrokenStatuses("X-Id: 1\r\n"), responder.Sound("X-Id: 1\r\n")) {
+	for _, shape := range slices.Concat(responder.BrokenStatuses("X-Id: 1\r\n"), responder.BrokenFields("X-Id: 1\r\n"), responder.Sound("X-Id: 1\r\n")) {
 		f.Add([]byte(shape.Text), false)
 	}
 	f.Fuzz(func(t *testing.T, sent []byte, reused bool) {
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -64,7 +64,7 @@
 
 func readResponseHeader(cn *conn, method string) (*http.Response, error) {
 	for {
-		if err := cn.beginHead(); err != nil {
+		if err := cn.beginResponse(method); err != nil {
 			return nil, err
 		}
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
@@ -98,6 +98,7 @@
 // Read reads from the body. It returns io.EOF only after a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
+	reportBroken(r.target, err)
 	if err == nil && !r.Framed() && r.witness == nil && r.carrier.cfg.Identity != nil {
 		r.witness = r.carrier.attachWitness(incarnationOf(r))
 	}
--- a/exchanger/broken_response_test.go
+++ b/exchanger/broken_response_test.go
@@ -30,8 +30,8 @@
 const fields = "Content-Type: application/protobuf\r\n"
 
 // Guards against a broken reply of another router that is taken for a reply.
-func TestRepliesWithBrokenStatusFail(t *testing.T) {
-	for _, shape := range responder.BrokenStatuses(fields) {
+func TestBrokenRepliesFail(t *testing.T) {
+	for _, shape := range append(responder.BrokenStatuses(fields), responder.BrokenFields(fields)...) {
 		assert.Assert(t, sendBeat(t, shape.Text) != nil, shape.Name)
 	}
 }
--- a/forwarder/broken_response_test.go
+++ b/forwarder/broken_response_test.go
@@ -30,8 +30,8 @@
 }
 
 // Guards against a broken answer of another router that a caller gets.
-func TestAnswersWithBrokenStatusFail(t *testing.T) {
-	for _, shape := range responder.BrokenStatuses("X-Request-Id: r\r\n") {
+func TestBrokenAnswersFail(t *testing.T) {
+	for _, shape := range append(responder.BrokenStatuses("X-Request-Id: r\r\n"), responder.BrokenFields("X-Request-Id: r\r\n")...) {
 		got, err := forward(t, shape.Text)
 		assert.Assert(t, err != nil, "%s: %+v", shape.Name, got)
 	}
--- a/orderer/broken_response_test.go
+++ b/orderer/broken_response_test.go
@@ -30,3 +30,8 @@
 func TestAnswersWithBrokenStatusTellNothing(t *testing.T) {
 	checkBroken(t, responder.BrokenStatuses(""))
 }
+
+// Guards against an order that counts as accepted though the answer is broken.
+func TestAnswersWithBrokenFieldsTellNothing(t *testing.T) {
+	checkBroken(t, responder.BrokenFields(""))
+}
--- a/relayer/broken_response_test.go
+++ b/relayer/broken_response_test.go
@@ -49,12 +49,22 @@
 	checkBroken(t, responder.BrokenStatuses(responseFields))
 }
 
+// Guards against a body that is not the server's, and against lines that no field has: net/http keeps a name with a blank
+// and ignores it as framing.
+func TestResponsesWithBrokenFieldsReachNoCaller(t *testing.T) {
+	checkBroken(t, responder.BrokenFields(responseFields))
+}
+
 // Guards against a refusal that is believed for a broken response: the request may have run.
 func TestBrokenResponseIsNoProofThatTheRequestDidNotRun(t *testing.T) {
 	for name, text := range map[string]string{
 		"version":          "HTTP/9.9 503 Full\r\nX-Not-Run: 1\r\n" + responseFields + "Retry-After: 9\r\nContent-Length: 0\r\n\r\n",
 		"status":           "HTTP/1.1 000 Full\r\nX-Not-Run: 1\r\n" + responseFields + "Content-Length: 0\r\n\r\n",
 		"taken for 421":    "HTTP/1.1 099 No\r\n" + responseFields + "\r\nHTTP/1.1 421 Misdirected\r\n" + responseFields + "Content-Length: 0\r\n\r\n",
+		"blank in a name":  "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + responseFields + "Name : value\r\nContent-Length: 0\r\n\r\n",
+		"only the mark":    "HTTP/1.1 503 Full\r\nX-Not-Run : 1\r\n" + responseFields + "Content-Length: 0\r\n\r\n",
+		"421":              "HTTP/1.1 421 Misdirected\r\n" + responseFields + "Name : value\r\nContent-Length: 0\r\n\r\n",
+		"chunks of 1.0":    "HTTP/1.0 503 Full\r\nX-Not-Run: 1\r\n" + responseFields + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"interim response": "HTTP/1.1 103 Early Hints\r\nContent-Length: 90\r\n\r\nHTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + responseFields + "Content-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/storer/broken_response_test.go
+++ b/storer/broken_response_test.go
@@ -46,3 +46,8 @@
 		assert.Equal(t, o.Version, int64(4), shape.Name)
 	}
 }
+
+// Guards against a write that counts as done, or a value that is none, since the library believes a field with a blank behind its name.
+func TestAnswersWithBrokenFieldsTellNothing(t *testing.T) {
+	checkBroken(t, responder.BrokenFields("Object-Version: 4\r\n"))
+}
--- a/tunneler/broken_response_test.go
+++ b/tunneler/broken_response_test.go
@@ -39,8 +39,12 @@
 }
 
 // Guards against a tunnel through a host whose reply is broken. Nothing was sent to the server then.
-func TestTunnelIsNotOpenAfterABrokenStatus(t *testing.T) {
-	for name, text := range tunnelReplies(responder.BrokenStatuses("")) {
+func TestTunnelIsNotOpenAfterABrokenReply(t *testing.T) {
+	shapes := append(responder.BrokenStatuses(""), responder.BrokenFields("")...)
+	for name, text := range tunnelReplies(shapes) {
+		if strings.Contains(name, "trailer") { // such a reply has none
+			continue
+		}
 		err := openThrough(t, text)
 		assert.Assert(t, IsErrHostUnavailable(err), "%s: %v", name, err)
 	}
--- a/verifier/broken.go
+++ b/verifier/broken.go
@@ -36,6 +36,14 @@
 	ReasonPhrase Reason = "reason_phrase"
 	// ReasonLineEnd means that a carriage return is not followed by a line feed.
 	ReasonLineEnd Reason = "line_end"
+	// ReasonFieldName means that the name of a field is not a token directly before its colon.
+	ReasonFieldName Reason = "field_name"
+	// ReasonFieldValue means that the value of a field has a control byte.
+	ReasonFieldValue Reason = "field_value"
+	// ReasonLength means that Content-Length is not one number.
+	ReasonLength Reason = "content_length"
+	// ReasonTransferEncoding means that Transfer-Encoding is not one "chunked", or comes with HTTP/1.0.
+	ReasonTransferEncoding Reason = "transfer_encoding"
 	// ReasonInterimBody means that an interim response announces a body.
 	ReasonInterimBody Reason = "interim_body"
 )
--- a/verifier/conn.go
+++ b/verifier/conn.go
@@ -20,7 +20,7 @@
 	net.Conn
 
 	mu       sync.Mutex
-	response response
+	response Response
 	// begun is true once a byte of the response was read.
 	begun bool
 	// broken is the error of a broken response, after which nothing is read or written any more.
@@ -37,7 +37,8 @@
 	c.mu.Lock()
 	if c.response.ended() {
 		c.begun = false
-		c.response.begin(bytes.HasPrefix(b, []byte(http.MethodHead+" ")))
+		method, _, _ := bytes.Cut(b, []byte(" "))
+		c.response.Begin(string(method))
 	}
 	broken := c.broken
 	c.mu.Unlock()
@@ -58,7 +59,7 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	valid, broken := c.response.scan(b[:n])
+	valid, broken := c.response.Scan(b[:n])
 	if broken == nil {
 		c.begun = c.begun || n > 0
 		return n, err
--- a/verifier/head.go
+++ b/verifier/head.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +16,11 @@
 	statusDigits = 3
 )
 
+var (
+	contentLengthName    = []byte("Content-Length")
+	transferEncodingName = []byte("Transfer-Encoding")
+)
+
 type headState uint8
 
 const (
@@ -29,9 +35,9 @@
 	afterCR
 )
 
-// Head checks the bytes of the head of a response, or of the trailer behind a chunked body, as they arrive. The zero
+// head checks the bytes of the head of a response, or of the trailer behind a chunked body, as they arrive. The zero
 // value is a head that has ended.
-type Head struct {
+type head struct {
 	state headState
 	// position counts the bytes of the version or the digits of the status.
 	position int
@@ -39,7 +45,8 @@
 	minor  byte
 	status int
 	// endsHead is true if the line end that has begun is that of the blank line.
-	endsHead bool
+	endsHead  bool
+	isTrailer bool
 	// hasFields is true behind the first line with a field.
 	hasFields bool
 	// token is the beginning of the current name, or of the value of a field that frames the body.
@@ -79,29 +86,35 @@
 	return string(t.bytes[:min(t.size, len(t.bytes))])
 }
 
-// Begin starts to check the head of a response.
-func (h *Head) Begin() {
-	*h = Head{state: inVersion, length: unknownLength}
+// begin starts to check the head of a response.
+func (h *head) begin() {
+	*h = head{state: inVersion, length: unknownLength}
 }
 
 // beginTrailer starts to check the trailer behind the last chunk of a body.
-func (h *Head) beginTrailer() {
-	*h = Head{state: atLineStart, status: h.status, length: unknownLength}
+func (h *head) beginTrailer() {
+	*h = head{state: atLineStart, isTrailer: true}
 }
 
-// Ended reports whether the last byte of the head was checked.
-func (h *Head) Ended() bool {
+// ended reports whether the last byte of the head was checked.
+func (h *head) ended() bool {
 	return h.state == headEnded
 }
 
-// Scan checks the next bytes. It returns the number of those that belong to the head, and an ErrBrokenResponse if the
+// scan checks the next bytes. It returns the number of those that belong to the head, and an ErrBrokenResponse if the
 // byte after them breaks a rule. Bytes behind the end of the head are left to the caller.
-func (h *Head) Scan(b []byte) (int, error) {
-	for i, c := range b {
+func (h *head) scan(b []byte) (int, error) {
+	for i := 0; i < len(b); i++ {
+		if h.state == inValue && h.framing == noFraming {
+			i += textLength(b[i:]) // most bytes of a head
+			if i == len(b) {
+				break
+			}
+		}
 		if h.state == headEnded {
 			return i, nil
 		}
-		if err := h.next(c); err != nil {
+		if err := h.next(b[i]); err != nil {
 			h.state = headEnded
 			return i, err
 		}
@@ -109,12 +122,22 @@
 	return len(b), nil
 }
 
-func (h *Head) broken(reason Reason, c byte) error {
+// textLength returns the number of bytes before the first one that may not stand in a value.
+func textLength(b []byte) int {
+	for i, c := range b {
+		if !isTextByte(c) {
+			return i
+		}
+	}
+	return len(b)
+}
+
+func (h *head) broken(reason Reason, c byte) error {
 	h.token.add(c)
 	return ErrBrokenResponse{Reason: reason, Detail: h.token.String()}
 }
 
-func (h *Head) next(c byte) error {
+func (h *head) next(c byte) error {
 	switch h.state {
 	case inVersion, beforeStatus, inStatus, inPhrase:
 		return h.nextOfStatusLine(c)
@@ -129,7 +152,7 @@
 	}
 }
 
-func (h *Head) nextOfStatusLine(c byte) error {
+func (h *head) nextOfStatusLine(c byte) error {
 	switch {
 	case h.state == inVersion:
 		return h.nextOfVersion(c)
@@ -142,7 +165,7 @@
 	return nil
 }
 
-func (h *Head) nextOfVersion(c byte) error {
+func (h *head) nextOfVersion(c byte) error {
 	switch {
 	case h.position < len(protocol) && c == protocol[h.position]:
 	case h.position == len(protocol) && isDigit(c):
@@ -158,7 +181,7 @@
 	return nil
 }
 
-func (h *Head) nextOfStatus(c byte) error {
+func (h *head) nextOfStatus(c byte) error {
 	if !isDigit(c) {
 		return h.broken(ReasonStatus, c)
 	}
@@ -177,7 +200,7 @@
 }
 
 // nextOfPhrase checks the rest of the status line. The reason phrase may be missing.
-func (h *Head) nextOfPhrase(c byte) error {
+func (h *head) nextOfPhrase(c byte) error {
 	switch {
 	case c == '\r' || c == '\n':
 		return h.endLine(c)
@@ -191,7 +214,7 @@
 }
 
 // endLine takes the first byte of a line end.
-func (h *Head) endLine(c byte) error {
+func (h *head) endLine(c byte) error {
 	h.state = afterCR
 	if c == '\n' {
 		return h.nextOfLineEnd(c)
@@ -199,7 +222,7 @@
 	return nil
 }
 
-func (h *Head) nextOfLineEnd(c byte) error {
+func (h *head) nextOfLineEnd(c byte) error {
 	switch {
 	case c != '\n':
 		return h.broken(ReasonLineEnd, c)
@@ -211,14 +234,14 @@
 	return nil
 }
 
-func (h *Head) nextOfLineStart(c byte) error {
+func (h *head) nextOfLineStart(c byte) error {
 	if (c == ' ' || c == '\t') && h.hasFields { // continues the value of the line before
 		return h.nextOfValue(c)
 	}
 	if err := h.endField(); err != nil {
 		return err
 	}
-	h.token = token{}
+	h.token.size = 0
 	if c == '\r' || c == '\n' {
 		h.endsHead = true
 		return h.endLine(c)
@@ -227,53 +250,64 @@
 	return h.nextOfName(c)
 }
 
-func (h *Head) nextOfName(c byte) error {
-	if c != ':' {
+func (h *head) nextOfName(c byte) error {
+	switch {
+	case isTokenByte(c):
 		h.state = inName
 		h.token.add(c)
 		return nil
+	case c != ':' || h.token.size == 0:
+		return h.broken(ReasonFieldName, c)
 	}
-	h.framing = framingOf(h.token.String())
-	h.state, h.token = inValue, token{}
+	h.framing = framingOf(h.token.bytes[:min(h.token.size, len(h.token.bytes))])
+	h.state = inValue
+	h.token.size = 0
 	return nil
 }
 
-func (h *Head) nextOfValue(c byte) error {
-	if c == '\r' || c == '\n' {
+func (h *head) nextOfValue(c byte) error {
+	switch {
+	case c == '\r' || c == '\n':
 		return h.endLine(c)
-	}
-	h.state = inValue
-	if h.framing != noFraming {
+	case !isTextByte(c):
+		return h.broken(ReasonFieldValue, c)
+	case h.framing != noFraming:
 		h.token.add(c)
 	}
+	h.state = inValue
 	return nil
 }
 
-// endField takes the value of the field before, if it frames the body.
-func (h *Head) endField() error {
+// endField checks the value of the field before, if it frames the body.
+func (h *head) endField() error {
+	if h.framing == noFraming || h.isTrailer {
+		return nil
+	}
 	framing := h.framing
 	h.framing = noFraming
 	value := strings.Trim(h.token.String(), " \t")
 	switch {
-	case framing == noFraming:
 	case h.status < http.StatusOK && value != "0":
 		return ErrBrokenResponse{Reason: ReasonInterimBody, Detail: value}
+	case framing == transferEncoding && (h.chunked || h.minor == 0 || !strings.EqualFold(value, "chunked")):
+		return ErrBrokenResponse{Reason: ReasonTransferEncoding, Detail: value}
 	case framing == transferEncoding:
 		h.chunked = true
 	default:
 		length, err := strconv.ParseUint(value, 10, 63)
-		if err == nil {
-			h.length = int64(length)
+		if err != nil || h.length != unknownLength && h.length != int64(length) {
+			return ErrBrokenResponse{Reason: ReasonLength, Detail: value}
 		}
+		h.length = int64(length)
 	}
 	return nil
 }
 
-func framingOf(name string) framingField {
+func framingOf(name []byte) framingField {
 	switch {
-	case strings.EqualFold(name, "Content-Length"):
+	case bytes.EqualFold(name, contentLengthName):
 		return contentLength
-	case strings.EqualFold(name, "Transfer-Encoding"):
+	case bytes.EqualFold(name, transferEncodingName):
 		return transferEncoding
 	}
 	return noFraming
@@ -283,6 +317,19 @@
 	return c >= '0' && c <= '9'
 }
 
+// tokenBytes has a bit for each byte below 0x80 that may stand in the name of a field.
+var tokenBytes = func() (bits [2]uint64) {
+	const allowed = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for _, c := range []byte(allowed) {
+		bits[c/64] |= 1 << (c % 64)
+	}
+	return bits
+}()
+
+func isTokenByte(c byte) bool {
+	return c < 0x80 && tokenBytes[c/64]>>(c%64)&1 == 1
+}
+
 // isTextByte reports whether a byte may stand in a value or a reason phrase: it is no control byte but the tab.
 func isTextByte(c byte) bool {
 	return c >= ' ' && c != 0x7f || c == '\t'
--- a/verifier/response.go
+++ b/verifier/response.go
@@ -23,11 +23,11 @@
 // maxChunkDigits bounds the length of a chunk, so that its value fits into an int64.
 const maxChunkDigits = 15
 
-// response follows the bytes of a response to its end, so that its heads and its trailer are checked and its body is
-// not.
-type response struct {
+// Response checks the bytes of a response as they arrive. It follows them to the end of the response, so that heads and
+// the trailer are checked and the body is not. The zero value is a response that has ended.
+type Response struct {
 	part responsePart
-	head Head
+	head head
 	// toHead is true for the response to a HEAD request, which has no body.
 	toHead bool
 	// left is the number of bytes that are left of the body or of the chunk, or the length of the chunk so far.
@@ -35,30 +35,30 @@
 	digits int
 }
 
-func (r *response) ended() bool {
+func (r *Response) ended() bool {
 	return r.part == noResponse
 }
 
-// begin starts to check the response to a request.
-func (r *response) begin(toHead bool) {
-	*r = response{part: headPart, toHead: toHead}
-	r.head.Begin()
+// Begin starts to check the response to a request with the method.
+func (r *Response) Begin(method string) {
+	*r = Response{part: headPart, toHead: method == http.MethodHead}
+	r.head.begin()
 }
 
-// scan checks the next bytes. It returns their number, or an ErrBrokenResponse and the number of those before what breaks
+// Scan checks the next bytes. It returns their number, or an ErrBrokenResponse and the number of those before what breaks
 // a rule.
-func (r *response) scan(b []byte) (int, error) {
+func (r *Response) Scan(b []byte) (int, error) {
 	for i := 0; i < len(b); {
 		switch r.part {
 		case noResponse, uncheckedPart:
 			return len(b), nil
 		case headPart, trailerPart:
-			n, err := r.head.Scan(b[i:])
+			n, err := r.head.scan(b[i:])
 			i += n
 			if err != nil {
 				return i, err
 			}
-			if r.head.Ended() {
+			if r.head.ended() {
 				r.endHead()
 			}
 		case sizedPart, chunkPart:
@@ -77,13 +77,13 @@
 }
 
 // endHead finds out what follows a head or a trailer.
-func (r *response) endHead() {
+func (r *Response) endHead() {
 	h := &r.head
 	switch {
 	case r.part == trailerPart:
 		r.part = noResponse
 	case h.status < http.StatusOK:
-		h.Begin()
+		h.begin()
 	case r.toHead || h.status == http.StatusNoContent || h.status == http.StatusNotModified || !h.chunked && h.length == 0:
 		r.part = noResponse
 	case h.chunked:
@@ -95,19 +95,19 @@
 	}
 }
 
-func (r *response) endData() {
+func (r *Response) endData() {
 	r.part = noResponse
 	if r.head.chunked {
 		r.part = chunkEndPart
 	}
 }
 
-func (r *response) beginChunk() {
+func (r *Response) beginChunk() {
 	r.part, r.left, r.digits = chunkSizePart, 0, 0
 }
 
 // nextOfChunk takes a byte of the line before a chunk or of the line end behind it.
-func (r *response) nextOfChunk(c byte) {
+func (r *Response) nextOfChunk(c byte) {
 	digit, isDigit := hexDigit(c)
 	switch {
 	case r.part == chunkEndPart && c == '\r', r.part == chunkExtensionPart && c != '\n':
--- a/verifier/head_test.go
+++ b/verifier/response_test.go
@@ -10,11 +10,11 @@
 
 // scanAll checks a response that arrives in parts of the given size. It returns the number of valid bytes.
 func scanAll(text string, part int) (int, error) {
-	var r response
-	r.begin(false)
+	var r Response
+	r.Begin("GET")
 	for i := 0; i < len(text); i += part {
 		chunk := text[i:min(i+part, len(text))]
-		n, err := r.scan([]byte(chunk))
+		n, err := r.Scan([]byte(chunk))
 		if err != nil {
 			return i + n, err
 		}
@@ -22,9 +22,14 @@
 	return len(text), nil
 }
 
+// broken returns all shapes of broken responses.
+func broken() []responder.Shape {
+	return append(responder.BrokenStatuses("X-Id: 1\r\n"), responder.BrokenFields("X-Id: 1\r\n")...)
+}
+
 // The bytes of a response may arrive in any parts.
-func TestBrokenStatusesAreFoundInAnyParts(t *testing.T) {
-	for _, shape := range responder.BrokenStatuses("X-Id: 1\r\n") {
+func TestBrokenResponsesAreFoundInAnyParts(t *testing.T) {
+	for _, shape := range broken() {
 		whole, err := scanAll(shape.Text, len(shape.Text))
 		assert.Assert(t, IsErrBrokenResponse(err), "%s: %v", shape.Name, err)
 		for part := range len(shape.Text) {
@@ -47,10 +52,10 @@
 // Guards against bytes behind a response that are taken for the beginning of the next one, which ends a connection in use.
 func TestResponseEndsBeforeTheBytesBehindIt(t *testing.T) {
 	for _, shape := range responder.Sound("X-Id: 1\r\n") {
-		var r response
+		var r Response
 		for range 2 {
-			r.begin(false)
-			_, err := r.scan([]byte(shape.Text + "no response"))
+			r.Begin("GET")
+			_, err := r.Scan([]byte(shape.Text + "no response"))
 			assert.NilError(t, err, shape.Name)
 			assert.Assert(t, r.ended(), shape.Name)
 		}
@@ -59,20 +64,20 @@
 
 // FuzzResponse checks arbitrary bytes in two parts: the verdict does not depend on where they are split.
 func FuzzResponse(f *testing.F) {
-	for _, shape := range append(responder.BrokenStatuses("X-Id: 1\r\n"), responder.Sound("X-Id: 1\r\n")...) {
+	for _, shape := range append(broken(), responder.Sound("X-Id: 1\r\n")...) {
 		f.Add([]byte(shape.Text), len(shape.Text)/2)
 	}
 	f.Fuzz(func(t *testing.T, text []byte, split int) {
-		var whole, parts response
-		whole.begin(false)
-		n, err := whole.scan(text)
+		var whole, parts Response
+		whole.Begin("GET")
+		n, err := whole.Scan(text)
 		assert.Assert(t, n <= len(text) && (err != nil || n == len(text)))
-		parts.begin(false)
+		parts.Begin("GET")
 		split = max(0, min(split, len(text)))
-		m, partErr := parts.scan(text[:split])
+		m, partErr := parts.Scan(text[:split])
 		if partErr == nil {
 			var rest int
-			rest, partErr = parts.scan(text[split:])
+			rest, partErr = parts.Scan(text[split:])
 			m += rest
 		}
 		assert.Equal(t, m, n)
@@ -86,10 +91,10 @@
 		"Server: engine\r\nCache-Control: no-store\r\nX-Versions: 3\r\n\r\n")
 	b.SetBytes(int64(len(head)))
 	for range b.N {
-		var h Head
-		h.Begin()
-		n, err := h.Scan(head)
-		if n != len(head) || err != nil || !h.Ended() {
+		var r Response
+		r.Begin("GET")
+		n, err := r.Scan(head)
+		if n != len(head) || err != nil || r.part != sizedPart {
 			b.Fatal(n, err)
 		}
 	}
