A reset that a write tells of is no clean end of a tunnel

Callers saw: a server answers a long upload through another host with a 200 without a length, sends a part and resets the connection. The part reaches the caller as a complete answer. On a direct connection it does not: that was handled before, its test stays.

Cause: the kernel gives the error of a reset to one call only. If that is the far host's write to the server, its read returns the end of the stream as behind a FIN, and the far host marked it as the server's clean end. The near host's own write may have succeeded, with all of the request in its buffers.

Change: behind the end of the stream the far host looks at its last write to the server, and waits 200 ms for one in progress: a reset wakes it at once, one that stays blocked has a server that reads late. The reply to a CONNECT announces the check; through an older far host an end behind a long write is not clean.

A clean end while the server reads on, or reads on 1 s later, is still one.

--- a/tunneler/dial.go
+++ b/tunneler/dial.go
@@ -34,7 +34,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(clocker.FromNow(timeout + handshakeAllowance))
-	marked, err := d.connect(c, hostAddress, address, timeout)
+	reply, err := d.connect(c, hostAddress, address, timeout)
 	if !stop() && err == nil {
 		err = ErrHostUnavailable{Address: hostAddress, Cause: context.Cause(ctx).Error()}
 	}
@@ -43,15 +43,14 @@
 		return nil, err
 	}
 	_ = c.SetDeadline(time.Time{})
-	return &nearConn{Conn: c, marked: marked}, nil
+	return &nearConn{Conn: c, reply: reply}, nil
 }
 
-// connect asks the far host to connect to the server and reads its reply. It reports whether the far
-// host marks the server's clean end.
-func (d Dialer) connect(c net.Conn, hostAddress, address string, timeout clocker.Millis) (bool, error) {
+// connect asks the far host to connect to the server and reads its reply.
+func (d Dialer) connect(c net.Conn, hostAddress, address string, timeout clocker.Millis) (reply, error) {
 	checked := verifier.NewConn(c) // up to the end of the reply
-	unavailable := func(cause string) (bool, error) {
-		return false, ErrHostUnavailable{Address: hostAddress, Cause: cause}
+	unavailable := func(cause string) (reply, error) {
+		return reply{}, ErrHostUnavailable{Address: hostAddress, Cause: cause}
 	}
 	_, err := fmt.Fprintf(checked, "CONNECT %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\n%s: %s\r\n\r\n",
 		address, address, d.RouterKey, timeoutHeader, timeout, endMarkHeader, endMarkValue)
@@ -65,11 +64,11 @@
 	}
 	switch {
 	case resp.StatusCode == http.StatusBadGateway:
-		return false, ErrServerUnreachable{Address: address, Refused: resp.Header.Get(dialFailureHeader) == refusedFailure}
+		return reply{}, ErrServerUnreachable{Address: address, Refused: resp.Header.Get(dialFailureHeader) == refusedFailure}
 	case resp.StatusCode != http.StatusOK:
 		return unavailable(resp.Status)
 	case r.Buffered() > 0:
 		return unavailable("bytes before the first request")
 	}
-	return resp.Header.Get(endMarkHeader) == endMarkValue, nil
+	return readReply(resp.Header), nil
 }
--- a/tunneler/end_mark.go
+++ b/tunneler/end_mark.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -18,27 +20,62 @@
 	// older versions neither ask for them nor send them.
 	endMarkHeader = "X-Tunnel-End-Mark"
 	endMarkValue  = "1"
+	// resetCheckHeader announces in the reply that no reset is marked as a clean end. Hosts of older versions mark one of
+	// which a write to the server told.
+	resetCheckHeader = "X-Tunnel-Reset-Check"
+	resetCheckValue  = "1"
 )
 
 var errEnded = errors.New("the server has closed the connection")
 
 // nearConn is the near end of a tunnel. Read returns io.EOF only after the server's clean end, and
 // io.ErrUnexpectedEOF if the tunnel was cut. Through a far host that does not mark ends, a clean one can't
-// be told from a cut, so that each counts as a cut. Only one goroutine may read at a time.
+// be told from a cut, so that each counts as a cut; so does one behind a long write through a host that does not
+// check for resets. Only one goroutine may read at a time.
 type nearConn struct {
 	net.Conn
-	marked bool
+	reply  reply
 	blocks blockDecoder
+	// wroteLong is true once a write was longer than what the far host writes to the server at once.
+	wroteLong atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *nearConn) Write(b []byte) (int, error) {
+	if len(b) > bufferBytes {
+		c.wroteLong.Store(true)
+	}
+	return c.Conn.Write(b)
+}
+
+// reply is what the far host announces in its reply.
+type reply struct {
+	// marksEnds is true if it marks the server's clean end.
+	marksEnds bool
+	// checksResets is true if it tells a reset during a write from a clean end.
+	checksResets bool
+}
+
+func readReply(h http.Header) reply {
+	return reply{marksEnds: h.Get(endMarkHeader) == endMarkValue, checksResets: h.Get(resetCheckHeader) == resetCheckValue}
+}
+
+// end returns the error of a read behind the mark.
+func (c *nearConn) end() error {
+	if c.wroteLong.Load() && !c.reply.checksResets {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
 }
 
 // Read implements net.Conn.
 func (c *nearConn) Read(b []byte) (int, error) {
 	for {
 		if c.blocks.ended {
-			return 0, io.EOF
+			return 0, c.end()
 		}
 		n, err := c.Conn.Read(b)
-		if c.marked {
+		if c.reply.marksEnds {
 			n = c.blocks.decode(b[:n])
 		}
 		if errors.Is(err, io.EOF) && !c.blocks.ended {
--- a/tunneler/end_mark_test.go
+++ b/tunneler/end_mark_test.go
@@ -133,7 +133,7 @@
 		"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader, "end with data": iotest.DataErrReader,
 	} {
 		for n := range len(sent) + 1 {
-			c := &nearConn{Conn: readerConn{Reader: wrap(strings.NewReader(sent[:n]))}, marked: true}
+			c := &nearConn{Conn: readerConn{Reader: wrap(strings.NewReader(sent[:n]))}, reply: reply{marksEnds: true}}
 			got, err := io.ReadAll(c)
 			if n < len(sent) {
 				assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "%s: cut after %d bytes", name, n)
--- a/tunneler/forward.go
+++ b/tunneler/forward.go
@@ -1,12 +1,15 @@
 package tunneler
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"io"
 	"net"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowsliphinge/clocker"
 	"cowsliphinge/prober"
 )
@@ -19,16 +22,21 @@
 	probeIdle     = 500 * clocker.Millis(1)
 	probeInterval = 500 * clocker.Millis(1)
 	probeCount    = 3
+	// resetGracePeriod is how long after a read from the server a write in progress may fail for the same reset, in
+	// milliseconds. The kernel wakes both at once.
+	resetGracePeriod = 200 * clocker.Millis(1)
 )
 
+var uploadResets = metrics.NewCounter("cowsliphinge_tunnel_upload_resets_total")
+
 // wall is the clock of the connections' time limits.
 var wall = clocker.NewWall()
 
 var buffers = sync.Pool{New: func() any { return new([blockHeaderBytes + bufferBytes]byte) }}
 
 // forward passes bytes between the near host and the server until either end closes. The end
-// of the server's bytes is passed on as it came: a reset stays a reset, so that an answer without a
-// length is not taken for whole. If marked, the server's bytes go in blocks, and its clean end is
+// of the server's bytes is passed on as it came: a reset stays a reset, also one of which only a write tells, so that an
+// answer without a length is not taken for whole. If marked, the server's bytes go in blocks, and its clean end is
 // marked; otherwise the connection to the near host resets on close until then. Once the near host has
 // closed, the server's connection is closed at once.
 func forward(host, server net.Conn, marked bool, forwarded func(int)) {
@@ -38,12 +46,13 @@
 	for _, c := range []net.Conn{host, server} { // either may read later than it gets bytes
 		prober.Keep(wall, c, ended)
 	}
+	upload := &upload{Conn: server}
 	go func() {
 		defer close(done)
-		_ = copyBytes(server, host, forwarded) // the near host knows no half-closed connections
+		_ = copyBytes(upload, host, forwarded) // the near host knows no half-closed connections
 		_ = server.Close()
 	}()
-	err := copyFromServer(host, server, marked, forwarded)
+	err := copyFromServer(host, server, upload, marked, forwarded)
 	setResetOnClose(host, err != nil)
 	_ = host.Close()
 	<-done
@@ -51,14 +60,21 @@
 }
 
 // copyFromServer copies until the server ends and returns nil, or an error.
-func copyFromServer(host, server net.Conn, marked bool, forwarded func(int)) error {
-	if !marked {
-		return copyBytes(host, server, forwarded)
+func copyFromServer(host, server net.Conn, upload *upload, marked bool, forwarded func(int)) error {
+	headerBytes := 0
+	if marked {
+		headerBytes = blockHeaderBytes
+	}
+	err := copyBlocks(host, server, headerBytes, forwarded)
+	if err == nil {
+		if err = upload.failure(); err != nil {
+			uploadResets.Inc()
+		}
 	}
-	if err := copyBlocks(host, server, blockHeaderBytes, forwarded); err != nil {
+	if err != nil || !marked {
 		return err
 	}
-	_, err := host.Write(make([]byte, blockHeaderBytes))
+	_, err = host.Write(make([]byte, blockHeaderBytes))
 	return err
 }
 
@@ -93,6 +109,43 @@
 	}
 }
 
+// upload is the connection to the server for writes. The kernel gives the error of a reset to one call only: if that is a
+// write, the read ends like that of a response which the server has ended.
+type upload struct {
+	net.Conn
+
+	mu  sync.Mutex // held during a write
+	err error
+}
+
+// Write implements net.Conn.
+func (u *upload) Write(b []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n, err := u.Conn.Write(b)
+	u.err = err
+	return n, err
+}
+
+// failure returns the error of the last write. One that is still blocked after resetGracePeriod has not failed: the server
+// may have ended its response and read on later.
+func (u *upload) failure() error {
+	failed := make(chan error, 1)
+	go func() { // ends at the latest when the connection is closed
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		failed <- u.err
+	}()
+	ctx, cancel := wall.WithTimeout(context.Background(), resetGracePeriod)
+	defer cancel()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // setResetOnClose sets whether the connection ends by a reset. That holds also if the kernel closes
 // it because the process has died.
 func setResetOnClose(c net.Conn, on bool) {
--- a/tunneler/server.go
+++ b/tunneler/server.go
@@ -114,7 +114,7 @@
 	}
 	defer s.remove(host)
 	openedTunnels.Inc()
-	if _, err := host.Write([]byte(reply(marked))); err != nil {
+	if _, err := host.Write([]byte(replyText(marked))); err != nil {
 		_ = host.Close()
 		_ = server.Close()
 		return
@@ -122,12 +122,12 @@
 	forward(host, server, marked, s.cfg.Forwarded)
 }
 
-// reply returns the reply to the CONNECT request of a tunnel that is open.
-func reply(marked bool) string {
+// replyText returns the reply to the CONNECT request of a tunnel that is open.
+func replyText(marked bool) string {
 	if !marked {
 		return "HTTP/1.1 200 OK\r\n\r\n"
 	}
-	return "HTTP/1.1 200 OK\r\n" + endMarkHeader + ": " + endMarkValue + "\r\n\r\n"
+	return "HTTP/1.1 200 OK\r\n" + endMarkHeader + ": " + endMarkValue + "\r\n" + resetCheckHeader + ": " + resetCheckValue + "\r\n\r\n"
 }
 
 func (s *Server) add(c net.Conn) bool {
