The rest of an upload is passed on behind the end of a response

Callers saw: a server answers a long upload early with a response without a length, ends its side properly and reads on. Through another host that whole response is aborted as a cut one.

Cause: the far host closed its connection to the near host behind the mark of the clean end, with bytes of the request unread. That resets the connection, and the near host's failed write means a reset response.

Change: behind a clean end the far host closes its sending side only, and passes on the rest for 500 ms at most; the near host waits 200 ms for its write.

--- a/carrier/early_response_test.go
+++ b/carrier/early_response_test.go
@@ -87,3 +87,20 @@
 		}
 	}
 }
+
+// A response is complete if its server ends its side of the connection and reads the rest of the request.
+func TestResponseThatEndsDuringAnUploadIsComplete(t *testing.T) {
+	for _, size := range []int{1 << 10, 300 << 10, 5 << 20, 8 << 20} {
+		target, carriers := startEarlyServer(t, responder.CloseWrite)
+		for path, c := range carriers {
+			t.Run(fmt.Sprintf("%s, %d bytes", path, size), func(t *testing.T) {
+				t.Parallel()
+				for i := range 10 {
+					body, complete := uploadTo(c, target, fmt.Sprint("r", i), size)
+					assert.Assert(t, complete, "round %d", i)
+					assert.Equal(t, body, "body")
+				}
+			})
+		}
+	}
+}
--- a/tunneler/forward.go
+++ b/tunneler/forward.go
@@ -25,6 +25,9 @@
 	// resetGracePeriod is how long after a read from the server a write in progress may fail for the same reset, in
 	// milliseconds. The kernel wakes both at once.
 	resetGracePeriod = 200 * clocker.Millis(1)
+	// uploadGracePeriod is how long the rest of a request may take behind the server's end, in milliseconds. The near host
+	// waits for its write for less.
+	uploadGracePeriod = 500 * clocker.Millis(1)
 )
 
 var uploadResets = metrics.NewCounter("cowsliphinge_tunnel_upload_resets_total")
@@ -54,9 +57,26 @@
 	}()
 	err := copyFromServer(host, server, upload, marked, forwarded)
 	setResetOnClose(host, err != nil)
+	if err == nil {
+		finishUpload(host, done)
+	}
 	_ = host.Close()
-	<-done
 	_ = server.Close()
+	<-done
+}
+
+// finishUpload gives the near host, which knows that the server's bytes have ended, time for the rest of a request. Bytes
+// that arrive on a closed connection would reset it, so that the near host could not tell the end from a cut.
+func finishUpload(host net.Conn, done <-chan struct{}) {
+	if half, ok := host.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // fails only if the connection is already closed
+	}
+	ctx, cancel := wall.WithTimeout(context.Background(), uploadGracePeriod)
+	defer cancel()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
 // copyFromServer copies until the server ends and returns nil, or an error.
