Requests whose body was cut do not run in `serve`

Callers saw: a caller announces a length, sends less and ends its connection; the request runs with the part that arrived. Bodies in chunks, and `route`, were not affected.

Cause: fasthttp takes the end of the connection for the end of a streamed body of a request, and `listener` did not compare it with the announced length.

Change: `listener` refuses a body that is shorter than announced.

--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/valyala/fasthttp/fasthttputil"
@@ -23,6 +24,8 @@
 // completions.
 type echoDispatcher struct {
 	lastCall dispatcher.Call
+	// calls counts application calls.
+	calls atomic.Int64
 }
 
 // StartCompletion implements listener.Dispatcher.
@@ -34,6 +37,7 @@
 // RunApplication implements listener.Dispatcher.
 func (e *echoDispatcher) RunApplication(_ context.Context, call dispatcher.Call) (*dispatcher.Answer, *dispatcher.Refusal) {
 	e.lastCall = call
+	e.calls.Add(1)
 	return &dispatcher.Answer{Status: 200, ContentType: "text/plain", Body: []byte(call.Method + " " + call.Path)}, nil
 }
 
--- a/listener/request_body.go
+++ b/listener/request_body.go
@@ -94,6 +94,9 @@
 		return nil, err
 	}
 	defer chunks.Release()
+	if chunks.Len() < announced { // the library reports the end of the connection as the end of the body
+		return nil, io.ErrUnexpectedEOF
+	}
 	if err := holding.Finish(); err != nil {
 		return nil, err
 	}
