Broken responses are reported also behind a part of a line

Operators saw: the caller of a real `route` process gets a 502 for a broken response, but neither the log line nor the counter. In bytes behind an interim response the rest was dropped, and the host waited on for the response.

Cause: a read returns the valid bytes before what breaks a rule. The parser of net/http takes a part of a line for a line at an error, and reports it by an error of its own, so that ours was lost. beginResponse forgot the error that was found in bytes read together with an interim response.

Change: the error of a connection takes the place of the parser's, and stays.

--- a/carrier/broken_response_test.go
+++ b/carrier/broken_response_test.go
@@ -14,6 +14,7 @@
 	"cowsliphinge/clocker"
 	"cowsliphinge/connector"
 	"cowsliphinge/standin/responder"
+	"cowsliphinge/verifier"
 )
 
 const usualResponse = "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 4\r\n\r\nbody"
@@ -80,6 +81,7 @@
 	t.Helper()
 	body, err := exchange(c, target, "1")
 	assert.Assert(t, err != nil, "body %q on a connection %s", body, conn)
+	assert.Assert(t, verifier.IsErrBrokenResponse(err), "%v on a connection %s", err, conn)
 	assert.Assert(t, !connector.IsErrNotSent(err), "%v", err)
 	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the server was silent on a connection %s", conn)
 }
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -149,10 +149,21 @@
 // beginResponse starts to check a response and to count the lines of its header. Some of its bytes may have been read
 // together with the response before.
 func (c *conn) beginResponse(method string) error {
+	if c.broken != nil { // found in bytes that were read together with an interim response
+		return c.broken
+	}
 	c.header.begin(maxHeaderLines)
 	c.response.Begin(method)
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	_, err := c.response.Scan(buffered)
+	_, c.broken = c.response.Scan(buffered)
+	return c.broken
+}
+
+// cause returns the error of a broken response in place of one that a parser reports for the bytes before what breaks it.
+func (c *conn) cause(err error) error {
+	if err != nil && c.broken != nil {
+		return c.broken
+	}
 	return err
 }
 
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -175,7 +175,8 @@
 		return false, err
 	}
 	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if err = cn.cause(err); err != nil {
+		reportBroken(t, err)
 		return false, err
 	}
 	if err := c.recordIncarnation(cn, t, resp.StatusCode, body); err != nil {
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -70,7 +70,7 @@
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		cn.header = headerLines{} // the rest of the bytes are no header
 		if err != nil {
-			return nil, err
+			return nil, cn.cause(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -98,6 +98,7 @@
 // Read reads from the body. It returns io.EOF only after a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
+	err = r.conn.cause(err)
 	reportBroken(r.target, err)
 	if err == nil && !r.Framed() && r.witness == nil && r.carrier.cfg.Identity != nil {
 		r.witness = r.carrier.attachWitness(incarnationOf(r))
--- a/flooder/process_test.go
+++ b/flooder/process_test.go
@@ -83,6 +83,9 @@
 	maxDescriptors int
 	// callerStall is the setting CallerStallMs, in milliseconds; 0 leaves it out.
 	callerStall clocker.Millis
+	// respondRaw responds on a connection of the backend server to requests below /raw/, before their bodies are read. The
+	// connection is closed afterwards.
+	respondRaw func(c *net.TCPConn, r *http.Request)
 }
 
 // process is a running `route` process with its store and one backend server.
@@ -113,7 +116,7 @@
 	assert.NilError(t, store.Put("config", "main", map[string]any{
 		"version":  1,
 		"tenants":  []map[string]any{{"name": "one", "api_keys": []string{"key-one"}, "prepaid": 100_000_000}},
-		"routes":   []map[string]any{route("/order/", "safe"), route("/large/", "safe"), route("/stream/", "streaming"), route("/event/", "streaming")},
+		"routes":   []map[string]any{route("/order/", "safe"), route("/large/", "safe"), route("/stream/", "streaming"), route("/event/", "streaming"), route("/raw/", "unsafe")},
 		"services": []map[string]any{{"name": "s"}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": cfg.maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}))
@@ -184,6 +187,14 @@
 // answer is the handler of the backend server. It answers /order/ shortly, /large/ with largeAnswerBytes,
 // /stream/ with events without end and /event/ with a short event and a large one that does not end.
 func (p *process) answer(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/raw/") {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			p.cfg.respondRaw(c.(*net.TCPConn), r)
+			_ = c.Close()
+		}
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // the router has closed the connection
 	}
