Blanks around a length do not count, chunks need HTTP/1.1

What was wrong: a Content-Length or Transfer-Encoding behind more than 32 blanks was cut by the check and taken for another value. Chunks with HTTP/1.2 passed, which fasthttp takes for a body without chunks.

Change: blanks around the value are left out, those within it are joined, and a length that does not fit is broken. Chunks are accepted with HTTP/1.1 alone.

--- a/standin/responder/shapes.go
+++ b/standin/responder/shapes.go
@@ -57,6 +57,7 @@
 		{"rare names", sound(fields + "!#$%&'*+-.^_`|~09: value\r\n")},
 		{"chunks", ok + fields + "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n3;a=b\r\nody\r\n0\r\n\r\n"},
 		{"chunks in capitals", ok + fields + "TRANSFER-ENCODING:  Chunked \r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		{"blanks around a length", ok + fields + "Content-Length:" + strings.Repeat(" ", 40) + "4" + strings.Repeat("\t", 40) + "\r\n\r\n" + Body},
 		{"trailer", ok + fields + "Transfer-Encoding: chunked\r\nTrailer: Name\r\n\r\n4\r\nbody\r\n0\r\nName: value\r\n\r\n"},
 		{"interim response without a body", "HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n" + sound(fields)},
 	}
--- a/verifier/broken.go
+++ b/verifier/broken.go
@@ -42,7 +42,8 @@
 	ReasonFieldValue Reason = "field_value"
 	// ReasonLength means that Content-Length is not one number.
 	ReasonLength Reason = "content_length"
-	// ReasonTransferEncoding means that Transfer-Encoding is not one "chunked", or comes with HTTP/1.0.
+	// ReasonTransferEncoding means that Transfer-Encoding is not one "chunked", or comes with another version than HTTP/1.1,
+	// for which the libraries ignore it.
 	ReasonTransferEncoding Reason = "transfer_encoding"
 	// ReasonInterimBody means that an interim response announces a body.
 	ReasonInterimBody Reason = "interim_body"
--- a/verifier/head.go
+++ b/verifier/head.go
@@ -49,9 +49,11 @@
 	isTrailer bool
 	// hasFields is true behind the first line with a field.
 	hasFields bool
-	// token is the beginning of the current name, or of the value of a field that frames the body.
+	// token is the beginning of the version, of the status, of the current name, or of the value of a field that frames the body.
 	token   token
 	framing framingField
+	// blank is true if blanks follow that value so far.
+	blank bool
 	// length is the Content-Length, or unknownLength.
 	length  int64
 	chunked bool
@@ -272,30 +274,44 @@
 	case !isTextByte(c):
 		return h.broken(ReasonFieldValue, c)
 	case h.framing != noFraming:
-		h.token.add(c)
+		h.addToValue(c)
 	}
 	h.state = inValue
 	return nil
 }
 
+// addToValue adds a byte to the value of a field that frames the body. Blanks around the value are left out, and those
+// within it are joined.
+func (h *head) addToValue(c byte) {
+	if c == ' ' || c == '\t' {
+		h.blank = h.token.size > 0
+		return
+	}
+	if h.blank {
+		h.token.add(' ')
+	}
+	h.blank = false
+	h.token.add(c)
+}
+
 // endField checks the value of the field before, if it frames the body.
 func (h *head) endField() error {
 	if h.framing == noFraming || h.isTrailer {
 		return nil
 	}
 	framing := h.framing
-	h.framing = noFraming
-	value := strings.Trim(h.token.String(), " \t")
+	h.framing, h.blank = noFraming, false
+	value := h.token.String()
 	switch {
 	case h.status < http.StatusOK && value != "0":
 		return ErrBrokenResponse{Reason: ReasonInterimBody, Detail: value}
-	case framing == transferEncoding && (h.chunked || h.minor == 0 || !strings.EqualFold(value, "chunked")):
+	case framing == transferEncoding && (h.chunked || h.minor != 1 || !strings.EqualFold(value, "chunked")):
 		return ErrBrokenResponse{Reason: ReasonTransferEncoding, Detail: value}
 	case framing == transferEncoding:
 		h.chunked = true
 	default:
 		length, err := strconv.ParseUint(value, 10, 63)
-		if err != nil || h.length != unknownLength && h.length != int64(length) {
+		if err != nil || h.token.size > len(h.token.bytes) || h.length != unknownLength && h.length != int64(length) {
 			return ErrBrokenResponse{Reason: ReasonLength, Detail: value}
 		}
 		h.length = int64(length)
