A reset that is found during a silence ends no response

Callers saw: a server falls silent in a response without a length and resets the connection while the host looks for another server. The part counts as complete.

Cause: the look whether bytes have arrived is a recv with MSG_PEEK. It gets the error of the reset, which the kernel gives to one call only, and the read behind it returns the end of the stream.

Change: `carrier` keeps that error, and the read fails with it.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -29,6 +29,7 @@
 
 var (
 	errPreBodyTooLong = errors.New("the server sent too much before the body of its answer")
+	errNoSocket       = errors.New("the connection is no socket")
 	errHeaderTooLong  = errors.New("the header of the server's answer has too many lines")
 )
 
@@ -59,6 +60,8 @@
 	// response checks the response that is being read, and broken is its error, after which nothing is read any more.
 	response verifier.Response
 	broken   error
+	// lost is the error of the connection that was found by a look for bytes.
+	lost error
 	// onSilence is Request.OnSilence of the current request.
 	onSilence func(hasBytes func() bool) clocker.Millis
 }
@@ -212,6 +215,9 @@
 			return n, err
 		}
 		wait := c.onSilence(c.hasBytes)
+		if c.lost != nil {
+			return 0, c.lost
+		}
 		if wait <= 0 {
 			return n, err
 		}
@@ -257,9 +263,14 @@
 	return errors.Is(err, syscall.EAGAIN)
 }
 
-// hasBytes reports whether bytes have arrived that were not read yet.
+// hasBytes reports whether bytes have arrived that were not read yet. It keeps the error of a connection that was lost:
+// the kernel gives it to one call only, and a read after it would end like that of a whole response.
 func (c *conn) hasBytes() bool {
 	n, err := c.peek()
+	var errno syscall.Errno
+	if errors.As(err, &errno) && errno != syscall.EAGAIN && errno != syscall.EINTR {
+		c.lost = err
+	}
 	return n > 0 && err == nil
 }
 
@@ -268,7 +279,7 @@
 func (c *conn) peek() (int, error) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return 0, syscall.EINVAL
+		return 0, errNoSocket
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
