Names of package verifier say what they step over

The methods that take one byte are called step..., and the line before a chunk is split into the parts that it may be in.

--- a/verifier/conn.go
+++ b/verifier/conn.go
@@ -13,9 +13,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Conn is the client's end of a connection on which a broken response fails a read. The bytes before what breaks a
-// rule can be read, so that the parser reports the error rather than a closed connection. The client sends a request only
-// after the end of the response before.
+// Conn is a client connection on which a broken response fails a read. The bytes before what breaks a rule can be read.
+// Requests are not pipelined: a write behind the end of a response begins the next one.
 type Conn struct {
 	net.Conn
 
@@ -23,7 +22,7 @@
 	response Response
 	// begun is true once a byte of the response was read.
 	begun bool
-	// broken is the error of a broken response, after which nothing is read or written any more.
+	// broken is the error of a broken response. Later reads and writes fail with it.
 	broken error
 }
 
@@ -99,8 +98,7 @@
 	return secureConn{Conn: NewConn(secure), secure: secure}
 }
 
-// ConfigureHostClient makes a client of fasthttp check the responses that it reads. It returns nil, as a
-// fasthttp.Client.ConfigureClient.
+// ConfigureHostClient is a fasthttp.Client.ConfigureClient that calls Configure.
 func ConfigureHostClient(client *fasthttp.HostClient) error {
 	Configure(client)
 	return nil
--- a/verifier/head.go
+++ b/verifier/head.go
@@ -116,7 +116,7 @@
 		if h.state == headEnded {
 			return i, nil
 		}
-		if err := h.next(b[i]); err != nil {
+		if err := h.step(b[i]); err != nil {
 			h.state = headEnded
 			return i, err
 		}
@@ -139,35 +139,35 @@
 	return ErrBrokenResponse{Reason: reason, Detail: h.token.String()}
 }
 
-func (h *head) next(c byte) error {
+func (h *head) step(c byte) error {
 	switch h.state {
 	case inVersion, beforeStatus, inStatus, inPhrase:
-		return h.nextOfStatusLine(c)
+		return h.stepStatusLine(c)
 	case atLineStart:
-		return h.nextOfLineStart(c)
+		return h.stepLineStart(c)
 	case inName:
-		return h.nextOfName(c)
+		return h.stepName(c)
 	case inValue:
-		return h.nextOfValue(c)
+		return h.stepValue(c)
 	default:
-		return h.nextOfLineEnd(c)
+		return h.stepLineEnd(c)
 	}
 }
 
-func (h *head) nextOfStatusLine(c byte) error {
+func (h *head) stepStatusLine(c byte) error {
 	switch {
 	case h.state == inVersion:
-		return h.nextOfVersion(c)
+		return h.stepVersion(c)
 	case h.state == beforeStatus && c == ' ':
 	case h.state == inPhrase || h.state == inStatus && h.position == statusDigits:
-		return h.nextOfPhrase(c)
+		return h.stepPhrase(c)
 	default:
-		return h.nextOfStatus(c)
+		return h.stepStatus(c)
 	}
 	return nil
 }
 
-func (h *head) nextOfVersion(c byte) error {
+func (h *head) stepVersion(c byte) error {
 	switch {
 	case h.position < len(protocol) && c == protocol[h.position]:
 	case h.position == len(protocol) && isDigit(c):
@@ -183,7 +183,7 @@
 	return nil
 }
 
-func (h *head) nextOfStatus(c byte) error {
+func (h *head) stepStatus(c byte) error {
 	if !isDigit(c) {
 		return h.broken(ReasonStatus, c)
 	}
@@ -201,8 +201,8 @@
 	return nil
 }
 
-// nextOfPhrase checks the rest of the status line. The reason phrase may be missing.
-func (h *head) nextOfPhrase(c byte) error {
+// stepPhrase checks the rest of the status line. The reason phrase may be missing.
+func (h *head) stepPhrase(c byte) error {
 	switch {
 	case c == '\r' || c == '\n':
 		return h.endLine(c)
@@ -219,12 +219,12 @@
 func (h *head) endLine(c byte) error {
 	h.state = afterCR
 	if c == '\n' {
-		return h.nextOfLineEnd(c)
+		return h.stepLineEnd(c)
 	}
 	return nil
 }
 
-func (h *head) nextOfLineEnd(c byte) error {
+func (h *head) stepLineEnd(c byte) error {
 	switch {
 	case c != '\n':
 		return h.broken(ReasonLineEnd, c)
@@ -236,9 +236,9 @@
 	return nil
 }
 
-func (h *head) nextOfLineStart(c byte) error {
+func (h *head) stepLineStart(c byte) error {
 	if (c == ' ' || c == '\t') && h.hasFields { // continues the value of the line before
-		return h.nextOfValue(c)
+		return h.stepValue(c)
 	}
 	if err := h.endField(); err != nil {
 		return err
@@ -249,10 +249,10 @@
 		return h.endLine(c)
 	}
 	h.hasFields = true
-	return h.nextOfName(c)
+	return h.stepName(c)
 }
 
-func (h *head) nextOfName(c byte) error {
+func (h *head) stepName(c byte) error {
 	switch {
 	case isTokenByte(c):
 		h.state = inName
@@ -267,7 +267,7 @@
 	return nil
 }
 
-func (h *head) nextOfValue(c byte) error {
+func (h *head) stepValue(c byte) error {
 	switch {
 	case c == '\r' || c == '\n':
 		return h.endLine(c)
--- a/verifier/response.go
+++ b/verifier/response.go
@@ -69,7 +69,7 @@
 				r.endData()
 			}
 		default:
-			r.nextOfChunk(b[i])
+			r.stepChunkLine(b[i])
 			i++
 		}
 	}
@@ -106,23 +106,39 @@
 	r.part, r.left, r.digits = chunkSizePart, 0, 0
 }
 
-// nextOfChunk takes a byte of the line before a chunk or of the line end behind it.
-func (r *Response) nextOfChunk(c byte) {
-	digit, isDigit := hexDigit(c)
+// stepChunkLine takes a byte of the line before a chunk or of the line end behind it.
+func (r *Response) stepChunkLine(c byte) {
 	switch {
-	case r.part == chunkEndPart && c == '\r', r.part == chunkExtensionPart && c != '\n':
+	case r.part == chunkSizePart:
+		r.stepChunkSize(c)
+	case r.part == chunkExtensionPart && c == '\n':
+		r.endChunkSize()
 	case r.part == chunkEndPart && c == '\n':
 		r.beginChunk()
-	case r.part == chunkSizePart && isDigit && r.digits < maxChunkDigits:
+	case r.part == chunkEndPart && c != '\r':
+		r.part = uncheckedPart
+	}
+}
+
+func (r *Response) stepChunkSize(c byte) {
+	digit, ok := hexDigit(c)
+	switch {
+	case ok && r.digits < maxChunkDigits:
 		r.left = r.left<<4 | digit
 		r.digits++
-	case r.part == chunkEndPart || r.digits == 0 || isDigit && r.part == chunkSizePart:
+	case ok || r.digits == 0:
 		r.part = uncheckedPart
-	case c != '\n':
-		r.part = chunkExtensionPart
-	case r.left > 0:
-		r.part = chunkPart
+	case c == '\n':
+		r.endChunkSize()
 	default:
+		r.part = chunkExtensionPart
+	}
+}
+
+// endChunkSize begins a chunk, or the trailer behind the last one.
+func (r *Response) endChunkSize() {
+	r.part = chunkPart
+	if r.left == 0 {
 		r.part = trailerPart
 		r.head.beginTrailer()
 	}
