--- a/tunneler/dial.go
+++ b/tunneler/dial.go
@@ -34,7 +34,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(clocker.FromNow(timeout + handshakeAllowance))
-	reply, err := d.connect(c, hostAddress, address, timeout)
+	announced, err := d.connect(c, hostAddress, address, timeout)
 	if !stop() && err == nil {
 		err = ErrHostUnavailable{Address: hostAddress, Cause: context.Cause(ctx).Error()}
 	}
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	_ = c.SetDeadline(time.Time{})
-	return &nearConn{Conn: c, reply: reply}, nil
+	return &nearConn{Conn: c, reply: announced}, nil
 }
 
 // connect asks the far host to connect to the server and reads its reply.
--- a/tunneler/forward.go
+++ b/tunneler/forward.go
@@ -49,7 +49,7 @@
 	for _, c := range []net.Conn{host, server} { // either may read later than it gets bytes
 		prober.Keep(wall, c, ended)
 	}
-	upload := &upload{Conn: server}
+	upload := &uploadConn{Conn: server}
 	go func() {
 		defer close(done)
 		_ = copyBytes(upload, host, forwarded) // the near host knows no half-closed connections
@@ -80,7 +80,7 @@
 }
 
 // copyFromServer copies until the server ends and returns nil, or an error.
-func copyFromServer(host, server net.Conn, upload *upload, marked bool, forwarded func(int)) error {
+func copyFromServer(host, server net.Conn, upload *uploadConn, marked bool, forwarded func(int)) error {
 	headerBytes := 0
 	if marked {
 		headerBytes = blockHeaderBytes
@@ -129,9 +129,9 @@
 	}
 }
 
-// upload is the connection to the server for writes. The kernel gives the error of a reset to one call only: if that is a
+// uploadConn is the connection to the server for writes. The kernel gives the error of a reset to one call only: if that is a
 // write, the read ends like that of a response which the server has ended.
-type upload struct {
+type uploadConn struct {
 	net.Conn
 
 	mu  sync.Mutex // held during a write
@@ -139,7 +139,7 @@
 }
 
 // Write implements net.Conn.
-func (u *upload) Write(b []byte) (int, error) {
+func (u *uploadConn) Write(b []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n, err := u.Conn.Write(b)
@@ -149,7 +149,7 @@
 
 // failure returns the error of the last write. One that is still blocked after resetGracePeriod has not failed: the server
 // may have ended its response and read on later.
-func (u *upload) failure() error {
+func (u *uploadConn) failure() error {
 	failed := make(chan error, 1)
 	go func() { // ends at the latest when the connection is closed
 		u.mu.Lock()
