Test: real processes pass on no broken response

One broken response of each kind from a server behind a real `route` process and a real `serve` process: the caller gets a failure that does not say "not run", the counter has the reason, and a log line has the server and the reason.

On 4 of 6 reached the caller of `serve` as a success, and 4 of 6 that of `route`.

--- a/flooder/serve_test.go
+++ b/flooder/serve_test.go
@@ -201,9 +201,16 @@
 	return l.Addr().String()
 }
 
-// serveBackend answers load reports, calls and completions. A completion is a stream without end, unless its prompt
+// serveBackend answers load reports, calls and completions, and calls below /raw/ with a broken response. A completion is a stream without end, unless its prompt
 // contains serveFinitePrompt.
 func serveBackend(w http.ResponseWriter, r *http.Request) {
+	if text, ok := brokenResponses[strings.TrimPrefix(r.URL.Path, "/raw/")]; ok {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			writeBroken(c, text, r)
+		}
+		return
+	}
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	switch r.URL.Path {
 	case "/load":
