Test: responses over TLS are checked by both libraries

The shapes are read through verifier.ConfigureTransport and ConfigureHostClient over TLS, where the check has to lie above the encryption: all broken ones fail, all valid ones pass.

--- a/verifier/broken_test.go
+++ b/verifier/broken_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 )
 
@@ -17,7 +18,12 @@
 	var out bytes.Buffer
 	before := slog.Default()
 	slog.SetDefault(slog.New(slog.NewJSONHandler(&out, nil)))
-	defer slog.SetDefault(before)
+	limiter := logLines
+	logLines = rate.NewLimiter(maxLinesPerSecond, maxLineBurst) // other tests report as well
+	defer func() {
+		slog.SetDefault(before)
+		logLines = limiter
+	}()
 	counter := metrics.GetOrCreateCounter(`cowsliphinge_broken_responses_total{reason="status"}`)
 	counted := counter.Get()
 	err := fmt.Errorf("attempt failed: %w", ErrBrokenResponse{Reason: ReasonStatus, Detail: "00\x00"})
--- a/verifier/conn_test.go
+++ b/verifier/conn_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -81,3 +84,51 @@
 		}
 	}
 }
+
+// Guards against checks of the encrypted bytes, and against responses over TLS that are not checked.
+func TestResponsesOverTLSAreChecked(t *testing.T) {
+	text := make(chan string, 1)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(c, <-text)
+			_ = c.Close()
+		}
+	}))
+	defer server.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}
+	ConfigureTransport(transport)
+	client := fasthttp.Client{TLSConfig: &tls.Config{RootCAs: roots}, ConfigureClient: ConfigureHostClient, MaxIdemponentCallAttempts: 1}
+	gets := map[string]func() (string, error){
+		"net/http": func() (string, error) {
+			resp, err := (&http.Client{Transport: transport}).Get(server.URL)
+			if err != nil {
+				return "", err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			transport.CloseIdleConnections() // the server closes each one
+			return string(body), err
+		},
+		"fasthttp": func() (string, error) {
+			_, body, err := client.Get(nil, server.URL)
+			client.CloseIdleConnections() // the server closes each one
+			return string(body), err
+		},
+	}
+	for library, get := range gets {
+		for _, shape := range broken() {
+			text <- shape.Text
+			body, err := get()
+			assert.Assert(t, err != nil, "%s, %s: %q", library, shape.Name, body)
+		}
+		for _, shape := range responder.Sound("X-Id: 1\r\n") {
+			text <- shape.Text
+			body, err := get()
+			assert.NilError(t, err, "%s, %s", library, shape.Name)
+			assert.Equal(t, body, responder.Body, "%s, %s", library, shape.Name)
+		}
+	}
+}
