--- a/carrier/swallowed_reset_test.go
+++ b/carrier/swallowed_reset_test.go
@@ -33,7 +33,6 @@
 		OnSilence: func(hasBytes func() bool) clocker.Millis {
 			close(silent)
 			<-reset
-			clock.SleepUncancellable(50) // until the reset has arrived
 			assert.Check(t, !hasBytes())
 			return clocker.Second
 		},
