--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -28,7 +28,6 @@
 type Server struct {
 	cfg      Config
 	listener net.Listener
-	requests atomic.Int64
 	conns    atomic.Int64
 }
 
@@ -57,11 +56,6 @@
 	return s.listener.Addr().String()
 }
 
-// Requests returns the number of requests received.
-func (s *Server) Requests() int64 {
-	return s.requests.Load()
-}
-
 // Conns returns the number of connections accepted.
 func (s *Server) Conns() int64 {
 	return s.conns.Load()
@@ -80,7 +74,6 @@
 		if err != nil {
 			return
 		}
-		s.requests.Add(1)
 		if !s.cfg.Early {
 			if _, err := io.Copy(io.Discard, req.Body); err != nil {
 				return
--- a/standin/responder/shapes.go
+++ b/standin/responder/shapes.go
@@ -11,7 +11,7 @@
 	Text string
 }
 
-// sound is a response to which nothing is to object, with the given fields.
+// sound returns a usual response with the given fields.
 func sound(fields string) string {
 	return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n" + Body
 }
