The check of a response takes less time

Seen: an exchange of `carrier` on loopback took 11.0 to 11.9 us with the check, 9.8 to 10.9 without (two runs of four each, in turns).

Cause: each read of a body prepared a report, with an allocation, though nothing was broken; names were taken byte by byte and compared with both framing fields.

Change: a report is prepared for a broken response only, runs of names and values are taken at once, and names are compared by length first.

--- a/carrier/response.go
+++ b/carrier/response.go
@@ -98,8 +98,10 @@
 // Read reads from the body. It returns io.EOF only after a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
-	err = r.conn.cause(err)
-	reportBroken(r.target, err)
+	if r.conn.broken != nil {
+		err = r.conn.cause(err)
+		reportBroken(r.target, err)
+	}
 	if err == nil && !r.Framed() && r.witness == nil && r.carrier.cfg.Identity != nil {
 		r.witness = r.carrier.attachWitness(incarnationOf(r))
 	}
--- a/verifier/head.go
+++ b/verifier/head.go
@@ -84,6 +84,13 @@
 	t.size++
 }
 
+func (t *token) addAll(b []byte) {
+	if t.size < len(t.bytes) {
+		copy(t.bytes[t.size:], b)
+	}
+	t.size += len(b)
+}
+
 func (t *token) String() string {
 	return string(t.bytes[:min(t.size, len(t.bytes))])
 }
@@ -107,13 +114,8 @@
 // byte after them breaks a rule. Bytes behind the end of the head are left to the caller.
 func (h *head) scan(b []byte) (int, error) {
 	for i := 0; i < len(b); i++ {
-		if h.state == inValue && h.framing == noFraming {
-			i += textLength(b[i:]) // most bytes of a head
-			if i == len(b) {
-				break
-			}
-		}
-		if h.state == headEnded {
+		i += h.skip(b[i:])
+		if i == len(b) || h.state == headEnded {
 			return i, nil
 		}
 		if err := h.step(b[i]); err != nil {
@@ -124,14 +126,22 @@
 	return len(b), nil
 }
 
-// textLength returns the number of bytes before the first one that may not stand in a value.
-func textLength(b []byte) int {
-	for i, c := range b {
-		if !isTextByte(c) {
-			return i
+// skip takes the bytes of a name, or of a value that need not be known, up to the end of it. These are most bytes of a
+// head.
+func (h *head) skip(b []byte) int {
+	n := 0
+	switch {
+	case h.state == inName:
+		for n < len(b) && byteClasses[b[n]]&tokenByte != 0 {
+			n++
+		}
+		h.token.addAll(b[:n])
+	case h.state == inValue && h.framing == noFraming:
+		for n < len(b) && byteClasses[b[n]]&textByte != 0 {
+			n++
 		}
 	}
-	return len(b)
+	return n
 }
 
 func (h *head) broken(reason Reason, c byte) error {
@@ -208,7 +218,7 @@
 		return h.endLine(c)
 	case h.state == inStatus && c != ' ':
 		return h.broken(ReasonStatus, c)
-	case !isTextByte(c):
+	case byteClasses[c]&textByte == 0:
 		return h.broken(ReasonPhrase, c)
 	}
 	h.state, h.token = inPhrase, token{}
@@ -254,7 +264,7 @@
 
 func (h *head) stepName(c byte) error {
 	switch {
-	case isTokenByte(c):
+	case byteClasses[c]&tokenByte != 0:
 		h.state = inName
 		h.token.add(c)
 		return nil
@@ -271,7 +281,7 @@
 	switch {
 	case c == '\r' || c == '\n':
 		return h.endLine(c)
-	case !isTextByte(c):
+	case byteClasses[c]&textByte == 0:
 		return h.broken(ReasonFieldValue, c)
 	case h.framing != noFraming:
 		h.addToValue(c)
@@ -321,9 +331,9 @@
 
 func framingOf(name []byte) framingField {
 	switch {
-	case bytes.EqualFold(name, contentLengthName):
+	case len(name) == len(contentLengthName) && bytes.EqualFold(name, contentLengthName):
 		return contentLength
-	case bytes.EqualFold(name, transferEncodingName):
+	case len(name) == len(transferEncodingName) && bytes.EqualFold(name, transferEncodingName):
 		return transferEncoding
 	}
 	return noFraming
@@ -333,20 +343,22 @@
 	return c >= '0' && c <= '9'
 }
 
-// tokenBytes has a bit for each byte below 0x80 that may stand in the name of a field.
-var tokenBytes = func() (bits [2]uint64) {
-	const allowed = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-	for _, c := range []byte(allowed) {
-		bits[c/64] |= 1 << (c % 64)
+const (
+	// tokenByte is a byte that may stand in the name of a field.
+	tokenByte = 1 << iota
+	// textByte is one that may stand in a value or a reason phrase: no control byte but the tab.
+	textByte
+)
+
+// byteClasses has the classes of each byte.
+var byteClasses = func() (classes [256]uint8) {
+	for c := range classes {
+		if c >= ' ' && c != 0x7f || c == '\t' {
+			classes[c] |= textByte
+		}
+	}
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		classes[c] |= tokenByte
 	}
-	return bits
+	return classes
 }()
-
-func isTokenByte(c byte) bool {
-	return c < 0x80 && tokenBytes[c/64]>>(c%64)&1 == 1
-}
-
-// isTextByte reports whether a byte may stand in a value or a reason phrase: it is no control byte but the tab.
-func isTextByte(c byte) bool {
-	return c >= ' ' && c != 0x7f || c == '\t'
-}
