Logs tell a process that ended from one that is heard again

Cause: the line "the process of a holder has ended" does not say what it rests on, and nothing says that it was wrong. A host whose entry another one has closed does not say so either: callers see 402 and 503, the logs show nothing.

Change: the line names the evidence, the error of the question and the age of the last heartbeat. A holder that sends a heartbeat afterwards is logged and counted (cowsliphinge_budget_holders_heard_again_total beside _holders_ended_total), and so is an own entry that another host has closed (_own_entries_closed_total). No logic is changed.

--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -374,3 +374,14 @@
 	}
 	return true
 }
+
+// ClosedByOthers returns the budgets whose entry of this incarnation another one has closed.
+func (a *Allotter) ClosedByOthers() []string {
+	var names []string
+	for _, b := range a.ordered {
+		if h := findEntry(a.knownBudgets[b.name], a.cfg.Incarnation); h != nil && h.Closed && !b.closePlanned {
+			names = append(names, b.name)
+		}
+	}
+	return names
+}
--- a/reserver/closing.go
+++ b/reserver/closing.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
+	"slices"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
+// ownEntriesClosed counts the entries of this host that another host has closed.
+var ownEntriesClosed = metrics.NewCounter("cowsliphinge_budget_own_entries_closed_total")
+
 // Close returns surplus tokens to peers, then all other unspent tokens to the platform
 // by closing the entries of this incarnation, and stops the background tasks. Open
 // reservations are charged in full. If ctx ends before the entries are closed, Close
@@ -65,3 +72,16 @@
 	defer s.mu.Unlock()
 	return s.allotter.Closed()
 }
+
+// logClosedByOthers logs the budgets whose entry of this host another host has closed since the last call. The
+// caller holds mu.
+func (s *shard) logClosedByOthers() {
+	closed := s.allotter.ClosedByOthers()
+	for _, budget := range closed {
+		if !slices.Contains(s.closedByOthers, budget) {
+			slog.Warn("another host has closed the entry of this one", "key", s.key, "account", budget)
+			ownEntriesClosed.Inc()
+		}
+	}
+	s.closedByOthers = closed
+}
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -251,6 +251,7 @@
 		held += s.allotter.Held()
 		opened += s.allotter.Opened()
 		stranded += s.allotter.Stranded(v.isLive)
+		s.logClosedByOthers()
 		s.mu.Unlock()
 		if due {
 			r.queueRefill(s)
--- a/reserver/lost_holders.go
+++ b/reserver/lost_holders.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowsliphinge/clocker"
 	"cowsliphinge/messenger"
 )
@@ -22,6 +24,12 @@
 	watchersPerHolder = 3
 )
 
+var (
+	holdersEnded = metrics.NewCounter("cowsliphinge_budget_holders_ended_total")
+	// holdersHeardAgain counts processes that were found to have ended and sent heartbeats afterwards.
+	holdersHeardAgain = metrics.NewCounter("cowsliphinge_budget_holders_heard_again_total")
+)
+
 // holderWatch is what this host knows of the holders that it watches. Any host may close the entry of a process that
 // has ended, charged with what that can have spent. It needs an upper bound of the time for which guarded tokens can
 // have opened. Each answer of a holder tells the age of its lease and was sent after the question, so that the lease
@@ -33,6 +41,8 @@
 	// started.
 	leaseStarts map[heldLease]clocker.Millis
 	asking      bool
+	// ended is when processes were found to have ended, by incarnation.
+	ended map[string]clocker.Millis
 }
 
 // heldLease identifies the lease of an incarnation in the object of a shard.
@@ -59,6 +69,7 @@
 	if r.cfg.Guard == nil || r.cfg.Exchange == nil || r.cfg.Refuses == nil || r.cfg.SinceBoot == nil || r.closing.Load() {
 		return
 	}
+	r.logHeardAgain()
 	r.holders.mu.Lock()
 	busy := r.holders.asking
 	r.holders.asking = true
@@ -141,12 +152,42 @@
 		return
 	}
 	elapsed := r.cfg.SinceBoot() - start
-	slog.Info("the process of a holder has ended", "incarnation", incarnation, "address", address, "since_lease_ms", elapsed)
+	now := r.cfg.Clock.Now()
+	slog.Info("the process of a holder has ended", "incarnation", incarnation, "address", address, "since_lease_ms", elapsed,
+		"evidence", "connection refused", "cause", err.Error(), "heard_ms_ago", r.heardAgo(incarnation, now))
+	holdersEnded.Inc()
 	r.holders.mu.Lock()
 	delete(r.holders.leaseStarts, lease)
+	r.holders.ended[incarnation] = now
 	r.holders.mu.Unlock()
 	s.mu.Lock()
 	s.allotter.ObserveEnded(incarnation, elapsed)
 	s.mu.Unlock()
 	r.queueRefill(s)
 }
+
+// heardAgo returns the time since the last heartbeat of an incarnation, -1 if none is known.
+func (r *Reserver) heardAgo(incarnation string, now clocker.Millis) clocker.Millis {
+	for _, p := range r.cfg.Peers() {
+		if p.Incarnation == incarnation && p.LastHeard > 0 {
+			return now - p.LastHeard
+		}
+	}
+	return -1
+}
+
+// logHeardAgain logs incarnations that have sent a heartbeat after they were found to have ended.
+func (r *Reserver) logHeardAgain() {
+	r.holders.mu.Lock()
+	defer r.holders.mu.Unlock()
+	if len(r.holders.ended) == 0 {
+		return
+	}
+	for _, p := range r.cfg.Peers() {
+		if at, ended := r.holders.ended[p.Incarnation]; ended && p.LastHeard > at {
+			slog.Warn("a holder whose process was found to have ended is heard again", "incarnation", p.Incarnation, "after_ms", p.LastHeard-at)
+			holdersHeardAgain.Inc()
+			delete(r.holders.ended, p.Incarnation)
+		}
+	}
+}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -191,7 +191,7 @@
 	}
 	return &Reserver{
 		lastLive:    map[string]clocker.Millis{},
-		holders:     holderWatch{leaseStarts: map[heldLease]clocker.Millis{}},
+		holders:     holderWatch{leaseStarts: map[heldLease]clocker.Millis{}, ended: map[string]clocker.Millis{}},
 		cfg:         cfg,
 		shards:      make([]atomic.Pointer[shard], cfg.Shards),
 		refillQueue: ringer.New[*shard]("budget_refills", refillQueueSize),
--- a/reserver/shard.go
+++ b/reserver/shard.go
@@ -36,6 +36,8 @@
 	settling   bool
 	// closing is true once this incarnation closes its entries.
 	closing bool
+	// closedByOthers are the budgets whose entry of this host another host has closed.
+	closedByOthers []string
 	// refillQueued is true while the shard waits in the refill queue.
 	refillQueued bool
 	// refillsForAskers is true while refillForAskers runs, and askersWait once further asks arrived.
