Failing tests: tokens of living holders are given to others

What callers saw: an account got more tokens than it had paid for; hosts that had been cut off refused accounts that had tokens left.

TestRefusedConnectionsReturnNoTokensOfLivingHolders cuts a zone of a fleet off by refused connections, as something between two hosts can. TestHolderWhoseEntryWasClosedServesAgain: a host whose entry was closed meanwhile serves nothing of the account afterwards.

--- a/reserver/export_test.go
+++ b/reserver/export_test.go
@@ -106,3 +106,11 @@
 	r.balance()
 	_ = r.tasks.Wait()
 }
+
+// RunGuardTasks runs the tasks of one tick of a holder that guards what it holds.
+func (r *Reserver) RunGuardTasks(ctx context.Context) {
+	r.watchHolders(ctx)
+	_ = r.tasks.Wait()
+	r.maintainDeclared()
+	r.RunTasks(ctx)
+}
