A holder whose entry another host has closed takes tokens again

What callers saw: hosts that had been cut off refused accounts with tokens left, with 402 and 503, in touch and long after the cut, until their processes ended.

Cause: an entry that another host closed was taken for one that this process closed in a planned stop. Closed was final, so that a wrong belief of one host stopped another for good.

Change: the host goes on with what it is charged with, and opens the entry again by its next write: the charge becomes part of the limit. Since closed is no longer final, entries count how often they were opened again (Reopens): after a restore of the store the later state wins, whoever remembers the earlier one. A closed entry that may have been opened again unseen (Reopenable) is charged for that like an open one.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -117,6 +117,8 @@
 	rewrite bool
 	// entryExists is true while an entry of this incarnation is known to exist.
 	entryExists bool
+	// reopens counts how often the entry was opened again after another host had closed it.
+	reopens int64
 	// closePlanned is true once a write that closes the entry was planned.
 	closePlanned bool
 	closed       bool
--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -403,6 +403,7 @@
 			returned += unspent
 			opened += h.Guarded - unspent
 			h.Closed, h.Charge, h.Limit, h.Guarded, h.OpenPerSecond, h.FastPerSecond = true, h.Limit-unspent, 0, 0, 0, 0
+			_, h.Reopenable = a.guard.ended[l.Incarnation]
 		}
 	}
 	return returned, opened
--- a/allotter/restore.go
+++ b/allotter/restore.go
@@ -107,9 +107,11 @@
 		switch {
 		case known == nil:
 			stored.Holders = append(stored.Holders, proto.CloneOf(h))
-		case known.Era >= a.restore.era:
+		case known.Era >= a.restore.era || known.Reopens > h.Reopens:
+		case h.Reopens > known.Reopens:
+			known.Closed, known.Reopenable, known.Charge, known.Limit, known.Reopens = h.Closed, h.Reopenable, h.Charge, h.Limit, h.Reopens
 		case h.Closed:
-			known.Closed, known.Charge, known.Limit = true, h.Charge, 0
+			known.Closed, known.Reopenable, known.Charge, known.Limit = true, h.Reopenable, h.Charge, 0
 		case !known.Closed:
 			known.Limit = max(known.Limit, h.Limit)
 		}
@@ -131,8 +133,12 @@
 	}
 	switch { // a write without an answer took effect
 	case h.Closed:
-		b.closed = true
+		b.closed = b.closePlanned
 		b.rewrite = false
+		if !b.closed { // another host closed what this incarnation had written again
+			b.limit = h.Charge
+			b.adoptReopens(h)
+		}
 	case !b.closePlanned && h.Limit == b.limit:
 		b.rewrite = false
 	}
@@ -211,10 +217,15 @@
 // may have made unseen.
 func (a *Allotter) chargeUnseen(b *messenger.Budget, spoken []string, c Conditions) {
 	for _, h := range b.Holders {
-		if h.Closed || h.Era >= a.restore.era || slices.Contains(spoken, h.Incarnation) || c.LongDead != nil && c.LongDead(h.Incarnation) {
+		if h.Closed && !h.Reopenable || h.Era >= a.restore.era || slices.Contains(spoken, h.Incarnation) || c.LongDead != nil && c.LongDead(h.Incarnation) {
 			continue
 		}
-		h.Limit += int64(unseenShare * float64(max(0, Unassigned(b))))
+		unseen := int64(unseenShare * float64(max(0, Unassigned(b))))
+		if h.Closed {
+			h.Charge += unseen
+		} else {
+			h.Limit += unseen
+		}
 		h.Era = a.restore.era
 	}
 }
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -146,14 +146,24 @@
 	case h == nil && b.entryExists:
 		b.entryExists = false
 		b.foldedLimit = b.limit // folded while open: charged in full
+		b.reopens++
 	case h == nil:
 		b.limit = b.foldedLimit
-	case h.Closed:
+	case h.Closed && b.closePlanned:
 		b.entryExists = true
 		b.closed = true
-	default:
+	default: // open, or closed by another host, which charged what this incarnation may spend
 		b.entryExists = true
-		b.limit = b.foldedLimit + h.Limit
+		b.limit = b.foldedLimit + assignedTo(h)
+		b.adoptReopens(h)
+	}
+}
+
+// adoptReopens updates how often the entry was opened again, from its known content.
+func (b *budgetState) adoptReopens(h *messenger.Holder) {
+	b.reopens = max(b.reopens, h.Reopens)
+	if h.Closed {
+		b.reopens = max(b.reopens, h.Reopens+1)
 	}
 }
 
@@ -260,7 +270,10 @@
 	if b.rewrite {
 		return plannedEntry{budget: b, limit: b.limit}, true
 	}
-	writtenLimit := b.foldedLimit + findEntry(stored, a.cfg.Incarnation).GetLimit()
+	writtenLimit := b.foldedLimit
+	if h := findEntry(stored, a.cfg.Incarnation); h != nil {
+		writtenLimit += assignedTo(h)
+	}
 	unassigned := max(0, Unassigned(stored))
 	delta := b.limitChange(c, stored, unassigned, -a.shortfallTokens(b, unassigned))
 	limit := min(max(b.limit+delta, b.foldedLimit), writtenLimit+unassigned)
@@ -306,6 +319,7 @@
 	b := e.budget
 	b.inDoubt = true
 	h.Era = a.restore.era
+	h.Reopenable, h.Reopens = false, b.reopens
 	if e.closed {
 		b.closePlanned = true
 		h.Closed = true
@@ -313,6 +327,7 @@
 		h.Limit = 0
 		return
 	}
+	h.Closed, h.Charge = false, 0
 	h.Limit = e.limit - b.foldedLimit
 	h.UrgentPerSecond = b.urgentPerSecond(now) + int64(b.peerUrgentRate(now)*float64(clocker.Second))
 	switch {
