Entries of other holders are closed by agreement, not by a refused connection

Cause: a refused connection was taken for the end of a process. Whatever stands between two hosts can refuse in place of one of them. The watcher closed the entry of a holder that lived, with the elapsed time of its look, and returned tokens that the holder went on spending; a watcher without the store wrote that up to 11 s later.

Change: no proof from outside is left. The lease of a holder names a witness, the other holder of its availability zone. The holder spends guarded tokens only after the witness has agreed for that lease; as long as it has not, the witness may refuse for good and close the entry, charged without the guarded tokens. Who is wrong about a silent holder takes nothing from it that it can still spend, whatever the clocks and the network say. A holder without another one in its zone names none: it spends as before, and nobody closes its entry. Hosts no longer ask each other for the ages of their leases, so that those of close no entry of the new build.

The test of the watch is replaced by TestEntriesOfLostHoldersAreClosedByTheirWitnesses, those of ends without a proof by TestWitnessWaitsForSilentHolders and TestHoldersOfEarlierBuildsAreNoWitnesses.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -57,6 +57,7 @@
 
 	restore restoreState
 	guard   guardState
+	witness witnessState
 
 	// faults are injected by tests to prove that the checks detect them.
 	faults injectedFaults
@@ -87,8 +88,14 @@
 	opensFasterInDoubt bool
 	// returnsOpened returns half of the tokens that may have been open when a process began to listen.
 	returnsOpened bool
-	// ageOfLastWrite tells the age of the lease of a write whose outcome is not known.
-	ageOfLastWrite bool
+	// opensUnwitnessed spends guarded tokens without the agreement of the witness, agreesAfterClosing agrees though the
+	// entries are being closed, and forgetsAgreements and closesAgreed close them after an agreement.
+	opensUnwitnessed   bool
+	agreesAfterClosing bool
+	forgetsAgreements  bool
+	closesAgreed       bool
+	// keepsLimit goes on with the whole limit where the witness may have closed the entry.
+	keepsLimit bool
 	// reclaimsAsEarlierBuilds returns nothing after the end of a lease. It is no fault.
 	reclaimsAsEarlierBuilds bool
 	// promisesSpent promises not to spend guarded tokens though some were spent, and
@@ -110,6 +117,9 @@
 	// foldedLimit is the part of limit whose entry another host folded: it removed
 	// the entry and added its limit to FoldedCharge, to bound the object's size.
 	foldedLimit int64
+	// certainLimit is the part of limit with which the content before the known one charged this incarnation even if
+	// its witness closed the entry.
+	certainLimit int64
 	// inDoubt is true from planning a write of this budget until a higher version of
 	// the object is known.
 	inDoubt bool
@@ -117,7 +127,7 @@
 	rewrite bool
 	// entryExists is true while an entry of this incarnation is known to exist.
 	entryExists bool
-	// reopens counts how often the entry was opened again after another host had closed it.
+	// reopens counts how often the entry was opened again after its witness had closed it.
 	reopens int64
 	// closePlanned is true once a write that closes the entry was planned.
 	closePlanned bool
--- a/allotter/export_test.go
+++ b/allotter/export_test.go
@@ -29,11 +29,16 @@
 	OpensFasterInDoubt Fault = "opens faster while a write is in doubt"
 	// ReturnsOpened returns half of the tokens that may have been open when a process began to listen.
 	ReturnsOpened Fault = "returns opened tokens"
-	// AgeOfLastWrite tells the age of the lease of a write whose outcome is not known, and EndsEarly assumes that a
-	// process has ended sooner than is known.
-	AgeOfLastWrite Fault = "tells the age of the last write"
-	EndsEarly      Fault = "ends early"
-	NoFault        Fault = ""
+	// ClosesAgreed closes entries of holders that its agreement let spend guarded tokens, ForgetsAgreements does not
+	// remember to have agreed, and AgreesAfterClosing agrees while it closes the entries.
+	ClosesAgreed       Fault = "closes entries after an agreement"
+	ForgetsAgreements  Fault = "forgets agreements"
+	AgreesAfterClosing Fault = "agrees after closing"
+	// OpensUnwitnessed spends guarded tokens without an agreement, and KeepsLimit goes on with the whole limit where the
+	// witness may have closed the entry.
+	OpensUnwitnessed Fault = "opens without the witness"
+	KeepsLimit       Fault = "keeps the limit of closed entries"
+	NoFault          Fault = ""
 )
 
 // InjectFault enables one fault and disables the others.
@@ -51,7 +56,11 @@
 	a.faults.opensAtOnce = f == OpensAtOnce
 	a.faults.opensFasterInDoubt = f == OpensFasterInDoubt
 	a.faults.returnsOpened = f == ReturnsOpened
-	a.faults.ageOfLastWrite = f == AgeOfLastWrite
+	a.faults.closesAgreed = f == ClosesAgreed
+	a.faults.forgetsAgreements = f == ForgetsAgreements
+	a.faults.agreesAfterClosing = f == AgreesAfterClosing
+	a.faults.opensUnwitnessed = f == OpensUnwitnessed
+	a.faults.keepsLimit = f == KeepsLimit
 }
 
 // TamperWrites sets a function that modifies each object before it is written.
--- a/allotter/guard.go
+++ b/allotter/guard.go
@@ -1,7 +1,6 @@
 package allotter
 
 import (
-	"maps"
 	"slices"
 
 	"cowsliphinge/clocker"
@@ -15,7 +14,7 @@
 // once it has been without the store for as long as the lease, and then by the rate that the entry states
 // (schedule.go). The next incarnation at the same address knows that the earlier one has ended, and when it
 // began to listen itself. What had not opened by then was not spent, and it closes the entries charged
-// without that.
+// without that. Tokens of incarnations that no later one replaces are returned by their witness (witness.go).
 
 // GuardConfig configures the guard.
 type GuardConfig struct {
@@ -70,9 +69,6 @@
 	promisedAt clocker.Millis
 	// inDoubt is true if an earlier write than the last one may still take effect.
 	inDoubt bool
-	// ended are other incarnations that have ended, with the longest time for which their guarded
-	// tokens may have opened: since the start of their earliest lease.
-	ended map[string]clocker.Millis
 	// conditions are those of the last look at all budgets.
 	conditions Conditions
 }
@@ -100,8 +96,8 @@
 	if a.cfg.Guard == nil || a.faults.ignoresLease {
 		return
 	}
-	confirmed := a.openLimit(b.confirmedDraw, b.confirmedOpen, max(a.guard.confirmedAt, a.guard.promisedAt))
-	pending := a.openLimit(b.pendingDraw, b.pendingOpen, max(a.guard.pendingAt, a.guard.promisedAt))
+	confirmed := a.openLimit(b.confirmedDraw, b.confirmedOpen, a.confirmedLeaseAt(), a.witness.confirmed)
+	pending := a.openLimit(b.pendingDraw, b.pendingOpen, a.pendingLeaseAt(), a.witness.pending...)
 	b.drawLimit = min(confirmed, pending)
 	b.guarded = b.drawLimit < MaxGranted
 }
@@ -118,10 +114,10 @@
 // adoptLease updates the lease from the known content. No write is in doubt any more.
 func (a *Allotter) adoptLease() {
 	a.guard.confirmedAt, a.guard.pendingAt, a.guard.inDoubt = 0, 0, false
-	maps.DeleteFunc(a.guard.ended, func(incarnation string, _ clocker.Millis) bool { return !hasLease(a.object, incarnation) })
+	a.witness.confirmed, a.witness.pending = "", nil
 	for _, l := range a.object.GetLeases() {
 		if l.Incarnation == a.cfg.Incarnation {
-			a.guard.confirmedAt = clocker.Millis(l.AtMs)
+			a.guard.confirmedAt, a.witness.confirmed = clocker.Millis(l.AtMs), l.Witness
 		}
 	}
 }
@@ -131,7 +127,7 @@
 	if a.cfg.Guard == nil || a.guard.inDoubt {
 		return
 	}
-	a.guard.pendingAt = 0
+	a.guard.pendingAt, a.witness.pending = 0, nil
 	for _, b := range a.ordered {
 		b.pendingDraw = -1
 		a.updateDrawLimit(b)
@@ -148,6 +144,12 @@
 	if !a.guard.inDoubt || a.guard.pendingAt == 0 {
 		a.guard.pendingAt = max(a.guard.contactAt, a.guard.confirmedAt) // writes that fail don't prolong the lease
 	}
+	if !a.guard.inDoubt {
+		a.witness.pending = nil
+	}
+	if !slices.Contains(a.witness.pending, c.Witness) {
+		a.witness.pending = append(a.witness.pending, c.Witness)
+	}
 	guards := false
 	for _, stored := range value.Budgets {
 		h := findEntry(stored, a.cfg.Incarnation)
@@ -176,12 +178,12 @@
 			b.pendingOpen = openRates{}
 		}
 	}
-	a.stageLease(value, guards)
+	a.stageLease(value, guards, c.Witness)
 	a.stagePromises(value, c.GuardPromises)
 }
 
 // stageLease writes the own lease if it guards anything, and removes those that guard nothing any more.
-func (a *Allotter) stageLease(value *messenger.BudgetShard, guards bool) {
+func (a *Allotter) stageLease(value *messenger.BudgetShard, guards bool, witness string) {
 	value.Leases = slices.DeleteFunc(value.Leases, func(l *messenger.GuardLease) bool {
 		return l.Incarnation == a.cfg.Incarnation || !hasOpenEntry(value, l.Incarnation)
 	})
@@ -197,13 +199,10 @@
 		DurationMs:  int64(g.LeaseTime),
 		Era:         a.restore.era,
 		FastAfterMs: int64(g.FastAfter),
+		Witness:     witness,
 	})
 }
 
-func hasLease(object *messenger.BudgetShard, incarnation string) bool {
-	return slices.ContainsFunc(object.GetLeases(), func(l *messenger.GuardLease) bool { return l.Incarnation == incarnation })
-}
-
 func hasOpenEntry(object *messenger.BudgetShard, incarnation string) bool {
 	return slices.ContainsFunc(object.GetBudgets(), func(b *messenger.Budget) bool {
 		h := findEntry(b, incarnation)
@@ -302,49 +301,11 @@
 	return false
 }
 
-// GuardAge returns the age of the earliest lease that the store may have of this incarnation, false without a lease.
-// Whatever it has, no guarded tokens were open before that lease had ended.
-func (a *Allotter) GuardAge(now clocker.Millis) (clocker.Millis, bool) {
-	a.observeTime(now)
-	g := &a.guard
-	if a.cfg.Guard == nil || g.confirmedAt <= 0 {
-		return 0, false
-	}
-	start := max(g.confirmedAt, g.promisedAt)
-	if a.faults.ageOfLastWrite {
-		start = max(start, g.pendingAt)
-	} else if g.pendingAt > 0 {
-		start = min(start, max(g.pendingAt, g.promisedAt))
-	}
-	return max(0, a.guard.now-start), true
-}
-
-// ObserveEnded records that another incarnation has ended, at most elapsed after the start of the earliest lease that
-// the store may have had of it.
-func (a *Allotter) ObserveEnded(incarnation string, elapsed clocker.Millis) {
-	if a.guard.ended == nil {
-		a.guard.ended = map[string]clocker.Millis{}
-	}
-	a.guard.ended[incarnation] = elapsed
-}
-
-// LeaseHolders returns the addresses of the incarnations that have a lease, by incarnation.
-func (a *Allotter) LeaseHolders() map[string]string {
-	holders := map[string]string{}
-	for _, l := range a.object.GetLeases() {
-		holders[l.Incarnation] = l.Address
-	}
-	return holders
-}
-
 // timeSinceLease returns for how long guarded tokens may have opened by a lease, if its incarnation has ended: until
-// another host found that, or this incarnation began to listen at its address. Leases of before a restore of the store
-// prove nothing, and neither do two clocks that differ.
+// this incarnation began to listen at its address. Leases of before a restore of the store prove nothing, and neither do
+// two clocks that differ.
 func (a *Allotter) timeSinceLease(l *messenger.GuardLease) (clocker.Millis, bool) {
 	g := a.cfg.Guard
-	if elapsed, ended := a.guard.ended[l.Incarnation]; ended && l.Era == a.restore.era && l.DurationMs > 0 {
-		return elapsed, true
-	}
 	if l.Address != g.Address || l.Incarnation == a.cfg.Incarnation || !g.SameHost(l.Incarnation) || l.Era != a.restore.era || l.BootMs <= 0 || l.DurationMs <= 0 || g.BootAt <= 0 {
 		return 0, false
 	}
@@ -355,14 +316,20 @@
 	return max(byClock, sinceBoot), true
 }
 
-// returnable returns how many tokens of an entry its incarnation can't have spent before it ended; false if the lease
-// and the entry prove nothing about it.
-func (a *Allotter) returnable(l *messenger.GuardLease, h *messenger.Holder) (int64, bool) {
-	elapsed, known := a.timeSinceLease(l)
-	if !known || h == nil || h.Closed || h.Era != l.Era {
+// returnable returns how many tokens of an entry its incarnation can't have spent before it ended, or can't spend without
+// the agreement of this one; false if the lease and the entry prove nothing about it.
+func (a *Allotter) returnable(l *messenger.GuardLease, h *messenger.Holder, now clocker.Millis) (int64, bool) {
+	if h == nil || h.Closed || h.Era != l.Era {
 		return 0, false
 	}
 	guarded := min(max(0, h.Guarded), h.Limit)
+	if a.mayClose(l, now) {
+		return guarded, guarded > 0
+	}
+	elapsed, known := a.timeSinceLease(l)
+	if !known {
+		return 0, false
+	}
 	if a.faults.trustsOldLeases || elapsed <= clocker.Millis(l.DurationMs)-leaseMargin {
 		return guarded, true
 	}
@@ -377,36 +344,50 @@
 	return guarded - charged, true
 }
 
-// reclaimDue reports whether an incarnation that has ended left guarded tokens.
-func (a *Allotter) reclaimDue() bool {
+// reclaimDue reports whether guarded tokens of other incarnations can be returned.
+func (a *Allotter) reclaimDue(now clocker.Millis) bool {
 	return a.cfg.Guard != nil && !a.closing && !a.Unsettled() && slices.ContainsFunc(a.object.GetLeases(), func(l *messenger.GuardLease) bool {
 		return slices.ContainsFunc(a.object.GetBudgets(), func(b *messenger.Budget) bool {
-			unspent, _ := a.returnable(l, findEntry(b, l.Incarnation))
+			unspent, _ := a.returnable(l, findEntry(b, l.Incarnation), now)
 			return unspent > 0
 		})
 	})
 }
 
-// stageReclaims closes the entries of incarnations that have ended in an object to be written. They are charged with all that they may have spent; the rest is returned. Of the guarded tokens,
-// opened are those that are charged.
-func (a *Allotter) stageReclaims(value *messenger.BudgetShard) (returned, opened int64) {
-	if !a.reclaimDue() {
-		return 0, 0
+// reclaimed is what a write returns of other incarnations.
+type reclaimed struct {
+	// returned are tokens that are free again, and opened guarded ones that are charged.
+	returned, opened int64
+	// silent are the incarnations whose entries are closed without a proof that they have ended.
+	silent []string
+}
+
+// stageReclaims closes the entries of incarnations that have ended, and of silent ones whose witness this one is, in an
+// object to be written. They are charged with all that they may have spent; the rest is returned.
+func (a *Allotter) stageReclaims(value *messenger.BudgetShard, now clocker.Millis) reclaimed {
+	var r reclaimed
+	if !a.reclaimDue(now) {
+		return r
 	}
 	for _, l := range value.Leases {
+		closes := a.mayClose(l, now)
 		for _, b := range value.Budgets {
 			h := findEntry(b, l.Incarnation)
-			unspent, proved := a.returnable(l, h)
+			unspent, proved := a.returnable(l, h, now)
 			if !proved {
 				continue
 			}
-			returned += unspent
-			opened += h.Guarded - unspent
+			r.returned += unspent
+			r.opened += h.Guarded - unspent
 			h.Closed, h.Charge, h.Limit, h.Guarded, h.OpenPerSecond, h.FastPerSecond = true, h.Limit-unspent, 0, 0, 0, 0
-			_, h.Reopenable = a.guard.ended[l.Incarnation]
+			h.Reopenable = closes
+			if closes && !slices.Contains(r.silent, l.Incarnation) {
+				r.silent = append(r.silent, l.Incarnation)
+				a.beginClosing(l.Incarnation)
+			}
 		}
 	}
-	return returned, opened
+	return r
 }
 
 // LacksGuardedOnly reports whether requests wait, and all of them for tokens that are held but guarded.
--- a/allotter/guard_test.go
+++ b/allotter/guard_test.go
@@ -39,11 +39,9 @@
 	completeFrom int
 	// restores says which copies the store comes back from.
 	restores guardRestores
-	// watches makes hosts watch each other. leaseStarts are the earliest starts of leases by their answers, and ended
-	// are the incarnations that have ended since.
-	watches     bool
-	leaseStarts map[string]clocker.Millis
-	ended       []string
+	// witnessed makes each two hosts name each other as witnesses. lateAnswers are answers that still arrive.
+	witnessed   bool
+	lateAnswers []func()
 }
 
 type guardCopy struct {
@@ -129,7 +127,6 @@
 // kill ends the process. What it had reserved may have been used.
 func (h *guardHost) kill() {
 	h.fleet.completeFrom = len(h.fleet.copies) - 1
-	h.fleet.ended = append(h.fleet.ended, h.allotter.cfg.Incarnation)
 	h.allotter, h.open, h.paused = nil, nil, false
 }
 
@@ -145,7 +142,7 @@
 		}
 	}
 	return Conditions{
-		Now: h.fleet.now, KeepsHeadroom: true, ChangeInterval: 1500, RaiseThreshold: 0.8, DrawShare: 0.04, MustSpeak: running,
+		Now: h.fleet.now, Witness: h.witness(), KeepsHeadroom: true, ChangeInterval: 1500, RaiseThreshold: 0.8, DrawShare: 0.04, MustSpeak: running,
 		Policy: &messenger.Policy{FloorTokens: MaxGranted, MaxShareOfRestMilli: 300 / int64(len(h.fleet.hosts)), HeadroomMs: 1500, BusyShareOfRestMilli: 100},
 	}
 }
@@ -382,6 +379,7 @@
 		if f.configure != nil { // any part of the guarded tokens is open
 			f.now += clocker.Millis(random.Int64N(int64(testOpenTime)))
 		}
+		h.askWitnesses(random)
 		h.spendAll(random)
 	default:
 		h.spendAll(random)
--- a/allotter/promise.go
+++ b/allotter/promise.go
@@ -82,7 +82,7 @@
 	}
 	interval := a.cfg.Guard.RenewInterval
 	early := clocker.Millis(excessRenewShare * float64(interval))
-	return age >= interval || age >= early && a.unguardsTooMuch(c)
+	return age >= interval || age >= early && (a.unguardsTooMuch(c) || a.witnessDue(c))
 }
 
 // unguardsTooMuch reports whether this incarnation leaves more tokens unguarded than its present demand
--- a/allotter/promise_test.go
+++ b/allotter/promise_test.go
@@ -169,8 +169,8 @@
 		if f.restores != noRestores && random.IntN(20) == 0 {
 			f.restore(random)
 		}
-		if f.watches {
-			f.watch(random)
+		if f.witnessed {
+			f.actWitnessed(random)
 		}
 		switch event := random.IntN(10); {
 		case event < 4 && f.hosts[0].allotter != nil && !f.hosts[0].paused:
@@ -184,6 +184,7 @@
 			if f.configure != nil { // any part of the guarded tokens is open
 				f.now += clocker.Millis(random.Int64N(int64(testOpenTime)))
 			}
+			h.askWitnesses(random)
 			h.spendAll(random)
 		case h.allotter == nil:
 			h.start()
@@ -238,7 +239,7 @@
 	usable := f.consumed + max(0, Unassigned(f.object.Budgets[0]))
 	for _, h := range f.hosts {
 		if h.allotter != nil {
-			usable += h.allotter.Held()
+			usable += f.usableBy(h.allotter)
 		}
 	}
 	if usable > guardGrant && f.restores != anyCopies {
@@ -253,6 +254,9 @@
 		}
 	}
 	for _, entry := range f.object.Budgets[0].Holders {
+		if entry.Reopenable && f.restores != noRestores {
+			continue // one that was opened again later, and is part of FoldedCharge, may come back from a host's memory
+		}
 		if life := lives[entry.Incarnation]; life != nil && entry.Closed && entry.Charge < life.getOrAddBudget(guardBudget).charge() {
 			return fmt.Errorf("%s used %d tokens and is charged with %d", entry.Incarnation, life.getOrAddBudget(guardBudget).charge(), entry.Charge)
 		}
@@ -260,6 +264,18 @@
 	return nil
 }
 
+// usableBy returns the tokens that a process holds. What its witness has returned without its knowledge is not among them.
+func (f *guardFleet) usableBy(a *Allotter) int64 {
+	held, b := a.Held(), a.getOrAddBudget(guardBudget)
+	if h := findEntry(f.object.Budgets[0], a.cfg.Incarnation); f.witnessed && (h == nil || h.Closed) {
+		keeps := a.faults.keepsLimit
+		a.faults.keepsLimit = false
+		held -= b.limit - a.certainLimit(b)
+		a.faults.keepsLimit = keeps
+	}
+	return held
+}
+
 func (f *guardFleet) writePromised(h *guardHost, random *rand.Rand) {
 	h.read()
 	promises := h.promises()
--- a/allotter/restore.go
+++ b/allotter/restore.go
@@ -68,6 +68,7 @@
 			b.rewrite = !a.faults.adoptsRestoredLimits
 			b.inDoubt = false
 			b.foldedLimit = 0 // the copy may be older than the folding
+			b.limit = a.certainLimit(b)
 		}
 	}
 }
@@ -135,7 +136,7 @@
 	case h.Closed:
 		b.closed = b.closePlanned
 		b.rewrite = false
-		if !b.closed { // another host closed what this incarnation had written again
+		if !b.closed { // the witness closed what this incarnation had written again
 			b.limit = h.Charge
 			b.adoptReopens(h)
 		}
--- a/allotter/schedule.go
+++ b/allotter/schedule.go
@@ -91,15 +91,15 @@
 }
 
 // openLimit returns the limit that holds now for a content of the store with a limit without guarded tokens,
-// the rates at which these open, and the start of the lease; MaxGranted without a bound.
-func (a *Allotter) openLimit(draw int64, rates openRates, at clocker.Millis) int64 {
+// the rates at which these open, the start of the lease and its witnesses; MaxGranted without a bound.
+func (a *Allotter) openLimit(draw int64, rates openRates, at clocker.Millis, witnesses ...string) int64 {
 	if draw < 0 || at <= 0 {
 		return MaxGranted
 	}
 	g := a.cfg.Guard
 	elapsed := a.guard.now - at - g.LeaseTime
 	switch {
-	case elapsed < 0:
+	case elapsed < 0 || !a.agreedTo(at, witnesses...):
 		return draw
 	case rates.atOnce() || a.faults.opensAtOnce:
 		return MaxGranted
--- a/allotter/schedule_test.go
+++ b/allotter/schedule_test.go
@@ -120,7 +120,7 @@
 			DurationMs: int64(guardLease), FastAfterMs: int64(guardLease + clocker.Second),
 		}
 		c.change(h, l)
-		returned, _ := a.returnable(l, h)
+		returned, _ := a.returnable(l, h, 0)
 		assert.Check(t, returned == c.returned, "%s: %d returned, %d expected", name, returned, c.returned)
 	}
 }
--- a/allotter/writes.go
+++ b/allotter/writes.go
@@ -48,6 +48,8 @@
 	// DemandShare is the part of a holder's share of the remaining tokens that goes by its share of the
 	// demand; 0 means that all holders keep even shares.
 	DemandShare float64
+	// Witness is the incarnation that the lease should name as its witness, "" for none.
+	Witness string
 	// GuardPromises are the starts of the leases that other incarnations promised to this one, by
 	// their clocks; nil if it has not asked them.
 	GuardPromises map[string]clocker.Millis
@@ -72,12 +74,14 @@
 	// Version is the version that the object must have; 0 creates it.
 	Version int64
 	Value   *messenger.BudgetShard
-	// Returned are the tokens that earlier incarnations at the own address left and that the
-	// write returns to their budgets.
+	// Returned are the tokens of other incarnations that the write returns to their budgets: those that earlier ones at
+	// the own address left, and those of silent ones whose witness this one is.
 	Returned int64
 	// Opened are the guarded tokens of these incarnations that the write charges, because they may have
 	// been spent after the end of a lease.
 	Opened int64
+	// Silent are the incarnations whose entries the write closes though they may still run.
+	Silent []string
 
 	entries []plannedEntry
 }
@@ -119,6 +123,9 @@
 // remains in doubt.
 func (a *Allotter) replaceContent(version int64, object *messenger.BudgetShard) {
 	a.beginEraIfRestored(versioner.Era(version), object)
+	for _, b := range a.ordered {
+		b.certainLimit = a.certainLimit(b)
+	}
 	a.version = version
 	a.object = a.withRemembered(object)
 	clear(a.knownBudgets)
@@ -126,6 +133,7 @@
 		a.knownBudgets[b.Name] = b
 	}
 	a.adoptLease()
+	a.adoptClosings()
 	for _, b := range a.ordered {
 		b.inDoubt = false
 		a.adoptEntry(b)
@@ -145,14 +153,15 @@
 		b.closed = true // closed and folded, or never written
 	case h == nil && b.entryExists:
 		b.entryExists = false
-		b.foldedLimit = b.limit // folded while open: charged in full
+		b.limit = b.certainLimit // folded while open, or closed by the witness and then folded
+		b.foldedLimit = b.limit
 		b.reopens++
 	case h == nil:
 		b.limit = b.foldedLimit
 	case h.Closed && b.closePlanned:
 		b.entryExists = true
 		b.closed = true
-	default: // open, or closed by another host, which charged what this incarnation may spend
+	default: // open, or closed by the witness, which charged what this incarnation may spend
 		b.entryExists = true
 		b.limit = b.foldedLimit + assignedTo(h)
 		b.adoptReopens(h)
@@ -218,7 +227,7 @@
 			entries = append(entries, e)
 		}
 	}
-	if len(entries) == 0 && !a.guardDue(c) && !a.reclaimDue() {
+	if len(entries) == 0 && !a.guardDue(c) && !a.reclaimDue(c.Now) {
 		return Write{}, false // no tokens remain for the waiting requests
 	}
 	a.plannedAt = c.Now
@@ -235,7 +244,8 @@
 	if c.IsLive != nil {
 		a.refreshUrgent(c.Now)
 	}
-	if a.reclaimDue() || a.guardDue(c) {
+	a.observeSilences(c)
+	if a.reclaimDue(c.Now) || a.guardDue(c) {
 		return true
 	}
 	if c.BatchRaiseThreshold > 0 && c.Now-a.plannedAt < c.changeInterval() && !a.closing {
@@ -300,12 +310,12 @@
 		a.stageEntry(e, stored, c.Now)
 		foldEntries(stored, c.IsLive)
 	}
-	returned, opened := a.stageReclaims(value)
+	r := a.stageReclaims(value, c.Now)
 	a.stageGuards(value, c)
 	if a.faults.tamper != nil {
 		a.faults.tamper(value)
 	}
-	return Write{Version: a.version, Value: value, Returned: returned, Opened: opened, entries: entries}
+	return Write{Version: a.version, Value: value, Returned: r.returned, Opened: r.opened, Silent: r.silent, entries: entries}
 }
 
 // stageEntry puts an entry into the object to be written. A lowered limit takes
@@ -356,6 +366,7 @@
 func (a *Allotter) Rejected(w Write) {
 	a.plannedAt = 0
 	a.withdrawLease()
+	a.endClosings(w)
 	for _, e := range w.entries {
 		e.budget.raisedAt = 0
 	}
--- a/heartbeater/members.go
+++ b/heartbeater/members.go
@@ -318,6 +318,7 @@
 		p.ExchangeAddress = beat.ExchangeAddress
 		p.CallerAddress = beat.CallerAddress
 	}
+	p.Witnesses = beat.Witnesses || p.Witnesses && p.Incarnation == beat.Incarnation // earlier builds forward beats without it
 	p.Incarnation = beat.Incarnation
 	p.ConfigurationVersion = beat.ConfigurationVersion
 	p.ServersFingerprint = beat.ServersFingerprint
--- a/heartbeater/peer.go
+++ b/heartbeater/peer.go
@@ -31,6 +31,8 @@
 	// BackendsCut is true while it can't connect to backend servers that other hosts reach.
 	BackendsCut bool
 	InFlight    int64
+	// Witnesses is true if it can be the witness of a lease that guards tokens.
+	Witnesses bool
 	// CapacityMilli is the processor capacity of its machine in thousandths of a core, 0 if unknown.
 	CapacityMilli int64
 	HeldTokens    int64
--- a/heartbeater/sample.go
+++ b/heartbeater/sample.go
@@ -68,6 +68,7 @@
 		SentAtMs:             int64(member.lastSentAt),
 		InFlight:             member.peer.InFlight,
 		CapacityMilli:        member.peer.CapacityMilli,
+		Witnesses:            member.peer.Witnesses,
 		HeldTokens:           member.peer.HeldTokens,
 		LeavingInFlight:      member.peer.LeavingInFlight,
 		RequestsCut:          member.peer.RequestsCut,
--- a/reserver/export_test.go
+++ b/reserver/export_test.go
@@ -109,7 +109,7 @@
 
 // RunGuardTasks runs the tasks of one tick of a holder that guards what it holds.
 func (r *Reserver) RunGuardTasks(ctx context.Context) {
-	r.watchHolders(ctx)
+	r.askWitnesses(ctx)
 	_ = r.tasks.Wait()
 	r.maintainDeclared()
 	r.RunTasks(ctx)
--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -31,6 +31,8 @@
 	servedWorstCase map[string]int64
 	// mayOvercharge is true once tokens may be charged without being served.
 	mayOvercharge bool
+	// earlierBuilds is true while all hosts seem to be of builds that can't be witnesses.
+	earlierBuilds bool
 }
 
 // node is a host. It is the Store and the Exchange of its reserver.
@@ -96,7 +98,7 @@
 		}
 		peers = append(peers, heartbeater.Peer{
 			Host: p.name, Incarnation: p.incarnation, AvailabilityZone: p.zone, ExchangeAddress: p.name,
-			Suspect: !n.reaches(p), HeldTokens: p.reserver.HeldTokens(),
+			Suspect: !n.reaches(p), HeldTokens: p.reserver.HeldTokens(), Witnesses: !n.fleet.earlierBuilds,
 		})
 	}
 	return peers
--- a/reserver/inspect.go
+++ b/reserver/inspect.go
@@ -153,6 +153,7 @@
 		Now:           r.cfg.Clock.Now(),
 		Policy:        v.policy,
 		KeepsHeadroom: r.keepsHeadroom(s, v),
+		Witness:       r.witnessOf(s, v),
 		IsLive:        v.isLive,
 		IsReplaced:    v.isReplaced,
 
@@ -173,10 +174,11 @@
 	// phase shifts only the times after the first run: hosts that started together then
 	// inspect at different times, which makes conflicts between their writes rare.
 	phase := clocker.Millis(rand.Int64N(int64(inspectInterval)))
-	var lastInspect, lastTransferRetry, lastDeclared, lastBalance, lastWatch clocker.Millis
+	var lastInspect, lastTransferRetry, lastDeclared, lastBalance clocker.Millis
 	for r.cfg.Clock.Sleep(ctx, tickInterval) == nil {
 		now := r.cfg.Clock.Now()
 		r.inspectWaiting(now)
+		r.askWitnesses(ctx)
 		if now-lastBalance >= balanceInterval {
 			lastBalance = now
 			r.balance()
@@ -190,10 +192,6 @@
 			phase = 0
 			r.maintainDeclared()
 		}
-		if now-lastWatch >= watchInterval {
-			lastWatch = now
-			r.watchHolders(ctx)
-		}
 		if now-lastTransferRetry >= transferRetryInterval {
 			lastTransferRetry = now
 			r.retryUnknownTransfers(ctx)
--- a/reserver/platform.go
+++ b/reserver/platform.go
@@ -226,6 +226,7 @@
 			returnedTokens.AddInt64(w.Returned)
 			slog.Info("tokens of an earlier incarnation are returned", "key", s.key, "tokens", w.Returned, "opened", w.Opened)
 		}
+		r.recordClosed(s, w.Silent)
 		clear(s.refusals)
 		unsettled := s.allotter.Unsettled()
 		s.allotter.Confirm(w, o.Version, r.cfg.Clock.Now())
--- a/reserver/refused_holders_test.go
+++ b/reserver/refused_holders_test.go
@@ -20,8 +20,8 @@
 	cutDraw = 500
 )
 
-// newGuardedFleet returns a fleet of holders that guard what they hold. Hosts on different sides of a partition get
-// their connections to each other refused, although no process has ended.
+// newGuardedFleet returns a fleet of holders that guard what they hold. Hosts on different sides of a partition fail to
+// connect to each other at once, although no process has ended.
 func newGuardedFleet(t *testing.T, zones, perZone int) *fleet {
 	f := newFleet(&messenger.Policy{FloorTokens: allotter.MaxGranted, MaxShareOfRestMilli: 300 / int64(zones*perZone), HeadroomMs: 1500, BusyShareOfRestMilli: 100, PatienceMs: 150}, zones, perZone)
 	for _, n := range f.nodes {
@@ -46,15 +46,6 @@
 			LeaseTime: 2000, RenewInterval: 900, DrawHorizon: 3200, OpenFactor: 1, OpenShare: 1, FastAfter: 3200, FastFactor: 7.5, OpenTime: 3000,
 			Address: n.name, SameHost: func(incarnation string) bool { return heartbeater.HostOf(incarnation) == n.name }, StartedAt: f.clock.Now(), BootAt: f.clock.Now(),
 		},
-		SinceBoot: f.clock.Now,
-		Refuses: func(_ context.Context, address string) bool {
-			for _, p := range f.nodes {
-				if p.name == address {
-					return !n.reaches(p)
-				}
-			}
-			return true
-		},
 	})
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -115,11 +115,6 @@
 	DrawShare float64
 	// DemandShare is the part of a holder's share of the remaining tokens that goes by its share of the demand.
 	DemandShare float64
-	// Refuses reports whether nothing listens at an address of another host: its process has ended. SinceBoot
-	// returns the time since the boot of the machine, 0 if unknown, which also passes while the machine is suspended.
-	// Without them the tokens that lost hosts guarded stay charged.
-	Refuses   func(ctx context.Context, address string) bool
-	SinceBoot func() clocker.Millis
 }
 
 // Reserver reserves and settles tokens for one incarnation. It is safe for
@@ -144,7 +139,7 @@
 	slowLenders      askPauses
 	emptyAnswers     answerMeter
 	membership       membership
-	holders          holderWatch
+	witnesses        witnesses
 
 	liveMu sync.Mutex
 	// lastLive is when incarnations were last seen alive, and startedAt when this host first
@@ -191,7 +186,7 @@
 	}
 	return &Reserver{
 		lastLive:    map[string]clocker.Millis{},
-		holders:     holderWatch{leaseStarts: map[heldLease]clocker.Millis{}, ended: map[string]clocker.Millis{}},
+		witnesses:   witnesses{askAgainAt: map[witnessQuestion]clocker.Millis{}, refused: map[witnessQuestion]bool{}, closed: map[string]clocker.Millis{}},
 		cfg:         cfg,
 		shards:      make([]atomic.Pointer[shard], cfg.Shards),
 		refillQueue: ringer.New[*shard]("budget_refills", refillQueueSize),
--- a/reserver/transfer.go
+++ b/reserver/transfer.go
@@ -35,8 +35,8 @@
 	if request.RenewsGuardOf != "" {
 		reply.GuardPromisedAtMs = int64(r.promiseGuard(request.RenewsGuardOf))
 	}
-	if request.GuardAgeOf != "" {
-		reply.GuardAgeMs = r.guardAge(request.GuardAgeOf)
+	if request.OpensGuardOf != "" {
+		reply.GuardOpensAtMs = int64(r.agreeToSpending(request.From, request.OpensGuardOf, clocker.Millis(request.OpensGuardAtMs)))
 	}
 	for _, t := range request.Totals {
 		received := r.mergeTotal(request.From, t)
--- a/runner/budgets.go
+++ b/runner/budgets.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
-	"syscall"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -130,16 +127,6 @@
 	}
 }
 
-// refusesConnections reports whether nothing listens at an address.
-func refusesConnections(ctx context.Context, address string) bool {
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = c.Close()
-	return false
-}
-
 // policy returns the policy of all budgets. Each holder holds its part of heldShare,
 // whatever its demand; peers transfer tokens to each other.
 func (r *Runner) policy() *messenger.Policy {
@@ -312,8 +299,6 @@
 		Guard:                r.guard(),
 		DrawShare:            drawShare,
 		DemandShare:          demandShare,
-		Refuses:              refusesConnections,
-		SinceBoot:            sinceBoot,
 	}))
 	r.group.Go(func() error {
 		r.logBudgets(ctx)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -395,6 +395,7 @@
 		Draining:         r.draining.Load(),
 		BackendsCut:      r.backendsCut.Load(),
 		CapacityMilli:    s.capacityMilli(),
+		Witnesses:        true,
 		SentAtMs:         int64(r.cfg.Clock.Now()),
 	}
 	if t := r.table.Load(); t != nil {
