Soak: routers are cut off from each other, some without the store

Cause: the soak had no cuts between routers, so that its check of spent tokens never met a router that lives while others can't connect to it.

Other routers reach them by a proxy, for which a host can listen at another address than the one that it tells (ExchangeListenAddress, as behind a forwarded port). Without -cuts nothing changes. -keep lists the faults of each run.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -25,6 +25,7 @@
 	restores bool
 	versions bool
 	deaths   bool
+	cuts     bool
 	hostile  int
 	program  string
 	pause    int64
@@ -60,6 +61,7 @@
 	f.BoolVar(&c.limits, "limits", false, "let backend servers name limits of requests")
 	f.BoolVar(&c.restores, "restores", false, "bring the store back from copies")
 	f.BoolVar(&c.versions, "versions", false, "restart backend servers under their IDs with another software version")
+	f.BoolVar(&c.cuts, "cuts", false, "cut routers off from each other, some without the store")
 	f.BoolVar(&c.deaths, "deaths", false, "let backend servers answer without a length and die")
 	f.IntVar(&c.hostile, "hostile", 0, "how `many` clients send requests that don't end; routers get little memory")
 	f.Int64Var(&c.pause, "pause", 500, "mean `milliseconds` between two faults of routers and store")
@@ -97,6 +99,7 @@
 			FaultPause: clocker.Millis(c.pause),
 			Versions:   c.versions,
 			Deaths:     c.deaths,
+			Cuts:       c.cuts,
 			Hostile:    c.hostile,
 			Keep:       c.keep,
 		})
@@ -110,10 +113,11 @@
 		for _, number := range result.Unready {
 			fmt.Printf("  router %d was not ready within 10 s at the start\n", number)
 		}
-		if len(result.Findings) == 0 {
+		if len(result.Findings) > 0 {
+			status = subcommands.ExitFailure
+		} else if !c.keep {
 			continue
 		}
-		status = subcommands.ExitFailure
 		for _, f := range result.Findings {
 			fmt.Println("  finding:", f)
 		}
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -108,3 +108,16 @@
 	assert.NilError(t, err)
 	return result
 }
+
+// Tokens of routers that were cut off by refused connections, without the store, were given to others while they went on
+// spending them (issue 64).
+func TestSoakRefusedConnectionsBetweenRoutersSpendNoTokensTwice(t *testing.T) {
+	result, err := soaker.Run(context.Background(), soaker.Config{
+		Clock: clocker.NewWall(), Dialect: platform.Dialect, ReadyPath: platform.ReadyPath, Program: buildProgram(t),
+		Seed: 654, For: 20 * clocker.Second, Routers: 4, Servers: 3, Callers: 16, Prepaid: 30_000,
+		FaultPause: 20 * clocker.Second, Cuts: true,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
+	assert.Assert(t, result.Served > 0)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, errors.Join(err, callers.Close())
 	}
-	peers, err := net.Listen("tcp4", cfg.Settings.ExchangeAddress)
+	peers, err := net.Listen("tcp4", cfg.Settings.exchangeListenAddress())
 	if err != nil {
 		return nil, errors.Join(err, callers.Close(), probes.Close())
 	}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -26,8 +26,11 @@
 	// ReadyAddress is the listen address for the readiness probes of the platform's
 	// balancer.
 	ReadyAddress string
-	// ExchangeAddress is the listen address for other hosts; it also serves /metrics.
+	// ExchangeAddress is the address for other hosts; it also serves /metrics.
 	ExchangeAddress string
+	// ExchangeListenAddress is the listen address for other hosts where that is not ExchangeAddress, for example
+	// behind a forwarded port; empty means ExchangeAddress.
+	ExchangeListenAddress string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
 	// RouterKey authenticates hosts to each other.
@@ -96,6 +99,9 @@
 		"ExchangeAddress": s.ExchangeAddress,
 		"StoreAddress":    s.StoreAddress,
 	}
+	if s.ExchangeListenAddress != "" {
+		addresses["ExchangeListenAddress"] = s.ExchangeListenAddress
+	}
 	for key, value := range addresses {
 		if _, _, err := net.SplitHostPort(value); err != nil {
 			findings = append(findings, fmt.Sprintf("%s is %q, not an IP address and port", key, value))
@@ -129,6 +135,14 @@
 	return findings
 }
 
+// exchangeListenAddress returns the listen address for other hosts.
+func (s Settings) exchangeListenAddress() string {
+	if s.ExchangeListenAddress != "" {
+		return s.ExchangeListenAddress
+	}
+	return s.ExchangeAddress
+}
+
 // capacityMilli returns the processor capacity of the machine in thousandths of a core, 0 if unknown.
 func (s Settings) capacityMilli() int64 {
 	return int64(milliPerCore * s.ProcessorShare * s.ProcessorSpeed)
@@ -153,7 +167,7 @@
 	old := r.settings.Swap(&s)
 	ApplyLogLevel(s)
 	restartNeeded := old.Host != s.Host || old.AvailabilityZone != s.AvailabilityZone || old.CallerAddress != s.CallerAddress ||
-		old.ReadyAddress != s.ReadyAddress || old.ExchangeAddress != s.ExchangeAddress || old.StoreAddress != s.StoreAddress ||
+		old.ReadyAddress != s.ReadyAddress || old.ExchangeAddress != s.ExchangeAddress || old.exchangeListenAddress() != s.exchangeListenAddress() || old.StoreAddress != s.StoreAddress ||
 		old.RouterKey != s.RouterKey || old.MemoryMb != s.MemoryMb || old.MaxDescriptors != s.MaxDescriptors || old.CallerStallMs != s.CallerStallMs ||
 		old.LinkMbps != s.LinkMbps || old.RefusesWhenFull != s.RefusesWhenFull || old.capacityMilli() != s.capacityMilli()
 	r.cfg.Log.Info("settings reloaded", "changed", *old != s, "restart_needed", restartNeeded)
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/standin/refuser"
 )
 
 // proxyState is what a proxy does to bytes.
@@ -18,9 +19,11 @@
 
 // proxy passes connections on to a target over loopback and can harm them.
 type proxy struct {
-	listener net.Listener
+	listener *refuser.Listener
 	target   string
 	clock    *clocker.Clock
+	// refusals counts those who want connections to be refused.
+	refusals int
 
 	mu    sync.Mutex
 	state proxyState
@@ -28,23 +31,52 @@
 }
 
 func newProxy(target string, clock *clocker.Clock) (*proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := refuser.Listen()
 	if err != nil {
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, clock: clock, conns: map[net.Conn]bool{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // closed at the end of the run
-			}
-			go p.pass(c)
-		}
-	}()
+	go p.accept(l.Listener)
 	return p, nil
 }
 
+// accept passes connections on until the listener is closed.
+func (p *proxy) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(c)
+	}
+}
+
+// refuse makes the address refuse connections, and resets the open ones, until accepts is called.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	p.refusals++
+	if p.refusals == 1 {
+		_ = p.listener.Close()
+	}
+	p.mu.Unlock()
+	p.reset()
+}
+
+// accepts ends a call of refuse.
+func (p *proxy) accepts() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusals--
+	if p.refusals > 0 {
+		return nil
+	}
+	if err := p.listener.Listen(); err != nil {
+		return err
+	}
+	go p.accept(p.listener.Listener) // ends when the listener is closed
+	return nil
+}
+
 func (p *proxy) address() string {
 	return p.listener.Addr().String()
 }
@@ -66,22 +98,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		setReset(c)
 		_ = c.Close()
 	}
 	clear(p.conns)
 }
 
+// setReset makes a connection end by a reset when it is closed.
+func setReset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	_ = p.listener.Release()
 	p.reset()
 }
 
 func (p *proxy) pass(down net.Conn) {
 	up, err := net.Dial("tcp4", p.target)
 	if err != nil {
+		setReset(down)
 		_ = down.Close()
 		return
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -47,6 +47,8 @@
 	FaultPause clocker.Millis
 	// Restores brings the store back from copies.
 	Restores bool
+	// Cuts cuts routers off from each other, and some of them from the store at the same time.
+	Cuts bool
 	// Versions restarts backend servers under their ID and address with another software version.
 	Versions bool
 	// Deaths ends the processes of backend servers, a part of whose answers have no length.
@@ -90,7 +92,9 @@
 	// restartSeries is that of the servers' restarts and deaths, and takeUpSeries the first of those
 	// by which callers choose where they go on.
 	restartSeries = serverSeries + 3
-	takeUpSeries  = 2 * serverSeries
+	// cutSeries is that of the cuts between routers.
+	cutSeries    = serverSeries + 4
+	takeUpSeries = 2 * serverSeries
 	// callPause is the mean pause of a caller, in milliseconds.
 	callPause = 30
 	// maxOutput is the most tokens that a request may cost beyond its prompt.
@@ -152,9 +156,16 @@
 			return nil
 		})
 	}
+	var cuts []string
+	if cfg.Cuts {
+		group.Go(func() error {
+			cuts = w.series(ctx, rand.New(rand.NewPCG(cfg.Seed, cutSeries)), []fault{cutPeers}, cutPause, w.record.harm)
+			return nil
+		})
+	}
 	faults := w.harmUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, 0)))
 	_ = group.Wait()
-	faults = slices.Concat(faults, serverFaults, restarts, limits, restores)
+	faults = slices.Concat(faults, serverFaults, restarts, limits, restores, cuts)
 	result := Result{Faults: faults, Findings: w.record.findings(), Unready: unready, Folder: w.folder}
 	if cfg.Hostile > 0 {
 		result.Findings = append(result.Findings, w.memoryFindings()...)
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -84,12 +84,14 @@
 	routes []map[string]any
 }
 
-// router is one router process and the proxy between it and the store.
+// router is one router process and the proxy between it and the store. With Config.Cuts other routers reach it by
+// the proxy peers.
 type router struct {
 	number      int
 	settings    runner.Settings
 	file        string
 	store       *proxy
+	peers       *proxy
 	mu          sync.Mutex
 	process     *exec.Cmd
 	incarnation int
@@ -210,6 +212,13 @@
 	if w.cfg.Hostile > 0 {
 		r.settings.MemoryMb = hostileMemoryMb
 	}
+	if w.cfg.Cuts {
+		if r.peers, err = newProxy(ports[2], w.cfg.Clock); err != nil {
+			return err
+		}
+		w.stops = append(w.stops, r.peers.close)
+		r.settings.ExchangeAddress, r.settings.ExchangeListenAddress = r.peers.address(), ports[2]
+	}
 	content, err := json.Marshal(r.settings)
 	if err != nil {
 		return err
--- a/standin/refuser/refuser.go
+++ b/standin/refuser/refuser.go
@@ -34,6 +34,17 @@
 	return &Listener{Listener: l, holder: holder}, nil
 }
 
+// Listen listens again at the address after Close.
+func (l *Listener) Listen() error {
+	cfg := net.ListenConfig{Control: sharePort}
+	again, err := cfg.Listen(context.Background(), "tcp4", l.Addr().String())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	l.Listener = again
+	return nil
+}
+
 // Release closes the listener and gives its port back.
 func (l *Listener) Release() error {
 	err := l.Close()
