Questions to witnesses that fail are counted

A question that gets no answer left no trace in the metrics. It now counts with the other transfers between hosts that fail (cowsliphinge_budget_transfer_errors_total).

--- a/reserver/witness.go
+++ b/reserver/witness.go
@@ -91,6 +91,7 @@
 		defer cancel()
 		reply, err := r.cfg.Exchange.Transfer(ctx, address, &messenger.TransferRequest{From: r.cfg.Incarnation, To: witness, OpensGuardOf: budget, OpensGuardAtMs: int64(leaseAt)})
 		if err != nil {
+			transferErrors.Inc()
 			return nil // asked again
 		}
 		agreed := reply.GuardOpensAtMs > 0
