Test of leaving servers waits until connections are accepted

Cause: the stand-in closes its listener as soon as the carrier has opened its connections. A connection is open for the client once it is in the listener's queue; closing the listener resets those that were not accepted yet. The stand-in is then no server that ends what it has begun, which is what the test is about.

Change: the test, and TestWitnessIsReplacedAndReused, which closes its listener in the same way, wait until the server has accepted the connections. What they assert is unchanged. The other tests that close a listener wait for an answer on each connection, or have none in the queue.

--- a/carrier/witness_test.go
+++ b/carrier/witness_test.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// awaitAccepted waits until the server has accepted n connections. Closing the listener resets those that it has not.
+func (s *leavingServer) awaitAccepted(n int) {
+	for {
+		s.mu.Lock()
+		accepted := s.accepted
+		s.mu.Unlock()
+		if accepted >= n {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
 // awaitConns returns the connections of a witness once there are n.
 func awaitConns(w *witness, n int) []*conn {
 	for {
@@ -231,6 +244,7 @@
 	for awaitConns(resp.witness, 1)[0] == replaced {
 		runtime.Gosched()
 	}
+	s.awaitAccepted(3)
 	_ = s.listener.Close()
 	s.proceed <- struct{}{}
 	_, err := io.ReadAll(resp)
@@ -258,6 +272,7 @@
 	}
 	s.leaving.Store(true)
 	awaitConns(responses[0].witness, answers)
+	s.awaitAccepted(2 * answers)
 	_ = s.listener.Close()
 	for range responses {
 		s.proceed <- struct{}{}
