Stand-ins of dead servers close connections that they accept meanwhile

Cause: closeAll closes the listener and the connections that are known. One that was accepted and not recorded yet stayed open, and the server that should be dead answered on it. The kernel closes all connections of a process that ends. leavingServer of carrier had the same gap.

Change: once such a server has ended, it also closes what it records afterwards. The assertions are unchanged.

--- a/carrier/witness_test.go
+++ b/carrier/witness_test.go
@@ -33,6 +33,8 @@
 	conns []net.Conn
 	// accepted counts the connections.
 	accepted int
+	// dead is true once die was called: a connection that is accepted meanwhile is closed, too.
+	dead bool
 }
 
 func newLeavingServer(t *testing.T, told string) *leavingServer {
@@ -49,6 +51,9 @@
 			s.mu.Lock()
 			s.conns = append(s.conns, c)
 			s.accepted++
+			if s.dead {
+				_ = c.Close()
+			}
 			s.mu.Unlock()
 			go s.serve(c)
 		}
@@ -89,6 +94,9 @@
 // die ends the server as the kernel ends a dead process: it closes the listener and all connections.
 func (s *leavingServer) die() {
 	_ = s.listener.Close()
+	s.mu.Lock()
+	s.dead = true
+	s.mu.Unlock()
 	s.closeConns(func(int) bool { return true })
 }
 
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -45,6 +45,8 @@
 	requests []*http.Request
 	bodies   []string
 	conns    []net.Conn
+	// ended is true once closeAll was called: a connection that is accepted meanwhile is closed, too.
+	ended bool
 	// closed receives a value for each closed connection.
 	closed chan struct{}
 }
@@ -62,6 +64,9 @@
 			}
 			b.mu.Lock()
 			b.conns = append(b.conns, c)
+			if b.ended {
+				_ = c.Close()
+			}
 			b.mu.Unlock()
 			go b.serve(c)
 		}
@@ -74,6 +79,7 @@
 	_ = b.listener.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.ended = true
 	for _, c := range b.conns {
 		_ = c.Close()
 	}
