--- a/review/harness-3/world.go
+++ b/review/harness-3/world.go
@@ -144,9 +144,12 @@
 	return os.WriteFile(r.file, content, 0o600)
 }
 
+// log returns the file with the output of the process.
+func (r *router) log() string { return filepath.Join(r.world.folder, r.host+".log") }
+
 // start starts the process.
 func (r *router) start() error {
-	log, err := os.OpenFile(filepath.Join(r.world.folder, r.host+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(r.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
