--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -13,7 +13,7 @@
 // run plays the case named by the first argument and writes what happened to the file named by the second.
 func run(args []string) verdict {
 	plays := map[string]func(*world) (verdict, error){
-		"ending": playEnding, "many": playMany, "gaps": playGaps, "spot": playSpot, "fraction": playFraction,
+		"ending": playEnding, "many": playMany, "gaps": playGaps, "spot": playSpot, "fraction": playFraction, "full": playFull,
 	}
 	if len(args) != 2 || plays[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
