Logs tell why the end of an answer was not believed

Change: the cause of an end that was not believed says what was missing, a counter counts the asks by result, and the log of an attempt has the events that its server sent, whether it ended its answer as complete, and how long it had been silent when another server took over. No decision changes.

--- a/carrier/end.go
+++ b/carrier/end.go
@@ -15,6 +15,10 @@
 	endsConfirmed   = metrics.NewCounter(`cowsliphinge_backend_unframed_ends_total{result="confirmed"}`)
 	endsWitnessed   = metrics.NewCounter(`cowsliphinge_backend_unframed_ends_total{result="open_connection_answers"}`)
 	endsUnconfirmed = metrics.NewCounter(`cowsliphinge_backend_unframed_ends_total{result="server_gone"}`)
+
+	asksAnswered = metrics.NewCounter(`cowsliphinge_backend_end_asks_total{result="answered"}`)
+	asksFailed   = metrics.NewCounter(`cowsliphinge_backend_end_asks_total{result="failed"}`)
+	asksNoConn   = metrics.NewCounter(`cowsliphinge_backend_end_asks_total{result="no_open_connection"}`)
 )
 
 // errServerGone is the error of a body that ended with its connection while its server is gone.
@@ -26,20 +30,30 @@
 	return errors.Is(err, errServerGone)
 }
 
-// confirmEnd reports whether the end of its connection is the end of a body that nothing else delimits. The
+var (
+	errNoOpenConn      = errors.New("no connection was open to ask on")
+	errAsksFailed      = errors.New("no open connection got an answer")
+	errNotSameServer   = errors.New("another incarnation answered, or idle connections were closed")
+	errNoAnswerAfterIt = errors.New("nothing answered after the end")
+)
+
+// confirmEnd returns nil if the end of its connection is the end of a body that nothing else delimits. The
 // kernel closes the connections of a process that dies just as a server ends a whole body, so that the end
 // counts only if the same incarnation still answers on a connection that it had accepted before, or accepts one.
-func (r *Response) confirmEnd() bool {
-	switch {
-	case r.carrier.answersElsewhere(r):
+// The error wraps errServerGone and says what was missing.
+func (r *Response) confirmEnd() error {
+	elsewhere := r.carrier.answersElsewhere(r)
+	if elsewhere == nil {
 		endsWitnessed.Inc()
-	case r.carrier.goesOn(r):
+		return nil
+	}
+	anew := r.carrier.goesOn(r)
+	if anew == nil {
 		endsConfirmed.Inc()
-	default:
-		endsUnconfirmed.Inc()
-		return false
+		return nil
 	}
-	return true
+	endsUnconfirmed.Inc()
+	return fmt.Errorf("%w; %w; new connection: %w", errServerGone, elsewhere, anew)
 }
 
 // incarnationOf returns the target of a response with the incarnation that sends it, as far as it is known.
@@ -52,15 +66,22 @@
 	return t
 }
 
-// answersElsewhere reports whether the server of a response answers on another connection that was opened before the
+// answersElsewhere returns nil if the server of a response answers on another connection that was opened before the
 // end of the response.
-func (c *Carrier) answersElsewhere(r *Response) bool {
+func (c *Carrier) answersElsewhere(r *Response) error {
 	if c.cfg.Identity == nil {
-		return false
+		return errNoOpenConn
 	}
+	cause := errNoOpenConn
 	if r.witness != nil {
-		if told, ok := r.witness.ask(); ok && c.isSender(r, told.startedAt) {
-			return true
+		told, err := r.witness.ask()
+		switch {
+		case err != nil:
+			cause = err
+		case c.isSender(r, told.startedAt):
+			return nil
+		default:
+			cause = errNotSameServer
 		}
 	}
 	// If the server does not tell its incarnation, only a connection from before the request shows that it has
@@ -70,7 +91,7 @@
 		return (r.StartedAt() > 0 && cn.tells(t.StartedAt) || r.StartedAt() == 0 && cn.number < r.conn.number) && cn.isReusable()
 	})
 	if cn == nil {
-		return false
+		return cause
 	}
 	told, reusable, ok := c.askOn(r.ctx, cn, t)
 	if reusable || cn.isClosed() { // closedIdle has to find it
@@ -78,7 +99,10 @@
 	} else {
 		_ = cn.Close()
 	}
-	return ok && told.startedAt == r.StartedAt()
+	if !ok || told.startedAt != r.StartedAt() {
+		return errNoAnswerAfterIt
+	}
+	return nil
 }
 
 // isSender reports whether a server that told when it started, 0 if it did not, is the incarnation that sent a response.
@@ -91,18 +115,24 @@
 	return !c.closedIdle(t)
 }
 
-// goesOn reports whether the server of a response accepts a connection.
-func (c *Carrier) goesOn(r *Response) bool {
+// goesOn returns nil if the server of a response accepts a connection.
+func (c *Carrier) goesOn(r *Response) error {
 	cn, err := c.dialServer(r.ctx, incarnationOf(r), confirmTimeout)
 	var status errIdentityStatus
 	if errors.As(err, &status) && r.StartedAt() == 0 { // it answers, as a plain service without a free slot does
-		return !c.closedIdle(r.target)
+		if !c.closedIdle(r.target) {
+			return nil
+		}
+		return errNotSameServer
 	}
 	if err != nil {
-		return false
+		return err
 	}
 	defer c.putIdle(r.target, cn)
-	return c.isSender(r, cn.incarnation.startedAt)
+	if !c.isSender(r, cn.incarnation.startedAt) {
+		return errNotSameServer
+	}
+	return nil
 }
 
 // closedIdle reports whether a server has closed an idle connection that it had reason to keep.
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -89,8 +89,8 @@
 	cancelClose func() bool
 	write       *requestWrite
 	complete    bool
-	// cut is true once the end of a body without a length was found to be none.
-	cut bool
+	// cut is why the end of a body without a length was found to be none; nil before.
+	cut error
 	// witness is that of the server while it sends a body without a length; nil before.
 	witness *witness
 }
@@ -112,9 +112,11 @@
 		if r.waitWrite() != nil {
 			return n, io.ErrUnexpectedEOF // a TCP reset fails either the write or the read, not both
 		}
-		r.cut = r.cut || !r.complete && !r.confirmEnd()
-		if r.cut {
-			return n, errServerGone
+		if r.cut == nil && !r.complete {
+			r.cut = r.confirmEnd()
+		}
+		if r.cut != nil {
+			return n, r.cut
 		}
 	}
 	r.complete = true
--- a/carrier/witness.go
+++ b/carrier/witness.go
@@ -153,22 +153,30 @@
 	w.conns = nil
 }
 
-// ask asks the server on a connection that is still open. ok is false if it does not answer.
-func (w *witness) ask() (told incarnation, ok bool) {
+// ask asks the server on a connection that is still open, and returns an error if it does not answer.
+func (w *witness) ask() (told incarnation, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for len(w.conns) > 0 && !ok {
+	if len(w.conns) == 0 {
+		asksNoConn.Inc()
+		return incarnation{}, errNoOpenConn
+	}
+	for len(w.conns) > 0 {
 		cn := w.conns[0]
 		w.conns = w.conns[1:]
-		var reusable bool
-		told, reusable, ok = w.carrier.askOn(w.unused, cn, w.target)
+		told, reusable, ok := w.carrier.askOn(w.unused, cn, w.target)
 		if reusable {
 			w.conns = append(w.conns, cn)
 		} else {
 			_ = cn.Close()
 		}
+		if ok {
+			asksAnswered.Inc()
+			return told, nil
+		}
+		asksFailed.Inc()
 	}
-	return told, ok
+	return incarnation{}, errAsksFailed
 }
 
 // askOn asks a server on an open connection for its incarnation. ok is false if it does not answer. An error status
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -28,6 +28,8 @@
 	// when it sent its first event, 0 before.
 	headerReceived bool
 	answerBegan    clocker.Millis
+	// lastByte is when the last bytes of a stream arrived; 0 before.
+	lastByte clocker.Millis
 	// dispatch is what was known of the server when it was chosen.
 	dispatch chooser.Dispatch
 
--- a/relayer/request_log.go
+++ b/relayer/request_log.go
@@ -62,9 +62,15 @@
 	Outcome  string
 	// Status is the status of the server's response; 0 without a response.
 	Status int `json:",omitempty"`
-	// Events counts the events of this attempt that were forwarded to the caller.
-	Events int64  `json:",omitempty"`
-	Cause  string `json:",omitempty"`
+	// Events counts the events of this attempt that were forwarded to the caller, and Received those that the server
+	// sent, with the ones that the caller already had.
+	Events   int64 `json:",omitempty"`
+	Received int64 `json:",omitempty"`
+	// EndedWhole is true if the server ended its answer as complete, by its length or chunks, or answered afterwards.
+	EndedWhole bool `json:",omitempty"`
+	// SilentMs is how long the server had sent nothing when another one took over, in milliseconds; 0 if none did.
+	SilentMs clocker.Millis `json:",omitempty"`
+	Cause    string         `json:",omitempty"`
 	// Crashed is true if the server crashed before it had begun to answer.
 	Crashed bool `json:",omitempty"`
 }
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -122,8 +122,10 @@
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
+			a.lastByte = x.cfg.Clock.Now()
 			x.recordActivity(a, chooser.StatusReport{})
 		}
+		a.log.EndedWhole = errors.Is(err, io.EOF)
 		if full := events.reserve(n); full != nil {
 			a.log.setCause(full)
 			x.finishAttempt(a, chooser.NoFailure, outcomeUnknown)
@@ -220,6 +222,7 @@
 	before := x.position.forwarded
 	out, orderErr := x.position.accept(splitEvents(complete))
 	a.log.Events += x.position.forwarded - before
+	a.log.Received = x.position.serverEvents
 	if len(out) == 0 {
 		return orderErr
 	}
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -67,6 +67,7 @@
 			break
 		}
 		silencesMoved.Inc()
+		a.log.SilentMs = x.cfg.Clock.Now() - max(a.sentAt, a.lastByte)
 		x.next = next
 		return 0
 	}
