Ends of many answers without a length share what proves them

Cause: each end took an answer of its own from the server, which closes each connection behind its answer then, and 32 connections were kept. Class: a limit of ours on evidence, or its loss by other causes, was read as "the server is gone".

Evidence: all 28 cut streams had "no connection was open to ask on" and a refused new connection, the first 32 an answer. Ruled out: the SIGHUP of the case, which changes nothing (settings reloaded, changed false), and asks that run out of time (no such cause in the log).

Why this works: an answer tells of every end before it was asked for. Ends now wait for the next ask together, and an ask that has begun serves none that comes later, so that a kill behind it still cuts. The 32 are gone. The same cause on other paths: the connections are replaced at once and not 250 ms later, also after a failed attempt to open one; one is asked before it gets idle (Keep-Alive); an error status on a connection that told its incarnation before is an answer; new connections that are broken, or answered with an error status, are tried again for a second; a slow ask holds up the next one for 250 ms and not for 2 s.

The stand-in of a leaving server sends nothing any more once it is dead: it answered on connections that were not closed yet, which no process does.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -132,6 +132,8 @@
 	Payload Payload
 	// ResponseHeaderTimeout limits the wait for the response header, in milliseconds.
 	ResponseHeaderTimeout clocker.Millis
+	// Deadline is when the response has to be complete, in milliseconds of the clock; 0 if it may take any time.
+	Deadline clocker.Millis
 	// OnSent, if not nil, is called once the request is written or its write has begun, before the wait for
 	// the response.
 	OnSent func()
@@ -200,6 +202,7 @@
 	response.target = t
 	response.carrier = c
 	response.ctx = ctx
+	response.deadline = r.Deadline
 	response.cancelClose = cancelClose
 	return response, nil
 }
--- a/carrier/end.go
+++ b/carrier/end.go
@@ -42,18 +42,44 @@
 // counts only if the same incarnation still answers on a connection that it had accepted before, or accepts one.
 // The error wraps errServerGone and says what was missing.
 func (r *Response) confirmEnd() error {
-	elsewhere := r.carrier.answersElsewhere(r)
-	if elsewhere == nil {
-		endsWitnessed.Inc()
+	cause := r.askWitness()
+	if cause == nil {
 		return nil
 	}
-	anew := r.carrier.goesOn(r)
-	if anew == nil {
-		endsConfirmed.Inc()
-		return nil
+	if r.witness == nil || r.StartedAt() == 0 {
+		if r.carrier.answersOnOlder(r) {
+			endsWitnessed.Inc()
+			return nil
+		}
+	}
+	if r.witness == nil {
+		if cause = r.carrier.goesOn(r); cause == nil {
+			endsConfirmed.Inc()
+			return nil
+		}
 	}
 	endsUnconfirmed.Inc()
-	return fmt.Errorf("%w; %w; new connection: %w", errServerGone, elsewhere, anew)
+	return fmt.Errorf("%w; %w", errServerGone, cause)
+}
+
+// askWitness returns nil if the server of a response answers its witness.
+func (r *Response) askWitness() error {
+	if r.witness == nil {
+		return errNoOpenConn
+	}
+	r.asked = true
+	a, err := r.witness.ask(r.ctx)
+	switch {
+	case err != nil:
+		return err
+	case !r.carrier.isSender(r, a.told.startedAt):
+		return errNotSameServer
+	case a.anew:
+		endsConfirmed.Inc()
+	default:
+		endsWitnessed.Inc()
+	}
+	return nil
 }
 
 // incarnationOf returns the target of a response with the incarnation that sends it, as far as it is known.
@@ -66,32 +92,18 @@
 	return t
 }
 
-// answersElsewhere returns nil if the server of a response answers on another connection that was opened before the
-// end of the response.
-func (c *Carrier) answersElsewhere(r *Response) error {
+// answersOnOlder reports whether the server of a response answers on an idle connection that was open before the request.
+// If it does not tell its incarnation, only such a connection shows that it has not restarted.
+func (c *Carrier) answersOnOlder(r *Response) bool {
 	if c.cfg.Identity == nil {
-		return errNoOpenConn
-	}
-	cause := errNoOpenConn
-	if r.witness != nil {
-		told, err := r.witness.ask()
-		switch {
-		case err != nil:
-			cause = err
-		case c.isSender(r, told.startedAt):
-			return nil
-		default:
-			cause = errNotSameServer
-		}
+		return false
 	}
-	// If the server does not tell its incarnation, only a connection from before the request shows that it has
-	// not restarted.
 	t := incarnationOf(r)
 	cn := c.popIdleWhere(t, func(cn *conn) bool {
 		return (r.StartedAt() > 0 && cn.tells(t.StartedAt) || r.StartedAt() == 0 && cn.number < r.conn.number) && cn.isReusable()
 	})
 	if cn == nil {
-		return cause
+		return false
 	}
 	told, reusable, ok := c.askOn(r.ctx, cn, t)
 	if reusable || cn.isClosed() { // closedIdle has to find it
@@ -99,10 +111,7 @@
 	} else {
 		_ = cn.Close()
 	}
-	if !ok || told.startedAt != r.StartedAt() {
-		return errNoAnswerAfterIt
-	}
-	return nil
+	return ok && told.startedAt == r.StartedAt()
 }
 
 // isSender reports whether a server that told when it started, 0 if it did not, is the incarnation that sent a response.
--- a/carrier/identity.go
+++ b/carrier/identity.go
@@ -106,8 +106,8 @@
 		if err != nil {
 			return nil, err
 		}
-		reusable, err := c.identify(ctx, cn, t, timeout)
-		if err == nil && reusable {
+		open, err := c.identify(ctx, cn, t, timeout)
+		if err == nil && open && cn.incarnation.asked {
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -153,9 +153,9 @@
 	return cn.incarnation.startedAt == t.StartedAt
 }
 
-// identify asks a server on a new connection which incarnation it is. It reports whether the connection
-// can be used for a request afterwards.
-func (c *Carrier) identify(ctx context.Context, cn *conn, t Target, timeout clocker.Millis) (reusable bool, err error) {
+// identify asks a server on a connection which incarnation it is. It reports whether the server keeps the connection
+// open afterwards, also with an errIdentityStatus.
+func (c *Carrier) identify(ctx context.Context, cn *conn, t Target, timeout clocker.Millis) (open bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	defer func() {
 		if !stop() && err == nil {
@@ -179,10 +179,9 @@
 		reportBroken(t, err)
 		return false, err
 	}
-	if err := c.recordIncarnation(cn, t, resp.StatusCode, body); err != nil {
-		return false, err
-	}
-	return !resp.Close && cn.reader.Buffered() == 0 && cn.incarnation.asked, nil
+	cn.serverIdleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"))
+	open = !resp.Close && cn.reader.Buffered() == 0
+	return open, c.recordIncarnation(cn, t, resp.StatusCode, body)
 }
 
 // recordIncarnation records what the answer to an identity call tells. A server without that call
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -59,8 +59,8 @@
 		_ = cn.Close()
 		return false
 	}
-	reusable, err := c.identify(ctx, cn, t, c.cfg.DialTimeout)
-	if err != nil || !reusable {
+	open, err := c.identify(ctx, cn, t, c.cfg.DialTimeout)
+	if err != nil || !open || !cn.incarnation.asked {
 		_ = cn.Close()
 	} else {
 		c.putIdle(t, cn)
--- a/carrier/response.go
+++ b/carrier/response.go
@@ -91,8 +91,11 @@
 	complete    bool
 	// cut is why the end of a body without a length was found to be none; nil before.
 	cut error
-	// witness is that of the server while it sends a body without a length; nil before.
+	// deadline is Request.Deadline.
+	deadline clocker.Millis
+	// witness is that of the server while it sends a body without a length; nil before. asked is true once it was asked.
 	witness *witness
+	asked   bool
 }
 
 // Read reads from the body. It returns io.EOF only after a complete body.
@@ -103,7 +106,7 @@
 		reportBroken(r.target, err)
 	}
 	if err == nil && !r.Framed() && r.witness == nil && r.carrier.cfg.Identity != nil {
-		r.witness = r.carrier.attachWitness(incarnationOf(r))
+		r.witness = r.carrier.attachWitness(r)
 	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
@@ -154,7 +157,7 @@
 func (r *Response) Close() {
 	open := r.cancelClose()
 	if r.witness != nil {
-		r.witness.detach()
+		r.witness.detach(r.asked)
 	}
 	if !open || !r.complete || r.Response.Close || !r.Framed() || !r.writeSucceeded() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
--- a/carrier/witness.go
+++ b/carrier/witness.go
@@ -3,39 +3,88 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
+	"syscall"
 
 	"cowsliphinge/clocker"
+	"cowsliphinge/concluder"
 )
 
 const (
 	// witnessInterval is the time between two looks at the connections of a witness, in milliseconds.
 	witnessInterval = 250 * clocker.Millis(1)
-	// maxWitnessConns limits the connections of a witness.
-	maxWitnessConns = 32
+	// slowAsk is how long an ask goes on before the next one begins beside it, in milliseconds.
+	slowAsk = 250 * clocker.Millis(1)
+	// maxUnclear is how long a server is asked again that breaks new connections or answers with an error status, and
+	// unclearPause the pause before, in milliseconds.
+	maxUnclear   = clocker.Second
+	unclearPause = 100 * clocker.Millis(1)
+	// unboundedTime is what a response without a time limit may still take, in milliseconds.
+	unboundedTime = clocker.Hour
 )
 
-// witness is what shows that a server still runs after the end of a response without a length: an open connection on
+// witness is what shows that a server still runs after the end of a response without a length: open connections on
 // which the server can be asked. The kernel closes all connections of a process that dies. Unlike a new connection, an
 // open one also works once the server has closed its listener.
 //
-// A server that leaves may close each connection behind its answer, so that there is one for each response then.
+// One answer of the server tells of all responses that had ended when it was asked. A server that leaves may close each
+// connection behind its answer; package concluder decides how many are kept then, and when it is asked.
 type witness struct {
 	carrier *Carrier
 	target  Target
-	// users counts the responses that need the witness. Carrier.mu guards it.
-	users int
-	// unused is canceled once there are none, and released closed when the connections are given back.
+	// unused is canceled once no response needs the witness, and released closed when the connections are given back.
 	unused   context.Context
 	cancel   context.CancelFunc
 	released chan struct{}
+	// opened is closed once the first connection is open, or could not be opened.
+	opened chan struct{}
+	// used has a value if a connection may have to be replaced.
+	used chan struct{}
 
+	// mu is locked after Carrier.mu where both are.
 	mu    sync.Mutex
 	conns []*conn
+	// users counts the responses that need the witness, and ended those of them that have ended. until is when the last
+	// one ends at the latest.
+	users, ended int
+	until        clocker.Millis
+	// tells is true if the server has told its incarnation on the connection of a response.
+	tells bool
+	// closes is true if the server closed the connection behind its last answer, and keeps if it did not although it leaves.
+	closes, keeps bool
+	// closed is true once nothing accepts connections, or another incarnation does.
+	closed bool
+	// asking counts the asks in progress, the last of which began at askedAt.
+	asking  int
+	askedAt clocker.Millis
+	// next is the ask that has not begun, nil if none is needed. changed is closed once it may be due earlier.
+	next    *ask
+	changed chan struct{}
+	// done is true once the connections were given back.
+	done bool
 }
 
-// attachWitness returns the witness for an incarnation, which it opens if there is none. The caller has to call detach.
-func (c *Carrier) attachWitness(t Target) *witness {
+// ask is one question to a server whether it still runs, for all responses that have ended before.
+type ask struct {
+	// since is when the first of them ended.
+	since clocker.Millis
+	// done is closed once the others are set.
+	done chan struct{}
+	told incarnation
+	// anew is true if the server answered on a new connection.
+	anew bool
+	err  error
+}
+
+// attachWitness returns the witness for the incarnation that sends a response, which it opens if there is none. The caller
+// has to call detach.
+func (c *Carrier) attachWitness(r *Response) *witness {
+	t := incarnationOf(r)
+	until := r.deadline
+	if until == 0 {
+		until = c.cfg.Clock.Now() + unboundedTime
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.witnesses[t]
@@ -43,16 +92,26 @@
 		w = c.newWitness(t)
 		c.witnesses[t] = w
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.users++
+	w.until = max(w.until, until)
+	w.tells = w.tells || r.StartedAt() > 0
 	return w
 }
 
-// detach ends the use by one response.
-func (w *witness) detach() {
+// detach ends the use by one response, for which the server may have been asked.
+func (w *witness) detach(asked bool) {
 	c := w.carrier
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.users--
+	if asked {
+		w.ended--
+	}
+	w.notify()
 	if w.users == 0 {
 		delete(c.witnesses, w.target)
 		w.cancel()
@@ -61,57 +120,80 @@
 
 // newWitness returns a witness that keeps connections open until it has no users.
 func (c *Carrier) newWitness(t Target) *witness {
-	w := &witness{carrier: c, target: t, released: make(chan struct{})}
+	w := &witness{
+		carrier: c, target: t,
+		released: make(chan struct{}), opened: make(chan struct{}), used: make(chan struct{}, 1), changed: make(chan struct{}),
+	}
 	w.unused, w.cancel = context.WithCancel(context.Background())
-	w.mu.Lock() // calls wait until the first connection is open
 	go func() {
 		defer close(w.released)
-		cn := w.openFirst()
-		if cn != nil {
-			w.conns = append(w.conns, cn)
+		w.openFirst()
+		close(w.opened)
+		for w.pause() {
+			w.refresh()
+			w.refill()
 		}
-		w.mu.Unlock()
-		for cn != nil && c.cfg.Clock.Sleep(w.unused, witnessInterval) == nil {
-			for n := w.missing(); n > 0 && cn != nil; n-- {
-				cn = w.openNext()
-			}
-		}
-		<-w.unused.Done()
 		w.release()
 	}()
 	return w
 }
 
-// openFirst takes an idle connection to the incarnation, or opens one. It returns nil if that fails, or another
-// incarnation listens.
-func (w *witness) openFirst() *conn {
+// pause waits for witnessInterval, or until a connection was used. It returns false once the witness has no users.
+func (w *witness) pause() bool {
+	ctx, cancel := w.carrier.cfg.Clock.WithTimeout(w.unused, witnessInterval)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-w.used:
+	}
+	return w.unused.Err() == nil
+}
+
+// openFirst takes an idle connection to the incarnation, or opens one.
+func (w *witness) openFirst() {
 	t := w.target
 	if t.StartedAt > 0 {
-		cn := w.carrier.popIdleWhere(t, func(cn *conn) bool { return cn.tells(t.StartedAt) && cn.isReusable() })
-		if cn != nil {
-			return cn
+		if cn := w.popIdle(); cn != nil {
+			w.keep(cn)
+			return
 		}
 	}
 	cn, err := w.carrier.dialServer(w.unused, t, confirmTimeout)
 	if err != nil {
-		return nil
+		w.recordRefusal(err)
+		return
 	}
 	if startedAt := cn.incarnation.startedAt; startedAt > 0 && startedAt != t.StartedAt {
+		w.setClosed()
 		w.carrier.putIdle(t, cn)
-		return nil
+		return
+	}
+	w.keep(cn)
+}
+
+// popIdle returns an idle connection on which the server told that it is the incarnation, nil if there is none.
+func (w *witness) popIdle() *conn {
+	startedAt := w.target.StartedAt
+	return w.carrier.popIdleWhere(w.target, func(cn *conn) bool { return startedAt > 0 && cn.tells(startedAt) && cn.isReusable() })
+}
+
+// refill opens the connections that are missing.
+func (w *witness) refill() {
+	for n := w.missing(); n > 0; n-- {
+		cn, err := w.carrier.dial(w.unused, w.target.Address, w.carrier.cfg.DialTimeout)
+		if err != nil {
+			w.recordRefusal(err)
+			return // until the next look
+		}
+		cn.address = w.target.Address // the server tells its incarnation when it is asked
+		w.keep(cn)
 	}
-	return cn
 }
 
 // missing closes connections that the server has closed, and returns how many to open.
 func (w *witness) missing() int {
-	c := w.carrier
-	c.mu.Lock()
-	wanted := 1
-	if c.cfg.Leaving != nil && c.cfg.Leaving(w.target.ID) {
-		wanted = min(w.users, maxWitnessConns)
-	}
-	c.mu.Unlock()
+	leaving := w.leaving()
+	now := w.carrier.cfg.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var open []*conn
@@ -123,70 +205,286 @@
 		_ = cn.Close()
 	}
 	w.conns = open
-	return wanted - len(open)
+	switch {
+	case w.closed:
+		return 0
+	case leaving || w.closes:
+		return concluder.Wanted(w.users-w.ended, w.until-now) - len(open)
+	}
+	return 1 - len(open) - w.asking
 }
 
-// openNext opens another connection, nil if that fails. The server tells its incarnation when it is asked.
-func (w *witness) openNext() *conn {
-	cn, err := w.carrier.dial(w.unused, w.target.Address, w.carrier.cfg.DialTimeout)
-	if err != nil {
-		return nil
+// refresh asks on connections that the server would close as idle before long. On one that leaves an ask may cost the
+// connection.
+func (w *witness) refresh() {
+	if w.leaving() {
+		return
+	}
+	now := w.carrier.cfg.Clock.Now()
+	ctx, cancel := w.carrier.cfg.Clock.WithTimeout(w.unused, confirmTimeout)
+	defer cancel()
+	w.beginAsking(now)
+	defer w.endAsking()
+	for {
+		cn := w.takeWhere(func(cn *conn) bool {
+			return cn.serverIdleTimeout > 0 && now-cn.idleSince >= cn.serverIdleTimeout/2
+		})
+		if cn == nil {
+			return
+		}
+		_, reusable, ok := w.carrier.askOn(ctx, cn, w.target)
+		w.giveBack(cn, reusable, ok)
 	}
-	cn.address = w.target.Address
+}
+
+// beginAsking counts an ask that begins now.
+func (w *witness) beginAsking(now clocker.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.asking++
+	w.askedAt = now
+}
+
+func (w *witness) endAsking() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asking--
+	w.notify()
+}
+
+func (w *witness) leaving() bool {
+	leaving := w.carrier.cfg.Leaving
+	return leaving != nil && leaving(w.target.ID)
+}
+
+// keep adds an open connection.
+func (w *witness) keep(cn *conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
+		_ = cn.Close()
+		return
+	}
+	if cn.idleSince == 0 {
+		cn.idleSince = w.carrier.cfg.Clock.Now()
+	}
 	w.conns = append(w.conns, cn)
-	return cn
+	w.notify()
+}
+
+// takeWhere removes and returns an open connection for which suits returns true, nil if there is none.
+func (w *witness) takeWhere(suits func(*conn) bool) *conn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := 0; i < len(w.conns); {
+		cn := w.conns[i]
+		if !suits(cn) {
+			i++
+			continue
+		}
+		w.conns = append(w.conns[:i:i], w.conns[i+1:]...)
+		if cn.isReusable() {
+			return cn
+		}
+		_ = cn.Close()
+	}
+	return nil
+}
+
+// giveBack keeps a connection on which the server was asked if it can be used again, and records whether it closes those.
+func (w *witness) giveBack(cn *conn, reusable, answered bool) {
+	leaving := w.leaving()
+	w.mu.Lock()
+	if answered {
+		w.closes = !reusable
+		w.keeps = reusable && leaving
+	}
+	w.mu.Unlock()
+	if reusable {
+		w.keep(cn)
+		return
+	}
+	_ = cn.Close()
+	select {
+	case w.used <- struct{}{}:
+	default: // a look is due already
+	}
+}
+
+// recordRefusal records an error of a new connection that shows that there will be none any more.
+func (w *witness) recordRefusal(err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		w.setClosed()
+	}
+}
+
+func (w *witness) setClosed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
 }
 
 // release makes the connections available for requests on which the server told its incarnation.
 func (w *witness) release() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, cn := range w.conns {
+	conns := w.conns
+	w.conns, w.done = nil, true
+	w.mu.Unlock()
+	for _, cn := range conns {
 		if cn.incarnation.asked && !cn.incarnation.toldBefore {
 			w.carrier.putIdle(w.target, cn)
 			continue
 		}
 		_ = cn.Close()
 	}
-	w.conns = nil
 }
 
-// ask asks the server on a connection that is still open, and returns an error if it does not answer.
-func (w *witness) ask() (told incarnation, err error) {
+// notify makes the next ask look again when it is due. The caller holds mu.
+func (w *witness) notify() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// ask asks the server for a response that has ended, together with others. The error tells why it got no answer before ctx
+// ended.
+func (w *witness) ask(ctx context.Context) (a *ask, err error) {
+	w.mu.Lock()
+	w.ended++
+	a = w.next
+	if a == nil {
+		a = &ask{since: w.carrier.cfg.Clock.Now(), done: make(chan struct{})}
+		w.next = a
+		go w.run(a)
+	}
+	w.notify()
+	w.mu.Unlock()
+	select {
+	case <-a.done:
+		return a, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// run asks once that is due.
+func (w *witness) run(a *ask) {
+	defer close(a.done)
+	<-w.opened
+	for wait, changed := w.begin(a); wait > 0; wait, changed = w.begin(a) {
+		ctx, cancel := w.carrier.cfg.Clock.WithTimeout(w.unused, wait)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		cancel()
+	}
+	a.told, a.anew, a.err = w.inquire()
+	w.endAsking()
+}
+
+// begin begins an ask and returns 0, or returns how long to wait for it in milliseconds unless changed is closed.
+func (w *witness) begin(a *ask) (wait clocker.Millis, changed <-chan struct{}) {
+	leaving := w.leaving()
+	now := w.carrier.cfg.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.conns) == 0 {
-		asksNoConn.Inc()
-		return incarnation{}, errNoOpenConn
-	}
-	for len(w.conns) > 0 {
-		cn := w.conns[0]
-		w.conns = w.conns[1:]
-		told, reusable, ok := w.carrier.askOn(w.unused, cn, w.target)
-		if reusable {
-			w.conns = append(w.conns, cn)
-		} else {
-			_ = cn.Close()
+	supply := concluder.Supply{Connections: len(w.conns), SingleUse: w.closes || leaving && !w.keeps, Unended: w.users - w.ended}
+	due := a.since + supply.Delay()
+	if w.asking > 0 {
+		due = max(due, w.askedAt+slowAsk)
+	}
+	if now < due && w.unused.Err() == nil {
+		return due - now, w.changed
+	}
+	w.next = nil // who ends from now on needs another one
+	w.asking++
+	w.askedAt = now
+	return 0, nil
+}
+
+// inquire asks on the open connections, on idle ones and on a new one, one after the other, until the server answers.
+func (w *witness) inquire() (told incarnation, anew bool, err error) {
+	ctx, cancel := w.carrier.cfg.Clock.WithTimeout(w.unused, confirmTimeout)
+	defer cancel()
+	cause := errNoOpenConn
+	for {
+		cn := w.takeWhere(func(*conn) bool { return true })
+		if cn == nil {
+			cn = w.popIdle()
 		}
-		if ok {
+		if cn == nil {
+			break
+		}
+		told, reusable, ok := w.carrier.askOn(ctx, cn, w.target)
+		w.giveBack(cn, reusable, ok)
+		if ok && (told.asked || !w.identifies()) {
 			asksAnswered.Inc()
-			return told, nil
+			return told, false, nil
 		}
 		asksFailed.Inc()
+		cause = errAsksFailed
+	}
+	if errors.Is(cause, errNoOpenConn) {
+		asksNoConn.Inc()
+	}
+	told, dialErr := w.askAnew(ctx)
+	if dialErr != nil {
+		return incarnation{}, true, errors.Join(cause, dialErr)
+	}
+	return told, true, nil
+}
+
+func (w *witness) identifies() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tells
+}
+
+// askAnew asks on a new connection. A server that breaks it, or answers with an error status, may be busy.
+func (w *witness) askAnew(ctx context.Context) (incarnation, error) {
+	clock := w.carrier.cfg.Clock
+	for began := clock.Now(); ; {
+		cn, err := w.carrier.dialServer(ctx, w.target, confirmTimeout)
+		if err == nil {
+			told := cn.incarnation
+			w.keep(cn)
+			return told, nil
+		}
+		w.recordRefusal(err)
+		var status errIdentityStatus
+		if errors.As(err, &status) && !w.identifies() {
+			return incarnation{}, nil // it answers, as a plain service without a free slot does
+		}
+		if !isUnclear(err) || clock.Now()-began >= maxUnclear || clock.Sleep(ctx, unclearPause) != nil {
+			return incarnation{}, err
+		}
 	}
-	return incarnation{}, errAsksFailed
 }
 
-// askOn asks a server on an open connection for its incarnation. ok is false if it does not answer. An error status
-// is an answer, which tells no incarnation.
+// isUnclear reports whether an error of a new connection can be that of a server which runs: nothing accepts connections
+// for a dead process, or sends a status.
+func isUnclear(err error) bool {
+	var status errIdentityStatus
+	return errors.As(err, &status) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// askOn asks a server on an open connection for its incarnation. ok is false if it does not answer. An error status, or an
+// answer that can't be decoded, tells what the server told on the connection before: it belongs to one incarnation until it
+// ends.
 func (c *Carrier) askOn(ctx context.Context, cn *conn, t Target) (told incarnation, reusable, ok bool) {
 	if !cn.isReusable() { // what it holds is no answer to this call
 		return incarnation{}, false, false
 	}
+	before := cn.incarnation
 	cn.incarnation = incarnation{}
-	reusable, err := c.identify(ctx, cn, t, confirmTimeout)
+	open, err := c.identify(ctx, cn, t, confirmTimeout)
 	var status errIdentityStatus
-	return cn.incarnation, err == nil && reusable, err == nil || errors.As(err, &status)
+	if err != nil && !errors.As(err, &status) {
+		return incarnation{}, false, false
+	}
+	if !cn.incarnation.asked && !before.toldBefore {
+		cn.incarnation = before
+	}
+	cn.idleSince = c.cfg.Clock.Now()
+	return cn.incarnation, open && cn.incarnation.asked, true
 }
--- a/carrier/witness_test.go
+++ b/carrier/witness_test.go
@@ -72,11 +72,11 @@
 		switch req.URL.Path {
 		case identityPath:
 			if s.leaving.Load() {
-				tell(c, s.told, "Connection: close\r\n")
+				s.tellUnlessDead(c, "Connection: close\r\n")
 				_ = c.Close()
 				return
 			}
-			tell(c, s.told, "")
+			s.tellUnlessDead(c, "")
 			s.asked <- struct{}{}
 		case "/unframed":
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nfirst,", req.Header.Get("X-Id"))
@@ -91,6 +91,16 @@
 	}
 }
 
+// tellUnlessDead answers an identity call. A process that is dead answers on no connection, also while others of its
+// connections are still being closed.
+func (s *leavingServer) tellUnlessDead(c net.Conn, extra string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dead {
+		tell(c, s.told, extra)
+	}
+}
+
 // die ends the server as the kernel ends a dead process: it closes the listener and all connections.
 func (s *leavingServer) die() {
 	_ = s.listener.Close()
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -198,6 +198,7 @@
 	}
 	out.SameIncarnation = x.resumable()
 	out.MaxIdleTime = defaultTimeout
+	out.Deadline = x.deadline
 	out.ResponseHeaderTimeout = max(1, x.remaining())
 	canRetry := x.retryable() && x.sentAttempts+1 < x.route.MaxAttempts
 	if !canRetry && x.cfg.Clock.Now()-x.cfg.Servers.LastActivity(server.ID) > reachabilityTTL {
