A stream whose end is late is whole, and one that is taken up behind its last event ends

The caller has all events, and its connection is cut 1.2 s after the last one. A client that takes its stream up there gets 502 each time, though both servers end it as complete. Both sound servers were left out of the choice afterwards.

Cause: two facts were read as failures. (1) A silent server was left as soon as another one had sent its header, or had not refused for 300 ms. (2) The other one, asked behind the caller's last event, had nothing left; an empty answer can't be told from that of a server which lost the rest, and never counted. Class: a question to a server that its true answer cannot settle.

Evidence: in each log line the second attempt has EndedWhole, no events and the cause EOF, a few milliseconds after it was sent, and the first one SilentMs 1,202. Ruled out: the retry budget (no refusal), the SIGHUP.

Why this works: a server is asked to go on behind the event before the caller's last one. A sound server then sends that event once more, which is dropped, and its end counts as that of any server that has sent the last event of the caller. Nothing else proves an end: the exception for a server that leaves, whose end counted if another one answered empty, is gone. A silent server is left for one that has shown an event that the caller lacks, or a proven end; if there is none within 300 ms, as before. The beginning of the second stream is read meanwhile, so that a refusal, an early or an empty end of it costs nothing but the attempt. Bytes of an event that the silent server does not complete are no progress. Package concluder has both decisions.

Three tests had the number of the caller's last event where the one before it is sent now; they ask for exactly that.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -28,14 +28,17 @@
 	// when it sent its first event, 0 before.
 	headerReceived bool
 	answerBegan    clocker.Millis
-	// lastByte is when the last bytes of a stream arrived; 0 before.
+	// lastByte is when the last bytes of a stream arrived; 0 before. inEvent is true if they are the beginning of an event.
 	lastByte clocker.Millis
+	inEvent  bool
 	// dispatch is what was known of the server when it was chosen.
 	dispatch chooser.Dispatch
 
 	// response and err are what Send returned.
 	response *carrier.Response
 	err      error
+	// early is what was read of the response before the attempt became the current one.
+	early earlyRead
 	// beside is set if the attempt was begun while another server was silent.
 	beside *besideAttempt
 }
@@ -73,12 +76,17 @@
 	if f, failed := x.checkHeader(a); failed {
 		return f, true
 	}
-	if x.route.Kind == matcher.Stream && a.response.StatusCode == http.StatusOK {
+	if x.streams(a.response) {
 		return x.relayStream(a, a.response)
 	}
 	return x.relayBuffered(a, a.response)
 }
 
+// streams reports whether a response is forwarded as a stream of events.
+func (x *relayedRequest) streams(response *carrier.Response) bool {
+	return x.route.Kind == matcher.Stream && response.StatusCode == http.StatusOK
+}
+
 // newAttempt chooses a server. It returns a failure and false if the request must not be sent, or no
 // server accepts it.
 func (x *relayedRequest) newAttempt() (*attempt, failure, bool) {
--- a/relayer/position.go
+++ b/relayer/position.go
@@ -88,10 +88,8 @@
 }
 
 // complete reports whether the end of the current server's response is the end of the
-// stream: the server has sent the last event that the caller has. A response without
-// events is not accepted as the end, since a server with nothing left to send can't be
-// distinguished from one that lost the remaining events. A false end harms the caller
-// more than an aborted stream.
+// stream: the server has sent the last event that the caller has. A false end harms the
+// caller more than an aborted stream, see package concluder.
 func (p *streamPosition) complete() bool {
 	return p.serverEvents > 0 && p.caughtUp()
 }
--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -12,6 +12,7 @@
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
+	"cowsliphinge/concluder"
 	"cowsliphinge/matcher"
 	"cowsliphinge/quarantiner"
 	"cowsliphinge/reserver"
@@ -92,9 +93,6 @@
 	origin streamOrigin
 	// position is the caller's position in its stream.
 	position streamPosition
-	// endUnproven is true if the last server, which leaves as planned, ended its stream behind an event. It may have died
-	// there instead.
-	endUnproven bool
 	// lastFailure is the last error response of a server to a retryable request.
 	lastFailure *failedResponse
 
@@ -193,8 +191,9 @@
 	out.Header = x.outbound.Header.Clone()
 	out.Header.Set(d.Timeout, strconv.FormatInt(int64(max(1, x.remaining())), 10))
 	out.Header.Set(d.ExpectedServerID, server.ID)
-	if x.position.callerLast != unnumbered {
-		out.Header.Set(d.LastEventID, strconv.FormatInt(x.position.callerLast, 10))
+	out.Header.Del(d.LastEventID)
+	if after, ok := concluder.ResumeAfter(x.position.callerLast); ok {
+		out.Header.Set(d.LastEventID, strconv.FormatInt(after, 10))
 	}
 	out.SameIncarnation = x.resumable()
 	out.MaxIdleTime = defaultTimeout
--- a/relayer/response.go
+++ b/relayer/response.go
@@ -4,11 +4,11 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	"cowsliphinge/carrier"
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
+	"cowsliphinge/concluder"
 )
 
 const (
@@ -120,7 +120,7 @@
 	buffer := make([]byte, streamReadBytes)
 	response.SetReadTimeout(x.eventTimeout())
 	for {
-		n, err := response.Read(buffer)
+		n, err := a.early.read(buffer, response)
 		if n > 0 {
 			a.lastByte = x.cfg.Clock.Now()
 			x.recordActivity(a, chooser.StatusReport{})
@@ -144,15 +144,15 @@
 			events.shrink()
 			response.SetReadTimeout(x.eventTimeout()) // bytes of an incomplete event do not extend the timeout
 		}
+		a.inEvent = events.hasPartial()
 		switch {
-		case err != nil && !events.hasPartial() && x.streamEnded(a, response, err):
+		case err != nil && x.streamEnded(a, err):
 			x.startStream(response) // not started yet if the caller already had all events
 			x.reply.complete = true
 			x.reportAnswer(a, response, true)
 			x.finishAttempt(a, chooser.NoFailure, failure{})
 			return failure{}, false
 		case err != nil || events.tooLong():
-			x.endUnproven = carrier.IsErrServerGone(err) && !events.hasPartial() && x.position.complete() && x.leavesAsPlanned(a)
 			a.log.setCause(err)
 			x.reportCrash(a, err)
 			return x.finishAttempt(a, x.relayErrorOutcome(err), outcomeUnknown), true
@@ -160,18 +160,16 @@
 	}
 }
 
-// streamEnded reports whether the end of a response behind a complete event, with err, is the end of the stream.
-func (x *relayedRequest) streamEnded(a *attempt, response *carrier.Response, err error) bool {
-	switch {
-	case errors.Is(err, io.EOF) && x.position.complete():
-		return true
-	case errors.Is(err, io.EOF):
-		// Two servers agree that nothing follows the last event.
-		return x.endUnproven && response.Framed() && isEventStream(response.Header) && x.position.serverEvents == 0
-	case carrier.IsErrServerGone(err) && x.position.complete():
-		return x.hasAllTokens() && x.leavesAsPlanned(a)
-	}
-	return false
+// streamEnded reports whether the end of a response, with err, is the end of the stream.
+func (x *relayedRequest) streamEnded(a *attempt, err error) bool {
+	unproven := carrier.IsErrServerGone(err)
+	return concluder.StreamEnd{
+		Complete:            errors.Is(err, io.EOF),
+		Unproven:            unproven,
+		Partial:             a.inEvent,
+		CaughtUp:            x.position.complete(),
+		LeavesWithAllTokens: unproven && x.hasAllTokens() && x.leavesAsPlanned(a),
+	}.Whole()
 }
 
 // hasAllTokens reports whether the events that were forwarded hold as many tokens as the caller asked for at most.
@@ -188,12 +186,6 @@
 	return x.cfg.Servers.Leaving(s.ID)
 }
 
-// isEventStream reports whether a header announces events.
-func isEventStream(h http.Header) bool {
-	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
-}
-
 // relayErrorOutcome returns the outcome of a failed relay. A caller's disconnect does
 // not count as a failure of the server.
 func (x *relayedRequest) relayErrorOutcome(err error) chooser.Outcome {
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -2,19 +2,25 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"cowsliphinge/chooser"
 	"cowsliphinge/clocker"
+	"cowsliphinge/concluder"
 	"cowsliphinge/connector"
 )
 
-// maxOverlap is how long a silent server may keep the request after another one has got it, in
-// milliseconds. Servers refuse within a round trip; one that has not refused by then runs the request, and
-// two servers must not run it for longer.
-const maxOverlap = 300 * clocker.Millis(1)
+const (
+	// maxOverlap is how long a silent server may keep the request after another one has got it, in
+	// milliseconds. Two servers must not run it for longer.
+	maxOverlap = 300 * clocker.Millis(1)
+	// overlapLook is the time between two looks for bytes of the silent server meanwhile, in milliseconds.
+	overlapLook = 20 * clocker.Millis(1)
+)
 
 var (
 	silencesOver  = metrics.NewCounter(`cowsliphinge_relay_silences_total{end="went_on"}`)
@@ -28,7 +34,7 @@
 // besideAttempt is the part of an attempt that runs beside a silent one.
 type besideAttempt struct {
 	cancel context.CancelFunc
-	// sent is closed once the request is written, and done once Send has returned.
+	// sent is closed once the request is written, and done once the response has failed, or its stream was read early.
 	sent, done chan struct{}
 	// adopted is closed once the attempt is the current one. canceled ends the wait for it.
 	adopted  chan struct{}
@@ -36,9 +42,9 @@
 }
 
 // onSilence is called when the server of an attempt has sent nothing for its time limit. Silence
-// alone doesn't show that the server has failed: the attempt stays open until another server has taken the
-// request. It returns how much longer to wait for the server, in milliseconds, or 0 once another one has taken
-// over or the time is over.
+// alone doesn't show that the server has failed: the attempt stays open until another server has shown more, or must not
+// have the request beside it any longer. It returns how much longer to wait for the server, in milliseconds, or 0 once another
+// one has taken over or the time is over.
 func (x *relayedRequest) onSilence(a *attempt, hasBytes func() bool) clocker.Millis {
 	if !a.awaitAdoption() || x.ctx.Err() != nil || x.remaining() <= 0 {
 		return 0
@@ -46,7 +52,8 @@
 	x.countSent(a)
 	x.countPossibleRun(a)
 	cause := outcomeUnknown
-	for !hasBytes() {
+	goesOn := func() bool { return !a.inEvent && hasBytes() } // bytes of an event that it does not complete are no progress
+	for step := concluder.TryNext; step == concluder.TryNext && !goesOn(); {
 		if _, ok := x.mayRetry(cause); !ok {
 			silencesKept.Inc()
 			break
@@ -57,19 +64,16 @@
 			break
 		}
 		x.sendBeside(next)
-		var failed bool
-		if cause, failed = x.checkBeside(next); failed {
-			next.close()
-			continue
-		}
-		if hasBytes() {
+		step, cause = x.awaitEither(next, goesOn)
+		switch step {
+		case concluder.TakeOver:
+			silencesMoved.Inc()
+			a.log.SilentMs = x.cfg.Clock.Now() - max(a.sentAt, a.lastByte)
+			x.next = next
+			return 0
+		case concluder.KeepFirst:
 			x.drop(next)
-			break
 		}
-		silencesMoved.Inc()
-		a.log.SilentMs = x.cfg.Clock.Now() - max(a.sentAt, a.lastByte)
-		x.next = next
-		return 0
 	}
 	if x.ctx.Err() != nil || x.remaining() <= 0 {
 		return 0
@@ -77,39 +81,63 @@
 	return x.eventTimeout()
 }
 
-// sendBeside sends the request to a further server and waits until that has answered, or has not
-// refused the request for maxOverlap.
+// sendBeside sends the request to a further server, and reads a stream of that early.
 func (x *relayedRequest) sendBeside(a *attempt) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	b := &besideAttempt{cancel: cancel, sent: make(chan struct{}), done: make(chan struct{}), adopted: make(chan struct{}), canceled: ctx.Done()}
 	a.beside = b
 	request := x.requestOf(a)
 	request.OnSent = func() { close(b.sent) }
+	target, position := x.targetOf(a), x.position // the goroutine may outlive the silence
 	go func() {
 		defer close(b.done)
-		a.response, a.err = x.cfg.Carrier.Send(ctx, x.targetOf(a), request)
+		a.response, a.err = x.cfg.Carrier.Send(ctx, target, request)
+		if a.err == nil && x.streams(a.response) {
+			a.early = readEarly(a.response, position)
+		}
 	}()
-	select {
-	case <-b.sent:
-	case <-b.done:
-		return
-	}
-	overlap, cancelOverlap := x.cfg.Clock.WithTimeout(x.ctx, x.overlap)
-	defer cancelOverlap()
-	select {
-	case <-b.done:
-	case <-overlap.Done():
+}
+
+// awaitEither waits until either the silent server goes on or the one of an attempt beside it has shown something, for up to
+// x.overlap once that has got the request. The failure is that of the attempt if it failed.
+func (x *relayedRequest) awaitEither(a *attempt, firstGoesOn func() bool) (concluder.Step, failure) {
+	var overlap <-chan struct{}
+	sent := a.beside.sent
+	for {
+		look, cancel := x.cfg.Clock.WithTimeout(x.ctx, overlapLook)
+		var o concluder.Overlap
+		var f failure
+		select {
+		case <-sent:
+			sent = nil
+			limit, cancelLimit := x.cfg.Clock.WithTimeout(x.ctx, x.overlap)
+			defer cancelLimit()
+			overlap = limit.Done()
+		case <-a.beside.done:
+			o.Second = concluder.Progress
+			var failed bool
+			if f, failed = x.checkBeside(a); failed {
+				o.Second = concluder.Failure
+			}
+		case <-overlap:
+			o.Over = true
+		case <-look.Done():
+		}
+		cancel()
+		o.FirstHasBytes = firstGoesOn()
+		step := o.Next()
+		if o.Second == concluder.Failure { // it has ended, whatever the first one does
+			a.close()
+			step = concluder.TryNext
+		}
+		if step != concluder.Wait {
+			return step, f
+		}
 	}
 }
 
-// checkBeside reports whether an attempt that was begun beside a silent one can't replace it, and why. It can
-// while its server has not answered.
+// checkBeside reports whether an attempt that was begun beside a silent one has failed, and why.
 func (x *relayedRequest) checkBeside(a *attempt) (failure, bool) {
-	select {
-	case <-a.beside.done:
-	default:
-		return failure{}, false
-	}
 	if f, failed := x.checkHeader(a); failed {
 		return f, true
 	}
@@ -121,6 +149,11 @@
 		return x.finishAttempt(a, chooser.NoFailure, outcomeUnknown), true
 	case x.reply.started && status != http.StatusOK:
 		return x.finishAttempt(a, chooser.NoFailure, streamNotContinued), true
+	case a.early.shown == concluder.Failure:
+		a.log.setCause(a.early.err)
+		a.log.EndedWhole = errors.Is(a.early.err, io.EOF)
+		x.reportCrash(a, a.early.err)
+		return x.finishAttempt(a, x.relayErrorOutcome(a.early.err), outcomeUnknown), true
 	}
 	return failure{}, false
 }
--- a/relayer/stream_end_test.go
+++ b/relayer/stream_end_test.go
@@ -293,10 +293,13 @@
 	assert.Assert(t, !got.truncated)
 }
 
-// Guards against sending Last-Event-Id twice, from the caller and from this host.
+// Guards against sending Last-Event-Id twice, from the caller and from this host, which asks for the caller's last event
+// once more.
 func TestLastEventIDIsSentOnce(t *testing.T) {
-	b := newBackend(t, streamEvents(3, 4, true))
-	f := newFixture(t, tolerantRoute, b)
-	f.call(t, "POST", "/r/", "p", "Last-Event-Id", "2")
-	assert.DeepEqual(t, b.requests[0].Header.Values("Last-Event-Id"), []string{"2"})
+	for callers, want := range map[string][]string{"2": {"1"}, "1": nil} {
+		b := newBackend(t, resume(4))
+		f := newFixture(t, tolerantRoute, b)
+		f.call(t, "POST", "/r/", "p", "Last-Event-Id", callers)
+		assert.DeepEqual(t, b.requests[0].Header.Values("Last-Event-Id"), want)
+	}
 }
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -85,8 +85,8 @@
 func TestStalledStreamContinuesOnAnotherServer(t *testing.T) {
 	one := newBackend(t, streamEvents(1, 2, false))
 	two := newBackend(t, func(w io.Writer, req *http.Request) {
-		if req.Header.Get("Last-Event-Id") == "2" {
-			streamEvents(3, 4, true)(w, req)
+		if req.Header.Get("Last-Event-Id") == "1" { // event 2 comes once more
+			streamEvents(2, 4, true)(w, req)
 			return
 		}
 		streamEvents(1, 2, false)(w, req)
@@ -143,8 +143,8 @@
 		}
 	}
 	two := newBackend(t, func(w io.Writer, req *http.Request) {
-		if req.Header.Get("Last-Event-Id") == "2" {
-			streamEvents(3, 4, true)(w, req)
+		if req.Header.Get("Last-Event-Id") == "1" { // event 2 comes once more
+			streamEvents(2, 4, true)(w, req)
 			return
 		}
 		trickle(w, req)
