Only a server that leaves is taken for one that closes connections behind answers

Other servers close one now and then, and accept new ones: connections to them are replaced one at a time. A wait beside a silent server ends with the request.

--- a/carrier/witness.go
+++ b/carrier/witness.go
@@ -51,8 +51,8 @@
 	until        clocker.Millis
 	// tells is true if the server has told its incarnation on the connection of a response.
 	tells bool
-	// closes is true if the server closed the connection behind its last answer, and keeps if it did not although it leaves.
-	closes, keeps bool
+	// keeps is true if the server leaves and has not closed the connection behind its last answer all the same.
+	keeps bool
 	// closed is true once nothing accepts connections, or another incarnation does.
 	closed bool
 	// asking counts the asks in progress, the last of which began at askedAt.
@@ -208,7 +208,7 @@
 	switch {
 	case w.closed:
 		return 0
-	case leaving || w.closes:
+	case leaving:
 		return concluder.Wanted(w.users-w.ended, w.until-now) - len(open)
 	}
 	return 1 - len(open) - w.asking
@@ -291,12 +291,11 @@
 	return nil
 }
 
-// giveBack keeps a connection on which the server was asked if it can be used again, and records whether it closes those.
+// giveBack keeps a connection on which the server was asked if it can be used again.
 func (w *witness) giveBack(cn *conn, reusable, answered bool) {
 	leaving := w.leaving()
 	w.mu.Lock()
 	if answered {
-		w.closes = !reusable
 		w.keeps = reusable && leaving
 	}
 	w.mu.Unlock()
@@ -388,7 +387,7 @@
 	now := w.carrier.cfg.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	supply := concluder.Supply{Connections: len(w.conns), SingleUse: w.closes || leaving && !w.keeps, Unended: w.users - w.ended}
+	supply := concluder.Supply{Connections: len(w.conns), SingleUse: leaving && !w.keeps, Unended: w.users - w.ended}
 	due := a.since + supply.Delay()
 	if w.asking > 0 {
 		due = max(due, w.askedAt+slowAsk)
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -121,6 +121,8 @@
 			}
 		case <-overlap:
 			o.Over = true
+		case <-x.ctx.Done():
+			o.Over = true
 		case <-look.Done():
 		}
 		cancel()
