Soak: sound streams that end late

With -late, backend servers are silent for 1.3 s between the last event and the end of some streams. A stream that is cut there, at a router that nothing disrupted, is a finding.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -25,6 +25,7 @@
 	restores bool
 	versions bool
 	deaths   bool
+	late     bool
 	cuts     bool
 	hostile  int
 	program  string
@@ -63,6 +64,7 @@
 	f.BoolVar(&c.versions, "versions", false, "restart backend servers under their IDs with another software version")
 	f.BoolVar(&c.cuts, "cuts", false, "cut routers off from each other, some without the store")
 	f.BoolVar(&c.deaths, "deaths", false, "let backend servers answer without a length and die")
+	f.BoolVar(&c.late, "late", false, "let backend servers be silent before they end streams")
 	f.IntVar(&c.hostile, "hostile", 0, "how `many` clients send requests that don't end; routers get little memory")
 	f.Int64Var(&c.pause, "pause", 500, "mean `milliseconds` between two faults of routers and store")
 	f.StringVar(&c.program, "program", "", "`path` of the binary whose routers run; the own one if empty")
@@ -100,6 +102,7 @@
 			Versions:   c.versions,
 			Deaths:     c.deaths,
 			Cuts:       c.cuts,
+			LateEnds:   c.late,
 			Hostile:    c.hostile,
 			Keep:       c.keep,
 		})
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -92,6 +92,13 @@
 	assert.Assert(t, result.Served > 0)
 }
 
+// Streams that were cut behind their last event since their sound server was silent before it ended them (issue 70).
+func TestSoakLateEndsOfStreamsAreNoCuts(t *testing.T) {
+	result := soakServers(t, soaker.Config{Seed: 7002, LateEnds: true, FaultPause: 3 * clocker.Second})
+	assert.Equal(t, len(result.Findings), 0, "%v after %v", result.Findings, result.Faults)
+	assert.Assert(t, result.Served > 0)
+}
+
 // Requests that don't end took all memory of routers, whose callers then got no answers.
 func TestSoakHostileClientsDoNotEndTheServiceOfOthers(t *testing.T) {
 	result := soakServers(t, soaker.Config{Seed: 521, Hostile: 48})
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -143,6 +143,7 @@
 			spent[q.account] += promptTokens + int64(len(q.events))
 		}
 		found = append(found, checkVersion(q, newest)...)
+		found = append(found, r.checkLateEnd(q)...)
 	}
 	for account, tokens := range spent {
 		if tokens > r.prepaid[account] {
@@ -178,10 +179,30 @@
 // crashed before the answer was there.
 func (r *recorder) harmedRun(q request) bool {
 	return slices.ContainsFunc(r.runs[q.id], func(one run) bool {
-		return one.Fault != server.None || r.crashedBetween(one.server, one.At, q.endedAt)
+		return one.Fault != server.None && one.Fault != server.EndLate || r.crashedBetween(one.server, one.At, q.endedAt)
 	})
 }
 
+// maxLateCall is from when on a stream that breaks off may have reached its time limit, in milliseconds.
+const maxLateCall = callDeadline - 500
+
+// checkLateEnd: the silence of a sound server before the end of a stream is no reason to cut it. Routers that something
+// disrupted are left out, and servers that ended meanwhile.
+func (r *recorder) checkLateEnd(q request) []string {
+	runs := r.runs[q.id]
+	late := slices.ContainsFunc(runs, func(one run) bool { return one.Fault == server.EndLate })
+	if !late || q.status != http.StatusOK || !q.broken || q.after+len(q.events) < streamEvents || q.endedAt-q.sentAt >= maxLateCall {
+		return nil
+	}
+	left := slices.ContainsFunc(runs, func(one run) bool {
+		return slices.ContainsFunc(r.lives, func(l life) bool { return l.id == one.server && l.to > 0 && l.to+crashSlack >= one.At })
+	})
+	if left || r.harmedRun(q) || overlaps(r.disturbed[q.router], q.sentAt-steady, q.endedAt) {
+		return nil
+	}
+	return []string{fmt.Sprintf("the stream of request %s was cut behind its last event, whose server ends it late", q.id)}
+}
+
 // checkAnswer: a whole answer to the own request and nothing else, events in order,
 // all of them if the answer is framed as complete.
 func checkAnswer(q request) []string {
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -50,6 +50,13 @@
 			q.events[2] = 5
 			r.ended(q)
 		},
+		"request a was cut behind its last event, whose server ends it late": func(r *recorder) {
+			r.began("i-1", "v1", 1)
+			r.ran("i-1", server.Run{RequestID: "a", Account: "one", Fault: server.EndLate})
+			q := served("a", "/stream/x")
+			q.broken = true
+			r.ended(q)
+		},
 		"ended whole after 3 of 12 events": func(r *recorder) {
 			q := served("a", "/stream/x")
 			q.events = q.events[:3]
--- a/soaker/servers.go
+++ b/soaker/servers.go
@@ -72,6 +72,11 @@
 	return "shed " + faultServers(w, rng, server.Fault{Kind: server.Shed, Every: 1 + rng.IntN(3)})
 }
 
+// endStreamsLate lets sound servers be silent before they end streams.
+func endStreamsLate(w *world, rng *rand.Rand) string {
+	return faultServers(w, rng, server.Fault{Kind: server.EndLate, Every: 1 + rng.IntN(3)})
+}
+
 // misresumeStreams cuts streams and answers those that are resumed in a wrong way.
 func misresumeStreams(w *world, rng *rand.Rand) string {
 	wrong := []server.Fault{
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -53,6 +53,8 @@
 	Versions bool
 	// Deaths ends the processes of backend servers, a part of whose answers have no length.
 	Deaths bool
+	// LateEnds lets backend servers be silent before they end streams.
+	LateEnds bool
 	// Hostile clients send requests that don't end, to routers with little memory.
 	Hostile int
 	// Keep leaves the folder with settings and logs in place.
@@ -93,7 +95,9 @@
 	// by which callers choose where they go on.
 	restartSeries = serverSeries + 3
 	// cutSeries is that of the cuts between routers.
-	cutSeries    = serverSeries + 4
+	cutSeries = serverSeries + 4
+	// lateSeries is that of late ends.
+	lateSeries   = serverSeries + 5
 	takeUpSeries = 2 * serverSeries
 	// callPause is the mean pause of a caller, in milliseconds.
 	callPause = 30
@@ -163,9 +167,16 @@
 			return nil
 		})
 	}
+	var late []string
+	if cfg.LateEnds {
+		group.Go(func() error {
+			late = w.series(ctx, rand.New(rand.NewPCG(cfg.Seed, lateSeries)), []fault{endStreamsLate}, serverFaultPause, func(_, _ clocker.Millis) {})
+			return nil
+		})
+	}
 	faults := w.harmUntil(ctx, rand.New(rand.NewPCG(cfg.Seed, 0)))
 	_ = group.Wait()
-	faults = slices.Concat(faults, serverFaults, restarts, limits, restores, cuts)
+	faults = slices.Concat(faults, serverFaults, restarts, limits, restores, cuts, late)
 	result := Result{Faults: faults, Findings: w.record.findings(), Unready: unready, Folder: w.folder}
 	if cfg.Hostile > 0 {
 		result.Findings = append(result.Findings, w.memoryFindings()...)
--- a/standin/server/fault.go
+++ b/standin/server/fault.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"strconv"
+
+	"cowsliphinge/clocker"
 )
 
 // Kind says what a server does wrong.
@@ -33,8 +35,13 @@
 	StartOver
 	// Double sends an event of a stream twice.
 	Double
+	// EndLate is silent between the last event of a stream and its end, for lateEnd. It does nothing wrong.
+	EndLate
 )
 
+// lateEnd is how long a stream stays open behind its last event with EndLate, in milliseconds.
+const lateEnd = 1300 * clocker.Millis(1)
+
 // cuts are the kinds that cut an answer off.
 var cuts = []Kind{Abort, Truncate, Reset}
 
@@ -72,7 +79,7 @@
 	switch f.Kind {
 	case EndEmpty, SkipAhead, StartOver:
 		return streams && resumed
-	case Double:
+	case Double, EndLate:
 		return streams && (resumed || !f.Resumed)
 	default:
 		return !f.Resumed || streams && resumed
@@ -119,5 +126,5 @@
 
 // String names the kind.
 func (k Kind) String() string {
-	return [...]string{"none", "abort", "truncate", "reset", "fail", "shed", "end empty", "skip ahead", "start over", "double"}[k]
+	return [...]string{"none", "abort", "truncate", "reset", "fail", "shed", "end empty", "skip ahead", "start over", "double", "end late"}[k]
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -206,6 +206,9 @@
 			}
 		}
 		if event == "" {
+			if fault.Kind == EndLate && s.cfg.Clock.Sleep(r.Context(), lateEnd) != nil {
+				panic(http.ErrAbortHandler)
+			}
 			return
 		}
 		if _, err := w.Write([]byte(event)); err != nil {
