--- a/flooder/serve_test.go
+++ b/flooder/serve_test.go
@@ -97,7 +97,6 @@
 	assert.NilError(t, err)
 	folder := t.TempDir()
 	p := &serveProcess{t: t, clock: clocker.NewWall(), exited: make(chan struct{}), log: filepath.Join(folder, "log")}
-	p.callers, p.exchange = serveFreeAddress(t), serveFreeAddress(t)
 	store := &fasthttp.Server{Handler: platform.New(p.clock).Handler, NoDefaultServerHeader: true}
 	storeListener := serveListen(t)
 	go func() { _ = store.Serve(storeListener) }() // ends as its listener closes
@@ -105,6 +104,8 @@
 	backendListener := serveListen(t)
 	go func() { _ = backend.Serve(backendListener) }() // ends by Close
 	t.Cleanup(func() { _ = backend.Close() })
+	addresses := freeAddresses(t, 2) // behind the other listeners, which could get one of them
+	p.callers, p.exchange = addresses[0], addresses[1]
 	settings, err := json.Marshal(map[string]any{
 		"Host": "h0", "AvailabilityZone": "a", "CallerAddress": p.callers, "ExchangeAddress": p.exchange,
 		"PlatformUrl": "http://" + storeListener.Addr().String(), "OperatorKey": serveOperatorKey, "RouterKey": serveRouterKey,
@@ -194,13 +195,6 @@
 	return a
 }
 
-func serveFreeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // serveBackend answers load reports, calls and completions, and calls below /raw/ with a broken response. A completion is a stream without end, unless its prompt
 // contains serveFinitePrompt.
 func serveBackend(w http.ResponseWriter, r *http.Request) {
