--- a/carrier/end.go
+++ b/carrier/end.go
@@ -31,10 +31,9 @@
 }
 
 var (
-	errNoOpenConn      = errors.New("no connection was open to ask on")
-	errAsksFailed      = errors.New("no open connection got an answer")
-	errNotSameServer   = errors.New("another incarnation answered, or idle connections were closed")
-	errNoAnswerAfterIt = errors.New("nothing answered after the end")
+	errNoOpenConn    = errors.New("no connection was open to ask on")
+	errAsksFailed    = errors.New("no open connection got an answer")
+	errNotSameServer = errors.New("another incarnation answered, or idle connections were closed")
 )
 
 // confirmEnd returns nil if the end of its connection is the end of a body that nothing else delimits. The
@@ -68,13 +67,13 @@
 		return errNoOpenConn
 	}
 	r.asked = true
-	a, err := r.witness.ask(r.ctx)
+	q, err := r.witness.ask(r.ctx)
 	switch {
 	case err != nil:
 		return err
-	case !r.carrier.isSender(r, a.told.startedAt):
+	case !r.carrier.isSender(r, q.told.startedAt):
 		return errNotSameServer
-	case a.anew:
+	case q.anew:
 		endsConfirmed.Inc()
 	default:
 		endsWitnessed.Inc()
