--- a/carrier/witness.go
+++ b/carrier/witness.go
@@ -48,7 +48,7 @@
 	keeps bool
 	// closed is true once nothing accepts connections, or another incarnation does.
 	closed bool
-	// asking counts the asks in progress, the last of which began at askedAt.
+	// asking counts the inquiries and refreshes in progress, the last of which began at askedAt.
 	asking  int
 	askedAt clocker.Millis
 	// next is the inquiry that has not begun, nil if none is needed. changed is closed once it may be due earlier.
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -114,11 +114,6 @@
 			defer cancelLimit()
 			overlap = limit.Done()
 		case <-a.beside.done:
-			o.Second = concluder.Progress
-			var failed bool
-			if f, failed = x.checkBeside(a); failed {
-				o.Second = concluder.Failure
-			}
 		case <-overlap:
 			o.Over = true
 		case <-x.ctx.Done():
@@ -126,6 +121,7 @@
 		case <-look.Done():
 		}
 		cancel()
+		o.Second, f = x.shownBeside(a)
 		o.FirstHasBytes = firstGoesOn()
 		step := o.Next()
 		if o.Second == concluder.Failure { // it has ended, whatever the first one does
@@ -138,6 +134,19 @@
 	}
 }
 
+// shownBeside returns what an attempt that was begun beside a silent one has shown, and its failure.
+func (x *relayedRequest) shownBeside(a *attempt) (concluder.Shown, failure) {
+	select {
+	case <-a.beside.done:
+	default:
+		return concluder.Nothing, failure{}
+	}
+	if f, failed := x.checkBeside(a); failed {
+		return concluder.Failure, f
+	}
+	return concluder.Progress, failure{}
+}
+
 // checkBeside reports whether an attempt that was begun beside a silent one has failed, and why.
 func (x *relayedRequest) checkBeside(a *attempt) (failure, bool) {
 	if f, failed := x.checkHeader(a); failed {
