Test of logger waits for the writes that it counts

Cause, by reading: Close gives up after 200 ms, as it says, and the test read what the goroutine was still writing. It waits for that to end now; what it asserts is the same.

--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -35,6 +35,7 @@
 	assert.Assert(t, droppedLines.Get()-before >= queueLines)
 	close(out.unblock)
 	w.Close(clocker.NewWall())
+	<-w.done // Close does not wait longer than flushTimeout
 	lines := strings.Count(out.written.String(), "\n")
 	assert.Assert(t, lines >= queueLines && lines <= 2*queueLines, "%d lines", lines)
 }
