Last-Event-Id is forwarded unchanged where this host does not continue the stream

Found by reading the diff. Cause: the header was removed before it was set anew. Test: TestOtherLastEventIDsAreForwardedUnchanged failed before.

--- a/relayer/relayed_request.go
+++ b/relayer/relayed_request.go
@@ -191,9 +191,11 @@
 	out.Header = x.outbound.Header.Clone()
 	out.Header.Set(d.Timeout, strconv.FormatInt(int64(max(1, x.remaining())), 10))
 	out.Header.Set(d.ExpectedServerID, server.ID)
-	out.Header.Del(d.LastEventID)
-	if after, ok := concluder.ResumeAfter(x.position.callerLast); ok {
-		out.Header.Set(d.LastEventID, strconv.FormatInt(after, 10))
+	if x.position.callerLast != unnumbered {
+		out.Header.Del(d.LastEventID)
+		if after, ok := concluder.ResumeAfter(x.position.callerLast); ok {
+			out.Header.Set(d.LastEventID, strconv.FormatInt(after, 10))
+		}
 	}
 	out.SameIncarnation = x.resumable()
 	out.MaxIdleTime = defaultTimeout
--- a/relayer/stream_end_test.go
+++ b/relayer/stream_end_test.go
@@ -293,6 +293,15 @@
 	assert.Assert(t, !got.truncated)
 }
 
+// Guards against a Last-Event-Id that is lost or changed where this host does not continue the stream itself.
+func TestOtherLastEventIDsAreForwardedUnchanged(t *testing.T) {
+	for value, route := range map[string]matcher.Route{"2": {Kind: matcher.Stream}, "3": {Kind: matcher.Safe}, "no number": tolerantRoute} {
+		b := newBackend(t, respond(200, ""))
+		newFixture(t, route, b).call(t, "POST", "/r/", "p", "Last-Event-Id", value)
+		assert.DeepEqual(t, b.requests[0].Header.Values("Last-Event-Id"), []string{value})
+	}
+}
+
 // Guards against sending Last-Event-Id twice, from the caller and from this host, which asks for the caller's last event
 // once more.
 func TestLastEventIDIsSentOnce(t *testing.T) {
